docs: design page and glossary, with the first shared types

Cause: the repository is empty, and parts can only be built side by side against fixed interfaces. Change: design page with requirements, state, messages, failure handling and module boundaries; ids, verdict, resources, clock, HTTP server and client, protocol messages and peer transport.

--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,41 @@
+//! Time source that tests can replace.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+/// Source of monotonic and wall-clock time.
+#[derive(Clone)]
+pub struct Clock {
+    now: Arc<dyn Fn() -> Instant + Send + Sync>,
+    wall: Arc<dyn Fn() -> SystemTime + Send + Sync>,
+}
+
+impl Clock {
+    /// The clock of the operating system.
+    pub fn system() -> Self {
+        Self::new(Instant::now, SystemTime::now)
+    }
+
+    /// A clock from closures, for tests.
+    pub fn new(
+        now: impl Fn() -> Instant + Send + Sync + 'static,
+        wall: impl Fn() -> SystemTime + Send + Sync + 'static,
+    ) -> Self {
+        Self { now: Arc::new(now), wall: Arc::new(wall) }
+    }
+
+    /// Monotonic time, for deadlines.
+    pub fn now(&self) -> Instant {
+        (self.now)()
+    }
+
+    /// Wall-clock time, for records and the age of keys only.
+    pub fn wall(&self) -> SystemTime {
+        (self.wall)()
+    }
+
+    /// Wall-clock time in whole Unix seconds; zero before 1970.
+    pub fn unix_seconds(&self) -> u64 {
+        self.wall().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |age| age.as_secs())
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,195 @@
+//! Blocking HTTP client with bounded waiting.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use thiserror::Error;
+use ureq::Agent;
+
+/// Limits of a client.
+#[derive(Clone, Debug)]
+pub struct ClientOptions {
+    /// Time for establishing a connection.
+    pub connect_timeout: Duration,
+    /// Longest idle age of a pooled connection; an older one may be dead without a sign.
+    pub max_idle_age: Duration,
+    /// Idle connections kept per host.
+    pub max_idle_connections_per_host: usize,
+    /// Largest response body.
+    pub max_body_bytes: u64,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            max_idle_age: Duration::from_secs(2),
+            max_idle_connections_per_host: 16,
+            max_body_bytes: 4 * 1024 * 1024,
+        }
+    }
+}
+
+/// A failed exchange.
+#[derive(Debug, Error)]
+pub enum ClientError {
+    /// No connection was established, so the request was not sent.
+    #[error("cannot connect to {url}: {reason}")]
+    NotSent {
+        /// Address of the request.
+        url: String,
+        /// What the library reported.
+        reason: String,
+    },
+    /// The request may have been sent, and no complete response arrived.
+    #[error("no complete response from {url}: {reason}")]
+    Interrupted {
+        /// Address of the request.
+        url: String,
+        /// What the library reported.
+        reason: String,
+    },
+}
+
+/// A response that arrived completely.
+#[derive(Clone, Debug)]
+pub struct ClientResponse {
+    /// HTTP status code.
+    pub status: u16,
+    /// Header fields, names in lower case.
+    pub headers: IndexMap<String, String>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl ClientResponse {
+    /// Value of a header field; the name is given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// A request to be sent by [`Client::send`].
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// HTTP method.
+    pub method: hyper::Method,
+    /// Absolute address.
+    pub url: String,
+    /// Header fields.
+    pub headers: Vec<(String, String)>,
+    /// Body; empty for none.
+    pub body: Vec<u8>,
+    /// When to give up.
+    pub deadline: Instant,
+    /// Whether to insist on a connection of its own, which ends with the exchange.
+    pub fresh_connection: bool,
+}
+
+impl ClientRequest {
+    /// A request without headers and body.
+    pub fn new(method: hyper::Method, url: impl Into<String>, deadline: Instant) -> Self {
+        Self {
+            method,
+            url: url.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            deadline,
+            fresh_connection: false,
+        }
+    }
+
+    /// Adds a header field.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+}
+
+/// HTTP client with pooled connections.
+#[derive(Clone)]
+pub struct Client {
+    pooled: Agent,
+    options: ClientOptions,
+}
+
+impl Client {
+    /// A client with its own connection pool.
+    pub fn new(options: ClientOptions) -> Self {
+        Self { pooled: agent(&options, options.max_idle_connections_per_host), options }
+    }
+
+    /// Sends a request and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::NotSent`] when no connection was established; otherwise
+    /// [`ClientError::Interrupted`], also when the body was cut off.
+    pub fn send(&self, request: ClientRequest) -> Result<ClientResponse, ClientError> {
+        let fresh;
+        let agent = if request.fresh_connection {
+            fresh = agent(&self.options, 0);
+            &fresh
+        } else {
+            &self.pooled
+        };
+        let url = request.url.clone();
+        let remaining = request.deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(ClientError::NotSent { url, reason: "the deadline has passed".to_owned() });
+        }
+        let mut builder = ureq::http::Request::builder().method(request.method).uri(&request.url);
+        for (name, value) in &request.headers {
+            builder = builder.header(name.as_str(), value.as_str());
+        }
+        let message = builder
+            .body(request.body)
+            .map_err(|error| ClientError::NotSent { url: url.clone(), reason: error.to_string() })?;
+        let message = agent.configure_request(message).timeout_global(Some(remaining)).build();
+        let mut response = agent.run(message).map_err(|error| classify(&url, &error))?;
+        let status = response.status().as_u16();
+        let headers = response
+            .headers()
+            .iter()
+            .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+            .collect();
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(self.options.max_body_bytes)
+            .read_to_vec()
+            .map_err(|error| ClientError::Interrupted { url, reason: error.to_string() })?;
+        Ok(ClientResponse { status, headers, body })
+    }
+}
+
+fn agent(options: &ClientOptions, max_idle_connections_per_host: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_connect(Some(options.connect_timeout))
+        .max_idle_age(options.max_idle_age)
+        .max_idle_connections(max_idle_connections_per_host * 256)
+        .max_idle_connections_per_host(max_idle_connections_per_host)
+        .build()
+        .into()
+}
+
+fn classify(url: &str, error: &ureq::Error) -> ClientError {
+    let (url, reason) = (url.to_owned(), error.to_string());
+    match error {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Http(_)
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+            ClientError::NotSent { url, reason }
+        }
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            ClientError::NotSent { url, reason }
+        }
+        _ => ClientError::Interrupted { url, reason },
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,426 @@
+//! HTTP/1.1 server with one thread per connection and bounded waiting.
+//!
+//! `hyper` parses and writes the protocol. The connection's thread waits for its socket with
+//! `poll`, so that every phase (idle, receiving, sending) has a deadline. astra, which wraps the
+//! same parser, offers no header-read timeout, no refusal at its connection limit and no shutdown.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, Waker};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+
+use super::message::{Request, Response};
+use crate::verdict::{ErrorCode, RequestError};
+
+/// Longest sleep of a connection's thread before it looks at the shutdown flag.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed accept, for example when file descriptors have run out.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Stack of a connection's thread; handlers do not recurse.
+const CONNECTION_STACK_BYTES: usize = 512 * 1024;
+/// Time allowed for writing the refusal of a connection above the limit.
+const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Computes the response to a request; may block.
+pub type Handler = Arc<dyn Fn(Request) -> Response + Send + Sync>;
+
+/// Limits of a server.
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// Open connections; further ones are refused with status 503.
+    pub max_connections: usize,
+    /// Time for a request to arrive completely, counted from its first byte.
+    pub receive_timeout: Duration,
+    /// Time for a response to be taken by the client.
+    pub send_timeout: Duration,
+    /// Time that a connection may stay open between requests.
+    pub idle_timeout: Duration,
+    /// Largest body.
+    pub max_body_bytes: usize,
+    /// Largest header section.
+    pub max_header_bytes: usize,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            max_connections: 1024,
+            receive_timeout: Duration::from_secs(10),
+            send_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(60),
+            max_body_bytes: 1024 * 1024,
+            max_header_bytes: 16 * 1024,
+        }
+    }
+}
+
+/// A running server. Dropping it stops accepting and lets open requests finish.
+pub struct Server {
+    local_address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    options: ServerOptions,
+    handler: Handler,
+    stopping: AtomicBool,
+    open_connections: AtomicUsize,
+}
+
+impl Server {
+    /// Binds the address and serves in background threads.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address or starting the accepting thread.
+    pub fn start(address: SocketAddr, options: ServerOptions, handler: Handler) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let local_address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            options,
+            handler,
+            stopping: AtomicBool::new(false),
+            open_connections: AtomicUsize::new(0),
+        });
+        let accepting = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("http-accept".to_owned())
+            .spawn(move || accept_connections(&listener, &accepting))?;
+        Ok(Self { local_address, shared })
+    }
+
+    /// Address on which the server listens.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Connections open now.
+    pub fn open_connections(&self) -> usize {
+        self.shared.open_connections.load(Ordering::Acquire)
+    }
+
+    /// Stops accepting, lets requests in flight finish and closes idle connections.
+    /// Returns whether all connections ended before the deadline.
+    pub fn shutdown(&self, deadline: Instant) -> bool {
+        self.stop_accepting();
+        while self.open_connections() > 0 {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        true
+    }
+
+    fn stop_accepting(&self) {
+        if self.shared.stopping.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        // Wakes the accepting thread, which checks the flag after each accept.
+        let _ = TcpStream::connect_timeout(&self.local_address, Duration::from_secs(1));
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop_accepting();
+    }
+}
+
+fn accept_connections(listener: &TcpListener, shared: &Arc<Shared>) {
+    for accepted in listener.incoming() {
+        if shared.stopping.load(Ordering::Acquire) {
+            return;
+        }
+        let stream = match accepted {
+            Ok(stream) => stream,
+            Err(error) => {
+                log::warn!("cannot accept an HTTP connection: {error}");
+                thread::sleep(ACCEPT_RETRY_PAUSE);
+                continue;
+            }
+        };
+        let open = shared.open_connections.fetch_add(1, Ordering::AcqRel);
+        if open >= shared.options.max_connections {
+            shared.open_connections.fetch_sub(1, Ordering::AcqRel);
+            refuse_connection(stream);
+            continue;
+        }
+        let connection = Arc::clone(shared);
+        let spawned = thread::Builder::new()
+            .name("http-connection".to_owned())
+            .stack_size(CONNECTION_STACK_BYTES)
+            .spawn(move || {
+                let _count = ConnectionCount(&connection.open_connections);
+                serve_connection(stream, &connection);
+            });
+        if let Err(error) = spawned {
+            shared.open_connections.fetch_sub(1, Ordering::AcqRel);
+            log::warn!("cannot start a connection thread: {error}");
+        }
+    }
+}
+
+/// Releases a connection's place, also when its handler panics.
+struct ConnectionCount<'a>(&'a AtomicUsize);
+
+impl Drop for ConnectionCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Answers 503 without reading the request, which therefore did not run.
+fn refuse_connection(mut stream: TcpStream) {
+    let error = RequestError::did_not_run(ErrorCode::Overloaded, "too many open connections");
+    let response = Response::error(&error.retry_after_ms(1000), "");
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
+         jujubewinch-verdict: did_not_run\r\nretry-after: 1\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n",
+        response.body.len()
+    );
+    let _ = stream.set_write_timeout(Some(REFUSAL_WRITE_TIMEOUT));
+    let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&response.body));
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Idle,
+    Receiving,
+    Handling,
+    Sending,
+}
+
+/// Socket state shared between the connection future and the waiting loop.
+struct SocketState {
+    stream: TcpStream,
+    phase: Cell<Phase>,
+    deadline: Cell<Instant>,
+    wants_write: Cell<bool>,
+    options: ServerOptions,
+}
+
+impl SocketState {
+    fn enter(&self, phase: Phase) {
+        let allowed = match phase {
+            Phase::Idle => self.options.idle_timeout,
+            Phase::Receiving => self.options.receive_timeout,
+            Phase::Handling | Phase::Sending => self.options.send_timeout,
+        };
+        self.phase.set(phase);
+        self.deadline.set(Instant::now() + allowed);
+    }
+}
+
+/// Non-blocking socket for `hyper`; the waiting happens in [`serve_connection`].
+struct Socket(Rc<SocketState>);
+
+impl hyper::rt::Read for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        mut buffer: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let state = &self.0;
+        let mut chunk = [0_u8; 8 * 1024];
+        let wanted = chunk.len().min(buffer.remaining());
+        match (&state.stream).read(&mut chunk[..wanted]) {
+            Ok(count) => {
+                if count > 0 && matches!(state.phase.get(), Phase::Idle | Phase::Sending) {
+                    state.enter(Phase::Receiving);
+                }
+                buffer.put_slice(&chunk[..count]);
+                Poll::Ready(Ok(()))
+            }
+            Err(error) if is_retryable(&error) => {
+                if state.phase.get() == Phase::Sending && !state.wants_write.get() {
+                    state.enter(Phase::Idle);
+                }
+                Poll::Pending
+            }
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
+}
+
+impl hyper::rt::Write for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match (&self.0.stream).write(bytes) {
+            Ok(count) => {
+                self.0.wants_write.set(false);
+                Poll::Ready(Ok(count))
+            }
+            Err(error) if is_retryable(&error) => {
+                self.0.wants_write.set(true);
+                Poll::Pending
+            }
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.stream.shutdown(Shutdown::Write))
+    }
+}
+
+fn is_retryable(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
+fn serve_connection(stream: TcpStream, shared: &Arc<Shared>) {
+    let peer_address = stream.peer_addr().ok();
+    if stream.set_nonblocking(true).is_err() || stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let state = Rc::new(SocketState {
+        stream,
+        phase: Cell::new(Phase::Idle),
+        deadline: Cell::new(Instant::now()),
+        wants_write: Cell::new(false),
+        options: shared.options.clone(),
+    });
+    state.enter(Phase::Idle);
+    let service_state = Rc::clone(&state);
+    let service = service_fn(move |incoming: hyper::Request<Incoming>| {
+        let state = Rc::clone(&service_state);
+        let shared = Arc::clone(shared);
+        async move { Ok::<_, Infallible>(answer(incoming, &state, &shared, peer_address).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.half_close(true).max_buf_size(shared.options.max_header_bytes.max(8 * 1024));
+    let connection = pin!(builder.serve_connection(Socket(Rc::clone(&state)), service));
+    drive(connection, &state, shared);
+}
+
+/// Polls the connection whenever its socket is ready, until it ends or its phase times out.
+fn drive<S>(
+    mut connection: Pin<&mut http1::Connection<Socket, S>>,
+    state: &SocketState,
+    shared: &Shared,
+) where
+    S: hyper::service::HttpService<Incoming, ResBody = Full<Bytes>>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut context = Context::from_waker(Waker::noop());
+    loop {
+        match connection.as_mut().poll(&mut context) {
+            Poll::Ready(Ok(())) => return,
+            Poll::Ready(Err(error)) => {
+                log::debug!("HTTP connection ended: {error}");
+                return;
+            }
+            Poll::Pending => {}
+        }
+        let now = Instant::now();
+        let deadline = state.deadline.get();
+        if now >= deadline {
+            log::debug!("HTTP connection closed in phase {:?} at its timeout", state.phase.get());
+            return;
+        }
+        if shared.stopping.load(Ordering::Acquire) {
+            connection.as_mut().graceful_shutdown();
+            if state.phase.get() == Phase::Idle {
+                return;
+            }
+        }
+        let wait = deadline.saturating_duration_since(now).min(SHUTDOWN_CHECK_INTERVAL);
+        let mut flags = PollFlags::IN;
+        if state.wants_write.get() {
+            flags = PollFlags::OUT;
+        }
+        let timeout = Timespec::try_from(wait).ok();
+        let mut descriptors = [PollFd::new(&state.stream, flags)];
+        if let Err(error) = poll(&mut descriptors, timeout.as_ref()) {
+            if error != rustix::io::Errno::INTR {
+                return;
+            }
+        }
+    }
+}
+
+async fn answer(
+    incoming: hyper::Request<Incoming>,
+    state: &SocketState,
+    shared: &Shared,
+    peer_address: Option<SocketAddr>,
+) -> hyper::Response<Full<Bytes>> {
+    let (parts, body) = incoming.into_parts();
+    let collected = Limited::new(body, shared.options.max_body_bytes).collect().await;
+    let response = match collected {
+        Ok(collected) => {
+            state.enter(Phase::Handling);
+            let request = Request {
+                method: parts.method,
+                path: parts.uri.path().to_owned(),
+                query: parse_query(parts.uri.query().unwrap_or_default()),
+                headers: parts.headers,
+                body: collected.to_bytes().to_vec(),
+                peer_address,
+            };
+            (shared.handler)(request)
+        }
+        Err(error) if error.is::<LengthLimitError>() => {
+            let limit = shared.options.max_body_bytes;
+            let message = format!("the body exceeds {limit} bytes");
+            Response::error(&RequestError::did_not_run(ErrorCode::TooLarge, message), "")
+                .header("connection", "close")
+        }
+        Err(error) => {
+            let message = format!("the body could not be read: {error}");
+            Response::error(&RequestError::did_not_run(ErrorCode::BadRequest, message), "")
+                .header("connection", "close")
+        }
+    };
+    state.enter(Phase::Sending);
+    into_hyper(response)
+}
+
+fn into_hyper(response: Response) -> hyper::Response<Full<Bytes>> {
+    let mut builder = hyper::Response::builder().status(response.status);
+    for (name, value) in &response.headers {
+        builder = builder.header(name.as_str(), value.as_str());
+    }
+    builder.body(Full::new(Bytes::from(response.body))).unwrap_or_else(|error| {
+        log::error!("a handler produced an invalid response: {error}");
+        let mut fallback = hyper::Response::new(Full::new(Bytes::new()));
+        *fallback.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+        fallback
+    })
+}
+
+fn parse_query(query: &str) -> indexmap::IndexMap<String, String> {
+    query
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| pair.split_once('=').unwrap_or((pair, "")))
+        .map(|(name, value)| (decode_percent(name), decode_percent(value)))
+        .collect()
+}
+
+/// Decodes `%XX` sequences and `+`; invalid sequences stay as they are.
+pub fn decode_percent(text: &str) -> String {
+    percent_encoding::percent_decode_str(&text.replace('+', " ")).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/src/protocol.rs
@@ -0,0 +1,6 @@
+//! Messages of all interfaces.
+
+pub mod caller;
+pub mod headers;
+pub mod peer;
+pub mod worker;
--- /dev/null
+++ b/src/protocol/headers.rs
@@ -0,0 +1,38 @@
+//! Names of HTTP header fields, in lower case.
+
+/// Bearer token of a caller or operator.
+pub const AUTHORIZATION: &str = "authorization";
+/// Idempotency key of a request.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Verdict of an answer or error.
+pub const VERDICT: &str = "jujubewinch-verdict";
+/// Identifier of a request in logs.
+pub const REQUEST_ID: &str = "jujubewinch-request-id";
+/// Service that executes the request.
+pub const SERVICE: &str = "jujubewinch-service";
+/// Whether the request may be repeated without harm.
+pub const IDEMPOTENT: &str = "jujubewinch-idempotent";
+/// Urgency: `low`, `normal`, `high` or `urgent`.
+pub const URGENCY: &str = "jujubewinch-urgency";
+/// Remaining time of the request in milliseconds.
+pub const TIMEOUT_MS: &str = "jujubewinch-timeout-ms";
+/// Caller within the member.
+pub const CALLER: &str = "jujubewinch-caller";
+/// Member, only where authentication is off.
+pub const MEMBER: &str = "jujubewinch-member";
+/// Data centre that answered.
+pub const DATA_CENTRE: &str = "jujubewinch-data-centre";
+/// Time from admission to the start of execution in microseconds.
+pub const WAIT_US: &str = "jujubewinch-wait-us";
+/// Fencing token of the placer.
+pub const EPOCH: &str = "jujubewinch-epoch";
+/// Remaining lease of a task in milliseconds.
+pub const LEASE_MS: &str = "jujubewinch-lease-ms";
+/// Incarnation of the worker that a task is meant for.
+pub const INCARNATION: &str = "jujubewinch-incarnation";
+/// Resources of a task as JSON.
+pub const RESOURCES: &str = "jujubewinch-resources";
+/// State of a task.
+pub const TASK_STATE: &str = "jujubewinch-task-state";
+/// CRC-32 of an answer, in decimal.
+pub const ANSWER_CRC32: &str = "jujubewinch-answer-crc32";
