feature: a request runs end to end through an entry host

Cause: the design needs a running path before parts can be built and measured. Conclusion: the path is whole; replication, fairness and recovery are still missing.

--- /dev/null
+++ b/src/agent/payload.rs
@@ -0,0 +1,26 @@
+//! Instructions that the stand-in runner understands.
+
+use serde::{Deserialize, Serialize};
+
+/// Payload of a request to the stand-in runner; any other payload is answered as it is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StandInPayload {
+    /// Duration of the execution.
+    pub work_ms: u64,
+    /// Whether the execution fails at its end.
+    pub fail: bool,
+    /// Size of the answer.
+    pub answer_bytes: usize,
+    /// Text that the answer starts with.
+    pub echo: String,
+}
+
+impl StandInPayload {
+    /// The answer: `echo`, padded to `answer_bytes`.
+    pub fn answer(&self) -> Vec<u8> {
+        let mut answer = self.echo.clone().into_bytes();
+        answer.resize(answer.len().max(self.answer_bytes), b'.');
+        answer
+    }
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -21,7 +21,10 @@
         now: impl Fn() -> Instant + Send + Sync + 'static,
         wall: impl Fn() -> SystemTime + Send + Sync + 'static,
     ) -> Self {
-        Self { now: Arc::new(now), wall: Arc::new(wall) }
+        Self {
+            now: Arc::new(now),
+            wall: Arc::new(wall),
+        }
     }
 
     /// Monotonic time, for deadlines.
@@ -36,6 +39,8 @@
 
     /// Wall-clock time in whole Unix seconds; zero before 1970.
     pub fn unix_seconds(&self) -> u64 {
-        self.wall().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |age| age.as_secs())
+        self.wall()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |age| age.as_secs())
     }
 }
--- /dev/null
+++ b/src/commands/dev.rs
@@ -0,0 +1,203 @@
+//! `dev`: a small cell in one process, for trying the product.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use super::{CommandError, Subcommand};
+use crate::agent::{Agent, AgentOptions};
+use crate::entry_host::EntryHost;
+use crate::options::Settings;
+use crate::options::arguments::value;
+use crate::options::settings::{
+    CellHost, CellSettings, HostSettings, LimitSettings, ListenerSettings, LoggingSettings,
+    TimingSettings,
+};
+use crate::protocol::worker::RunnerCapacity;
+use crate::resources::Resources;
+
+/// Data centres of the cell with their regions.
+const DATA_CENTRES: [(&str, &str); 3] = [
+    ("erdenet", "orkhon"),
+    ("sukhbaatar", "selenge"),
+    ("chinggis", "khentii"),
+];
+/// Service of the stand-in runners.
+const SERVICE: &str = "wheel-orders";
+/// Stand-in runners in each data centre.
+const RUNNERS_PER_DATA_CENTRE: usize = 2;
+/// Time for leaving runners to finish their tasks.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(10);
+
+pub(super) fn subcommand() -> Subcommand {
+    Subcommand { arguments, run }
+}
+
+fn arguments() -> Command {
+    Command::new("dev")
+        .about("Run a small cell with stand-in runners in one process")
+        .after_help("Example:\n  jujubewinch dev\n  jujubewinch dev --first-port 0 --seconds 30")
+        .arg(
+            Arg::new("first-port")
+                .long("first-port")
+                .value_name("PORT")
+                .default_value("7101")
+                .value_parser(value_parser!(u16))
+                .help("Port of the first caller listener; 0 picks free ports"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("SECONDS")
+                .value_parser(value_parser!(u64))
+                .help("End after this time instead of at SIGTERM"),
+        )
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    let failed = |error: std::io::Error| CommandError::Failed(format!("cannot start: {error}"));
+    let cell = DevelopmentCell::start(value(matches, "first-port")).map_err(failed)?;
+    for (host, (data_centre, _)) in cell.hosts.iter().zip(DATA_CENTRES) {
+        println!(
+            "{data_centre}: callers on http://{}, operators on http://{}",
+            host.caller_address(),
+            host.admin_address()
+        );
+    }
+    println!("service {SERVICE} has {} runners", cell.runners.len());
+    println!(
+        "try: jujubewinch submit --entry {} --service {SERVICE} --idempotent --data hello",
+        cell.hosts[0].caller_address()
+    );
+    let seconds = matches.get_one::<u64>("seconds").copied();
+    let deadline = seconds.map(|seconds| Instant::now() + Duration::from_secs(seconds));
+    super::wait_for_termination(deadline).map_err(failed)?;
+    cell.shutdown();
+    Ok(())
+}
+
+/// One entry host for each data centre and stand-in runners, in this process.
+struct DevelopmentCell {
+    hosts: Vec<EntryHost>,
+    runners: Vec<Agent>,
+}
+
+impl DevelopmentCell {
+    fn start(first_port: u16) -> std::io::Result<Self> {
+        let mut ports = Vec::new();
+        for index in 0..DATA_CENTRES.len() as u16 {
+            ports.push(HostPorts::choose(first_port, index)?);
+        }
+        let cell_hosts: Vec<CellHost> = DATA_CENTRES
+            .iter()
+            .zip(&ports)
+            .map(|((data_centre, region), ports)| CellHost {
+                id: format!("{data_centre}-1"),
+                data_centre: (*data_centre).to_owned(),
+                region: (*region).to_owned(),
+                peers: ports.peers,
+                votes: false,
+                witness_for: None,
+            })
+            .collect();
+        let mut hosts = Vec::new();
+        for (host, ports) in cell_hosts.iter().zip(&ports) {
+            hosts.push(EntryHost::start(host_settings(host, ports, &cell_hosts))?);
+        }
+        let entry_hosts: Vec<SocketAddr> = hosts.iter().map(EntryHost::caller_address).collect();
+        let mut runners = Vec::new();
+        for (data_centre, _) in DATA_CENTRES {
+            for index in 1..=RUNNERS_PER_DATA_CENTRE {
+                runners.push(Agent::start(runner_options(
+                    data_centre,
+                    index,
+                    &entry_hosts,
+                ))?);
+            }
+        }
+        Ok(Self { hosts, runners })
+    }
+
+    fn shutdown(self) {
+        for host in &self.hosts {
+            host.shutdown();
+        }
+        for runner in &self.runners {
+            runner.leave(Instant::now() + LEAVE_TIMEOUT);
+        }
+    }
+}
+
+/// Listening addresses of one host.
+struct HostPorts {
+    callers: SocketAddr,
+    admin: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl HostPorts {
+    fn choose(first_port: u16, index: u16) -> std::io::Result<Self> {
+        if first_port == 0 {
+            return Ok(Self {
+                callers: free_port()?,
+                admin: free_port()?,
+                peers: free_port()?,
+            });
+        }
+        let address =
+            |offset: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, first_port + offset + index));
+        Ok(Self {
+            callers: address(0),
+            admin: address(100),
+            peers: address(200),
+        })
+    }
+}
+
+/// A port that was free a moment ago; the peers must know it before it is bound.
+fn free_port() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn host_settings(host: &CellHost, ports: &HostPorts, hosts: &[CellHost]) -> Settings {
+    Settings {
+        host: HostSettings {
+            id: host.id.clone(),
+            data_folder: None,
+        },
+        listeners: ListenerSettings {
+            callers: ports.callers,
+            admin: ports.admin,
+            peers: ports.peers,
+        },
+        cell: CellSettings {
+            name: "development".to_owned(),
+            authentication: false,
+            hosts: hosts.to_vec(),
+        },
+        limits: LimitSettings::default(),
+        timing: TimingSettings::default(),
+        logging: LoggingSettings::default(),
+    }
+}
+
+fn runner_options(data_centre: &str, index: usize, entry_hosts: &[SocketAddr]) -> AgentOptions {
+    AgentOptions {
+        worker: format!("{data_centre}-worker-{index}"),
+        data_centre: data_centre.to_owned(),
+        rack: format!("rack-{index}"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: entry_hosts.to_vec(),
+        resources: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 32 * 1024,
+            accelerators: 0,
+        },
+        runner: RunnerCapacity {
+            service: SERVICE.to_owned(),
+            slots: 8,
+            connections: 64,
+        },
+    }
+}
--- /dev/null
+++ b/src/commands/request.rs
@@ -0,0 +1,188 @@
+//! `submit`, `status` and `cancel`: requests from the command line.
+
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use hyper::Method;
+
+use super::{CommandError, Subcommand};
+use crate::http::client::{ClientError, ClientRequest, ClientResponse};
+use crate::http::{Client, ClientOptions};
+use crate::options::arguments::{entry_argument, value};
+use crate::protocol::caller::ErrorBody;
+use crate::protocol::headers;
+use crate::verdict::{ErrorCode, RequestError};
+
+/// Time beyond the request's own for its verdict to arrive.
+const REPLY_GRACE: Duration = Duration::from_secs(2);
+/// Time for queries and cancellations.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(5);
+
+pub(super) fn submit() -> Subcommand {
+    Subcommand {
+        arguments: submit_arguments,
+        run: run_submit,
+    }
+}
+
+pub(super) fn status() -> Subcommand {
+    Subcommand {
+        arguments: || key_command("status", "Print the outcome of an earlier request"),
+        run: |matches| run_by_key(matches, Method::GET),
+    }
+}
+
+pub(super) fn cancel() -> Subcommand {
+    Subcommand {
+        arguments: || key_command("cancel", "Cancel a waiting request"),
+        run: |matches| run_by_key(matches, Method::DELETE),
+    }
+}
+
+fn submit_arguments() -> Command {
+    Command::new("submit")
+        .about("Send one request and print its answer")
+        .after_help(
+            "Examples:\n  jujubewinch submit --service wheel-orders --idempotent --data hello\n  \
+             jujubewinch submit --service wheel-orders --key erdenet.$(date +%s).conf-8812 \
+             --data @confirmation.json",
+        )
+        .arg(entry_argument())
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .required(true)
+                .help("Service that executes it"),
+        )
+        .arg(Arg::new("key").long("key").help("Idempotency key"))
+        .arg(
+            Arg::new("member")
+                .long("member")
+                .help("Member, where authentication is off"),
+        )
+        .arg(
+            Arg::new("idempotent")
+                .long("idempotent")
+                .action(ArgAction::SetTrue)
+                .help("The request may be repeated without harm"),
+        )
+        .arg(
+            Arg::new("urgency")
+                .long("urgency")
+                .default_value("normal")
+                .value_parser(["low", "normal", "high", "urgent"])
+                .help("Order within the member"),
+        )
+        .arg(
+            Arg::new("timeout-ms")
+                .long("timeout-ms")
+                .default_value("10000")
+                .value_parser(value_parser!(u64))
+                .help("Time until the request becomes useless"),
+        )
+        .arg(
+            Arg::new("data")
+                .long("data")
+                .required(true)
+                .help("Payload; @FILE reads a file and @- standard input"),
+        )
+}
+
+fn key_command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(entry_argument()).arg(
+        Arg::new("key")
+            .required(true)
+            .help("Idempotency key of the request"),
+    )
+}
+
+fn run_submit(matches: &ArgMatches) -> Result<(), CommandError> {
+    let entry: SocketAddr = value(matches, "entry");
+    let timeout_ms: u64 = value(matches, "timeout-ms");
+    let deadline = Instant::now() + Duration::from_millis(timeout_ms) + REPLY_GRACE;
+    let mut request = ClientRequest::new(
+        Method::POST,
+        format!("http://{entry}/v1/requests"),
+        deadline,
+    )
+    .header(headers::SERVICE, value::<String>(matches, "service"))
+    .header(
+        headers::IDEMPOTENT,
+        matches.get_flag("idempotent").to_string(),
+    )
+    .header(headers::URGENCY, value::<String>(matches, "urgency"))
+    .header(headers::TIMEOUT_MS, timeout_ms.to_string());
+    for (option, header) in [
+        ("key", headers::IDEMPOTENCY_KEY),
+        ("member", headers::MEMBER),
+    ] {
+        if let Some(value) = matches.get_one::<String>(option) {
+            request = request.header(header, value);
+        }
+    }
+    request.body = payload(&value::<String>(matches, "data"))?;
+    print_answer(send(request)?)
+}
+
+fn run_by_key(matches: &ArgMatches, method: Method) -> Result<(), CommandError> {
+    let entry: SocketAddr = value(matches, "entry");
+    let url = format!(
+        "http://{entry}/v1/requests/{}",
+        value::<String>(matches, "key")
+    );
+    print_answer(send(ClientRequest::new(
+        method,
+        url,
+        Instant::now() + SHORT_TIMEOUT,
+    ))?)
+}
+
+fn send(request: ClientRequest) -> Result<ClientResponse, CommandError> {
+    let sent = Client::new(ClientOptions::default()).send(request);
+    sent.map_err(|error| {
+        let verdict = match &error {
+            ClientError::NotSent { .. } => RequestError::did_not_run,
+            ClientError::Interrupted { .. } => RequestError::may_have_run,
+        };
+        CommandError::Request(verdict(ErrorCode::Unavailable, error.to_string()))
+    })
+}
+
+fn payload(data: &str) -> Result<Vec<u8>, CommandError> {
+    let unreadable = |error| CommandError::Usage(format!("cannot read {data}: {error}"));
+    let Some(file) = data.strip_prefix('@') else {
+        return Ok(data.as_bytes().to_vec());
+    };
+    if file != "-" {
+        return std::fs::read(file).map_err(unreadable);
+    }
+    let mut bytes = Vec::new();
+    std::io::stdin()
+        .read_to_end(&mut bytes)
+        .map_err(unreadable)?;
+    Ok(bytes)
+}
+
+fn print_answer(response: ClientResponse) -> Result<(), CommandError> {
+    if response.status != 200 {
+        let error: ErrorBody = serde_json::from_slice(&response.body).map_err(|error| {
+            CommandError::Failed(format!(
+                "status {} without an error body: {error}",
+                response.status
+            ))
+        })?;
+        return Err(CommandError::Request(RequestError {
+            verdict: error.verdict,
+            code: error.code,
+            message: error.message,
+            retry_after_ms: error.retry_after_ms,
+        }));
+    }
+    let mut output = std::io::stdout();
+    output
+        .write_all(&response.body)
+        .and_then(|()| output.write_all(b"\n"))
+        .map_err(|error| CommandError::Failed(format!("cannot write the answer: {error}")))
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -117,7 +117,10 @@
 impl Client {
     /// A client with its own connection pool.
     pub fn new(options: ClientOptions) -> Self {
-        Self { pooled: agent(&options, options.max_idle_connections_per_host), options }
+        Self {
+            pooled: agent(&options, options.max_idle_connections_per_host),
+            options,
+        }
     }
 
     /// Sends a request and reads the whole response.
@@ -137,16 +140,27 @@
         let url = request.url.clone();
         let remaining = request.deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
-            return Err(ClientError::NotSent { url, reason: "the deadline has passed".to_owned() });
+            return Err(ClientError::NotSent {
+                url,
+                reason: "the deadline has passed".to_owned(),
+            });
         }
-        let mut builder = ureq::http::Request::builder().method(request.method).uri(&request.url);
+        let mut builder = hyper::Request::builder()
+            .method(request.method)
+            .uri(&request.url);
         for (name, value) in &request.headers {
             builder = builder.header(name.as_str(), value.as_str());
         }
         let message = builder
             .body(request.body)
-            .map_err(|error| ClientError::NotSent { url: url.clone(), reason: error.to_string() })?;
-        let message = agent.configure_request(message).timeout_global(Some(remaining)).build();
+            .map_err(|error| ClientError::NotSent {
+                url: url.clone(),
+                reason: error.to_string(),
+            })?;
+        let message = agent
+            .configure_request(message)
+            .timeout_global(Some(remaining))
+            .build();
         let mut response = agent.run(message).map_err(|error| classify(&url, &error))?;
         let status = response.status().as_u16();
         let headers = response
@@ -159,8 +173,15 @@
             .with_config()
             .limit(self.options.max_body_bytes)
             .read_to_vec()
-            .map_err(|error| ClientError::Interrupted { url, reason: error.to_string() })?;
-        Ok(ClientResponse { status, headers, body })
+            .map_err(|error| ClientError::Interrupted {
+                url,
+                reason: error.to_string(),
+            })?;
+        Ok(ClientResponse {
+            status,
+            headers,
+            body,
+        })
     }
 }
 
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -38,9 +38,17 @@
     /// # Errors
     ///
     /// `BadRequest` when the field is present and cannot be parsed.
-    pub fn parse_header<T: std::str::FromStr>(&self, name: &str) -> Result<Option<T>, RequestError> {
-        let Some(value) = self.headers.get(name) else { return Ok(None) };
-        let parsed = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    pub fn parse_header<T: std::str::FromStr>(
+        &self,
+        name: &str,
+    ) -> Result<Option<T>, RequestError> {
+        let Some(value) = self.headers.get(name) else {
+            return Ok(None);
+        };
+        let parsed = value
+            .to_str()
+            .ok()
+            .and_then(|text| text.trim().parse().ok());
         let invalid = || {
             RequestError::did_not_run(ErrorCode::BadRequest, format!("header {name} is not valid"))
         };
@@ -65,7 +73,10 @@
 
     /// Path segments without empty ones.
     pub fn segments(&self) -> Vec<&str> {
-        self.path.split('/').filter(|segment| !segment.is_empty()).collect()
+        self.path
+            .split('/')
+            .filter(|segment| !segment.is_empty())
+            .collect()
     }
 }
 
@@ -83,20 +94,33 @@
 impl Response {
     /// A response with a plain text body.
     pub fn text(status: u16, body: impl Into<String>) -> Self {
-        Self { status, headers: Vec::new(), body: body.into().into_bytes() }
-            .header("content-type", "text/plain; charset=utf-8")
+        Self {
+            status,
+            headers: Vec::new(),
+            body: body.into().into_bytes(),
+        }
+        .header("content-type", "text/plain; charset=utf-8")
     }
 
     /// A response with raw bytes.
     pub fn bytes(status: u16, body: Vec<u8>) -> Self {
-        Self { status, headers: Vec::new(), body }.header("content-type", "application/octet-stream")
+        Self {
+            status,
+            headers: Vec::new(),
+            body,
+        }
+        .header("content-type", "application/octet-stream")
     }
 
     /// A response with a JSON body.
     pub fn json(status: u16, value: &impl Serialize) -> Self {
         match serde_json::to_vec(value) {
-            Ok(body) => Self { status, headers: Vec::new(), body }
-                .header("content-type", "application/json"),
+            Ok(body) => Self {
+                status,
+                headers: Vec::new(),
+                body,
+            }
+            .header("content-type", "application/json"),
             Err(error) => Self::text(500, format!("cannot encode the response: {error}")),
         }
     }
@@ -110,8 +134,8 @@
             request_id: request_id.to_owned(),
             retry_after_ms: error.retry_after_ms,
         };
-        let mut response =
-            Self::json(error.http_status(), &body).header(headers::VERDICT, error.verdict.to_string());
+        let mut response = Self::json(error.http_status(), &body)
+            .header(headers::VERDICT, error.verdict.to_string());
         if let Some(retry_after_ms) = error.retry_after_ms {
             response = response.header("retry-after", retry_after_ms.div_ceil(1000).to_string());
         }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -86,7 +86,11 @@
     /// # Errors
     ///
     /// The error of binding the address or starting the accepting thread.
-    pub fn start(address: SocketAddr, options: ServerOptions, handler: Handler) -> io::Result<Self> {
+    pub fn start(
+        address: SocketAddr,
+        options: ServerOptions,
+        handler: Handler,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let local_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -99,7 +103,10 @@
         thread::Builder::new()
             .name("http-accept".to_owned())
             .spawn(move || accept_connections(&listener, &accepting))?;
-        Ok(Self { local_address, shared })
+        Ok(Self {
+            local_address,
+            shared,
+        })
     }
 
     /// Address on which the server listens.
@@ -194,7 +201,9 @@
         response.body.len()
     );
     let _ = stream.set_write_timeout(Some(REFUSAL_WRITE_TIMEOUT));
-    let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&response.body));
+    let _ = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(&response.body));
     let _ = stream.shutdown(Shutdown::Write);
 }
 
@@ -310,7 +319,9 @@
         async move { Ok::<_, Infallible>(answer(incoming, &state, &shared, peer_address).await) }
     });
     let mut builder = http1::Builder::new();
-    builder.half_close(true).max_buf_size(shared.options.max_header_bytes.max(8 * 1024));
+    builder
+        .half_close(true)
+        .max_buf_size(shared.options.max_header_bytes.max(8 * 1024));
     let connection = pin!(builder.serve_connection(Socket(Rc::clone(&state)), service));
     drive(connection, &state, shared);
 }
@@ -337,7 +348,10 @@
         let now = Instant::now();
         let deadline = state.deadline.get();
         if now >= deadline {
-            log::debug!("HTTP connection closed in phase {:?} at its timeout", state.phase.get());
+            log::debug!(
+                "HTTP connection closed in phase {:?} at its timeout",
+                state.phase.get()
+            );
             return;
         }
         if shared.stopping.load(Ordering::Acquire) {
@@ -346,17 +360,18 @@
                 return;
             }
         }
-        let wait = deadline.saturating_duration_since(now).min(SHUTDOWN_CHECK_INTERVAL);
+        let wait = deadline
+            .saturating_duration_since(now)
+            .min(SHUTDOWN_CHECK_INTERVAL);
         let mut flags = PollFlags::IN;
         if state.wants_write.get() {
             flags = PollFlags::OUT;
         }
         let timeout = Timespec::try_from(wait).ok();
         let mut descriptors = [PollFd::new(&state.stream, flags)];
-        if let Err(error) = poll(&mut descriptors, timeout.as_ref()) {
-            if error != rustix::io::Errno::INTR {
-                return;
-            }
+        match poll(&mut descriptors, timeout.as_ref()) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(_) => return,
         }
     }
 }
@@ -368,7 +383,9 @@
     peer_address: Option<SocketAddr>,
 ) -> hyper::Response<Full<Bytes>> {
     let (parts, body) = incoming.into_parts();
-    let collected = Limited::new(body, shared.options.max_body_bytes).collect().await;
+    let collected = Limited::new(body, shared.options.max_body_bytes)
+        .collect()
+        .await;
     let response = match collected {
         Ok(collected) => {
             state.enter(Phase::Handling);
@@ -390,8 +407,11 @@
         }
         Err(error) => {
             let message = format!("the body could not be read: {error}");
-            Response::error(&RequestError::did_not_run(ErrorCode::BadRequest, message), "")
-                .header("connection", "close")
+            Response::error(
+                &RequestError::did_not_run(ErrorCode::BadRequest, message),
+                "",
+            )
+            .header("connection", "close")
         }
     };
     state.enter(Phase::Sending);
@@ -403,12 +423,14 @@
     for (name, value) in &response.headers {
         builder = builder.header(name.as_str(), value.as_str());
     }
-    builder.body(Full::new(Bytes::from(response.body))).unwrap_or_else(|error| {
-        log::error!("a handler produced an invalid response: {error}");
-        let mut fallback = hyper::Response::new(Full::new(Bytes::new()));
-        *fallback.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
-        fallback
-    })
+    builder
+        .body(Full::new(Bytes::from(response.body)))
+        .unwrap_or_else(|error| {
+            log::error!("a handler produced an invalid response: {error}");
+            let mut fallback = hyper::Response::new(Full::new(Bytes::new()));
+            *fallback.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+            fallback
+        })
 }
 
 fn parse_query(query: &str) -> indexmap::IndexMap<String, String> {
@@ -422,5 +444,7 @@
 
 /// Decodes `%XX` sequences and `+`; invalid sequences stay as they are.
 pub fn decode_percent(text: &str) -> String {
-    percent_encoding::percent_decode_str(&text.replace('+', " ")).decode_utf8_lossy().into_owned()
+    percent_encoding::percent_decode_str(&text.replace('+', " "))
+        .decode_utf8_lossy()
+        .into_owned()
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,25 @@
-fn main(){}
+//! Entry point of the `jujubewinch` binary.
+
+use std::process::ExitCode;
+
+use jujubewinch::commands;
+use jujubewinch::options::arguments;
+use jujubewinch::options::settings::LoggingSettings;
+use jujubewinch::telemetry::logging;
+
+fn main() -> ExitCode {
+    let matches = arguments::command().get_matches();
+    let mut settings = LoggingSettings::default();
+    if let Some(level) = matches.get_one::<String>("log-level") {
+        settings.level.clone_from(level);
+    }
+    settings.json = matches.get_flag("log-json");
+    logging::start(&settings);
+    match commands::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/src/options/arguments.rs
@@ -0,0 +1,71 @@
+//! Command-line arguments.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::commands;
+
+const EXIT_CODES: &str = "Exit codes:
+  0  success
+  1  the operation failed; standard error says why
+  2  wrong arguments or settings
+  3  a request did not run
+  4  a request may have run";
+
+/// The command line of the binary.
+pub fn command() -> Command {
+    Command::new("jujubewinch")
+        .version(clap::crate_version!())
+        .about("A cluster scheduler for unlike workloads: requests, batch, services and gangs")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .global(true)
+                .help("Lowest level of log events: error, warn, info, debug or trace"),
+        )
+        .arg(
+            Arg::new("log-json")
+                .long("log-json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Write each log event as one line of JSON"),
+        )
+        .subcommands(commands::all().iter().map(|command| (command.arguments)()))
+}
+
+/// Option that names the settings file.
+pub fn settings_argument() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .short('s')
+        .required(true)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Settings file of the entry host, in TOML")
+}
+
+/// Option that names the caller address of an entry host.
+pub fn entry_argument() -> Arg {
+    Arg::new("entry")
+        .long("entry")
+        .value_name("ADDRESS")
+        .default_value("127.0.0.1:7101")
+        .value_parser(value_parser!(std::net::SocketAddr))
+        .help("Caller address of an entry host")
+}
+
+/// Value of an option that has a default or is required.
+///
+/// # Panics
+///
+/// When the option is not defined with that type, which is a fault of the caller.
+pub fn value<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches
+        .get_one::<T>(name)
+        .cloned()
+        .unwrap_or_else(|| panic!("option {name} has no value"))
+}
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -10,6 +10,7 @@
 pub const MAX_FRAME_BYTES: u32 = 16 * 1024 * 1024;
 
 /// Content of one frame.
+#[allow(clippy::large_enum_variant)] // Frames live only on the stack of one call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// First frame of a connection.
@@ -46,7 +47,9 @@
     let body = postcard::to_stdvec(frame).map_err(invalid)?;
     let length = u32::try_from(body.len()).map_err(invalid)?;
     if length > MAX_FRAME_BYTES {
-        return Err(invalid(format!("frame of {length} bytes exceeds {MAX_FRAME_BYTES}")));
+        return Err(invalid(format!(
+            "frame of {length} bytes exceeds {MAX_FRAME_BYTES}"
+        )));
     }
     let mut bytes = Vec::with_capacity(body.len() + 4);
     bytes.extend_from_slice(&length.to_be_bytes());
@@ -65,12 +68,17 @@
     reader.read_exact(&mut length)?;
     let length = u32::from_be_bytes(length);
     if length > MAX_FRAME_BYTES {
-        return Err(invalid(format!("frame of {length} bytes exceeds {MAX_FRAME_BYTES}")));
+        return Err(invalid(format!(
+            "frame of {length} bytes exceeds {MAX_FRAME_BYTES}"
+        )));
     }
     let mut body = Vec::new();
     reader.take(u64::from(length)).read_to_end(&mut body)?;
     if body.len() < length as usize {
-        return Err(io::Error::new(ErrorKind::UnexpectedEof, "the frame was cut off"));
+        return Err(io::Error::new(
+            ErrorKind::UnexpectedEof,
+            "the frame was cut off",
+        ));
     }
     postcard::from_bytes(&body).map_err(invalid)
 }
--- a/src/peer/transport.rs
+++ b/src/peer/transport.rs
@@ -65,21 +65,26 @@
         let local_address = listener.local_addr()?;
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&stopping);
-        thread::Builder::new().name("peer-accept".to_owned()).spawn(move || {
-            for accepted in listener.incoming() {
-                if stop.load(Ordering::Acquire) {
-                    return;
-                }
-                let Ok(stream) = accepted else { continue };
-                let handler = Arc::clone(&handler);
-                thread::spawn(move || {
-                    if let Err(error) = serve_peer(stream, &handler) {
-                        log::debug!("peer connection ended: {error}");
+        thread::Builder::new()
+            .name("peer-accept".to_owned())
+            .spawn(move || {
+                for accepted in listener.incoming() {
+                    if stop.load(Ordering::Acquire) {
+                        return;
                     }
-                });
-            }
-        })?;
-        Ok(Self { local_address, stopping })
+                    let Ok(stream) = accepted else { continue };
+                    let handler = Arc::clone(&handler);
+                    thread::spawn(move || {
+                        if let Err(error) = serve_peer(stream, &handler) {
+                            log::debug!("peer connection ended: {error}");
+                        }
+                    });
+                }
+            })?;
+        Ok(Self {
+            local_address,
+            stopping,
+        })
     }
 
     /// Address on which the server listens.
@@ -106,11 +111,13 @@
     loop {
         match read_frame(&mut stream)? {
             Frame::Request { call_id, request } => {
-                let (handler, writer, host) = (Arc::clone(handler), Arc::clone(&writer), host.clone());
+                let (handler, writer, host) =
+                    (Arc::clone(handler), Arc::clone(&writer), host.clone());
                 thread::spawn(move || {
                     let reply = handler(host, request);
                     let mut writer = writer.lock().unwrap();
-                    if let Err(error) = write_frame(&mut *writer, &Frame::Reply { call_id, reply }) {
+                    if let Err(error) = write_frame(&mut *writer, &Frame::Reply { call_id, reply })
+                    {
                         log::debug!("cannot send a reply: {error}");
                     }
                 });
@@ -120,7 +127,9 @@
             }
             Frame::Pong => {}
             Frame::Hello { .. } | Frame::Reply { .. } => {
-                return Err(io::Error::other("unexpected frame on an accepted connection"));
+                return Err(io::Error::other(
+                    "unexpected frame on an accepted connection",
+                ));
             }
         }
     }
@@ -189,11 +198,17 @@
         reply
     }
 
-    fn wait(&self, receiver: &Receiver<PeerReply>, deadline: Instant) -> Result<PeerReply, CallError> {
-        receiver.recv_deadline(deadline).map_err(|error| match error {
-            RecvTimeoutError::Timeout => self.no_reply("the deadline passed"),
-            RecvTimeoutError::Disconnected => self.no_reply("the connection ended"),
-        })
+    fn wait(
+        &self,
+        receiver: &Receiver<PeerReply>,
+        deadline: Instant,
+    ) -> Result<PeerReply, CallError> {
+        receiver
+            .recv_deadline(deadline)
+            .map_err(|error| match error {
+                RecvTimeoutError::Timeout => self.no_reply("the deadline passed"),
+                RecvTimeoutError::Disconnected => self.no_reply("the connection ended"),
+            })
     }
 
     fn connection(&self) -> Result<Arc<Connection>, CallError> {
@@ -201,7 +216,9 @@
         if let Some(connection) = current.as_ref() {
             return Ok(Arc::clone(connection));
         }
-        let connection = self.connect().map_err(|error| self.not_sent(&error.to_string()))?;
+        let connection = self
+            .connect()
+            .map_err(|error| self.not_sent(&error.to_string()))?;
         *current = Some(Arc::clone(&connection));
         Ok(connection)
     }
@@ -211,7 +228,12 @@
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         stream.set_read_timeout(Some(SILENCE_TIMEOUT))?;
-        write_frame(&mut stream, &Frame::Hello { host: self.shared.local_host.clone() })?;
+        write_frame(
+            &mut stream,
+            &Frame::Hello {
+                host: self.shared.local_host.clone(),
+            },
+        )?;
         let reader = stream.try_clone()?;
         let connection = Arc::new(Connection {
             writer: Mutex::new(stream),
@@ -236,19 +258,32 @@
     /// Drops a connection, so that its waiting calls fail and the next call opens another.
     fn discard(&self, connection: &Arc<Connection>) {
         connection.waiting.lock().unwrap().take();
-        let _ = connection.writer.lock().unwrap().shutdown(std::net::Shutdown::Both);
+        let _ = connection
+            .writer
+            .lock()
+            .unwrap()
+            .shutdown(std::net::Shutdown::Both);
         let mut current = self.shared.connection.lock().unwrap();
-        if current.as_ref().is_some_and(|present| Arc::ptr_eq(present, connection)) {
+        if current
+            .as_ref()
+            .is_some_and(|present| Arc::ptr_eq(present, connection))
+        {
             *current = None;
         }
     }
 
     fn not_sent(&self, reason: &str) -> CallError {
-        CallError::NotSent { host: self.shared.remote_host.clone(), reason: reason.to_owned() }
+        CallError::NotSent {
+            host: self.shared.remote_host.clone(),
+            reason: reason.to_owned(),
+        }
     }
 
     fn no_reply(&self, reason: &str) -> CallError {
-        CallError::NoReply { host: self.shared.remote_host.clone(), reason: reason.to_owned() }
+        CallError::NoReply {
+            host: self.shared.remote_host.clone(),
+            reason: reason.to_owned(),
+        }
     }
 }
 
@@ -266,7 +301,9 @@
         match read_frame(&mut stream) {
             Ok(Frame::Reply { call_id, reply }) => {
                 let mut waiting = connection.waiting.lock().unwrap();
-                let sender = waiting.as_mut().and_then(|waiting| waiting.swap_remove(&call_id));
+                let sender = waiting
+                    .as_mut()
+                    .and_then(|waiting| waiting.swap_remove(&call_id));
                 if let Some(sender) = sender {
                     let _ = sender.send(reply);
                 }
--- a/src/protocol/caller.rs
+++ b/src/protocol/caller.rs
@@ -10,11 +10,23 @@
 
 /// How soon work should start, relative to other work of the same member.
 #[derive(
-    Clone, Copy, Debug, Default, Display, Eq, FromStr, Hash, Ord, PartialEq, PartialOrd, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    FromStr,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
     Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
 pub enum Urgency {
     /// Runs when nothing else of the member waits.
     Low,
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -11,19 +11,17 @@
 #[derive(Clone, Copy, Debug, Display, Eq, FromStr, Hash, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
 pub enum TaskState {
     /// Started and not ended.
     Running,
     /// Ended with an answer.
     Succeeded,
     /// Ended with a failure after it had started.
-    #[from_str("failed")]
     Failed,
     /// Stopped before its end, by request or because its lease lapsed.
     Stopped,
     /// A tombstone: never started, and a later create is refused.
-    #[display("never_started")]
-    #[from_str("never_started")]
     NeverStarted,
 }
 
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -19,7 +19,11 @@
 
 impl Resources {
     /// No resources.
-    pub const ZERO: Self = Self { cpu_millis: 0, memory_mib: 0, accelerators: 0 };
+    pub const ZERO: Self = Self {
+        cpu_millis: 0,
+        memory_mib: 0,
+        accelerators: 0,
+    };
 
     /// Tells whether `self` covers `need` in every dimension.
     pub fn covers(&self, need: &Self) -> bool {
--- /dev/null
+++ b/src/scheduling.rs
@@ -0,0 +1,3 @@
+//! Decisions: what runs next and where.
+
+pub mod request_queue;
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,4 @@
+//! Logging and metrics.
+
+pub mod logging;
+pub mod metrics;
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,58 @@
+//! Metrics by `opentelemetry`, exposed in the Prometheus text format.
+
+use std::sync::OnceLock;
+
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Instruments of the whole process.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    /// Creates further instruments.
+    pub meter: Meter,
+    /// Finished requests, by `verdict` and `code`.
+    pub requests: Counter<u64>,
+    /// Time from admission to the start of execution, in seconds.
+    pub request_wait_seconds: Histogram<f64>,
+    /// Bytes sent for control, by `kind` and `scope` (`local`, `data_centre`, `region`).
+    pub control_bytes: Counter<u64>,
+}
+
+/// The metrics of this process.
+pub fn metrics() -> &'static Metrics {
+    static METRICS: OnceLock<Metrics> = OnceLock::new();
+    METRICS.get_or_init(Metrics::new)
+}
+
+impl Metrics {
+    fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry accepts the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("jujubewinch");
+        Self {
+            requests: meter.u64_counter("jujubewinch_requests").build(),
+            request_wait_seconds: meter
+                .f64_histogram("jujubewinch_request_wait_seconds")
+                .build(),
+            control_bytes: meter.u64_counter("jujubewinch_control_bytes").build(),
+            registry,
+            _provider: provider,
+            meter,
+        }
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
+            Err(error) => format!("# cannot encode the metrics: {error}\n"),
+        }
+    }
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -7,18 +7,14 @@
 /// Tells whether a request ran. Every answer and every error carries one.
 #[derive(Clone, Copy, Debug, Display, Eq, FromStr, Hash, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
 pub enum Verdict {
     /// The request was executed and its outcome is known.
-    #[display("ran")]
-    #[from_str("ran")]
     Ran,
     /// The request was not executed and never will be under this attempt.
-    #[display("did_not_run")]
-    #[from_str("did_not_run")]
     DidNotRun,
     /// The request may have been executed or may still be running.
-    #[display("may_have_run")]
-    #[from_str("may_have_run")]
     MayHaveRun,
 }
 
@@ -78,17 +74,32 @@
 impl RequestError {
     /// An error for a request that certainly did not run.
     pub fn did_not_run(code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { verdict: Verdict::DidNotRun, code, message: message.into(), retry_after_ms: None }
+        Self {
+            verdict: Verdict::DidNotRun,
+            code,
+            message: message.into(),
+            retry_after_ms: None,
+        }
     }
 
     /// An error for a request that may have run.
     pub fn may_have_run(code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { verdict: Verdict::MayHaveRun, code, message: message.into(), retry_after_ms: None }
+        Self {
+            verdict: Verdict::MayHaveRun,
+            code,
+            message: message.into(),
+            retry_after_ms: None,
+        }
     }
 
     /// An error for a request that ran and failed.
     pub fn ran(code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { verdict: Verdict::Ran, code, message: message.into(), retry_after_ms: None }
+        Self {
+            verdict: Verdict::Ran,
+            code,
+            message: message.into(),
+            retry_after_ms: None,
+        }
     }
 
     /// Adds the earliest sensible time for another attempt.
--- /dev/null
+++ b/tests/request_path.rs
@@ -0,0 +1,120 @@
+//! The request path of one entry host with stand-in runners, over real sockets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant, SystemTime};
+
+use hyper::Method;
+use jujubewinch::agent::{Agent, AgentOptions};
+use jujubewinch::entry_host::EntryHost;
+use jujubewinch::http::client::{ClientRequest, ClientResponse};
+use jujubewinch::http::{Client, ClientOptions};
+use jujubewinch::options::Settings;
+use jujubewinch::protocol::headers;
+use jujubewinch::protocol::worker::RunnerCapacity;
+use jujubewinch::resources::Resources;
+
+const SETTINGS: &str = include_str!("settings/valid/single.toml");
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Cell {
+    host: EntryHost,
+    runner: Agent,
+    client: Client,
+}
+
+impl Cell {
+    fn start() -> Self {
+        let settings = Settings::parse(SETTINGS, "single.toml").expect("the sample is valid");
+        let host = EntryHost::start(settings).expect("free ports are available");
+        let runner = Agent::start(AgentOptions {
+            worker: "worker-1".to_owned(),
+            data_centre: "erdenet".to_owned(),
+            rack: "rack-1".to_owned(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            entry_hosts: vec![host.caller_address()],
+            resources: Resources::ZERO,
+            runner: RunnerCapacity {
+                service: "quotes".to_owned(),
+                slots: 2,
+                connections: 64,
+            },
+        })
+        .expect("a free port is available");
+        Self {
+            host,
+            runner,
+            client: Client::new(ClientOptions::default()),
+        }
+    }
+
+    fn post(&self, payload: &str, fields: &[(&str, &str)]) -> ClientResponse {
+        let url = format!("http://{}/v1/requests", self.host.caller_address());
+        let mut request = ClientRequest::new(Method::POST, url, Instant::now() + PATIENCE)
+            .header(headers::SERVICE, "quotes")
+            .header(headers::TIMEOUT_MS, "20000");
+        for (name, value) in fields {
+            request = request.header(name, *value);
+        }
+        request.body = payload.as_bytes().to_vec();
+        self.client.send(request).expect("the entry host answers")
+    }
+}
+
+fn fresh_key(text: &str) -> String {
+    let now = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap();
+    format!("erdenet.{}.{text}", now.as_secs())
+}
+
+/// Guards against answers that are lost, damaged or without a verdict.
+#[test]
+fn an_idempotent_request_gets_its_answer() {
+    let cell = Cell::start();
+    let response = cell.post("three wheels", &[(headers::IDEMPOTENT, "true")]);
+    assert_eq!(response.status, 200);
+    assert_eq!(response.body, b"three wheels");
+    assert_eq!(response.header(headers::VERDICT), Some("ran"));
+}
+
+/// Guards against a second execution when a caller repeats a confirmation.
+#[test]
+fn a_repeated_key_runs_once_and_gets_the_first_answer() {
+    let cell = Cell::start();
+    let key = fresh_key("confirmation");
+    let first = cell.post("confirm cart 7", &[(headers::IDEMPOTENCY_KEY, &key)]);
+    let second = cell.post("confirm cart 7", &[(headers::IDEMPOTENCY_KEY, &key)]);
+    assert_eq!(first.status, 200);
+    assert_eq!((second.status, second.body), (first.status, first.body));
+    assert_eq!(cell.runner.tasks().started(), 1);
+}
+
+/// Guards against a key that silently stands for two different requests.
+#[test]
+fn a_key_with_another_payload_is_refused() {
+    let cell = Cell::start();
+    let key = fresh_key("conflict");
+    cell.post("confirm cart 7", &[(headers::IDEMPOTENCY_KEY, &key)]);
+    let second = cell.post("confirm cart 8", &[(headers::IDEMPOTENCY_KEY, &key)]);
+    assert_eq!(second.status, 422);
+    assert_eq!(second.header(headers::VERDICT), Some("did_not_run"));
+    assert_eq!(cell.runner.tasks().started(), 1);
+}
+
+/// Guards against running work again whose record may have been dropped.
+#[test]
+fn keys_are_refused_by_form_and_age() {
+    let cell = Cell::start();
+    let cases = [
+        ("free text", 400, "did_not_run"),
+        ("nowhere.1764820000.x", 400, "did_not_run"),
+        ("erdenet.1000.x", 410, "may_have_run"),
+        ("erdenet.99999999999.x", 400, "did_not_run"),
+    ];
+    for (key, status, verdict) in cases {
+        let response = cell.post("confirm", &[(headers::IDEMPOTENCY_KEY, key)]);
+        assert_eq!(response.status, status, "{key}");
+        assert_eq!(response.header(headers::VERDICT), Some(verdict), "{key}");
+    }
+    assert_eq!(cell.runner.tasks().started(), 0);
+}
