feature: authenticated frames and liveness between entry hosts

Cause: the first transport accepted anybody, could not tell a silent connection from a slow one within a bound, and sent a ping a second on idle connections. Change: handshake with cluster keys (two valid during a rotation), a code over sequence number and content of each frame, pings after 1 s with calls waiting and 10 s without, death after 3 s of silence, calls and connections bounded, bytes counted by kind and scope. A test found that a call right after a silent connection failed, since the connection was marked ended before it was replaced; the call now opens another.

--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -15,7 +15,7 @@
 use crate::http::{Client, ClientOptions, Request, Response, Server, ServerOptions};
 use crate::ids::HostId;
 use crate::options::Settings;
-use crate::peer::{PeerClient, PeerServer};
+use crate::peer::{PeerClient, PeerClientOptions, PeerServer};
 use crate::placer::journal::Journal;
 use crate::placer::{Placer, PlacerOptions};
 use crate::protocol::caller::Submission;
@@ -61,6 +61,7 @@
         let peer_placer = Arc::clone(&placer);
         let peers = PeerServer::start(
             settings.listeners.peers,
+            settings.security.keys(),
             Arc::new(move |_host: HostId, request| handle_peer(&peer_placer, request)),
         )?;
         let caller_gateway = Arc::clone(&gateway);
@@ -151,7 +152,13 @@
         if host.id == settings.host.id {
             continue;
         }
-        let client = PeerClient::new(settings.host.id.clone(), host.id.clone(), host.peers);
+        let client = PeerClient::new(PeerClientOptions {
+            local_host: settings.host.id.clone(),
+            remote_host: host.id.clone(),
+            address: host.peers,
+            keys: settings.security.keys(),
+            scope: settings.scope_of(host).to_owned(),
+        });
         let entry = RemoteHost {
             id: host.id.clone(),
             client,
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -9,6 +9,10 @@
 use thiserror::Error;
 
 use crate::ids::{DataCentreName, HostId, RegionName};
+use crate::peer::keys::{ClusterKey, ClusterKeys};
+
+/// Shortest secret of a cluster key.
+const MIN_SECRET_BYTES: usize = 16;
 
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -26,6 +30,9 @@
     /// Leases and timeouts.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// Keys between entry hosts.
+    #[serde(default)]
+    pub security: SecuritySettings,
     /// Log output.
     #[serde(default)]
     pub logging: LoggingSettings,
@@ -169,6 +176,51 @@
     }
 }
 
+/// Keys between entry hosts.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SecuritySettings {
+    /// Cluster keys: the first one is used for sending, all are accepted.
+    pub cluster_keys: Vec<ClusterKeySettings>,
+}
+
+/// A secret that all entry hosts share.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClusterKeySettings {
+    /// Number of the key, the same on all hosts.
+    pub id: u32,
+    /// Secret of at least 16 bytes in hexadecimal digits.
+    #[serde(skip_serializing)]
+    pub secret_hex: String,
+}
+
+impl SecuritySettings {
+    /// The keys; without any the cell is not authenticated.
+    pub fn keys(&self) -> ClusterKeys {
+        let mut keys = self.cluster_keys.iter().map(|key| ClusterKey {
+            id: key.id,
+            secret: decode_hex(&key.secret_hex).unwrap_or_default(),
+        });
+        match keys.next() {
+            Some(current) => ClusterKeys::new(current, keys.collect()),
+            None => ClusterKeys::unauthenticated(),
+        }
+    }
+}
+
+/// Bytes of a string of hexadecimal digits; `None` when it is not one.
+pub fn decode_hex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u32>> = text.chars().map(|digit| digit.to_digit(16)).collect();
+    let digits = digits.filter(|digits| digits.len().is_multiple_of(2))?;
+    Some(
+        digits
+            .chunks(2)
+            .map(|pair| (pair[0] * 16 + pair[1]) as u8)
+            .collect(),
+    )
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -278,6 +330,18 @@
         names
     }
 
+    /// How far another host is: `data_centre`, `region` or `cross_region`.
+    pub fn scope_of(&self, other: &CellHost) -> &'static str {
+        let this = self.this_host();
+        if this.data_centre == other.data_centre {
+            "data_centre"
+        } else if this.region == other.region {
+            "region"
+        } else {
+            "cross_region"
+        }
+    }
+
     fn check(&self) -> Result<(), Fault> {
         self.check_hosts()?;
         let timing = &self.timing;
@@ -312,6 +376,7 @@
                 "must be larger than zero",
             ));
         }
+        self.check_keys()?;
         if self.logging.level.parse::<log::LevelFilter>().is_err() {
             return Err(Fault::new(
                 "logging.level",
@@ -321,6 +386,22 @@
         Ok(())
     }
 
+    fn check_keys(&self) -> Result<(), Fault> {
+        let keys = &self.security.cluster_keys;
+        for (position, key) in keys.iter().enumerate() {
+            let secret = decode_hex(&key.secret_hex);
+            if secret.is_none_or(|secret| secret.len() < MIN_SECRET_BYTES) {
+                let reason = format!("must be {MIN_SECRET_BYTES} or more bytes in hexadecimal");
+                return Err(Fault::new("security.cluster_keys.secret_hex", &reason));
+            }
+            if keys[..position].iter().any(|earlier| earlier.id == key.id) {
+                let reason = format!("key {} appears twice", key.id);
+                return Err(Fault::new("security.cluster_keys.id", &reason));
+            }
+        }
+        Ok(())
+    }
+
     fn check_hosts(&self) -> Result<(), Fault> {
         let hosts = &self.cell.hosts;
         for (position, host) in hosts.iter().enumerate() {
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,342 @@
+//! Multiplexed calls over one connection to another entry host.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use indexmap::IndexMap;
+use opentelemetry::KeyValue;
+use thiserror::Error;
+
+use super::channel::{FrameReader, FrameWriter};
+use super::frame::Frame;
+use super::handshake;
+use super::keys::ClusterKeys;
+use super::{
+    BUSY_PING_INTERVAL, CONNECT_TIMEOUT, IDLE_PING_INTERVAL, SILENCE_TIMEOUT, WRITE_TIMEOUT,
+};
+use crate::ids::HostId;
+use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::telemetry::metrics::metrics;
+
+/// How often the watching thread looks at its connection.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failed connection attempt, in which calls fail at once.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A failed call.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum CallError {
+    /// The request never left this host.
+    #[error("cannot reach {host}: {reason}")]
+    NotSent {
+        /// Host that was called.
+        host: HostId,
+        /// What failed.
+        reason: String,
+    },
+    /// The request may have arrived, and no reply came.
+    #[error("no reply from {host}: {reason}")]
+    NoReply {
+        /// Host that was called.
+        host: HostId,
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// How to reach another host.
+#[derive(Clone, Debug)]
+pub struct PeerClientOptions {
+    /// This host.
+    pub local_host: HostId,
+    /// The other host.
+    pub remote_host: HostId,
+    /// Address of its peer listener.
+    pub address: SocketAddr,
+    /// Cluster keys.
+    pub keys: ClusterKeys,
+    /// Label of the metric of control bytes: `data_centre`, `region` or `cross_region`.
+    pub scope: String,
+}
+
+/// Calls to one other host.
+#[derive(Clone)]
+pub struct PeerClient {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    options: PeerClientOptions,
+    next_call_id: AtomicU64,
+    state: Mutex<ConnectionState>,
+}
+
+enum ConnectionState {
+    Closed,
+    /// Calls fail until this time.
+    Failed(Instant, String),
+    Open(Arc<Connection>),
+}
+
+struct Connection {
+    writer: Mutex<FrameWriter<TcpStream>>,
+    /// Calls waiting for a reply. `None` once the connection has ended.
+    waiting: Mutex<Option<IndexMap<u64, Sender<PeerReply>>>>,
+    activity: Mutex<Activity>,
+}
+
+/// When the connection was last used.
+struct Activity {
+    last_received_at: Instant,
+    /// Time of the first ping since the last received frame.
+    unanswered_ping_at: Option<Instant>,
+}
+
+impl PeerClient {
+    /// A client that connects with its first call.
+    pub fn new(options: PeerClientOptions) -> Self {
+        let state = Mutex::new(ConnectionState::Closed);
+        Self {
+            shared: Arc::new(Shared {
+                options,
+                next_call_id: AtomicU64::new(1),
+                state,
+            }),
+        }
+    }
+
+    /// The other host.
+    pub fn remote_host(&self) -> &HostId {
+        &self.shared.options.remote_host
+    }
+
+    /// Sends a request and waits for its reply until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::NotSent`] when the request certainly did not arrive, otherwise
+    /// [`CallError::NoReply`].
+    pub fn call(&self, request: PeerRequest, deadline: Instant) -> Result<PeerReply, CallError> {
+        let call_id = self.shared.next_call_id.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = bounded(1);
+        let mut connection = self.connection()?;
+        if !connection.expect_reply(call_id, &sender) {
+            // The connection ended between being looked up and being used.
+            self.discard(&connection);
+            connection = self.connection()?;
+            if !connection.expect_reply(call_id, &sender) {
+                return Err(self.not_sent("the connection has ended"));
+            }
+        }
+        drop(sender);
+        let kind = request.kind();
+        let written = connection
+            .writer
+            .lock()
+            .unwrap()
+            .write(&Frame::Request { call_id, request });
+        match written {
+            Ok(bytes) => self.count_bytes(kind, bytes),
+            Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                connection.forget(call_id);
+                return Err(self.not_sent(&error.to_string()));
+            }
+            Err(error) => {
+                self.discard(&connection);
+                // A timeout can strike after the last byte was taken.
+                return Err(self.no_reply(&error.to_string()));
+            }
+        }
+        let reply = self.wait(&receiver, deadline);
+        connection.forget(call_id);
+        reply
+    }
+
+    fn wait(
+        &self,
+        receiver: &Receiver<PeerReply>,
+        deadline: Instant,
+    ) -> Result<PeerReply, CallError> {
+        receiver
+            .recv_deadline(deadline)
+            .map_err(|error| match error {
+                RecvTimeoutError::Timeout => self.no_reply("the deadline passed"),
+                RecvTimeoutError::Disconnected => self.no_reply("the connection ended"),
+            })
+    }
+
+    fn connection(&self) -> Result<Arc<Connection>, CallError> {
+        let mut state = self.shared.state.lock().unwrap();
+        match &*state {
+            ConnectionState::Open(connection) => return Ok(Arc::clone(connection)),
+            ConnectionState::Failed(until, reason) if Instant::now() < *until => {
+                return Err(self.not_sent(reason));
+            }
+            ConnectionState::Closed | ConnectionState::Failed(..) => {}
+        }
+        match self.connect() {
+            Ok(connection) => {
+                *state = ConnectionState::Open(Arc::clone(&connection));
+                Ok(connection)
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                *state = ConnectionState::Failed(Instant::now() + RECONNECT_PAUSE, reason.clone());
+                Err(self.not_sent(&reason))
+            }
+        }
+    }
+
+    fn connect(&self) -> io::Result<Arc<Connection>> {
+        let options = &self.shared.options;
+        let mut stream = TcpStream::connect_timeout(&options.address, CONNECT_TIMEOUT)?;
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+        stream.set_read_timeout(Some(CONNECT_TIMEOUT))?;
+        let session = handshake::open(&mut stream, &options.local_host, &options.keys)?;
+        stream.set_read_timeout(None)?;
+        let reader = FrameReader::new(stream.try_clone()?, session.server_secret);
+        let connection = Arc::new(Connection {
+            writer: Mutex::new(FrameWriter::new(stream, session.client_secret)),
+            waiting: Mutex::new(Some(IndexMap::new())),
+            activity: Mutex::new(Activity {
+                last_received_at: Instant::now(),
+                unanswered_ping_at: None,
+            }),
+        });
+        let (client, reading) = (self.clone(), Arc::clone(&connection));
+        thread::Builder::new()
+            .name("peer-reader".to_owned())
+            .spawn(move || {
+                let error = reading.read_replies(reader);
+                log::debug!("connection to {} ended: {error}", client.remote_host());
+                client.discard(&reading);
+            })?;
+        let (client, watched) = (self.clone(), Arc::clone(&connection));
+        thread::Builder::new()
+            .name("peer-watch".to_owned())
+            .spawn(move || {
+                while client.keep_alive(&watched) {
+                    thread::sleep(WATCH_INTERVAL);
+                }
+                client.discard(&watched);
+            })?;
+        Ok(connection)
+    }
+
+    /// Pings when the connection is quiet; returns whether it is still usable.
+    fn keep_alive(&self, connection: &Connection) -> bool {
+        let interval = match connection.waiting.lock().unwrap().as_ref() {
+            None => return false,
+            Some(waiting) if waiting.is_empty() => IDLE_PING_INTERVAL,
+            Some(_) => BUSY_PING_INTERVAL,
+        };
+        let now = Instant::now();
+        {
+            let mut activity = connection.activity.lock().unwrap();
+            if let Some(pinged_at) = activity.unanswered_ping_at {
+                return now.duration_since(pinged_at) < SILENCE_TIMEOUT;
+            }
+            if now.duration_since(activity.last_received_at) < interval {
+                return true;
+            }
+            activity.unanswered_ping_at = Some(now);
+        }
+        match connection.writer.lock().unwrap().write(&Frame::Ping) {
+            Ok(bytes) => {
+                self.count_bytes("ping", bytes);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Drops a connection, so that its waiting calls fail and the next call opens another.
+    fn discard(&self, connection: &Arc<Connection>) {
+        connection.waiting.lock().unwrap().take();
+        let _ = connection
+            .writer
+            .lock()
+            .unwrap()
+            .stream()
+            .shutdown(Shutdown::Both);
+        let mut state = self.shared.state.lock().unwrap();
+        if matches!(&*state, ConnectionState::Open(open) if Arc::ptr_eq(open, connection)) {
+            *state = ConnectionState::Closed;
+        }
+    }
+
+    fn count_bytes(&self, kind: &'static str, bytes: usize) {
+        let scope = KeyValue::new("scope", self.shared.options.scope.clone());
+        metrics()
+            .control_bytes
+            .add(bytes as u64, &[KeyValue::new("kind", kind), scope]);
+    }
+
+    fn not_sent(&self, reason: &str) -> CallError {
+        CallError::NotSent {
+            host: self.remote_host().clone(),
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn no_reply(&self, reason: &str) -> CallError {
+        CallError::NoReply {
+            host: self.remote_host().clone(),
+            reason: reason.to_owned(),
+        }
+    }
+}
+
+impl Connection {
+    /// Registers a call; returns whether the connection is still open.
+    fn expect_reply(&self, call_id: u64, sender: &Sender<PeerReply>) -> bool {
+        let mut waiting = self.waiting.lock().unwrap();
+        let Some(waiting) = waiting.as_mut() else {
+            return false;
+        };
+        waiting.insert(call_id, sender.clone());
+        true
+    }
+
+    fn forget(&self, call_id: u64) {
+        if let Some(waiting) = self.waiting.lock().unwrap().as_mut() {
+            waiting.swap_remove(&call_id);
+        }
+    }
+
+    /// Hands replies to their calls until the connection ends; returns why it ended.
+    fn read_replies(&self, mut reader: FrameReader<TcpStream>) -> io::Error {
+        loop {
+            let frame = match reader.read() {
+                Ok(frame) => frame,
+                Err(error) => return error,
+            };
+            {
+                let mut activity = self.activity.lock().unwrap();
+                activity.last_received_at = Instant::now();
+                activity.unanswered_ping_at = None;
+            }
+            match frame {
+                Frame::Reply { call_id, reply } => {
+                    let mut waiting = self.waiting.lock().unwrap();
+                    let sender = waiting
+                        .as_mut()
+                        .and_then(|waiting| waiting.swap_remove(&call_id));
+                    if let Some(sender) = sender {
+                        let _ = sender.send(reply);
+                    }
+                }
+                Frame::Pong => {}
+                Frame::Ping | Frame::Request { .. } => {
+                    return io::Error::other("unexpected frame on an opened connection");
+                }
+            }
+        }
+    }
+}
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -67,6 +67,20 @@
     },
 }
 
+impl PeerRequest {
+    /// Name of the kind of message in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Cancel { .. } => "cancel",
+            Self::Query { .. } => "query",
+            Self::Announce(_) => "announce",
+            Self::Replication { .. } => "replication",
+            Self::Extension { .. } => "extension",
+        }
+    }
+}
+
 /// Reply to a [`PeerRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
@@ -83,6 +97,6 @@
         /// Host that it believes to be the placer.
         placer: Option<String>,
     },
-    /// The receiver cannot handle the request.
+    /// The receiver cannot handle the request and did nothing.
     Refused(String),
 }
