feature: failure detection between entry hosts over UDP

Cause: gateways need to know which hosts are alive at a constant cost per host. Change: SWIM-style probing with relays, suspicion and refutation, timeouts stretched by a local health score, authenticated datagrams with replay protection, news piggybacked on probes. Found by the tests and fixed: after a partition from the start, outdated news were ignored instead of answered, so that both sides stayed dead to each other; with 15% loss, healthy hosts failed, since refutations spread by news only. A suspect is now probed next by everyone who hears of it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod ids;
 pub mod load;
+pub mod membership;
 pub mod options;
 pub mod peer;
 pub mod placer;
--- /dev/null
+++ b/src/membership/agent.rs
@@ -0,0 +1,302 @@
+//! Threads and socket of failure detection.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender, bounded};
+use indexmap::IndexMap;
+use opentelemetry::KeyValue;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::datagram::{Datagram, MAX_DATAGRAM_BYTES, Message, ReplayFilter, open, seal};
+use super::prober::{Exchanges, ProbeTiming, RelayAnswer, UPDATES_PER_MESSAGE, probe_next};
+use super::table::{HostState, HostView, MembershipTable};
+use crate::ids::{HostId, Incarnation};
+use crate::peer::ClusterKeys;
+use crate::telemetry::metrics::metrics;
+
+/// How often the receiving thread looks at the stop flag.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(500);
+/// A delay of this many probe intervals means that the process was paused.
+const PAUSE_INTERVALS: u32 = 3;
+/// Largest part of the interval that is added at random, so that hosts do not probe in step.
+const JITTER: f64 = 0.2;
+
+/// Another entry host.
+#[derive(Clone, Debug)]
+pub struct MembershipPeer {
+    /// Identifier.
+    pub host: HostId,
+    /// Address of its membership socket.
+    pub address: SocketAddr,
+    /// Label of the metric of control bytes.
+    pub scope: String,
+}
+
+/// What a membership agent needs.
+#[derive(Clone, Debug)]
+pub struct MembershipOptions {
+    /// This host.
+    pub host: HostId,
+    /// Start number of this process.
+    pub incarnation: Incarnation,
+    /// Address of the socket.
+    pub address: SocketAddr,
+    /// All other entry hosts.
+    pub peers: Vec<MembershipPeer>,
+    /// Cluster keys.
+    pub keys: ClusterKeys,
+    /// Intervals.
+    pub timing: ProbeTiming,
+    /// Seed of the probing order.
+    pub seed: u64,
+}
+
+/// Running failure detection of one host. Dropping it ends its threads.
+pub struct MembershipAgent {
+    shared: Arc<Shared>,
+    local_address: SocketAddr,
+}
+
+struct Shared {
+    options: MembershipOptions,
+    peers: IndexMap<HostId, MembershipPeer>,
+    socket: UdpSocket,
+    table: Mutex<MembershipTable>,
+    waiting: Mutex<IndexMap<u64, Sender<Message>>>,
+    next_probe: AtomicU64,
+    next_sequence: AtomicU64,
+    stopping: AtomicBool,
+}
+
+impl MembershipAgent {
+    /// Binds the socket and starts probing.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the socket or starting a thread.
+    pub fn start(options: MembershipOptions) -> io::Result<Self> {
+        let socket = UdpSocket::bind(options.address)?;
+        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+        let local_address = socket.local_addr()?;
+        let others: Vec<HostId> = options.peers.iter().map(|peer| peer.host.clone()).collect();
+        let table = MembershipTable::new(
+            options.host.clone(),
+            options.incarnation,
+            &others,
+            options.timing.suspicion,
+            SmallRng::seed_from_u64(options.seed),
+        );
+        let peers = options
+            .peers
+            .iter()
+            .map(|peer| (peer.host.clone(), peer.clone()))
+            .collect();
+        let shared = Arc::new(Shared {
+            options,
+            peers,
+            socket,
+            table: Mutex::new(table),
+            waiting: Mutex::default(),
+            next_probe: AtomicU64::new(1),
+            next_sequence: AtomicU64::new(1),
+            stopping: AtomicBool::new(false),
+        });
+        let receiving = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("membership-receive".to_owned())
+            .spawn(move || receive(&receiving))?;
+        let probing = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("membership-probe".to_owned())
+            .spawn(move || probe(&probing))?;
+        Ok(Self {
+            shared,
+            local_address,
+        })
+    }
+
+    /// Address of the socket.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Beliefs about all hosts.
+    pub fn views(&self) -> Vec<HostView> {
+        self.shared.table.lock().unwrap().views()
+    }
+
+    /// Whether a host counts as dead.
+    pub fn is_dead(&self, host: &str) -> bool {
+        self.shared.table.lock().unwrap().state(host) == HostState::Dead
+    }
+}
+
+impl Drop for MembershipAgent {
+    fn drop(&mut self) {
+        self.shared.stopping.store(true, Ordering::Release);
+    }
+}
+
+/// Probes one host per interval.
+fn probe(shared: &Arc<Shared>) {
+    let timing = &shared.options.timing;
+    let mut woke_at = Instant::now();
+    while !shared.stopping.load(Ordering::Acquire) {
+        let jitter = shared.table.lock().unwrap().jitter();
+        thread::sleep(timing.interval.mul_f64(1.0 + JITTER * jitter));
+        let now = Instant::now();
+        {
+            let mut table = shared.table.lock().unwrap();
+            if now.duration_since(woke_at) > timing.interval * PAUSE_INTERVALS * table.patience() {
+                table.restart_suspicions(now);
+            }
+            table.expire(now);
+        }
+        let mut ping = |target: &HostId, timeout| shared.ping(target, timeout);
+        let mut ping_through = |relays: &[HostId], target: &HostId, timeout| {
+            shared.ping_through(relays, target, timeout)
+        };
+        let mut exchanges = Exchanges {
+            ping: &mut ping,
+            ping_through: &mut ping_through,
+        };
+        probe_next(&shared.table, timing, &mut exchanges, &Instant::now);
+        woke_at = Instant::now();
+    }
+}
+
+/// Handles datagrams until the agent stops.
+fn receive(shared: &Arc<Shared>) {
+    let mut replays = ReplayFilter::default();
+    let mut buffer = [0_u8; MAX_DATAGRAM_BYTES + 1];
+    while !shared.stopping.load(Ordering::Acquire) {
+        let Ok((length, _)) = shared.socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        match open(&buffer[..length], &shared.options.keys) {
+            Ok(datagram) if replays.accept(&datagram) => shared.handle(datagram),
+            Ok(_) => log::debug!("ignoring a repeated membership datagram"),
+            Err(error) => log::debug!("ignoring a membership datagram: {error}"),
+        }
+    }
+}
+
+impl Shared {
+    fn handle(self: &Arc<Self>, datagram: Datagram) {
+        self.table
+            .lock()
+            .unwrap()
+            .merge(&datagram.updates, Instant::now());
+        match datagram.message {
+            Message::Ping { probe } => self.send(&datagram.from, Message::Ack { probe }),
+            Message::PingThrough { probe, target } => {
+                let relay = Arc::clone(self);
+                let spawned = thread::Builder::new()
+                    .name("membership-relay".to_owned())
+                    .spawn(move || relay.relay(&datagram.from, probe, &target));
+                if let Err(error) = spawned {
+                    log::warn!("cannot start a relay thread: {error}");
+                }
+            }
+            answer @ (Message::Ack { probe } | Message::Nack { probe }) => {
+                let sender = self.waiting.lock().unwrap().get(&probe).cloned();
+                if let Some(sender) = sender {
+                    let _ = sender.try_send(answer);
+                }
+            }
+        }
+    }
+
+    fn relay(&self, from: &HostId, probe: u64, target: &HostId) {
+        let answered = self.ping(target, self.options.timing.direct_timeout);
+        let answer = if answered {
+            Message::Ack { probe }
+        } else {
+            Message::Nack { probe }
+        };
+        self.send(from, answer);
+    }
+
+    fn ping(&self, target: &HostId, timeout: Duration) -> bool {
+        let probe = self.next_probe.fetch_add(1, Ordering::Relaxed);
+        let answers = self.expect_answer(probe);
+        self.send(target, Message::Ping { probe });
+        let answered = answers.recv_timeout(timeout).is_ok();
+        self.waiting.lock().unwrap().swap_remove(&probe);
+        answered
+    }
+
+    fn ping_through(
+        &self,
+        relays: &[HostId],
+        target: &HostId,
+        timeout: Duration,
+    ) -> Vec<RelayAnswer> {
+        let deadline = Instant::now() + timeout + self.options.timing.direct_timeout;
+        let mut expected = Vec::new();
+        for relay in relays {
+            let probe = self.next_probe.fetch_add(1, Ordering::Relaxed);
+            let answers = self.expect_answer(probe);
+            self.send(
+                relay,
+                Message::PingThrough {
+                    probe,
+                    target: target.clone(),
+                },
+            );
+            expected.push((probe, answers));
+        }
+        let mut results = Vec::new();
+        for (probe, answers) in expected {
+            results.push(match answers.recv_deadline(deadline) {
+                Ok(Message::Ack { .. }) => RelayAnswer::TargetAnswered,
+                Ok(_) => RelayAnswer::TargetSilent,
+                Err(_) => RelayAnswer::RelaySilent,
+            });
+            self.waiting.lock().unwrap().swap_remove(&probe);
+        }
+        results
+    }
+
+    fn expect_answer(&self, probe: u64) -> Receiver<Message> {
+        let (sender, receiver) = bounded(1);
+        self.waiting.lock().unwrap().insert(probe, sender);
+        receiver
+    }
+
+    fn send(&self, to: &HostId, message: Message) {
+        let Some(peer) = self.peers.get(to) else {
+            return;
+        };
+        let datagram = Datagram {
+            from: self.options.host.clone(),
+            incarnation: self.options.incarnation,
+            sequence: self.next_sequence.fetch_add(1, Ordering::Relaxed),
+            key_id: self.options.keys.current().id,
+            message,
+            updates: self
+                .table
+                .lock()
+                .unwrap()
+                .take_updates(to, UPDATES_PER_MESSAGE),
+        };
+        let sent = seal(&datagram, &self.options.keys)
+            .and_then(|bytes| self.socket.send_to(&bytes, peer.address));
+        match sent {
+            Ok(bytes) => {
+                let labels = [
+                    KeyValue::new("kind", "membership"),
+                    KeyValue::new("scope", peer.scope.clone()),
+                ];
+                metrics().control_bytes.add(bytes as u64, &labels);
+            }
+            Err(error) => log::debug!("cannot send a membership datagram to {to}: {error}"),
+        }
+    }
+}
