bug: log lines of several processes no longer mix

Cause: fern wrote an event in several pieces; with 56 processes on one standard error, lines were interleaved.

--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -1,6 +1,7 @@
 //! Log output by `fern`, as text or as one line of JSON per event.
 
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::time::SystemTime;
 
 use log::kv::{Key, Value, VisitSource};
@@ -39,7 +40,11 @@
                 record.target()
             ));
         })
-        .chain(std::io::stderr());
+        .chain(fern::Output::call(|record| {
+            // One write per event keeps lines of several processes apart in a shared log.
+            let line = format!("{}\n", record.args());
+            let _ = std::io::stderr().lock().write_all(line.as_bytes());
+        }));
     // A second start, for example in tests, keeps the first logger.
     let _ = dispatch.apply();
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -6,6 +6,11 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+/// Upper bounds of the buckets of waiting time; 3 s is the target for urgent work.
+const WAIT_BOUNDARIES_SECONDS: [f64; 14] = [
+    0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 6.0, 10.0, 30.0, 120.0,
+];
+
 /// Instruments of the whole process.
 pub struct Metrics {
     registry: Registry,
