--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -44,6 +44,7 @@
             requests: meter.u64_counter("jujubewinch_requests").build(),
             request_wait_seconds: meter
                 .f64_histogram("jujubewinch_request_wait_seconds")
+                .with_boundaries(WAIT_BOUNDARIES_SECONDS.to_vec())
                 .build(),
             control_bytes: meter.u64_counter("jujubewinch_control_bytes").build(),
             registry,
