--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,6 +1,7 @@
 //! Stand-in runner: executes requests of a service in slots.
 
 pub mod announcer;
+pub mod faults;
 pub mod payload;
 pub mod tasks;
 
@@ -19,6 +20,7 @@
 use crate::protocol::worker::{Announcement, RunnerCapacity, TaskState, WorkerPhase};
 use crate::resources::Resources;
 use crate::verdict::{ErrorCode, RequestError};
+use faults::Fault;
 use tasks::{TaskTable, TaskView};
 
 /// Options of a stand-in runner.
@@ -43,6 +45,7 @@
 /// A running stand-in runner.
 pub struct Agent {
     server: Server,
+    announcement: Announcement,
     tasks: Arc<TaskTable>,
     leaving: Arc<AtomicBool>,
     stopped: Arc<AtomicBool>,
@@ -58,7 +61,7 @@
         let incarnation = announcer::new_incarnation();
         let tasks = Arc::new(TaskTable::new(options.runner.slots as usize, incarnation));
         let serving = Arc::clone(&tasks);
-        let handler: Handler = Arc::new(move |request| handle(&serving, &request));
+        let handler: Handler = Arc::new(move |request| serve(&serving, &request));
         let server_options = ServerOptions {
             max_connections: options.runner.connections as usize,
             ..ServerOptions::default()
@@ -80,7 +83,7 @@
         let leaving = Arc::new(AtomicBool::new(false));
         let stopped = Arc::new(AtomicBool::new(false));
         let announcing = announcer::Announcer {
-            announcement,
+            announcement: announcement.clone(),
             entry_hosts: options.entry_hosts,
             tasks: Arc::clone(&tasks),
             leaving: Arc::clone(&leaving),
@@ -91,6 +94,7 @@
             .spawn(move || announcing.run())?;
         Ok(Self {
             server,
+            announcement,
             tasks,
             leaving,
             stopped,
@@ -102,6 +106,28 @@
         self.server.local_address()
     }
 
+    /// Connections open now.
+    pub fn open_connections(&self) -> usize {
+        self.server.open_connections()
+    }
+
+    /// What it announces, for tests that announce it themselves.
+    pub fn announcement(&self) -> Announcement {
+        let mut announcement = self.announcement.clone();
+        announcement.incarnation = self.tasks.incarnation();
+        announcement.tasks = self.tasks.running_tasks();
+        announcement.highest_epoch = self.tasks.highest_epoch();
+        if self.leaving.load(Ordering::Acquire) {
+            announcement.phase = WorkerPhase::Leaving;
+        }
+        announcement
+    }
+
+    /// Crashes and comes back at once: all tasks and records are lost.
+    pub fn crash(&self) {
+        self.tasks.crash(announcer::new_incarnation());
+    }
+
     /// Tasks that it executed, for checks in tests.
     pub fn tasks(&self) -> &Arc<TaskTable> {
         &self.tasks
@@ -111,6 +137,7 @@
     /// Returns whether all tasks ended before the deadline.
     pub fn leave(&self, deadline: Instant) -> bool {
         self.leaving.store(true, Ordering::Release);
+        self.tasks.leave();
         let mut finished = false;
         while !finished && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(20));
@@ -127,19 +154,67 @@
     }
 }
 
-fn handle(tasks: &Arc<TaskTable>, request: &Request) -> Response {
-    let wait = Duration::from_millis(request.query_value("wait_ms").unwrap_or(0));
-    let result = match (&request.method, request.segments().as_slice()) {
-        (&Method::GET, ["live"]) => return Response::text(200, "live\n"),
-        (&Method::PUT, ["v1", "tasks", id]) => {
-            tasks.create(id, request).map(|()| tasks.wait(id, wait))
+/// Answers one call of the task interface.
+pub fn serve(tasks: &Arc<TaskTable>, request: &Request) -> Response {
+    let faults = tasks.faults();
+    faults.wait_while_paused();
+    let segments = request.segments();
+    if segments.first() != Some(&"v1") {
+        return Response::text(200, "live\n");
+    }
+    let fault = faults.next();
+    match fault {
+        Some(Fault::LoseRequest) => {
+            faults.stay_silent();
+            return silent_response();
+        }
+        Some(Fault::LateRequest(delay)) => thread::sleep(delay),
+        _ => {}
+    }
+    let mut response = handle(tasks, request, &segments);
+    // A pause may begin at any point, in particular before the answer leaves.
+    faults.wait_while_paused();
+    match fault {
+        Some(Fault::LoseAnswer) => {
+            faults.stay_silent();
+            return silent_response();
         }
-        (&Method::GET, ["v1", "tasks", id]) => Ok(tasks.wait(id, wait)),
-        (&Method::POST, ["v1", "tasks", id, "cancel"]) => {
-            tasks.cancel(id, request).map(|()| tasks.wait(id, wait))
+        Some(Fault::LateAnswer(delay)) => thread::sleep(delay),
+        Some(Fault::DamageAnswer) => {
+            if let Some(byte) = response.body.first_mut() {
+                *byte ^= 1;
+            }
         }
-        (&Method::DELETE, ["v1", "tasks", id]) => {
-            tasks.forget(id);
+        Some(Fault::CutAnswer) => response.body.truncate(response.body.len() / 2),
+        _ => {}
+    }
+    response
+}
+
+/// Response on a silent connection, which its client has left by then.
+fn silent_response() -> Response {
+    Response::text(500, "silent\n").header("connection", "close")
+}
+
+fn handle(tasks: &Arc<TaskTable>, request: &Request, segments: &[&str]) -> Response {
+    let wait = Duration::from_millis(request.query_value("wait_ms").unwrap_or(0));
+    let result = match (&request.method, segments) {
+        (&Method::PUT, ["v1", "tasks", id]) => match tasks.create(id, request) {
+            Ok(()) => tasks.wait(id, request, wait),
+            // This copy of the create starts nothing, now or later.
+            Err(error) => {
+                return Response::error(&error, "")
+                    .header(headers::TASK_STATE, TaskState::NeverStarted.to_string());
+            }
+        },
+        (&Method::GET, ["v1", "tasks", id]) => tasks.wait(id, request, wait),
+        (&Method::POST, ["v1", "tasks", id, "cancel"]) => tasks
+            .cancel(id, request)
+            .and_then(|()| tasks.wait(id, request, wait)),
+        (&Method::DELETE, ["v1", "tasks", ids]) => {
+            for id in ids.split(',') {
+                tasks.forget(id);
+            }
             return Response::text(200, "");
         }
         _ => Err(RequestError::did_not_run(
@@ -149,16 +224,16 @@
     };
     match result {
         Ok(view) => task_response(view),
-        Err(error) => Response::error(&error, "")
-            .header(headers::TASK_STATE, TaskState::NeverStarted.to_string()),
+        Err(error) => Response::error(&error, ""),
     }
 }
 
 fn task_response(view: TaskView) -> Response {
-    let status = if view.state == TaskState::Running {
-        202
-    } else {
-        200
+    let status = match view.state {
+        TaskState::Running => 202,
+        TaskState::Unknown => 404,
+        TaskState::NeverStarted => 503,
+        _ => 200,
     };
     let checksum = crc32fast::hash(&view.answer);
     Response::bytes(status, view.answer)
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -49,6 +49,7 @@
         let client = Client::new(ClientOptions::default());
         let mut next_host = 0;
         while !self.stopped.load(Ordering::Acquire) {
+            self.tasks.faults().wait_while_paused();
             let sent_at = Instant::now();
             let pause = match self.announce(&client, next_host) {
                 Some(reply) => {
@@ -70,6 +71,7 @@
         if self.leaving.load(Ordering::Acquire) {
             self.announcement.phase = WorkerPhase::Leaving;
         }
+        self.announcement.incarnation = self.tasks.incarnation();
         self.announcement.tasks = self.tasks.running_tasks();
         self.announcement.highest_epoch = self.tasks.highest_epoch();
         let host = self.entry_hosts[next_host % self.entry_hosts.len()];
@@ -99,6 +101,7 @@
                 return;
             }
             thread::sleep(TICK);
+            self.tasks.faults().wait_while_paused();
             self.tasks.stop_if_lapsed(Instant::now());
         }
     }
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -4,17 +4,23 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
+use super::faults::Faults;
 use super::payload::StandInPayload;
 use crate::http::Request;
-use crate::ids::{Epoch, Incarnation, TaskId};
+use crate::ids::{Epoch, Incarnation, RequestKey, TaskId};
 use crate::protocol::headers;
 use crate::protocol::worker::TaskState;
 use crate::verdict::{ErrorCode, RequestError};
 
-/// Finished tasks and tombstones kept; the oldest are dropped first.
+/// Finished tasks and tombstones kept; the oldest are dropped first. The placer has them dropped
+/// after it committed their completions, so only abandoned ones reach the bound.
 const MAX_FINISHED_TASKS: usize = 100_000;
+/// Ids of dropped records kept, so that a late copy of their create starts nothing.
+const MAX_DROPPED_IDS: usize = 100_000;
+/// Executions recorded for checks.
+const MAX_EXECUTIONS: usize = 200_000;
 /// Longest wait for the end of a task within one exchange.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -27,20 +33,52 @@
     pub answer: Vec<u8>,
 }
 
+impl TaskView {
+    fn new(state: TaskState, answer: &[u8]) -> Self {
+        Self {
+            state,
+            answer: answer.to_vec(),
+        }
+    }
+}
+
+/// One execution, for checks in tests.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// Task that was executed.
+    pub task: TaskId,
+    /// Key of its request, as the placer sent it.
+    pub key: RequestKey,
+    /// When it began.
+    pub started_at: Instant,
+    /// When it ended, also by a stop or a crash.
+    pub ended_at: Option<Instant>,
+}
+
+struct Task {
+    view: TaskView,
+    /// Set by a cancellation; the state changes once the execution has ended.
+    stop_requested: bool,
+}
+
 #[derive(Default)]
 struct Table {
-    tasks: IndexMap<TaskId, TaskView>,
+    incarnation: Incarnation,
+    tasks: IndexMap<TaskId, Task>,
+    dropped: IndexSet<TaskId>,
+    leaving: bool,
     running: usize,
     highest_running: usize,
     started: usize,
     highest_epoch: Epoch,
     lease_ends_at: Option<Instant>,
+    executions: Vec<Execution>,
 }
 
 /// Tasks of one runner.
 pub struct TaskTable {
     slots: usize,
-    incarnation: Incarnation,
+    faults: Faults,
     table: Mutex<Table>,
     changed: Condvar,
 }
@@ -50,103 +88,150 @@
     pub fn new(slots: usize, incarnation: Incarnation) -> Self {
         Self {
             slots,
-            incarnation,
-            table: Mutex::default(),
+            faults: Faults::default(),
+            table: Mutex::new(Table {
+                incarnation,
+                ..Table::default()
+            }),
             changed: Condvar::new(),
         }
     }
 
+    /// Faults that can be switched on.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Present incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.table.lock().unwrap().incarnation
+    }
+
+    /// Drops all tasks and records, as a crash of the process does, and begins an incarnation.
+    pub fn crash(&self, incarnation: Incarnation) {
+        let mut table = self.table.lock().unwrap();
+        let now = Instant::now();
+        for execution in &mut table.executions {
+            execution.ended_at.get_or_insert(now);
+        }
+        table.incarnation = incarnation;
+        table.tasks.clear();
+        table.dropped.clear();
+        table.running = 0;
+        table.highest_epoch = 0;
+        table.lease_ends_at = None;
+        self.changed.notify_all();
+    }
+
+    /// Refuses new tasks from now on.
+    pub fn leave(&self) {
+        self.table.lock().unwrap().leaving = true;
+    }
+
     /// Starts a task unless its id is known.
     ///
     /// # Errors
     ///
-    /// `did_not_run` when the epoch or incarnation is stale, all slots are busy, or the id has a
-    /// tombstone.
+    /// `did_not_run` when the epoch or incarnation is stale, all slots are busy, the runner is
+    /// leaving, or the record of the id was dropped. A refused id becomes a tombstone.
     pub fn create(self: &Arc<Self>, id: &str, request: &Request) -> Result<(), RequestError> {
         let refuse = |message: &str| RequestError::did_not_run(ErrorCode::Unavailable, message);
-        let incarnation = request.parse_header::<u64>(headers::INCARNATION)?;
         let mut table = self.table.lock().unwrap();
         check_epoch(&mut table, request)?;
+        check_incarnation(&table, request)?;
         if table.tasks.contains_key(id) {
             return Ok(());
         }
-        if incarnation.is_some_and(|incarnation| incarnation != self.incarnation) {
-            return Err(refuse("the task is for another incarnation of this runner"));
+        if table.dropped.contains(id) {
+            return Err(refuse("the task ended and its record was dropped"));
         }
-        if table.running >= self.slots {
-            return Err(refuse("all slots are busy"));
-        }
-        table.running += 1;
-        table.started += 1;
-        table.highest_running = table.highest_running.max(table.running);
-        let view = TaskView {
-            state: TaskState::Running,
-            answer: Vec::new(),
+        let refusal = if table.leaving {
+            Some("the runner is leaving")
+        } else if table.running >= self.slots {
+            Some("all slots are busy")
+        } else {
+            None
         };
-        table.tasks.insert(id.to_owned(), view);
+        if let Some(message) = refusal {
+            // Another copy of this create may still arrive when a slot is free.
+            table.add(
+                id,
+                TaskView::new(TaskState::NeverStarted, message.as_bytes()),
+            );
+            return Ok(());
+        }
+        table.start(id, request.header(headers::IDEMPOTENCY_KEY));
+        let incarnation = table.incarnation;
         drop(table);
         let (tasks, id, payload) = (Arc::clone(self), id.to_owned(), request.body.clone());
-        thread::spawn(move || tasks.execute(&id, &payload));
+        thread::spawn(move || tasks.execute(incarnation, &id, &payload));
         Ok(())
     }
 
-    fn execute(&self, id: &str, payload: &[u8]) {
+    fn execute(&self, incarnation: Incarnation, id: &str, payload: &[u8]) {
         let instructions: Option<StandInPayload> = serde_json::from_slice(payload).ok();
         let work =
             Duration::from_millis(instructions.as_ref().map_or(0, |payload| payload.work_ms));
-        let ends_at = Instant::now() + work;
+        let stopped = self.work_until(incarnation, id, Instant::now() + work);
+        self.faults.wait_while_paused();
         let mut table = self.table.lock().unwrap();
-        loop {
-            let stopped = table
-                .tasks
-                .get(id)
-                .is_none_or(|view| view.state != TaskState::Running);
-            let remaining = ends_at.saturating_duration_since(Instant::now());
-            if stopped || remaining.is_zero() {
-                break;
-            }
-            table = self.changed.wait_timeout(table, remaining).unwrap().0;
+        if table.incarnation != incarnation {
+            return;
         }
-        let finished = match instructions {
-            Some(payload) if payload.fail => TaskView {
-                state: TaskState::Failed,
-                answer: b"instructed to fail".to_vec(),
-            },
-            Some(payload) => TaskView {
-                state: TaskState::Succeeded,
-                answer: payload.answer(),
-            },
-            None => TaskView {
-                state: TaskState::Succeeded,
-                answer: payload.to_vec(),
-            },
+        let view = match instructions {
+            _ if stopped => TaskView::new(TaskState::Stopped, b"stopped"),
+            Some(payload) if payload.fail => {
+                TaskView::new(TaskState::Failed, b"instructed to fail")
+            }
+            Some(payload) => TaskView::new(TaskState::Succeeded, &payload.answer()),
+            None => TaskView::new(TaskState::Succeeded, payload),
         };
-        if let Some(view) = table
-            .tasks
-            .get_mut(id)
-            .filter(|view| view.state == TaskState::Running)
-        {
-            *view = finished;
-        }
-        table.running -= 1;
+        table.end(id, view);
         drop_oldest(&mut table);
         self.changed.notify_all();
     }
 
-    /// State of a task, after waiting at most `wait` for its end. An unknown id was never started.
-    pub fn wait(&self, id: &str, wait: Duration) -> TaskView {
+    /// Waits for the end of the work; returns whether the task was stopped before.
+    fn work_until(&self, incarnation: Incarnation, id: &str, ends_at: Instant) -> bool {
+        let mut table = self.table.lock().unwrap();
+        loop {
+            if table.incarnation != incarnation {
+                return true;
+            }
+            let now = Instant::now();
+            let lapsed = table.lease_ends_at.is_some_and(|ends_at| ends_at <= now);
+            if lapsed || table.tasks.get(id).is_none_or(|task| task.stop_requested) {
+                return true;
+            }
+            let remaining = ends_at.saturating_duration_since(now);
+            if remaining.is_zero() {
+                return false;
+            }
+            table = self.changed.wait_timeout(table, remaining).unwrap().0;
+        }
+    }
+
+    /// State of a task, after waiting at most `wait` for its end.
+    ///
+    /// # Errors
+    ///
+    /// `did_not_run` when the question is for another incarnation, which alone could answer it.
+    pub fn wait(
+        &self,
+        id: &str,
+        request: &Request,
+        wait: Duration,
+    ) -> Result<TaskView, RequestError> {
         let deadline = Instant::now() + wait.min(MAX_WAIT);
         let mut table = self.table.lock().unwrap();
         loop {
-            let Some(view) = table.tasks.get(id) else {
-                return TaskView {
-                    state: TaskState::NeverStarted,
-                    answer: b"unknown task".to_vec(),
-                };
+            check_incarnation(&table, request)?;
+            let Some(task) = table.tasks.get(id) else {
+                return Ok(TaskView::new(TaskState::Unknown, b"unknown task"));
             };
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if view.state != TaskState::Running || remaining.is_zero() {
-                return view.clone();
+            if task.view.state != TaskState::Running || remaining.is_zero() {
+                return Ok(task.view.clone());
             }
             table = self.changed.wait_timeout(table, remaining).unwrap().0;
         }
@@ -156,17 +241,18 @@
     ///
     /// # Errors
     ///
-    /// `did_not_run` when the epoch is stale.
+    /// `did_not_run` when the epoch or incarnation is stale, or the record was dropped.
     pub fn cancel(&self, id: &str, request: &Request) -> Result<(), RequestError> {
         let mut table = self.table.lock().unwrap();
         check_epoch(&mut table, request)?;
-        let tombstone = TaskView {
-            state: TaskState::NeverStarted,
-            answer: b"cancelled".to_vec(),
-        };
-        let view = table.tasks.entry(id.to_owned()).or_insert(tombstone);
-        if view.state == TaskState::Running {
-            view.state = TaskState::Stopped;
+        check_incarnation(&table, request)?;
+        if table.dropped.contains(id) {
+            let message = "the task ended and its record was dropped";
+            return Err(RequestError::did_not_run(ErrorCode::NotFound, message));
+        }
+        match table.tasks.get_mut(id) {
+            Some(task) => task.stop_requested = true,
+            None => table.add(id, TaskView::new(TaskState::NeverStarted, b"cancelled")),
         }
         self.changed.notify_all();
         Ok(())
@@ -178,10 +264,15 @@
         if table
             .tasks
             .get(id)
-            .is_some_and(|view| view.state != TaskState::Running)
+            .is_none_or(|task| task.view.state == TaskState::Running)
         {
-            table.tasks.shift_remove(id);
+            return;
+        }
+        table.tasks.swap_remove(id);
+        if table.dropped.len() >= MAX_DROPPED_IDS {
+            table.dropped.swap_remove_index(0);
         }
+        table.dropped.insert(id.to_owned());
     }
 
     /// Renews the lease of all tasks.
@@ -193,18 +284,12 @@
         }
     }
 
-    /// Stops all tasks when the lease has lapsed.
+    /// Wakes the tasks when the lease has lapsed, which stop then.
     pub fn stop_if_lapsed(&self, now: Instant) {
-        let mut table = self.table.lock().unwrap();
-        if table.lease_ends_at.is_none_or(|ends_at| ends_at > now) {
-            return;
-        }
-        for view in table.tasks.values_mut() {
-            if view.state == TaskState::Running {
-                view.state = TaskState::Stopped;
-            }
+        let table = self.table.lock().unwrap();
+        if table.lease_ends_at.is_some_and(|ends_at| ends_at <= now) {
+            self.changed.notify_all();
         }
-        self.changed.notify_all();
     }
 
     /// Tasks executing now.
@@ -217,11 +302,21 @@
         self.table.lock().unwrap().highest_running
     }
 
-    /// Tasks started so far.
+    /// Tasks started so far, in all incarnations.
     pub fn started(&self) -> usize {
         self.table.lock().unwrap().started
     }
 
+    /// Records of tasks and tombstones held now.
+    pub fn records(&self) -> usize {
+        self.table.lock().unwrap().tasks.len()
+    }
+
+    /// Executions so far, in all incarnations.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.table.lock().unwrap().executions.clone()
+    }
+
     /// Highest epoch seen.
     pub fn highest_epoch(&self) -> Epoch {
         self.table.lock().unwrap().highest_epoch
@@ -233,8 +328,46 @@
         let running = table
             .tasks
             .iter()
-            .filter(|(_, view)| view.state == TaskState::Running);
-        running.map(|(id, view)| (id.clone(), view.state)).collect()
+            .filter(|(_, task)| task.view.state == TaskState::Running);
+        running
+            .map(|(id, task)| (id.clone(), task.view.state))
+            .collect()
+    }
+}
+
+impl Table {
+    fn add(&mut self, id: &str, view: TaskView) {
+        let task = Task {
+            view,
+            stop_requested: false,
+        };
+        self.tasks.insert(id.to_owned(), task);
+    }
+
+    fn start(&mut self, id: &str, key: Option<&str>) {
+        self.running += 1;
+        self.started += 1;
+        self.highest_running = self.highest_running.max(self.running);
+        self.add(id, TaskView::new(TaskState::Running, b""));
+        if self.executions.len() < MAX_EXECUTIONS {
+            self.executions.push(Execution {
+                task: id.to_owned(),
+                key: key.unwrap_or_default().to_owned(),
+                started_at: Instant::now(),
+                ended_at: None,
+            });
+        }
+    }
+
+    fn end(&mut self, id: &str, view: TaskView) {
+        self.running -= 1;
+        if let Some(task) = self.tasks.get_mut(id) {
+            task.view = view;
+        }
+        let execution = self.executions.iter_mut().rev();
+        if let Some(execution) = execution.into_iter().find(|execution| execution.task == id) {
+            execution.ended_at = Some(Instant::now());
+        }
     }
 }
 
@@ -255,13 +388,23 @@
     Ok(())
 }
 
+/// Refuses calls for a former incarnation: this one knows nothing of its tasks.
+fn check_incarnation(table: &Table, request: &Request) -> Result<(), RequestError> {
+    let incarnation = request.parse_header::<Incarnation>(headers::INCARNATION)?;
+    if incarnation.is_none_or(|incarnation| incarnation == table.incarnation) {
+        return Ok(());
+    }
+    let message = "the call is for another incarnation of this runner";
+    Err(RequestError::did_not_run(ErrorCode::Unavailable, message))
+}
+
 fn drop_oldest(table: &mut Table) {
     while table.tasks.len() > MAX_FINISHED_TASKS {
         let oldest = table
             .tasks
             .iter()
-            .position(|(_, view)| view.state != TaskState::Running);
+            .position(|(_, task)| task.view.state != TaskState::Running);
         let Some(index) = oldest else { return };
-        table.tasks.shift_remove_index(index);
+        table.tasks.swap_remove_index(index);
     }
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -37,6 +37,12 @@
         (self.wall)()
     }
 
+    /// Wall-clock time in Unix milliseconds; zero before 1970.
+    pub fn unix_ms(&self) -> u64 {
+        let age = self.wall().duration_since(SystemTime::UNIX_EPOCH);
+        age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Wall-clock time in whole Unix seconds; zero before 1970.
     pub fn unix_seconds(&self) -> u64 {
         self.wall()
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -12,11 +12,12 @@
 use crate::clock::Clock;
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router};
-use crate::http::{Client, ClientOptions, Request, Response, Server, ServerOptions};
+use crate::http::{Request, Response, Server, ServerOptions};
 use crate::ids::HostId;
 use crate::options::Settings;
 use crate::peer::{PeerClient, PeerServer};
 use crate::placer::journal::Journal;
+use crate::placer::links::http_exchange;
 use crate::placer::{Placer, PlacerOptions};
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
@@ -45,7 +46,7 @@
             timing: settings.timing.clone(),
             clock: Clock::system(),
             journal: placement_journal(&settings),
-            client: Client::new(ClientOptions::default()),
+            exchange: http_exchange(),
         });
         let gateway = Arc::new(Gateway {
             router: Router {
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -1,28 +1,45 @@
 //! Decides for one data centre which request runs where, and guards at-most-once execution.
 
-pub mod dispatch;
+mod attempt;
+mod budget;
+mod dispatch;
+mod flight;
+mod follow;
 pub mod journal;
 pub mod key;
+pub mod links;
 pub mod records;
 pub mod runners;
+mod takeover;
+mod task_calls;
 
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Sender, bounded};
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
-use crate::http::Client;
-use crate::ids::{DataCentreName, RequestKey};
+use crate::ids::{DataCentreName, Epoch, Incarnation, RequestKey, TaskId, WorkerId};
 use crate::options::settings::{LimitSettings, TimingSettings};
 use crate::protocol::caller::{Answer, Submission};
 use crate::protocol::worker::{Announcement, AnnouncementReply};
 use crate::scheduling::request_queue::{QueuedRequest, RequestQueue};
-use crate::verdict::{ErrorCode, RequestError};
-use journal::Journal;
-use records::{KeyRecord, PlacementRecord, PlacementState, RequestDigest};
-use runners::{RunnerSlot, RunnerTable};
+use crate::verdict::{ErrorCode, RequestError, Verdict};
+use attempt::{Former, Ticket};
+use budget::RetryBudgets;
+use flight::{Flight, FlightEnd, SentTask};
+use follow::Followed;
+use journal::{Journal, JournalError};
+use links::Exchange;
+use records::{Completion, KeyRecord, PlacementRecord, RequestDigest};
+use runners::{Fate, RunnerSlot, RunnerTable};
+
+/// Retry-after of requests that reached a host which is not the placer. Errors with this value,
+/// code `Unavailable` and verdict `did_not_run` concern the host and not the request.
+const NOT_PLACER_RETRY_MS: u64 = 1;
+/// Time without new work for a runner that refused a task or took no connection.
+const AVOID_FOR: Duration = Duration::from_millis(200);
 
 /// Outcome of a request.
 pub type Outcome = Result<Answer, RequestError>;
@@ -39,38 +56,110 @@
     pub clock: Clock,
     /// Replicated records.
     pub journal: Journal,
-    /// Client for calls to runners.
-    pub client: Client,
+    /// Exchanges with runners; [`links::http_exchange`] outside tests.
+    pub exchange: Exchange,
 }
 
 /// The placer of one data centre.
 pub struct Placer {
     options: PlacerOptions,
+    /// Locked before `options.journal.state` where both are needed.
     state: Mutex<PlacerState>,
-    /// Signalled when a record of `options.journal` was completed.
-    completed: Condvar,
+    /// Held during a takeover.
+    takeover: Mutex<()>,
 }
 
 struct PlacerState {
+    /// Epoch in which this host is the placer, once it has taken over.
+    epoch: Option<Epoch>,
     queue: RequestQueue,
     runners: RunnerTable,
     /// Threads of admitted requests that wait for a slot.
     waiting: IndexMap<RequestKey, Sender<Result<RunnerSlot, RequestError>>>,
+    /// Requests between admission and outcome; every open record has one.
+    flights: IndexMap<RequestKey, Arc<Flight>>,
+    /// Tasks without an owner; a key is present while a thread follows the runner.
+    followed: IndexMap<WorkerId, Vec<Followed>>,
+    budgets: RetryBudgets,
+    /// Tasks whose records the runners may drop.
+    forget: IndexMap<WorkerId, Vec<TaskId>>,
+}
+
+/// A submission after its first look at the records.
+enum Start {
+    Finished(Outcome),
+    Attached(Arc<Flight>),
+    Admitted(Box<Ticket>),
+}
+
+/// A request that was submitted and not waited for yet.
+pub struct Pending<'a> {
+    placer: &'a Arc<Placer>,
+    submission: &'a Submission,
+    start: Start,
+}
+
+impl Pending<'_> {
+    /// Waits for the outcome, at most until the deadline of the submission.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError`] with the verdict.
+    pub fn wait(self) -> Outcome {
+        let Self {
+            placer,
+            submission,
+            mut start,
+        } = self;
+        loop {
+            let end = match start {
+                Start::Finished(outcome) => return outcome,
+                Start::Admitted(ticket) => ticket.run(submission),
+                Start::Attached(flight) => {
+                    match flight.wait(submission.deadline, &placer.options.clock) {
+                        Some(FlightEnd::Outcome(outcome)) => Some(outcome),
+                        Some(FlightEnd::LookAgain) => None,
+                        None => {
+                            let message = "the deadline passed while an earlier attempt was open";
+                            let code = ErrorCode::DeadlineExceeded;
+                            return Err(RequestError::may_have_run(code, message));
+                        }
+                    }
+                }
+            };
+            if let Some(outcome) = end {
+                return outcome;
+            }
+            // The key has a record of an attempt that this submission waited for, so a host that
+            // is no longer the placer cannot tell that nothing ran.
+            start = placer.begin(submission).map_err(|error| RequestError {
+                verdict: Verdict::MayHaveRun,
+                ..error
+            })?;
+        }
+    }
 }
 
 impl Placer {
     /// A placer without runners.
     pub fn new(options: PlacerOptions) -> Arc<Self> {
         let state = PlacerState {
+            epoch: None,
             queue: RequestQueue::new(options.limits.max_queued_requests),
             runners: RunnerTable::default(),
             waiting: IndexMap::new(),
+            flights: IndexMap::new(),
+            followed: IndexMap::new(),
+            budgets: RetryBudgets::default(),
+            forget: IndexMap::new(),
         };
-        Arc::new(Self {
+        let placer = Arc::new(Self {
             options,
             state: Mutex::new(state),
-            completed: Condvar::new(),
-        })
+            takeover: Mutex::new(()),
+        });
+        placer.start_threads();
+        placer
     }
 
     /// Data centre for which it decides.
@@ -88,12 +177,94 @@
     /// # Errors
     ///
     /// [`RequestError`] with the verdict.
-    pub fn submit(&self, submission: &Submission) -> Outcome {
+    pub fn submit(self: &Arc<Self>, submission: &Submission) -> Outcome {
+        self.start(submission)?.wait()
+    }
+
+    /// Admits a request, or attaches to an earlier attempt with the same key. The request proceeds
+    /// while the result is waited for; dropping the result cancels a request that was admitted.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError`] when it was refused.
+    pub fn start<'a>(
+        self: &'a Arc<Self>,
+        submission: &'a Submission,
+    ) -> Result<Pending<'a>, RequestError> {
+        Ok(Pending {
+            placer: self,
+            submission,
+            start: self.begin(submission)?,
+        })
+    }
+
+    fn begin(self: &Arc<Self>, submission: &Submission) -> Result<Start, RequestError> {
         let digest = RequestDigest::of(submission);
-        if let Some(record) = self.record(&submission.key) {
-            return self.join(submission, &digest, &record);
+        let epoch = self.lead()?;
+        let mut state = self.state.lock().unwrap();
+        if state.epoch != Some(epoch) {
+            return Err(not_placer());
         }
-        key::check_age(submission, &self.options)?;
+        if let Some(flight) = state.flights.get(&submission.key) {
+            check_conflict(&flight.digest, &digest)?;
+            return Ok(Start::Attached(Arc::clone(flight)));
+        }
+        let former = match self.record_or_window(&submission.key) {
+            Ok(record) => {
+                check_conflict(&record.digest, &digest)?;
+                match former_attempt(&record) {
+                    Some(former) if submission.deadline > self.options.clock.now() => Some(former),
+                    _ => {
+                        let Some(outcome) = record.outcome.clone() else {
+                            return Ok(self.attach_to_open(state, epoch, submission, record));
+                        };
+                        return Ok(Start::Finished(outcome));
+                    }
+                }
+            }
+            Err(window) => {
+                key::check_age(submission, &self.options, window)?;
+                None
+            }
+        };
+        self.admit(&mut state, submission, digest, former)
+            .map(|ticket| Start::Admitted(Box::new(ticket)))
+    }
+
+    /// The record of a key, or what its age is measured against.
+    fn record_or_window(&self, key: &str) -> Result<KeyRecord, key::KeyWindow> {
+        let placement = self.options.journal.state.lock().unwrap();
+        placement.keys.get(key).cloned().ok_or_else(|| {
+            let recorded_seconds = placement.now_unix_ms / 1000;
+            key::KeyWindow {
+                now_seconds: self.options.clock.unix_seconds().max(recorded_seconds),
+                floor_seconds: placement.key_floor_unix_seconds,
+            }
+        })
+    }
+
+    /// Follows an attempt whose completion was not confirmed.
+    fn attach_to_open(
+        self: &Arc<Self>,
+        mut state: std::sync::MutexGuard<'_, PlacerState>,
+        epoch: Epoch,
+        submission: &Submission,
+        record: KeyRecord,
+    ) -> Start {
+        let (flight, followed) = self.adopt_one(&mut state, epoch, submission.key.clone(), record);
+        drop(state);
+        self.follow(followed);
+        Start::Attached(flight)
+    }
+
+    fn admit(
+        self: &Arc<Self>,
+        state: &mut PlacerState,
+        submission: &Submission,
+        digest: RequestDigest,
+        former: Option<Former>,
+    ) -> Result<Ticket, RequestError> {
+        let now = self.options.clock.now();
         let queued = QueuedRequest {
             key: submission.key.clone(),
             member: submission.member.clone(),
@@ -101,15 +272,66 @@
             service: submission.service.clone(),
             urgency: submission.urgency,
             deadline: submission.deadline,
-            admitted_at: self.options.clock.now(),
-        };
-        let slot = match self.wait_for_slot(&queued)? {
-            Admission::Slot(slot) => slot,
-            Admission::Duplicate => return self.wait_for_completion(submission),
+            admitted_at: now,
         };
-        let outcome = self.run(submission, digest, &queued, &slot);
-        self.release(&queued, &slot);
-        outcome
+        if let Err(error) = state.queue.admit(queued.clone(), now) {
+            return Err(match former {
+                Some(former) if former.error.verdict == Verdict::MayHaveRun => former.error,
+                _ => error,
+            });
+        }
+        let flight = Flight::new(digest);
+        if former
+            .as_ref()
+            .is_some_and(|former| former.error.verdict == Verdict::MayHaveRun)
+        {
+            flight.set_started();
+        }
+        let (sender, assigned) = bounded(1);
+        state
+            .flights
+            .insert(queued.key.clone(), Arc::clone(&flight));
+        state.waiting.insert(queued.key.clone(), sender);
+        self.assign_slots(state, &queued.service);
+        Ok(Ticket {
+            placer: Arc::clone(self),
+            flight,
+            queued,
+            assigned,
+            former,
+            idempotent: submission.idempotent,
+            landed: false,
+            begun: false,
+        })
+    }
+
+    /// Queues an admitted request for another attempt.
+    fn requeue(
+        &self,
+        queued: &QueuedRequest,
+        flight: &Arc<Flight>,
+        sender: Sender<Result<RunnerSlot, RequestError>>,
+    ) -> Result<(), RequestError> {
+        let mut state = self.state.lock().unwrap();
+        if !state.owns(&queued.key, flight) {
+            return Err(not_placer());
+        }
+        state
+            .queue
+            .admit(queued.clone(), self.options.clock.now())?;
+        state.waiting.insert(queued.key.clone(), sender);
+        self.assign_slots(&mut state, &queued.service);
+        Ok(())
+    }
+
+    /// Takes a request out of the queue; returns whether it was waiting.
+    fn leave_queue(&self, key: &str, flight: &Arc<Flight>) -> bool {
+        let mut state = self.state.lock().unwrap();
+        if !state.owns(key, flight) || !state.queue.cancel(key) {
+            return false;
+        }
+        state.waiting.swap_remove(key);
+        true
     }
 
     /// Outcome of a request that was submitted before.
@@ -117,19 +339,14 @@
     /// # Errors
     ///
     /// `NotFound` when no record exists, otherwise the error of the request.
-    pub fn query(&self, key: &str) -> Outcome {
-        match self.record(key) {
-            Some(KeyRecord {
-                outcome: Some(outcome),
-                ..
-            }) => outcome,
-            Some(_) => Err(RequestError::may_have_run(
-                ErrorCode::Unavailable,
-                "still running",
-            )),
-            None if self.state.lock().unwrap().waiting.contains_key(key) => Err(
-                RequestError::did_not_run(ErrorCode::Unavailable, "still waiting"),
-            ),
+    pub fn query(self: &Arc<Self>, key: &str) -> Outcome {
+        self.lead()?;
+        let in_flight = self.state.lock().unwrap().flights.contains_key(key);
+        let record = self.record_or_window(key).ok();
+        match record.and_then(|record| record.outcome) {
+            _ if in_flight => Err(still_open()),
+            Some(outcome) => outcome,
+            None if self.record_or_window(key).is_ok() => Err(still_open()),
             None => Err(RequestError::did_not_run(
                 ErrorCode::NotFound,
                 "no record of this key",
@@ -137,17 +354,42 @@
         }
     }
 
-    /// Cancels a waiting request; returns whether it is certain not to run.
+    /// Cancels a request; returns whether it is certain not to run. A request that was sent to a
+    /// runner is stopped there.
     pub fn cancel(&self, key: &str) -> bool {
-        let mut state = self.state.lock().unwrap();
-        if !state.queue.cancel(key) {
-            return false;
+        let flight = {
+            let mut state = self.state.lock().unwrap();
+            let Some(flight) = state.flights.get(key).cloned() else {
+                drop(state);
+                return self.is_known_not_to_run(key);
+            };
+            if let Some(sender) = state.waiting.swap_remove(key) {
+                state.queue.cancel(key);
+                flight.cancel();
+                let message = "cancelled while waiting";
+                let error = RequestError::did_not_run(ErrorCode::Cancelled, message);
+                let _ = sender.send(Err(error));
+                return !flight.has_started();
+            }
+            flight
+        };
+        let deadline = self.options.clock.now() + self.options.timing.exchange_timeout();
+        if let Some(SentTask { task, epoch, link }) = flight.cancel() {
+            let wait = self.options.timing.exchange_wait();
+            task_calls::cancel(&self.options, &link, &task, epoch, wait);
         }
-        if let Some(sender) = state.waiting.swap_remove(key) {
-            let error = RequestError::did_not_run(ErrorCode::Cancelled, "cancelled while waiting");
-            let _ = sender.send(Err(error));
+        match flight.wait(deadline, &self.options.clock) {
+            Some(FlightEnd::Outcome(Err(error))) => error.verdict == Verdict::DidNotRun,
+            _ => false,
         }
-        true
+    }
+
+    fn is_known_not_to_run(&self, key: &str) -> bool {
+        let outcome = self
+            .record_or_window(key)
+            .ok()
+            .and_then(|record| record.outcome);
+        matches!(outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
     }
 
     /// Takes note of a worker and renews the leases of its tasks.
@@ -155,14 +397,26 @@
     /// # Errors
     ///
     /// `Unavailable` when this host is not the placer.
-    pub fn announce(&self, announcement: Announcement) -> Result<AnnouncementReply, RequestError> {
-        let epoch = self.epoch()?;
+    pub fn announce(
+        self: &Arc<Self>,
+        announcement: Announcement,
+    ) -> Result<AnnouncementReply, RequestError> {
+        let epoch = self.lead()?;
         let timing = &self.options.timing;
         let now = self.options.clock.now();
         let lease_ends_at = now + Duration::from_millis(timing.lease_ms);
+        let service = announcement
+            .runner
+            .as_ref()
+            .map(|runner| runner.service.clone());
         let mut state = self.state.lock().unwrap();
+        if state.epoch != Some(epoch) {
+            return Err(not_placer());
+        }
         state.runners.announce(announcement, lease_ends_at);
-        self.assign_slots(&mut state);
+        if let Some(service) = service {
+            self.assign_slots(&mut state, &service);
+        }
         Ok(AnnouncementReply {
             epoch,
             lease_ms: timing.lease_ms,
@@ -171,149 +425,131 @@
         })
     }
 
-    fn epoch(&self) -> Result<u64, RequestError> {
-        (self.options.journal.epoch)().ok_or_else(|| {
-            RequestError::did_not_run(ErrorCode::Unavailable, "this host is not the placer")
-        })
-    }
-
-    fn record(&self, key: &str) -> Option<KeyRecord> {
-        self.options
-            .journal
-            .state
-            .lock()
-            .unwrap()
-            .keys
-            .get(key)
-            .cloned()
-    }
-
-    /// Waits for the outcome of an earlier attempt with the same key.
-    fn join(&self, submission: &Submission, digest: &RequestDigest, record: &KeyRecord) -> Outcome {
-        if record.digest != *digest {
-            let message = "the key was used before with another request";
-            return Err(RequestError::did_not_run(ErrorCode::KeyConflict, message));
+    /// Hands free slots of the service to waiting requests.
+    fn assign_slots(&self, state: &mut PlacerState, service: &str) {
+        if state.queue.is_empty() {
+            return;
         }
-        self.wait_for_completion(submission)
-    }
-
-    fn wait_for_completion(&self, submission: &Submission) -> Outcome {
-        let mut placement: std::sync::MutexGuard<'_, PlacementState> =
-            self.options.journal.state.lock().unwrap();
-        loop {
-            let record = placement.keys.get(&submission.key);
-            if let Some(KeyRecord {
-                outcome: Some(outcome),
-                ..
-            }) = record
-            {
-                return outcome.clone();
+        let now = self.options.clock.now();
+        while let Some(slot) = state.runners.reserve(service, now) {
+            let selection = state.queue.next(service, now);
+            for (refused, code) in selection.refused {
+                if let Some(sender) = state.waiting.swap_remove(&refused.key) {
+                    let message = "refused before it got a slot";
+                    let _ = sender.send(Err(RequestError::did_not_run(code, message)));
+                }
             }
-            let remaining = submission
-                .deadline
-                .saturating_duration_since(self.options.clock.now());
-            if remaining.is_zero() {
-                let message = "the deadline passed while an earlier attempt was running";
-                return Err(RequestError::may_have_run(
-                    ErrorCode::DeadlineExceeded,
-                    message,
-                ));
+            let sender = selection
+                .chosen
+                .and_then(|chosen| state.waiting.swap_remove(&chosen.key));
+            let Some(sender) = sender else {
+                state
+                    .runners
+                    .release(&slot.worker, slot.incarnation, slot.epoch);
+                return;
+            };
+            if let Err(unsent) = sender.send(Ok(slot))
+                && let Ok(slot) = unsent.into_inner()
+            {
+                state
+                    .runners
+                    .release(&slot.worker, slot.incarnation, slot.epoch);
             }
-            placement = self.completed.wait_timeout(placement, remaining).unwrap().0;
         }
     }
 
-    fn wait_for_slot(&self, queued: &QueuedRequest) -> Result<Admission, RequestError> {
-        let (sender, receiver) = bounded(1);
-        {
-            let mut state = self.state.lock().unwrap();
-            if state.waiting.contains_key(&queued.key) {
-                return Ok(Admission::Duplicate);
-            }
-            let now = self.options.clock.now();
-            state.queue.admit(queued.clone(), now)?;
-            state.waiting.insert(queued.key.clone(), sender);
-            self.assign_slots(&mut state);
-        }
-        if let Ok(assigned) = receiver.recv_deadline(queued.deadline) {
-            return assigned.map(Admission::Slot);
+    fn assign_all(&self, state: &mut PlacerState) {
+        if state.queue.is_empty() {
+            return;
         }
-        let mut state = self.state.lock().unwrap();
-        if state.queue.cancel(&queued.key) {
-            state.waiting.swap_remove(&queued.key);
-            let message = "the deadline passed before a slot was free";
-            return Err(RequestError::did_not_run(
-                ErrorCode::DeadlineExceeded,
-                message,
-            ));
+        for service in state.runners.services() {
+            self.assign_slots(state, &service);
         }
-        drop(state);
-        // The slot was assigned between the timeout and the lock.
-        receiver
-            .recv()
-            .unwrap_or_else(|_| Err(lost_assignment()))
-            .map(Admission::Slot)
     }
 
-    /// Hands free slots to waiting requests.
-    fn assign_slots(&self, state: &mut PlacerState) {
-        let now = self.options.clock.now();
-        for service in state.runners.services() {
-            while let Some(slot) = state.runners.reserve(&service, now) {
-                let selection = state.queue.next(&service, now);
-                for (refused, code) in selection.refused {
-                    if let Some(sender) = state.waiting.swap_remove(&refused.key) {
-                        let message = "refused before it got a slot";
-                        let _ = sender.send(Err(RequestError::did_not_run(code, message)));
-                    }
-                }
-                let sender = selection
-                    .chosen
-                    .and_then(|chosen| state.waiting.swap_remove(&chosen.key));
-                let Some(sender) = sender else {
-                    state.runners.release(&slot);
-                    break;
-                };
-                let _ = sender.send(Ok(slot));
-            }
-        }
+    /// Whether the intent of the slot's task took effect.
+    fn is_latest_attempt(&self, key: &str, slot: &RunnerSlot) -> bool {
+        let placement = self.options.journal.state.lock().unwrap();
+        let record = placement.keys.get(key);
+        record.is_some_and(|record| record.task == slot.task)
     }
 
-    /// Commits the intent, dispatches, and commits the completion.
-    fn run(
+    fn commit_completion(
         &self,
-        submission: &Submission,
-        digest: RequestDigest,
-        queued: &QueuedRequest,
-        slot: &RunnerSlot,
-    ) -> Outcome {
-        let epoch = self.epoch()?;
-        let intent = PlacementRecord::intent(submission, digest, slot, epoch);
-        (self.options.journal.append)(intent).map_err(|error| error.before_dispatch())?;
-        let wait = self
-            .options
-            .clock
-            .now()
-            .saturating_duration_since(queued.admitted_at);
-        let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
-        let outcome = dispatch::run_task(&self.options, submission, slot, epoch)
-            .map(|body| Answer { body, wait_us });
-        let completion = PlacementRecord::Completion {
-            key: submission.key.clone(),
+        key: &str,
+        task: &str,
+        outcome: &Outcome,
+        over: bool,
+    ) -> Result<(), JournalError> {
+        let now_unix_ms = self.options.clock.unix_ms();
+        let retention_ms = self.options.timing.key_retention_ms;
+        let completion = Completion {
+            key: key.to_owned(),
+            task: task.to_owned(),
             outcome: outcome.clone(),
+            over,
+            now_unix_ms,
+            keep_until_unix_ms: key::keep_until_unix_ms(key, now_unix_ms, retention_ms),
+            max_answer_bytes: self.options.limits.max_answer_bytes as u64,
         };
-        let committed = (self.options.journal.append)(completion);
-        self.completed.notify_all();
-        committed.map_err(|error| error.after_dispatch())?;
-        outcome
+        (self.options.journal.append)(PlacementRecord::Completion(completion))
+    }
+
+    /// Ends a flight after its outcome was committed.
+    fn land(&self, key: &str, flight: &Arc<Flight>, end: FlightEnd) {
+        {
+            let mut state = self.state.lock().unwrap();
+            if state.owns(key, flight) {
+                state.flights.swap_remove(key);
+            }
+        }
+        flight.finish(end);
     }
 
     fn release(&self, queued: &QueuedRequest, slot: &RunnerSlot) {
         let now = self.options.clock.now();
         let mut state = self.state.lock().unwrap();
-        state.runners.release(slot);
+        state
+            .runners
+            .release(&slot.worker, slot.incarnation, slot.epoch);
         state.queue.finished(queued, slot.reserved_at, now);
-        self.assign_slots(&mut state);
+        self.assign_slots(&mut state, &queued.service);
+    }
+
+    fn release_adopted(&self, followed: &Followed) {
+        let mut state = self.state.lock().unwrap();
+        state
+            .runners
+            .release(&followed.worker, followed.incarnation, followed.epoch);
+        self.assign_all(&mut state);
+    }
+
+    fn avoid(&self, slot: &RunnerSlot) {
+        let until = self.options.clock.now() + AVOID_FOR;
+        self.state
+            .lock()
+            .unwrap()
+            .runners
+            .avoid(&slot.worker, until);
+    }
+
+    /// What is known about the incarnation; `None` when the epoch has ended here.
+    fn fate(&self, worker: &str, incarnation: Incarnation, epoch: Epoch) -> Option<Fate> {
+        let state = self.state.lock().unwrap();
+        if state.epoch != Some(epoch) {
+            return None;
+        }
+        let margin = Duration::from_millis(self.options.timing.clock_margin_ms);
+        let now = self.options.clock.now();
+        Some(state.runners.fate(worker, incarnation, margin, now))
+    }
+
+    fn deposit(&self, member: &str, worker: &str) {
+        self.state.lock().unwrap().budgets.deposit(member, worker);
+    }
+
+    fn withdraw(&self, member: &str, worker: &str) -> bool {
+        self.state.lock().unwrap().budgets.withdraw(member, worker)
     }
 
     /// Requests that wait for a slot.
@@ -330,7 +566,7 @@
     pub fn wait_until_idle(&self, deadline: Instant) -> bool {
         loop {
             let state = self.state.lock().unwrap();
-            if state.queue.is_empty() && state.runners.busy_slots() == 0 {
+            if state.flights.is_empty() && state.runners.busy_slots() == 0 {
                 return true;
             }
             drop(state);
@@ -342,14 +578,51 @@
     }
 }
 
-enum Admission {
-    Slot(RunnerSlot),
-    Duplicate,
+impl PlacerState {
+    /// Whether the flight is the one registered for the key.
+    fn owns(&self, key: &str, flight: &Arc<Flight>) -> bool {
+        self.flights
+            .get(key)
+            .is_some_and(|present| Arc::ptr_eq(present, flight))
+    }
+}
+
+/// The ended attempt that a further submission of the key may replace.
+fn former_attempt(record: &KeyRecord) -> Option<Former> {
+    if !record.permits_another_attempt() {
+        return None;
+    }
+    let Some(Err(error)) = record.outcome.clone() else {
+        return None;
+    };
+    Some(Former {
+        task: record.task.clone(),
+        error,
+        open: false,
+    })
+}
+
+fn check_conflict(present: &RequestDigest, digest: &RequestDigest) -> Result<(), RequestError> {
+    if present == digest {
+        return Ok(());
+    }
+    let message = "the key was used before with another request";
+    Err(RequestError::did_not_run(ErrorCode::KeyConflict, message))
+}
+
+/// Error of a request that reached a host which is not the placer.
+fn not_placer() -> RequestError {
+    RequestError::did_not_run(ErrorCode::Unavailable, "this host is not the placer")
+        .retry_after_ms(NOT_PLACER_RETRY_MS)
+}
+
+/// Whether the error says that the host was not the placer, so that another host may be.
+pub fn is_not_placer(error: &RequestError) -> bool {
+    error.code == ErrorCode::Unavailable
+        && error.verdict == Verdict::DidNotRun
+        && error.retry_after_ms == Some(NOT_PLACER_RETRY_MS)
 }
 
-fn lost_assignment() -> RequestError {
-    RequestError::did_not_run(
-        ErrorCode::Internal,
-        "the request lost its place in the queue",
-    )
+fn still_open() -> RequestError {
+    RequestError::may_have_run(ErrorCode::Unavailable, "still waiting or running")
 }
--- a/src/placer/dispatch.rs
+++ b/src/placer/dispatch.rs
@@ -1,114 +1,261 @@
-//! Runs one task on a runner by bounded HTTP exchanges.
+//! Drives one task on a runner by bounded exchanges.
 
 use std::time::{Duration, Instant};
 
 use hyper::Method;
 
-use super::PlacerOptions;
-use super::runners::RunnerSlot;
-use crate::http::client::{ClientError, ClientRequest, ClientResponse};
-use crate::ids::Epoch;
+use super::Placer;
+use super::flight::Flight;
+use super::runners::{Fate, RunnerSlot};
+use super::task_calls::{self, Reply};
+use crate::http::client::ClientError;
 use crate::protocol::caller::Submission;
-use crate::protocol::headers;
-use crate::protocol::worker::TaskState;
 use crate::verdict::{ErrorCode, RequestError};
 
-/// Pause between attempts to reach a runner that does not answer.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a runner that did not take an exchange is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections in succession that may fail before a task that was never sent goes elsewhere.
+const MAX_FAILED_CONNECTIONS: u32 = 2;
+/// Time beyond the deadline for the reply of a runner that waited until the deadline.
+const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 
-/// Starts the task, waits for its end and returns the answer.
-///
-/// # Errors
-///
-/// [`RequestError`] whose verdict says what the runner did with the task.
-pub(super) fn run_task(
-    options: &PlacerOptions,
+/// How the owner's part of an attempt ended.
+pub(super) enum End {
+    /// The outcome is known. `over` tells that the task certainly is not running any more.
+    Known {
+        outcome: Result<Vec<u8>, RequestError>,
+        over: bool,
+        /// Whether no copy of the create can still arrive, so that the runner may drop its record.
+        may_forget: bool,
+    },
+    /// The task is certainly over without an outcome; `started` tells whether it may have begun.
+    Again { error: RequestError, started: bool },
+    /// The deadline passed, or the log is undecided, while the task may be running.
+    StillOpen {
+        /// Whether the runner confirmed that it has the task.
+        acknowledged: bool,
+    },
+}
+
+impl End {
+    pub fn never_started(message: impl Into<String>) -> Self {
+        Self::Again {
+            error: RequestError::did_not_run(ErrorCode::Unavailable, message),
+            started: false,
+        }
+    }
+
+    fn lost(message: &str) -> Self {
+        Self::Again {
+            error: RequestError::may_have_run(ErrorCode::RunnerLost, message),
+            started: true,
+        }
+    }
+}
+
+/// What is known about the creation of the task.
+#[derive(Default)]
+struct Contact {
+    /// The runner confirmed that it has the task.
+    acknowledged: bool,
+    /// A create may have arrived, or may still arrive, without an answer.
+    unanswered: bool,
+    failed_connections: u32,
+    fresh_connection: bool,
+}
+
+impl Contact {
+    fn never_sent(&self) -> bool {
+        !self.acknowledged && !self.unanswered
+    }
+}
+
+/// Creates the task and follows it until its end or the deadline.
+pub(super) fn drive(
+    placer: &Placer,
     submission: &Submission,
+    flight: &Flight,
     slot: &RunnerSlot,
-    epoch: Epoch,
-) -> Result<Vec<u8>, RequestError> {
-    let wait_ms = options.timing.exchange_wait_ms;
-    let url = format!(
-        "http://{}/v1/tasks/{}?wait_ms={wait_ms}",
-        slot.address, slot.task
-    );
-    let remaining = submission
-        .deadline
-        .saturating_duration_since(options.clock.now());
-    let mut create = ClientRequest::new(Method::PUT, &url, exchange_deadline(options))
-        .header(headers::EPOCH, epoch.to_string())
-        .header(headers::INCARNATION, slot.incarnation.to_string())
-        .header(headers::LEASE_MS, options.timing.lease_ms.to_string())
-        .header(headers::TIMEOUT_MS, remaining.as_millis().to_string());
-    create.body = submission.payload.clone();
-    let mut sent = options.client.send(create);
+) -> End {
+    let options = &placer.options;
+    let mut contact = Contact::default();
+    let mut first = true;
     loop {
-        match sent {
-            Ok(response) => match interpret(&response)? {
-                Progress::Finished(body) => return Ok(body),
-                Progress::Running => {}
-            },
-            Err(error) => {
-                log::debug!("exchange with runner {} failed: {error}", slot.worker);
-                if matches!(error, ClientError::NotSent { .. }) {
-                    std::thread::sleep(RECONNECT_PAUSE);
-                }
+        let now = options.clock.now();
+        if now >= submission.deadline {
+            return at_deadline(&contact);
+        }
+        if !first && let Some(end) = ended_by_fate(placer, slot, &contact) {
+            return end;
+        }
+        first = false;
+        if !contact.acknowledged && (slot.link.is_leaving() || flight.is_cancelled()) {
+            if contact.never_sent() {
+                return End::never_started("the runner is leaving");
             }
+            // A repeated create could be new work for it, so the task is settled instead.
+            if let Some(end) = settle(placer, slot, &mut contact) {
+                return end;
+            }
+            continue;
         }
-        if options.clock.now() >= submission.deadline {
-            let message = "the deadline passed while the task may be running";
-            return Err(RequestError::may_have_run(
-                ErrorCode::DeadlineExceeded,
-                message,
-            ));
+        if let Some(end) = exchange(placer, submission, slot, &mut contact) {
+            return end;
+        }
+    }
+}
+
+/// Sends the create, or asks for the state once the create was confirmed. Creates are repeated
+/// with the same task id, which runners execute at most once.
+fn exchange(
+    placer: &Placer,
+    submission: &Submission,
+    slot: &RunnerSlot,
+    contact: &mut Contact,
+) -> Option<End> {
+    let options = &placer.options;
+    let now = options.clock.now();
+    let remaining = submission.deadline.saturating_duration_since(now);
+    let wait = options.timing.exchange_wait().min(remaining);
+    let deadline = exchange_deadline(now, options.timing.exchange_timeout(), submission.deadline);
+    let target = task_calls::Target {
+        link: &slot.link,
+        task: &slot.task,
+        epoch: slot.epoch,
+        deadline,
+        fresh_connection: contact.fresh_connection,
+    };
+    let created = !contact.acknowledged;
+    let sent = if created {
+        let lease_ms = options.timing.lease_ms;
+        task_calls::create(options, &target, submission, wait, remaining, lease_ms)
+    } else {
+        task_calls::ask(options, &target, Method::GET, "", wait)
+    };
+    match sent {
+        Ok(Reply::NeverStarted(message)) if created && contact.unanswered => {
+            log::debug!(
+                "task {} was refused after a lost create: {message}",
+                slot.task
+            );
+            // The refusal concerns this copy of the create; the other one may still arrive.
+            settle(placer, slot, contact)
+        }
+        Ok(Reply::NeverStarted(message)) => {
+            placer.avoid(slot);
+            Some(End::never_started(message))
+        }
+        Ok(reply) => {
+            contact.failed_connections = 0;
+            contact.fresh_connection = matches!(reply, Reply::Damaged);
+            if matches!(reply, Reply::Unintelligible(_)) {
+                std::thread::sleep(RECONNECT_PAUSE);
+            }
+            end_of(reply, contact)
+        }
+        Err(ClientError::NotSent { reason, .. }) => {
+            log::debug!("runner {} takes no connection: {reason}", slot.worker);
+            contact.failed_connections += 1;
+            contact.fresh_connection = true;
+            if contact.never_sent() && contact.failed_connections >= MAX_FAILED_CONNECTIONS {
+                placer.avoid(slot);
+                return Some(End::never_started("the runner takes no connections"));
+            }
+            std::thread::sleep(RECONNECT_PAUSE);
+            None
+        }
+        Err(ClientError::Interrupted { reason, .. }) => {
+            log::debug!("exchange with runner {} was lost: {reason}", slot.worker);
+            contact.unanswered |= created;
+            contact.fresh_connection = true;
+            None
         }
-        let mut query = ClientRequest::new(Method::GET, &url, exchange_deadline(options))
-            .header(headers::EPOCH, epoch.to_string());
-        query.fresh_connection = true;
-        sent = options.client.send(query);
     }
 }
 
-fn exchange_deadline(options: &PlacerOptions) -> Instant {
-    options.clock.now() + options.timing.exchange_timeout()
+/// Asks about the task and leaves a tombstone when the runner does not know it.
+fn settle(placer: &Placer, slot: &RunnerSlot, contact: &mut Contact) -> Option<End> {
+    let reply = task_calls::settle(&placer.options, &slot.link, &slot.task, slot.epoch);
+    let end = reply.and_then(|reply| end_of(reply, contact));
+    if end.is_none() {
+        std::thread::sleep(RECONNECT_PAUSE);
+    }
+    end
 }
 
-enum Progress {
-    Finished(Vec<u8>),
-    Running,
+fn exchange_deadline(now: Instant, timeout: Duration, deadline: Instant) -> Instant {
+    (now + timeout).min(deadline + DEADLINE_GRACE)
 }
 
-fn interpret(response: &ClientResponse) -> Result<Progress, RequestError> {
-    let state = response
-        .header(headers::TASK_STATE)
-        .and_then(|text| text.parse().ok());
-    let message = || String::from_utf8_lossy(&response.body).into_owned();
-    match state {
-        Some(TaskState::Running) => Ok(Progress::Running),
-        Some(TaskState::Succeeded) => {
-            let expected = response
-                .header(headers::ANSWER_CRC32)
-                .and_then(|text| text.parse().ok());
-            if expected != Some(crc32fast::hash(&response.body)) {
-                let message = "the answer arrived damaged";
-                return Err(RequestError::ran(ErrorCode::TaskFailed, message));
-            }
-            Ok(Progress::Finished(response.body.clone()))
-        }
-        Some(TaskState::Failed) => Err(RequestError::ran(ErrorCode::TaskFailed, message())),
-        Some(TaskState::Stopped) => Err(RequestError::may_have_run(
-            ErrorCode::RunnerLost,
-            "the runner stopped the task",
-        )),
-        Some(TaskState::NeverStarted) => {
-            Err(RequestError::did_not_run(ErrorCode::Unavailable, message()))
-        }
-        None => {
-            let message = format!(
-                "unexpected reply from the runner, status {}",
-                response.status
-            );
-            Err(RequestError::may_have_run(ErrorCode::Internal, message))
+/// The end that a reply proves; `None` when the task goes on.
+fn end_of(reply: Reply, contact: &mut Contact) -> Option<End> {
+    let may_forget = !contact.unanswered;
+    let known = |outcome, over| {
+        Some(End::Known {
+            outcome,
+            over,
+            may_forget,
+        })
+    };
+    match reply {
+        Reply::Running | Reply::Damaged => {
+            contact.acknowledged = true;
+            None
+        }
+        Reply::Succeeded(body) => known(Ok(body), true),
+        Reply::Failed(message) => {
+            known(Err(RequestError::ran(ErrorCode::TaskFailed, message)), true)
+        }
+        Reply::Stopped => Some(End::lost("the runner stopped the task before its end")),
+        Reply::NeverStarted(message) => Some(End::never_started(message)),
+        Reply::Unknown if contact.acknowledged => {
+            let message = "the runner lost the record of the task";
+            let error = RequestError::may_have_run(ErrorCode::RunnerLost, message);
+            known(Err(error), false)
+        }
+        Reply::Unknown => None,
+        Reply::Unintelligible(status) => {
+            log::warn!("unexpected reply of a runner, status {status}");
+            None
         }
     }
 }
+
+fn at_deadline(contact: &Contact) -> End {
+    if contact.never_sent() {
+        let message = "the deadline passed before the request was sent to a runner";
+        return End::Known {
+            outcome: Err(RequestError::did_not_run(
+                ErrorCode::DeadlineExceeded,
+                message,
+            )),
+            over: true,
+            may_forget: false,
+        };
+    }
+    End::StillOpen {
+        acknowledged: contact.acknowledged,
+    }
+}
+
+fn ended_by_fate(placer: &Placer, slot: &RunnerSlot, contact: &Contact) -> Option<End> {
+    match placer.fate(&slot.worker, slot.incarnation, slot.epoch)? {
+        Fate::Present(_) | Fate::Silent => None,
+        Fate::Restarted | Fate::Lapsed if contact.never_sent() => {
+            Some(End::never_started("the runner is gone"))
+        }
+        Fate::Restarted => Some(End::lost("the runner restarted while it held the task")),
+        // A paused process may go on after its lease, so only a restart permits another attempt.
+        Fate::Lapsed => Some(End::Known {
+            outcome: Err(lapsed()),
+            over: false,
+            may_forget: false,
+        }),
+    }
+}
+
+/// Error of a request whose runner fell silent for longer than its lease.
+pub(super) fn lapsed() -> RequestError {
+    let message = "the runner was lost while it held the task";
+    RequestError::may_have_run(ErrorCode::RunnerLost, message)
+}
--- a/src/placer/journal.rs
+++ b/src/placer/journal.rs
@@ -20,13 +20,9 @@
 }
 
 impl JournalError {
-    /// Error of a request that was not sent to a runner yet.
-    pub fn before_dispatch(&self) -> RequestError {
-        RequestError::did_not_run(ErrorCode::Unavailable, self.to_string())
-    }
-
-    /// Error of a request that was sent to a runner.
-    pub fn after_dispatch(&self) -> RequestError {
+    /// Error of a request whose intent failed or may be committed, so that a later placer may find
+    /// it, or that was sent to a runner.
+    pub fn may_have_run(&self) -> RequestError {
         RequestError::may_have_run(ErrorCode::Unavailable, self.to_string())
     }
 }
--- a/src/placer/key.rs
+++ b/src/placer/key.rs
@@ -55,24 +55,55 @@
         .unwrap_or_default()
 }
 
+/// Issue time of any key of the structured form, whatever its data centre.
+pub fn issued_unix_seconds(key: &str) -> Option<u64> {
+    let (_, rest) = key.split_once('.')?;
+    let (issued, _) = rest.split_once('.')?;
+    issued.parse().ok()
+}
+
+/// What the age of a key is measured against.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KeyWindow {
+    /// Wall-clock time in Unix seconds; at least that of the latest record, so that a clock that
+    /// is set back makes no key valid whose record was dropped.
+    pub now_seconds: u64,
+    /// Keys issued earlier are refused.
+    pub floor_seconds: u64,
+}
+
 /// Refuses a key without a record whose record may have been dropped, or that is from the future.
 pub(super) fn check_age(
     submission: &Submission,
     options: &PlacerOptions,
+    window: KeyWindow,
 ) -> Result<(), RequestError> {
     let home = [options.data_centre.clone()];
     let Some(key) = StructuredKey::parse(&submission.key, &home) else {
         return Ok(());
     };
-    let now = options.clock.unix_seconds();
-    if key.issued_unix_seconds > now + MAX_FUTURE_SECONDS {
+    let issued = key.issued_unix_seconds;
+    if issued > window.now_seconds + MAX_FUTURE_SECONDS {
         let message = format!("the key was issued more than {MAX_FUTURE_SECONDS} s in the future");
         return Err(RequestError::did_not_run(ErrorCode::BadRequest, message));
     }
     let retention_seconds = options.timing.key_retention_ms / 1000;
-    if key.issued_unix_seconds + retention_seconds < now {
+    if issued.saturating_add(retention_seconds) < window.now_seconds
+        || issued < window.floor_seconds
+    {
         let message = format!("the key is older than the retention of {retention_seconds} s");
         return Err(RequestError::may_have_run(ErrorCode::KeyExpired, message));
     }
     Ok(())
 }
+
+/// When the record of a key that completes now may be dropped. A key may be issued up to a minute
+/// ahead of this clock and stays valid for the retention counted from its issue, so the record
+/// must outlive both.
+pub(super) fn keep_until_unix_ms(key: &str, now_unix_ms: u64, retention_ms: u64) -> u64 {
+    let issued_ms =
+        issued_unix_seconds(key).map_or(0, |issued| issued.saturating_add(1).saturating_mul(1000));
+    let latest_issue_ms = now_unix_ms + (MAX_FUTURE_SECONDS + 1) * 1000;
+    // The window of a key is checked in whole seconds, hence the added second.
+    now_unix_ms.max(issued_ms.min(latest_issue_ms)) + retention_ms + 1000
+}
--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -1,13 +1,19 @@
 //! Replicated records of the placer and the state that they build.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use super::Outcome;
-use super::runners::RunnerSlot;
+use super::{Outcome, key};
 use crate::ids::{Epoch, Incarnation, RequestKey, TaskId, WorkerId};
 use crate::protocol::caller::Submission;
+use crate::verdict::{ErrorCode, RequestError, Verdict};
+
+/// Key records kept at most. Above it the oldest completed ones leave before their time, and keys
+/// as old as they are refused. A record takes about 500 bytes, so this bounds them to 256 MB.
+const MAX_KEY_RECORDS: usize = 500_000;
 
 /// Hash of everything that makes two requests the same.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
@@ -27,55 +33,78 @@
     }
 }
 
+/// A request is about to be sent to a runner.
+///
+/// The payload is not part of it: it would multiply the traffic of the log, and only a caller that
+/// still waits needs another attempt. Gateways resend the whole request after a change of placer,
+/// so a new placer has the payload of every request that somebody waits for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Intent {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// What the request is.
+    pub digest: RequestDigest,
+    /// Whether another attempt is allowed once this one cannot be running.
+    pub idempotent: bool,
+    /// Attempt.
+    pub task: TaskId,
+    /// Attempt that it replaces; the intent has no effect when another one is the latest.
+    pub former: Option<TaskId>,
+    /// Runner that gets it.
+    pub worker: WorkerId,
+    /// Incarnation of the runner.
+    pub incarnation: Incarnation,
+    /// Address of the runner when the intent was made.
+    pub address: String,
+    /// Epoch of the placer that sends it.
+    pub epoch: Epoch,
+    /// When the request becomes useless, as wall-clock time.
+    pub deadline_unix_ms: u64,
+    /// Wall-clock time of the placer.
+    pub now_unix_ms: u64,
+}
+
+/// The outcome of a request is known.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Completion {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Attempt that ended; the completion has no effect when another one is the latest.
+    pub task: TaskId,
+    /// What the caller is told, also on a retry.
+    pub outcome: Outcome,
+    /// Whether the attempt certainly cannot be running any more.
+    pub over: bool,
+    /// Wall-clock time of the placer.
+    pub now_unix_ms: u64,
+    /// When the record of the key may be dropped.
+    pub keep_until_unix_ms: u64,
+    /// Bound of all retained answers. It is part of the record since replicas whose settings
+    /// differ for a while must still drop the same answers.
+    pub max_answer_bytes: u64,
+}
+
 /// One entry of the placement log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PlacementRecord {
-    /// A request is about to be sent to a runner.
-    Intent {
-        /// Key of the request.
-        key: RequestKey,
-        /// What the request is.
-        digest: RequestDigest,
-        /// Whether another attempt is allowed once this one cannot be running.
-        idempotent: bool,
-        /// Attempt.
-        task: TaskId,
-        /// Runner that gets it.
-        worker: WorkerId,
-        /// Incarnation of the runner.
-        incarnation: Incarnation,
-        /// Epoch of the placer that sends it.
+    /// A placer begins its epoch; intents of earlier epochs have no effect from here on.
+    Takeover {
+        /// Epoch of the new placer.
         epoch: Epoch,
+        /// Wall-clock time of the placer.
+        now_unix_ms: u64,
     },
+    /// A request is about to be sent to a runner.
+    Intent(Intent),
     /// The outcome of a request is known.
-    Completion {
-        /// Key of the request.
-        key: RequestKey,
-        /// What the caller is told, also on a retry.
-        outcome: Outcome,
+    Completion(Completion),
+    /// Time has passed; records whose time is over leave.
+    Advance {
+        /// Wall-clock time of the placer.
+        now_unix_ms: u64,
     },
 }
 
-impl PlacementRecord {
-    /// The intent to run a submission in a slot.
-    pub fn intent(
-        submission: &Submission,
-        digest: RequestDigest,
-        slot: &RunnerSlot,
-        epoch: Epoch,
-    ) -> Self {
-        Self::Intent {
-            key: submission.key.clone(),
-            digest,
-            idempotent: submission.idempotent,
-            task: slot.task.clone(),
-            worker: slot.worker.clone(),
-            incarnation: slot.incarnation,
-            epoch,
-        }
-    }
-}
-
 /// What is known about a key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct KeyRecord {
@@ -89,8 +118,39 @@
     pub worker: WorkerId,
     /// Incarnation of that runner.
     pub incarnation: Incarnation,
-    /// Present once the outcome is known; never changes afterwards.
+    /// Address of that runner when the attempt began.
+    pub address: String,
+    /// Epoch of the placer that made the attempt.
+    pub epoch: Epoch,
+    /// When the request becomes useless, as wall-clock time.
+    pub deadline_unix_ms: u64,
+    /// Present once the outcome of the latest attempt is known.
     pub outcome: Option<Outcome>,
+    /// Whether the latest attempt certainly cannot be running any more.
+    pub over: bool,
+}
+
+impl KeyRecord {
+    /// Whether a further submission of the key may start another attempt: the latest one did not
+    /// run, or the request may be repeated and the latest one is certainly over without an answer.
+    pub fn permits_another_attempt(&self) -> bool {
+        let Some(Err(error)) = &self.outcome else {
+            return false;
+        };
+        match error.verdict {
+            Verdict::Ran => false,
+            Verdict::DidNotRun => true,
+            Verdict::MayHaveRun => self.idempotent && self.over,
+        }
+    }
+}
+
+/// A completed attempt in the order of completion.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Completed {
+    key: RequestKey,
+    task: TaskId,
+    keep_until_unix_ms: u64,
 }
 
 /// State built from the committed records; equal on all replicas.
@@ -98,36 +158,145 @@
 pub struct PlacementState {
     /// Records by key.
     pub keys: IndexMap<RequestKey, KeyRecord>,
+    /// Highest epoch that began.
+    pub epoch: Epoch,
+    /// Latest wall-clock time of any record; never goes back.
+    pub now_unix_ms: u64,
+    /// Structured keys issued before this without a record are refused, since a record of that
+    /// age left before its time.
+    pub key_floor_unix_seconds: u64,
+    /// Bytes of retained answers.
+    pub answer_bytes: u64,
+    completed: VecDeque<Completed>,
+    /// Attempts with a retained answer, oldest first.
+    answered: VecDeque<(RequestKey, TaskId)>,
 }
 
 impl PlacementState {
     /// Applies the next record.
     pub fn apply(&mut self, record: PlacementRecord) {
         match record {
-            PlacementRecord::Intent {
-                key,
-                digest,
-                idempotent,
-                task,
-                worker,
-                incarnation,
-                ..
-            } => {
-                let record = KeyRecord {
-                    digest,
-                    idempotent,
-                    task,
-                    worker,
-                    incarnation,
-                    outcome: None,
-                };
-                self.keys.insert(key, record);
+            PlacementRecord::Takeover { epoch, now_unix_ms } => {
+                self.epoch = self.epoch.max(epoch);
+                self.advance(now_unix_ms);
             }
-            PlacementRecord::Completion { key, outcome } => {
-                if let Some(record) = self.keys.get_mut(&key) {
-                    record.outcome.get_or_insert(outcome);
-                }
+            PlacementRecord::Intent(intent) => self.apply_intent(intent),
+            PlacementRecord::Completion(completion) => self.apply_completion(completion),
+            PlacementRecord::Advance { now_unix_ms } => self.advance(now_unix_ms),
+        }
+    }
+
+    /// Whether the oldest completed record is due at the given time.
+    pub fn is_due(&self, now_unix_ms: u64) -> bool {
+        self.completed
+            .front()
+            .is_some_and(|oldest| oldest.keep_until_unix_ms <= now_unix_ms)
+    }
+
+    fn apply_intent(&mut self, intent: Intent) {
+        self.advance(intent.now_unix_ms);
+        if intent.epoch < self.epoch {
+            return;
+        }
+        let latest = self.keys.get(&intent.key);
+        if latest.map(|record| &record.task) != intent.former.as_ref() {
+            return;
+        }
+        if latest
+            .is_some_and(|record| record.outcome.is_some() && !record.permits_another_attempt())
+        {
+            return;
+        }
+        let record = KeyRecord {
+            digest: intent.digest,
+            idempotent: intent.idempotent,
+            task: intent.task,
+            worker: intent.worker,
+            incarnation: intent.incarnation,
+            address: intent.address,
+            epoch: intent.epoch,
+            deadline_unix_ms: intent.deadline_unix_ms,
+            outcome: None,
+            over: false,
+        };
+        self.keys.insert(intent.key, record);
+    }
+
+    fn apply_completion(&mut self, completion: Completion) {
+        self.advance(completion.now_unix_ms);
+        let Some(record) = self.keys.get_mut(&completion.key) else {
+            return;
+        };
+        if record.task != completion.task || record.outcome.is_some() {
+            return;
+        }
+        if let Ok(answer) = &completion.outcome {
+            self.answer_bytes += answer.body.len() as u64;
+            self.answered
+                .push_back((completion.key.clone(), completion.task.clone()));
+        }
+        record.outcome = Some(completion.outcome);
+        record.over = completion.over;
+        self.completed.push_back(Completed {
+            key: completion.key,
+            task: completion.task,
+            keep_until_unix_ms: completion.keep_until_unix_ms,
+        });
+        self.drop_answers(completion.max_answer_bytes);
+    }
+
+    fn advance(&mut self, now_unix_ms: u64) {
+        self.now_unix_ms = self.now_unix_ms.max(now_unix_ms);
+        while let Some(oldest) = self.completed.front() {
+            let due = oldest.keep_until_unix_ms <= self.now_unix_ms;
+            if !due && self.keys.len() <= MAX_KEY_RECORDS {
+                return;
             }
+            let oldest = self.completed.pop_front().expect("a front exists");
+            self.drop_record(&oldest, due);
+        }
+    }
+
+    fn drop_record(&mut self, oldest: &Completed, due: bool) {
+        let is_latest = self
+            .keys
+            .get(&oldest.key)
+            .is_some_and(|record| record.task == oldest.task && record.outcome.is_some());
+        if !is_latest {
+            return;
+        }
+        let Some(record) = self.keys.swap_remove(&oldest.key) else {
+            return;
+        };
+        if let Some(Ok(answer)) = &record.outcome {
+            self.answer_bytes -= answer.body.len() as u64;
+        }
+        // A repeated request does no harm once its attempt is over.
+        if due || (record.idempotent && record.over) {
+            return;
+        }
+        if let Some(issued) = key::issued_unix_seconds(&oldest.key) {
+            let floor = issued.saturating_add(1).min(self.now_unix_ms / 1000);
+            self.key_floor_unix_seconds = self.key_floor_unix_seconds.max(floor);
+        }
+    }
+
+    /// Replaces the oldest answers by an error until the rest fits.
+    fn drop_answers(&mut self, max_answer_bytes: u64) {
+        // Entries of records that have left are dropped here as well, so that the list is bounded.
+        while self.answer_bytes > max_answer_bytes || self.answered.len() > MAX_KEY_RECORDS {
+            let Some((key, task)) = self.answered.pop_front() else {
+                return;
+            };
+            let Some(record) = self.keys.get_mut(&key).filter(|record| record.task == task) else {
+                continue;
+            };
+            let Some(Ok(answer)) = &record.outcome else {
+                continue;
+            };
+            self.answer_bytes -= answer.body.len() as u64;
+            let message = "the request ran, but its answer is no longer retained";
+            record.outcome = Some(Err(RequestError::ran(ErrorCode::KeyExpired, message)));
         }
     }
 }
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -21,8 +21,10 @@
     Failed,
     /// Stopped before its end, by request or because its lease lapsed.
     Stopped,
-    /// A tombstone: never started, and a later create is refused.
+    /// Never started: a refused create, or a tombstone for which a later create is refused.
     NeverStarted,
+    /// The worker has no record of the id. A create that is still on its way may start it.
+    Unknown,
 }
 
 /// Whether a worker wants new work.
