bug: refused or lost records, unreadable replies and retries no longer break promises

A reply without a task state counted as an answered create, so that a refusal after a restart of the runner led to a second execution of a request that is not idempotent. Retries paid into their own budget: 22 attempts where 21 were allowed. A completion that the log refused within the epoch left its record open until a retry came. A gateway took a lost reply as the final word.

Change: such a reply leaves the create open; only first attempts pay into budgets; unconfirmed completions are appended again by the follower of the task; gateways ask again, also at other hosts, follow hints, and report did_not_run only if no copy of the request may still be processed. The submission path moves to placer/admission.rs.

--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -1,22 +1,30 @@
 //! Sends requests to the placer of their home data centre.
 
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
 use crate::ids::{DataCentreName, HostId};
 use crate::peer::{CallError, PeerClient};
-use crate::placer::{Outcome, Placer, key};
+use crate::placer::{Outcome, Placer, is_not_placer, key};
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
 use crate::protocol::worker::{Announcement, AnnouncementReply};
-use crate::verdict::{ErrorCode, RequestError};
+use crate::verdict::{ErrorCode, RequestError, Verdict};
 
 /// Time beyond the request's deadline in which the placer's verdict may still arrive.
 const REPLY_GRACE: Duration = Duration::from_millis(500);
-/// Time for calls that do not run a request.
-const SHORT_CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for calls that do not run a request. A cancellation waits for a runner to stop the task.
+const SHORT_CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for one host to reply to such a call.
+const SHORT_CALL_ATTEMPT: Duration = Duration::from_millis(2_500);
+/// Longest search for a placer for a request that was not sent yet; about the time of an election.
+/// In a longer outage callers learn soon that their request did not run.
+const SEARCH_TIME: Duration = Duration::from_secs(3);
+/// Pause before the hosts of a data centre are asked again.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
 /// Another entry host that may be the placer of a data centre.
 #[derive(Clone)]
@@ -40,35 +48,58 @@
 }
 
 impl Router {
-    /// Runs a request at its home data centre.
+    /// Runs a request at its home data centre. A call without a reply is repeated, also at other
+    /// hosts, until the deadline; the record of the key makes that safe.
     ///
     /// # Errors
     ///
     /// [`RequestError`] with the verdict.
     pub fn submit(&self, submission: &Submission) -> Outcome {
         let home = key::home_data_centre(&submission.key, &self.data_centres);
-        if let Some(placer) = self.local_placer(&home) {
-            return placer.submit(submission);
+        let mut search = Search::new(submission.deadline);
+        loop {
+            if let Some(placer) = self.local_placer(&home) {
+                match placer.submit(submission) {
+                    Err(error) if is_not_placer(&error) => search.note(error.to_string()),
+                    outcome => return search.truthful(outcome),
+                }
+            }
+            if let Some(outcome) = self.submit_round(&home, submission, &mut search) {
+                return search.truthful(outcome);
+            }
+            if !search.may_continue() {
+                return Err(search.into_error(&home));
+            }
+            thread::sleep(SEARCH_PAUSE);
         }
-        let remaining = submission
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let forwarded = ForwardedSubmission {
-            data_centre: home.clone(),
-            key: submission.key.clone(),
-            member: submission.member.clone(),
-            caller: submission.caller.clone(),
-            service: submission.service.clone(),
-            idempotent: submission.idempotent,
-            urgency: submission.urgency,
-            remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            payload: submission.payload.clone(),
-        };
-        let deadline = submission.deadline + REPLY_GRACE;
-        match self.call_placer(&home, &PeerRequest::Submit(forwarded), deadline)? {
-            PeerReply::Outcome(outcome) => outcome,
-            other => Err(unexpected(&other)),
+    }
+
+    /// Sends a request to the hosts of its home data centre until one gives the outcome.
+    fn submit_round(
+        &self,
+        home: &str,
+        submission: &Submission,
+        search: &mut Search,
+    ) -> Option<Outcome> {
+        for host in self.candidates(home, search) {
+            let remaining = submission
+                .deadline
+                .saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                return None;
+            }
+            let request = PeerRequest::Submit(forwarded(home, submission, remaining));
+            match host.client.call(request, submission.deadline + REPLY_GRACE) {
+                Ok(PeerReply::Outcome(Err(error))) if is_not_placer(&error) => {
+                    search.note(format!("{} is no longer the placer", host.id));
+                }
+                Ok(PeerReply::Outcome(outcome)) => return Some(outcome),
+                Ok(PeerReply::NotPlacer { placer }) => search.follow_hint(&host.id, placer),
+                Ok(other) => return Some(Err(unexpected(&other))),
+                Err(error) => search.failed(&error),
+            }
         }
+        None
     }
 
     /// Outcome of an earlier request.
@@ -85,7 +116,7 @@
             data_centre: home.clone(),
             key: request_key.to_owned(),
         };
-        match self.call_placer(&home, &request, Instant::now() + SHORT_CALL_TIMEOUT)? {
+        match self.call_placer(&home, &request)? {
             PeerReply::Outcome(outcome) => outcome,
             other => Err(unexpected(&other)),
         }
@@ -105,7 +136,7 @@
             data_centre: home.clone(),
             key: request_key.to_owned(),
         };
-        match self.call_placer(&home, &request, Instant::now() + SHORT_CALL_TIMEOUT)? {
+        match self.call_placer(&home, &request)? {
             PeerReply::Cancelled(cancelled) => cancelled,
             other => Err(unexpected(&other)),
         }
@@ -121,8 +152,7 @@
         if let Some(placer) = self.local_placer(&home) {
             return placer.announce(announcement);
         }
-        let deadline = Instant::now() + SHORT_CALL_TIMEOUT;
-        match self.call_placer(&home, &PeerRequest::Announce(announcement), deadline)? {
+        match self.call_placer(&home, &PeerRequest::Announce(announcement))? {
             PeerReply::Announced(reply) => reply,
             other => Err(unexpected(&other)),
         }
@@ -135,39 +165,129 @@
             .filter(|placer| placer.data_centre() == data_centre && placer.is_leading())
     }
 
-    /// Tries the hosts of a data centre until its placer replies.
+    /// Makes a call that may be repeated; tries the hosts of a data centre until its placer
+    /// replies.
     fn call_placer(
         &self,
         data_centre: &str,
         request: &PeerRequest,
-        deadline: Instant,
     ) -> Result<PeerReply, RequestError> {
-        let hosts = self
-            .remote
-            .get(data_centre)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
-        let mut reasons = Vec::new();
-        for host in hosts {
-            match host.client.call(request.clone(), deadline) {
-                Ok(PeerReply::NotPlacer { .. }) => {
-                    reasons.push(format!("{} is not the placer", host.id));
-                }
-                Ok(reply) => return Ok(reply),
-                Err(error @ CallError::NotSent { .. }) => reasons.push(error.to_string()),
-                Err(error) => {
-                    return Err(RequestError::may_have_run(
-                        ErrorCode::Unavailable,
-                        error.to_string(),
-                    ));
+        let mut search = Search::new(Instant::now() + SHORT_CALL_TIMEOUT);
+        loop {
+            for host in self.candidates(data_centre, &mut search) {
+                let deadline = search.deadline.min(Instant::now() + SHORT_CALL_ATTEMPT);
+                match host.client.call(request.clone(), deadline) {
+                    Ok(PeerReply::NotPlacer { placer }) => search.follow_hint(&host.id, placer),
+                    Ok(reply) => return Ok(reply),
+                    Err(error) => search.failed(&error),
                 }
             }
+            if !search.may_continue() {
+                return Err(search.into_error(data_centre));
+            }
+            thread::sleep(SEARCH_PAUSE);
+        }
+    }
+
+    /// Hosts of a data centre in the order in which they are asked: first the one that another
+    /// named as the placer.
+    fn candidates(&self, data_centre: &str, search: &mut Search) -> Vec<&RemoteHost> {
+        let hosts = self.remote.get(data_centre);
+        let mut hosts: Vec<&RemoteHost> = hosts.into_iter().flatten().collect();
+        if hosts.is_empty() && self.data_centre != data_centre {
+            search.give_up();
+        }
+        if let Some(hint) = search.hint.take() {
+            hosts.sort_by_key(|host| host.id != hint);
+        }
+        search.reasons.clear();
+        hosts
+    }
+}
+
+/// Search for the placer of a data centre on behalf of one call.
+struct Search {
+    deadline: Instant,
+    /// End of the search while no copy of the request was sent.
+    unsent_until: Instant,
+    /// Whether a copy of the request may have arrived and was not answered.
+    unanswered: bool,
+    hint: Option<HostId>,
+    /// Why the hosts of the present round gave no outcome.
+    reasons: Vec<String>,
+}
+
+impl Search {
+    fn new(deadline: Instant) -> Self {
+        Self {
+            deadline,
+            unsent_until: deadline.min(Instant::now() + SEARCH_TIME),
+            unanswered: false,
+            hint: None,
+            reasons: Vec::new(),
         }
-        let message = format!(
-            "no placer of {data_centre} can be reached: {}",
-            reasons.join("; ")
-        );
-        Err(RequestError::did_not_run(ErrorCode::Unavailable, message).retry_after_ms(1_000))
+    }
+
+    fn note(&mut self, reason: String) {
+        self.reasons.push(reason);
+    }
+
+    fn follow_hint(&mut self, host: &str, placer: Option<HostId>) {
+        self.note(format!("{host} is not the placer"));
+        self.hint = placer.or(self.hint.take());
+    }
+
+    fn failed(&mut self, error: &CallError) {
+        self.unanswered |= matches!(error, CallError::NoReply { .. });
+        self.note(error.to_string());
+    }
+
+    fn give_up(&mut self) {
+        self.unsent_until = Instant::now();
+    }
+
+    fn may_continue(&self) -> bool {
+        let until = if self.unanswered {
+            self.deadline
+        } else {
+            self.unsent_until
+        };
+        Instant::now() + SEARCH_PAUSE < until
+    }
+
+    /// A copy of the request that was not answered may still be processed after a later copy was
+    /// refused.
+    fn truthful(&self, outcome: Outcome) -> Outcome {
+        outcome.map_err(|error| match error.verdict {
+            Verdict::DidNotRun if self.unanswered => RequestError {
+                verdict: Verdict::MayHaveRun,
+                ..error
+            },
+            _ => error,
+        })
+    }
+
+    fn into_error(self, data_centre: &str) -> RequestError {
+        let reasons = self.reasons.join("; ");
+        let message = format!("no placer of {data_centre} can be reached: {reasons}");
+        if self.unanswered {
+            return RequestError::may_have_run(ErrorCode::Unavailable, message);
+        }
+        RequestError::did_not_run(ErrorCode::Unavailable, message).retry_after_ms(1_000)
+    }
+}
+
+fn forwarded(home: &str, submission: &Submission, remaining: Duration) -> ForwardedSubmission {
+    ForwardedSubmission {
+        data_centre: home.to_owned(),
+        key: submission.key.clone(),
+        member: submission.member.clone(),
+        caller: submission.caller.clone(),
+        service: submission.service.clone(),
+        idempotent: submission.idempotent,
+        urgency: submission.urgency,
+        remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        payload: submission.payload.clone(),
     }
 }
 
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -1,5 +1,6 @@
 //! Decides for one data centre which request runs where, and guards at-most-once execution.
 
+mod admission;
 mod attempt;
 mod budget;
 mod dispatch;
@@ -16,23 +17,23 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::Sender;
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
 use crate::ids::{DataCentreName, Epoch, Incarnation, RequestKey, TaskId, WorkerId};
 use crate::options::settings::{LimitSettings, TimingSettings};
-use crate::protocol::caller::{Answer, Submission};
+use crate::protocol::caller::Answer;
 use crate::protocol::worker::{Announcement, AnnouncementReply};
 use crate::scheduling::request_queue::{QueuedRequest, RequestQueue};
 use crate::verdict::{ErrorCode, RequestError, Verdict};
-use attempt::{Former, Ticket};
+pub use admission::Pending;
 use budget::RetryBudgets;
 use flight::{Flight, FlightEnd, SentTask};
 use follow::Followed;
 use journal::{Journal, JournalError};
 use links::Exchange;
-use records::{Completion, KeyRecord, PlacementRecord, RequestDigest};
+use records::{Completion, PlacementRecord};
 use runners::{Fate, RunnerSlot, RunnerTable};
 
 /// Retry-after of requests that reached a host which is not the placer. Errors with this value,
@@ -85,61 +86,6 @@
     forget: IndexMap<WorkerId, Vec<TaskId>>,
 }
 
-/// A submission after its first look at the records.
-enum Start {
-    Finished(Outcome),
-    Attached(Arc<Flight>),
-    Admitted(Box<Ticket>),
-}
-
-/// A request that was submitted and not waited for yet.
-pub struct Pending<'a> {
-    placer: &'a Arc<Placer>,
-    submission: &'a Submission,
-    start: Start,
-}
-
-impl Pending<'_> {
-    /// Waits for the outcome, at most until the deadline of the submission.
-    ///
-    /// # Errors
-    ///
-    /// [`RequestError`] with the verdict.
-    pub fn wait(self) -> Outcome {
-        let Self {
-            placer,
-            submission,
-            mut start,
-        } = self;
-        loop {
-            let end = match start {
-                Start::Finished(outcome) => return outcome,
-                Start::Admitted(ticket) => ticket.run(submission),
-                Start::Attached(flight) => {
-                    match flight.wait(submission.deadline, &placer.options.clock) {
-                        Some(FlightEnd::Outcome(outcome)) => Some(outcome),
-                        Some(FlightEnd::LookAgain) => None,
-                        None => {
-                            let message = "the deadline passed while an earlier attempt was open";
-                            let code = ErrorCode::DeadlineExceeded;
-                            return Err(RequestError::may_have_run(code, message));
-                        }
-                    }
-                }
-            };
-            if let Some(outcome) = end {
-                return outcome;
-            }
-            // The key has a record of an attempt that this submission waited for, so a host that
-            // is no longer the placer cannot tell that nothing ran.
-            start = placer.begin(submission).map_err(|error| RequestError {
-                verdict: Verdict::MayHaveRun,
-                ..error
-            })?;
-        }
-    }
-}
-
 impl Placer {
     /// A placer without runners.
     pub fn new(options: PlacerOptions) -> Arc<Self> {
@@ -172,168 +118,6 @@
         (self.options.journal.epoch)().is_some()
     }
 
-    /// Runs a request, or attaches to an earlier attempt with the same key. Blocks.
-    ///
-    /// # Errors
-    ///
-    /// [`RequestError`] with the verdict.
-    pub fn submit(self: &Arc<Self>, submission: &Submission) -> Outcome {
-        self.start(submission)?.wait()
-    }
-
-    /// Admits a request, or attaches to an earlier attempt with the same key. The request proceeds
-    /// while the result is waited for; dropping the result cancels a request that was admitted.
-    ///
-    /// # Errors
-    ///
-    /// [`RequestError`] when it was refused.
-    pub fn start<'a>(
-        self: &'a Arc<Self>,
-        submission: &'a Submission,
-    ) -> Result<Pending<'a>, RequestError> {
-        Ok(Pending {
-            placer: self,
-            submission,
-            start: self.begin(submission)?,
-        })
-    }
-
-    fn begin(self: &Arc<Self>, submission: &Submission) -> Result<Start, RequestError> {
-        let digest = RequestDigest::of(submission);
-        let epoch = self.lead()?;
-        let mut state = self.state.lock().unwrap();
-        if state.epoch != Some(epoch) {
-            return Err(not_placer());
-        }
-        if let Some(flight) = state.flights.get(&submission.key) {
-            check_conflict(&flight.digest, &digest)?;
-            return Ok(Start::Attached(Arc::clone(flight)));
-        }
-        let former = match self.record_or_window(&submission.key) {
-            Ok(record) => {
-                check_conflict(&record.digest, &digest)?;
-                match former_attempt(&record) {
-                    Some(former) if submission.deadline > self.options.clock.now() => Some(former),
-                    _ => {
-                        let Some(outcome) = record.outcome.clone() else {
-                            return Ok(self.attach_to_open(state, epoch, submission, record));
-                        };
-                        return Ok(Start::Finished(outcome));
-                    }
-                }
-            }
-            Err(window) => {
-                key::check_age(submission, &self.options, window)?;
-                None
-            }
-        };
-        self.admit(&mut state, submission, digest, former)
-            .map(|ticket| Start::Admitted(Box::new(ticket)))
-    }
-
-    /// The record of a key, or what its age is measured against.
-    fn record_or_window(&self, key: &str) -> Result<KeyRecord, key::KeyWindow> {
-        let placement = self.options.journal.state.lock().unwrap();
-        placement.keys.get(key).cloned().ok_or_else(|| {
-            let recorded_seconds = placement.now_unix_ms / 1000;
-            key::KeyWindow {
-                now_seconds: self.options.clock.unix_seconds().max(recorded_seconds),
-                floor_seconds: placement.key_floor_unix_seconds,
-            }
-        })
-    }
-
-    /// Follows an attempt whose completion was not confirmed.
-    fn attach_to_open(
-        self: &Arc<Self>,
-        mut state: std::sync::MutexGuard<'_, PlacerState>,
-        epoch: Epoch,
-        submission: &Submission,
-        record: KeyRecord,
-    ) -> Start {
-        let (flight, followed) = self.adopt_one(&mut state, epoch, submission.key.clone(), record);
-        drop(state);
-        self.follow(followed);
-        Start::Attached(flight)
-    }
-
-    fn admit(
-        self: &Arc<Self>,
-        state: &mut PlacerState,
-        submission: &Submission,
-        digest: RequestDigest,
-        former: Option<Former>,
-    ) -> Result<Ticket, RequestError> {
-        let now = self.options.clock.now();
-        let queued = QueuedRequest {
-            key: submission.key.clone(),
-            member: submission.member.clone(),
-            caller: submission.caller.clone(),
-            service: submission.service.clone(),
-            urgency: submission.urgency,
-            deadline: submission.deadline,
-            admitted_at: now,
-        };
-        if let Err(error) = state.queue.admit(queued.clone(), now) {
-            return Err(match former {
-                Some(former) if former.error.verdict == Verdict::MayHaveRun => former.error,
-                _ => error,
-            });
-        }
-        let flight = Flight::new(digest);
-        if former
-            .as_ref()
-            .is_some_and(|former| former.error.verdict == Verdict::MayHaveRun)
-        {
-            flight.set_started();
-        }
-        let (sender, assigned) = bounded(1);
-        state
-            .flights
-            .insert(queued.key.clone(), Arc::clone(&flight));
-        state.waiting.insert(queued.key.clone(), sender);
-        self.assign_slots(state, &queued.service);
-        Ok(Ticket {
-            placer: Arc::clone(self),
-            flight,
-            queued,
-            assigned,
-            former,
-            idempotent: submission.idempotent,
-            landed: false,
-            begun: false,
-        })
-    }
-
-    /// Queues an admitted request for another attempt.
-    fn requeue(
-        &self,
-        queued: &QueuedRequest,
-        flight: &Arc<Flight>,
-        sender: Sender<Result<RunnerSlot, RequestError>>,
-    ) -> Result<(), RequestError> {
-        let mut state = self.state.lock().unwrap();
-        if !state.owns(&queued.key, flight) {
-            return Err(not_placer());
-        }
-        state
-            .queue
-            .admit(queued.clone(), self.options.clock.now())?;
-        state.waiting.insert(queued.key.clone(), sender);
-        self.assign_slots(&mut state, &queued.service);
-        Ok(())
-    }
-
-    /// Takes a request out of the queue; returns whether it was waiting.
-    fn leave_queue(&self, key: &str, flight: &Arc<Flight>) -> bool {
-        let mut state = self.state.lock().unwrap();
-        if !state.owns(key, flight) || !state.queue.cancel(key) {
-            return false;
-        }
-        state.waiting.swap_remove(key);
-        true
-    }
-
     /// Outcome of a request that was submitted before.
     ///
     /// # Errors
@@ -587,29 +371,6 @@
     }
 }
 
-/// The ended attempt that a further submission of the key may replace.
-fn former_attempt(record: &KeyRecord) -> Option<Former> {
-    if !record.permits_another_attempt() {
-        return None;
-    }
-    let Some(Err(error)) = record.outcome.clone() else {
-        return None;
-    };
-    Some(Former {
-        task: record.task.clone(),
-        error,
-        open: false,
-    })
-}
-
-fn check_conflict(present: &RequestDigest, digest: &RequestDigest) -> Result<(), RequestError> {
-    if present == digest {
-        return Ok(());
-    }
-    let message = "the key was used before with another request";
-    Err(RequestError::did_not_run(ErrorCode::KeyConflict, message))
-}
-
 /// Error of a request that reached a host which is not the placer.
 fn not_placer() -> RequestError {
     RequestError::did_not_run(ErrorCode::Unavailable, "this host is not the placer")
--- a/src/placer/attempt.rs
+++ b/src/placer/attempt.rs
@@ -23,13 +23,22 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
 /// An ended attempt that the next one replaces.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct Former {
     pub task: TaskId,
     /// What the caller is told when no other attempt begins.
     pub error: RequestError,
-    /// Whether the record has no outcome yet.
-    pub open: bool,
+    /// Slot that it had, while its record has no outcome yet.
+    pub open: Option<RunnerSlot>,
+}
+
+/// How the owner leaves its flight.
+enum Landing {
+    /// The flight has ended.
+    End(FlightEnd),
+    /// The task is followed until its outcome is committed; meanwhile the first caller is told
+    /// this.
+    Followed(Outcome),
 }
 
 /// An admitted request. Its owner must run it; dropping it before cancels the wait.
@@ -51,32 +60,27 @@
     /// Runs the request until its outcome or deadline. `None` means that the key must be looked up
     /// again.
     pub fn run(mut self, submission: &Submission) -> Option<Outcome> {
-        let end = self.attempts(submission);
-        if let Some(end) = &end {
-            self.land(end.clone());
-        }
-        match end {
-            Some(FlightEnd::Outcome(outcome)) => Some(outcome),
-            Some(FlightEnd::LookAgain) => None,
-            None => {
-                self.landed = true;
-                let message = "the deadline passed while the request may be running";
-                let error = RequestError::may_have_run(ErrorCode::DeadlineExceeded, message);
-                Some(Err(error))
+        match self.attempts(submission) {
+            Landing::Followed(outcome) => Some(outcome),
+            Landing::End(end) => {
+                self.land(end.clone());
+                match end {
+                    FlightEnd::Outcome(outcome) => Some(outcome),
+                    FlightEnd::LookAgain => None,
+                }
             }
         }
     }
 
-    /// `None` when the task is left to its follower.
-    fn attempts(&mut self, submission: &Submission) -> Option<FlightEnd> {
+    fn attempts(&mut self, submission: &Submission) -> Landing {
         let mut retries = 0;
         loop {
             let slot = match self.wait_for_slot() {
                 Ok(slot) => slot,
-                Err(error) => return Some(self.refused(error)),
+                Err(error) => return self.refused(error),
             };
-            if let Err(end) = self.begin(submission, &slot) {
-                return end;
+            if let Err(landing) = self.begin(submission, &slot) {
+                return landing;
             }
             let end = if self.flight.begin_sending(SentTask::of(&slot)) {
                 dispatch::drive(&self.placer, submission, &self.flight, &slot)
@@ -92,14 +96,15 @@
                     return self.complete(slot, outcome, over, may_forget);
                 }
                 End::StillOpen { acknowledged } => {
-                    self.follow(slot, acknowledged);
-                    return None;
+                    let message = "the deadline passed while the request may be running";
+                    let error = RequestError::may_have_run(ErrorCode::DeadlineExceeded, message);
+                    return self.follow_held(&slot, acknowledged, error);
                 }
                 End::Again { error, started } => {
                     self.release(&slot);
                     let error = self.cancelled_error(error);
                     if !self.may_retry(submission, &slot, started, retries) {
-                        return self.complete_released(&slot, Err(error), true, false);
+                        return self.commit(&slot, Err(error), true, false);
                     }
                     retries += 1;
                     if started {
@@ -113,44 +118,41 @@
                     self.former = Some(Former {
                         task: slot.task.clone(),
                         error,
-                        open: true,
+                        open: Some(slot),
                     });
                     if let Err(error) = self.requeue() {
-                        return Some(self.refused(error));
+                        return self.refused(error);
                     }
                 }
             }
         }
     }
 
-    /// Commits the intent. The error is the end of the flight.
-    fn begin(
-        &mut self,
-        submission: &Submission,
-        slot: &RunnerSlot,
-    ) -> Result<(), Option<FlightEnd>> {
+    /// Commits the intent.
+    fn begin(&mut self, submission: &Submission, slot: &RunnerSlot) -> Result<(), Landing> {
         let intent = self.intent(submission, slot);
         self.begun = true;
         match (self.placer.options.journal.append)(PlacementRecord::Intent(intent)) {
             Ok(()) if self.placer.is_latest_attempt(&self.queued.key, slot) => {
-                self.placer.deposit(&self.queued.member, &slot.worker);
+                if self.former.is_none() {
+                    self.placer.deposit(&self.queued.member, &slot.worker);
+                }
                 Ok(())
             }
             // The record of another attempt was committed first.
             Ok(()) => {
                 self.release(slot);
-                Err(Some(FlightEnd::LookAgain))
+                Err(Landing::End(FlightEnd::LookAgain))
             }
             Err(error @ JournalError::NotLeader(_)) => {
                 self.release(slot);
                 log::debug!("intent of {} refused: {error}", self.queued.key);
-                Err(Some(self.refused(not_placer())))
+                Err(self.refused(not_placer()))
             }
             // The intent may be committed later, so its slot stays held until that is known.
             Err(error @ JournalError::Unconfirmed(_)) => {
                 log::warn!("intent of {} not confirmed: {error}", self.queued.key);
-                self.follow(slot.clone(), false);
-                Err(None)
+                Err(self.follow_held(slot, false, error.may_have_run()))
             }
         }
     }
@@ -190,28 +192,19 @@
     }
 
     /// End of a request that got no slot. An earlier attempt decides the verdict.
-    fn refused(&mut self, error: RequestError) -> FlightEnd {
-        let Some(former) = self.former.clone() else {
-            return FlightEnd::Outcome(Err(error));
+    fn refused(&mut self, error: RequestError) -> Landing {
+        let Some(former) = self.former.take() else {
+            return Landing::End(FlightEnd::Outcome(Err(error)));
         };
         let error = if former.error.verdict == Verdict::MayHaveRun {
             former.error
         } else {
             error
         };
-        if !former.open {
-            return FlightEnd::Outcome(Err(error));
+        match former.open {
+            Some(slot) => self.commit(&slot, Err(error), true, false),
+            None => Landing::End(FlightEnd::Outcome(Err(error))),
         }
-        let committed = self.placer.commit_completion(
-            &self.queued.key,
-            &former.task,
-            &Err(error.clone()),
-            true,
-        );
-        FlightEnd::Outcome(match committed {
-            Ok(()) => Err(error),
-            Err(failure) => Err(failure.may_have_run()),
-        })
     }
 
     /// A stopped or refused task of a cancelled request is reported as cancelled.
@@ -266,7 +259,7 @@
         outcome: Result<Vec<u8>, RequestError>,
         over: bool,
         may_forget: bool,
-    ) -> Option<FlightEnd> {
+    ) -> Landing {
         self.release(&slot);
         let wait = slot
             .reserved_at
@@ -275,7 +268,7 @@
         let outcome = outcome
             .map(|body| Answer { body, wait_us })
             .map_err(|error| self.cancelled_error_unless_ran(error));
-        self.complete_released(&slot, outcome, over, may_forget)
+        self.commit(&slot, outcome, over, may_forget)
     }
 
     fn cancelled_error_unless_ran(&self, error: RequestError) -> RequestError {
@@ -285,55 +278,57 @@
         self.cancelled_error(error)
     }
 
-    fn complete_released(
+    fn commit(
         &mut self,
         slot: &RunnerSlot,
         outcome: Outcome,
         over: bool,
         may_forget: bool,
-    ) -> Option<FlightEnd> {
+    ) -> Landing {
         let key = &self.queued.key;
-        let ran = outcome
-            .as_ref()
-            .map_or_else(|error| error.verdict, |_| Verdict::Ran)
-            == Verdict::Ran;
-        match self
+        let committed = self
             .placer
-            .commit_completion(key, &slot.task, &outcome, over)
-        {
-            Ok(()) => {
-                if may_forget {
-                    self.placer.forget_later(&slot.worker, &slot.task);
-                }
-                log_outcome(&self.queued, slot, &outcome);
-                Some(FlightEnd::Outcome(outcome))
+            .commit_completion(key, &slot.task, &outcome, over);
+        let Err(error) = committed else {
+            if may_forget {
+                self.placer.forget_later(&slot.worker, &slot.task);
             }
-            Err(error @ JournalError::Unconfirmed(_)) if !ran => {
-                log::warn!("completion of {key} not confirmed: {error}");
-                self.follow_released(slot);
-                None
-            }
-            // What the runner reported is true whether the record of it is committed or not; the
-            // next placer asks the runner again.
-            Err(_) if ran => Some(FlightEnd::Outcome(outcome)),
-            Err(error) => Some(FlightEnd::Outcome(Err(error.may_have_run()))),
-        }
+            log_outcome(&self.queued, slot, &outcome);
+            return Landing::End(FlightEnd::Outcome(outcome));
+        };
+        log::warn!("completion of {key} not confirmed: {error}");
+        // What the runner reported is true whether the record of it is committed or not. That
+        // nothing ran is only true once no other placer can start another attempt.
+        let told = match &outcome {
+            Err(known) if known.verdict != Verdict::Ran => Err(error.may_have_run()),
+            _ => outcome.clone(),
+        };
+        self.hand_over(slot, Held::Nothing, false, Some((outcome, over)));
+        Landing::Followed(told)
     }
 
     fn release(&self, slot: &RunnerSlot) {
         self.placer.release(&self.queued, slot);
     }
 
-    fn follow(&mut self, slot: RunnerSlot, acknowledged: bool) {
+    fn follow_held(
+        &mut self,
+        slot: &RunnerSlot,
+        acknowledged: bool,
+        error: RequestError,
+    ) -> Landing {
         let held = Held::Slot(Box::new((self.queued.clone(), slot.clone())));
-        self.hand_over(&slot, held, acknowledged);
-    }
-
-    fn follow_released(&mut self, slot: &RunnerSlot) {
-        self.hand_over(slot, Held::Nothing, false);
+        self.hand_over(slot, held, acknowledged, None);
+        Landing::Followed(Err(error))
     }
 
-    fn hand_over(&mut self, slot: &RunnerSlot, held: Held, acknowledged: bool) {
+    fn hand_over(
+        &mut self,
+        slot: &RunnerSlot,
+        held: Held,
+        acknowledged: bool,
+        known: Option<(Outcome, bool)>,
+    ) {
         self.landed = true;
         let clock = &self.placer.options.clock;
         let remaining = self.queued.deadline.saturating_duration_since(clock.now());
@@ -348,6 +343,7 @@
             acknowledged,
             flight: Arc::clone(&self.flight),
             held,
+            known,
         });
     }
 
--- a/src/placer/dispatch.rs
+++ b/src/placer/dispatch.rs
@@ -149,6 +149,8 @@
             contact.failed_connections = 0;
             contact.fresh_connection = matches!(reply, Reply::Damaged);
             if matches!(reply, Reply::Unintelligible(_)) {
+                // Nothing shows that the create had no effect.
+                contact.unanswered |= created;
                 std::thread::sleep(RECONNECT_PAUSE);
             }
             end_of(reply, contact)
--- a/src/placer/follow.rs
+++ b/src/placer/follow.rs
@@ -9,7 +9,6 @@
 
 use super::dispatch::lapsed;
 use super::flight::{Flight, FlightEnd};
-use super::journal::JournalError;
 use super::links::RunnerLink;
 use super::runners::{Fate, RunnerSlot};
 use super::task_calls::{self, Reply};
@@ -46,6 +45,8 @@
     pub acknowledged: bool,
     pub flight: Arc<Flight>,
     pub held: Held,
+    /// Outcome whose completion was not confirmed, with whether the task is certainly over.
+    pub known: Option<(Outcome, bool)>,
 }
 
 impl Placer {
@@ -110,6 +111,9 @@
             followed.flight.finish(end);
             return true;
         };
+        if let Some((outcome, over)) = &followed.known {
+            return self.resolve(followed, outcome.clone(), *over);
+        }
         match fate {
             Fate::Silent => false,
             Fate::Restarted => {
@@ -172,14 +176,10 @@
     /// Commits the outcome and ends the flight; returns false when that must be tried again.
     fn resolve(self: &Arc<Self>, followed: &Followed, outcome: Outcome, over: bool) -> bool {
         let outcome = outcome.map_err(|error| describe_cancelled(followed, error));
-        match self.commit_completion(&followed.key, &followed.task, &outcome, over) {
-            Ok(()) => {}
-            Err(JournalError::Unconfirmed(_)) => return false,
-            Err(JournalError::NotLeader(_)) => {
-                let end = FlightEnd::Outcome(Err(no_longer_placer()));
-                followed.flight.finish(end);
-                return true;
-            }
+        if let Err(error) = self.commit_completion(&followed.key, &followed.task, &outcome, over) {
+            // The end of the epoch ends the following; until then it goes on.
+            log::debug!("completion of {} not confirmed: {error}", followed.key);
+            return false;
         }
         let verdict = outcome
             .as_ref()
--- a/src/placer/takeover.rs
+++ b/src/placer/takeover.rs
@@ -206,6 +206,7 @@
         acknowledged: false,
         flight,
         held: Held::Adopted,
+        known: None,
     }
 }
 
--- /dev/null
+++ b/tests/placer_records.rs
@@ -0,0 +1,419 @@
+//! Duplicates, cancellation, retention and retry budgets of a placer.
+
+mod placer_support;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use jujubewinch::agent::faults::Fault;
+use jujubewinch::placer::records::{
+    Completion, Intent, PlacementRecord, PlacementState, RequestDigest,
+};
+use jujubewinch::protocol::caller::Answer;
+use jujubewinch::verdict::{ErrorCode, RequestError, Verdict};
+use placer_support::{
+    AppendFault, Cell, PATIENCE, fresh_key, request, submit_in_background, verdict, wait_until,
+};
+
+/// Guards against duplicates that wait until their own deadline after the first attempt was
+/// refused in the queue.
+#[test]
+fn duplicates_of_a_refused_request_get_its_refusal() {
+    let cell = Cell::new(0);
+    let host = cell.next_placer();
+    let key = fresh_key("refused");
+    let mut short = request(&key, false, 1);
+    short.deadline = Instant::now() + Duration::from_millis(300);
+    let first = submit_in_background(&host.placer, &short);
+    wait_until("it waits", || host.placer.queued_requests() == 1);
+    let duplicate = host.placer.submit(&request(&key, false, 1));
+    let first = first.join().unwrap();
+    assert_eq!(verdict(&first), "did_not_run");
+    assert_eq!(duplicate, first);
+}
+
+/// Guards against duplicates that wait forever for an attempt whose intent failed.
+#[test]
+fn a_failed_intent_frees_the_waiting_duplicates() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let key = fresh_key("failed-intent");
+    let submission = request(&key, false, 1);
+    cell.log
+        .faults
+        .lock()
+        .unwrap()
+        .push_back(Some(AppendFault::Refuse));
+    host.gates.before_append.close();
+    let first = submit_in_background(&host.placer, &submission);
+    host.gates.before_append.wait_for_arrival();
+    let duplicates = [0, 1].map(|_| submit_in_background(&host.placer, &submission));
+    host.gates.before_append.open();
+    assert_eq!(verdict(&first.join().unwrap()), "did_not_run");
+    for duplicate in duplicates {
+        // A duplicate that came after the failure makes its own attempt.
+        let outcome = duplicate.join().unwrap();
+        assert_ne!(verdict(&outcome), "may_have_run", "{outcome:?}");
+    }
+    assert!(cell.executions(&key).len() <= 1);
+}
+
+/// Guards against a waiter whose shorter deadline ends the request of others.
+#[test]
+fn a_shorter_deadline_ends_only_its_own_wait() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let key = fresh_key("shorter");
+    let first = submit_in_background(&host.placer, &request(&key, false, 300));
+    cell.wait_for_execution(&key);
+    let mut short = request(&key, false, 300);
+    short.deadline = Instant::now() + Duration::from_millis(20);
+    assert_eq!(verdict(&host.placer.submit(&short)), "may_have_run");
+    assert_eq!(verdict(&first.join().unwrap()), "ran");
+}
+
+/// Guards against a request that is dropped with its caller: the record answers the retry.
+#[test]
+fn a_request_finishes_after_its_callers_deadline() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let key = fresh_key("gone");
+    let mut short = request(&key, false, 400);
+    short.deadline = Instant::now() + Duration::from_millis(100);
+    assert_eq!(verdict(&host.placer.submit(&short)), "may_have_run");
+    let retry = host.placer.submit(&request(&key, false, 400));
+    assert_eq!(
+        retry.map(|answer| answer.body),
+        Ok(key.clone().into_bytes())
+    );
+    assert_eq!(cell.executions(&key).len(), 1);
+}
+
+/// Guards against one key that stands for two requests, at every stage of the first one.
+#[test]
+fn a_conflicting_request_is_refused_at_every_stage() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let runner = cell.runner(0);
+    let key = fresh_key("conflict");
+    let conflicting = request(&key, false, 999);
+    let refused = || {
+        let error = host.placer.submit(&conflicting).unwrap_err();
+        assert_eq!(error.code, ErrorCode::KeyConflict);
+        assert_eq!(error.verdict, Verdict::DidNotRun);
+    };
+    let blockers: Vec<_> = (0..placer_support::SLOTS)
+        .map(|index| {
+            let blocker = request(&fresh_key(&format!("blocker-{index}")), true, 300);
+            submit_in_background(&host.placer, &blocker)
+        })
+        .collect();
+    wait_until("all slots are busy", || {
+        runner.tasks.running() == placer_support::SLOTS
+    });
+    let first = submit_in_background(&host.placer, &request(&key, false, 300));
+    wait_until("it waits", || host.placer.queued_requests() == 1);
+    refused();
+    cell.wait_for_execution(&key);
+    refused();
+    assert_eq!(verdict(&first.join().unwrap()), "ran");
+    refused();
+    for blocker in blockers {
+        assert_eq!(verdict(&blocker.join().unwrap()), "ran");
+    }
+}
+
+/// Guards against untrue answers to cancellations of waiting, running and finished requests.
+#[test]
+fn cancellations_are_answered_truthfully() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let running_key = fresh_key("running");
+    let running = submit_in_background(&host.placer, &request(&running_key, false, 20_000));
+    cell.wait_for_execution(&running_key);
+    let blocking_key = fresh_key("blocking");
+    let blocking = submit_in_background(&host.placer, &request(&blocking_key, true, 20_000));
+    cell.wait_for_execution(&blocking_key);
+    let waiting_key = fresh_key("waiting");
+    let waiting = submit_in_background(&host.placer, &request(&waiting_key, false, 1));
+    wait_until("it waits", || host.placer.queued_requests() == 1);
+
+    assert!(host.placer.cancel(&waiting_key));
+    let error = waiting.join().unwrap().unwrap_err();
+    assert_eq!(
+        (error.code, error.verdict),
+        (ErrorCode::Cancelled, Verdict::DidNotRun)
+    );
+    assert_eq!(cell.executions(&waiting_key).len(), 0);
+    for (key, handle) in [(running_key, running), (blocking_key, blocking)] {
+        assert!(!host.placer.cancel(&key));
+        let error = handle.join().unwrap().unwrap_err();
+        assert_eq!(
+            (error.code, error.verdict),
+            (ErrorCode::Cancelled, Verdict::MayHaveRun)
+        );
+        assert_eq!(cell.executions(&key).len(), 1);
+        assert!(!host.placer.cancel(&key));
+    }
+    let finished = fresh_key("finished");
+    assert_eq!(
+        verdict(&host.placer.submit(&request(&finished, false, 1))),
+        "ran"
+    );
+    assert!(!host.placer.cancel(&finished));
+}
+
+/// Guards against a create that is sent after its request was cancelled.
+#[test]
+fn a_request_cancelled_before_its_create_does_not_run() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let key = fresh_key("cancelled-intent");
+    host.gates.after_append.close();
+    let submitted = submit_in_background(&host.placer, &request(&key, false, 1));
+    host.gates.after_append.wait_for_arrival();
+    let placer = std::sync::Arc::clone(&host.placer);
+    let cancelled_key = key.clone();
+    let cancelled = thread::spawn(move || placer.cancel(&cancelled_key));
+    thread::sleep(Duration::from_millis(20));
+    host.gates.after_append.open();
+    let error = submitted.join().unwrap();
+    let certain = cancelled.join().unwrap();
+    if certain {
+        assert_eq!(verdict(&error), "did_not_run");
+        assert_eq!(cell.executions(&key).len(), 0);
+    }
+}
+
+/// Guards against retries without bound while every exchange ends in a refusal.
+#[test]
+fn retries_stop_when_the_budget_is_spent() {
+    let cell = Cell::new(2);
+    for runner in cell.runners.values() {
+        runner.tasks.leave();
+    }
+    let host = cell.next_placer();
+    for index in 0..4 {
+        let key = fresh_key(&format!("budget-{index}"));
+        let mut submission = request(&key, true, 1);
+        submission.deadline = Instant::now() + Duration::from_secs(2);
+        assert_eq!(verdict(&host.placer.submit(&submission)), "did_not_run");
+    }
+    // Each attempt leaves one tombstone; 16 retries are saved at first.
+    let attempts: usize = cell
+        .runners
+        .values()
+        .map(|runner| runner.tasks.records())
+        .sum();
+    assert!(attempts <= 4 + 16 + 1, "{attempts} attempts");
+}
+
+/// Guards against records that runners keep forever after their completion was committed.
+#[test]
+fn runners_are_told_to_drop_committed_tasks() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    for index in 0..20 {
+        let key = fresh_key(&format!("dropped-{index}"));
+        assert_eq!(verdict(&host.placer.submit(&request(&key, true, 0))), "ran");
+    }
+    wait_until("the records are dropped", || {
+        cell.runner(0).tasks.records() == 0
+    });
+}
+
+/// Guards against a late copy of a create that starts its task again after the record was dropped.
+#[test]
+fn a_late_copy_of_a_finished_create_starts_nothing() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let key = fresh_key("late-copy");
+    let late = Duration::from_millis(1_500);
+    let faults = [Fault::LateRequest(late)];
+    cell.runner(0).tasks.faults().inject(&faults);
+    assert_eq!(
+        verdict(&host.placer.submit(&request(&key, false, 1))),
+        "ran"
+    );
+    thread::sleep(late + Duration::from_millis(300));
+    assert_eq!(cell.executions(&key).len(), 1);
+}
+
+fn intent(key: &str, former: Option<&str>, task: &str, epoch: u64, now: u64) -> PlacementRecord {
+    PlacementRecord::Intent(Intent {
+        key: key.to_owned(),
+        digest: RequestDigest::default(),
+        idempotent: false,
+        task: task.to_owned(),
+        former: former.map(str::to_owned),
+        worker: "worker-1".to_owned(),
+        incarnation: 1,
+        address: "worker-1".to_owned(),
+        epoch,
+        deadline_unix_ms: now + 1_000,
+        now_unix_ms: now,
+    })
+}
+
+fn completion(
+    key: &str,
+    task: &str,
+    outcome: Result<Answer, RequestError>,
+    now: u64,
+) -> PlacementRecord {
+    PlacementRecord::Completion(Completion {
+        key: key.to_owned(),
+        task: task.to_owned(),
+        outcome,
+        over: true,
+        now_unix_ms: now,
+        keep_until_unix_ms: now + 100,
+        max_answer_bytes: 25,
+    })
+}
+
+fn answer(bytes: usize) -> Result<Answer, RequestError> {
+    Ok(Answer {
+        body: vec![b'.'; bytes],
+        wait_us: 0,
+    })
+}
+
+/// Guards against unbounded records and answers, and against replicas that drop different ones.
+#[test]
+fn records_leave_by_age_and_answers_by_bytes() {
+    let mut records = vec![PlacementRecord::Takeover {
+        epoch: 1,
+        now_unix_ms: 1_000,
+    }];
+    for (index, key) in ["a", "b", "c"].into_iter().enumerate() {
+        let now = 1_000 + 10 * index as u64;
+        records.push(intent(key, None, &format!("{key}-1"), 1, now));
+        records.push(completion(key, &format!("{key}-1"), answer(10), now));
+    }
+    let mut state = PlacementState::default();
+    for record in &records {
+        state.apply(record.clone());
+    }
+    assert_eq!(state.answer_bytes, 20);
+    let oldest = state.keys["a"].outcome.clone().unwrap().unwrap_err();
+    assert_eq!(oldest.verdict, Verdict::Ran);
+    assert!(state.keys["b"].outcome.as_ref().unwrap().is_ok());
+
+    state.apply(PlacementRecord::Advance { now_unix_ms: 1_110 });
+    let left: Vec<&str> = state.keys.keys().map(String::as_str).collect();
+    assert_eq!(left, ["c"]);
+    assert_eq!(state.answer_bytes, 10);
+    // A clock that is set back brings nothing back and drops nothing early.
+    state.apply(PlacementRecord::Advance { now_unix_ms: 5 });
+    assert_eq!(state.now_unix_ms, 1_110);
+
+    let mut replica = PlacementState::default();
+    records.push(PlacementRecord::Advance { now_unix_ms: 1_110 });
+    records.push(PlacementRecord::Advance { now_unix_ms: 5 });
+    for record in records {
+        replica.apply(record);
+    }
+    assert_eq!(replica, state);
+}
+
+/// Guards against records of replaced placers and attempts that take effect late.
+#[test]
+fn late_records_of_former_attempts_have_no_effect() {
+    let refused = || Err(RequestError::did_not_run(ErrorCode::Unavailable, "refused"));
+    let takeover = |epoch| PlacementRecord::Takeover {
+        epoch,
+        now_unix_ms: 1,
+    };
+    // Name, records, latest task of the key.
+    let cases = [
+        (
+            "intent of a former epoch",
+            vec![takeover(2), intent("k", None, "old", 1, 1)],
+            None,
+        ),
+        (
+            "second first intent",
+            vec![
+                intent("k", None, "one", 1, 1),
+                intent("k", None, "two", 1, 1),
+            ],
+            Some("one"),
+        ),
+        (
+            "replacement of the latest attempt",
+            vec![
+                intent("k", None, "one", 1, 1),
+                intent("k", Some("one"), "two", 1, 1),
+            ],
+            Some("two"),
+        ),
+        (
+            "new attempt after a refusal",
+            vec![
+                intent("k", None, "one", 1, 1),
+                completion("k", "one", refused(), 1),
+                intent("k", Some("one"), "two", 1, 1),
+            ],
+            Some("two"),
+        ),
+        (
+            "new attempt after an answer",
+            vec![
+                intent("k", None, "one", 1, 1),
+                completion("k", "one", answer(1), 1),
+                intent("k", Some("one"), "two", 1, 1),
+            ],
+            Some("one"),
+        ),
+    ];
+    for (name, records, expected) in cases {
+        let mut state = PlacementState::default();
+        for record in records {
+            state.apply(record);
+        }
+        let latest = state.keys.get("k").map(|record| record.task.as_str());
+        assert_eq!(latest, expected, "{name}");
+    }
+    let mut state = PlacementState::default();
+    state.apply(intent("k", None, "one", 1, 1));
+    state.apply(intent("k", Some("one"), "two", 1, 1));
+    state.apply(completion("k", "one", answer(1), 1));
+    assert_eq!(state.keys["k"].outcome, None, "completion of a former task");
+}
+
+/// Guards against a key that becomes valid again after its record has left.
+#[test]
+fn a_key_is_refused_as_long_as_it_is_valid_without_a_record() {
+    let mut cell = Cell::new(1);
+    cell.timing.key_retention_ms = 1_000;
+    let host = cell.next_placer();
+    let key = fresh_key("expiring");
+    let submission = request(&key, false, 0);
+    assert_eq!(verdict(&host.placer.submit(&submission)), "ran");
+    wait_until("the record leaves", || {
+        cell.log.state.lock().unwrap().keys.is_empty()
+    });
+    let error = host.placer.submit(&submission).unwrap_err();
+    assert_eq!(
+        (error.code, error.verdict),
+        (ErrorCode::KeyExpired, Verdict::MayHaveRun)
+    );
+    assert_eq!(cell.executions(&key).len(), 1);
+}
+
+/// Guards against untrue verdicts of a host that loses its role while requests wait.
+#[test]
+fn waiting_requests_are_refused_when_the_role_is_lost() {
+    let cell = Cell::new(0);
+    let host = cell.next_placer();
+    let submission = request(&fresh_key("role"), false, 1);
+    let waiting = submit_in_background(&host.placer, &submission);
+    wait_until("it waits", || host.placer.queued_requests() == 1);
+    cell.log.begin_epoch();
+    let error = waiting.join().unwrap().unwrap_err();
+    assert!(jujubewinch::placer::is_not_placer(&error), "{error}");
+    assert_eq!(host.placer.queued_requests(), 0);
+    let deadline = Instant::now() + PATIENCE;
+    assert!(host.placer.wait_until_idle(deadline));
+}
