feature: routing hints take effect at once, with tests of routing and of runner connections

Cause: a host that named the placer was believed only in the next round of the search, after all other hosts had been asked.

--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -81,7 +81,8 @@
         submission: &Submission,
         search: &mut Search,
     ) -> Option<Outcome> {
-        for host in self.candidates(home, search) {
+        let mut hosts = self.hosts(home, search);
+        while let Some(host) = search.next_host(&mut hosts) {
             let remaining = submission
                 .deadline
                 .saturating_duration_since(Instant::now());
@@ -174,7 +175,8 @@
     ) -> Result<PeerReply, RequestError> {
         let mut search = Search::new(Instant::now() + SHORT_CALL_TIMEOUT);
         loop {
-            for host in self.candidates(data_centre, &mut search) {
+            let mut hosts = self.hosts(data_centre, &mut search);
+            while let Some(host) = search.next_host(&mut hosts) {
                 let deadline = search.deadline.min(Instant::now() + SHORT_CALL_ATTEMPT);
                 match host.client.call(request.clone(), deadline) {
                     Ok(PeerReply::NotPlacer { placer }) => search.follow_hint(&host.id, placer),
@@ -189,17 +191,12 @@
         }
     }
 
-    /// Hosts of a data centre in the order in which they are asked: first the one that another
-    /// named as the placer.
-    fn candidates(&self, data_centre: &str, search: &mut Search) -> Vec<&RemoteHost> {
-        let hosts = self.remote.get(data_centre);
-        let mut hosts: Vec<&RemoteHost> = hosts.into_iter().flatten().collect();
+    /// Hosts of a data centre for one round of the search.
+    fn hosts(&self, data_centre: &str, search: &mut Search) -> Vec<&RemoteHost> {
+        let hosts: Vec<&RemoteHost> = self.remote.get(data_centre).into_iter().flatten().collect();
         if hosts.is_empty() && self.data_centre != data_centre {
             search.give_up();
         }
-        if let Some(hint) = search.hint.take() {
-            hosts.sort_by_key(|host| host.id != hint);
-        }
         search.reasons.clear();
         hosts
     }
@@ -228,13 +225,25 @@
         }
     }
 
+    /// Takes the host that is asked next: the one that another named as the placer, or the first.
+    fn next_host<'a>(&mut self, hosts: &mut Vec<&'a RemoteHost>) -> Option<&'a RemoteHost> {
+        if hosts.is_empty() {
+            return None;
+        }
+        let hint = self.hint.take();
+        let named = hosts
+            .iter()
+            .position(|host| Some(&host.id) == hint.as_ref());
+        Some(hosts.remove(named.unwrap_or(0)))
+    }
+
     fn note(&mut self, reason: String) {
         self.reasons.push(reason);
     }
 
     fn follow_hint(&mut self, host: &str, placer: Option<HostId>) {
         self.note(format!("{host} is not the placer"));
-        self.hint = placer.or(self.hint.take());
+        self.hint = placer;
     }
 
     fn failed(&mut self, error: &CallError) {
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,180 @@
+//! Forwarding of requests to the placer of their home data centre, over real peer connections.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use jujubewinch::clock::Clock;
+use jujubewinch::gateway::Router;
+use jujubewinch::gateway::routing::RemoteHost;
+use jujubewinch::peer::{PeerClient, PeerServer};
+use jujubewinch::protocol::caller::{Answer, Submission, Urgency};
+use jujubewinch::protocol::peer::PeerReply;
+use jujubewinch::verdict::{ErrorCode, RequestError, Verdict};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a host of the home data centre does with each call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Behaviour {
+    Answers,
+    RefusesForLoad,
+    IsNotPlacer(Option<&'static str>),
+    LostTheRole,
+    /// Takes the request and closes the connection.
+    Vanishes,
+    Unreachable,
+}
+
+struct Remote {
+    address: SocketAddr,
+    calls: Arc<AtomicUsize>,
+    _server: Option<PeerServer>,
+}
+
+fn free_address() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn start(behaviour: Behaviour) -> Remote {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&calls);
+    if behaviour == Behaviour::Vanishes {
+        let listener = TcpListener::bind(free_address()).unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                counted.fetch_add(1, Ordering::SeqCst);
+                // The connection closes after the request was sent.
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(100));
+                    drop(stream);
+                });
+            }
+        });
+        return Remote {
+            address,
+            calls,
+            _server: None,
+        };
+    }
+    if behaviour == Behaviour::Unreachable {
+        let address = TcpListener::bind(free_address())
+            .unwrap()
+            .local_addr()
+            .unwrap();
+        return Remote {
+            address,
+            calls,
+            _server: None,
+        };
+    }
+    let handler = move |_host, _request| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        let refusal = |code| RequestError::did_not_run(code, "refused");
+        match behaviour {
+            Behaviour::Answers => PeerReply::Outcome(Ok(Answer {
+                body: b"answer".to_vec(),
+                wait_us: 0,
+            })),
+            Behaviour::RefusesForLoad => PeerReply::Outcome(Err(refusal(ErrorCode::Overloaded))),
+            Behaviour::LostTheRole => {
+                PeerReply::Outcome(Err(refusal(ErrorCode::Unavailable).retry_after_ms(1)))
+            }
+            Behaviour::IsNotPlacer(placer) => PeerReply::NotPlacer {
+                placer: placer.map(str::to_owned),
+            },
+            Behaviour::Vanishes | Behaviour::Unreachable => unreachable!("handled above"),
+        }
+    };
+    let server = PeerServer::start(free_address(), Arc::new(handler)).unwrap();
+    Remote {
+        address: server.local_address(),
+        calls,
+        _server: Some(server),
+    }
+}
+
+fn router(remotes: &[Remote]) -> Router {
+    let hosts = remotes.iter().enumerate().map(|(index, remote)| {
+        let id = format!("erdenet-{}", index + 1);
+        RemoteHost {
+            client: PeerClient::new("chinggis-1".to_owned(), id.clone(), remote.address),
+            id,
+        }
+    });
+    Router {
+        data_centre: "chinggis".to_owned(),
+        data_centres: vec!["chinggis".to_owned(), "erdenet".to_owned()],
+        local: None,
+        remote: IndexMap::from([("erdenet".to_owned(), hosts.collect())]),
+    }
+}
+
+fn submission(timeout: Duration) -> Submission {
+    Submission {
+        key: format!("erdenet.{}.forwarded", Clock::system().unix_seconds()),
+        member: "tuul".to_owned(),
+        caller: "workshop".to_owned(),
+        service: "quotes".to_owned(),
+        idempotent: false,
+        urgency: Urgency::Normal,
+        deadline: Instant::now() + timeout,
+        payload: b"payload".to_vec(),
+    }
+}
+
+/// Guards against untrue verdicts and needless failures when hosts of the home data centre are
+/// lost, unreachable or not the placer.
+#[test]
+fn a_request_finds_its_placer_or_gets_a_truthful_verdict() {
+    use Behaviour::{Answers, IsNotPlacer, LostTheRole, RefusesForLoad, Unreachable, Vanishes};
+    // Behaviour of the hosts, expected verdict (`None` for an answer).
+    let cases: [(&[Behaviour], Option<Verdict>); 9] = [
+        (&[Answers], None),
+        (&[Unreachable, Answers], None),
+        (&[Vanishes, Answers], None),
+        (&[IsNotPlacer(None), Answers], None),
+        (&[LostTheRole, Answers], None),
+        (&[RefusesForLoad, Answers], Some(Verdict::DidNotRun)),
+        (&[Unreachable, IsNotPlacer(None)], Some(Verdict::DidNotRun)),
+        (&[Vanishes, Unreachable], Some(Verdict::MayHaveRun)),
+        (&[Vanishes, RefusesForLoad], Some(Verdict::MayHaveRun)),
+    ];
+    for (behaviours, expected) in cases {
+        let remotes: Vec<Remote> = behaviours.iter().copied().map(start).collect();
+        let timeout = if expected.is_none() {
+            PATIENCE
+        } else {
+            Duration::from_millis(800)
+        };
+        let outcome = router(&remotes).submit(&submission(timeout));
+        match expected {
+            None => {
+                let body = outcome.map(|answer| answer.body);
+                assert_eq!(body, Ok(b"answer".to_vec()), "{behaviours:?}");
+            }
+            Some(verdict) => {
+                let error = outcome.unwrap_err();
+                assert_eq!(error.verdict, verdict, "{behaviours:?}: {error}");
+            }
+        }
+    }
+}
+
+/// Guards against a search that ignores which host was named as the placer.
+#[test]
+fn a_hint_is_followed_before_other_hosts_are_asked() {
+    let remotes = [
+        start(Behaviour::IsNotPlacer(Some("erdenet-3"))),
+        start(Behaviour::IsNotPlacer(Some("erdenet-3"))),
+        start(Behaviour::Answers),
+    ];
+    let outcome = router(&remotes).submit(&submission(PATIENCE));
+    assert!(outcome.is_ok(), "{outcome:?}");
+    assert_eq!(remotes[1].calls.load(Ordering::SeqCst), 0);
+    assert_eq!(remotes[2].calls.load(Ordering::SeqCst), 1);
+}
--- /dev/null
+++ b/tests/runner_connections.rs
@@ -0,0 +1,127 @@
+//! A placer and a stand-in runner over real sockets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use jujubewinch::agent::faults::Fault;
+use jujubewinch::agent::{Agent, AgentOptions};
+use jujubewinch::clock::Clock;
+use jujubewinch::options::settings::{LimitSettings, TimingSettings};
+use jujubewinch::placer::journal::Journal;
+use jujubewinch::placer::links::http_exchange;
+use jujubewinch::placer::{Placer, PlacerOptions};
+use jujubewinch::protocol::caller::{Submission, Urgency};
+use jujubewinch::protocol::worker::RunnerCapacity;
+use jujubewinch::resources::Resources;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn start(slots: u32, connections: u32) -> (Arc<Placer>, Agent) {
+    let placer = Placer::new(PlacerOptions {
+        data_centre: "erdenet".to_owned(),
+        limits: LimitSettings::default(),
+        timing: TimingSettings {
+            exchange_wait_ms: 100,
+            exchange_grace_ms: 200,
+            ..TimingSettings::default()
+        },
+        clock: Clock::system(),
+        journal: Journal::in_memory(1),
+        exchange: http_exchange(),
+    });
+    let agent = Agent::start(AgentOptions {
+        worker: "worker-1".to_owned(),
+        data_centre: "erdenet".to_owned(),
+        rack: "rack-1".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: Vec::new(),
+        resources: Resources::ZERO,
+        runner: RunnerCapacity {
+            service: "quotes".to_owned(),
+            slots,
+            connections,
+        },
+    })
+    .expect("a free port is available");
+    placer.announce(agent.announcement()).unwrap();
+    (placer, agent)
+}
+
+fn submission(index: usize, work_ms: u64, answer_bytes: usize) -> Submission {
+    let key = format!("erdenet.{}.{index}", Clock::system().unix_seconds());
+    let payload =
+        format!("{{\"work_ms\":{work_ms},\"answer_bytes\":{answer_bytes},\"echo\":\"{key}\"}}");
+    Submission {
+        key,
+        member: "tuul".to_owned(),
+        caller: "workshop".to_owned(),
+        service: "quotes".to_owned(),
+        idempotent: false,
+        urgency: Urgency::Normal,
+        deadline: Instant::now() + PATIENCE,
+        payload: payload.into_bytes(),
+    }
+}
+
+/// Guards against a placer that uses up the connections of a runner, so that its successor is
+/// refused.
+#[test]
+fn connections_stay_within_half_of_the_announced_number() {
+    let (placer, agent) = start(8, 16);
+    let done = AtomicBool::new(false);
+    let highest = thread::scope(|scope| {
+        let sampling = scope.spawn(|| {
+            let mut highest = 0;
+            while !done.load(Ordering::SeqCst) {
+                highest = highest.max(agent.open_connections());
+                thread::sleep(Duration::from_millis(1));
+            }
+            highest
+        });
+        let callers: Vec<_> = (0..60)
+            .map(|index| {
+                let placer = &placer;
+                scope.spawn(move || placer.submit(&submission(index, index as u64 % 7 * 40, 0)))
+            })
+            .collect();
+        for caller in callers {
+            assert!(caller.join().unwrap().is_ok());
+        }
+        done.store(true, Ordering::SeqCst);
+        sampling.join().unwrap()
+    });
+    assert!(highest <= 8, "{highest} connections were open");
+    assert!(highest > 1, "the runner was used");
+    assert_eq!(agent.tasks().started(), 60);
+}
+
+/// Guards against lost and repeated requests when established connections go silent or answers
+/// are damaged on real sockets.
+#[test]
+fn silent_connections_and_damaged_answers_cost_no_request() {
+    let (placer, agent) = start(4, 64);
+    // Establishes a pooled connection.
+    assert!(placer.submit(&submission(0, 0, 0)).is_ok());
+    let faults = [
+        Fault::LoseRequest,
+        Fault::LoseAnswer,
+        Fault::CutAnswer,
+        Fault::DamageAnswer,
+        Fault::LateAnswer(Duration::from_millis(500)),
+    ];
+    for (index, fault) in faults.into_iter().enumerate() {
+        agent.tasks().faults().inject(&[fault]);
+        let submission = submission(index + 1, 0, 50_000);
+        let answer = placer.submit(&submission).unwrap();
+        assert_eq!(answer.body.len(), 50_000, "{fault:?}");
+        assert!(
+            answer.body.starts_with(submission.key.as_bytes()),
+            "{fault:?}"
+        );
+    }
+    assert_eq!(agent.tasks().started(), 6);
+    agent.tasks().faults().end_silence();
+}
