--- a/src/placer.rs
+++ b/src/placer.rs
@@ -1,28 +1,46 @@
 //! Decides for one data centre which request runs where, and guards at-most-once execution.
 
-pub mod dispatch;
+mod admission;
+mod attempt;
+mod budget;
+mod dispatch;
+mod flight;
+mod follow;
 pub mod journal;
 pub mod key;
+pub mod links;
 pub mod records;
 pub mod runners;
+mod takeover;
+mod task_calls;
 
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::Sender;
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
-use crate::http::Client;
-use crate::ids::{DataCentreName, RequestKey};
+use crate::ids::{DataCentreName, Epoch, Incarnation, RequestKey, TaskId, WorkerId};
 use crate::options::settings::{LimitSettings, TimingSettings};
-use crate::protocol::caller::{Answer, Submission};
+use crate::protocol::caller::Answer;
 use crate::protocol::worker::{Announcement, AnnouncementReply};
 use crate::scheduling::request_queue::{QueuedRequest, RequestQueue};
-use crate::verdict::{ErrorCode, RequestError};
-use journal::Journal;
-use records::{KeyRecord, PlacementRecord, PlacementState, RequestDigest};
-use runners::{RunnerSlot, RunnerTable};
+use crate::verdict::{ErrorCode, RequestError, Verdict};
+pub use admission::Pending;
+use budget::RetryBudgets;
+use flight::{Flight, FlightEnd, SentTask};
+use follow::Followed;
+use journal::{Journal, JournalError};
+use links::Exchange;
+use records::{Completion, PlacementRecord};
+use runners::{Fate, RunnerSlot, RunnerTable};
+
+/// Retry-after of requests that reached a host which is not the placer. Errors with this value,
+/// code `Unavailable` and verdict `did_not_run` concern the host and not the request.
+const NOT_PLACER_RETRY_MS: u64 = 1;
+/// Time without new work for a runner that refused a task or took no connection.
+const AVOID_FOR: Duration = Duration::from_millis(200);
 
 /// Outcome of a request.
 pub type Outcome = Result<Answer, RequestError>;
@@ -39,38 +57,55 @@
     pub clock: Clock,
     /// Replicated records.
     pub journal: Journal,
-    /// Client for calls to runners.
-    pub client: Client,
+    /// Exchanges with runners; [`links::http_exchange`] outside tests.
+    pub exchange: Exchange,
 }
 
 /// The placer of one data centre.
 pub struct Placer {
     options: PlacerOptions,
+    /// Locked before `options.journal.state` where both are needed.
     state: Mutex<PlacerState>,
-    /// Signalled when a record of `options.journal` was completed.
-    completed: Condvar,
+    /// Held during a takeover.
+    takeover: Mutex<()>,
 }
 
 struct PlacerState {
+    /// Epoch in which this host is the placer, once it has taken over.
+    epoch: Option<Epoch>,
     queue: RequestQueue,
     runners: RunnerTable,
     /// Threads of admitted requests that wait for a slot.
     waiting: IndexMap<RequestKey, Sender<Result<RunnerSlot, RequestError>>>,
+    /// Requests between admission and outcome; every open record has one.
+    flights: IndexMap<RequestKey, Arc<Flight>>,
+    /// Tasks without an owner; a key is present while a thread follows the runner.
+    followed: IndexMap<WorkerId, Vec<Followed>>,
+    budgets: RetryBudgets,
+    /// Tasks whose records the runners may drop.
+    forget: IndexMap<WorkerId, Vec<TaskId>>,
 }
 
 impl Placer {
     /// A placer without runners.
     pub fn new(options: PlacerOptions) -> Arc<Self> {
         let state = PlacerState {
+            epoch: None,
             queue: RequestQueue::new(options.limits.max_queued_requests),
             runners: RunnerTable::default(),
             waiting: IndexMap::new(),
+            flights: IndexMap::new(),
+            followed: IndexMap::new(),
+            budgets: RetryBudgets::default(),
+            forget: IndexMap::new(),
         };
-        Arc::new(Self {
+        let placer = Arc::new(Self {
             options,
             state: Mutex::new(state),
-            completed: Condvar::new(),
-        })
+            takeover: Mutex::new(()),
+        });
+        placer.start_threads();
+        placer
     }
 
     /// Data centre for which it decides.
@@ -83,53 +118,19 @@
         (self.options.journal.epoch)().is_some()
     }
 
-    /// Runs a request, or attaches to an earlier attempt with the same key. Blocks.
-    ///
-    /// # Errors
-    ///
-    /// [`RequestError`] with the verdict.
-    pub fn submit(&self, submission: &Submission) -> Outcome {
-        let digest = RequestDigest::of(submission);
-        if let Some(record) = self.record(&submission.key) {
-            return self.join(submission, &digest, &record);
-        }
-        key::check_age(submission, &self.options)?;
-        let queued = QueuedRequest {
-            key: submission.key.clone(),
-            member: submission.member.clone(),
-            caller: submission.caller.clone(),
-            service: submission.service.clone(),
-            urgency: submission.urgency,
-            deadline: submission.deadline,
-            admitted_at: self.options.clock.now(),
-        };
-        let slot = match self.wait_for_slot(&queued)? {
-            Admission::Slot(slot) => slot,
-            Admission::Duplicate => return self.wait_for_completion(submission),
-        };
-        let outcome = self.run(submission, digest, &queued, &slot);
-        self.release(&queued, &slot);
-        outcome
-    }
-
     /// Outcome of a request that was submitted before.
     ///
     /// # Errors
     ///
     /// `NotFound` when no record exists, otherwise the error of the request.
-    pub fn query(&self, key: &str) -> Outcome {
-        match self.record(key) {
-            Some(KeyRecord {
-                outcome: Some(outcome),
-                ..
-            }) => outcome,
-            Some(_) => Err(RequestError::may_have_run(
-                ErrorCode::Unavailable,
-                "still running",
-            )),
-            None if self.state.lock().unwrap().waiting.contains_key(key) => Err(
-                RequestError::did_not_run(ErrorCode::Unavailable, "still waiting"),
-            ),
+    pub fn query(self: &Arc<Self>, key: &str) -> Outcome {
+        self.lead()?;
+        let in_flight = self.state.lock().unwrap().flights.contains_key(key);
+        let record = self.record_or_window(key).ok();
+        match record.and_then(|record| record.outcome) {
+            _ if in_flight => Err(still_open()),
+            Some(outcome) => outcome,
+            None if self.record_or_window(key).is_ok() => Err(still_open()),
             None => Err(RequestError::did_not_run(
                 ErrorCode::NotFound,
                 "no record of this key",
@@ -137,17 +138,42 @@
         }
     }
 
-    /// Cancels a waiting request; returns whether it is certain not to run.
+    /// Cancels a request; returns whether it is certain not to run. A request that was sent to a
+    /// runner is stopped there.
     pub fn cancel(&self, key: &str) -> bool {
-        let mut state = self.state.lock().unwrap();
-        if !state.queue.cancel(key) {
-            return false;
+        let flight = {
+            let mut state = self.state.lock().unwrap();
+            let Some(flight) = state.flights.get(key).cloned() else {
+                drop(state);
+                return self.is_known_not_to_run(key);
+            };
+            if let Some(sender) = state.waiting.swap_remove(key) {
+                state.queue.cancel(key);
+                flight.cancel();
+                let message = "cancelled while waiting";
+                let error = RequestError::did_not_run(ErrorCode::Cancelled, message);
+                let _ = sender.send(Err(error));
+                return !flight.has_started();
+            }
+            flight
+        };
+        let deadline = self.options.clock.now() + self.options.timing.exchange_timeout();
+        if let Some(SentTask { task, epoch, link }) = flight.cancel() {
+            let wait = self.options.timing.exchange_wait();
+            task_calls::cancel(&self.options, &link, &task, epoch, wait);
         }
-        if let Some(sender) = state.waiting.swap_remove(key) {
-            let error = RequestError::did_not_run(ErrorCode::Cancelled, "cancelled while waiting");
-            let _ = sender.send(Err(error));
+        match flight.wait(deadline, &self.options.clock) {
+            Some(FlightEnd::Outcome(Err(error))) => error.verdict == Verdict::DidNotRun,
+            _ => false,
         }
-        true
+    }
+
+    fn is_known_not_to_run(&self, key: &str) -> bool {
+        let outcome = self
+            .record_or_window(key)
+            .ok()
+            .and_then(|record| record.outcome);
+        matches!(outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
     }
 
     /// Takes note of a worker and renews the leases of its tasks.
@@ -155,14 +181,26 @@
     /// # Errors
     ///
     /// `Unavailable` when this host is not the placer.
-    pub fn announce(&self, announcement: Announcement) -> Result<AnnouncementReply, RequestError> {
-        let epoch = self.epoch()?;
+    pub fn announce(
+        self: &Arc<Self>,
+        announcement: Announcement,
+    ) -> Result<AnnouncementReply, RequestError> {
+        let epoch = self.lead()?;
         let timing = &self.options.timing;
         let now = self.options.clock.now();
         let lease_ends_at = now + Duration::from_millis(timing.lease_ms);
+        let service = announcement
+            .runner
+            .as_ref()
+            .map(|runner| runner.service.clone());
         let mut state = self.state.lock().unwrap();
+        if state.epoch != Some(epoch) {
+            return Err(not_placer());
+        }
         state.runners.announce(announcement, lease_ends_at);
-        self.assign_slots(&mut state);
+        if let Some(service) = service {
+            self.assign_slots(&mut state, &service);
+        }
         Ok(AnnouncementReply {
             epoch,
             lease_ms: timing.lease_ms,
@@ -171,149 +209,131 @@
         })
     }
 
-    fn epoch(&self) -> Result<u64, RequestError> {
-        (self.options.journal.epoch)().ok_or_else(|| {
-            RequestError::did_not_run(ErrorCode::Unavailable, "this host is not the placer")
-        })
-    }
-
-    fn record(&self, key: &str) -> Option<KeyRecord> {
-        self.options
-            .journal
-            .state
-            .lock()
-            .unwrap()
-            .keys
-            .get(key)
-            .cloned()
-    }
-
-    /// Waits for the outcome of an earlier attempt with the same key.
-    fn join(&self, submission: &Submission, digest: &RequestDigest, record: &KeyRecord) -> Outcome {
-        if record.digest != *digest {
-            let message = "the key was used before with another request";
-            return Err(RequestError::did_not_run(ErrorCode::KeyConflict, message));
+    /// Hands free slots of the service to waiting requests.
+    fn assign_slots(&self, state: &mut PlacerState, service: &str) {
+        if state.queue.is_empty() {
+            return;
         }
-        self.wait_for_completion(submission)
-    }
-
-    fn wait_for_completion(&self, submission: &Submission) -> Outcome {
-        let mut placement: std::sync::MutexGuard<'_, PlacementState> =
-            self.options.journal.state.lock().unwrap();
-        loop {
-            let record = placement.keys.get(&submission.key);
-            if let Some(KeyRecord {
-                outcome: Some(outcome),
-                ..
-            }) = record
-            {
-                return outcome.clone();
+        let now = self.options.clock.now();
+        while let Some(slot) = state.runners.reserve(service, now) {
+            let selection = state.queue.next(service, now);
+            for (refused, code) in selection.refused {
+                if let Some(sender) = state.waiting.swap_remove(&refused.key) {
+                    let message = "refused before it got a slot";
+                    let _ = sender.send(Err(RequestError::did_not_run(code, message)));
+                }
             }
-            let remaining = submission
-                .deadline
-                .saturating_duration_since(self.options.clock.now());
-            if remaining.is_zero() {
-                let message = "the deadline passed while an earlier attempt was running";
-                return Err(RequestError::may_have_run(
-                    ErrorCode::DeadlineExceeded,
-                    message,
-                ));
+            let sender = selection
+                .chosen
+                .and_then(|chosen| state.waiting.swap_remove(&chosen.key));
+            let Some(sender) = sender else {
+                state
+                    .runners
+                    .release(&slot.worker, slot.incarnation, slot.epoch);
+                return;
+            };
+            if let Err(unsent) = sender.send(Ok(slot))
+                && let Ok(slot) = unsent.into_inner()
+            {
+                state
+                    .runners
+                    .release(&slot.worker, slot.incarnation, slot.epoch);
             }
-            placement = self.completed.wait_timeout(placement, remaining).unwrap().0;
         }
     }
 
-    fn wait_for_slot(&self, queued: &QueuedRequest) -> Result<Admission, RequestError> {
-        let (sender, receiver) = bounded(1);
-        {
-            let mut state = self.state.lock().unwrap();
-            if state.waiting.contains_key(&queued.key) {
-                return Ok(Admission::Duplicate);
-            }
-            let now = self.options.clock.now();
-            state.queue.admit(queued.clone(), now)?;
-            state.waiting.insert(queued.key.clone(), sender);
-            self.assign_slots(&mut state);
-        }
-        if let Ok(assigned) = receiver.recv_deadline(queued.deadline) {
-            return assigned.map(Admission::Slot);
+    fn assign_all(&self, state: &mut PlacerState) {
+        if state.queue.is_empty() {
+            return;
         }
-        let mut state = self.state.lock().unwrap();
-        if state.queue.cancel(&queued.key) {
-            state.waiting.swap_remove(&queued.key);
-            let message = "the deadline passed before a slot was free";
-            return Err(RequestError::did_not_run(
-                ErrorCode::DeadlineExceeded,
-                message,
-            ));
+        for service in state.runners.services() {
+            self.assign_slots(state, &service);
         }
-        drop(state);
-        // The slot was assigned between the timeout and the lock.
-        receiver
-            .recv()
-            .unwrap_or_else(|_| Err(lost_assignment()))
-            .map(Admission::Slot)
     }
 
-    /// Hands free slots to waiting requests.
-    fn assign_slots(&self, state: &mut PlacerState) {
-        let now = self.options.clock.now();
-        for service in state.runners.services() {
-            while let Some(slot) = state.runners.reserve(&service, now) {
-                let selection = state.queue.next(&service, now);
-                for (refused, code) in selection.refused {
-                    if let Some(sender) = state.waiting.swap_remove(&refused.key) {
-                        let message = "refused before it got a slot";
-                        let _ = sender.send(Err(RequestError::did_not_run(code, message)));
-                    }
-                }
-                let sender = selection
-                    .chosen
-                    .and_then(|chosen| state.waiting.swap_remove(&chosen.key));
-                let Some(sender) = sender else {
-                    state.runners.release(&slot);
-                    break;
-                };
-                let _ = sender.send(Ok(slot));
-            }
-        }
+    /// Whether the intent of the slot's task took effect.
+    fn is_latest_attempt(&self, key: &str, slot: &RunnerSlot) -> bool {
+        let placement = self.options.journal.state.lock().unwrap();
+        let record = placement.keys.get(key);
+        record.is_some_and(|record| record.task == slot.task)
     }
 
-    /// Commits the intent, dispatches, and commits the completion.
-    fn run(
+    fn commit_completion(
         &self,
-        submission: &Submission,
-        digest: RequestDigest,
-        queued: &QueuedRequest,
-        slot: &RunnerSlot,
-    ) -> Outcome {
-        let epoch = self.epoch()?;
-        let intent = PlacementRecord::intent(submission, digest, slot, epoch);
-        (self.options.journal.append)(intent).map_err(|error| error.before_dispatch())?;
-        let wait = self
-            .options
-            .clock
-            .now()
-            .saturating_duration_since(queued.admitted_at);
-        let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
-        let outcome = dispatch::run_task(&self.options, submission, slot, epoch)
-            .map(|body| Answer { body, wait_us });
-        let completion = PlacementRecord::Completion {
-            key: submission.key.clone(),
+        key: &str,
+        task: &str,
+        outcome: &Outcome,
+        over: bool,
+    ) -> Result<(), JournalError> {
+        let now_unix_ms = self.options.clock.unix_ms();
+        let retention_ms = self.options.timing.key_retention_ms;
+        let completion = Completion {
+            key: key.to_owned(),
+            task: task.to_owned(),
             outcome: outcome.clone(),
+            over,
+            now_unix_ms,
+            keep_until_unix_ms: key::keep_until_unix_ms(key, now_unix_ms, retention_ms),
+            max_answer_bytes: self.options.limits.max_answer_bytes as u64,
         };
-        let committed = (self.options.journal.append)(completion);
-        self.completed.notify_all();
-        committed.map_err(|error| error.after_dispatch())?;
-        outcome
+        (self.options.journal.append)(PlacementRecord::Completion(completion))
+    }
+
+    /// Ends a flight after its outcome was committed.
+    fn land(&self, key: &str, flight: &Arc<Flight>, end: FlightEnd) {
+        {
+            let mut state = self.state.lock().unwrap();
+            if state.owns(key, flight) {
+                state.flights.swap_remove(key);
+            }
+        }
+        flight.finish(end);
     }
 
     fn release(&self, queued: &QueuedRequest, slot: &RunnerSlot) {
         let now = self.options.clock.now();
         let mut state = self.state.lock().unwrap();
-        state.runners.release(slot);
+        state
+            .runners
+            .release(&slot.worker, slot.incarnation, slot.epoch);
         state.queue.finished(queued, slot.reserved_at, now);
-        self.assign_slots(&mut state);
+        self.assign_slots(&mut state, &queued.service);
+    }
+
+    fn release_adopted(&self, followed: &Followed) {
+        let mut state = self.state.lock().unwrap();
+        state
+            .runners
+            .release(&followed.worker, followed.incarnation, followed.epoch);
+        self.assign_all(&mut state);
+    }
+
+    fn avoid(&self, slot: &RunnerSlot) {
+        let until = self.options.clock.now() + AVOID_FOR;
+        self.state
+            .lock()
+            .unwrap()
+            .runners
+            .avoid(&slot.worker, until);
+    }
+
+    /// What is known about the incarnation; `None` when the epoch has ended here.
+    fn fate(&self, worker: &str, incarnation: Incarnation, epoch: Epoch) -> Option<Fate> {
+        let state = self.state.lock().unwrap();
+        if state.epoch != Some(epoch) {
+            return None;
+        }
+        let margin = Duration::from_millis(self.options.timing.clock_margin_ms);
+        let now = self.options.clock.now();
+        Some(state.runners.fate(worker, incarnation, margin, now))
+    }
+
+    fn deposit(&self, member: &str, worker: &str) {
+        self.state.lock().unwrap().budgets.deposit(member, worker);
+    }
+
+    fn withdraw(&self, member: &str, worker: &str) -> bool {
+        self.state.lock().unwrap().budgets.withdraw(member, worker)
     }
 
     /// Requests that wait for a slot.
@@ -330,7 +350,7 @@
     pub fn wait_until_idle(&self, deadline: Instant) -> bool {
         loop {
             let state = self.state.lock().unwrap();
-            if state.queue.is_empty() && state.runners.busy_slots() == 0 {
+            if state.flights.is_empty() && state.runners.busy_slots() == 0 {
                 return true;
             }
             drop(state);
@@ -342,14 +362,28 @@
     }
 }
 
-enum Admission {
-    Slot(RunnerSlot),
-    Duplicate,
+impl PlacerState {
+    /// Whether the flight is the one registered for the key.
+    fn owns(&self, key: &str, flight: &Arc<Flight>) -> bool {
+        self.flights
+            .get(key)
+            .is_some_and(|present| Arc::ptr_eq(present, flight))
+    }
+}
+
+/// Error of a request that reached a host which is not the placer.
+fn not_placer() -> RequestError {
+    RequestError::did_not_run(ErrorCode::Unavailable, "this host is not the placer")
+        .retry_after_ms(NOT_PLACER_RETRY_MS)
+}
+
+/// Whether the error says that the host was not the placer, so that another host may be.
+pub fn is_not_placer(error: &RequestError) -> bool {
+    error.code == ErrorCode::Unavailable
+        && error.verdict == Verdict::DidNotRun
+        && error.retry_after_ms == Some(NOT_PLACER_RETRY_MS)
 }
 
-fn lost_assignment() -> RequestError {
-    RequestError::did_not_run(
-        ErrorCode::Internal,
-        "the request lost its place in the queue",
-    )
+fn still_open() -> RequestError {
+    RequestError::may_have_run(ErrorCode::Unavailable, "still waiting or running")
 }
