feature: a replicated log for configuration and placement

Cause: the placement log was one host's memory; a lost host lost all key records.

Voters are identified by host and incarnation of their storage. A host that lost its storage does not vote until the leader has replaced its incarnation by two membership entries and it has caught up. The steps are methods of the locked state, so that tests drive them without threads.

Conclusion: complete enough to carry the placement log.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod placer;
 pub mod protocol;
+pub mod replication;
 pub mod resources;
 pub mod scheduling;
 pub mod telemetry;
--- /dev/null
+++ b/src/replication/replica.rs
@@ -0,0 +1,392 @@
+//! A running replica: its threads and its interface.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::RecvTimeoutError;
+use indexmap::IndexMap;
+
+use super::log::{Index, Term};
+use super::membership::Membership;
+use super::peer::Prepared;
+use super::propose::{Committed, Outcome, Proposal, ProposeError};
+use super::state::{Role, State};
+use super::storage::{Storage, StorageError};
+use super::{ReplicaOptions, SendMessage};
+use crate::clock::Clock;
+use crate::ids::{Epoch, HostId, Incarnation};
+
+/// Steps of the timer thread within one heartbeat interval.
+const TICKS_PER_HEARTBEAT: u32 = 4;
+/// Interval in which a blocked call looks at the membership.
+const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What a replica is doing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReplicaPhase {
+    /// Waits for the formation of the group or for its re-admission.
+    Joining,
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+    /// Stopped voting after a storage failure, or was shut down.
+    Faulty(String),
+}
+
+/// A view of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaStatus {
+    /// What it is doing.
+    pub phase: ReplicaPhase,
+    /// Identity of its storage.
+    pub incarnation: Incarnation,
+    /// Latest term.
+    pub term: Term,
+    /// Leader, when known.
+    pub leader: Option<HostId>,
+    /// Last committed entry that is known here.
+    pub commit: Index,
+    /// Last applied entry.
+    pub applied: Index,
+    /// Last entry.
+    pub last_index: Index,
+    /// Entries kept in the log.
+    pub log_entries: u64,
+    /// Membership in effect.
+    pub membership: Membership,
+}
+
+/// A replica and its threads.
+pub struct Replica<T> {
+    shared: Arc<Shared<T>>,
+}
+
+struct Shared<T> {
+    state: Mutex<State<T>>,
+    /// Signalled when peer threads or the sync thread may have something to do.
+    work: Condvar,
+    send: SendMessage,
+    clock: Clock,
+    /// Whether the role is that of the leader; spares other hosts the lock of the state.
+    leading: AtomicBool,
+    stopping: AtomicBool,
+    /// Threads by name.
+    threads: Mutex<IndexMap<String, JoinHandle<()>>>,
+}
+
+impl<T: Send + 'static> Replica<T> {
+    /// Opens the storage and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] when the storage is damaged, in use or fails.
+    pub fn start(options: ReplicaOptions<T>) -> Result<Self, StorageError> {
+        let (send, clock) = (Arc::clone(&options.send), options.clock.clone());
+        let tick = options.timing.heartbeat_interval / TICKS_PER_HEARTBEAT;
+        let state = State::open(options, clock.now())?;
+        let needs_sync = state.storage.needs_sync();
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            work: Condvar::new(),
+            send,
+            clock,
+            leading: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            threads: Mutex::new(IndexMap::new()),
+        });
+        shared.step(State::tick);
+        shared.spawn("timer", move |shared| shared.run_timer(tick));
+        if needs_sync {
+            shared.spawn("sync", |shared| shared.run_sync());
+        }
+        shared.spawn_peer_threads();
+        Ok(Self { shared })
+    }
+
+    /// Answers a call of another host.
+    pub fn handle(&self, from: &str, bytes: &[u8]) -> Vec<u8> {
+        self.shared
+            .step(|state, now| state.handle(from, bytes, now))
+    }
+
+    /// Appends a command and waits until it is committed and applied here.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError`], which tells whether the command may be committed nevertheless.
+    pub fn propose(
+        &self,
+        command: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<Proposal<T>, ProposeError> {
+        let outcome = self.shared.step(|state, now| state.propose(command, now))?;
+        let committed = self.wait(&outcome, deadline)?;
+        let output = committed
+            .output
+            .ok_or_else(|| ProposeError::Unknown("the command was not applied".to_owned()))?;
+        Ok(Proposal {
+            index: committed.index,
+            output,
+        })
+    }
+
+    fn wait(&self, outcome: &Outcome<T>, deadline: Instant) -> Result<Committed<T>, ProposeError> {
+        outcome.recv_deadline(deadline).unwrap_or_else(|error| {
+            let reason = match error {
+                RecvTimeoutError::Timeout => "the deadline passed",
+                RecvTimeoutError::Disconnected => "the replica ended",
+            };
+            Err(ProposeError::Unknown(reason.to_owned()))
+        })
+    }
+
+    /// Epoch while this host leads: its first entry is committed and applied, and it has heard
+    /// from a majority within the election timeout. Each leader has a larger epoch than all
+    /// earlier ones, also after the group was lost and formed again, as long as the wall clock
+    /// of the hosts was not set back.
+    pub fn leadership(&self) -> Option<Epoch> {
+        if !self.shared.leading.load(Ordering::Acquire) {
+            return None;
+        }
+        self.shared.lock().leadership(self.shared.clock.now())
+    }
+
+    /// Leader, when known.
+    pub fn leader_hint(&self) -> Option<HostId> {
+        self.shared.lock().leader.clone()
+    }
+
+    /// What the replica is doing.
+    pub fn status(&self) -> ReplicaStatus {
+        let state = self.shared.lock();
+        let phase = match (&state.fault, state.role) {
+            (Some(reason), _) => ReplicaPhase::Faulty(reason.clone()),
+            (None, _) if state.hard.group == 0 => ReplicaPhase::Joining,
+            (None, Role::Follower) => ReplicaPhase::Follower,
+            (None, Role::Candidate(_)) => ReplicaPhase::Candidate,
+            (None, Role::Leader) => ReplicaPhase::Leader,
+        };
+        ReplicaStatus {
+            phase,
+            incarnation: state.hard.incarnation,
+            term: state.hard.term,
+            leader: state.leader.clone(),
+            commit: state.commit,
+            applied: state.applied,
+            last_index: state.log.last_index(),
+            log_entries: state.log.last_index() - state.log.base_index(),
+            membership: state.log.membership().clone(),
+        }
+    }
+
+    /// Adds a host as learner and waits until it is a member.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError::NotLeader`], or `Unknown` when the host did not answer in time.
+    pub fn add_learner(&self, host: &str, deadline: Instant) -> Result<(), ProposeError> {
+        self.shared.step(|state, _| {
+            if state.role != Role::Leader {
+                return Err(state.not_leader());
+            }
+            state.wanted_learners.insert(host.to_owned());
+            state.update_peers();
+            Ok(())
+        })?;
+        self.wait_until(deadline, |state| {
+            let committed = state.log.membership_at(state.commit);
+            (committed.get(host).is_some()).then_some(Ok(()))
+        })
+    }
+
+    /// Makes a learner that has caught up a voter, and waits until this is committed.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError`].
+    pub fn promote(&self, host: &str, deadline: Instant) -> Result<(), ProposeError> {
+        let outcome = self.shared.step(|state, now| state.promote(host, now))?;
+        self.wait(&outcome, deadline).map(|_| ())
+    }
+
+    /// Removes a member, and waits until this is committed.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError`].
+    pub fn remove(&self, host: &str, deadline: Instant) -> Result<(), ProposeError> {
+        let outcome = self.shared.step(|state, now| state.remove(host, now))?;
+        self.wait(&outcome, deadline).map(|_| ())
+    }
+
+    /// Hands the leadership to a voter, or to the one with the most entries. Returns once this
+    /// host no longer leads.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError`]; the leadership is kept after the deadline.
+    pub fn transfer_leadership(
+        &self,
+        target: Option<HostId>,
+        deadline: Instant,
+    ) -> Result<(), ProposeError> {
+        self.shared
+            .step(|state, _| state.start_transfer(target, deadline))?;
+        self.wait_until(deadline, |state| {
+            (state.role != Role::Leader).then_some(Ok(()))
+        })
+    }
+
+    fn wait_until(
+        &self,
+        deadline: Instant,
+        check: impl Fn(&State<T>) -> Option<Result<(), ProposeError>>,
+    ) -> Result<(), ProposeError> {
+        loop {
+            if let Some(result) = check(&self.shared.lock()) {
+                return result;
+            }
+            if self.shared.clock.now() >= deadline {
+                return Err(ProposeError::Unknown("the deadline passed".to_owned()));
+            }
+            thread::sleep(MEMBERSHIP_CHECK_INTERVAL);
+        }
+    }
+
+    /// Stops abruptly: no further call is answered, and the storage is closed. Proposals that
+    /// wait end as `Unknown`. Returns after the threads have ended.
+    pub fn shutdown(&self) {
+        self.shared.stop();
+        let threads = std::mem::take(&mut *self.shared.threads.lock().unwrap());
+        for (_, thread) in threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl<T> Drop for Replica<T> {
+    fn drop(&mut self) {
+        self.shared.stop();
+    }
+}
+
+impl<T> Shared<T> {
+    fn lock(&self) -> MutexGuard<'_, State<T>> {
+        self.state.lock().unwrap()
+    }
+
+    fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        let mut state = self.lock();
+        state.stop("the replica was shut down");
+        // Releases the lock of the folder.
+        state.storage = Storage::Memory;
+        self.leading.store(false, Ordering::Release);
+        self.work.notify_all();
+    }
+
+    /// Runs one step and wakes the threads that may have to act on it.
+    fn step<R>(&self, run: impl FnOnce(&mut State<T>, Instant) -> R) -> R {
+        let mut state = self.lock();
+        let result = run(&mut state, self.clock.now());
+        let leading = state.role == Role::Leader;
+        self.leading.store(leading, Ordering::Release);
+        drop(state);
+        self.work.notify_all();
+        result
+    }
+}
+
+impl<T: Send + 'static> Shared<T> {
+    fn spawn(self: &Arc<Self>, name: &str, run: impl FnOnce(Arc<Self>) + Send + 'static) {
+        let shared = Arc::clone(self);
+        let mut threads = self.threads.lock().unwrap();
+        if self.stopping.load(Ordering::Acquire) {
+            return;
+        }
+        let spawned = thread::Builder::new()
+            .name(format!("replica-{name}"))
+            .spawn(move || run(shared));
+        match spawned {
+            Ok(thread) => {
+                threads.insert(name.to_owned(), thread);
+            }
+            Err(error) => log::error!("cannot start the thread of {name}: {error}"),
+        }
+    }
+
+    /// Starts the threads of peers that have none.
+    fn spawn_peer_threads(self: &Arc<Self>) {
+        let hosts: Vec<HostId> = self.lock().peers.keys().cloned().collect();
+        for host in hosts {
+            let name = format!("to-{host}");
+            let running = {
+                let threads = self.threads.lock().unwrap();
+                threads
+                    .get(&name)
+                    .is_some_and(|thread| !thread.is_finished())
+            };
+            if !running {
+                self.spawn(&name, move |shared| shared.run_peer(&host));
+            }
+        }
+    }
+
+    fn run_timer(self: &Arc<Self>, tick: Duration) {
+        while !self.stopping.load(Ordering::Acquire) {
+            self.step(State::tick);
+            self.spawn_peer_threads();
+            thread::sleep(tick);
+        }
+    }
+
+    /// Calls one host whenever there is something to send.
+    fn run_peer(&self, host: &str) {
+        let mut state = self.lock();
+        while !self.stopping.load(Ordering::Acquire) {
+            let now = self.clock.now();
+            let call = match state.prepare(host, now) {
+                Prepared::Gone => return,
+                Prepared::WaitUntil(until) => {
+                    let timeout = until.saturating_duration_since(now);
+                    state = self.work.wait_timeout(state, timeout).unwrap().0;
+                    continue;
+                }
+                Prepared::Send(call) => call,
+            };
+            drop(state);
+            let reply = (self.send)(&call.host, call.bytes.clone(), call.deadline);
+            if let Err(reason) = &reply {
+                log::debug!("call to {host} failed: {reason}");
+            }
+            let reply = reply.ok();
+            self.step(|state, now| state.complete(&call, reply.as_deref(), now));
+            state = self.lock();
+        }
+    }
+
+    /// Syncs entries of the leader; those that arrive during a sync share the next one.
+    fn run_sync(&self) {
+        let mut state = self.lock();
+        while !self.stopping.load(Ordering::Acquire) {
+            let sync = if state.has_unsynced() {
+                state.begin_sync()
+            } else {
+                None
+            };
+            let Some(sync) = sync else {
+                state = self.work.wait(state).unwrap();
+                continue;
+            };
+            drop(state);
+            let result = sync.run();
+            self.step(|state, now| state.finish_sync(&sync, result, now));
+            state = self.lock();
+        }
+    }
+}
--- /dev/null
+++ b/src/replication/snapshots.rs
@@ -0,0 +1,210 @@
+//! Snapshots: bounding the log, and catch-up of hosts that are far behind.
+
+use std::time::Instant;
+
+use super::formation::FORMATION_INDEX;
+use super::log::{Index, Log, Term};
+use super::membership::Membership;
+use super::message::{GroupId, Reply, Request};
+use super::peer::CallKind;
+use super::propose::ProposeError;
+use super::state::State;
+use super::storage::Snapshot;
+
+/// Share of `max_log_entries` that is kept after a snapshot for followers that lag a little.
+const RETAINED_SHARE: u64 = 8;
+
+/// A snapshot of which chunks have arrived.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    term: Term,
+    index: Index,
+    bytes: Vec<u8>,
+}
+
+impl<T> State<T> {
+    /// Takes a snapshot once the log exceeds its bounds.
+    pub(super) fn compact_if_large(&mut self) {
+        let limits = &self.options.limits;
+        let entries = self.applied - self.snapshot.index;
+        let large = self.log.size_bytes() >= limits.max_log_bytes && entries > 0;
+        if entries >= limits.max_log_entries || large {
+            self.take_snapshot();
+        }
+    }
+
+    fn take_snapshot(&mut self) {
+        let index = self.applied;
+        let snapshot = Snapshot {
+            group: self.hard.group,
+            index,
+            term: self.log.term_at(index).unwrap_or(0),
+            membership: self.log.membership_at(index).clone(),
+            state: Some((self.options.machine.snapshot)()),
+            formation: self.snapshot.formation.clone(),
+        };
+        if !self.save_snapshot(snapshot) {
+            return;
+        }
+        let limits = &self.options.limits;
+        let retained = limits.max_log_entries / RETAINED_SHARE;
+        let keep_from = index.saturating_sub(retained);
+        let base = if self.log.size_bytes() >= limits.max_log_bytes / 2 {
+            index
+        } else {
+            keep_from
+        };
+        self.log.compact(base.max(self.log.base_index()));
+    }
+
+    /// Saves a snapshot with the entries after it.
+    fn save_snapshot(&mut self, snapshot: Snapshot) -> bool {
+        let entries: Vec<_> = self
+            .log
+            .entries()
+            .filter(|entry| entry.index > snapshot.index)
+            .cloned()
+            .collect();
+        let saved = self.storage.save_snapshot(&snapshot, &entries);
+        if self.checked(saved).is_none() {
+            return false;
+        }
+        self.snapshot = snapshot;
+        self.durable = self.log.last_index();
+        self.sync_generation += 1;
+        true
+    }
+
+    /// Next chunk for a host whose next entry is no longer in the log.
+    pub(super) fn snapshot_request(&mut self, host: &str) -> (CallKind, Request) {
+        let peer = &mut self.peers[host];
+        if peer.snapshot_index != self.snapshot.index {
+            peer.snapshot_index = self.snapshot.index;
+            peer.snapshot_offset = 0;
+        }
+        let state = self.snapshot.state.as_deref().unwrap_or_default();
+        let start = usize::try_from(peer.snapshot_offset)
+            .map_or(state.len(), |offset| offset.min(state.len()));
+        let end = state.len().min(start + self.options.limits.chunk_bytes);
+        let kind = CallKind::Snapshot {
+            index: self.snapshot.index,
+            total_bytes: state.len() as u64,
+        };
+        let request = Request::Snapshot {
+            index: self.snapshot.index,
+            index_term: self.snapshot.term,
+            membership: self.snapshot.membership.clone(),
+            formation: self.snapshot.formation.clone(),
+            total_bytes: state.len() as u64,
+            checksum: crc32fast::hash(state),
+            offset: start as u64,
+            chunk: state[start..end].to_vec(),
+        };
+        (kind, request)
+    }
+
+    /// Tells an empty voter of the formation.
+    pub(super) fn form_request(&self) -> Option<(CallKind, Request)> {
+        let membership = self.snapshot.formation.membership.clone();
+        (self.hard.group != 0).then_some((CallKind::Form, Request::Form { membership }))
+    }
+
+    /// Takes one chunk from the leader.
+    pub(super) fn handle_snapshot(
+        &mut self,
+        group: GroupId,
+        term: Term,
+        request: Request,
+        now: Instant,
+    ) -> Reply {
+        let Request::Snapshot {
+            index,
+            index_term,
+            membership,
+            formation,
+            total_bytes,
+            checksum,
+            offset,
+            chunk,
+        } = request
+        else {
+            return Reply::Rejected;
+        };
+        if index <= self.commit {
+            return Reply::Received {
+                offset: total_bytes,
+            };
+        }
+        let incoming = match self.incoming.take() {
+            Some(incoming) if incoming.term == term && incoming.index == index => incoming,
+            _ => Incoming {
+                term,
+                index,
+                bytes: Vec::new(),
+            },
+        };
+        let incoming = self.incoming.insert(incoming);
+        if offset == incoming.bytes.len() as u64 {
+            incoming.bytes.extend_from_slice(&chunk);
+        }
+        let received = incoming.bytes.len() as u64;
+        if received < total_bytes {
+            return Reply::Received { offset: received };
+        }
+        let bytes = self.incoming.take().map(|incoming| incoming.bytes);
+        let bytes = bytes.unwrap_or_default();
+        if received != total_bytes || crc32fast::hash(&bytes) != checksum {
+            return Reply::Received { offset: 0 };
+        }
+        let snapshot = Snapshot {
+            group,
+            index,
+            term: index_term,
+            membership,
+            state: (index > FORMATION_INDEX).then_some(bytes),
+            formation,
+        };
+        if self.install(snapshot, now) {
+            Reply::Received {
+                offset: total_bytes,
+            }
+        } else {
+            Reply::Rejected
+        }
+    }
+
+    /// Replaces the state of the machine and the log up to the snapshot.
+    fn install(&mut self, snapshot: Snapshot, now: Instant) -> bool {
+        let (group, index, term) = (snapshot.group, snapshot.index, snapshot.term);
+        let membership: Membership = snapshot.membership.clone();
+        if self.log.term_at(index) == Some(term) {
+            self.log.compact(index);
+        } else {
+            self.log = Log::new(index, term, membership);
+        }
+        if let Some(bytes) = &snapshot.state {
+            (self.options.machine.restore)(bytes);
+        }
+        if !self.save_snapshot(snapshot) {
+            return false;
+        }
+        self.commit = index;
+        self.applied = index;
+        if self.hard.group != group {
+            self.hard.group = group;
+            if !self.save_hard_state() {
+                return false;
+            }
+        }
+        while let Some(first) = self.waiters.first_entry() {
+            if first.key().0 > index {
+                break;
+            }
+            let reason = "overtaken by a snapshot of another leader".to_owned();
+            let _ = first.remove().send(Err(ProposeError::Unknown(reason)));
+        }
+        self.update_peers();
+        self.reset_election_deadline(now);
+        true
+    }
+}
--- /dev/null
+++ b/src/replication/tests/harness.rs
@@ -0,0 +1,520 @@
+//! Replicas without threads over a simulated network, clock and disk.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::clock::Clock;
+use crate::ids::HostId;
+use crate::replication::image::SharedImage;
+use crate::replication::log::{Index, Term};
+use crate::replication::membership::MemberRole;
+use crate::replication::message::{decode, encode};
+use crate::replication::peer::{Outgoing, Prepared};
+use crate::replication::propose::{Outcome, ProposeError};
+use crate::replication::state::{Role, State};
+use crate::replication::{Limits, ReplicaOptions, StateMachine, StorageOptions, Timing};
+
+/// Commands in the order in which a machine applied them.
+pub type Applied = Arc<Mutex<Vec<(Index, Vec<u8>)>>>;
+
+/// A machine that remembers its commands.
+pub fn recorder(applied: &Applied) -> StateMachine<Index> {
+    let (add, read, write) = (
+        Arc::clone(applied),
+        Arc::clone(applied),
+        Arc::clone(applied),
+    );
+    StateMachine {
+        apply: Box::new(move |index, command| {
+            add.lock().unwrap().push((index, command.to_vec()));
+            index
+        }),
+        snapshot: Box::new(move || encode(&*read.lock().unwrap())),
+        restore: Box::new(move |bytes| {
+            *write.lock().unwrap() = decode(bytes).expect("the snapshot is whole");
+        }),
+    }
+}
+
+/// Bounds that make snapshots and chunks frequent.
+pub fn small_limits() -> Limits {
+    Limits {
+        max_batch_bytes: 200,
+        chunk_bytes: 64,
+        max_log_entries: 24,
+        ..Limits::default()
+    }
+}
+
+pub struct Node {
+    pub host: HostId,
+    pub state: Option<State<Index>>,
+    pub applied: Applied,
+    /// Present on hosts with a disk.
+    image: Option<SharedImage>,
+    may_lead: bool,
+    paused_until: Option<Instant>,
+    calls: BTreeMap<u64, Outgoing>,
+    /// Applied commands that were compared with the ledger, and the last applied index.
+    checked: (usize, Index),
+    checked_commit: Index,
+}
+
+enum Packet {
+    Request(Vec<u8>),
+    Reply(Vec<u8>),
+}
+
+struct InTransit {
+    at: Instant,
+    call: u64,
+    from: usize,
+    to: usize,
+    packet: Packet,
+}
+
+struct Pending {
+    command: Vec<u8>,
+    outcome: Outcome<Index>,
+}
+
+pub struct Cluster {
+    pub now: Instant,
+    start: Instant,
+    pub nodes: Vec<Node>,
+    pub rng: StdRng,
+    transit: Vec<InTransit>,
+    next_call: u64,
+    /// Directed pairs that lose everything.
+    cuts: Vec<(usize, usize)>,
+    /// Share of lost and of duplicated packets, in percent.
+    pub loss_percent: u32,
+    pending: Vec<Pending>,
+    proposed: u64,
+    /// Commands in the order of their commitment.
+    pub ledger: Vec<(Index, Vec<u8>)>,
+    /// Commands that were reported as certainly not committed.
+    refused: Vec<Vec<u8>>,
+    pub confirmed: Vec<(Index, Vec<u8>)>,
+    committed_terms: BTreeMap<Index, Term>,
+    leaders: BTreeMap<Term, HostId>,
+}
+
+impl Cluster {
+    /// Hosts `a`, `b`, ... in the order of `disks`; the last one is a witness when asked for.
+    pub fn new(seed: u64, disks: &[bool], witness: bool) -> Self {
+        let now = Instant::now();
+        let count = disks.len();
+        let nodes = disks.iter().enumerate().map(|(position, disk)| Node {
+            host: host_name(position),
+            state: None,
+            applied: Applied::default(),
+            image: disk.then(SharedImage::default),
+            may_lead: !witness || position + 1 < count,
+            paused_until: None,
+            calls: BTreeMap::new(),
+            checked: (0, 0),
+            checked_commit: 0,
+        });
+        let mut cluster = Self {
+            now,
+            start: now,
+            nodes: nodes.collect(),
+            rng: StdRng::seed_from_u64(seed),
+            transit: Vec::new(),
+            next_call: 0,
+            cuts: Vec::new(),
+            loss_percent: 0,
+            pending: Vec::new(),
+            proposed: 0,
+            ledger: Vec::new(),
+            refused: Vec::new(),
+            confirmed: Vec::new(),
+            committed_terms: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+        };
+        for position in 0..count {
+            cluster.start(position);
+        }
+        cluster
+    }
+
+    pub fn start(&mut self, position: usize) {
+        let voters = (0..self.nodes.len()).map(host_name).collect();
+        self.start_with(position, voters);
+    }
+
+    /// Starts a host with the given initial voters.
+    pub fn start_with(&mut self, position: usize, initial_voters: Vec<HostId>) {
+        if self.nodes[position].state.is_some() {
+            return;
+        }
+        let wall = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000) + (self.now - self.start);
+        let now = self.now;
+        let seed = self.rng.random();
+        let node = &mut self.nodes[position];
+        node.applied = Applied::default();
+        node.checked = (0, 0);
+        node.paused_until = None;
+        let image = node.image.clone();
+        let options = ReplicaOptions {
+            group: "test".to_owned(),
+            host: node.host.clone(),
+            initial_voters,
+            may_lead: node.may_lead,
+            storage: image.map_or(StorageOptions::Memory, StorageOptions::Image),
+            clock: Clock::new(move || now, move || wall),
+            timing: Timing::default(),
+            limits: small_limits(),
+            seed,
+            send: Arc::new(|_, _, _| Err("the harness sends".to_owned())),
+            machine: recorder(&node.applied),
+        };
+        node.state = Some(State::open(options, now).expect("the image is whole"));
+    }
+
+    /// Ends a host abruptly; entries that were not synced may be lost.
+    pub fn crash(&mut self, position: usize) {
+        let keep_unsynced = self.rng.random();
+        let node = &mut self.nodes[position];
+        node.state = None;
+        node.calls.clear();
+        if let Some(image) = &node.image {
+            image.lock().unwrap().crash(keep_unsynced);
+        }
+    }
+
+    /// Forgets what was committed, after the loss of all storage.
+    pub fn forget(&mut self) {
+        self.ledger.clear();
+        self.confirmed.clear();
+        self.committed_terms.clear();
+        self.transit.clear();
+    }
+
+    /// Ends a host and empties its disk.
+    pub fn lose_disk(&mut self, position: usize) {
+        self.crash(position);
+        let node = &mut self.nodes[position];
+        if node.image.is_some() {
+            node.image = Some(SharedImage::default());
+        }
+    }
+
+    pub fn has_disk(&self, position: usize) -> bool {
+        self.nodes[position].image.is_some()
+    }
+
+    pub fn pause(&mut self, position: usize, time: Duration) {
+        self.nodes[position].paused_until = Some(self.now + time);
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.push((from, to));
+    }
+
+    /// Cuts a host off in both directions.
+    pub fn isolate(&mut self, position: usize) {
+        for other in 0..self.nodes.len() {
+            self.cut(position, other);
+            self.cut(other, position);
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss_percent = 0;
+    }
+
+    /// The host that may take proposals now.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.nodes.len()).find(|position| self.leads(*position))
+    }
+
+    fn leads(&self, position: usize) -> bool {
+        let state = self.nodes[position].state.as_ref();
+        state.is_some_and(|state| state.leadership(self.now).is_some())
+    }
+
+    /// Whether a leader confirms that every host votes with its present storage. Only then can
+    /// one storage be lost without the loss of a committed entry.
+    pub fn is_whole(&self) -> bool {
+        let leader = self
+            .leader()
+            .and_then(|leader| self.nodes[leader].state.as_ref());
+        let Some(leader) = leader else { return false };
+        let membership = leader.log.membership_at(leader.commit);
+        self.nodes.iter().all(|node| {
+            let state = node.state.as_ref();
+            state.is_some_and(|state| membership.is_voter(&node.host, state.hard.incarnation))
+        })
+    }
+
+    pub fn role_of(&self, leader: usize, host: &str) -> Option<MemberRole> {
+        let state = self.nodes[leader].state.as_ref()?;
+        state.log.membership().get(host).map(|member| member.role)
+    }
+
+    /// Proposes a fresh command at a host.
+    pub fn propose(&mut self, position: usize) {
+        let now = self.now;
+        let command = format!("command {}", self.proposed).into_bytes();
+        self.proposed += 1;
+        let Some(state) = self.nodes[position].state.as_mut() else {
+            return;
+        };
+        match state.propose(command.clone(), now) {
+            Ok(outcome) => self.pending.push(Pending { command, outcome }),
+            Err(error) => {
+                assert!(error.is_certainly_not_committed());
+                self.refused.push(command);
+            }
+        }
+    }
+
+    /// Lets the time pass in small steps.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(self.rng.random_range(1..=20));
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds; fails after a minute of simulated time.
+    pub fn run_until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = self.now + Duration::from_secs(60);
+        while !condition(self) {
+            assert!(self.now < end, "not reached within a minute: {what}");
+            self.run(Duration::from_millis(10));
+        }
+    }
+
+    fn step(&mut self) {
+        for position in 0..self.nodes.len() {
+            if !self.runs(position) {
+                continue;
+            }
+            self.expire_calls(position);
+            let now = self.now;
+            let sync = self.rng.random_bool(0.7);
+            let state = self.nodes[position].state.as_mut().unwrap();
+            state.tick(now);
+            if sync && state.has_unsynced() && state.sync_now() {
+                state.advance_commit(now);
+            }
+            self.send_calls(position);
+        }
+        self.deliver();
+        self.check();
+    }
+
+    fn runs(&self, position: usize) -> bool {
+        let node = &self.nodes[position];
+        node.state.is_some() && node.paused_until.is_none_or(|until| self.now >= until)
+    }
+
+    fn expire_calls(&mut self, position: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[position];
+        let expired = node.calls.iter().filter(|(_, call)| call.deadline <= now);
+        let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
+        for id in expired {
+            let call = node.calls.remove(&id).unwrap();
+            node.state.as_mut().unwrap().complete(&call, None, now);
+        }
+    }
+
+    fn send_calls(&mut self, position: usize) {
+        let now = self.now;
+        for to in 0..self.nodes.len() {
+            let host = host_name(to);
+            let state = self.nodes[position].state.as_mut().unwrap();
+            let Prepared::Send(call) = state.prepare(&host, now) else {
+                continue;
+            };
+            let id = self.next_call;
+            self.next_call += 1;
+            let request = call.bytes.clone();
+            self.nodes[position].calls.insert(id, call);
+            self.transmit(id, position, to, &request, Packet::Request);
+        }
+    }
+
+    fn transmit(
+        &mut self,
+        call: u64,
+        from: usize,
+        to: usize,
+        bytes: &[u8],
+        packet: fn(Vec<u8>) -> Packet,
+    ) {
+        let copies = match self.rng.random_range(0..100) {
+            roll if roll < self.loss_percent => 0,
+            roll if roll < self.loss_percent * 2 => 2,
+            _ => 1,
+        };
+        for copy in 0..copies {
+            // A second copy may arrive long after the call has ended.
+            let longest = if copy == 0 { 30 } else { 5_000 };
+            let delay = Duration::from_millis(self.rng.random_range(1..=longest));
+            self.transit.push(InTransit {
+                at: self.now + delay,
+                call,
+                from,
+                to,
+                packet: packet(bytes.to_vec()),
+            });
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due = self.transit.extract_if(.., |message| message.at <= now);
+        let due: Vec<InTransit> = due.collect();
+        for message in due {
+            if self.cuts.contains(&(message.from, message.to)) {
+                continue;
+            }
+            if !self.runs(message.to) {
+                // A paused host finds the message in its socket when it goes on.
+                if self.nodes[message.to].state.is_some() {
+                    self.transit.push(message);
+                }
+                continue;
+            }
+            let from = host_name(message.from);
+            let node = &mut self.nodes[message.to];
+            let state = node.state.as_mut().unwrap();
+            match message.packet {
+                Packet::Request(bytes) => {
+                    let reply = state.handle(&from, &bytes, now);
+                    let (from, to) = (message.to, message.from);
+                    self.transmit(message.call, from, to, &reply, Packet::Reply);
+                }
+                Packet::Reply(bytes) => {
+                    if let Some(call) = node.calls.remove(&message.call) {
+                        state.complete(&call, Some(&bytes), now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Checks everything that must hold at all times.
+    fn check(&mut self) {
+        for position in 0..self.nodes.len() {
+            if self.nodes[position].state.is_some() {
+                self.check_commands(position);
+                self.check_commit(position);
+                self.check_leader(position);
+            }
+        }
+        self.check_outcomes();
+    }
+
+    fn check_commands(&mut self, position: usize) {
+        let node = &mut self.nodes[position];
+        let state = node.state.as_ref().unwrap();
+        assert_eq!(state.fault, None, "{} has failed", node.host);
+        assert!(state.applied >= node.checked.1, "an applied index shrank");
+        let applied = node.applied.lock().unwrap();
+        for (place, command) in applied.iter().enumerate().skip(node.checked.0) {
+            match self.ledger.get(place) {
+                Some(known) => assert_eq!(command, known, "{} differs", node.host),
+                None => self.ledger.push(command.clone()),
+            }
+        }
+        node.checked = (applied.len(), state.applied);
+    }
+
+    fn check_commit(&mut self, position: usize) {
+        let node = &mut self.nodes[position];
+        let state = node.state.as_ref().unwrap();
+        for index in state.log.base_index()..=state.commit {
+            let Some(term) = state.log.term_at(index) else {
+                continue;
+            };
+            let known = *self.committed_terms.entry(index).or_insert(term);
+            assert_eq!(known, term, "a committed entry changed at {}", node.host);
+        }
+        node.checked_commit = state.commit;
+    }
+
+    fn check_leader(&mut self, position: usize) {
+        let node = &self.nodes[position];
+        let state = node.state.as_ref().unwrap();
+        if state.role != Role::Leader {
+            return;
+        }
+        let term = state.hard.term;
+        if let Some(known) = self.leaders.get(&term) {
+            assert_eq!(*known, node.host, "two leaders in term {term}");
+            return;
+        }
+        self.leaders.insert(term, node.host.clone());
+        let last = state.log.last_index();
+        for (index, committed) in self.committed_terms.range(state.log.base_index()..) {
+            assert!(*index <= last, "a leader lacks the committed entry {index}");
+            let own = state.log.term_at(*index);
+            assert_eq!(own, Some(*committed), "a leader lacks a committed entry");
+        }
+    }
+
+    fn check_outcomes(&mut self) {
+        let mut open = Vec::new();
+        for pending in std::mem::take(&mut self.pending) {
+            match pending.outcome.try_recv() {
+                Err(crossbeam::channel::TryRecvError::Empty) => open.push(pending),
+                Err(crossbeam::channel::TryRecvError::Disconnected)
+                | Ok(Err(ProposeError::Unknown(_))) => {}
+                Ok(Ok(committed)) => self.confirmed.push((committed.index, pending.command)),
+                Ok(Err(_)) => self.refused.push(pending.command),
+            }
+        }
+        self.pending = open;
+    }
+
+    /// Repairs everything, and checks that the group works and that all replicas are equal.
+    pub fn finish(&mut self) {
+        self.heal();
+        for position in 0..self.nodes.len() {
+            self.start(position);
+            self.nodes[position].paused_until = None;
+        }
+        self.run_until("all hosts vote", Self::is_whole);
+        let confirmed = self.confirmed.len();
+        while self.confirmed.len() == confirmed {
+            self.run_until("a leader", |cluster| cluster.leader().is_some());
+            let leader = self.leader().unwrap();
+            self.propose(leader);
+            self.run(Duration::from_millis(300));
+        }
+        self.run_until("all replicas are equal", |cluster| {
+            cluster
+                .nodes
+                .iter()
+                .all(|node| *node.applied.lock().unwrap() == cluster.ledger)
+        });
+        for confirmed in &self.confirmed {
+            assert!(
+                self.ledger.contains(confirmed),
+                "a confirmed command is lost"
+            );
+        }
+        for (_, command) in &self.ledger {
+            assert!(
+                !self.refused.contains(command),
+                "a refused command was committed"
+            );
+        }
+    }
+}
+
+pub fn host_name(position: usize) -> HostId {
+    char::from(b'a' + u8::try_from(position).unwrap()).to_string()
+}
--- /dev/null
+++ b/src/replication/tests/messages.rs
@@ -0,0 +1,116 @@
+//! Messages from outside: arbitrary and damaged bytes.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::harness::Cluster;
+use crate::replication::log::{Entry, Payload};
+use crate::replication::message::{ReplyEnvelope, Request, RequestEnvelope, decode, encode};
+use crate::replication::state::State;
+
+fn formed_group() -> Cluster {
+    let mut cluster = Cluster::new(1, &[true, true, true], false);
+    cluster.run_until("a leader", |cluster| cluster.leader().is_some());
+    cluster
+}
+
+/// What a call must not change when it is malformed.
+fn summary(state: &State<u64>) -> (u64, u64, u64, String) {
+    let membership = format!("{:?}", state.log.membership());
+    (
+        state.hard.term,
+        state.log.last_index(),
+        state.commit,
+        membership,
+    )
+}
+
+fn configuration() -> ProptestConfig {
+    ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(configuration())]
+
+    /// Guards against a crash or a change of state by bytes that are no message.
+    #[test]
+    fn arbitrary_bytes_are_rejected(
+        messages in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 50),
+    ) {
+        let mut cluster = formed_group();
+        let now = cluster.now;
+        let state = cluster.nodes[1].state.as_mut().unwrap();
+        let before = summary(state);
+        for bytes in messages {
+            let reply = state.handle("a", &bytes, now);
+            prop_assert!(decode::<ReplyEnvelope>(&reply).is_some());
+            prop_assert_eq!(summary(state), before.clone());
+        }
+    }
+}
+
+/// Guards against a crash by a message of which a part is missing or changed.
+#[test]
+fn damaged_appends_do_not_crash() {
+    let mut cluster = formed_group();
+    let now = cluster.now;
+    let state = cluster.nodes[1].state.as_mut().unwrap();
+    let entry = Entry {
+        index: state.log.last_index() + 1,
+        term: state.hard.term,
+        payload: Payload::Command(b"text".to_vec()),
+    };
+    let bytes = encode(&RequestEnvelope {
+        group: state.hard.group,
+        from_incarnation: 1,
+        to_incarnation: state.hard.incarnation,
+        term: state.hard.term,
+        body: Request::Append {
+            prev_index: state.log.last_index(),
+            prev_term: state.log.last_term(),
+            commit: 0,
+            entries: vec![entry],
+        },
+    });
+    for length in 0..bytes.len() {
+        assert!(decode::<RequestEnvelope>(&bytes[..length]).is_none());
+        let mut damaged = bytes.clone();
+        damaged[length] ^= 0x55;
+        state.handle("a", &damaged, now);
+    }
+}
+
+/// Guards against entries that skip an index, which would shift all later ones.
+#[test]
+fn an_append_with_a_gap_is_rejected() {
+    let mut cluster = formed_group();
+    let now = cluster.now;
+    let leader = cluster.leader().unwrap();
+    let follower = (leader + 1) % 3;
+    let state = cluster.nodes[follower].state.as_mut().unwrap();
+    let before = summary(state);
+    let entry = Entry {
+        index: state.log.last_index() + 2,
+        term: state.hard.term,
+        payload: Payload::Noop,
+    };
+    let bytes = encode(&RequestEnvelope {
+        group: state.hard.group,
+        from_incarnation: 1,
+        to_incarnation: state.hard.incarnation,
+        term: state.hard.term,
+        body: Request::Append {
+            prev_index: state.log.last_index(),
+            prev_term: state.log.last_term(),
+            commit: 0,
+            entries: vec![entry],
+        },
+    });
+    state.handle("a", &bytes, now);
+    assert_eq!(summary(state), before);
+}
--- /dev/null
+++ b/src/replication/tests/schedules.rs
@@ -0,0 +1,119 @@
+//! Random schedules of faults; a fixed seed makes every run the same.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::harness::Cluster;
+
+#[derive(Clone, Debug)]
+enum Action {
+    Run(u64),
+    Propose(usize),
+    Crash(usize),
+    Restart(usize),
+    Pause(usize, u64),
+    LoseDisk(usize),
+    Cut(usize, usize),
+    Isolate(usize),
+    Loss(u32),
+    Heal,
+    Transfer,
+}
+
+fn action(hosts: usize) -> impl Strategy<Value = Action> {
+    prop_oneof![
+        8 => (5_u64..600).prop_map(Action::Run),
+        2 => (1_500_u64..4_000).prop_map(Action::Run),
+        12 => (0..hosts).prop_map(Action::Propose),
+        2 => (0..hosts).prop_map(Action::Crash),
+        4 => (0..hosts).prop_map(Action::Restart),
+        1 => (0..hosts, 100_u64..4_000).prop_map(|(host, ms)| Action::Pause(host, ms)),
+        2 => (0..hosts).prop_map(Action::LoseDisk),
+        1 => (0..hosts, 0..hosts).prop_map(|(from, to)| Action::Cut(from, to)),
+        1 => (0..hosts).prop_map(Action::Isolate),
+        1 => (0_u32..30).prop_map(Action::Loss),
+        2 => Just(Action::Heal),
+        1 => Just(Action::Transfer),
+    ]
+}
+
+fn perform(cluster: &mut Cluster, action: &Action) {
+    match *action {
+        Action::Run(ms) => cluster.run(Duration::from_millis(ms)),
+        Action::Propose(host) => {
+            // Half of the proposals go to the leader, as callers learn who leads.
+            let leader = cluster.leader().filter(|_| host % 2 == 0);
+            for _ in 0..5 {
+                cluster.propose(leader.unwrap_or(host));
+            }
+        }
+        Action::Crash(host) if cluster.has_disk(host) => cluster.crash(host),
+        Action::Crash(host) | Action::LoseDisk(host) => {
+            if cluster.is_whole() {
+                cluster.lose_disk(host);
+            }
+        }
+        Action::Restart(host) => cluster.start(host),
+        Action::Pause(host, ms) => cluster.pause(host, Duration::from_millis(ms)),
+        Action::Cut(from, to) => cluster.cut(from, to),
+        Action::Isolate(host) => cluster.isolate(host),
+        Action::Loss(percent) => cluster.loss_percent = percent,
+        Action::Heal => cluster.heal(),
+        Action::Transfer => {
+            let Some(leader) = cluster.leader() else {
+                return;
+            };
+            let deadline = cluster.now + Duration::from_secs(1);
+            let state = cluster.nodes[leader].state.as_mut().unwrap();
+            let _ = state.start_transfer(None, deadline);
+        }
+    }
+}
+
+fn run_schedule(seed: u64, disks: &[bool], witness: bool, actions: &[Action]) {
+    let mut cluster = Cluster::new(seed, disks, witness);
+    for action in actions {
+        perform(&mut cluster, action);
+    }
+    cluster.finish();
+}
+
+fn configuration(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0x6a75_6a75_6265),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(configuration(250))]
+
+    /// Guards against lost or changed entries, two leaders in a term, leaders that lack committed
+    /// entries, wrong outcomes of proposals, and groups that do not recover.
+    #[test]
+    fn three_hosts_with_disks(seed: u64, actions in prop::collection::vec(action(3), 20..120)) {
+        run_schedule(seed, &[true; 3], false, &actions);
+    }
+
+    /// The same for hosts of which each crash loses the storage.
+    #[test]
+    fn three_hosts_without_disks(seed: u64, actions in prop::collection::vec(action(3), 20..120)) {
+        run_schedule(seed, &[false; 3], false, &actions);
+    }
+
+    /// The same for two hosts without disks and a witness that may not lead.
+    #[test]
+    fn two_hosts_and_a_witness(seed: u64, actions in prop::collection::vec(action(3), 20..120)) {
+        run_schedule(seed, &[false, false, true], true, &actions);
+    }
+
+    /// The same for five hosts of both kinds.
+    #[test]
+    fn five_hosts_of_both_kinds(seed: u64, actions in prop::collection::vec(action(5), 20..120)) {
+        run_schedule(seed, &[true, false, true, false, true], false, &actions);
+    }
+}
--- /dev/null
+++ b/src/replication/tests/threads.rs
@@ -0,0 +1,226 @@
+//! Running replicas with their threads in one process.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex, Weak};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+
+use super::harness::{Applied, host_name, recorder, small_limits};
+use crate::clock::Clock;
+use crate::replication::{
+    ProposeError, Replica, ReplicaOptions, ReplicaPhase, SendMessage, StorageOptions, Timing,
+};
+
+const PATIENCE: Duration = Duration::from_secs(60);
+
+type Directory = Arc<Mutex<Vec<Weak<Replica<u64>>>>>;
+
+struct Group {
+    replicas: Vec<Arc<Replica<u64>>>,
+    applied: Vec<Applied>,
+    directory: Directory,
+    folder: Option<TempDir>,
+}
+
+impl Group {
+    fn start(count: usize, on_disk: bool) -> Self {
+        let mut group = Self {
+            replicas: Vec::new(),
+            applied: (0..count).map(|_| Applied::default()).collect(),
+            directory: Arc::new(Mutex::new((0..count).map(|_| Weak::new()).collect())),
+            folder: on_disk.then(|| TempDir::new().unwrap()),
+        };
+        for position in 0..count {
+            let replica = group.replica(position);
+            group.replicas.push(replica);
+        }
+        group
+    }
+
+    fn replica(&self, position: usize) -> Arc<Replica<u64>> {
+        let count = self.applied.len();
+        let directory = Arc::clone(&self.directory);
+        let from = host_name(position);
+        let send: SendMessage = Arc::new(move |host, bytes, _deadline| {
+            let to = (0..count).find(|other| host_name(*other) == *host).unwrap();
+            let target = directory.lock().unwrap()[to].upgrade();
+            let target = target.ok_or("the host is down")?;
+            Ok(target.handle(&from, &bytes))
+        });
+        let folder = |folder: &TempDir| folder.path().join(host_name(position));
+        let storage = self.folder.as_ref().map(folder);
+        let replica = Replica::start(ReplicaOptions {
+            group: "test".to_owned(),
+            host: host_name(position),
+            initial_voters: (0..count).map(host_name).collect(),
+            may_lead: true,
+            storage: storage.map_or(StorageOptions::Memory, StorageOptions::Folder),
+            clock: Clock::system(),
+            timing: Timing::default(),
+            limits: small_limits(),
+            seed: rand::random(),
+            send,
+            machine: recorder(&self.applied[position]),
+        });
+        let replica = Arc::new(replica.expect("the storage can be opened"));
+        self.directory.lock().unwrap()[position] = Arc::downgrade(&replica);
+        replica
+    }
+
+    fn stop(&mut self, position: usize) {
+        self.directory.lock().unwrap()[position] = Weak::new();
+        self.replicas[position].shutdown();
+    }
+
+    fn leader(&self) -> usize {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let leads = |replica: &Arc<Replica<u64>>| replica.leadership().is_some();
+            if let Some(leader) = self.replicas.iter().position(leads) {
+                return leader;
+            }
+            assert!(Instant::now() < deadline, "no leader");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Proposes until a command is committed.
+    fn commit(&self, text: &str) -> u64 {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let leader = &self.replicas[self.leader()];
+            match leader.propose(text.as_bytes().to_vec(), deadline) {
+                Ok(proposal) => return proposal.index,
+                Err(error) => assert!(Instant::now() < deadline, "{error}"),
+            }
+        }
+    }
+}
+
+fn commands(applied: &Applied) -> Vec<String> {
+    let applied = applied.lock().unwrap();
+    let text = |command: &(u64, Vec<u8>)| String::from_utf8(command.1.clone()).unwrap();
+    applied.iter().map(text).collect()
+}
+
+/// Guards against lost wake-ups, deadlocks and lost commands between the threads.
+#[test]
+fn concurrent_proposals_are_all_committed() {
+    for on_disk in [false, true] {
+        let group = Group::start(3, on_disk);
+        group.leader();
+        thread::scope(|scope| {
+            for worker in 0..8 {
+                let group = &group;
+                scope.spawn(move || {
+                    for round in 0..20 {
+                        group.commit(&format!("{worker}.{round}"));
+                    }
+                });
+            }
+        });
+        let mut known = commands(&group.applied[group.leader()]);
+        known.sort();
+        known.dedup();
+        assert_eq!(known.len(), 160);
+    }
+}
+
+/// Guards against a group that does not go on, or forgets, after its leader has stopped and
+/// returned with its folder.
+#[test]
+fn another_host_takes_over_and_the_old_leader_returns() {
+    let mut group = Group::start(3, true);
+    let first = group.leader();
+    let epoch = group.replicas[first].leadership();
+    group.commit("before");
+    group.stop(first);
+    assert!(matches!(
+        group.replicas[first].status().phase,
+        ReplicaPhase::Faulty(_)
+    ));
+    group.commit("between");
+    assert!(group.replicas[group.leader()].leadership() > epoch);
+    group.applied[first] = Applied::default();
+    group.replicas[first] = group.replica(first);
+    group.commit("after");
+    let deadline = Instant::now() + PATIENCE;
+    while commands(&group.applied[first]).last().map(String::as_str) != Some("after") {
+        assert!(
+            Instant::now() < deadline,
+            "the old leader does not catch up"
+        );
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(commands(&group.applied[first])[0], "before");
+}
+
+/// Guards against a single host that waits for others, and one that loses entries on restart.
+#[test]
+fn a_single_voter_leads_at_once_and_keeps_its_entries() {
+    let mut group = Group::start(1, true);
+    assert!(group.replicas[0].leadership().is_some() || group.leader() == 0);
+    group.commit("kept");
+    group.stop(0);
+    group.applied[0] = Applied::default();
+    group.replicas[0] = group.replica(0);
+    group.commit("added");
+    assert_eq!(commands(&group.applied[0]), ["kept", "added"]);
+}
+
+/// Guards against a planned stop that costs an election timeout, or a proposal that is accepted
+/// by a host that does not lead.
+#[test]
+fn leadership_moves_on_request() {
+    let group = Group::start(3, false);
+    let first = group.leader();
+    group.commit("known to all");
+    let target = host_name((first + 1) % 3);
+    let deadline = Instant::now() + PATIENCE;
+    while group.replicas[first].leadership().is_some() {
+        assert!(
+            Instant::now() < deadline,
+            "the leadership was not handed over"
+        );
+        let soon = Instant::now() + Duration::from_secs(2);
+        let _ = group.replicas[first].transfer_leadership(Some(target.clone()), soon);
+    }
+    group.leader();
+    let refused = group.replicas[first].propose(b"late".to_vec(), deadline);
+    if group.replicas[first].leadership().is_none() {
+        assert!(matches!(refused, Err(ProposeError::NotLeader { .. })));
+    }
+}
+
+/// Guards against a damaged log that is taken for a new host.
+#[test]
+fn a_damaged_log_does_not_start() {
+    let mut group = Group::start(1, true);
+    group.commit("one");
+    group.commit("two");
+    group.stop(0);
+    let folder = group.folder.as_ref().unwrap().path().join(host_name(0));
+    damage_first_byte(&folder.join("log"));
+    let started = Replica::start(ReplicaOptions {
+        group: "test".to_owned(),
+        host: host_name(0),
+        initial_voters: vec![host_name(0)],
+        may_lead: true,
+        storage: StorageOptions::Folder(folder),
+        clock: Clock::system(),
+        timing: Timing::default(),
+        limits: small_limits(),
+        seed: 1,
+        send: Arc::new(|_, _, _| Err("no other host".to_owned())),
+        machine: recorder(&Applied::default()),
+    });
+    assert!(started.is_err());
+}
+
+fn damage_first_byte(path: &Path) {
+    let mut bytes = std::fs::read(path).unwrap();
+    bytes[0] ^= 1;
+    std::fs::write(path, bytes).unwrap();
+}
