feature: the placement log is replicated over the hosts of a data centre

Cause: the placer was the first host in the settings, with its records in its memory alone.

Change: entry_host::placement_log starts a replica when the data centre has more than one voter or the host has a data folder, and one without the right to lead on a witness. A shutdown hands the leadership over once requests have finished. EntryHost::stop ends a host without draining, for tests.

--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -1,5 +1,7 @@
 //! An entry host: assembles all control roles from the settings.
 
+mod placement_log;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,11 +18,15 @@
 use crate::ids::HostId;
 use crate::options::Settings;
 use crate::peer::{PeerClient, PeerServer};
-use crate::placer::journal::Journal;
 use crate::placer::{Placer, PlacerOptions};
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
+use crate::replication::ReplicaStatus;
 use crate::telemetry::metrics::metrics;
+use placement_log::PlacementLogs;
+
+/// Time for passing the leadership of the placement log on during a shutdown.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running entry host.
 pub struct EntryHost {
@@ -29,6 +35,7 @@
     callers: Server,
     admin: Server,
     peers: PeerServer,
+    placement: Arc<PlacementLogs>,
 }
 
 impl EntryHost {
@@ -39,12 +46,15 @@
     /// The error of binding a listener.
     pub fn start(settings: Settings) -> io::Result<Self> {
         let this = settings.this_host().clone();
+        let remote = remote_hosts(&settings);
+        let (placement, journal) = PlacementLogs::start(&settings, &remote);
+        let placement = Arc::new(placement);
         let placer = Placer::new(PlacerOptions {
             data_centre: this.data_centre.clone(),
             limits: settings.limits.clone(),
             timing: settings.timing.clone(),
             clock: Clock::system(),
-            journal: placement_journal(&settings),
+            journal,
             client: Client::new(ClientOptions::default()),
         });
         let gateway = Arc::new(Gateway {
@@ -52,16 +62,21 @@
                 data_centre: this.data_centre.clone(),
                 data_centres: settings.data_centres(),
                 local: Some(Arc::clone(&placer)),
-                remote: remote_hosts(&settings),
+                remote,
             },
             timing: settings.timing.clone(),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
-        let peer_placer = Arc::clone(&placer);
+        let (peer_placer, peer_logs) = (Arc::clone(&placer), Arc::clone(&placement));
         let peers = PeerServer::start(
             settings.listeners.peers,
-            Arc::new(move |_host: HostId, request| handle_peer(&peer_placer, request)),
+            Arc::new(move |host: HostId, request| match request {
+                PeerRequest::Replication { group, message } => {
+                    peer_logs.handle(&host, &group, &message)
+                }
+                request => handle_peer(&peer_placer, request),
+            }),
         )?;
         let caller_gateway = Arc::clone(&gateway);
         let callers = Server::start(
@@ -89,6 +104,7 @@
             callers,
             admin,
             peers,
+            placement,
         })
     }
 
@@ -122,26 +138,24 @@
             .local
             .as_ref()
             .is_none_or(|placer| placer.wait_until_idle(deadline));
+        self.placement.hand_over(Instant::now() + HAND_OVER_TIMEOUT);
+        self.placement.stop();
         self.admin.shutdown(Instant::now() + Duration::from_secs(1));
         finished && idle
     }
-}
 
-/// The placer is the first host of the data centre in the settings; the others forward to it.
-fn placement_journal(settings: &Settings) -> Journal {
-    let this = settings.this_host();
-    let first = settings
-        .cell
-        .hosts
-        .iter()
-        .find(|host| host.data_centre == this.data_centre);
-    let journal = Journal::in_memory(Clock::system().unix_seconds());
-    if first.is_some_and(|first| first.id == this.id) {
-        return journal;
+    /// Ends the host's part in all replicated logs and refuses callers, without draining or
+    /// handing over, as a crash would.
+    pub fn stop(&self) {
+        self.placement.stop();
+        self.gateway.draining.store(true, Ordering::Release);
+        self.callers.shutdown(Instant::now());
+        self.admin.shutdown(Instant::now());
     }
-    Journal {
-        epoch: Arc::new(|| None),
-        ..journal
+
+    /// State of the placement logs kept on this host, by group name.
+    pub fn placement_status(&self) -> IndexMap<String, ReplicaStatus> {
+        self.placement.status()
     }
 }
 
