feature: state machine of the configuration log

Cause: operators' changes need one accepted order, an audit trail and lookups for the request path.

Conclusion: the ranges of figures are checked before a command is proposed, since hosts of different releases must reach equal states from equal commands.

--- /dev/null
+++ b/src/configuration/audit.rs
@@ -0,0 +1,179 @@
+//! Audit trail: one entry for each accepted change, chained by SHA-256.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::change::{AcceptedChange, Change};
+use super::digest::Sha256Digest;
+use crate::ids::{ChangeId, ConfigVersion};
+
+/// Entries kept in the state: 41 days at 2,400 changes a day. Older ones must be archived with
+/// `jujubewinch audit list --output json`; an unbounded trail would exceed the memory limit of a
+/// control host within a year.
+pub const MAX_AUDIT_ENTRIES: usize = 100_000;
+
+/// An accepted change.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct AuditEntry {
+    /// Version that the change made; one larger than that of the preceding entry.
+    pub version: ConfigVersion,
+    /// Id of the change.
+    pub change_id: ChangeId,
+    /// Who made it.
+    pub author: String,
+    /// When it was proposed.
+    pub at_unix_ms: u64,
+    /// Why.
+    pub reason: String,
+    /// What was changed.
+    pub change: Change,
+    /// The changed object before, as JSON; absent when it did not exist.
+    pub before: Option<String>,
+    /// The changed object afterwards, as JSON; absent when it no longer exists.
+    pub after: Option<String>,
+    /// Digest of the preceding entry; zero in the first one.
+    pub predecessor: Sha256Digest,
+}
+
+impl AuditEntry {
+    /// Digest over the postcard encoding of all fields.
+    pub fn digest(&self) -> Sha256Digest {
+        Sha256Digest::of(&postcard::to_stdvec(self).unwrap_or_default())
+    }
+
+    /// The entry as the authors of competing changes are told.
+    pub fn accepted_change(&self) -> AcceptedChange {
+        AcceptedChange {
+            version: self.version,
+            change_id: self.change_id.clone(),
+            author: self.author.clone(),
+            reason: self.reason.clone(),
+            at_unix_ms: self.at_unix_ms,
+            change: self.change.clone(),
+        }
+    }
+}
+
+/// A broken chain.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum AuditFault {
+    /// Entries are missing or out of order.
+    #[error("the entry of version {expected} is missing; found {found}")]
+    Gap {
+        /// Version that should follow.
+        expected: ConfigVersion,
+        /// Version that was found; zero at the end of the trail.
+        found: ConfigVersion,
+    },
+    /// An entry was edited.
+    #[error("the entry of version {version} or its successor was edited")]
+    Edited {
+        /// Version of the entry.
+        version: ConfigVersion,
+    },
+    /// The encoding is damaged.
+    #[error("the audit trail cannot be decoded")]
+    Undecodable,
+}
+
+/// The entries that are kept, and the digests that hold their ends.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct AuditTrail {
+    /// Version of the last entry that is no longer kept; zero when all are.
+    dropped_version: ConfigVersion,
+    /// Digest of that entry.
+    dropped_digest: Sha256Digest,
+    entries: VecDeque<AuditEntry>,
+    /// Version of the last entry; detects a cut at the end.
+    last_version: ConfigVersion,
+    /// Digest of the last entry; detects an edit of it.
+    last_digest: Sha256Digest,
+}
+
+impl AuditTrail {
+    /// Appends an entry, sets its predecessor, and drops the oldest entries above the limit.
+    pub(super) fn append(&mut self, mut entry: AuditEntry, max_entries: usize) {
+        entry.predecessor = self.last_digest;
+        self.last_version = entry.version;
+        self.last_digest = entry.digest();
+        self.entries.push_back(entry);
+        while self.entries.len() > max_entries {
+            let Some(dropped) = self.entries.pop_front() else {
+                return;
+            };
+            self.dropped_version = dropped.version;
+            self.dropped_digest = dropped.digest();
+        }
+    }
+
+    /// Version of the last entry.
+    pub fn last_version(&self) -> ConfigVersion {
+        self.last_version
+    }
+
+    /// Kept entries, oldest first.
+    pub fn entries(&self) -> impl DoubleEndedIterator<Item = &AuditEntry> {
+        self.entries.iter()
+    }
+
+    /// The entry of the change that made the version.
+    pub fn entry(&self, version: ConfigVersion) -> Option<&AuditEntry> {
+        let position = version.checked_sub(self.dropped_version + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// Checks the whole chain and returns the number of entries.
+    ///
+    /// # Errors
+    ///
+    /// The first fault.
+    pub fn verify(&self) -> Result<usize, AuditFault> {
+        let mut version = self.dropped_version;
+        let mut digest = self.dropped_digest;
+        for entry in &self.entries {
+            if entry.version != version + 1 {
+                return Err(AuditFault::Gap {
+                    expected: version + 1,
+                    found: entry.version,
+                });
+            }
+            if entry.predecessor != digest {
+                return Err(AuditFault::Edited { version });
+            }
+            version = entry.version;
+            digest = entry.digest();
+        }
+        if version != self.last_version {
+            return Err(AuditFault::Gap {
+                expected: version + 1,
+                found: 0,
+            });
+        }
+        if digest != self.last_digest {
+            return Err(AuditFault::Edited { version });
+        }
+        Ok(self.entries.len())
+    }
+
+    /// Encodes the trail.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes and verifies a trail.
+    ///
+    /// # Errors
+    ///
+    /// The first fault. An encoding other than the one that [`AuditTrail::encode`] makes is also
+    /// a fault, since postcard accepts some values in a longer form and ignores trailing bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, AuditFault> {
+        let trail: Self = postcard::from_bytes(bytes).map_err(|_| AuditFault::Undecodable)?;
+        if trail.encode() != bytes {
+            return Err(AuditFault::Undecodable);
+        }
+        trail.verify()?;
+        Ok(trail)
+    }
+}
--- /dev/null
+++ b/src/configuration/snapshot.rs
@@ -0,0 +1,216 @@
+//! Immutable configuration for readers, with an index of the exceptions.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::Serialize;
+
+use super::content::{ConfigurationContent, Exception, Origin};
+use super::digest::Sha256Digest;
+use super::policy::Figure;
+use super::scope::{DrainTarget, Scope, Subject};
+use crate::ids::{ConfigVersion, HostId, MemberId, WorkerId};
+
+/// The configuration at one version. The request path reads it without a lock.
+pub struct ConfigurationSnapshot {
+    content: Arc<ConfigurationContent>,
+    /// Exceptions of `content` by figure; positions in `content.exceptions`, oldest first.
+    exceptions: IndexMap<String, FigureExceptions>,
+    drained_workers: IndexSet<WorkerId>,
+    drained_hosts: IndexSet<HostId>,
+    operator_token: Option<Sha256Digest>,
+    applied_at: Instant,
+}
+
+/// Positions of the exceptions to one figure.
+#[derive(Default)]
+struct FigureExceptions {
+    members: IndexMap<String, Vec<usize>>,
+    callers: IndexMap<MemberId, IndexMap<String, Vec<usize>>>,
+    services: IndexMap<String, Vec<usize>>,
+    workers: IndexMap<String, Vec<usize>>,
+}
+
+/// What decides the value of a figure.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Source {
+    /// The value of the program, since no operator set one.
+    BuiltIn,
+    /// A fleet-wide default.
+    Default {
+        /// Who set it.
+        origin: Origin,
+    },
+    /// An exception.
+    Exception {
+        /// The exception with its author, reason and challenges.
+        exception: Exception,
+    },
+}
+
+/// Value of a figure and what decides it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Explanation {
+    /// Name of the figure.
+    pub figure: String,
+    /// Value in effect.
+    pub value: u64,
+    /// Value without exceptions.
+    pub default: u64,
+    /// What decides.
+    pub decided_by: Source,
+}
+
+impl ConfigurationSnapshot {
+    pub(super) fn new(
+        content: Arc<ConfigurationContent>,
+        operator_token: Option<Sha256Digest>,
+        applied_at: Instant,
+    ) -> Self {
+        let mut exceptions: IndexMap<String, FigureExceptions> = IndexMap::new();
+        for (position, exception) in content.exceptions.values().enumerate() {
+            let index = exceptions.entry(exception.figure.clone()).or_default();
+            index.add(&exception.scope, position);
+        }
+        let mut drained_workers = IndexSet::new();
+        let mut drained_hosts = IndexSet::new();
+        for target in content.drains.keys() {
+            match target {
+                DrainTarget::Worker(worker) => drained_workers.insert(worker.clone()),
+                DrainTarget::Host(host) => drained_hosts.insert(host.clone()),
+            };
+        }
+        Self {
+            content,
+            exceptions,
+            drained_workers,
+            drained_hosts,
+            operator_token,
+            applied_at,
+        }
+    }
+
+    /// Number of accepted changes.
+    pub fn version(&self) -> ConfigVersion {
+        self.content.version
+    }
+
+    /// Everything that operators set.
+    pub fn content(&self) -> &Arc<ConfigurationContent> {
+        &self.content
+    }
+
+    /// When this host applied the version.
+    pub fn applied_at(&self) -> Instant {
+        self.applied_at
+    }
+
+    /// Hash of the operator token from the settings.
+    pub fn operator_token(&self) -> Option<&Sha256Digest> {
+        self.operator_token.as_ref()
+    }
+
+    /// Whether the worker is to get no new work.
+    pub fn is_worker_drained(&self, worker: &str) -> bool {
+        self.drained_workers.contains(worker)
+    }
+
+    /// Whether the entry host is to fail its readiness.
+    pub fn is_host_drained(&self, host: &str) -> bool {
+        self.drained_hosts.contains(host)
+    }
+
+    /// Value of a figure. The exception for the caller comes first, then those for the member,
+    /// the service and the worker; the newest of equal scope decides. A value outside of the
+    /// range of this release is brought into it.
+    pub fn value(&self, figure: &Figure, subject: &Subject<'_>, now_unix_ms: u64) -> u64 {
+        let exception = self.exception(figure.name, subject, now_unix_ms);
+        let value = exception.map_or_else(|| self.default(figure), |exception| exception.value);
+        value.clamp(figure.min, figure.max)
+    }
+
+    /// Fleet-wide default of a figure.
+    pub fn default(&self, figure: &Figure) -> u64 {
+        let set = self.content.defaults.get(figure.name);
+        set.map_or(figure.default, |set| {
+            set.value.clamp(figure.min, figure.max)
+        })
+    }
+
+    /// Tells which default or exception decides a figure.
+    pub fn explain(&self, figure: &Figure, subject: &Subject<'_>, now_unix_ms: u64) -> Explanation {
+        let decided_by = if let Some(exception) = self.exception(figure.name, subject, now_unix_ms)
+        {
+            Source::Exception {
+                exception: exception.clone(),
+            }
+        } else if let Some(set) = self.content.defaults.get(figure.name) {
+            Source::Default {
+                origin: set.origin.clone(),
+            }
+        } else {
+            Source::BuiltIn
+        };
+        Explanation {
+            figure: figure.name.to_owned(),
+            value: self.value(figure, subject, now_unix_ms),
+            default: self.default(figure),
+            decided_by,
+        }
+    }
+
+    fn exception(
+        &self,
+        figure: &str,
+        subject: &Subject<'_>,
+        now_unix_ms: u64,
+    ) -> Option<&Exception> {
+        let index = self.exceptions.get(figure)?;
+        for positions in index.positions(subject).into_iter().flatten() {
+            for position in positions.iter().rev() {
+                let (_, exception) = self.content.exceptions.get_index(*position)?;
+                if exception.is_in_effect(now_unix_ms) {
+                    return Some(exception);
+                }
+            }
+        }
+        None
+    }
+}
+
+impl FigureExceptions {
+    fn add(&mut self, scope: &Scope, position: usize) {
+        let positions = match scope {
+            Scope::Member(member) => self.members.entry(member.clone()),
+            Scope::Caller(member, caller) => self
+                .callers
+                .entry(member.clone())
+                .or_default()
+                .entry(caller.clone()),
+            Scope::Service(service) => self.services.entry(service.clone()),
+            Scope::Worker(worker) => self.workers.entry(worker.clone()),
+        };
+        positions.or_default().push(position);
+    }
+
+    /// Positions of the exceptions that match, by falling precedence.
+    fn positions(&self, subject: &Subject<'_>) -> [Option<&Vec<usize>>; 4] {
+        let caller = match (subject.member, subject.caller) {
+            (Some(member), Some(caller)) => self
+                .callers
+                .get(member)
+                .and_then(|callers| callers.get(caller)),
+            _ => None,
+        };
+        [
+            caller,
+            subject.member.and_then(|member| self.members.get(member)),
+            subject
+                .service
+                .and_then(|service| self.services.get(service)),
+            subject.worker.and_then(|worker| self.workers.get(worker)),
+        ]
+    }
+}
--- /dev/null
+++ b/src/configuration/tests.rs
@@ -0,0 +1,49 @@
+//! Tests of private parts of the configuration.
+
+use super::audit::{AuditEntry, AuditFault, AuditTrail};
+use super::change::Change;
+use super::digest::Sha256Digest;
+
+fn entry(version: u64) -> AuditEntry {
+    AuditEntry {
+        version,
+        change_id: format!("c{version}"),
+        author: "saran".to_owned(),
+        at_unix_ms: version,
+        reason: "test".to_owned(),
+        change: Change::RevokeToken {
+            token: "t".to_owned(),
+        },
+        before: None,
+        after: None,
+        predecessor: Sha256Digest::default(),
+    }
+}
+
+/// Guards against a chain that cannot be verified once old entries were dropped.
+#[test]
+fn a_shortened_trail_still_verifies() {
+    let mut trail = AuditTrail::default();
+    for version in 1..=10 {
+        trail.append(entry(version), 4);
+    }
+    assert_eq!(trail.verify(), Ok(4));
+    assert_eq!(trail.entry(6), None);
+    assert_eq!(trail.entry(7).map(|entry| entry.version), Some(7));
+    assert_eq!(trail.entry(11), None);
+    let rebuilt = AuditTrail::decode(&trail.encode()).expect("it is complete");
+    assert_eq!(rebuilt, trail);
+}
+
+/// Guards against a version that is skipped without notice.
+#[test]
+fn a_gap_is_named() {
+    let mut trail = AuditTrail::default();
+    trail.append(entry(1), 10);
+    trail.append(entry(3), 10);
+    let expected = AuditFault::Gap {
+        expected: 2,
+        found: 3,
+    };
+    assert_eq!(trail.verify(), Err(expected));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod clock;
 pub mod commands;
+pub mod configuration;
 pub mod entry_host;
 pub mod gateway;
 pub mod http;
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,445 @@
+//! The state machine of the configuration log: versions, resends, snapshots, audit, lookups.
+
+use std::collections::BTreeMap;
+
+use jujubewinch::clock::Clock;
+use jujubewinch::configuration::Configuration;
+use jujubewinch::configuration::audit::AuditTrail;
+use jujubewinch::configuration::change::{
+    Change, ChangeOutcome, Command, NewToken, Quota, Role, Team,
+};
+use jujubewinch::configuration::digest::Sha256Digest;
+use jujubewinch::configuration::figures::{MAX_QUEUED_PER_MEMBER, RETRY_BUDGET_PERCENT};
+use jujubewinch::configuration::identity::{SETTINGS_OPERATOR, authenticate, bearer_token};
+use jujubewinch::configuration::machine::{ConfigurationMachine, MAX_OUTCOMES, RestoreError};
+use jujubewinch::configuration::policy;
+use jujubewinch::configuration::scope::{DrainTarget, Scope, Subject};
+use jujubewinch::configuration::snapshot::Source;
+use jujubewinch::verdict::ErrorCode;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn command(id: &str, expected_version: u64, change: Change) -> Command {
+    Command {
+        change_id: id.to_owned(),
+        expected_version,
+        author: "saran".to_owned(),
+        reason: "spring orders".to_owned(),
+        at_unix_ms: 1_000,
+        change,
+    }
+}
+
+fn default_change(value: u64) -> Change {
+    Change::SetDefault {
+        figure: RETRY_BUDGET_PERCENT.name.to_owned(),
+        value,
+    }
+}
+
+fn exception(scope: &str, value: u64, expires_at_unix_ms: Option<u64>) -> Change {
+    Change::AddException {
+        figure: MAX_QUEUED_PER_MEMBER.name.to_owned(),
+        scope: scope.parse().unwrap(),
+        value,
+        expires_at_unix_ms,
+    }
+}
+
+fn configuration(changes: Vec<Change>) -> std::sync::Arc<Configuration> {
+    let configuration = Configuration::new(None, Clock::system());
+    for (version, change) in changes.into_iter().enumerate() {
+        let command = command(&format!("c{version}"), version as u64, change);
+        let output = configuration.apply(&postcard::to_stdvec(&command).unwrap());
+        let outcome: ChangeOutcome = postcard::from_bytes(&output).unwrap();
+        assert!(
+            matches!(outcome, ChangeOutcome::Accepted { .. }),
+            "{outcome:?}"
+        );
+    }
+    configuration
+}
+
+/// One step of the property test.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Commands of several authors that all saw a version `behind` the present one.
+    Race {
+        authors: usize,
+        behind: u64,
+        kind: u8,
+    },
+    /// An earlier command, again.
+    Resend { position: prop::sample::Index },
+    /// The replica is replaced by its snapshot.
+    Restore,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1_usize..4, 0_u64..3, any::<u8>())
+            .prop_map(|(authors, behind, kind)| Step::Race { authors, behind, kind }),
+        3 => any::<prop::sample::Index>().prop_map(|position| Step::Resend { position }),
+        1 => Just(Step::Restore),
+    ]
+}
+
+fn any_change(kind: u8, author: usize) -> Change {
+    let member = format!("member-{}", kind % 3);
+    match kind % 7 {
+        0 => default_change(u64::from(kind) % 100),
+        1 => exception("member:tuul", 1 + author as u64, Some(u64::from(kind))),
+        2 => Change::SetTeam(Team {
+            member,
+            weight: 1 + u32::from(kind),
+            quota: Quota::default(),
+        }),
+        3 => Change::RemoveTeam { member },
+        4 => Change::AddToken(NewToken {
+            token: member,
+            sha256: Sha256Digest::of(&[kind]),
+            role: Role::Read,
+            member: None,
+        }),
+        5 => Change::RevokeToken { token: member },
+        _ => Change::Drain {
+            target: DrainTarget::Worker(member),
+        },
+    }
+}
+
+/// Applies the command and compares its outcome with everything that was promised earlier.
+fn check_step(
+    machine: &mut ConfigurationMachine,
+    outcomes: &mut BTreeMap<String, ChangeOutcome>,
+    winners: &mut BTreeMap<u64, Command>,
+    command: &Command,
+) -> Result<(), TestCaseError> {
+    let before = machine.version();
+    let outcome = machine.apply_command(command);
+    if let Some(first) = outcomes.get(&command.change_id) {
+        prop_assert_eq!(&outcome, first, "a resend got another outcome");
+        prop_assert_eq!(machine.version(), before, "a resend was applied twice");
+        return Ok(());
+    }
+    outcomes.insert(command.change_id.clone(), outcome.clone());
+    match outcome {
+        ChangeOutcome::Accepted { version } => {
+            prop_assert_eq!(version, before + 1);
+            prop_assert_eq!(machine.version(), version);
+            let earlier = winners.insert(command.expected_version, command.clone());
+            prop_assert!(earlier.is_none(), "two changes with equal versions won");
+        }
+        ChangeOutcome::Conflict { version, accepted } => {
+            prop_assert_eq!((version, machine.version()), (before, before));
+            prop_assert_ne!(command.expected_version, before);
+            let accepted = accepted.expect("the winner is still in the trail");
+            let winner = &winners[&command.expected_version];
+            prop_assert_eq!(accepted.version, command.expected_version + 1);
+            prop_assert_eq!(&accepted.author, &winner.author);
+            prop_assert_eq!(&accepted.change, &winner.change);
+        }
+        ChangeOutcome::Rejected { .. } => prop_assert_eq!(machine.version(), before),
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x6a75_6a75),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against two winners for one version, a second outcome for a resend, versions that
+    /// go back, and accepted changes that are lost over a snapshot.
+    #[test]
+    fn racing_and_resent_changes_keep_their_promises(
+        steps in prop::collection::vec(step(), 1..40),
+    ) {
+        let mut machine = ConfigurationMachine::default();
+        let mut sent: Vec<Command> = Vec::new();
+        let mut outcomes = BTreeMap::new();
+        let mut winners = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Race { authors, behind, kind } => {
+                    let expected = machine.version().saturating_sub(behind);
+                    for author in 0..authors {
+                        let id = format!("change-{}", sent.len());
+                        let mut command = command(&id, expected, any_change(kind, author));
+                        command.author = format!("author-{author}");
+                        check_step(&mut machine, &mut outcomes, &mut winners, &command)?;
+                        sent.push(command);
+                    }
+                }
+                Step::Resend { position } if !sent.is_empty() => {
+                    let command = position.get(&sent).clone();
+                    check_step(&mut machine, &mut outcomes, &mut winners, &command)?;
+                }
+                Step::Resend { .. } => {}
+                Step::Restore => {
+                    let snapshot = machine.snapshot().unwrap();
+                    let restored = ConfigurationMachine::restore(&snapshot).unwrap();
+                    prop_assert_eq!(&restored, &machine);
+                    machine = restored;
+                }
+            }
+        }
+        let kept: Vec<_> = machine.trail().entries().map(|entry| entry.change_id.clone()).collect();
+        let accepted: Vec<_> = winners.values().map(|winner| winner.change_id.clone()).collect();
+        prop_assert_eq!(kept, accepted, "an accepted change is lost");
+        prop_assert_eq!(machine.trail().verify(), Ok(winners.len()));
+    }
+}
+
+/// Guards against edits and cuts of the audit trail that `verify` does not notice.
+#[test]
+fn every_single_byte_edit_and_every_cut_of_the_trail_is_detected() {
+    let mut machine = ConfigurationMachine::default();
+    for version in 0..2 {
+        machine.apply_command(&command(
+            &format!("c{version}"),
+            version,
+            default_change(version),
+        ));
+    }
+    machine.apply_command(&command("e", 2, exception("member:tuul", 9, Some(7))));
+    let bytes = machine.trail().encode();
+    assert_eq!(
+        AuditTrail::decode(&bytes).map(|trail| trail.entries().count()),
+        Ok(3)
+    );
+    for position in 0..bytes.len() {
+        for flip in 1..=255 {
+            let mut edited = bytes.clone();
+            edited[position] ^= flip;
+            assert!(
+                AuditTrail::decode(&edited).is_err(),
+                "byte {position} xor {flip}"
+            );
+        }
+        assert!(
+            AuditTrail::decode(&bytes[..position]).is_err(),
+            "cut at {position}"
+        );
+        for end in position + 1..=bytes.len() {
+            let shortened = [&bytes[..position], &bytes[end..]].concat();
+            assert!(
+                AuditTrail::decode(&shortened).is_err(),
+                "without {position}..{end}"
+            );
+        }
+    }
+}
+
+/// Guards against a change id that silently stands for two different changes.
+#[test]
+fn a_change_id_with_another_content_is_refused() {
+    let mut machine = ConfigurationMachine::default();
+    machine.apply_command(&command("a", 0, default_change(5)));
+    let outcome = machine.apply_command(&command("a", 1, default_change(6)));
+    let ChangeOutcome::Rejected { reason } = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert!(
+        reason.contains("change id a was used for another change"),
+        "{reason}"
+    );
+    assert_eq!(machine.version(), 1);
+}
+
+/// Guards against memory that grows with the number of changes, and against outcomes that are
+/// forgotten early.
+#[test]
+fn the_last_outcomes_are_kept() {
+    let mut machine = ConfigurationMachine::default();
+    for number in 0..=MAX_OUTCOMES as u64 {
+        machine.apply_command(&command(&format!("c{number}"), number, default_change(5)));
+    }
+    assert_eq!(machine.outcome("c0"), None);
+    assert_eq!(
+        machine.outcome("c1"),
+        Some(&ChangeOutcome::Accepted { version: 2 })
+    );
+}
+
+/// Guards against a replica that goes back, or that takes a damaged snapshot.
+#[test]
+fn older_and_damaged_snapshots_are_refused() {
+    let old = configuration(vec![default_change(1)]).snapshot().unwrap();
+    let present = configuration(vec![default_change(1), default_change(2)]);
+    let expected = RestoreError::Older {
+        offered: 1,
+        applied: 2,
+    };
+    assert_eq!(present.restore(&old), Err(expected));
+    let snapshot = present.snapshot().unwrap();
+    for end in 0..snapshot.len() {
+        assert!(present.restore(&snapshot[..end]).is_err(), "cut at {end}");
+    }
+    assert_eq!(present.read().version(), 2);
+}
+
+/// Guards against commands that lack a reason or an author, or that cannot be decoded.
+#[test]
+fn incomplete_commands_change_nothing() {
+    let mut machine = ConfigurationMachine::default();
+    let mut without_reason = command("a", 0, default_change(5));
+    without_reason.reason = "  ".to_owned();
+    let mut without_author = command("b", 0, default_change(5));
+    without_author.author = String::new();
+    let undecodable = vec![0xff; 7];
+    let encoded = [
+        postcard::to_stdvec(&without_reason).unwrap(),
+        postcard::to_stdvec(&without_author).unwrap(),
+        undecodable,
+    ];
+    for bytes in encoded {
+        let outcome: ChangeOutcome = postcard::from_bytes(&machine.apply(&bytes)).unwrap();
+        assert!(
+            matches!(outcome, ChangeOutcome::Rejected { .. }),
+            "{outcome:?}"
+        );
+    }
+    assert_eq!(machine.version(), 0);
+}
+
+/// Guards against the wrong exception deciding, and against one that counts after its expiry.
+#[test]
+fn the_narrowest_exception_in_effect_decides() {
+    let snapshot = configuration(vec![
+        exception("member:tuul", 10, None),
+        exception("caller:tuul/desk", 20, Some(5_000)),
+        exception("member:tuul", 30, Some(2_000)),
+        Change::SetDefault {
+            figure: MAX_QUEUED_PER_MEMBER.name.to_owned(),
+            value: 7,
+        },
+    ])
+    .read();
+    let subject = |member, caller| Subject {
+        member,
+        caller,
+        ..Subject::default()
+    };
+    let cases = [
+        (subject(Some("tuul"), Some("desk")), 4_999, 20),
+        (subject(Some("tuul"), Some("desk")), 5_000, 10),
+        (subject(Some("tuul"), Some("other")), 1_999, 30),
+        (subject(Some("tuul"), None), 2_000, 10),
+        (subject(Some("lowell"), Some("desk")), 0, 7),
+        (Subject::default(), 0, 7),
+    ];
+    for (subject, now, value) in cases {
+        let explained = snapshot.explain(&MAX_QUEUED_PER_MEMBER, &subject, now);
+        assert_eq!(
+            snapshot.value(&MAX_QUEUED_PER_MEMBER, &subject, now),
+            value,
+            "{subject:?}"
+        );
+        assert_eq!(explained.value, value, "{subject:?} {explained:?}");
+        if let Source::Exception { exception } = &explained.decided_by {
+            assert_eq!(
+                (exception.value, exception.origin.author.as_str()),
+                (value, "saran")
+            );
+        }
+    }
+    let built_in = snapshot.explain(&RETRY_BUDGET_PERCENT, &Subject::default(), 0);
+    assert_eq!((built_in.value, built_in.decided_by), (10, Source::BuiltIn));
+}
+
+/// Guards against a value of another release that a reader cannot handle.
+#[test]
+fn values_outside_of_the_range_are_brought_into_it() {
+    let snapshot = configuration(vec![default_change(5_000)]).read();
+    assert_eq!(
+        snapshot.value(&RETRY_BUDGET_PERCENT, &Subject::default(), 0),
+        100
+    );
+}
+
+/// Guards against scopes that are read as something else.
+#[test]
+fn scopes_have_one_text() {
+    for text in [
+        "member:tuul",
+        "caller:tuul/a/b",
+        "service:quotes",
+        "worker:w:1",
+    ] {
+        assert_eq!(text.parse::<Scope>().unwrap().to_string(), text);
+    }
+    for text in [
+        "",
+        "member",
+        "member:",
+        "member:a/b",
+        "caller:a",
+        "caller:/b",
+        "caller:a/",
+        "rack:1",
+    ] {
+        assert!(text.parse::<Scope>().is_err(), "{text}");
+    }
+    assert!("host:erdenet-1".parse::<DrainTarget>().is_ok());
+    assert!("rack:1".parse::<DrainTarget>().is_err());
+}
+
+/// Guards against figures that exceptions cannot reach or whose value is not checked.
+#[test]
+fn figures_check_values_and_scopes() {
+    let figure = policy::figure("retry.budget_percent").unwrap();
+    assert!(figure.check(100).is_ok());
+    assert!(figure.check(101).unwrap_err().contains("from 0 to 100"));
+    assert!(
+        figure
+            .check_scope(Scope::Worker("w".to_owned()).kind())
+            .is_err()
+    );
+    assert!(
+        policy::figure("retry.budget")
+            .unwrap_err()
+            .contains("config list")
+    );
+}
+
+/// Guards against a revoked or unknown token that is accepted, and a wrong identity.
+#[test]
+fn tokens_identify_their_holders() {
+    let configuration = Configuration::new(Some(Sha256Digest::of(b"first")), Clock::system());
+    let grant = NewToken {
+        token: "desk".to_owned(),
+        sha256: Sha256Digest::of(b"secret"),
+        role: Role::Submit,
+        member: Some("tuul".to_owned()),
+    };
+    let apply = |id, version, change| {
+        configuration.apply(&postcard::to_stdvec(&command(id, version, change)).unwrap())
+    };
+    apply("a", 0, Change::AddToken(grant));
+    let known = authenticate(&configuration.read(), Some("secret")).unwrap();
+    assert_eq!((known.name.as_str(), known.role), ("desk", Role::Submit));
+    assert_eq!(known.member.as_deref(), Some("tuul"));
+    assert!(!known.may(Role::Read) && !known.may(Role::Operate));
+    let operator = authenticate(&configuration.read(), Some("first")).unwrap();
+    assert_eq!(operator.name, SETTINGS_OPERATOR);
+    assert!(operator.may(Role::Read) && operator.may(Role::Operate) && !operator.may(Role::Submit));
+    apply(
+        "b",
+        1,
+        Change::RevokeToken {
+            token: "desk".to_owned(),
+        },
+    );
+    for token in [None, Some("secret"), Some("First"), Some("")] {
+        let error = authenticate(&configuration.read(), token).unwrap_err();
+        assert_eq!(error.code, ErrorCode::Unauthenticated, "{token:?}");
+    }
+    assert_eq!(bearer_token(Some("bearer  x ")), Some("x"));
+    for header in [None, Some("x"), Some("Basic x"), Some("Bearer ")] {
+        assert_eq!(bearer_token(header), None, "{header:?}");
+    }
+}
