feature: administration interface and authentication of callers

Cause: operators had no way to change or read the configuration, and callers could name any member.

Change: a table of calls with their role on the admin listener, changes with expected version, change id and dry run, and reads of defaults, exceptions, teams, tokens, drains, audit, hosts, status and fleet. The gateway takes the member from the token where authentication is on. A drained entry host fails its readiness.

Conclusion: announcements have a role of their own, since a false announcement gets the payloads of all members.

--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,124 @@
+//! Administration interface: HTTP with JSON bodies on its own listener.
+
+pub mod changes;
+pub mod reads;
+pub mod routes;
+pub mod sources;
+pub mod validation;
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::configuration::identity::{Identity, require_role};
+use crate::configuration::log::ConfigurationLog;
+use crate::http::{Request, Response};
+use crate::ids::HostId;
+use crate::protocol::headers;
+use crate::verdict::{ErrorCode, RequestError};
+use routes::{Access, Route};
+use sources::AdminSources;
+
+/// Everything that the administration interface is made of.
+pub struct Admin {
+    /// This host.
+    pub host: HostId,
+    /// Whether operators must present a token.
+    pub authentication: bool,
+    /// The configuration as this host has applied it.
+    pub configuration: Arc<Configuration>,
+    /// Log that orders changes.
+    pub log: ConfigurationLog,
+    /// Time source.
+    pub clock: Clock,
+    /// State of other parts of the entry host.
+    pub sources: AdminSources,
+}
+
+/// A request whose route and sender are known.
+pub struct Call<'a> {
+    /// The request.
+    pub request: &'a Request,
+    /// Sender; absent while authentication is off.
+    pub identity: Option<Identity>,
+    /// Decoded variable parts of the path, in order.
+    pub arguments: Vec<String>,
+}
+
+impl Admin {
+    /// Answers one HTTP request.
+    pub fn handle(&self, request: &Request) -> Response {
+        self.dispatch(request)
+            .unwrap_or_else(|error| Response::error(&error, ""))
+    }
+
+    fn dispatch(&self, request: &Request) -> Result<Response, RequestError> {
+        let found = Route::find(request.method.as_str(), &request.path);
+        let access = found
+            .as_ref()
+            .map_or(Access::Anyone, |(route, _)| route.access);
+        let mut identity = None;
+        if let (Access::Role(role), true) = (access, self.authentication) {
+            let header = request.header(headers::AUTHORIZATION);
+            identity = Some(require_role(&self.configuration.read(), header, role)?);
+        }
+        let Some((route, arguments)) = found else {
+            let message = format!(
+                "no {} {}; docs/api.md lists the calls",
+                request.method, request.path
+            );
+            return Err(RequestError::did_not_run(ErrorCode::NotFound, message));
+        };
+        if let Some(unknown) = unknown_parameter(&request.query, route.query) {
+            return Err(bad_request(format!("unknown query parameter {unknown}")));
+        }
+        let call = Call {
+            request,
+            identity,
+            arguments,
+        };
+        (route.run)(self, &call)
+    }
+
+    /// Wall-clock time in Unix milliseconds.
+    fn now_unix_ms(&self) -> u64 {
+        let age = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Call<'_> {
+    /// A variable part of the path.
+    fn argument(&self, index: usize) -> String {
+        self.arguments.get(index).cloned().unwrap_or_default()
+    }
+
+    /// A query parameter; an empty one counts as absent.
+    fn query<T: std::str::FromStr>(&self, name: &str) -> Result<Option<T>, RequestError> {
+        let Some(text) = self.request.query.get(name).filter(|text| !text.is_empty()) else {
+            return Ok(None);
+        };
+        let parsed = text.parse().map(Some);
+        parsed.map_err(|_| bad_request(format!("query parameter {name} is not valid: {text:?}")))
+    }
+}
+
+fn unknown_parameter<'a>(query: &'a IndexMap<String, String>, known: &[&str]) -> Option<&'a str> {
+    let mut names = query.keys().map(String::as_str);
+    names.find(|name| !known.contains(name))
+}
+
+fn bad_request(message: impl Into<String>) -> RequestError {
+    RequestError::did_not_run(ErrorCode::BadRequest, message)
+}
+
+/// Reads the remaining fields of a body; unknown ones are refused.
+fn fields<T: DeserializeOwned>(body: serde_json::Map<String, Value>) -> Result<T, RequestError> {
+    serde_json::from_value(Value::Object(body))
+        .map_err(|error| bad_request(format!("invalid body: {error}")))
+}
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -174,6 +174,7 @@
         cell: CellSettings {
             name: "development".to_owned(),
             authentication: false,
+            operator_token_sha256: None,
             hosts: hosts.to_vec(),
         },
         limits: LimitSettings::default(),
--- a/src/configuration/identity.rs
+++ b/src/configuration/identity.rs
@@ -74,3 +74,24 @@
     }
     identity.ok_or_else(|| refused("the token is unknown or revoked"))
 }
+
+/// Finds the holder of the token in an `Authorization` header and checks the role.
+///
+/// # Errors
+///
+/// `Unauthenticated` as [`authenticate`], `Forbidden` when the role does not permit the call.
+pub fn require_role(
+    snapshot: &ConfigurationSnapshot,
+    header: Option<&str>,
+    needed: Role,
+) -> Result<Identity, RequestError> {
+    let identity = authenticate(snapshot, bearer_token(header))?;
+    if identity.may(needed) {
+        return Ok(identity);
+    }
+    let message = format!(
+        "token {} has the role {}; the call needs {needed}",
+        identity.name, identity.role
+    );
+    Err(RequestError::did_not_run(ErrorCode::Forbidden, message))
+}
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -1,5 +1,7 @@
 //! An entry host: assembles all control roles from the settings.
 
+mod administration;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,9 +12,11 @@
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::configuration::log::ConfigurationLog;
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router};
-use crate::http::{Client, ClientOptions, Request, Response, Server, ServerOptions};
+use crate::http::{Client, ClientOptions, Server, ServerOptions};
 use crate::ids::HostId;
 use crate::options::Settings;
 use crate::peer::{PeerClient, PeerServer};
@@ -20,12 +24,12 @@
 use crate::placer::{Placer, PlacerOptions};
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
-use crate::telemetry::metrics::metrics;
 
 /// A running entry host.
 pub struct EntryHost {
     settings: Settings,
     gateway: Arc<Gateway>,
+    configuration: Arc<Configuration>,
     callers: Server,
     admin: Server,
     peers: PeerServer,
@@ -39,6 +43,10 @@
     /// The error of binding a listener.
     pub fn start(settings: Settings) -> io::Result<Self> {
         let this = settings.this_host().clone();
+        let operator_token = settings.cell.operator_token_sha256;
+        let configuration = Configuration::new(operator_token, Clock::system());
+        let configuration_log =
+            ConfigurationLog::in_memory(Arc::clone(&configuration), this.id.clone());
         let placer = Placer::new(PlacerOptions {
             data_centre: this.data_centre.clone(),
             limits: settings.limits.clone(),
@@ -54,6 +62,9 @@
                 local: Some(Arc::clone(&placer)),
                 remote: remote_hosts(&settings),
             },
+            host: this.id.clone(),
+            authentication: settings.cell.authentication,
+            configuration: Arc::clone(&configuration),
             timing: settings.timing.clone(),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -74,18 +85,20 @@
             },
             Arc::new(move |request| caller_gateway.handle(&request)),
         )?;
-        let admin_gateway = Arc::clone(&gateway);
+        let administration =
+            administration::start(&settings, &gateway, &configuration, configuration_log);
         let admin = Server::start(
             settings.listeners.admin,
             ServerOptions {
                 max_connections: 64,
                 ..ServerOptions::default()
             },
-            Arc::new(move |request| handle_admin(&admin_gateway, &request)),
+            Arc::new(move |request| administration.handle(&request)),
         )?;
         Ok(Self {
             settings,
             gateway,
+            configuration,
             callers,
             admin,
             peers,
@@ -107,6 +120,11 @@
         self.peers.local_address()
     }
 
+    /// The configuration as this host has applied it.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
     /// Fails readiness, lets requests finish, and closes the listeners. Returns whether all
     /// requests in flight finished in time.
     pub fn shutdown(&self) -> bool {
@@ -204,11 +222,3 @@
         payload: forwarded.payload,
     }
 }
-
-fn handle_admin(gateway: &Arc<Gateway>, request: &Request) -> Response {
-    match request.segments().as_slice() {
-        ["live"] | ["ready"] => gateway.handle(request),
-        ["metrics"] => Response::text(200, metrics().render()),
-        _ => Response::text(404, "unknown path\n"),
-    }
-}
--- /dev/null
+++ b/src/entry_host/administration.rs
@@ -0,0 +1,104 @@
+//! Connects the administration interface with the other parts of the host.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::admin::Admin;
+use crate::admin::sources::{AdminSources, AppliedVersion, HostStatus, QueueStatus};
+use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::configuration::change::Role;
+use crate::configuration::log::ConfigurationLog;
+use crate::gateway::api::Gateway;
+use crate::options::Settings;
+
+/// The administration interface of the host.
+pub(super) fn start(
+    settings: &Settings,
+    gateway: &Arc<Gateway>,
+    configuration: &Arc<Configuration>,
+    log: ConfigurationLog,
+) -> Admin {
+    warn_without_operator(settings, configuration);
+    Admin {
+        host: settings.host.id.clone(),
+        authentication: settings.cell.authentication,
+        configuration: Arc::clone(configuration),
+        log,
+        clock: Clock::system(),
+        sources: sources(settings, gateway, configuration),
+    }
+}
+
+fn warn_without_operator(settings: &Settings, configuration: &Configuration) {
+    let snapshot = configuration.read();
+    let mut tokens = snapshot.content().tokens.values();
+    let has_operator = settings.cell.operator_token_sha256.is_some()
+        || tokens.any(|token| token.grant.role == Role::Operate);
+    if settings.cell.authentication && !has_operator {
+        ::log::warn!(
+            "authentication is on and no operator token is known yet; \
+             set cell.operator_token_sha256 to admit the first operator"
+        );
+    }
+}
+
+fn sources(
+    settings: &Settings,
+    gateway: &Arc<Gateway>,
+    configuration: &Arc<Configuration>,
+) -> AdminSources {
+    let (ready, fleet, queues) = (
+        Arc::clone(gateway),
+        Arc::clone(gateway),
+        Arc::clone(gateway),
+    );
+    let hosts = host_list(settings);
+    let this = settings.this_host().clone();
+    let configuration = Arc::clone(configuration);
+    AdminSources {
+        ready: Arc::new(move || ready.is_ready()),
+        hosts: Arc::new(move || hosts.clone()),
+        applied_versions: Arc::new(move || {
+            let snapshot = configuration.read();
+            let age = Instant::now().saturating_duration_since(snapshot.applied_at());
+            vec![AppliedVersion {
+                host: this.id.clone(),
+                data_centre: this.data_centre.clone(),
+                version: snapshot.version(),
+                applied_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                reported_age_ms: 0,
+            }]
+        }),
+        fleet: Arc::new(move || {
+            let placer = fleet.router.local.as_ref();
+            placer.map_or_else(Vec::new, |placer| placer.runner_announcements())
+        }),
+        queues: Arc::new(move || {
+            let placer = queues.router.local.as_ref();
+            let status = placer.map(|placer| QueueStatus {
+                data_centre: placer.data_centre().to_owned(),
+                leading: placer.is_leading(),
+                queued_requests: placer.queued_requests(),
+            });
+            status.into_iter().collect()
+        }),
+        // The placer does not report its queue by member yet.
+        members: Arc::new(Vec::new),
+    }
+}
+
+fn host_list(settings: &Settings) -> Vec<HostStatus> {
+    let mut list = Vec::new();
+    for host in &settings.cell.hosts {
+        list.push(HostStatus {
+            host: host.id.clone(),
+            data_centre: host.data_centre.clone(),
+            region: host.region.clone(),
+            votes: host.votes,
+            witness_for: host.witness_for.clone(),
+            alive: None,
+        });
+    }
+    list
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Caller interface of an entry host.
 
+pub mod access;
 pub mod api;
 pub mod routing;
 
--- a/src/gateway/api.rs
+++ b/src/gateway/api.rs
@@ -7,8 +7,11 @@
 use hyper::Method;
 use opentelemetry::KeyValue;
 
-use super::Router;
+use super::{Router, access};
+use crate::configuration::Configuration;
+use crate::configuration::change::Role;
 use crate::http::{Request, Response};
+use crate::ids::HostId;
 use crate::options::settings::TimingSettings;
 use crate::placer::{Outcome, key};
 use crate::protocol::caller::{Submission, Urgency};
@@ -16,11 +19,14 @@
 use crate::telemetry::metrics::metrics;
 use crate::verdict::{ErrorCode, RequestError, Verdict};
 
-/// Member of callers while authentication is off and no member is named.
-const ANONYMOUS_MEMBER: &str = "anonymous";
-
 /// State of the caller interface.
 pub struct Gateway {
+    /// This host.
+    pub host: HostId,
+    /// Whether callers, runners and workers must present a token.
+    pub authentication: bool,
+    /// Tokens and drains.
+    pub configuration: Arc<Configuration>,
     /// Routes to placers.
     pub router: Router,
     /// Timeouts.
@@ -46,8 +52,12 @@
             (&Method::GET, ["live"]) => Response::text(200, "live\n"),
             (&Method::GET, ["ready"]) => self.ready(),
             (&Method::POST, ["v1", "requests"]) => self.submit(request),
-            (&Method::GET, ["v1", "requests", key]) => self.respond(self.router.query(key), ""),
-            (&Method::DELETE, ["v1", "requests", key]) => self.cancel(key),
+            (&Method::GET, ["v1", "requests", key]) => {
+                let outcome = access::require(self, request, Role::Submit)
+                    .and_then(|_| self.router.query(key));
+                self.respond(outcome, "")
+            }
+            (&Method::DELETE, ["v1", "requests", key]) => self.cancel(request, key),
             (&Method::POST, ["v1", "announcements"]) => self.announce(request),
             _ => {
                 let message = format!("no {} {}", request.method, request.path);
@@ -56,11 +66,17 @@
         }
     }
 
+    /// Whether the load balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        let drained = self.configuration.read().is_host_drained(&self.host);
+        !drained && !self.draining.load(Ordering::Acquire)
+    }
+
     fn ready(&self) -> Response {
-        if self.draining.load(Ordering::Acquire) {
-            return Response::text(503, "draining\n");
+        if self.is_ready() {
+            return Response::text(200, "ready\n");
         }
-        Response::text(200, "ready\n")
+        Response::text(503, "draining\n")
     }
 
     fn submit(&self, request: &Request) -> Response {
@@ -88,8 +104,9 @@
         response.header(headers::REQUEST_ID, request_id)
     }
 
-    fn cancel(&self, request_key: &str) -> Response {
-        let error = match self.router.cancel(request_key) {
+    fn cancel(&self, request: &Request, request_key: &str) -> Response {
+        let permitted = access::require(self, request, Role::Submit);
+        let error = match permitted.and_then(|_| self.router.cancel(request_key)) {
             Ok(true) => {
                 return Response::json(200, &serde_json::json!({ "verdict": Verdict::DidNotRun }));
             }
@@ -103,8 +120,8 @@
     }
 
     fn announce(&self, request: &Request) -> Response {
-        match request
-            .json()
+        match access::require(self, request, Role::Announce)
+            .and_then(|_| request.json())
             .and_then(|announcement| self.router.announce(announcement))
         {
             Ok(reply) => Response::json(200, &reply),
@@ -113,6 +130,7 @@
     }
 
     fn submission(&self, request: &Request) -> Result<Submission, RequestError> {
+        let member = access::member(self, request)?;
         let bad = |message: &str| RequestError::did_not_run(ErrorCode::BadRequest, message);
         let service = request
             .header(headers::SERVICE)
@@ -136,10 +154,7 @@
         let key = self.request_key(request, idempotent)?;
         Ok(Submission {
             key,
-            member: request
-                .header(headers::MEMBER)
-                .unwrap_or(ANONYMOUS_MEMBER)
-                .to_owned(),
+            member,
             caller: request
                 .header(headers::CALLER)
                 .unwrap_or_default()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The design is described in `docs/design.md`.
 
+pub mod admin;
 pub mod agent;
 pub mod clock;
 pub mod commands;
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::configuration::digest::Sha256Digest;
 use crate::ids::{DataCentreName, HostId, RegionName};
 
 /// Settings of one entry host.
@@ -62,6 +63,9 @@
     /// Whether callers, runners and operators must present a token.
     #[serde(default)]
     pub authentication: bool,
+    /// SHA-256 of the first operator's token, in hexadecimal.
+    #[serde(default)]
+    pub operator_token_sha256: Option<Sha256Digest>,
     /// All entry hosts.
     pub hosts: Vec<CellHost>,
 }
