feature: subcommands for operators

Cause: the administration interface could be reached with a bare HTTP client only.

Change: config, exception, team, token, drain, undrain, audit and fleet, with tables or JSON. The help lists the subcommands in groups. Tokens come from a file or JUJUBEWINCH_TOKEN, for submit, status and cancel as well.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,11 +1,21 @@
 //! Subcommands, one file each.
 
+mod administration;
+mod audit;
 mod check;
+mod config;
 mod dev;
+mod drain;
+mod exception;
+mod fleet;
 mod load;
 mod request;
 mod runner;
 mod serve;
+mod table;
+mod team;
+mod token;
+mod undrain;
 
 use clap::{ArgMatches, Command};
 use thiserror::Error;
@@ -29,6 +39,9 @@
     /// A request failed.
     #[error("{0}")]
     Request(#[from] RequestError),
+    /// The administration interface did not accept a call.
+    #[error("{0}")]
+    Refused(String),
     /// Anything else.
     #[error("{0}")]
     Failed(String),
@@ -39,6 +52,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Usage(_) => 2,
+            Self::Refused(_) => 3,
             Self::Request(error) if error.verdict == Verdict::DidNotRun => 3,
             Self::Request(error) if error.verdict == Verdict::MayHaveRun => 4,
             Self::Request(_) | Self::Failed(_) => 1,
@@ -46,20 +60,43 @@
     }
 }
 
-/// All subcommands in the order of the help text.
-pub fn all() -> Vec<Subcommand> {
+/// All subcommands by group, in the order of the help text.
+pub fn groups() -> Vec<(&'static str, Vec<Subcommand>)> {
     vec![
-        serve::subcommand(),
-        dev::subcommand(),
-        check::subcommand(),
-        request::submit(),
-        request::status(),
-        request::cancel(),
-        runner::subcommand(),
-        load::subcommand(),
+        (
+            "Running the scheduler",
+            vec![serve::subcommand(), dev::subcommand(), check::subcommand()],
+        ),
+        (
+            "Requests",
+            vec![request::submit(), request::status(), request::cancel()],
+        ),
+        (
+            "Administration",
+            vec![
+                config::subcommand(),
+                exception::subcommand(),
+                team::subcommand(),
+                token::subcommand(),
+                drain::subcommand(),
+                undrain::subcommand(),
+                audit::subcommand(),
+                fleet::subcommand(),
+            ],
+        ),
+        (
+            "Tests and trials",
+            vec![runner::subcommand(), load::subcommand()],
+        ),
     ]
 }
 
+/// All subcommands.
+pub fn all() -> Vec<Subcommand> {
+    let groups = groups().into_iter();
+    groups.flat_map(|(_, commands)| commands).collect()
+}
+
 /// Runs the subcommand that was chosen on the command line.
 ///
 /// # Errors
--- a/src/commands/request.rs
+++ b/src/commands/request.rs
@@ -7,6 +7,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use hyper::Method;
 
+use super::administration::token_from_environment;
 use super::{CommandError, Subcommand};
 use crate::http::client::{ClientError, ClientRequest, ClientResponse};
 use crate::http::{Client, ClientOptions};
@@ -139,7 +140,10 @@
     ))?)
 }
 
-fn send(request: ClientRequest) -> Result<ClientResponse, CommandError> {
+fn send(mut request: ClientRequest) -> Result<ClientResponse, CommandError> {
+    if let Some(token) = token_from_environment() {
+        request = request.header(headers::AUTHORIZATION, format!("Bearer {token}"));
+    }
     let sent = Client::new(ClientOptions::default()).send(request);
     sent.map_err(|error| {
         let verdict = match &error {
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -10,15 +10,15 @@
   0  success
   1  the operation failed; standard error says why
   2  wrong arguments or settings
-  3  a request did not run
-  4  a request may have run";
+  3  a request did not run, or a change was not accepted
+  4  a request may have run, or a change may have been accepted";
 
 /// The command line of the binary.
 pub fn command() -> Command {
     Command::new("jujubewinch")
         .version(clap::crate_version!())
         .about("A cluster scheduler for unlike workloads: requests, batch, services and gangs")
-        .after_help(EXIT_CODES)
+        .help_template(help_template())
         .subcommand_required(true)
         .arg_required_else_help(true)
         .arg(
@@ -37,6 +37,21 @@
         .subcommands(commands::all().iter().map(|command| (command.arguments)()))
 }
 
+/// Help with the subcommands in groups, which `clap` does not offer.
+fn help_template() -> String {
+    let mut text = String::from("{about}\n\n{usage-heading} {usage}\n");
+    for (heading, subcommands) in commands::groups() {
+        text.push_str(&format!("\n{heading}:\n"));
+        for subcommand in subcommands {
+            let command = (subcommand.arguments)();
+            let about = command.get_about().cloned().unwrap_or_default();
+            text.push_str(&format!("  {:<10} {about}\n", command.get_name()));
+        }
+    }
+    text.push_str("\n`jujubewinch help COMMAND` explains a command.\n");
+    format!("{text}\nOptions:\n{{options}}\n\n{EXIT_CODES}\n")
+}
+
 /// Option that names the settings file.
 pub fn settings_argument() -> Arg {
     Arg::new("settings")
