bug: settings faults name the exact line and key

Cause: the line was that of the first key with the same last word, so a fault in the second host pointed at [host] or at the first host, and an absent key gave line 0. Faults that the TOML library found had another form. Durations had no upper bound: the largest announcement interval overflowed in a check.

Change: positions come from the TOML parser, host faults carry their index, and numbers have ranges in one table.

Conclusion: every refused file is reported as file, line, key and reason.

--- a/src/options.rs
+++ b/src/options.rs
@@ -1,6 +1,8 @@
 //! Command-line arguments and settings file.
 
 pub mod arguments;
+mod position;
+mod ranges;
 pub mod settings;
 
 pub use settings::{Settings, SettingsError};
--- /dev/null
+++ b/src/options/ranges.rs
@@ -0,0 +1,76 @@
+//! Allowed ranges of the numbers in a settings file.
+
+use super::settings::Settings;
+
+/// Largest duration. Larger ones could overflow a deadline.
+const WEEK_MS: u64 = 7 * 24 * 60 * 60 * 1_000;
+/// Largest amount of memory that a setting may reserve.
+const MAX_BYTES: u64 = 64 * 1024 * 1024 * 1024;
+
+/// Dotted key and reason of the first number that is out of its range.
+pub(super) fn first_fault(settings: &Settings) -> Option<(&'static str, String)> {
+    let (limits, timing) = (&settings.limits, &settings.timing);
+    let ranges = [
+        (
+            "limits.max_caller_connections",
+            limits.max_caller_connections as u64,
+            1,
+            100_000,
+        ),
+        (
+            "limits.max_payload_bytes",
+            limits.max_payload_bytes as u64,
+            1,
+            64 * 1024 * 1024,
+        ),
+        (
+            "limits.max_header_bytes",
+            limits.max_header_bytes as u64,
+            1_024,
+            1024 * 1024,
+        ),
+        (
+            "limits.max_queued_requests",
+            limits.max_queued_requests as u64,
+            1,
+            10_000_000,
+        ),
+        (
+            "limits.max_answer_bytes",
+            limits.max_answer_bytes as u64,
+            1,
+            MAX_BYTES,
+        ),
+    ];
+    let durations = [
+        (
+            "timing.default_request_timeout_ms",
+            timing.default_request_timeout_ms,
+            1,
+        ),
+        (
+            "timing.max_request_timeout_ms",
+            timing.max_request_timeout_ms,
+            1,
+        ),
+        ("timing.key_retention_ms", timing.key_retention_ms, 1),
+        ("timing.exchange_wait_ms", timing.exchange_wait_ms, 1),
+        ("timing.exchange_grace_ms", timing.exchange_grace_ms, 0),
+        (
+            "timing.announcement_interval_ms",
+            timing.announcement_interval_ms,
+            1,
+        ),
+        ("timing.lease_ms", timing.lease_ms, 1),
+        ("timing.clock_margin_ms", timing.clock_margin_ms, 0),
+        ("timing.drain_delay_ms", timing.drain_delay_ms, 0),
+        ("timing.drain_timeout_ms", timing.drain_timeout_ms, 0),
+    ];
+    let durations = durations.map(|(key, value, min)| (key, value, min, WEEK_MS));
+    for (key, value, min, max) in ranges.into_iter().chain(durations) {
+        if !(min..=max).contains(&value) {
+            return Some((key, format!("must be from {min} to {max}")));
+        }
+    }
+    None
+}
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::{position, ranges};
 use crate::configuration::digest::Sha256Digest;
 use crate::ids::{DataCentreName, HostId, RegionName};
 
@@ -204,11 +205,15 @@
         reason: String,
     },
     /// The file is not valid TOML or has an unknown key or a value of the wrong type.
-    #[error("{file}: {reason}")]
+    #[error("{file}, line {line}: {key}: {reason}")]
     Malformed {
         /// Path of the file.
         file: String,
-        /// Line, key and fault.
+        /// Line of the fault, counted from one.
+        line: usize,
+        /// Dotted key, or the words of the line when it is not TOML.
+        key: String,
+        /// What is wrong.
         reason: String,
     },
     /// Two values contradict each other or a value is out of range.
@@ -216,7 +221,7 @@
     Contradiction {
         /// Path of the file.
         file: String,
-        /// Line of the key; zero when the key is absent.
+        /// Line of the key, counted from one; that of its table when the key is absent.
         line: usize,
         /// Dotted key.
         key: String,
@@ -246,15 +251,20 @@
     ///
     /// [`SettingsError`] with file, line and key.
     pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|error| SettingsError::Malformed {
-            file: file.to_owned(),
-            reason: error.to_string().trim_end().to_owned(),
+        let settings: Self = toml::from_str(text).map_err(|error| {
+            let offset = error.span().map_or(0, |span| span.start);
+            SettingsError::Malformed {
+                file: file.to_owned(),
+                line: position::line_of_offset(text, offset),
+                key: position::key_of_fault(text, offset, error.message()),
+                reason: error.message().trim_end().to_owned(),
+            }
         })?;
         settings
             .check()
             .map_err(|fault| SettingsError::Contradiction {
                 file: file.to_owned(),
-                line: line_of_key(text, &fault.key),
+                line: position::line_of_key(text, &fault.key),
                 key: fault.key,
                 reason: fault.reason,
             })?;
@@ -284,6 +294,9 @@
 
     fn check(&self) -> Result<(), Fault> {
         self.check_hosts()?;
+        if let Some((key, reason)) = ranges::first_fault(self) {
+            return Err(Fault::new(key, &reason));
+        }
         let timing = &self.timing;
         if timing.announcement_interval_ms * 3 > timing.lease_ms {
             return Err(Fault::new(
@@ -304,18 +317,6 @@
                 "must be at least max_request_timeout_ms, so that a retry finds its record",
             ));
         }
-        if timing.exchange_wait_ms == 0 {
-            return Err(Fault::new(
-                "timing.exchange_wait_ms",
-                "must be larger than zero",
-            ));
-        }
-        if self.limits.max_caller_connections == 0 {
-            return Err(Fault::new(
-                "limits.max_caller_connections",
-                "must be larger than zero",
-            ));
-        }
         if self.logging.level.parse::<log::LevelFilter>().is_err() {
             return Err(Fault::new(
                 "logging.level",
@@ -332,8 +333,9 @@
                 .iter()
                 .any(|earlier| earlier.id == host.id)
             {
-                return Err(Fault::new(
-                    "cell.hosts",
+                return Err(Fault::of_host(
+                    position,
+                    "id",
                     &format!("host {} appears twice", host.id),
                 ));
             }
@@ -342,17 +344,21 @@
                 .any(|earlier| earlier.peers == host.peers)
             {
                 let reason = format!("address {} appears twice", host.peers);
-                return Err(Fault::new("cell.hosts", &reason));
+                return Err(Fault::of_host(position, "peers", &reason));
+            }
+            if host.id.trim().is_empty() {
+                return Err(Fault::of_host(position, "id", "is empty"));
             }
             if host.data_centre.is_empty() || host.data_centre.contains('.') {
                 let reason = format!("data centre {:?} is empty or has a dot", host.data_centre);
-                return Err(Fault::new("cell.hosts", &reason));
+                return Err(Fault::of_host(position, "data_centre", &reason));
             }
             if host.witness_for.as_ref() == Some(&host.data_centre) {
                 let reason = format!("host {} is a witness for its own data centre", host.id);
-                return Err(Fault::new("cell.hosts", &reason));
+                return Err(Fault::of_host(position, "witness_for", &reason));
             }
         }
+        self.check_witnesses()?;
         let Some(this) = hosts.iter().find(|host| host.id == self.host.id) else {
             return Err(Fault::new("host.id", "does not appear in cell.hosts"));
         };
@@ -369,6 +375,20 @@
         }
         Ok(())
     }
+
+    fn check_witnesses(&self) -> Result<(), Fault> {
+        let names = self.data_centres();
+        for (position, host) in self.cell.hosts.iter().enumerate() {
+            let Some(witnessed) = &host.witness_for else {
+                continue;
+            };
+            if !names.contains(witnessed) {
+                let reason = format!("no host is in data centre {witnessed}");
+                return Err(Fault::of_host(position, "witness_for", &reason));
+            }
+        }
+        Ok(())
+    }
 }
 
 struct Fault {
@@ -377,6 +397,11 @@
 }
 
 impl Fault {
+    /// A fault in one of the hosts of the cell.
+    fn of_host(position: usize, field: &str, reason: &str) -> Self {
+        Self::new(&format!("cell.hosts[{position}].{field}"), reason)
+    }
+
     fn new(key: &str, reason: &str) -> Self {
         Self {
             key: key.to_owned(),
@@ -384,14 +409,3 @@
         }
     }
 }
-
-/// Line of the last part of a dotted key, counted from one; zero when absent.
-fn line_of_key(text: &str, key: &str) -> usize {
-    let name = key.rsplit('.').next().unwrap_or(key);
-    let found = text.lines().position(|line| {
-        let line = line.trim_start_matches(['[', ' ', '\t']);
-        let rest = line.strip_prefix(key).or_else(|| line.strip_prefix(name));
-        rest.is_some_and(|rest| rest.trim_start().starts_with(['=', ']']))
-    });
-    found.map_or(0, |index| index + 1)
-}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,73 @@
+//! Settings files: the valid ones are accepted, the invalid ones refused with file, line and key.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use jujubewinch::options::Settings;
+
+fn files(folder: &str) -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/settings")
+        .join(folder);
+    let entries = fs::read_dir(folder).expect("the folder exists");
+    let mut paths: Vec<PathBuf> = entries.map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    paths
+}
+
+/// Guards against a valid file that is refused.
+#[test]
+fn valid_files_are_accepted() {
+    for path in files("valid") {
+        Settings::load(&path).unwrap_or_else(|error| panic!("{error}"));
+    }
+}
+
+/// Guards against an invalid file that is accepted, or refused without saying where. The first
+/// line of each file names the key; the snapshot shows line and reason.
+#[test]
+fn invalid_files_are_refused_with_file_line_and_key() {
+    let mut messages = String::new();
+    let paths = files("invalid");
+    assert!(paths.len() > 20, "the files are missing");
+    for path in paths {
+        let name = path.file_name().unwrap().to_string_lossy().into_owned();
+        let text = fs::read_to_string(&path).unwrap();
+        let key = text
+            .lines()
+            .next()
+            .unwrap()
+            .strip_prefix("# expect: ")
+            .unwrap();
+        let error = match Settings::parse(&text, &name) {
+            Ok(_) => panic!("{name} is accepted"),
+            Err(error) => error.to_string(),
+        };
+        let rest = error
+            .strip_prefix(&format!("{name}, line "))
+            .unwrap_or_default();
+        let (line, rest) = rest.split_once(": ").unwrap_or_default();
+        let line: usize = line
+            .parse()
+            .unwrap_or_else(|_| panic!("no line in: {error}"));
+        assert!(
+            rest.starts_with(&format!("{key}: ")),
+            "{key} is not named in: {error}"
+        );
+        let shown = text.lines().nth(line - 1).unwrap_or_default();
+        messages.push_str(&format!("{error}\n    {shown}\n"));
+    }
+    insta::assert_snapshot!("messages", messages);
+}
+
+/// Guards against an unreadable file that is taken for an empty one.
+#[test]
+fn an_unreadable_file_is_named() {
+    let error = Settings::load(Path::new("tests/settings/absent.toml")).unwrap_err();
+    assert!(
+        error
+            .to_string()
+            .starts_with("cannot read tests/settings/absent.toml: "),
+        "{error}"
+    );
+}
