feature: runners announce with a token; token generate

Cause: with authentication on the stand-in runner could not announce itself, so no request ran, and the first operator's hash needed a tool outside of the repository.

Conclusion: a test runs a request from end to end with authentication on.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -55,6 +55,15 @@
     ///
     /// The error of binding the address.
     pub fn start(options: AgentOptions) -> io::Result<Self> {
+        Self::start_with_token(options, None)
+    }
+
+    /// As [`Agent::start`], with the token that its announcements carry.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address.
+    pub fn start_with_token(options: AgentOptions, token: Option<String>) -> io::Result<Self> {
         let incarnation = announcer::new_incarnation();
         let tasks = Arc::new(TaskTable::new(options.runner.slots as usize, incarnation));
         let serving = Arc::clone(&tasks);
@@ -82,6 +91,7 @@
         let announcing = announcer::Announcer {
             announcement,
             entry_hosts: options.entry_hosts,
+            token,
             tasks: Arc::clone(&tasks),
             leaving: Arc::clone(&leaving),
             stopped: Arc::clone(&stopped),
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -12,6 +12,7 @@
 use crate::http::client::ClientRequest;
 use crate::http::{Client, ClientOptions};
 use crate::ids::Incarnation;
+use crate::protocol::headers;
 use crate::protocol::worker::{Announcement, AnnouncementReply, WorkerPhase};
 
 /// Time for one exchange with an entry host.
@@ -35,6 +36,8 @@
     pub announcement: Announcement,
     /// Entry hosts, tried in turn.
     pub entry_hosts: Vec<SocketAddr>,
+    /// Token with the role `announce`, where authentication is on.
+    pub token: Option<String>,
     /// Tasks of the runner.
     pub tasks: Arc<TaskTable>,
     /// Set when the runner is leaving.
@@ -77,6 +80,9 @@
         let url = format!("http://{host}/v1/announcements");
         let mut request = ClientRequest::new(Method::POST, url, deadline)
             .header("content-type", "application/json");
+        if let Some(token) = &self.token {
+            request = request.header(headers::AUTHORIZATION, format!("Bearer {token}"));
+        }
         request.body = serde_json::to_vec(&self.announcement).ok()?;
         match client.send(request) {
             Ok(response) if response.status == 200 => serde_json::from_slice(&response.body).ok(),
--- a/src/commands/runner.rs
+++ b/src/commands/runner.rs
@@ -5,6 +5,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use super::administration::token_from_environment;
 use super::{CommandError, Subcommand};
 use crate::agent::{Agent, AgentOptions};
 use crate::options::arguments::value;
@@ -24,7 +25,8 @@
         .about("Run a stand-in runner that announces itself and executes requests")
         .after_help(
             "Example:\n  jujubewinch runner --id w1 --data-centre erdenet --rack r1 \
-             --service wheel-orders --entry 127.0.0.1:7101",
+             --service wheel-orders --entry 127.0.0.1:7101\n\n\
+             Where authentication is on, JUJUBEWINCH_TOKEN holds a token with the role announce.",
         )
         .arg(text("id").help("Identifier of the worker"))
         .arg(text("data-centre").help("Data centre of the worker"))
@@ -64,7 +66,7 @@
         .into_iter()
         .flatten()
         .copied();
-    let agent = Agent::start(AgentOptions {
+    let options = AgentOptions {
         worker: value(matches, "id"),
         data_centre: value(matches, "data-centre"),
         rack: value(matches, "rack"),
@@ -80,8 +82,9 @@
             slots: value(matches, "slots"),
             connections: value(matches, "connections"),
         },
-    })
-    .map_err(|error| CommandError::Failed(format!("cannot start the runner: {error}")))?;
+    };
+    let agent = Agent::start_with_token(options, token_from_environment())
+        .map_err(|error| CommandError::Failed(format!("cannot start the runner: {error}")))?;
     log::info!("runner listens on {}", agent.address());
     super::wait_for_termination(None)
         .map_err(|error| CommandError::Failed(format!("cannot handle signals: {error}")))?;
--- a/src/commands/token.rs
+++ b/src/commands/token.rs
@@ -46,6 +46,11 @@
                         .help("Member on whose behalf the holder acts"),
                 ),
         ))
+        .subcommand(
+            Command::new("generate").about(
+                "Print a new secret and its SHA-256 without asking a host, for the settings",
+            ),
+        )
         .subcommand(with_change(
             Command::new("revoke").about("Revoke a token").arg(name()),
         ))
@@ -55,6 +60,7 @@
     match matches.subcommand() {
         Some(("list", matches)) => list(matches),
         Some(("create", matches)) => create(matches),
+        Some(("generate", _)) => generate(),
         Some(("revoke", matches)) => revoke(matches),
         _ => Err(CommandError::Usage("no subcommand of token".to_owned())),
     }
@@ -87,11 +93,7 @@
         ));
     }
     let admin = AdminClient::new(matches)?;
-    let secret = format!(
-        "jjw_{:032x}{:032x}",
-        rand::random::<u128>(),
-        rand::random::<u128>()
-    );
+    let secret = new_secret();
     let call = ChangeCall {
         method: Method::POST,
         path: "/v1/tokens".to_owned(),
@@ -115,6 +117,21 @@
     write_output(&format!("secret, shown only now:\n{secret}\n"))
 }
 
+fn generate() -> Result<(), CommandError> {
+    let secret = new_secret();
+    let digest = Sha256Digest::of(secret.as_bytes());
+    write_output(&format!("secret: {secret}\nsha256: {digest}\n"))
+}
+
+/// 256 random bits from the generator that the operating system seeds.
+fn new_secret() -> String {
+    format!(
+        "jjw_{:032x}{:032x}",
+        rand::random::<u128>(),
+        rand::random::<u128>()
+    )
+}
+
 fn revoke(matches: &ArgMatches) -> Result<(), CommandError> {
     let token = encode(&value::<String>(matches, "token"));
     let call = ChangeCall {
--- a/src/configuration/figures.rs
+++ b/src/configuration/figures.rs
@@ -21,7 +21,7 @@
     default: 2_000,
     min: 10,
     max: 120_000,
-    scopes: &[ScopeKind::Member, ScopeKind::Service],
+    scopes: &[ScopeKind::Member, ScopeKind::Caller, ScopeKind::Service],
     description: "expected wait from which on new requests are refused with a retry-after",
 };
 
--- a/tests/administration.rs
+++ b/tests/administration.rs
@@ -9,6 +9,7 @@
 use jujubewinch::admin::Admin;
 use jujubewinch::admin::routes::{Access, ROUTES, Route};
 use jujubewinch::admin::sources::AdminSources;
+use jujubewinch::agent::{Agent, AgentOptions};
 use jujubewinch::clock::Clock;
 use jujubewinch::configuration::Configuration;
 use jujubewinch::configuration::change::Role;
@@ -19,6 +20,8 @@
 use jujubewinch::http::{Client, ClientOptions, Server, ServerOptions};
 use jujubewinch::options::Settings;
 use jujubewinch::protocol::headers;
+use jujubewinch::protocol::worker::RunnerCapacity;
+use jujubewinch::resources::Resources;
 use serde_json::{Value, json};
 
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -300,6 +303,37 @@
     }
 }
 
+/// Guards against a cell with authentication in which no request can run.
+#[test]
+fn a_request_runs_with_authentication() {
+    let host = Host::start();
+    let options = AgentOptions {
+        worker: "w1".to_owned(),
+        data_centre: "erdenet".to_owned(),
+        rack: "r1".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: vec![host.host.caller_address()],
+        resources: Resources::ZERO,
+        runner: RunnerCapacity {
+            service: "quotes".to_owned(),
+            slots: 1,
+            connections: 8,
+        },
+    };
+    let _runner = Agent::start_with_token(options, Some("a-secret".to_owned())).unwrap();
+    let url = format!("http://{}/v1/requests", host.host.caller_address());
+    let mut request = ClientRequest::new(Method::POST, url, Instant::now() + PATIENCE)
+        .header(headers::SERVICE, "quotes")
+        .header(headers::IDEMPOTENT, "true")
+        .header(headers::AUTHORIZATION, "Bearer s-secret");
+    request.body = b"three wheels".to_vec();
+    let response = host.client.send(request).expect("the host answers");
+    assert_eq!(
+        (response.status, response.body),
+        (200, b"three wheels".to_vec())
+    );
+}
+
 /// Guards against two routes of which the second can never be reached.
 #[test]
 fn every_route_finds_itself() {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -178,6 +178,23 @@
     );
 }
 
+/// Guards against a generated hash that does not belong to the secret.
+#[test]
+fn a_generated_secret_has_the_printed_hash() {
+    let output = Command::new(Path::new(env!("CARGO_BIN_EXE_jujubewinch")))
+        .args(["token", "generate"])
+        .output()
+        .expect("the binary runs");
+    let text = String::from_utf8(output.stdout).unwrap();
+    let value = |name| {
+        text.lines()
+            .find_map(|line| line.strip_prefix(name))
+            .unwrap()
+    };
+    let digest = Sha256Digest::of(value("secret: ").as_bytes());
+    assert_eq!(value("sha256: "), digest.to_string());
+}
+
 /// Guards against a change that is made twice or reported as refused after a lost answer.
 #[test]
 fn lost_answers_are_settled_by_resending() {
