--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -1,5 +1,6 @@
 //! An entry host: assembles all control roles from the settings.
 
+mod administration;
 mod placement_log;
 
 use std::io;
@@ -12,9 +13,11 @@
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::configuration::log::ConfigurationLog;
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router};
-use crate::http::{Request, Response, Server, ServerOptions};
+use crate::http::{Server, ServerOptions};
 use crate::ids::HostId;
 use crate::options::Settings;
 use crate::peer::{PeerClient, PeerClientOptions, PeerServer};
@@ -23,7 +26,6 @@
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
 use crate::replication::ReplicaStatus;
-use crate::telemetry::metrics::metrics;
 use placement_log::PlacementLogs;
 
 /// Time for passing the leadership of the placement log on during a shutdown.
@@ -33,6 +35,7 @@
 pub struct EntryHost {
     settings: Settings,
     gateway: Arc<Gateway>,
+    configuration: Arc<Configuration>,
     callers: Server,
     admin: Server,
     peers: PeerServer,
@@ -50,6 +53,10 @@
         let remote = remote_hosts(&settings);
         let (placement, journal) = PlacementLogs::start(&settings, &remote);
         let placement = Arc::new(placement);
+        let operator_token = settings.cell.operator_token_sha256;
+        let configuration = Configuration::new(operator_token, Clock::system());
+        let configuration_log =
+            ConfigurationLog::in_memory(Arc::clone(&configuration), this.id.clone());
         let placer = Placer::new(PlacerOptions {
             data_centre: this.data_centre.clone(),
             limits: settings.limits.clone(),
@@ -65,6 +72,9 @@
                 local: Some(Arc::clone(&placer)),
                 remote,
             },
+            host: this.id.clone(),
+            authentication: settings.cell.authentication,
+            configuration: Arc::clone(&configuration),
             timing: settings.timing.clone(),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -91,18 +101,20 @@
             },
             Arc::new(move |request| caller_gateway.handle(&request)),
         )?;
-        let admin_gateway = Arc::clone(&gateway);
+        let administration =
+            administration::start(&settings, &gateway, &configuration, configuration_log);
         let admin = Server::start(
             settings.listeners.admin,
             ServerOptions {
                 max_connections: 64,
                 ..ServerOptions::default()
             },
-            Arc::new(move |request| handle_admin(&admin_gateway, &request)),
+            Arc::new(move |request| administration.handle(&request)),
         )?;
         Ok(Self {
             settings,
             gateway,
+            configuration,
             callers,
             admin,
             peers,
@@ -125,6 +137,11 @@
         self.peers.local_address()
     }
 
+    /// The configuration as this host has applied it.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
     /// Fails readiness, lets requests finish, and closes the listeners. Returns whether all
     /// requests in flight finished in time.
     pub fn shutdown(&self) -> bool {
@@ -226,11 +243,3 @@
         payload: forwarded.payload,
     }
 }
-
-fn handle_admin(gateway: &Arc<Gateway>, request: &Request) -> Response {
-    match request.segments().as_slice() {
-        ["live"] | ["ready"] => gateway.handle(request),
-        ["metrics"] => Response::text(200, metrics().render()),
-        _ => Response::text(404, "unknown path\n"),
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! The design is described in `docs/design.md`.
 
+pub mod admin;
 pub mod agent;
 pub mod clock;
 pub mod commands;
+pub mod configuration;
 pub mod entry_host;
 pub mod gateway;
 pub mod http;
