feature: the configuration is replicated over all entry hosts

Cause: each host kept its own configuration, so that a change reached one host only. Change: the configuration log runs over the replicated log; voters from the settings, all other hosts are admitted as learners by the leader; a change is accepted at any host and passed to the leader; hosts report their applied version; a host takes requests only after it received the configuration; failure detection runs in each host and shows in the list of hosts. dev uses a temporary folder and three voters.

--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -1,6 +1,7 @@
 //! `dev`: a small cell in one process, for trying the product.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -16,6 +17,7 @@
 };
 use crate::protocol::worker::RunnerCapacity;
 use crate::resources::Resources;
+use tempfile::TempDir;
 
 /// Data centres of the cell with their regions.
 const DATA_CENTRES: [(&str, &str); 3] = [
@@ -81,6 +83,8 @@
 struct DevelopmentCell {
     hosts: Vec<EntryHost>,
     runners: Vec<Agent>,
+    /// Data folders of the hosts; removed with the cell.
+    _folder: TempDir,
 }
 
 impl DevelopmentCell {
@@ -97,13 +101,20 @@
                 data_centre: (*data_centre).to_owned(),
                 region: (*region).to_owned(),
                 peers: ports.peers,
-                votes: false,
+                votes: true,
                 witness_for: None,
             })
             .collect();
+        let folder = tempfile::tempdir()?;
         let mut hosts = Vec::new();
         for (host, ports) in cell_hosts.iter().zip(&ports) {
-            hosts.push(EntryHost::start(host_settings(host, ports, &cell_hosts))?);
+            let data_folder = folder.path().join(&host.id);
+            hosts.push(EntryHost::start(host_settings(
+                host,
+                ports,
+                &cell_hosts,
+                data_folder,
+            ))?);
         }
         let entry_hosts: Vec<SocketAddr> = hosts.iter().map(EntryHost::caller_address).collect();
         let mut runners = Vec::new();
@@ -116,7 +127,11 @@
                 ))?);
             }
         }
-        Ok(Self { hosts, runners })
+        Ok(Self {
+            hosts,
+            runners,
+            _folder: folder,
+        })
     }
 
     fn shutdown(self) {
@@ -160,11 +175,16 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
 }
 
-fn host_settings(host: &CellHost, ports: &HostPorts, hosts: &[CellHost]) -> Settings {
+fn host_settings(
+    host: &CellHost,
+    ports: &HostPorts,
+    hosts: &[CellHost],
+    data_folder: PathBuf,
+) -> Settings {
     Settings {
         host: HostSettings {
             id: host.id.clone(),
-            data_folder: None,
+            data_folder: Some(data_folder),
         },
         listeners: ListenerSettings {
             callers: ports.callers,
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -1,7 +1,9 @@
 //! An entry host: assembles all control roles from the settings.
 
 mod administration;
+mod configuration_log;
 mod placement_log;
+mod replica_calls;
 
 use std::io;
 use std::net::SocketAddr;
@@ -18,7 +20,8 @@
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router};
 use crate::http::{Server, ServerOptions};
-use crate::ids::HostId;
+use crate::membership::agent::MembershipPeer;
+use crate::membership::{HostView, MembershipAgent, MembershipOptions, ProbeTiming};
 use crate::options::Settings;
 use crate::peer::{PeerClient, PeerClientOptions, PeerServer};
 use crate::placer::links::http_exchange;
@@ -26,6 +29,7 @@
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
 use crate::replication::ReplicaStatus;
+use configuration_log::ConfigurationReplica;
 use placement_log::PlacementLogs;
 
 /// Time for passing the leadership of the placement log on during a shutdown.
@@ -40,6 +44,9 @@
     admin: Server,
     peers: PeerServer,
     placement: Arc<PlacementLogs>,
+    /// Absent in a cell whose settings name no voter.
+    configuration_replica: Option<Arc<ConfigurationReplica>>,
+    membership: Arc<MembershipAgent>,
 }
 
 impl EntryHost {
@@ -55,8 +62,11 @@
         let placement = Arc::new(placement);
         let operator_token = settings.cell.operator_token_sha256;
         let configuration = Configuration::new(operator_token, Clock::system());
-        let configuration_log =
-            ConfigurationLog::in_memory(Arc::clone(&configuration), this.id.clone());
+        let configuration_replica = start_configuration(&settings, &remote, &configuration)?;
+        let configuration_log = match &configuration_replica {
+            Some(replica) => replica.log(),
+            None => ConfigurationLog::in_memory(Arc::clone(&configuration), this.id.clone()),
+        };
         let placer = Placer::new(PlacerOptions {
             data_centre: this.data_centre.clone(),
             limits: settings.limits.clone(),
@@ -65,6 +75,7 @@
             journal,
             exchange: http_exchange(),
         });
+        let joining = configuration_replica.clone();
         let gateway = Arc::new(Gateway {
             router: Router {
                 data_centre: this.data_centre.clone(),
@@ -76,19 +87,22 @@
             authentication: settings.cell.authentication,
             configuration: Arc::clone(&configuration),
             timing: settings.timing.clone(),
+            is_configured: Box::new(move || {
+                joining.as_ref().is_none_or(|replica| replica.has_joined())
+            }),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
-        let (peer_placer, peer_logs) = (Arc::clone(&placer), Arc::clone(&placement));
+        let membership = start_membership(&settings)?;
+        let incoming = Incoming {
+            placer: Arc::clone(&placer),
+            placement: Arc::clone(&placement),
+            configuration: configuration_replica.clone(),
+        };
         let peers = PeerServer::start(
             settings.listeners.peers,
             settings.security.keys(),
-            Arc::new(move |host: HostId, request| match request {
-                PeerRequest::Replication { group, message } => {
-                    peer_logs.handle(&host, &group, &message)
-                }
-                request => handle_peer(&peer_placer, request),
-            }),
+            Arc::new(move |host, request| incoming.handle(&host, request)),
         )?;
         let caller_gateway = Arc::clone(&gateway);
         let callers = Server::start(
@@ -101,8 +115,16 @@
             },
             Arc::new(move |request| caller_gateway.handle(&request)),
         )?;
-        let administration =
-            administration::start(&settings, &gateway, &configuration, configuration_log);
+        let administration = administration::start(
+            &settings,
+            &gateway,
+            &configuration,
+            configuration_log,
+            administration::Observed {
+                configuration: configuration_replica.clone(),
+                membership: Arc::clone(&membership),
+            },
+        );
         let admin = Server::start(
             settings.listeners.admin,
             ServerOptions {
@@ -119,6 +141,8 @@
             admin,
             peers,
             placement,
+            configuration_replica,
+            membership,
         })
     }
 
@@ -158,7 +182,10 @@
             .as_ref()
             .is_none_or(|placer| placer.wait_until_idle(deadline));
         self.placement.hand_over(Instant::now() + HAND_OVER_TIMEOUT);
-        self.placement.stop();
+        if let Some(replica) = &self.configuration_replica {
+            replica.hand_over(Instant::now() + HAND_OVER_TIMEOUT);
+        }
+        self.stop_logs();
         self.admin.shutdown(Instant::now() + Duration::from_secs(1));
         finished && idle
     }
@@ -166,18 +193,76 @@
     /// Ends the host's part in all replicated logs and refuses callers, without draining or
     /// handing over, as a crash would.
     pub fn stop(&self) {
-        self.placement.stop();
+        self.stop_logs();
+        self.peers.stop();
         self.gateway.draining.store(true, Ordering::Release);
         self.callers.shutdown(Instant::now());
         self.admin.shutdown(Instant::now());
     }
 
+    fn stop_logs(&self) {
+        self.placement.stop();
+        if let Some(replica) = &self.configuration_replica {
+            replica.stop();
+        }
+    }
+
+    /// State of the configuration log on this host; `None` when the cell has no voter.
+    pub fn configuration_status(&self) -> Option<ReplicaStatus> {
+        self.configuration_replica
+            .as_ref()
+            .map(|replica| replica.status())
+    }
+
+    /// Beliefs of this host about the liveness of all entry hosts.
+    pub fn membership(&self) -> Vec<HostView> {
+        self.membership.views()
+    }
+
     /// State of the placement logs kept on this host, by group name.
     pub fn placement_status(&self) -> IndexMap<String, ReplicaStatus> {
         self.placement.status()
     }
 }
 
+/// Starts the configuration log of a cell that has voters.
+fn start_configuration(
+    settings: &Settings,
+    remote: &IndexMap<String, Vec<RemoteHost>>,
+    configuration: &Arc<Configuration>,
+) -> io::Result<Option<Arc<ConfigurationReplica>>> {
+    if !settings.cell.hosts.iter().any(|host| host.votes) {
+        return Ok(None);
+    }
+    let started = ConfigurationReplica::start(settings, remote, configuration);
+    started.map(Some).map_err(io::Error::other)
+}
+
+/// Starts failure detection on the UDP port with the number of the peer listener.
+fn start_membership(settings: &Settings) -> io::Result<Arc<MembershipAgent>> {
+    let others = settings
+        .cell
+        .hosts
+        .iter()
+        .filter(|host| host.id != settings.host.id);
+    let peers = others.map(|host| MembershipPeer {
+        host: host.id.clone(),
+        address: host.peers,
+        scope: settings.scope_of(host).to_owned(),
+    });
+    let started = Clock::system().unix_ms();
+    let agent = MembershipAgent::start(MembershipOptions {
+        host: settings.host.id.clone(),
+        incarnation: started,
+        address: settings.listeners.peers,
+        peers: peers.collect(),
+        keys: settings.security.keys(),
+        timing: ProbeTiming::default(),
+        seed: rand::random(),
+    })?;
+    Ok(Arc::new(agent))
+}
+
 fn remote_hosts(settings: &Settings) -> IndexMap<String, Vec<RemoteHost>> {
     let mut remote: IndexMap<String, Vec<RemoteHost>> = IndexMap::new();
     for host in &settings.cell.hosts {
@@ -203,32 +288,54 @@
     remote
 }
 
-fn handle_peer(placer: &Arc<Placer>, request: PeerRequest) -> PeerReply {
-    let data_centre = match &request {
-        PeerRequest::Submit(forwarded) => &forwarded.data_centre,
-        PeerRequest::Cancel { data_centre, .. } | PeerRequest::Query { data_centre, .. } => {
-            data_centre
-        }
-        PeerRequest::Announce(announcement) => &announcement.data_centre,
-        PeerRequest::Replication { group, .. } => {
-            return PeerReply::Refused(format!("no replicated log {group}"));
-        }
-        PeerRequest::Extension { name, .. } => {
-            return PeerReply::Refused(format!("no extension {name}"));
-        }
-    };
-    if placer.data_centre() != data_centre || !placer.is_leading() {
-        return PeerReply::NotPlacer { placer: None };
-    }
-    match request {
-        PeerRequest::Submit(forwarded) => PeerReply::Outcome(placer.submit(&submission(forwarded))),
-        PeerRequest::Cancel { key, .. } => PeerReply::Cancelled(Ok(placer.cancel(&key))),
-        PeerRequest::Query { key, .. } => PeerReply::Outcome(placer.query(&key)),
-        PeerRequest::Announce(announcement) => PeerReply::Announced(placer.announce(announcement)),
-        PeerRequest::Replication { .. } | PeerRequest::Extension { .. } => {
-            PeerReply::Refused("not a request to the placer".to_owned())
+/// Receivers of calls from other hosts.
+struct Incoming {
+    placer: Arc<Placer>,
+    placement: Arc<PlacementLogs>,
+    configuration: Option<Arc<ConfigurationReplica>>,
+}
+
+impl Incoming {
+    fn handle(&self, host: &str, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Replication { group, message } => match &self.configuration {
+                Some(replica) if group == configuration_log::GROUP => {
+                    replica.handle(host, &message)
+                }
+                _ => self.placement.handle(host, &group, &message),
+            },
+            PeerRequest::Extension { name, message } => {
+                let configuration = self.configuration.as_ref();
+                let reply =
+                    configuration.and_then(|replica| replica.handle_extension(&name, message));
+                reply.unwrap_or_else(|| PeerReply::Refused(format!("no extension {name}")))
+            }
+            PeerRequest::Submit(forwarded) => match self.placer_of(&forwarded.data_centre) {
+                Some(placer) => PeerReply::Outcome(placer.submit(&submission(forwarded))),
+                None => PeerReply::NotPlacer { placer: None },
+            },
+            PeerRequest::Cancel { data_centre, key } => match self.placer_of(&data_centre) {
+                Some(placer) => PeerReply::Cancelled(Ok(placer.cancel(&key))),
+                None => PeerReply::NotPlacer { placer: None },
+            },
+            PeerRequest::Query { data_centre, key } => match self.placer_of(&data_centre) {
+                Some(placer) => PeerReply::Outcome(placer.query(&key)),
+                None => PeerReply::NotPlacer { placer: None },
+            },
+            PeerRequest::Announce(announcement) => {
+                match self.placer_of(&announcement.data_centre) {
+                    Some(placer) => PeerReply::Announced(placer.announce(announcement)),
+                    None => PeerReply::NotPlacer { placer: None },
+                }
+            }
         }
     }
+
+    /// The placer, when it decides for the data centre now.
+    fn placer_of(&self, data_centre: &str) -> Option<&Arc<Placer>> {
+        let placer = &self.placer;
+        (placer.data_centre() == data_centre && placer.is_leading()).then_some(placer)
+    }
 }
 
 fn submission(forwarded: ForwardedSubmission) -> Submission {
--- a/src/entry_host/administration.rs
+++ b/src/entry_host/administration.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::configuration_log::ConfigurationReplica;
 use crate::admin::Admin;
 use crate::admin::sources::{AdminSources, AppliedVersion, HostStatus, QueueStatus};
 use crate::clock::Clock;
@@ -10,14 +11,24 @@
 use crate::configuration::change::Role;
 use crate::configuration::log::ConfigurationLog;
 use crate::gateway::api::Gateway;
+use crate::membership::MembershipAgent;
 use crate::options::Settings;
 
+/// Parts of the host whose state operators see.
+pub(super) struct Observed {
+    /// Absent in a cell whose settings name no voter.
+    pub configuration: Option<Arc<ConfigurationReplica>>,
+    /// Failure detection.
+    pub membership: Arc<MembershipAgent>,
+}
+
 /// The administration interface of the host.
 pub(super) fn start(
     settings: &Settings,
     gateway: &Arc<Gateway>,
     configuration: &Arc<Configuration>,
     log: ConfigurationLog,
+    observed: Observed,
 ) -> Admin {
     warn_without_operator(settings, configuration);
     Admin {
@@ -26,7 +37,7 @@
         configuration: Arc::clone(configuration),
         log,
         clock: Clock::system(),
-        sources: sources(settings, gateway, configuration),
+        sources: sources(settings, gateway, configuration, observed),
     }
 }
 
@@ -47,6 +58,7 @@
     settings: &Settings,
     gateway: &Arc<Gateway>,
     configuration: &Arc<Configuration>,
+    observed: Observed,
 ) -> AdminSources {
     let (ready, fleet, queues) = (
         Arc::clone(gateway),
@@ -58,8 +70,11 @@
     let configuration = Arc::clone(configuration);
     AdminSources {
         ready: Arc::new(move || ready.is_ready()),
-        hosts: Arc::new(move || hosts.clone()),
+        hosts: Arc::new(move || with_liveness(&hosts, &observed.membership)),
         applied_versions: Arc::new(move || {
+            if let Some(replica) = &observed.configuration {
+                return replica.applied_versions();
+            }
             let snapshot = configuration.read();
             let age = Instant::now().saturating_duration_since(snapshot.applied_at());
             vec![AppliedVersion {
@@ -88,6 +103,14 @@
     }
 }
 
+fn with_liveness(hosts: &[HostStatus], membership: &MembershipAgent) -> Vec<HostStatus> {
+    let mut hosts = hosts.to_vec();
+    for host in &mut hosts {
+        host.alive = Some(!membership.is_dead(&host.host));
+    }
+    hosts
+}
+
 fn host_list(settings: &Settings) -> Vec<HostStatus> {
     let mut list = Vec::new();
     for host in &settings.cell.hosts {
--- /dev/null
+++ b/src/entry_host/configuration_log.rs
@@ -0,0 +1,387 @@
+//! The replicated configuration log of the cell.
+
+use std::sync::{Arc, Mutex, Weak};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::replica_calls;
+use crate::admin::sources::AppliedVersion;
+use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::configuration::log::{ConfigurationLog, LogStatus, ProposeError};
+use crate::gateway::routing::RemoteHost;
+use crate::ids::{ConfigVersion, DataCentreName, HostId};
+use crate::options::Settings;
+use crate::options::settings::CellHost;
+use crate::peer::{CallError, PeerClient};
+use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::replication::{
+    Index, Limits, Replica, ReplicaOptions, ReplicaPhase, ReplicaStatus, StateMachine,
+    StorageError, StorageOptions, Timing,
+};
+
+/// Name of the log.
+pub(super) const GROUP: &str = "configuration";
+/// Peer extension by which a host passes a command to the leader.
+const PROPOSE: &str = "configuration/propose";
+/// Peer extension by which a host is asked for the version that it applies.
+const VERSION: &str = "configuration/version";
+/// Intervals of the log. Longer than those of placement logs, since its traffic crosses regions
+/// and an election has to fit into the 13 s for a change only.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const ELECTION_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time for a change to be committed; covers one election.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Pause before a host that knows no leader looks again.
+const LEADER_PAUSE: Duration = Duration::from_millis(100);
+/// Time for a host to tell its version.
+const VERSION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval in which the leader looks for hosts that do not receive the log yet.
+const ADMISSION_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for a host to be added as a learner.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reply to [`PROPOSE`].
+#[derive(Debug, Serialize, Deserialize)]
+enum ProposeReply {
+    Applied { index: Index, output: Vec<u8> },
+    NotLeader,
+    NotAccepted(String),
+    MayHaveBeenAccepted(String),
+}
+
+/// Reply to [`VERSION`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct VersionReply {
+    version: ConfigVersion,
+    applied_age_ms: u64,
+}
+
+/// This host's part in the configuration log.
+pub(super) struct ConfigurationReplica {
+    replica: Replica<Vec<u8>>,
+    configuration: Arc<Configuration>,
+    host: CellHost,
+    hosts: Vec<CellHost>,
+    clients: IndexMap<HostId, PeerClient>,
+    /// Latest reports of other hosts.
+    reports: Mutex<IndexMap<HostId, (Instant, VersionReply)>>,
+}
+
+impl ConfigurationReplica {
+    /// Starts the replica.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] when the data folder cannot be used.
+    pub(super) fn start(
+        settings: &Settings,
+        remote: &IndexMap<DataCentreName, Vec<RemoteHost>>,
+        configuration: &Arc<Configuration>,
+    ) -> Result<Arc<Self>, StorageError> {
+        let clients = replica_calls::clients(remote);
+        let hosts = settings.cell.hosts.clone();
+        let voters = hosts
+            .iter()
+            .filter(|host| host.votes)
+            .map(|host| host.id.clone())
+            .collect();
+        let folder = settings
+            .host
+            .data_folder
+            .as_ref()
+            .map(|folder| folder.join(GROUP));
+        let replica = Replica::start(ReplicaOptions {
+            group: GROUP.to_owned(),
+            host: settings.host.id.clone(),
+            initial_voters: voters,
+            may_lead: true,
+            storage: folder.map_or(StorageOptions::Memory, StorageOptions::Folder),
+            clock: Clock::system(),
+            timing: Timing {
+                heartbeat_interval: HEARTBEAT_INTERVAL,
+                election_timeout: ELECTION_TIMEOUT,
+                ..Timing::default()
+            },
+            limits: Limits::default(),
+            seed: rand::random(),
+            send: replica_calls::sender(GROUP, clients.clone()),
+            machine: machine(configuration),
+        })?;
+        let this = Arc::new(Self {
+            replica,
+            configuration: Arc::clone(configuration),
+            host: settings.this_host().clone(),
+            hosts,
+            clients,
+            reports: Mutex::default(),
+        });
+        let admitting = Arc::downgrade(&this);
+        let spawned = thread::Builder::new()
+            .name("configuration-admission".to_owned())
+            .spawn(move || admit_learners(&admitting));
+        if let Err(error) = spawned {
+            log::error!("cannot start a thread to admit hosts: {error}");
+        }
+        Ok(this)
+    }
+
+    /// The log for the administration interface.
+    pub(super) fn log(self: &Arc<Self>) -> ConfigurationLog {
+        let (proposing, hinting, showing) = (Arc::clone(self), Arc::clone(self), Arc::clone(self));
+        ConfigurationLog {
+            propose: Arc::new(move |command| proposing.propose(&command)),
+            leader_hint: Arc::new(move || hinting.replica.leader_hint()),
+            status: Arc::new(move || showing.log_status()),
+        }
+    }
+
+    /// Answers a message of another host's replica.
+    pub(super) fn handle(&self, from: &str, message: &[u8]) -> PeerReply {
+        PeerReply::Message(self.replica.handle(from, message))
+    }
+
+    /// Answers a peer extension; `None` when it belongs to another module.
+    pub(super) fn handle_extension(&self, name: &str, message: Vec<u8>) -> Option<PeerReply> {
+        let reply = match name {
+            PROPOSE => postcard::to_stdvec(&self.propose_here(message)),
+            VERSION => postcard::to_stdvec(&self.version()),
+            _ => return None,
+        };
+        Some(match reply {
+            Ok(reply) => PeerReply::Message(reply),
+            Err(error) => PeerReply::Refused(format!("cannot encode the reply: {error}")),
+        })
+    }
+
+    /// Whether this host has received the log as a member, so that its configuration is not just
+    /// the built-in defaults.
+    pub(super) fn has_joined(&self) -> bool {
+        self.replica
+            .status()
+            .membership
+            .get(&self.host.id)
+            .is_some()
+    }
+
+    /// State of the replica.
+    pub(super) fn status(&self) -> ReplicaStatus {
+        self.replica.status()
+    }
+
+    /// Passes the leadership on, when this host leads.
+    pub(super) fn hand_over(&self, deadline: Instant) {
+        if self.replica.leadership().is_none() {
+            return;
+        }
+        if let Err(error) = self.replica.transfer_leadership(None, deadline) {
+            log::warn!("the leadership of {GROUP} was not handed over: {error}");
+        }
+    }
+
+    /// Ends the replica abruptly.
+    pub(super) fn stop(&self) {
+        self.replica.shutdown();
+    }
+
+    /// Appends a command here or at the leader.
+    fn propose(&self, command: &[u8]) -> Result<Vec<u8>, ProposeError> {
+        let deadline = Instant::now() + PROPOSE_TIMEOUT;
+        loop {
+            let reply = match self.replica.leader_hint() {
+                Some(leader) if leader == self.host.id => self.propose_here(command.to_vec()),
+                Some(leader) => self.propose_at(&leader, command, deadline)?,
+                None => ProposeReply::NotLeader,
+            };
+            match reply {
+                ProposeReply::Applied { index, output } => {
+                    self.wait_until_applied(index, deadline);
+                    return Ok(output);
+                }
+                ProposeReply::NotAccepted(reason) => return Err(ProposeError::NotAccepted(reason)),
+                ProposeReply::MayHaveBeenAccepted(reason) => {
+                    return Err(ProposeError::MayHaveBeenAccepted(reason));
+                }
+                ProposeReply::NotLeader if Instant::now() >= deadline => {
+                    let reason = "no leader of the configuration log is known".to_owned();
+                    return Err(ProposeError::NotAccepted(reason));
+                }
+                ProposeReply::NotLeader => thread::sleep(LEADER_PAUSE),
+            }
+        }
+    }
+
+    fn propose_at(
+        &self,
+        leader: &str,
+        command: &[u8],
+        deadline: Instant,
+    ) -> Result<ProposeReply, ProposeError> {
+        let Some(client) = self.clients.get(leader) else {
+            return Ok(ProposeReply::NotLeader);
+        };
+        let request = PeerRequest::Extension {
+            name: PROPOSE.to_owned(),
+            message: command.to_vec(),
+        };
+        let unknown = |reason: String| ProposeError::MayHaveBeenAccepted(reason);
+        match client.call(request, deadline) {
+            Ok(PeerReply::Message(reply)) => {
+                postcard::from_bytes(&reply).map_err(|error| unknown(error.to_string()))
+            }
+            Ok(PeerReply::Refused(reason)) => Err(ProposeError::NotAccepted(reason)),
+            Ok(other) => Err(unknown(format!("unexpected reply: {other:?}"))),
+            Err(CallError::NotSent { .. }) => Ok(ProposeReply::NotLeader),
+            Err(error) => Err(unknown(error.to_string())),
+        }
+    }
+
+    fn propose_here(&self, command: Vec<u8>) -> ProposeReply {
+        if self.replica.leadership().is_none() {
+            return ProposeReply::NotLeader;
+        }
+        match self
+            .replica
+            .propose(command, Instant::now() + PROPOSE_TIMEOUT)
+        {
+            Ok(proposal) => ProposeReply::Applied {
+                index: proposal.index,
+                output: proposal.output,
+            },
+            Err(error) if error.is_certainly_not_committed() => {
+                ProposeReply::NotAccepted(error.to_string())
+            }
+            Err(error) => ProposeReply::MayHaveBeenAccepted(error.to_string()),
+        }
+    }
+
+    /// Waits until this host applies the entry, so that its operators read what they wrote.
+    fn wait_until_applied(&self, index: Index, deadline: Instant) {
+        while self.replica.status().applied < index && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn log_status(&self) -> LogStatus {
+        let status = self.replica.status();
+        LogStatus {
+            leader: self.replica.leader_hint(),
+            voters: status
+                .membership
+                .voters()
+                .map(|member| member.host.clone())
+                .collect(),
+            applied_index: status.applied,
+            has_quorum: self.replica.leader_hint().is_some(),
+        }
+    }
+
+    fn version(&self) -> VersionReply {
+        let snapshot = self.configuration.read();
+        let age = Instant::now().saturating_duration_since(snapshot.applied_at());
+        VersionReply {
+            version: snapshot.version(),
+            applied_age_ms: milliseconds(age),
+        }
+    }
+
+    /// Asks all hosts for their version; a host that does not answer keeps its latest report.
+    pub(super) fn applied_versions(&self) -> Vec<AppliedVersion> {
+        thread::scope(|scope| {
+            for (host, client) in &self.clients {
+                scope.spawn(|| self.ask_version(host, client));
+            }
+        });
+        let reports = self.reports.lock().unwrap();
+        let mut versions = Vec::new();
+        for host in &self.hosts {
+            let own = (host.id == self.host.id).then(|| (Instant::now(), self.version()));
+            let Some((reported_at, reply)) = own.or_else(|| reports.get(&host.id).cloned()) else {
+                continue;
+            };
+            let reported_age = Instant::now().saturating_duration_since(reported_at);
+            versions.push(AppliedVersion {
+                host: host.id.clone(),
+                data_centre: host.data_centre.clone(),
+                version: reply.version,
+                applied_age_ms: reply.applied_age_ms + milliseconds(reported_age),
+                reported_age_ms: milliseconds(reported_age),
+            });
+        }
+        versions
+    }
+
+    fn ask_version(&self, host: &HostId, client: &PeerClient) {
+        let request = PeerRequest::Extension {
+            name: VERSION.to_owned(),
+            message: Vec::new(),
+        };
+        let Ok(PeerReply::Message(reply)) = client.call(request, Instant::now() + VERSION_TIMEOUT)
+        else {
+            return;
+        };
+        if let Ok(reply) = postcard::from_bytes(&reply) {
+            self.reports
+                .lock()
+                .unwrap()
+                .insert(host.clone(), (Instant::now(), reply));
+        }
+    }
+
+    /// Adds the hosts of the settings that do not receive the log yet.
+    fn admit_missing(&self) {
+        if self.replica.leadership().is_none() {
+            return;
+        }
+        let membership = self.replica.status().membership;
+        for host in &self.hosts {
+            if membership.get(&host.id).is_some() {
+                continue;
+            }
+            let added = self
+                .replica
+                .add_learner(&host.id, Instant::now() + ADMISSION_TIMEOUT);
+            match added {
+                Ok(()) => log::info!("{} receives the configuration log", host.id),
+                Err(error) => log::debug!("{} cannot be added yet: {error}", host.id),
+            }
+        }
+    }
+}
+
+fn admit_learners(replica: &Weak<ConfigurationReplica>) {
+    while let Some(strong) = replica.upgrade() {
+        if matches!(strong.replica.status().phase, ReplicaPhase::Faulty(_)) {
+            return;
+        }
+        strong.admit_missing();
+        drop(strong);
+        thread::sleep(ADMISSION_INTERVAL);
+    }
+}
+
+fn machine(configuration: &Arc<Configuration>) -> StateMachine<Vec<u8>> {
+    let [apply, snapshot, restore] = [(); 3].map(|()| Arc::clone(configuration));
+    StateMachine {
+        apply: Box::new(move |_index, command| apply.apply(command)),
+        snapshot: Box::new(move || {
+            snapshot.snapshot().unwrap_or_else(|error| {
+                log::error!("the configuration cannot be encoded: {error}");
+                Vec::new()
+            })
+        }),
+        restore: Box::new(move |bytes| {
+            // The initial state of a group is empty bytes or an empty configuration.
+            if let Err(error) = restore.restore(bytes) {
+                log::warn!("a snapshot of the configuration was not taken over: {error}");
+            }
+        }),
+    }
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/entry_host/placement_log.rs
+++ b/src/entry_host/placement_log.rs
@@ -6,17 +6,16 @@
 
 use indexmap::IndexMap;
 
+use super::replica_calls;
 use crate::clock::Clock;
 use crate::gateway::routing::RemoteHost;
 use crate::ids::{DataCentreName, HostId};
 use crate::options::Settings;
-use crate::peer::PeerClient;
 use crate::placer::journal::{Journal, JournalError};
 use crate::placer::records::{PlacementRecord, PlacementState};
-use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::protocol::peer::PeerReply;
 use crate::replication::{
-    Limits, Replica, ReplicaOptions, ReplicaStatus, SendMessage, StateMachine, StorageOptions,
-    Timing,
+    Limits, Replica, ReplicaOptions, ReplicaStatus, StateMachine, StorageOptions, Timing,
 };
 
 /// Time for a record to be committed; covers a change of the leader's majority, after which the
@@ -73,7 +72,7 @@
             timing: Timing::default(),
             limits: Limits::default(),
             seed: rand::random(),
-            send: sender(&group, remote),
+            send: replica_calls::sender(&group, replica_calls::clients(remote)),
             machine: machine(state),
         });
         match started {
@@ -143,29 +142,6 @@
     Clock::system().unix_seconds() * 1_000
 }
 
-fn sender(group: &str, remote: &IndexMap<DataCentreName, Vec<RemoteHost>>) -> SendMessage {
-    let group = group.to_owned();
-    let clients: IndexMap<HostId, PeerClient> = remote
-        .values()
-        .flatten()
-        .map(|host| (host.id.clone(), host.client.clone()))
-        .collect();
-    Arc::new(move |host, message, deadline| {
-        let client = clients
-            .get(host)
-            .ok_or_else(|| format!("host {host} is not in the settings"))?;
-        let request = PeerRequest::Replication {
-            group: group.clone(),
-            message,
-        };
-        match client.call(request, deadline) {
-            Ok(PeerReply::Message(reply)) => Ok(reply),
-            Ok(other) => Err(format!("unexpected reply: {other:?}")),
-            Err(error) => Err(error.to_string()),
-        }
-    })
-}
-
 fn machine(state: &Arc<Mutex<PlacementState>>) -> StateMachine<()> {
     let (apply, snapshot, restore) = (Arc::clone(state), Arc::clone(state), Arc::clone(state));
     StateMachine {
--- a/src/gateway/api.rs
+++ b/src/gateway/api.rs
@@ -31,6 +31,9 @@
     pub router: Router,
     /// Timeouts.
     pub timing: TimingSettings,
+    /// Tells whether this host has received the configuration of the cell. Until then it knows
+    /// neither tokens nor exceptions and takes no requests.
+    pub is_configured: Box<dyn Fn() -> bool + Send + Sync>,
     /// Set on shutdown; new requests are refused.
     pub draining: AtomicBool,
     /// Requests in flight.
@@ -69,14 +72,14 @@
     /// Whether the load balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         let drained = self.configuration.read().is_host_drained(&self.host);
-        !drained && !self.draining.load(Ordering::Acquire)
+        !drained && !self.draining.load(Ordering::Acquire) && (self.is_configured)()
     }
 
     fn ready(&self) -> Response {
         if self.is_ready() {
             return Response::text(200, "ready\n");
         }
-        Response::text(503, "draining\n")
+        Response::text(503, "not ready\n")
     }
 
     fn submit(&self, request: &Request) -> Response {
@@ -85,6 +88,11 @@
             let error = RequestError::did_not_run(ErrorCode::ShuttingDown, "this host is draining");
             return Response::error(&error.retry_after_ms(100), &request_id);
         }
+        if !(self.is_configured)() {
+            let message = "this host has not received the configuration yet";
+            let error = RequestError::did_not_run(ErrorCode::Unavailable, message);
+            return Response::error(&error.retry_after_ms(1_000), &request_id);
+        }
         let outcome = self.submission(request).and_then(|submission| {
             let outcome = self.router.submit(&submission);
             log_outcome(&request_id, &submission, &outcome);
