bug: the audit filter refuses unknown kinds

Cause: a mistyped kind gave an empty list, which reads as if nothing happened. A cell of several hosts also gave no sign that changes stay on one host until the replicated log is connected.

Change: the kind must be a known one in the interface and on the command line; a host of a larger cell warns at its start.

Conclusion: an empty list means that no change matched.

--- a/src/admin/reads.rs
+++ b/src/admin/reads.rs
@@ -4,6 +4,7 @@
 
 use super::{Admin, Call, bad_request};
 use crate::configuration::audit::AuditEntry;
+use crate::configuration::change::CHANGE_KINDS;
 use crate::configuration::policy;
 use crate::configuration::scope::{Scope, Subject};
 use crate::http::Response;
@@ -142,6 +143,13 @@
 pub(super) fn audit(admin: &Admin, call: &Call<'_>) -> Result<Response, RequestError> {
     let author: Option<String> = call.query("author")?;
     let kind: Option<String> = call.query("kind")?;
+    if kind
+        .as_ref()
+        .is_some_and(|kind| !CHANGE_KINDS.contains(&kind.as_str()))
+    {
+        let kinds = CHANGE_KINDS.join(", ");
+        return Err(bad_request(format!("kind must be one of {kinds}")));
+    }
     let since: u64 = call.query("since_unix_ms")?.unwrap_or(0);
     let until: u64 = call.query("until_unix_ms")?.unwrap_or(u64::MAX);
     let limit = call.query("limit")?.unwrap_or(DEFAULT_AUDIT_LIMIT);
--- a/src/commands/audit.rs
+++ b/src/commands/audit.rs
@@ -7,6 +7,7 @@
 use super::administration::{AdminClient, with_connection};
 use super::table::table;
 use super::{CommandError, Subcommand};
+use crate::configuration::change::CHANGE_KINDS;
 
 pub(super) fn subcommand() -> Subcommand {
     Subcommand { arguments, run }
@@ -28,7 +29,8 @@
         .arg(
             Arg::new("kind")
                 .long("kind")
-                .help("Only this kind, for example set_default"),
+                .value_parser(CHANGE_KINDS)
+                .help("Only changes of this kind"),
         )
         .arg(time(
             "since",
--- a/src/configuration/change.rs
+++ b/src/configuration/change.rs
@@ -19,6 +19,20 @@
 /// Largest weight of a team.
 pub const MAX_WEIGHT: u32 = 10_000;
 
+/// Names of all kinds of changes, see [`Change::kind`].
+pub const CHANGE_KINDS: [&str; 10] = [
+    "set_default",
+    "add_exception",
+    "expire_exception",
+    "challenge_exception",
+    "set_team",
+    "remove_team",
+    "add_token",
+    "revoke_token",
+    "drain",
+    "undrain",
+];
+
 /// An operator's change as it is written to the configuration log.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Command {
--- a/src/entry_host/administration.rs
+++ b/src/entry_host/administration.rs
@@ -20,6 +20,12 @@
     log: ConfigurationLog,
 ) -> Admin {
     warn_without_operator(settings, configuration);
+    if settings.cell.hosts.len() > 1 {
+        ::log::warn!(
+            "the configuration is kept in the memory of this host: changes reach no other host \
+             and are lost when it restarts"
+        );
+    }
     Admin {
         host: settings.host.id.clone(),
         authentication: settings.cell.authentication,
