--- a/src/configuration/audit.rs
+++ b/src/configuration/audit.rs
@@ -9,8 +9,8 @@
 use super::digest::Sha256Digest;
 use crate::ids::{ChangeId, ConfigVersion};
 
-/// Entries kept in the state: 20 days at 2,400 changes a day, or 22 MB in a snapshot at the 451
-/// bytes measured for a usual entry. Older ones must be archived with
+/// Entries kept in the state: 20 days at 2,400 changes a day. A snapshot with 21,200 entries,
+/// 10,000 outcomes and 500 teams had 9.6 MB, so a full one has about 22 MB. Older ones must be archived with
 /// `jujubewinch audit list --output json`; an unbounded trail would exceed the memory limit of a
 /// control host within a year.
 pub const MAX_AUDIT_ENTRIES: usize = 50_000;
