--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -397,11 +397,13 @@
             let secret = decode_hex(&key.secret_hex);
             if secret.is_none_or(|secret| secret.len() < MIN_SECRET_BYTES) {
                 let reason = format!("must be {MIN_SECRET_BYTES} or more bytes in hexadecimal");
-                return Err(Fault::new("security.cluster_keys.secret_hex", &reason));
+                let name = format!("security.cluster_keys[{position}].secret_hex");
+                return Err(Fault::new(&name, &reason));
             }
             if keys[..position].iter().any(|earlier| earlier.id == key.id) {
                 let reason = format!("key {} appears twice", key.id);
-                return Err(Fault::new("security.cluster_keys.id", &reason));
+                let name = format!("security.cluster_keys[{position}].id");
+                return Err(Fault::new(&name, &reason));
             }
         }
         Ok(())
