--- a/src/agent.rs
+++ b/src/agent.rs
@@ -3,6 +3,7 @@
 pub mod announcer;
 pub mod faults;
 pub mod payload;
+mod pool;
 pub mod tasks;
 
 use std::io;
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -1,13 +1,13 @@
 //! Tasks of the stand-in runner: idempotent create, tombstones, fencing and leases.
 
 use std::sync::{Arc, Condvar, Mutex};
-use std::thread;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::faults::Faults;
 use super::payload::StandInPayload;
+use super::pool::Pool;
 use crate::http::Request;
 use crate::ids::{Epoch, Incarnation, RequestKey, TaskId};
 use crate::protocol::headers;
@@ -79,6 +79,7 @@
 pub struct TaskTable {
     slots: usize,
     faults: Faults,
+    pool: Pool,
     table: Mutex<Table>,
     changed: Condvar,
 }
@@ -89,6 +90,7 @@
         Self {
             slots,
             faults: Faults::default(),
+            pool: Pool::new(),
             table: Mutex::new(Table {
                 incarnation,
                 ..Table::default()
@@ -163,28 +165,32 @@
         table.start(id, request.header(headers::IDEMPOTENCY_KEY));
         let incarnation = table.incarnation;
         drop(table);
-        let (tasks, id, payload) = (Arc::clone(self), id.to_owned(), request.body.clone());
-        thread::spawn(move || tasks.execute(incarnation, &id, &payload));
+        let instructions: Option<StandInPayload> = serde_json::from_slice(&request.body).ok();
+        let work_ms = instructions.as_ref().map_or(0, |payload| payload.work_ms);
+        let view = finished_view(instructions, &request.body);
+        if work_ms == 0 {
+            // A thread change would cost more than the work.
+            self.execute(incarnation, id, Duration::ZERO, view);
+            return Ok(());
+        }
+        let (tasks, id) = (Arc::clone(self), id.to_owned());
+        let work = Duration::from_millis(work_ms);
+        self.pool
+            .execute(move || tasks.execute(incarnation, &id, work, view));
         Ok(())
     }
 
-    fn execute(&self, incarnation: Incarnation, id: &str, payload: &[u8]) {
-        let instructions: Option<StandInPayload> = serde_json::from_slice(payload).ok();
-        let work =
-            Duration::from_millis(instructions.as_ref().map_or(0, |payload| payload.work_ms));
+    fn execute(&self, incarnation: Incarnation, id: &str, work: Duration, finished: TaskView) {
         let stopped = self.work_until(incarnation, id, Instant::now() + work);
         self.faults.wait_while_paused();
         let mut table = self.table.lock().unwrap();
         if table.incarnation != incarnation {
             return;
         }
-        let view = match instructions {
-            _ if stopped => TaskView::new(TaskState::Stopped, b"stopped"),
-            Some(payload) if payload.fail => {
-                TaskView::new(TaskState::Failed, b"instructed to fail")
-            }
-            Some(payload) => TaskView::new(TaskState::Succeeded, &payload.answer()),
-            None => TaskView::new(TaskState::Succeeded, payload),
+        let view = if stopped {
+            TaskView::new(TaskState::Stopped, b"stopped")
+        } else {
+            finished
         };
         table.end(id, view);
         drop_oldest(&mut table);
@@ -371,6 +377,15 @@
     }
 }
 
+/// What a task shows after it ended by itself.
+fn finished_view(instructions: Option<StandInPayload>, payload: &[u8]) -> TaskView {
+    match instructions {
+        Some(payload) if payload.fail => TaskView::new(TaskState::Failed, b"instructed to fail"),
+        Some(payload) => TaskView::new(TaskState::Succeeded, &payload.answer()),
+        None => TaskView::new(TaskState::Succeeded, payload),
+    }
+}
+
 fn check_epoch(table: &mut Table, request: &Request) -> Result<(), RequestError> {
     let epoch = request
         .parse_header::<Epoch>(headers::EPOCH)?
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,10 +1,14 @@
 //! Blocking HTTP client with bounded waiting.
 
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use thiserror::Error;
 use ureq::Agent;
+use ureq::config::Config;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
 /// Limits of a client.
 #[derive(Clone, Debug)]
@@ -186,7 +190,7 @@
 }
 
 fn agent(options: &ClientOptions, max_idle_connections_per_host: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
@@ -194,8 +198,31 @@
         .max_idle_age(options.max_idle_age)
         .max_idle_connections(max_idle_connections_per_host * 256)
         .max_idle_connections_per_host(max_idle_connections_per_host)
-        .build()
-        .into()
+        .build();
+    Agent::with_parts(config, DefaultConnector::new(), AddressResolver)
+}
+
+/// Takes hosts as IP numbers, which is all that the system uses. The resolver of the library starts
+/// a thread for each request with a timeout, also when its connection is pooled.
+#[derive(Debug)]
+struct AddressResolver;
+
+impl Resolver for AddressResolver {
+    fn resolve(
+        &self,
+        uri: &hyper::Uri,
+        _config: &Config,
+        _timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.host().and_then(|host| {
+            let number = host.trim_start_matches('[').trim_end_matches(']');
+            let ip: IpAddr = number.parse().ok()?;
+            Some(SocketAddr::new(ip, uri.port_u16().unwrap_or(80)))
+        });
+        let mut addresses = self.empty();
+        addresses.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(addresses)
+    }
 }
 
 fn classify(url: &str, error: &ureq::Error) -> ClientError {
