bug: large, damaged and unwanted answers end, and former processes lose their lease

An answer above the client's limit or one that always arrives damaged was asked for without end and kept its slot; a cancellation did not reach a task that a new placer had adopted; an announcement of a former incarnation renewed its lease; the stand-in runner started tasks after its lease had lapsed.

Change: too large answers and the fifth damaged one end as failures after running; followers stop cancelled tasks; announcements of former incarnations are refused; the runner refuses creates without a lease.

Conclusion: two of these cases have tests; the others are covered by the existing ones only where they meet the same code.

--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -134,8 +134,8 @@
     ///
     /// # Errors
     ///
-    /// `did_not_run` when the epoch or incarnation is stale, all slots are busy, the runner is
-    /// leaving, or the record of the id was dropped. A refused id becomes a tombstone.
+    /// `did_not_run` when the epoch or incarnation is stale, the lease has lapsed, all slots are
+    /// busy, the runner is leaving, or the record of the id was dropped. A refused id becomes a tombstone.
     pub fn create(self: &Arc<Self>, id: &str, request: &Request) -> Result<(), RequestError> {
         let refuse = |message: &str| RequestError::did_not_run(ErrorCode::Unavailable, message);
         let mut table = self.table.lock().unwrap();
@@ -147,7 +147,10 @@
         if table.dropped.contains(id) {
             return Err(refuse("the task ended and its record was dropped"));
         }
-        let refusal = if table.leaving {
+        let now = Instant::now();
+        let refusal = if table.lease_ends_at.is_some_and(|ends_at| ends_at <= now) {
+            Some("the lease of the runner has lapsed")
+        } else if table.leaving {
             Some("the runner is leaving")
         } else if table.running >= self.slots {
             Some("all slots are busy")
--- a/src/commands/request.rs
+++ b/src/commands/request.rs
@@ -144,7 +144,9 @@
     sent.map_err(|error| {
         let verdict = match &error {
             ClientError::NotSent { .. } => RequestError::did_not_run,
-            ClientError::Interrupted { .. } => RequestError::may_have_run,
+            ClientError::Interrupted { .. } | ClientError::TooLarge { .. } => {
+                RequestError::may_have_run
+            }
         };
         CommandError::Request(verdict(ErrorCode::Unavailable, error.to_string()))
     })
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -45,6 +45,14 @@
         /// What the library reported.
         reason: String,
     },
+    /// The response is larger than the client accepts.
+    #[error("the response from {url} is too large: {reason}")]
+    TooLarge {
+        /// Address of the request.
+        url: String,
+        /// What the library reported.
+        reason: String,
+    },
     /// The request may have been sent, and no complete response arrived.
     #[error("no complete response from {url}: {reason}")]
     Interrupted {
@@ -131,7 +139,8 @@
     ///
     /// # Errors
     ///
-    /// [`ClientError::NotSent`] when no connection was established; otherwise
+    /// [`ClientError::NotSent`] when no connection was established,
+    /// [`ClientError::TooLarge`] for a body above the limit, otherwise
     /// [`ClientError::Interrupted`], also when the body was cut off.
     pub fn send(&self, request: ClientRequest) -> Result<ClientResponse, ClientError> {
         let fresh;
@@ -177,10 +186,7 @@
             .with_config()
             .limit(self.options.max_body_bytes)
             .read_to_vec()
-            .map_err(|error| ClientError::Interrupted {
-                url,
-                reason: error.to_string(),
-            })?;
+            .map_err(|error| body_error(url, &error))?;
         Ok(ClientResponse {
             status,
             headers,
@@ -225,6 +231,14 @@
     }
 }
 
+fn body_error(url: String, error: &ureq::Error) -> ClientError {
+    let reason = error.to_string();
+    match error {
+        ureq::Error::BodyExceedsLimit(_) => ClientError::TooLarge { url, reason },
+        _ => ClientError::Interrupted { url, reason },
+    }
+}
+
 fn classify(url: &str, error: &ureq::Error) -> ClientError {
     let (url, reason) = (url.to_owned(), error.to_string());
     match error {
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -197,7 +197,10 @@
         if state.epoch != Some(epoch) {
             return Err(not_placer());
         }
-        state.runners.announce(announcement, lease_ends_at);
+        if !state.runners.announce(announcement, lease_ends_at) {
+            let message = "a later incarnation of this worker has announced itself";
+            return Err(RequestError::did_not_run(ErrorCode::Forbidden, message));
+        }
         if let Some(service) = service {
             self.assign_slots(&mut state, &service);
         }
--- a/src/placer/attempt.rs
+++ b/src/placer/attempt.rs
@@ -1,6 +1,7 @@
 //! A request from its admission to its outcome, on the thread of its first caller.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, bounded};
@@ -341,6 +342,7 @@
             deadline_unix_ms: clock.unix_ms() + remaining.as_millis() as u64,
             idempotent: self.idempotent,
             acknowledged,
+            damaged_answers: AtomicU32::new(0),
             flight: Arc::clone(&self.flight),
             held,
             known,
--- a/src/placer/dispatch.rs
+++ b/src/placer/dispatch.rs
@@ -7,7 +7,7 @@
 use super::Placer;
 use super::flight::Flight;
 use super::runners::{Fate, RunnerSlot};
-use super::task_calls::{self, Reply};
+use super::task_calls::{self, MAX_DAMAGED_ANSWERS, Reply};
 use crate::http::client::ClientError;
 use crate::protocol::caller::Submission;
 use crate::verdict::{ErrorCode, RequestError};
@@ -61,6 +61,7 @@
     /// A create may have arrived, or may still arrive, without an answer.
     unanswered: bool,
     failed_connections: u32,
+    damaged_answers: u32,
     fresh_connection: bool,
 }
 
@@ -166,8 +167,8 @@
             std::thread::sleep(RECONNECT_PAUSE);
             None
         }
-        Err(ClientError::Interrupted { reason, .. }) => {
-            log::debug!("exchange with runner {} was lost: {reason}", slot.worker);
+        Err(error) => {
+            log::debug!("exchange with runner {} was lost: {error}", slot.worker);
             contact.unanswered |= created;
             contact.fresh_connection = true;
             None
@@ -200,10 +201,19 @@
         })
     };
     match reply {
-        Reply::Running | Reply::Damaged => {
+        Reply::Running => {
             contact.acknowledged = true;
             None
         }
+        Reply::Damaged => {
+            contact.acknowledged = true;
+            contact.damaged_answers += 1;
+            if contact.damaged_answers < MAX_DAMAGED_ANSWERS {
+                return None;
+            }
+            let message = "the answer arrived damaged several times";
+            known(Err(RequestError::ran(ErrorCode::TaskFailed, message)), true)
+        }
         Reply::Succeeded(body) => known(Ok(body), true),
         Reply::Failed(message) => {
             known(Err(RequestError::ran(ErrorCode::TaskFailed, message)), true)
--- a/src/placer/follow.rs
+++ b/src/placer/follow.rs
@@ -1,6 +1,7 @@
 //! Resolves tasks that have no owner: those of former placers, and those whose caller's deadline
 //! has passed. One thread for each runner with such tasks.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use super::flight::{Flight, FlightEnd};
 use super::links::RunnerLink;
 use super::runners::{Fate, RunnerSlot};
-use super::task_calls::{self, Reply};
+use super::task_calls::{self, MAX_DAMAGED_ANSWERS, Reply};
 use super::{Outcome, Placer, not_placer};
 use crate::ids::{Epoch, Incarnation, RequestKey, TaskId, WorkerId};
 use crate::protocol::caller::Answer;
@@ -43,6 +44,7 @@
     pub idempotent: bool,
     /// Whether the runner confirmed that it has the task, so that an unknown id is a lost record.
     pub acknowledged: bool,
+    pub damaged_answers: AtomicU32,
     pub flight: Arc<Flight>,
     pub held: Held,
     /// Outcome whose completion was not confirmed, with whether the task is certainly over.
@@ -144,12 +146,21 @@
         } else {
             task_calls::settle(options, link, task, epoch)?
         };
-        if matches!(reply, Reply::Running) && self.is_useless(followed) {
+        let unwanted = self.is_useless(followed) || followed.flight.is_cancelled();
+        if matches!(reply, Reply::Running) && unwanted {
             reply = task_calls::cancel(options, link, task, epoch, Duration::ZERO)?;
         }
         let lost = |message: &str| RequestError::may_have_run(ErrorCode::RunnerLost, message);
         match reply {
-            Reply::Running | Reply::Damaged | Reply::Unintelligible(_) => None,
+            Reply::Running | Reply::Unintelligible(_) => None,
+            Reply::Damaged => {
+                let damaged = followed.damaged_answers.fetch_add(1, Ordering::Relaxed) + 1;
+                if damaged < MAX_DAMAGED_ANSWERS {
+                    return None;
+                }
+                let message = "the answer arrived damaged several times";
+                Some((Err(RequestError::ran(ErrorCode::TaskFailed, message)), true))
+            }
             Reply::Succeeded(body) => Some((Ok(Answer { body, wait_us: 0 }), true)),
             Reply::Failed(message) => {
                 Some((Err(RequestError::ran(ErrorCode::TaskFailed, message)), true))
--- a/src/placer/runners.rs
+++ b/src/placer/runners.rs
@@ -90,15 +90,16 @@
         };
     }
 
-    /// Adds or updates a runner; announcements of former incarnations are ignored.
-    pub fn announce(&mut self, mut announcement: Announcement, lease_ends_at: Instant) {
+    /// Adds or updates a runner. Returns false for a former incarnation, whose lease must not be
+    /// renewed.
+    pub fn announce(&mut self, mut announcement: Announcement, lease_ends_at: Instant) -> bool {
         let Some(capacity) = announcement.runner.clone() else {
-            return;
+            return true;
         };
         let worker = announcement.worker.clone();
         let former = self.runners.get(&worker);
         if former.is_some_and(|entry| entry.announcement.incarnation > announcement.incarnation) {
-            return;
+            return false;
         }
         let same =
             former.filter(|entry| entry.announcement.incarnation == announcement.incarnation);
@@ -147,6 +148,7 @@
         if !same_service {
             self.index_services();
         }
+        true
     }
 
     /// Drops runners that have been silent for long.
--- a/src/placer/takeover.rs
+++ b/src/placer/takeover.rs
@@ -1,5 +1,6 @@
 //! Beginning and end of this host's role, and its periodic work.
 
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -204,6 +205,7 @@
         deadline_unix_ms: record.deadline_unix_ms,
         idempotent: record.idempotent,
         acknowledged: false,
+        damaged_answers: AtomicU32::new(0),
         flight,
         held: Held::Adopted,
         known: None,
--- a/src/placer/task_calls.rs
+++ b/src/placer/task_calls.rs
@@ -12,6 +12,9 @@
 use crate::protocol::headers;
 use crate::protocol::worker::TaskState;
 
+/// Answers of one task that may arrive damaged; after that its runner counts as unable to answer.
+pub(super) const MAX_DAMAGED_ANSWERS: u32 = 5;
+
 /// What a runner replied about a task.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -68,7 +71,7 @@
         .header(headers::LEASE_MS, lease_ms.to_string())
         .header(headers::TIMEOUT_MS, remaining.as_millis().to_string());
     request.body = submission.payload.clone();
-    target.link.send(&options.exchange, request).map(interpret)
+    send(options, target.link, request)
 }
 
 /// Asks about the task, or with the suffix `/cancel` and method `POST` stops it.
@@ -80,7 +83,23 @@
     wait: Duration,
 ) -> Result<Reply, ClientError> {
     let request = target.request(method, suffix, wait);
-    target.link.send(&options.exchange, request).map(interpret)
+    send(options, target.link, request)
+}
+
+fn send(
+    options: &PlacerOptions,
+    link: &RunnerLink,
+    request: ClientRequest,
+) -> Result<Reply, ClientError> {
+    let limit = options.limits.max_payload_bytes;
+    let too_large = || Reply::Failed(format!("the answer exceeds {limit} bytes"));
+    match link.send(&options.exchange, request) {
+        Ok(response) if response.body.len() > limit => Ok(too_large()),
+        Ok(response) => Ok(interpret(response)),
+        // Only the answer of an ended task can be large, and it would be as large the next time.
+        Err(ClientError::TooLarge { .. }) => Ok(too_large()),
+        Err(error) => Err(error),
+    }
 }
 
 /// Stops the task. An id that the runner does not know becomes a tombstone.
--- a/tests/placer_records.rs
+++ b/tests/placer_records.rs
@@ -208,6 +208,34 @@
     assert!(attempts <= 4 + 16 + 1, "{attempts} attempts");
 }
 
+/// Guards against endless questions to a runner whose answers never arrive whole.
+#[test]
+fn a_runner_that_only_sends_damaged_answers_is_reported() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let key = fresh_key("damaged");
+    let faults = [Fault::DamageAnswer; 20];
+    cell.runner(0).tasks.faults().inject(&faults);
+    let error = host.placer.submit(&request(&key, false, 0)).unwrap_err();
+    assert_eq!(
+        (error.code, error.verdict),
+        (ErrorCode::TaskFailed, Verdict::Ran)
+    );
+    assert_eq!(cell.executions(&key).len(), 1);
+}
+
+/// Guards against a replaced process of a runner that keeps its lease.
+#[test]
+fn a_former_incarnation_gets_no_lease() {
+    let cell = Cell::new(1);
+    let host = cell.next_placer();
+    let mut announcement = host.placer.runner_announcements().remove(0);
+    announcement.incarnation += 1;
+    assert!(host.placer.announce(announcement.clone()).is_ok());
+    announcement.incarnation -= 1;
+    assert!(host.placer.announce(announcement).is_err());
+}
+
 /// Guards against records that runners keep forever after their completion was committed.
 #[test]
 fn runners_are_told_to_drop_committed_tasks() {
