--- a/tests/placer_faults.rs
+++ b/tests/placer_faults.rs
@@ -232,6 +232,27 @@
     assert_eq!(cell.executions(&next).len(), 1);
 }
 
+/// Guards against a cancellation that does not reach a task of the former placer.
+#[test]
+fn an_adopted_task_can_be_cancelled() {
+    let cell = Cell::new(1);
+    let old = cell.next_placer();
+    let key = fresh_key("adopted-cancel");
+    submit_in_background(&old.placer, &request(&key, false, 20_000));
+    cell.wait_for_execution(&key);
+    let new = cell.next_placer();
+    assert!(!new.placer.cancel(&key));
+    let error = new
+        .placer
+        .submit(&request(&key, false, 20_000))
+        .unwrap_err();
+    assert_eq!(verdict(&Err(error)), "may_have_run");
+    wait_until("the execution ends", || {
+        cell.executions(&key)[0].ended_at.is_some()
+    });
+    assert_eq!(cell.executions(&key).len(), 1);
+}
+
 /// Guards against work for runners that did not announce themselves to the new epoch, which would
 /// accept creates of the old placer as well.
 #[test]
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -1,6 +1,8 @@
 //! The request path of one entry host with stand-in runners, over real sockets.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
 use hyper::Method;
@@ -118,3 +120,29 @@
     }
     assert_eq!(cell.runner.tasks().started(), 0);
 }
+
+/// Guards against a request that ends with the connection of its caller: the record answers the
+/// retry.
+#[test]
+fn a_request_outlives_its_callers_connection() {
+    let cell = Cell::start();
+    let key = fresh_key("gone");
+    let payload = r#"{"work_ms":300,"echo":"confirmed"}"#;
+    let mut stream = TcpStream::connect(cell.host.caller_address()).unwrap();
+    write!(
+        stream,
+        "POST /v1/requests HTTP/1.1\r\nhost: entry\r\njujubewinch-service: quotes\r\n\
+         idempotency-key: {key}\r\ncontent-length: {}\r\n\r\n{payload}",
+        payload.len()
+    )
+    .unwrap();
+    let deadline = Instant::now() + PATIENCE;
+    while cell.runner.tasks().started() == 0 {
+        assert!(Instant::now() < deadline, "the request was not started");
+        thread::sleep(Duration::from_millis(5));
+    }
+    drop(stream);
+    let retry = cell.post(payload, &[(headers::IDEMPOTENCY_KEY, &key)]);
+    assert_eq!((retry.status, retry.body), (200, b"confirmed".to_vec()));
+    assert_eq!(cell.runner.tasks().started(), 1);
+}
