--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,10 +1,14 @@
 //! Blocking HTTP client with bounded waiting.
 
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use thiserror::Error;
 use ureq::Agent;
+use ureq::config::Config;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
 /// Limits of a client.
 #[derive(Clone, Debug)]
@@ -41,6 +45,14 @@
         /// What the library reported.
         reason: String,
     },
+    /// The response is larger than the client accepts.
+    #[error("the response from {url} is too large: {reason}")]
+    TooLarge {
+        /// Address of the request.
+        url: String,
+        /// What the library reported.
+        reason: String,
+    },
     /// The request may have been sent, and no complete response arrived.
     #[error("no complete response from {url}: {reason}")]
     Interrupted {
@@ -127,7 +139,8 @@
     ///
     /// # Errors
     ///
-    /// [`ClientError::NotSent`] when no connection was established; otherwise
+    /// [`ClientError::NotSent`] when no connection was established,
+    /// [`ClientError::TooLarge`] for a body above the limit, otherwise
     /// [`ClientError::Interrupted`], also when the body was cut off.
     pub fn send(&self, request: ClientRequest) -> Result<ClientResponse, ClientError> {
         let fresh;
@@ -173,10 +186,7 @@
             .with_config()
             .limit(self.options.max_body_bytes)
             .read_to_vec()
-            .map_err(|error| ClientError::Interrupted {
-                url,
-                reason: error.to_string(),
-            })?;
+            .map_err(|error| body_error(url, &error))?;
         Ok(ClientResponse {
             status,
             headers,
@@ -186,7 +196,7 @@
 }
 
 fn agent(options: &ClientOptions, max_idle_connections_per_host: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
@@ -194,8 +204,39 @@
         .max_idle_age(options.max_idle_age)
         .max_idle_connections(max_idle_connections_per_host * 256)
         .max_idle_connections_per_host(max_idle_connections_per_host)
-        .build()
-        .into()
+        .build();
+    Agent::with_parts(config, DefaultConnector::new(), AddressResolver)
+}
+
+/// Takes hosts as IP numbers, which is all that the system uses. The resolver of the library starts
+/// a thread for each request with a timeout, also when its connection is pooled.
+#[derive(Debug)]
+struct AddressResolver;
+
+impl Resolver for AddressResolver {
+    fn resolve(
+        &self,
+        uri: &hyper::Uri,
+        _config: &Config,
+        _timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.host().and_then(|host| {
+            let number = host.trim_start_matches('[').trim_end_matches(']');
+            let ip: IpAddr = number.parse().ok()?;
+            Some(SocketAddr::new(ip, uri.port_u16().unwrap_or(80)))
+        });
+        let mut addresses = self.empty();
+        addresses.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(addresses)
+    }
+}
+
+fn body_error(url: String, error: &ureq::Error) -> ClientError {
+    let reason = error.to_string();
+    match error {
+        ureq::Error::BodyExceedsLimit(_) => ClientError::TooLarge { url, reason },
+        _ => ClientError::Interrupted { url, reason },
+    }
 }
 
 fn classify(url: &str, error: &ureq::Error) -> ClientError {
