--- a/src/entry_host/administration.rs
+++ b/src/entry_host/administration.rs
@@ -31,7 +31,7 @@
     observed: Observed,
 ) -> Admin {
     warn_without_operator(settings, configuration);
-    if settings.cell.hosts.len() > 1 {
+    if settings.cell.hosts.len() > 1 && observed.configuration.is_none() {
         ::log::warn!(
             "the configuration is kept in the memory of this host: changes reach no other host \
              and are lost when it restarts"
