--- /dev/null
+++ b/benches/fairness.rs
@@ -0,0 +1,168 @@
+//! Fairness over 500 teams with unequal weights, and the wait of teams below their share.
+//! Run with `cargo bench --bench fairness`.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use jujubewinch::protocol::caller::Urgency;
+use jujubewinch::scheduling::fair_share::{QueuePolicy, TeamShare};
+use jujubewinch::scheduling::job::TaskEnd;
+use jujubewinch::scheduling::job_scheduler::SchedulerSettings;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use support::virtual_time::Fleet;
+
+const TEAMS: usize = 500;
+const WORKERS: usize = 400;
+/// Teams from here on submit nothing until the fleet is full.
+const FIRST_LATE: usize = 450;
+const MEASURED: Duration = Duration::from_secs(900);
+const STEP: Duration = Duration::from_millis(500);
+
+fn weight(team: usize) -> u32 {
+    1 + (team % 8) as u32
+}
+
+struct Result {
+    jain: f64,
+    longest_wait_s: f64,
+    median_wait_s: f64,
+    never: usize,
+    utilization: f64,
+}
+
+fn run(policy: QueuePolicy, seed: u64) -> Result {
+    let now = Instant::now();
+    let settings = SchedulerSettings {
+        queue: policy,
+        seed,
+        ..SchedulerSettings::default()
+    };
+    let mut scheduler = support::scheduler(WORKERS, settings, now);
+    for team in 0..TEAMS {
+        let share = TeamShare {
+            weight: weight(team),
+            ..TeamShare::default()
+        };
+        scheduler.set_team(&format!("team-{team}"), share);
+    }
+    let mut fleet = Fleet::new(scheduler, now);
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut submitted = 0;
+    let mut waiting: IndexMap<usize, usize> = IndexMap::new();
+    let mut late: IndexMap<usize, Instant> = IndexMap::new();
+    let mut first_waits = Vec::new();
+    let mut shares = vec![0.0; TEAMS];
+    let mut used = 0.0;
+    let mut steps = 0.0;
+    while fleet.elapsed() < MEASURED {
+        let late_begins = fleet.elapsed() >= MEASURED / 3;
+        for team in 0..TEAMS {
+            if team >= FIRST_LATE && !late_begins {
+                continue;
+            }
+            // The first teams flood the queue; each team keeps more waiting than it can run.
+            let wanted = if team < 50 { 60 } else { 12 };
+            while waiting.get(&team).copied().unwrap_or(0) < wanted {
+                let need = support::resources(
+                    random.random_range(4..25) * 250,
+                    random.random_range(4..25) * 512,
+                    0,
+                );
+                let run = Duration::from_secs(random.random_range(60..600));
+                let mut spec = support::job(submitted, team, need, run);
+                spec.urgency = if team < 50 {
+                    Urgency::Urgent
+                } else {
+                    Urgency::Normal
+                };
+                submitted += 1;
+                fleet.submit(spec);
+                *waiting.entry(team).or_default() += 1;
+                if team >= FIRST_LATE {
+                    late.entry(team).or_insert(fleet.now);
+                }
+            }
+        }
+        let seconds: IndexMap<String, u64> = IndexMap::new();
+        let _ = seconds;
+        let specs_run = |id: &str,
+                         specs: &IndexMap<
+            String,
+            (jujubewinch::scheduling::job::JobSpec, Instant),
+        >| { specs[id].0.expected_run_ms.unwrap_or(0) };
+        let runs: IndexMap<String, u64> = fleet
+            .specs
+            .keys()
+            .map(|id| (id.clone(), specs_run(id, &fleet.specs)))
+            .collect();
+        let step = fleet.step(STEP, |start| {
+            // Declared run times are off by up to four times.
+            let factor = 0.25 + (start.index as f64 + start.job.len() as f64 * 0.37) % 3.75;
+            let run_ms = runs[&start.job] as f64 * factor.min(1.0);
+            (Duration::from_millis(run_ms as u64), TaskEnd::Succeeded)
+        });
+        for start in &step.started {
+            let team: usize = fleet.specs[&start.job].0.member[5..]
+                .parse()
+                .expect("number");
+            if start.attempt == 0 {
+                if let Some(count) = waiting.get_mut(&team) {
+                    *count -= 1;
+                }
+            }
+            if let Some(since) = late.get(&team)
+                && first_waits.iter().all(|(other, _)| *other != team)
+            {
+                first_waits.push((team, (fleet.now - *since).as_secs_f64()));
+            }
+        }
+        for (ended, end) in step.ended {
+            if end == TaskEnd::Succeeded {
+                fleet.specs.swap_remove(&ended.start.job);
+            }
+        }
+        if fleet.elapsed() >= MEASURED * 2 / 3 {
+            steps += 1.0;
+            let capacity = fleet.scheduler.ledger().capacity();
+            for (team, share) in shares.iter_mut().enumerate() {
+                let usage = fleet.scheduler.usage_of(&format!("team-{team}"));
+                let cpu = usage.cpu_millis as f64 / capacity.cpu_millis as f64;
+                let memory = usage.memory_mib as f64 / capacity.memory_mib as f64;
+                *share += cpu.max(memory) / f64::from(weight(team));
+            }
+            used += support::allocated_parts(&fleet.scheduler)[0];
+        }
+    }
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|share| share * share).sum();
+    let waits: Vec<f64> = first_waits.iter().map(|(_, wait)| *wait).collect();
+    Result {
+        jain: sum * sum / (TEAMS as f64 * squares.max(f64::MIN_POSITIVE)),
+        longest_wait_s: waits.iter().copied().fold(0.0, f64::max),
+        never: TEAMS - FIRST_LATE - waits.len(),
+        median_wait_s: support::median(waits),
+        utilization: used / steps,
+    }
+}
+
+fn main() {
+    println!("policy           jain   median wait s  longest wait s  never started  cpu allocated");
+    for (name, policy) in [
+        ("fair_share", QueuePolicy::FairShare),
+        ("strict_priority", QueuePolicy::StrictPriority),
+        ("first_come", QueuePolicy::FirstCome),
+    ] {
+        let result = run(policy, 1);
+        println!(
+            "{name:<15} {:>6.3} {:>14.1} {:>15.1} {:>14} {:>14.3}",
+            result.jain,
+            result.median_wait_s,
+            result.longest_wait_s,
+            result.never,
+            result.utilization
+        );
+    }
+}
