feature: stronger weight of imbalance in best fit, and one evidence sum per worker

Cause: at the first refusal most free space was on workers whose memory was full with processors left. Evidence against a worker was kept per workload, so single failures of many workloads added up on healthy workers; the faulty workers of the measurement got no work, since its load was too low.

Change: the weight of imbalance is 8 instead of 1.5. The likelihood ratio is one sum per worker, which any success lowers; the cap per workload is lifted only when the workload mostly succeeds elsewhere meanwhile. The quarantine measurement saturates the fleet.

--- a/benches/packing.rs
+++ b/benches/packing.rs
@@ -11,7 +11,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-const SEEDS: u64 = 5;
+/// The weights in `scheduling::placement` were chosen with seeds 0 to 4, which are left out.
+const SEEDS: std::ops::Range<u64> = 5..15;
 /// Largest declared size, a third of the smaller workers.
 const LARGEST: (u64, u64) = (16_000, 40_960);
 
@@ -76,9 +77,7 @@
             ("best_fit", PlacementPolicy::BestFit),
             ("first_fit", PlacementPolicy::FirstFit),
         ] {
-            let results: Vec<_> = (0..SEEDS)
-                .map(|seed| fill(workers, placement, seed))
-                .collect();
+            let results: Vec<_> = SEEDS.map(|seed| fill(workers, placement, seed)).collect();
             let ratios: Vec<f64> = results.iter().map(|(got, bound)| got / bound).collect();
             let allocated: Vec<f64> = results.iter().map(|(got, _)| *got).collect();
             let bounds: Vec<f64> = results.iter().map(|(_, bound)| *bound).collect();
--- a/benches/quarantine.rs
+++ b/benches/quarantine.rs
@@ -59,7 +59,8 @@
     let mut submitted = 0;
     let broken_at = MEASURED / 3;
     while fleet.elapsed() < MEASURED {
-        for _ in 0..30 {
+        // More than the fleet can run, so that every worker gets work.
+        while fleet.scheduler.job_count() < fleet.running.len() + 200 {
             let workload = random.random_range(0..20);
             let need = support::resources(random.random_range(2..9) * 1_000, 8_192, 0);
             let mut spec = support::job(submitted, workload, need, Duration::from_secs(40));
--- a/src/scheduling/placement.rs
+++ b/src/scheduling/placement.rs
@@ -19,8 +19,10 @@
 /// Racks that are tried for a replica before the search ignores racks.
 const MAX_RACKS: usize = 16;
 
-/// Weight of what stays unbalanced on a worker, relative to what stays free.
-const IMBALANCE_WEIGHT: f64 = 1.5;
+/// Weight of what stays unbalanced on a worker, relative to what stays free. With 1.5, workers
+/// whose memory was full with processors left made up most of the free space at the first refusal
+/// (`benches/packing.rs`); values above 8 gave no further gain at 48 workers.
+const IMBALANCE_WEIGHT: f64 = 8.0;
 /// Weight of free accelerators behind too little processor time or memory.
 const STRANDED_ACCELERATOR_WEIGHT: f64 = 4.0;
 /// Cost of a replica in the same rack; more than any difference in fit.
--- a/src/scheduling/quarantine.rs
+++ b/src/scheduling/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! Each outcome on a worker is compared with the failure rate of the same workload on all other
 //! workers. The logarithm of the likelihood ratio between "this worker fails nearly everything"
-//! and "this worker is like the others" is summed up and never falls below zero (a CUSUM test).
+//! and "this worker is like the others" is summed up over all workloads and never falls below zero
+//! (a CUSUM test). Any success on the worker therefore counts strongly for it.
 
 use std::time::{Duration, Instant};
 
@@ -17,7 +18,8 @@
 /// Most evidence from one workload that did not also succeed elsewhere in the meantime. A new
 /// version that fails everywhere thus never suffices on its own.
 const MAX_PER_WORKLOAD: f64 = 6.0;
-/// Successes elsewhere, since the first failure here, that lift `MAX_PER_WORKLOAD`.
+/// Successes elsewhere, since the first failure here, that lift `MAX_PER_WORKLOAD`, provided that
+/// there were few failures elsewhere in the same time.
 const CLEARING_SUCCESSES: u32 = 10;
 /// Outcomes of a workload on other workers before it counts as evidence.
 const MIN_ELSEWHERE: f64 = 3.0;
@@ -55,13 +57,17 @@
 struct Rate {
     failures: f64,
     outcomes: f64,
-    successes: u32,
+    /// All successes and failures.
+    totals: (u32, u32),
 }
 
+/// What a workload contributed to the evidence against a worker.
 struct Evidence {
     amount: f64,
-    /// Successes of the workload in all when the first failure here was seen.
-    successes_at_start: u32,
+    /// Outcomes of the workload in all when its first failure here was seen.
+    successes_before: u32,
+    failures_before: u32,
+    /// Outcomes here since then.
     failures: f64,
     outcomes: f64,
 }
@@ -69,6 +75,11 @@
 struct WorkerHealth {
     standing: Standing,
     probe_after: Duration,
+    /// Logarithm of the likelihood ratio over all workloads; never below zero. Summing it per
+    /// workload instead would keep one failure of each workload for ever and let healthy workers
+    /// reach the threshold.
+    total: f64,
+    /// Contributions since `total` was last zero.
     evidence: IndexMap<String, Evidence>,
 }
 
@@ -77,6 +88,7 @@
         Self {
             standing: Standing::Healthy,
             probe_after: PROBE_AFTER,
+            total: 0.0,
             evidence: IndexMap::new(),
         }
     }
@@ -205,6 +217,7 @@
 
 impl WorkerHealth {
     fn quarantine(&mut self, now: Instant) {
+        self.total = 0.0;
         self.evidence.clear();
         self.standing = Standing::Quarantined {
             probe_at: now + self.probe_after,
@@ -240,44 +253,56 @@
         };
         self.failures = self.failures * keep + f64::from(u8::from(failed));
         self.outcomes = self.outcomes * keep + 1.0;
-        self.successes += u32::from(!failed);
+        self.totals.0 += u32::from(!failed);
+        self.totals.1 += u32::from(failed);
     }
 }
 
 /// Adds an outcome to the evidence against a worker and returns the sum.
 fn weigh(health: &mut WorkerHealth, rate: &Rate, workload: &str, failed: bool) -> f64 {
-    if failed || health.evidence.contains_key(workload) {
-        let evidence = health.evidence.entry(workload.to_owned());
-        let evidence = evidence.or_insert_with(|| Evidence {
-            amount: 0.0,
-            successes_at_start: rate.successes,
-            failures: 0.0,
-            outcomes: 0.0,
-        });
-        // Outcomes of this worker are taken out of the rate with which it is compared.
-        let outcomes = (rate.outcomes - evidence.outcomes).max(0.0);
-        let failures = (rate.failures - evidence.failures).clamp(0.0, outcomes);
-        let elsewhere = ((failures + 1.0) / (outcomes + 2.0)).min(FAULTY_RATE);
-        let ratio = if failed {
-            FAULTY_RATE / elsewhere
-        } else {
-            (1.0 - FAULTY_RATE) / (1.0 - elsewhere)
-        };
-        if outcomes >= MIN_ELSEWHERE {
-            evidence.amount = (evidence.amount + ratio.ln()).max(0.0);
-        }
-        evidence.outcomes += 1.0;
-        evidence.failures += f64::from(u8::from(failed));
-        if evidence.amount <= 0.0 && !failed {
-            health.evidence.swap_remove(workload);
-        }
+    if !failed && health.total <= 0.0 {
+        return 0.0;
     }
-    let amounts = health.evidence.values().map(|evidence| {
-        if rate.successes.saturating_sub(evidence.successes_at_start) >= CLEARING_SUCCESSES {
-            evidence.amount
-        } else {
-            evidence.amount.min(MAX_PER_WORKLOAD)
-        }
+    let evidence = health.evidence.entry(workload.to_owned());
+    let evidence = evidence.or_insert_with(|| Evidence {
+        amount: 0.0,
+        successes_before: rate.totals.0,
+        failures_before: rate.totals.1,
+        failures: 0.0,
+        outcomes: 0.0,
     });
-    amounts.sum()
+    // Outcomes of this worker are taken out of the rate with which it is compared.
+    let outcomes = (rate.outcomes - evidence.outcomes).max(0.0);
+    let failures = (rate.failures - evidence.failures).clamp(0.0, outcomes);
+    let elsewhere = ((failures + 1.0) / (outcomes + 2.0)).min(FAULTY_RATE);
+    let ratio = if failed {
+        FAULTY_RATE / elsewhere
+    } else {
+        (1.0 - FAULTY_RATE) / (1.0 - elsewhere)
+    };
+    let mut change = ratio.ln();
+    if failed && !evidence.is_cleared(rate) {
+        change = change.min(MAX_PER_WORKLOAD - evidence.amount);
+    }
+    evidence.outcomes += 1.0;
+    evidence.failures += f64::from(u8::from(failed));
+    if outcomes >= MIN_ELSEWHERE {
+        evidence.amount += change;
+        health.total += change;
+    }
+    if health.total <= 0.0 {
+        health.total = 0.0;
+        health.evidence.clear();
+    }
+    health.total
+}
+
+impl Evidence {
+    /// Whether the workload succeeded elsewhere, and mostly so, while it failed here.
+    fn is_cleared(&self, rate: &Rate) -> bool {
+        let successes = rate.totals.0.saturating_sub(self.successes_before);
+        let failures = rate.totals.1.saturating_sub(self.failures_before);
+        let elsewhere = failures.saturating_sub(self.failures as u32);
+        successes >= CLEARING_SUCCESSES && elsewhere * 4 <= successes
+    }
 }
