--- a/benches/fairness.rs
+++ b/benches/fairness.rs
@@ -51,6 +51,7 @@
     let mut fleet = Fleet::new(scheduler, now);
     let mut random = StdRng::seed_from_u64(seed);
     let mut submitted = 0;
+    let mut runs: IndexMap<String, Duration> = IndexMap::new();
     let mut waiting: IndexMap<usize, usize> = IndexMap::new();
     let mut late: IndexMap<usize, Instant> = IndexMap::new();
     let mut first_waits = Vec::new();
@@ -79,6 +80,7 @@
                     Urgency::Normal
                 };
                 submitted += 1;
+                runs.insert(spec.id.clone(), run);
                 fleet.submit(spec);
                 *waiting.entry(team).or_default() += 1;
                 if team >= FIRST_LATE {
@@ -86,32 +88,13 @@
                 }
             }
         }
-        let seconds: IndexMap<String, u64> = IndexMap::new();
-        let _ = seconds;
-        let specs_run = |id: &str,
-                         specs: &IndexMap<
-            String,
-            (jujubewinch::scheduling::job::JobSpec, Instant),
-        >| { specs[id].0.expected_run_ms.unwrap_or(0) };
-        let runs: IndexMap<String, u64> = fleet
-            .specs
-            .keys()
-            .map(|id| (id.clone(), specs_run(id, &fleet.specs)))
-            .collect();
-        let step = fleet.step(STEP, |start| {
-            // Declared run times are off by up to four times.
-            let factor = 0.25 + (start.index as f64 + start.job.len() as f64 * 0.37) % 3.75;
-            let run_ms = runs[&start.job] as f64 * factor.min(1.0);
-            (Duration::from_millis(run_ms as u64), TaskEnd::Succeeded)
-        });
+        let step = fleet.step(STEP, |start| (runs[&start.job], TaskEnd::Succeeded));
         for start in &step.started {
             let team: usize = fleet.specs[&start.job].0.member[5..]
                 .parse()
                 .expect("number");
-            if start.attempt == 0 {
-                if let Some(count) = waiting.get_mut(&team) {
-                    *count -= 1;
-                }
+            if let Some(count) = waiting.get_mut(&team).filter(|_| start.attempt == 0) {
+                *count -= 1;
             }
             if let Some(since) = late.get(&team)
                 && first_waits.iter().all(|(other, _)| *other != team)
@@ -122,6 +105,7 @@
         for (ended, end) in step.ended {
             if end == TaskEnd::Succeeded {
                 fleet.specs.swap_remove(&ended.start.job);
+                runs.swap_remove(&ended.start.job);
             }
         }
         if fleet.elapsed() >= MEASURED * 2 / 3 {
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -1,6 +1,8 @@
 //! Decides for one data centre which request runs where, and guards at-most-once execution.
 
 pub mod dispatch;
+pub mod job_records;
+pub mod jobs;
 pub mod journal;
 pub mod key;
 pub mod records;
--- /dev/null
+++ b/src/placer/jobs.rs
@@ -0,0 +1,288 @@
+//! The life of jobs: accepted, placed, started, watched, ended.
+//!
+//! Nothing is told to a caller or a worker before its record is committed. All state in memory
+//! belongs to one epoch; when the journal fails or the epoch changes it is thrown away and built
+//! again from the committed records.
+
+mod calls;
+mod leases;
+mod live;
+mod term;
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+pub use calls::{WorkerCall, WorkerCallError, WorkerClient, WorkerReply, WorkerRequest};
+use term::Term;
+
+use super::job_records::{JobEnd, JobEntry, JobRecord, JobState};
+use super::journal::{CurrentEpoch, JournalError};
+use crate::clock::Clock;
+use crate::ids::{DataCentreName, JobId, RegionName};
+use crate::protocol::worker::{Announcement, AnnouncementReply};
+use crate::scheduling::fair_share::TeamShare;
+use crate::scheduling::job::JobSpec;
+use crate::scheduling::job_scheduler::{Cancellation, SchedulerSettings};
+use crate::verdict::{ErrorCode, RequestError};
+
+/// Decisions of one round, so that a round cannot hold the lock for long.
+const MAX_DECISIONS: usize = 1_000;
+
+/// Appends records as one unit; returns once they are committed and applied.
+pub type AppendJobRecords = Arc<dyn Fn(Vec<JobRecord>) -> Result<(), JournalError> + Send + Sync>;
+
+/// The placement log as the jobs see it.
+#[derive(Clone)]
+pub struct JobJournal {
+    /// Appends records.
+    pub append: AppendJobRecords,
+    /// Current epoch, when leading.
+    pub epoch: CurrentEpoch,
+    /// Committed records, applied in order.
+    pub state: Arc<Mutex<JobState>>,
+}
+
+/// Everything that the jobs of a data centre need.
+pub struct JobPlacerOptions {
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// Its region.
+    pub region: RegionName,
+    /// Lease of the tasks of a worker.
+    pub lease: Duration,
+    /// Time after the end of a lease until its tasks are certain to have stopped.
+    pub clock_margin: Duration,
+    /// Time between two announcements of a worker.
+    pub announcement_interval: Duration,
+    /// Starts per second; a new placer would otherwise start everything that waits at once.
+    pub max_starts_per_s: u32,
+    /// Policies.
+    pub scheduler: SchedulerSettings,
+    /// Teams with their shares.
+    pub teams: Vec<(String, TeamShare)>,
+    /// Time source.
+    pub clock: Clock,
+    /// Replicated records.
+    pub journal: JobJournal,
+    /// Calls to workers.
+    pub client: WorkerClient,
+}
+
+/// What a caller sees of its job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JobStatus {
+    /// Accepted and not over.
+    Active(Box<JobEntry>),
+    /// Over.
+    Ended(JobEnd),
+}
+
+/// Jobs of one data centre.
+pub struct JobPlacer {
+    options: JobPlacerOptions,
+    /// Present while this host leads the placement log and its state is sound.
+    term: Mutex<Option<Term>>,
+}
+
+impl JobPlacer {
+    /// A placer of jobs; it takes over the committed jobs when it leads for the first time.
+    pub fn new(options: JobPlacerOptions) -> Self {
+        Self {
+            options,
+            term: Mutex::new(None),
+        }
+    }
+
+    /// Accepts a job; returns once it is committed. The same job may be submitted again.
+    ///
+    /// # Errors
+    ///
+    /// `did_not_run` when it was refused, `may_have_run` when the commit is not confirmed.
+    pub fn submit(&self, spec: JobSpec) -> Result<(), RequestError> {
+        let mut guard = self.lock();
+        let now = self.options.clock.now();
+        let term = self.current(&mut guard)?;
+        if let Some(answer) = self.submitted_before(&spec) {
+            return answer;
+        }
+        term.scheduler
+            .check(&spec)
+            .map_err(|error| error.to_error())?;
+        let record = JobRecord::Accepted { spec: spec.clone() };
+        if let Err(error) = (self.options.journal.append)(vec![record]) {
+            return Err(match error {
+                JournalError::NotLeader(_) => error.before_dispatch(),
+                // When it is committed after all, the next round takes it over.
+                JournalError::Unconfirmed(_) => error.after_dispatch(),
+            });
+        }
+        let submitted = term.scheduler.submit(spec, now);
+        submitted.map_err(|error| error.to_error())
+    }
+
+    /// State of a job; `None` when it is not known.
+    pub fn status(&self, job: &str) -> Option<JobStatus> {
+        let state = self.options.journal.state.lock().unwrap();
+        if let Some(entry) = state.jobs.get(job) {
+            return Some(JobStatus::Active(Box::new(entry.clone())));
+        }
+        state.ended.get(job).cloned().map(JobStatus::Ended)
+    }
+
+    /// Cancels a job; returns once that is committed. Running tasks are stopped afterwards.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` when this host is not the placer or the commit failed.
+    pub fn cancel(&self, job: &JobId) -> Result<Cancellation, RequestError> {
+        let mut guard = self.lock();
+        let term = self.current(&mut guard)?;
+        let Some(progress) = term.scheduler.progress(job) else {
+            return Ok(Cancellation::Unknown);
+        };
+        let record = if progress.running > 0 {
+            JobRecord::CancelRequested { job: job.clone() }
+        } else {
+            let outcome = JobEnd {
+                succeeded: progress.succeeded,
+                failed: progress.failed,
+                cancelled: true,
+                reason: String::new(),
+            };
+            JobRecord::JobEnded {
+                job: job.clone(),
+                outcome,
+            }
+        };
+        if let Err(error) = (self.options.journal.append)(vec![record]) {
+            *guard = None;
+            return Err(error.after_dispatch());
+        }
+        Ok(term.scheduler.cancel(job))
+    }
+
+    /// Takes note of a worker, renews the leases of its tasks and learns which tasks ended.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` when this host is not the placer.
+    pub fn announce(&self, announcement: &Announcement) -> Result<AnnouncementReply, RequestError> {
+        let mut guard = self.lock();
+        let now = self.options.clock.now();
+        let term = self.current(&mut guard)?;
+        if announcement.highest_epoch > term.epoch {
+            let message = "the worker knows a later placer";
+            return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
+        }
+        let stop = term.announce(&self.options, announcement, now);
+        let epoch = term.epoch;
+        self.commit(&mut guard)?;
+        let ms = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Ok(AnnouncementReply {
+            epoch,
+            lease_ms: ms(self.options.lease),
+            next_announcement_ms: ms(self.options.announcement_interval),
+            stop,
+        })
+    }
+
+    /// One round: leases, decisions, and the commit of their intents. The caller passes each of
+    /// the returned calls to [`Self::perform`]; they may be performed in parallel.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` when this host is not the placer or the commit failed; then nothing was
+    /// decided.
+    pub fn tick(&self) -> Result<Vec<WorkerCall>, RequestError> {
+        let mut guard = self.lock();
+        let now = self.options.clock.now();
+        let term = self.current(&mut guard)?;
+        term.expire_leases(&self.options, now);
+        term.decide(MAX_DECISIONS, now);
+        term.repeat_calls(now);
+        self.commit(&mut guard)?;
+        let Some(term) = guard.as_mut() else {
+            return Ok(Vec::new());
+        };
+        let state = self.options.journal.state.lock().unwrap();
+        term.take_over_late(&self.options, &state, now);
+        Ok(term.take_calls())
+    }
+
+    /// Performs a call and takes note of the reply. Blocks for the time of the exchange, without
+    /// holding the lock.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` when the reply could not be committed.
+    pub fn perform(&self, call: &WorkerCall) -> Result<(), RequestError> {
+        let reply = (self.options.client.send)(call);
+        if let Err(error) = &reply {
+            log::debug!(
+                "call about task {} to worker {}: {error}",
+                call.task,
+                call.worker
+            );
+        }
+        let mut guard = self.lock();
+        let now = self.options.clock.now();
+        let term = self.current(&mut guard)?;
+        if term.epoch != call.epoch {
+            return Ok(());
+        }
+        term.replied(call, reply, now);
+        self.commit(&mut guard)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Term>> {
+        self.term.lock().unwrap()
+    }
+
+    /// State of the current epoch; built from the committed records when it is missing.
+    fn current<'a>(&self, term: &'a mut Option<Term>) -> Result<&'a mut Term, RequestError> {
+        let Some(epoch) = (self.options.journal.epoch)() else {
+            *term = None;
+            let message = "this host is not the placer";
+            return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
+        };
+        if term.as_ref().is_some_and(|term| term.epoch != epoch) {
+            *term = None;
+        }
+        let now = self.options.clock.now();
+        Ok(term.get_or_insert_with(|| {
+            let state = self.options.journal.state.lock().unwrap();
+            Term::recover(&self.options, &state, epoch, now)
+        }))
+    }
+
+    /// Commits what the term decided; throws the term away when that fails, since its state is
+    /// then ahead of the committed records.
+    fn commit(&self, term: &mut Option<Term>) -> Result<(), RequestError> {
+        let records = term.as_mut().map(Term::take_records).unwrap_or_default();
+        if records.is_empty() {
+            return Ok(());
+        }
+        (self.options.journal.append)(records).map_err(|error| {
+            *term = None;
+            log::warn!("decisions about jobs were not committed: {error}");
+            error.before_dispatch()
+        })
+    }
+
+    /// Answer for a job id that is known already.
+    fn submitted_before(&self, spec: &JobSpec) -> Option<Result<(), RequestError>> {
+        let state = self.options.journal.state.lock().unwrap();
+        let conflict = |message: &str| {
+            Some(Err(RequestError::did_not_run(
+                ErrorCode::KeyConflict,
+                message,
+            )))
+        };
+        match state.jobs.get(&spec.id) {
+            Some(entry) if entry.spec == *spec => Some(Ok(())),
+            Some(_) => conflict("a different job with this id exists"),
+            None if state.ended.contains_key(&spec.id) => conflict("the job is over"),
+            None => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/placer/jobs/live.rs
@@ -0,0 +1,116 @@
+//! Tasks whose end is not committed, by worker and by the time of their next call.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::calls::WorkerRequest;
+use crate::ids::{JobId, TaskId, WorkerId};
+use crate::placer::job_records::TaskAttempt;
+
+/// A task whose end is not committed.
+pub(super) struct LiveTask {
+    pub(super) job: JobId,
+    pub(super) attempt: TaskAttempt,
+    /// Announcements in a row that did not list it.
+    pub(super) missing: u32,
+    next_call: Option<(Instant, WorkerRequest)>,
+}
+
+/// All such tasks.
+#[derive(Default)]
+pub(super) struct LiveTasks {
+    tasks: IndexMap<TaskId, LiveTask>,
+    by_worker: IndexMap<WorkerId, IndexSet<TaskId>>,
+    due: BTreeSet<(Instant, TaskId)>,
+}
+
+impl LiveTasks {
+    pub(super) fn insert(&mut self, task: TaskId, job: JobId, attempt: TaskAttempt) {
+        let on_worker = self.by_worker.entry(attempt.worker.clone()).or_default();
+        on_worker.insert(task.clone());
+        let live = LiveTask {
+            job,
+            attempt,
+            missing: 0,
+            next_call: None,
+        };
+        self.tasks.insert(task, live);
+    }
+
+    pub(super) fn remove(&mut self, task: &str) -> Option<LiveTask> {
+        self.clear_call(task);
+        let live = self.tasks.swap_remove(task)?;
+        if let Some(on_worker) = self.by_worker.get_mut(&live.attempt.worker) {
+            on_worker.swap_remove(task);
+            if on_worker.is_empty() {
+                self.by_worker.swap_remove(&live.attempt.worker);
+            }
+        }
+        Some(live)
+    }
+
+    pub(super) fn get(&self, task: &str) -> Option<&LiveTask> {
+        self.tasks.get(task)
+    }
+
+    pub(super) fn get_mut(&mut self, task: &str) -> Option<&mut LiveTask> {
+        self.tasks.get_mut(task)
+    }
+
+    /// Tasks on a worker.
+    pub(super) fn on_worker(&self, worker: &str) -> Vec<TaskId> {
+        let tasks = self.by_worker.get(worker);
+        tasks
+            .map(|tasks| tasks.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// Sets the next call about a task.
+    pub(super) fn set_call(&mut self, task: &str, at: Instant, request: WorkerRequest) {
+        self.clear_call(task);
+        if let Some(live) = self.tasks.get_mut(task) {
+            live.next_call = Some((at, request));
+            self.due.insert((at, task.to_owned()));
+        }
+    }
+
+    pub(super) fn clear_call(&mut self, task: &str) {
+        let live = self.tasks.get_mut(task);
+        if let Some((at, _)) = live.and_then(|live| live.next_call.take()) {
+            self.due.remove(&(at, task.to_owned()));
+        }
+    }
+
+    /// Whether the start of a task is the next call about it.
+    pub(super) fn is_starting(&self, task: &str) -> bool {
+        let call = self
+            .tasks
+            .get(task)
+            .and_then(|live| live.next_call.as_ref());
+        matches!(call, Some((_, WorkerRequest::Start { .. })))
+    }
+
+    /// Tasks whose call is due, with the call, which is put off to `again_at`.
+    pub(super) fn take_due(
+        &mut self,
+        now: Instant,
+        again_at: Instant,
+    ) -> Vec<(TaskId, WorkerRequest)> {
+        let mut calls = Vec::new();
+        while let Some((at, task)) = self.due.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.due.pop_first();
+            let live = self.tasks.get_mut(&task);
+            if let Some((at, request)) = live.and_then(|live| live.next_call.as_mut()) {
+                *at = again_at;
+                calls.push((task.clone(), request.clone()));
+                self.due.insert((again_at, task));
+            }
+        }
+        calls
+    }
+}
--- a/src/scheduling/job.rs
+++ b/src/scheduling/job.rs
@@ -72,6 +72,13 @@
     }
 }
 
+/// Job, number of the task and number of the attempt in a task id; `None` for other ids.
+pub fn parse_task_id(task: &str) -> Option<(&str, u32, u32)> {
+    let (rest, attempt) = task.rsplit_once('-')?;
+    let (job, index) = rest.rsplit_once('-')?;
+    Some((job, index.parse().ok()?, attempt.parse().ok()?))
+}
+
 /// How a task ended.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/scheduling/job_scheduler.rs
+++ b/src/scheduling/job_scheduler.rs
@@ -16,7 +16,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-pub use outcomes::{JobOutcome, RestoredTask};
+pub use outcomes::{FollowUp, JobOutcome, RestoredTask};
 pub use types::{
     Cancellation, Decision, JobProgress, PreemptReason, SchedulerSettings, SubmitError, TaskStart,
 };
@@ -248,6 +248,11 @@
         })
     }
 
+    /// What a job that is not over asked for.
+    pub fn spec(&self, job: &str) -> Option<&JobSpec> {
+        self.jobs.get(job).map(|job| &job.spec)
+    }
+
     /// Jobs that are waiting or running.
     pub fn job_count(&self) -> usize {
         self.jobs.len()
--- a/src/scheduling/job_scheduler/gang_reservation.rs
+++ b/src/scheduling/job_scheduler/gang_reservation.rs
@@ -7,6 +7,7 @@
 use crate::ids::{JobId, TaskId};
 use crate::resources::Resources;
 use crate::scheduling::gangs::{GangReservation, drain_time};
+use crate::scheduling::job::parse_task_id;
 use crate::scheduling::ledger::{Allocation, Purpose, WorkerIndex, add};
 use crate::scheduling::overuse::Measure;
 
@@ -362,11 +363,7 @@
     }
 }
 
-/// Number of a task in its job; see `JobSpec::task_id`.
+/// Number of a task in its job.
 fn task_index(task: &str) -> u32 {
-    let mut parts = task.rsplitn(3, '-');
-    parts
-        .nth(1)
-        .and_then(|index| index.parse().ok())
-        .unwrap_or(0)
+    parse_task_id(task).map_or(0, |(_, index, _)| index)
 }
--- a/src/scheduling/job_scheduler/outcomes.rs
+++ b/src/scheduling/job_scheduler/outcomes.rs
@@ -33,6 +33,15 @@
     pub reason: String,
 }
 
+/// What follows the end of a task.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FollowUp {
+    /// Present when the task gets no further attempt; tells whether it succeeded.
+    pub settled: Option<bool>,
+    /// The job, when that ended it.
+    pub job: Option<JobOutcome>,
+}
+
 /// A task that an earlier placer started and whose end is not known.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RestoredTask {
@@ -49,11 +58,15 @@
 }
 
 impl JobScheduler {
-    /// Takes note of the end of a task; returns the job when that ended it. Ends of unknown tasks
-    /// are ignored, so that repeated reports have no effect.
-    pub fn task_ended(&mut self, task: &str, end: TaskEnd, now: Instant) -> Option<JobOutcome> {
-        let entry = self.tasks.swap_remove(task)?;
-        let job = self.jobs.get_mut(&entry.job)?;
+    /// Takes note of the end of a task. Ends of unknown tasks are ignored, so that repeated
+    /// reports have no effect.
+    pub fn task_ended(&mut self, task: &str, end: TaskEnd, now: Instant) -> FollowUp {
+        let Some(entry) = self.tasks.swap_remove(task) else {
+            return FollowUp::default();
+        };
+        let Some(job) = self.jobs.get_mut(&entry.job) else {
+            return FollowUp::default();
+        };
         job.running.swap_remove(task);
         if let Some(rack) = entry.rack
             && let Some(count) = job.racks.get_mut(&rack)
@@ -77,9 +90,12 @@
         self.overuse.ended(task);
         self.return_backfill(task);
         self.observe(&entry, &workload, end, now);
-        self.follow(&entry, end, now);
+        let settled = self.follow(&entry, end, now);
         self.refresh(entry.worker);
-        self.finish_if_done(&entry.job)
+        FollowUp {
+            settled,
+            job: self.take_finished(&entry.job),
+        }
     }
 
     /// Takes note of measured usage on a worker and returns measures against overuse.
@@ -137,7 +153,9 @@
             job.succeeded = ended.values().filter(|&&succeeded| succeeded).count() as u32;
             job.failed = ended.len() as u32 - job.succeeded;
             job.attempts.clone_from(attempts);
-            job.gang_attempt = attempts.values().copied().max().unwrap_or(0);
+            let running_attempts = running.iter().map(|task| task.attempt);
+            let highest = attempts.values().copied().chain(running_attempts).max();
+            job.gang_attempt = highest.unwrap_or(0);
             let is_running = |index: &u32| running.iter().any(|task| task.index == *index);
             let pending = (0..job.spec.tasks).filter(|index| !ended.contains_key(index));
             job.again = pending.filter(|index| !is_running(index)).collect();
@@ -159,6 +177,7 @@
         }
         if job.is_gang() {
             job.again.clear();
+            job.succeeded = 0;
             if job.running.is_empty() {
                 job.next_fresh = 0;
             } else {
@@ -288,9 +307,8 @@
             .filter(|task| !present.contains_key(*task));
         let gone: Vec<TaskId> = gone.cloned().collect();
         for task in gone {
-            if let Some(outcome) = self.task_ended(&task, TaskEnd::Lost, now) {
-                self.ended.push(outcome);
-            }
+            let ended = self.task_ended(&task, TaskEnd::Lost, now);
+            self.ended.extend(ended.job);
         }
     }
 
@@ -338,13 +356,11 @@
         }
     }
 
-    /// Decides whether there is another attempt.
-    fn follow(&mut self, entry: &Task, end: TaskEnd, now: Instant) {
-        let Some(job) = self.jobs.get_mut(&entry.job) else {
-            return;
-        };
+    /// Decides whether there is another attempt; if not, tells whether the task succeeded.
+    fn follow(&mut self, entry: &Task, end: TaskEnd, now: Instant) -> Option<bool> {
+        let job = self.jobs.get_mut(&entry.job)?;
         if job.cancelled {
-            return;
+            return None;
         }
         let may_repeat = !job.spec.at_most_once || end == TaskEnd::NeverStarted;
         let retry = match (may_repeat, end) {
@@ -354,13 +370,17 @@
         };
         if job.is_gang() && (job.broken || retry != Retry::Done) {
             self.break_gang(&entry.job, retry, now);
-            return;
+            return None;
         }
         match retry {
-            Retry::Done => job.succeeded += 1,
+            Retry::Done => {
+                job.succeeded += 1;
+                Some(true)
+            }
             Retry::GiveUp(reason) => {
                 job.failed += 1;
                 job.reason = reason;
+                Some(false)
             }
             Retry::After(pause) => {
                 *job.attempts.entry(entry.index).or_default() = entry.attempt + 1;
@@ -368,11 +388,12 @@
                     job.paused += 1;
                     let due = (now + pause, entry.job.clone(), entry.index);
                     self.paused.insert(due);
-                    return;
+                    return None;
                 }
                 job.again.push_back(entry.index);
                 job.queued_since = now;
                 self.enqueue(&entry.job);
+                None
             }
         }
     }
@@ -409,8 +430,17 @@
         self.paused.insert((now + pause, id.clone(), 0));
     }
 
-    /// Removes a job without anything left to do.
-    pub(super) fn finish_if_done(&mut self, id: &JobId) -> Option<JobOutcome> {
+    /// Marks a restored job as cancelled; its running tasks are stopped by the next decisions.
+    pub fn mark_cancelled(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.cancelled = true;
+            self.to_stop
+                .push_back((id.clone(), PreemptReason::Cancelled));
+        }
+    }
+
+    /// Removes and returns a job without anything left to do.
+    pub fn take_finished(&mut self, id: &JobId) -> Option<JobOutcome> {
         let job = self.jobs.get(id)?;
         let done = job.succeeded + job.failed >= job.spec.tasks;
         if !job.running.is_empty() || !(job.cancelled || done) {
