--- a/src/placer.rs
+++ b/src/placer.rs
@@ -6,6 +6,8 @@
 mod dispatch;
 mod flight;
 mod follow;
+pub mod job_records;
+pub mod jobs;
 pub mod journal;
 pub mod key;
 pub mod links;
--- a/src/placer/journal.rs
+++ b/src/placer/journal.rs
@@ -20,6 +20,16 @@
 }
 
 impl JournalError {
+    /// Error of work that depends on the record.
+    pub fn to_error(&self) -> RequestError {
+        match self {
+            Self::NotLeader(_) => {
+                RequestError::did_not_run(ErrorCode::Unavailable, self.to_string())
+            }
+            Self::Unconfirmed(_) => self.may_have_run(),
+        }
+    }
+
     /// Error of a request whose intent failed or may be committed, so that a later placer may find
     /// it, or that was sent to a runner.
     pub fn may_have_run(&self) -> RequestError {
