--- a/src/replication/disk.rs
+++ b/src/replication/disk.rs
@@ -23,6 +23,8 @@
 const HEADER_BYTES: usize = 16;
 const STATE_FILE: &str = "state";
 const SNAPSHOT_FILE: &str = "snapshot";
+/// A snapshot that is written without the lock of the replica, before it is renamed.
+const BACKGROUND_FILE: &str = "snapshot.background";
 const LOG_FILE: &str = "log";
 const LOCK_FILE: &str = "lock";
 
@@ -79,6 +81,23 @@
     }
 }
 
+/// Writes a snapshot beside the present one, which may run without access to the [`Disk`].
+pub struct SnapshotJob {
+    path: PathBuf,
+    hook: DiskHook,
+}
+
+impl SnapshotJob {
+    /// Writes and syncs the file.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`].
+    pub fn run(&self, snapshot: &Snapshot) -> Result<(), StorageError> {
+        write_file(&self.hook, &self.path, &record(snapshot, 0))
+    }
+}
+
 impl Disk {
     /// Opens or creates the files in a folder.
     ///
@@ -154,7 +173,7 @@
                 self.sync_job().run()?;
             }
             let bytes = record(&self.unwritten, self.log_bytes);
-            self.write(&self.log, &self.folder.join(LOG_FILE), &bytes)?;
+            write(&self.hook, &self.log, &self.folder.join(LOG_FILE), &bytes)?;
             self.log_bytes += bytes.len() as u64;
             self.unwritten.clear();
         }
@@ -171,6 +190,22 @@
         }
     }
 
+    /// Returns what remains to be done to write a snapshot, which may run without the [`Disk`].
+    pub(super) fn snapshot_job(&self) -> SnapshotJob {
+        SnapshotJob {
+            path: self.folder.join(BACKGROUND_FILE),
+            hook: Arc::clone(&self.hook),
+        }
+    }
+
+    /// Puts a snapshot that was written by a [`SnapshotJob`] in place, then the log without the
+    /// entries that it covers.
+    pub(super) fn adopt_snapshot(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
+        let path = self.folder.join(SNAPSHOT_FILE);
+        self.rename(&self.folder.join(BACKGROUND_FILE), &path)?;
+        self.replace_log(entries)
+    }
+
     /// Writes the snapshot, then the log without the entries that it covers. A crash between the
     /// two leaves a log that overlaps the snapshot.
     pub(super) fn save_snapshot(
@@ -179,6 +214,10 @@
         entries: &[Entry],
     ) -> Result<(), StorageError> {
         self.replace(SNAPSHOT_FILE, &record(snapshot, 0))?;
+        self.replace_log(entries)
+    }
+
+    fn replace_log(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
         let bytes = if entries.is_empty() {
             Vec::new()
         } else {
@@ -200,25 +239,19 @@
     fn replace(&self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
         let path = self.folder.join(name);
         let temporary = self.folder.join(format!("{name}.new"));
-        let file = File::create(&temporary).map_err(|error| io_error("create", &path, &error))?;
-        self.write(&file, &temporary, bytes)?;
-        self.sync(&file, &temporary)?;
-        (self.hook)(DiskOperation::Rename)
-            .and_then(|()| fs::rename(&temporary, &path))
-            .map_err(|error| io_error("rename", &path, &error))?;
-        self.sync_folder()
+        write_file(&self.hook, &temporary, bytes)?;
+        self.rename(&temporary, &path)
     }
 
-    fn write(&self, mut file: &File, path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
-        (self.hook)(DiskOperation::Write)
-            .and_then(|()| file.write_all(bytes))
-            .map_err(|error| io_error("write", path, &error))
+    fn rename(&self, from: &Path, to: &Path) -> Result<(), StorageError> {
+        (self.hook)(DiskOperation::Rename)
+            .and_then(|()| fs::rename(from, to))
+            .map_err(|error| io_error("rename", to, &error))?;
+        self.sync_folder()
     }
 
     fn sync(&self, file: &File, path: &Path) -> Result<(), StorageError> {
-        (self.hook)(DiskOperation::Sync)
-            .and_then(|()| file.sync_all())
-            .map_err(|error| io_error("sync", path, &error))
+        sync(&self.hook, file, path)
     }
 
     fn sync_folder(&self) -> Result<(), StorageError> {
@@ -228,6 +261,24 @@
     }
 }
 
+fn write(hook: &DiskHook, mut file: &File, path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
+    hook(DiskOperation::Write)
+        .and_then(|()| file.write_all(bytes))
+        .map_err(|error| io_error("write", path, &error))
+}
+
+fn sync(hook: &DiskHook, file: &File, path: &Path) -> Result<(), StorageError> {
+    hook(DiskOperation::Sync)
+        .and_then(|()| file.sync_all())
+        .map_err(|error| io_error("sync", path, &error))
+}
+
+fn write_file(hook: &DiskHook, path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
+    let file = File::create(path).map_err(|error| io_error("create", path, &error))?;
+    write(hook, &file, path, bytes)?;
+    sync(hook, &file, path)
+}
+
 fn lock_folder(folder: &Path) -> Result<fd_lock::RwLock<File>, StorageError> {
     let path = folder.join(LOCK_FILE);
     let file = File::create(&path).map_err(|error| io_error("create", &path, &error))?;
--- a/src/replication/log.rs
+++ b/src/replication/log.rs
@@ -161,7 +161,7 @@
         let mut size = 0;
         let mut batch = Vec::new();
         let start = usize::try_from(index - self.base_index - 1).unwrap_or(usize::MAX);
-        for entry in self.entries.iter().skip(start) {
+        for entry in self.entries.range(start.min(self.entries.len())..) {
             size += entry.size_bytes();
             if size > limit_bytes && !batch.is_empty() {
                 break;
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -103,6 +103,7 @@
         shared.spawn("timer", move |shared| shared.run_timer(tick));
         if needs_sync {
             shared.spawn("sync", |shared| shared.run_sync());
+            shared.spawn("snapshot", |shared| shared.run_snapshots());
         }
         shared.spawn_peer_threads();
         Ok(Self { shared })
@@ -370,6 +371,21 @@
         }
     }
 
+    /// Writes snapshots, which may take longer than an election timeout.
+    fn run_snapshots(&self) {
+        let mut state = self.lock();
+        while !self.stopping.load(Ordering::Acquire) {
+            let Some(snapshot) = state.begin_snapshot() else {
+                state = self.work.wait(state).unwrap();
+                continue;
+            };
+            drop(state);
+            let result = snapshot.run();
+            self.step(|state, now| state.finish_snapshot(snapshot, result, now));
+            state = self.lock();
+        }
+    }
+
     /// Syncs entries of the leader; those that arrive during a sync share the next one.
     fn run_sync(&self) {
         let mut state = self.lock();
--- a/src/replication/snapshots.rs
+++ b/src/replication/snapshots.rs
@@ -1,15 +1,17 @@
 //! Snapshots: bounding the log, and catch-up of hosts that are far behind.
 
+use std::sync::Arc;
 use std::time::Instant;
 
+use super::disk::SnapshotJob;
 use super::formation::FORMATION_INDEX;
-use super::log::{Index, Log, Term};
+use super::log::{Entry, Index, Log, Term};
 use super::membership::Membership;
 use super::message::{GroupId, Reply, Request};
 use super::peer::CallKind;
 use super::propose::ProposeError;
 use super::state::State;
-use super::storage::Snapshot;
+use super::storage::{Snapshot, StorageError};
 
 /// Share of `max_log_entries` that is kept after a snapshot for followers that lag a little.
 const RETAINED_SHARE: u64 = 8;
@@ -22,10 +24,30 @@
     bytes: Vec<u8>,
 }
 
+/// A snapshot that is written without the lock of the state.
+pub(super) struct PendingSnapshot {
+    snapshot: Arc<Snapshot>,
+    job: SnapshotJob,
+}
+
+impl PendingSnapshot {
+    /// Waits for the disk.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`].
+    pub(super) fn run(&self) -> Result<(), StorageError> {
+        self.job.run(&self.snapshot)
+    }
+}
+
 impl<T> State<T> {
     /// Takes a snapshot once the log exceeds its bounds.
     pub(super) fn compact_if_large(&mut self) {
         let limits = &self.options.limits;
+        if self.unsaved_snapshot.is_some() {
+            return;
+        }
         let entries = self.applied - self.snapshot.index;
         let large = self.log.size_bytes() >= limits.max_log_bytes && entries > 0;
         if entries >= limits.max_log_entries || large {
@@ -43,9 +65,60 @@
             state: Some((self.options.machine.snapshot)()),
             formation: self.snapshot.formation.clone(),
         };
-        if !self.save_snapshot(snapshot) {
+        if self.storage.snapshot_job().is_some() {
+            self.unsaved_snapshot = Some(Arc::new(snapshot));
+        } else if self.save_snapshot(snapshot) {
+            self.drop_covered_entries();
+        }
+    }
+
+    /// Starts to write the newest snapshot.
+    pub(super) fn begin_snapshot(&mut self) -> Option<PendingSnapshot> {
+        let snapshot = self.unsaved_snapshot.clone()?;
+        let job = self.storage.snapshot_job()?;
+        self.fault
+            .is_none()
+            .then_some(PendingSnapshot { snapshot, job })
+    }
+
+    /// Takes up a snapshot that was written, unless the leader sent a newer one meanwhile.
+    pub(super) fn finish_snapshot(
+        &mut self,
+        pending: PendingSnapshot,
+        result: Result<(), StorageError>,
+        now: Instant,
+    ) {
+        self.unsaved_snapshot = None;
+        if self.fault.is_some()
+            || self.checked(result).is_none()
+            || pending.snapshot.index <= self.snapshot.index
+        {
             return;
         }
+        let adopted = self
+            .storage
+            .adopt_snapshot(&self.entries_after(pending.snapshot.index));
+        if self.checked(adopted).is_some() {
+            self.use_snapshot(Arc::unwrap_or_clone(pending.snapshot));
+            self.drop_covered_entries();
+            self.advance_commit(now);
+        }
+    }
+
+    fn entries_after(&self, index: Index) -> Vec<Entry> {
+        let after = self.log.entries().filter(|entry| entry.index > index);
+        after.cloned().collect()
+    }
+
+    fn use_snapshot(&mut self, snapshot: Snapshot) {
+        self.snapshot = snapshot;
+        self.durable = self.log.last_index();
+        self.sync_generation += 1;
+    }
+
+    /// Drops entries that the snapshot covers, but keeps some for followers that lag a little.
+    fn drop_covered_entries(&mut self) {
+        let index = self.snapshot.index;
         let limits = &self.options.limits;
         let retained = limits.max_log_entries / RETAINED_SHARE;
         let keep_from = index.saturating_sub(retained);
@@ -59,19 +132,12 @@
 
     /// Saves a snapshot with the entries after it.
     fn save_snapshot(&mut self, snapshot: Snapshot) -> bool {
-        let entries: Vec<_> = self
-            .log
-            .entries()
-            .filter(|entry| entry.index > snapshot.index)
-            .cloned()
-            .collect();
+        let entries = self.entries_after(snapshot.index);
         let saved = self.storage.save_snapshot(&snapshot, &entries);
         if self.checked(saved).is_none() {
             return false;
         }
-        self.snapshot = snapshot;
-        self.durable = self.log.last_index();
-        self.sync_generation += 1;
+        self.use_snapshot(snapshot);
         true
     }
 
@@ -83,6 +149,11 @@
             peer.snapshot_offset = 0;
         }
         let state = self.snapshot.state.as_deref().unwrap_or_default();
+        let known = self
+            .sent_checksum
+            .filter(|(index, _)| *index == self.snapshot.index);
+        let checksum = known.map_or_else(|| crc32fast::hash(state), |(_, checksum)| checksum);
+        self.sent_checksum = Some((self.snapshot.index, checksum));
         let start = usize::try_from(peer.snapshot_offset)
             .map_or(state.len(), |offset| offset.min(state.len()));
         let end = state.len().min(start + self.options.limits.chunk_bytes);
@@ -96,7 +167,7 @@
             membership: self.snapshot.membership.clone(),
             formation: self.snapshot.formation.clone(),
             total_bytes: state.len() as u64,
-            checksum: crc32fast::hash(state),
+            checksum,
             offset: start as u64,
             chunk: state[start..end].to_vec(),
         };
--- a/src/replication/state.rs
+++ b/src/replication/state.rs
@@ -4,6 +4,7 @@
 //! directly in an order of their own.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::Sender;
@@ -49,6 +50,10 @@
     pub log: Log,
     /// Latest snapshot; its index is at most `applied`.
     pub snapshot: Snapshot,
+    /// CRC-32 of the state in the snapshot with this index, while it is being sent.
+    pub sent_checksum: Option<(Index, u32)>,
+    /// A newer snapshot that has to be written before it replaces `snapshot`.
+    pub unsaved_snapshot: Option<Arc<Snapshot>>,
     pub incoming: Option<Incoming>,
     pub role: Role,
     pub leader: Option<HostId>,
@@ -99,6 +104,8 @@
         let mut state = Self {
             rng,
             storage,
+            sent_checksum: None,
+            unsaved_snapshot: None,
             incoming: None,
             role: Role::Follower,
             leader: None,
--- a/src/replication/storage.rs
+++ b/src/replication/storage.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::disk::{Disk, SyncJob};
+use super::disk::{Disk, SnapshotJob, SyncJob};
 #[cfg(test)]
 use super::image::SharedImage;
 use super::log::{Entry, Index, Term};
@@ -184,6 +184,26 @@
         !matches!(self, Self::Memory)
     }
 
+    /// What writes a snapshot without the lock of the replica; `None` when saving is immediate.
+    pub fn snapshot_job(&self) -> Option<SnapshotJob> {
+        match self {
+            Self::Disk(disk) => Some(disk.snapshot_job()),
+            _ => None,
+        }
+    }
+
+    /// Takes up a snapshot that was written by a job, and replaces all entries; durable on return.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`].
+    pub fn adopt_snapshot(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
+        match self {
+            Self::Disk(disk) => disk.adopt_snapshot(entries),
+            _ => Ok(()),
+        }
+    }
+
     /// Replaces the snapshot and all entries; durable on return.
     ///
     /// # Errors
--- a/src/replication/tests/storage.rs
+++ b/src/replication/tests/storage.rs
@@ -159,7 +159,13 @@
             index: round * 2 - 1,
             ..Snapshot::default()
         };
-        disk.save_snapshot(&snapshot, &[entry(round * 2)])?;
+        let kept = [entry(round * 2)];
+        if round % 2 == 0 {
+            disk.save_snapshot(&snapshot, &kept)?;
+        } else {
+            disk.snapshot_job().run(&snapshot)?;
+            disk.adopt_snapshot(&kept)?;
+        }
         confirmed.snapshot = snapshot.index;
     }
     Ok(())
--- a/src/replication/tests/threads.rs
+++ b/src/replication/tests/threads.rs
@@ -157,6 +157,32 @@
     assert_eq!(commands(&group.applied[first])[0], "before");
 }
 
+/// Guards against entries that are lost between a snapshot, the log after it and a restart.
+#[test]
+fn snapshots_and_log_restore_all_commands() {
+    let mut group = Group::start(3, true);
+    for number in 0..100 {
+        group.commit(&number.to_string());
+    }
+    let deadline = Instant::now() + PATIENCE;
+    while group
+        .replicas
+        .iter()
+        .any(|replica| replica.status().log_entries > 48)
+    {
+        assert!(Instant::now() < deadline, "the log is not bounded");
+        thread::sleep(Duration::from_millis(5));
+    }
+    (0..3).for_each(|position| group.stop(position));
+    for position in 0..3 {
+        group.applied[position] = Applied::default();
+        group.replicas[position] = group.replica(position);
+    }
+    group.commit("last");
+    let expected: Vec<String> = (0..100).map(|number: u32| number.to_string()).collect();
+    assert_eq!(commands(&group.applied[group.leader()])[..100], expected);
+}
+
 /// Guards against a single host that waits for others, and one that loses entries on restart.
 #[test]
 fn a_single_voter_leads_at_once_and_keeps_its_entries() {
