bug: a host that gets the same epoch again releases no slot twice

Cause: slots were matched by epoch. A log that reports no epoch for a moment and then the same one makes the placer begin anew; owners from before and followers of the adopted tasks would both release the same slot. A test of the placer change was also flaky: its third submission could arrive after the second had ended truthfully as did_not_run, and then ran.

Change: the table of runners has a generation, and slots and followed tasks carry it. The test submits both requests before the runners announce themselves, so that they attach to the same attempt; it is as strict as before.

--- a/src/placer.rs
+++ b/src/placer.rs
@@ -232,7 +232,7 @@
             let Some(sender) = sender else {
                 state
                     .runners
-                    .release(&slot.worker, slot.incarnation, slot.epoch);
+                    .release(&slot.worker, slot.incarnation, slot.generation);
                 return;
             };
             if let Err(unsent) = sender.send(Ok(slot))
@@ -240,7 +240,7 @@
             {
                 state
                     .runners
-                    .release(&slot.worker, slot.incarnation, slot.epoch);
+                    .release(&slot.worker, slot.incarnation, slot.generation);
             }
         }
     }
@@ -298,7 +298,7 @@
         let mut state = self.state.lock().unwrap();
         state
             .runners
-            .release(&slot.worker, slot.incarnation, slot.epoch);
+            .release(&slot.worker, slot.incarnation, slot.generation);
         state.queue.finished(queued, slot.reserved_at, now);
         self.assign_slots(&mut state, &queued.service);
     }
@@ -307,7 +307,7 @@
         let mut state = self.state.lock().unwrap();
         state
             .runners
-            .release(&followed.worker, followed.incarnation, followed.epoch);
+            .release(&followed.worker, followed.incarnation, followed.generation);
         self.assign_all(&mut state);
     }
 
@@ -320,10 +320,10 @@
             .avoid(&slot.worker, until);
     }
 
-    /// What is known about the incarnation; `None` when the epoch has ended here.
-    fn fate(&self, worker: &str, incarnation: Incarnation, epoch: Epoch) -> Option<Fate> {
+    /// What is known about the incarnation; `None` when the role of that time has ended here.
+    fn fate(&self, worker: &str, incarnation: Incarnation, generation: u64) -> Option<Fate> {
         let state = self.state.lock().unwrap();
-        if state.epoch != Some(epoch) {
+        if !state.is_in(generation) {
             return None;
         }
         let margin = Duration::from_millis(self.options.timing.clock_margin_ms);
@@ -366,6 +366,11 @@
 }
 
 impl PlacerState {
+    /// Whether this host has been the placer without a break since the table of that generation.
+    fn is_in(&self, generation: u64) -> bool {
+        self.epoch.is_some() && self.runners.generation() == generation
+    }
+
     /// Whether the flight is the one registered for the key.
     fn owns(&self, key: &str, flight: &Arc<Flight>) -> bool {
         self.flights
--- a/src/placer/attempt.rs
+++ b/src/placer/attempt.rs
@@ -339,6 +339,7 @@
             worker: slot.worker.clone(),
             incarnation: slot.incarnation,
             epoch: slot.epoch,
+            generation: slot.generation,
             deadline_unix_ms: clock.unix_ms() + remaining.as_millis() as u64,
             idempotent: self.idempotent,
             acknowledged,
--- a/src/placer/dispatch.rs
+++ b/src/placer/dispatch.rs
@@ -251,7 +251,7 @@
 }
 
 fn ended_by_fate(placer: &Placer, slot: &RunnerSlot, contact: &Contact) -> Option<End> {
-    match placer.fate(&slot.worker, slot.incarnation, slot.epoch)? {
+    match placer.fate(&slot.worker, slot.incarnation, slot.generation)? {
         Fate::Present(_) | Fate::Silent => None,
         Fate::Restarted | Fate::Lapsed if contact.never_sent() => {
             Some(End::never_started("the runner is gone"))
--- a/src/placer/follow.rs
+++ b/src/placer/follow.rs
@@ -40,6 +40,8 @@
     pub incarnation: Incarnation,
     /// Epoch of the placer that follows it.
     pub epoch: Epoch,
+    /// Generation of the table in which its slot is counted.
+    pub generation: u64,
     pub deadline_unix_ms: u64,
     pub idempotent: bool,
     /// Whether the runner confirmed that it has the task, so that an unknown id is a lost record.
@@ -55,7 +57,7 @@
     /// Follows a task until its outcome is committed. Its flight must be registered.
     pub(super) fn follow(self: &Arc<Self>, followed: Followed) {
         let mut state = self.state.lock().unwrap();
-        if state.epoch != Some(followed.epoch) {
+        if !state.is_in(followed.generation) {
             drop(state);
             followed
                 .flight
@@ -107,7 +109,7 @@
 
     /// Asks about one task; returns whether it needs no further following.
     fn follow_step(self: &Arc<Self>, followed: &Followed) -> bool {
-        let fate = self.fate(&followed.worker, followed.incarnation, followed.epoch);
+        let fate = self.fate(&followed.worker, followed.incarnation, followed.generation);
         let Some(fate) = fate else {
             let end = FlightEnd::Outcome(Err(no_longer_placer()));
             followed.flight.finish(end);
--- a/src/placer/runners.rs
+++ b/src/placer/runners.rs
@@ -23,8 +23,10 @@
     pub link: Arc<RunnerLink>,
     /// Attempt that occupies the slot; unique.
     pub task: TaskId,
-    /// Epoch of the table that reserved it.
+    /// Epoch of the placer that reserved it.
     pub epoch: Epoch,
+    /// Generation of the table that reserved it.
+    pub generation: u64,
     /// When the slot was reserved.
     pub reserved_at: Instant,
 }
@@ -70,6 +72,9 @@
 #[derive(Default)]
 pub struct RunnerTable {
     epoch: Epoch,
+    /// Grows each time when the table begins anew, also when a host gets the same epoch again, so
+    /// that slots of earlier tables are not released in this one.
+    generation: u64,
     /// Leases granted by former epochs end at this time at the latest.
     former_leases_end_at: Option<Instant>,
     runners: IndexMap<WorkerId, RunnerEntry>,
@@ -85,11 +90,17 @@
     pub(super) fn begin_epoch(&mut self, epoch: Epoch, former_leases_end_at: Instant) {
         *self = Self {
             epoch,
+            generation: self.generation + 1,
             former_leases_end_at: Some(former_leases_end_at),
             ..Self::default()
         };
     }
 
+    /// Generation of this table.
+    pub(super) fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Adds or updates a runner. Returns false for a former incarnation, whose lease must not be
     /// renewed.
     pub fn announce(&mut self, mut announcement: Announcement, lease_ends_at: Instant) -> bool {
@@ -190,6 +201,7 @@
             link: Arc::clone(&entry.link),
             task: format!("{:032x}", rand::random::<u128>()),
             epoch: self.epoch,
+            generation: self.generation,
             reserved_at: now,
         })
     }
@@ -202,9 +214,9 @@
             .or_default() += 1;
     }
 
-    /// Returns a slot that was reserved or held in the given epoch.
-    pub(super) fn release(&mut self, worker: &str, incarnation: Incarnation, epoch: Epoch) {
-        if epoch != self.epoch {
+    /// Returns a slot that was reserved or held in the given generation.
+    pub(super) fn release(&mut self, worker: &str, incarnation: Incarnation, generation: u64) {
+        if generation != self.generation {
             return;
         }
         if let Some(entry) = self.runners.get_mut(worker)
--- a/src/placer/takeover.rs
+++ b/src/placer/takeover.rs
@@ -202,6 +202,7 @@
         worker: record.worker,
         incarnation: record.incarnation,
         epoch,
+        generation: state.runners.generation(),
         deadline_unix_ms: record.deadline_unix_ms,
         idempotent: record.idempotent,
         acknowledged: false,
--- a/tests/placer_support/mod.rs
+++ b/tests/placer_support/mod.rs
@@ -263,14 +263,19 @@
         });
     }
 
-    /// Makes a new placer the leader of the log. Runners announce to it at once.
+    /// Makes a new placer the leader of the log; runners announce to it at once.
     pub fn next_placer(&self) -> Host {
         let host = self.quiet_placer();
+        self.introduce(&host);
+        host
+    }
+
+    /// Lets the runners announce to a placer.
+    pub fn introduce(&self, host: &Host) {
         self.placers.lock().unwrap().push(Arc::clone(&host.placer));
         for runner in self.runners.values() {
             runner.announce_to(std::slice::from_ref(&host.placer));
         }
-        host
     }
 
     /// Makes a new placer the leader of the log without announcements.
