--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -1,5 +1,7 @@
 //! Forwarding of requests to the placer of their home data centre, over real peer connections.
 
+mod placer_support;
+
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -7,15 +9,13 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use jujubewinch::clock::Clock;
 use jujubewinch::gateway::Router;
 use jujubewinch::gateway::routing::RemoteHost;
 use jujubewinch::peer::{PeerClient, PeerServer};
-use jujubewinch::protocol::caller::{Answer, Submission, Urgency};
+use jujubewinch::protocol::caller::{Answer, Submission};
 use jujubewinch::protocol::peer::PeerReply;
 use jujubewinch::verdict::{ErrorCode, RequestError, Verdict};
-
-const PATIENCE: Duration = Duration::from_secs(30);
+use placer_support::{PATIENCE, fresh_key, request};
 
 /// What a host of the home data centre does with each call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -99,14 +99,8 @@
 
 fn submission(timeout: Duration) -> Submission {
     Submission {
-        key: format!("erdenet.{}.forwarded", Clock::system().unix_seconds()),
-        member: "tuul".to_owned(),
-        caller: "workshop".to_owned(),
-        service: "quotes".to_owned(),
-        idempotent: false,
-        urgency: Urgency::Normal,
         deadline: Instant::now() + timeout,
-        payload: b"payload".to_vec(),
+        ..request(&fresh_key("forwarded"), false, 0)
     }
 }
 
--- a/tests/runner_connections.rs
+++ b/tests/runner_connections.rs
@@ -1,10 +1,12 @@
 //! A placer and a stand-in runner over real sockets.
 
+mod placer_support;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use jujubewinch::agent::faults::Fault;
 use jujubewinch::agent::{Agent, AgentOptions};
@@ -13,20 +15,18 @@
 use jujubewinch::placer::journal::Journal;
 use jujubewinch::placer::links::http_exchange;
 use jujubewinch::placer::{Placer, PlacerOptions};
-use jujubewinch::protocol::caller::{Submission, Urgency};
+use jujubewinch::protocol::caller::Submission;
 use jujubewinch::protocol::worker::RunnerCapacity;
 use jujubewinch::resources::Resources;
-
-const PATIENCE: Duration = Duration::from_secs(30);
+use placer_support::{fresh_key, request, timing};
 
 fn start(slots: u32, connections: u32) -> (Arc<Placer>, Agent) {
     let placer = Placer::new(PlacerOptions {
         data_centre: "erdenet".to_owned(),
         limits: LimitSettings::default(),
         timing: TimingSettings {
-            exchange_wait_ms: 100,
-            exchange_grace_ms: 200,
-            ..TimingSettings::default()
+            lease_ms: 60_000,
+            ..timing()
         },
         clock: Clock::system(),
         journal: Journal::in_memory(1),
@@ -50,20 +50,8 @@
     (placer, agent)
 }
 
-fn submission(index: usize, work_ms: u64, answer_bytes: usize) -> Submission {
-    let key = format!("erdenet.{}.{index}", Clock::system().unix_seconds());
-    let payload =
-        format!("{{\"work_ms\":{work_ms},\"answer_bytes\":{answer_bytes},\"echo\":\"{key}\"}}");
-    Submission {
-        key,
-        member: "tuul".to_owned(),
-        caller: "workshop".to_owned(),
-        service: "quotes".to_owned(),
-        idempotent: false,
-        urgency: Urgency::Normal,
-        deadline: Instant::now() + PATIENCE,
-        payload: payload.into_bytes(),
-    }
+fn submission(index: usize, work_ms: u64) -> Submission {
+    request(&fresh_key(&index.to_string()), false, work_ms)
 }
 
 /// Guards against a placer that uses up the connections of a runner, so that its successor is
@@ -84,7 +72,7 @@
         let callers: Vec<_> = (0..60)
             .map(|index| {
                 let placer = &placer;
-                scope.spawn(move || placer.submit(&submission(index, index as u64 % 7 * 40, 0)))
+                scope.spawn(move || placer.submit(&submission(index, index as u64 % 7 * 40)))
             })
             .collect();
         for caller in callers {
@@ -104,7 +92,7 @@
 fn silent_connections_and_damaged_answers_cost_no_request() {
     let (placer, agent) = start(4, 64);
     // Establishes a pooled connection.
-    assert!(placer.submit(&submission(0, 0, 0)).is_ok());
+    assert!(placer.submit(&submission(0, 0)).is_ok());
     let faults = [
         Fault::LoseRequest,
         Fault::LoseAnswer,
@@ -114,13 +102,10 @@
     ];
     for (index, fault) in faults.into_iter().enumerate() {
         agent.tasks().faults().inject(&[fault]);
-        let submission = submission(index + 1, 0, 50_000);
+        let mut submission = submission(index + 1, 0);
+        submission.payload = vec![index as u8; 50_000];
         let answer = placer.submit(&submission).unwrap();
-        assert_eq!(answer.body.len(), 50_000, "{fault:?}");
-        assert!(
-            answer.body.starts_with(submission.key.as_bytes()),
-            "{fault:?}"
-        );
+        assert_eq!(answer.body, submission.payload, "{fault:?}");
     }
     assert_eq!(agent.tasks().started(), 6);
     agent.tasks().faults().end_silence();
