feature: the leadership is read without the lock of the replica

Cause: the placer asks for its epoch with each request; the replica's lock is also held while the state machine takes the placer's locks, so an epoch read under those could have blocked for good.

Change: each step leaves the epoch and its end in a place of its own. A single host with a disk is tested over a restart.

--- a/src/replication/outbound.rs
+++ b/src/replication/outbound.rs
@@ -9,6 +9,8 @@
 
 /// Bound of the wait for a change, in case a wake-up is lost.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// A single voter does not lose its leadership when its timer thread is late.
+const OWN_ANSWER_LASTS: Duration = Duration::from_secs(24 * 60 * 60);
 
 impl<T> State<T> {
     /// Chooses the next call to a host.
@@ -269,11 +271,24 @@
 
     /// Whether a majority answered calls that were sent within the election timeout.
     pub(super) fn has_fresh_majority(&self, now: Instant) -> bool {
-        let timeout = self.options.timing.election_timeout;
-        self.log.membership().has_majority(|member| {
-            let acked_at = self.peers.get(&member.host).and_then(|peer| peer.acked_at);
-            member.host == self.options.host || acked_at.is_some_and(|at| now < at + timeout)
-        })
+        self.majority_until(now).is_some_and(|until| now < until)
+    }
+
+    /// End of the election timeout after the latest call that a majority has answered.
+    pub(super) fn majority_until(&self, now: Instant) -> Option<Instant> {
+        let membership = self.log.membership();
+        let mut answered: Vec<Option<Instant>> = membership
+            .voters()
+            .map(|member| {
+                if member.host == self.options.host {
+                    return Some(now + OWN_ANSWER_LASTS);
+                }
+                self.peers.get(&member.host)?.acked_at
+            })
+            .collect();
+        answered.sort_unstable_by(|left, right| right.cmp(left));
+        let latest = *answered.get(answered.len() / 2)?;
+        Some(latest? + self.options.timing.election_timeout)
     }
 }
 
--- a/src/replication/propose.rs
+++ b/src/replication/propose.rs
@@ -53,6 +53,13 @@
     }
 }
 
+/// A confirmed leadership.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lease {
+    pub epoch: Epoch,
+    pub until: Instant,
+}
+
 pub(super) type Outcome<T> = Receiver<Result<Committed<T>, ProposeError>>;
 
 impl<T> State<T> {
@@ -117,12 +124,23 @@
     /// Epoch while this host leads, its first entry is committed and applied, and a majority
     /// answered within the election timeout.
     pub(super) fn leadership(&self, now: Instant) -> Option<Epoch> {
+        let lease = self.lease(now)?;
+        (now < lease.until).then_some(lease.epoch)
+    }
+
+    /// The leadership and its end unless a majority answers again.
+    pub(super) fn lease(&self, now: Instant) -> Option<Lease> {
         let leads = self.options.may_lead
             && self.role == Role::Leader
             && self.fault.is_none()
-            && self.applied >= self.term_start
-            && self.has_fresh_majority(now);
-        leads.then_some(self.hard.term)
+            && self.applied >= self.term_start;
+        if !leads {
+            return None;
+        }
+        Some(Lease {
+            epoch: self.hard.term,
+            until: self.majority_until(now)?,
+        })
     }
 
     /// Whether a membership entry may be appended: one change at a time, and only after this
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -11,7 +11,7 @@
 use super::log::{Index, Term};
 use super::membership::Membership;
 use super::peer::Prepared;
-use super::propose::{Committed, Outcome, Proposal, ProposeError};
+use super::propose::{Committed, Lease, Outcome, Proposal, ProposeError};
 use super::state::{Role, State};
 use super::storage::{Storage, StorageError};
 use super::{ReplicaOptions, SendMessage};
@@ -72,8 +72,9 @@
     work: Condvar,
     send: SendMessage,
     clock: Clock,
-    /// Whether the role is that of the leader; spares other hosts the lock of the state.
-    leading: AtomicBool,
+    /// Leadership after the latest step. Kept apart from the state, since the placer asks for it
+    /// with each request, also while it holds locks that the state machine takes.
+    lease: Mutex<Option<Lease>>,
     stopping: AtomicBool,
     /// Threads by name.
     threads: Mutex<IndexMap<String, JoinHandle<()>>>,
@@ -95,7 +96,7 @@
             work: Condvar::new(),
             send,
             clock,
-            leading: AtomicBool::new(false),
+            lease: Mutex::new(None),
             stopping: AtomicBool::new(false),
             threads: Mutex::new(IndexMap::new()),
         });
@@ -151,10 +152,8 @@
     /// earlier ones, also after the group was lost and formed again, as long as the wall clock
     /// of the hosts was not set back.
     pub fn leadership(&self) -> Option<Epoch> {
-        if !self.shared.leading.load(Ordering::Acquire) {
-            return None;
-        }
-        self.shared.lock().leadership(self.shared.clock.now())
+        let lease = (*self.shared.lease.lock().unwrap())?;
+        (self.shared.clock.now() < lease.until).then_some(lease.epoch)
     }
 
     /// Leader, when known.
@@ -287,16 +286,16 @@
         state.stop("the replica was shut down");
         // Releases the lock of the folder.
         state.storage = Storage::Memory;
-        self.leading.store(false, Ordering::Release);
+        *self.lease.lock().unwrap() = None;
         self.work.notify_all();
     }
 
     /// Runs one step and wakes the threads that may have to act on it.
     fn step<R>(&self, run: impl FnOnce(&mut State<T>, Instant) -> R) -> R {
         let mut state = self.lock();
-        let result = run(&mut state, self.clock.now());
-        let leading = state.role == Role::Leader;
-        self.leading.store(leading, Ordering::Release);
+        let now = self.clock.now();
+        let result = run(&mut state, now);
+        *self.lease.lock().unwrap() = state.lease(now);
         drop(state);
         self.work.notify_all();
         result
--- a/tests/placement_log.rs
+++ b/tests/placement_log.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -15,10 +16,19 @@
 use jujubewinch::protocol::worker::RunnerCapacity;
 use jujubewinch::replication::ReplicaPhase;
 use jujubewinch::resources::Resources;
+use tempfile::TempDir;
 
 const PATIENCE: Duration = Duration::from_secs(60);
 const GROUP: &str = "placement/erdenet";
 
+/// Settings of a data centre with a single host that has a disk.
+fn single_host_settings(folder: &Path) -> Settings {
+    let peers = [SocketAddr::from((Ipv4Addr::LOCALHOST, 0))];
+    let mut settings = settings(&[("erdenet", "")], &peers, 0);
+    settings.host.data_folder = Some(folder.to_owned());
+    settings
+}
+
 /// Settings of one of the hosts; `hosts` has data centre and witnessed data centre of each.
 fn settings(hosts: &[(&str, &str)], peers: &[SocketAddr], position: usize) -> Settings {
     let mut text = format!(
@@ -76,7 +86,10 @@
 
 impl Cell {
     fn start(hosts: &[(&str, &str)]) -> Self {
-        let started = start_hosts(hosts);
+        Self::with_runner(start_hosts(hosts))
+    }
+
+    fn with_runner(started: Vec<EntryHost>) -> Self {
         let runner = Agent::start(AgentOptions {
             worker: "worker-1".to_owned(),
             data_centre: "erdenet".to_owned(),
@@ -189,3 +202,17 @@
     assert_eq!(cell.submit(other, &key).body, first.body);
     assert_eq!(cell.runner.tasks().started(), 1);
 }
+
+/// Guards against a host with a disk that forgets on restart what it has run.
+#[test]
+fn a_single_host_with_a_disk_keeps_its_records() {
+    let folder = TempDir::new().unwrap();
+    let start = || EntryHost::start(single_host_settings(folder.path())).unwrap();
+    let mut cell = Cell::with_runner(vec![start()]);
+    let key = fresh_key("confirmation");
+    let first = cell.submit(0, &key);
+    cell.hosts[0].stop();
+    cell.hosts[0] = start();
+    assert_eq!(cell.submit(0, &key).body, first.body);
+    assert_eq!(cell.runner.tasks().started(), 1);
+}
