refactor: shorter test code of the replicated log

Change: the checks of the simulated cluster have a file of their own; options and calls are built in one place. No check was removed.

--- a/src/replication/tests/harness.rs
+++ b/src/replication/tests/harness.rs
@@ -1,5 +1,7 @@
 //! Replicas without threads over a simulated network, clock and disk.
 
+mod checks;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
@@ -14,8 +16,8 @@
 use crate::replication::membership::MemberRole;
 use crate::replication::message::{decode, encode};
 use crate::replication::peer::{Outgoing, Prepared};
-use crate::replication::propose::{Outcome, ProposeError};
-use crate::replication::state::{Role, State};
+use crate::replication::propose::Outcome;
+use crate::replication::state::State;
 use crate::replication::{Limits, ReplicaOptions, StateMachine, StorageOptions, Timing};
 
 /// Commands in the order in which a machine applied them.
@@ -61,7 +63,6 @@
     calls: BTreeMap<u64, Outgoing>,
     /// Applied commands that were compared with the ledger, and the last applied index.
     checked: (usize, Index),
-    checked_commit: Index,
 }
 
 enum Packet {
@@ -118,7 +119,6 @@
             paused_until: None,
             calls: BTreeMap::new(),
             checked: (0, 0),
-            checked_commit: 0,
         });
         let mut cluster = Self {
             now,
@@ -404,117 +404,6 @@
             }
         }
     }
-
-    /// Checks everything that must hold at all times.
-    fn check(&mut self) {
-        for position in 0..self.nodes.len() {
-            if self.nodes[position].state.is_some() {
-                self.check_commands(position);
-                self.check_commit(position);
-                self.check_leader(position);
-            }
-        }
-        self.check_outcomes();
-    }
-
-    fn check_commands(&mut self, position: usize) {
-        let node = &mut self.nodes[position];
-        let state = node.state.as_ref().unwrap();
-        assert_eq!(state.fault, None, "{} has failed", node.host);
-        assert!(state.applied >= node.checked.1, "an applied index shrank");
-        let applied = node.applied.lock().unwrap();
-        for (place, command) in applied.iter().enumerate().skip(node.checked.0) {
-            match self.ledger.get(place) {
-                Some(known) => assert_eq!(command, known, "{} differs", node.host),
-                None => self.ledger.push(command.clone()),
-            }
-        }
-        node.checked = (applied.len(), state.applied);
-    }
-
-    fn check_commit(&mut self, position: usize) {
-        let node = &mut self.nodes[position];
-        let state = node.state.as_ref().unwrap();
-        for index in state.log.base_index()..=state.commit {
-            let Some(term) = state.log.term_at(index) else {
-                continue;
-            };
-            let known = *self.committed_terms.entry(index).or_insert(term);
-            assert_eq!(known, term, "a committed entry changed at {}", node.host);
-        }
-        node.checked_commit = state.commit;
-    }
-
-    fn check_leader(&mut self, position: usize) {
-        let node = &self.nodes[position];
-        let state = node.state.as_ref().unwrap();
-        if state.role != Role::Leader {
-            return;
-        }
-        let leads = state.leadership(self.now).is_some();
-        assert!(node.may_lead || !leads, "a witness leads");
-        let term = state.hard.term;
-        if let Some(known) = self.leaders.get(&term) {
-            assert_eq!(*known, node.host, "two leaders in term {term}");
-            return;
-        }
-        self.leaders.insert(term, node.host.clone());
-        let last = state.log.last_index();
-        for (index, committed) in self.committed_terms.range(state.log.base_index()..) {
-            assert!(*index <= last, "a leader lacks the committed entry {index}");
-            let own = state.log.term_at(*index);
-            assert_eq!(own, Some(*committed), "a leader lacks a committed entry");
-        }
-    }
-
-    fn check_outcomes(&mut self) {
-        let mut open = Vec::new();
-        for pending in std::mem::take(&mut self.pending) {
-            match pending.outcome.try_recv() {
-                Err(crossbeam::channel::TryRecvError::Empty) => open.push(pending),
-                Err(crossbeam::channel::TryRecvError::Disconnected)
-                | Ok(Err(ProposeError::Unknown(_))) => {}
-                Ok(Ok(committed)) => self.confirmed.push((committed.index, pending.command)),
-                Ok(Err(_)) => self.refused.push(pending.command),
-            }
-        }
-        self.pending = open;
-    }
-
-    /// Repairs everything, and checks that the group works and that all replicas are equal.
-    pub fn finish(&mut self) {
-        self.heal();
-        for position in 0..self.nodes.len() {
-            self.start(position);
-            self.nodes[position].paused_until = None;
-        }
-        self.run_until("all hosts vote", Self::is_whole);
-        let confirmed = self.confirmed.len();
-        while self.confirmed.len() == confirmed {
-            self.run_until("a leader", |cluster| cluster.leader().is_some());
-            let leader = self.leader().unwrap();
-            self.propose(leader);
-            self.run(Duration::from_millis(300));
-        }
-        self.run_until("all replicas are equal", |cluster| {
-            cluster
-                .nodes
-                .iter()
-                .all(|node| *node.applied.lock().unwrap() == cluster.ledger)
-        });
-        for confirmed in &self.confirmed {
-            assert!(
-                self.ledger.contains(confirmed),
-                "a confirmed command is lost"
-            );
-        }
-        for (_, command) in &self.ledger {
-            assert!(
-                !self.refused.contains(command),
-                "a refused command was committed"
-            );
-        }
-    }
 }
 
 pub fn host_name(position: usize) -> HostId {
--- a/src/replication/tests/messages.rs
+++ b/src/replication/tests/messages.rs
@@ -25,6 +25,27 @@
     )
 }
 
+/// A call with one entry after the last one of the receiver.
+fn append(state: &State<u64>, index: u64) -> Vec<u8> {
+    let entry = Entry {
+        index,
+        term: state.hard.term,
+        payload: Payload::Command(b"text".to_vec()),
+    };
+    encode(&RequestEnvelope {
+        group: state.hard.group,
+        from_incarnation: 1,
+        to_incarnation: state.hard.incarnation,
+        term: state.hard.term,
+        body: Request::Append {
+            prev_index: state.log.last_index(),
+            prev_term: state.log.last_term(),
+            commit: 0,
+            entries: vec![entry],
+        },
+    })
+}
+
 fn configuration() -> ProptestConfig {
     ProptestConfig {
         cases: 64,
@@ -60,23 +81,7 @@
     let mut cluster = formed_group();
     let now = cluster.now;
     let state = cluster.nodes[1].state.as_mut().unwrap();
-    let entry = Entry {
-        index: state.log.last_index() + 1,
-        term: state.hard.term,
-        payload: Payload::Command(b"text".to_vec()),
-    };
-    let bytes = encode(&RequestEnvelope {
-        group: state.hard.group,
-        from_incarnation: 1,
-        to_incarnation: state.hard.incarnation,
-        term: state.hard.term,
-        body: Request::Append {
-            prev_index: state.log.last_index(),
-            prev_term: state.log.last_term(),
-            commit: 0,
-            entries: vec![entry],
-        },
-    });
+    let bytes = append(state, state.log.last_index() + 1);
     for length in 0..bytes.len() {
         assert!(decode::<RequestEnvelope>(&bytes[..length]).is_none());
         let mut damaged = bytes.clone();
@@ -94,23 +99,7 @@
     let follower = (leader + 1) % 3;
     let state = cluster.nodes[follower].state.as_mut().unwrap();
     let before = summary(state);
-    let entry = Entry {
-        index: state.log.last_index() + 2,
-        term: state.hard.term,
-        payload: Payload::Noop,
-    };
-    let bytes = encode(&RequestEnvelope {
-        group: state.hard.group,
-        from_incarnation: 1,
-        to_incarnation: state.hard.incarnation,
-        term: state.hard.term,
-        body: Request::Append {
-            prev_index: state.log.last_index(),
-            prev_term: state.log.last_term(),
-            commit: 0,
-            entries: vec![entry],
-        },
-    });
+    let bytes = append(state, state.log.last_index() + 2);
     state.handle("a", &bytes, now);
     assert_eq!(summary(state), before);
 }
--- a/src/replication/tests/threads.rs
+++ b/src/replication/tests/threads.rs
@@ -1,6 +1,5 @@
 //! Running replicas with their threads in one process.
 
-use std::path::Path;
 use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -39,7 +38,7 @@
         group
     }
 
-    fn replica(&self, position: usize) -> Arc<Replica<u64>> {
+    fn options(&self, position: usize) -> ReplicaOptions<u64> {
         let count = self.applied.len();
         let directory = Arc::clone(&self.directory);
         let from = host_name(position);
@@ -51,7 +50,7 @@
         });
         let folder = |folder: &TempDir| folder.path().join(host_name(position));
         let storage = self.folder.as_ref().map(folder);
-        let replica = Replica::start(ReplicaOptions {
+        ReplicaOptions {
             group: "test".to_owned(),
             host: host_name(position),
             initial_voters: (0..count).map(host_name).collect(),
@@ -63,12 +62,22 @@
             seed: rand::random(),
             send,
             machine: recorder(&self.applied[position]),
-        });
+        }
+    }
+
+    fn replica(&self, position: usize) -> Arc<Replica<u64>> {
+        let replica = Replica::start(self.options(position));
         let replica = Arc::new(replica.expect("the storage can be opened"));
         self.directory.lock().unwrap()[position] = Arc::downgrade(&replica);
         replica
     }
 
+    /// Starts a stopped host with what is in its folder.
+    fn restart(&mut self, position: usize) {
+        self.applied[position] = Applied::default();
+        self.replicas[position] = self.replica(position);
+    }
+
     fn stop(&mut self, position: usize) {
         self.directory.lock().unwrap()[position] = Weak::new();
         self.replicas[position].shutdown();
@@ -143,8 +152,7 @@
     ));
     group.commit("between");
     assert!(group.replicas[group.leader()].leadership() > epoch);
-    group.applied[first] = Applied::default();
-    group.replicas[first] = group.replica(first);
+    group.restart(first);
     group.commit("after");
     let deadline = Instant::now() + PATIENCE;
     while commands(&group.applied[first]).last().map(String::as_str) != Some("after") {
@@ -174,10 +182,7 @@
         thread::sleep(Duration::from_millis(5));
     }
     (0..3).for_each(|position| group.stop(position));
-    for position in 0..3 {
-        group.applied[position] = Applied::default();
-        group.replicas[position] = group.replica(position);
-    }
+    (0..3).for_each(|position| group.restart(position));
     group.commit("last");
     let expected: Vec<String> = (0..100).map(|number: u32| number.to_string()).collect();
     assert_eq!(commands(&group.applied[group.leader()])[..100], expected);
@@ -190,8 +195,7 @@
     assert!(group.replicas[0].leadership().is_some() || group.leader() == 0);
     group.commit("kept");
     group.stop(0);
-    group.applied[0] = Applied::default();
-    group.replicas[0] = group.replica(0);
+    group.restart(0);
     group.commit("added");
     assert_eq!(commands(&group.applied[0]), ["kept", "added"]);
 }
@@ -227,26 +231,10 @@
     group.commit("one");
     group.commit("two");
     group.stop(0);
-    let folder = group.folder.as_ref().unwrap().path().join(host_name(0));
-    damage_first_byte(&folder.join("log"));
-    let started = Replica::start(ReplicaOptions {
-        group: "test".to_owned(),
-        host: host_name(0),
-        initial_voters: vec![host_name(0)],
-        may_lead: true,
-        storage: StorageOptions::Folder(folder),
-        clock: Clock::system(),
-        timing: Timing::default(),
-        limits: small_limits(),
-        seed: 1,
-        send: Arc::new(|_, _, _| Err("no other host".to_owned())),
-        machine: recorder(&Applied::default()),
-    });
-    assert!(started.is_err());
-}
-
-fn damage_first_byte(path: &Path) {
-    let mut bytes = std::fs::read(path).unwrap();
+    let folder = group.folder.as_ref().unwrap().path();
+    let log = folder.join(host_name(0)).join("log");
+    let mut bytes = std::fs::read(&log).unwrap();
     bytes[0] ^= 1;
-    std::fs::write(path, bytes).unwrap();
+    std::fs::write(&log, bytes).unwrap();
+    assert!(Replica::start(group.options(0)).is_err());
 }
