feature: fewer calls to idle learners and fewer wake-ups

Each tick of the timer also woke all threads.

Change: a learner that knows all commits is called every 1 s; a new commit index is still sent after 200 ms at the latest. A tick wakes the threads only after a change.

--- a/src/replication/outbound.rs
+++ b/src/replication/outbound.rs
@@ -3,12 +3,16 @@
 use std::time::{Duration, Instant};
 
 use super::log::{Index, Term};
+use super::membership::MemberRole;
 use super::message::{Reply, ReplyEnvelope, Request, RequestEnvelope, VotePhase, decode, encode};
 use super::peer::{CallKind, Outgoing, Peer, Prepared, Presence};
 use super::state::{Role, State};
 
 /// Bound of the wait for a change, in case a wake-up is lost.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// Heartbeat intervals between calls to a learner that knows all commits. A learner elects nobody,
+/// and a leader with many learners must stay within its share of control traffic.
+const LEARNER_INTERVALS: u32 = 5;
 /// A single voter does not lose its leadership when its timer thread is late.
 const OWN_ANSWER_LASTS: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -90,8 +94,15 @@
     }
 
     fn heartbeat_due(&self, host: &str) -> Option<Instant> {
-        let sent_at = self.peers.get(host)?.sent_at?;
-        Some(sent_at + self.options.timing.heartbeat_interval)
+        let peer = self.peers.get(host)?;
+        let member = self.log.membership().get(host);
+        let learns = member.is_some_and(|member| member.role == MemberRole::Learner);
+        let intervals = if learns && peer.sent_commit >= self.commit {
+            LEARNER_INTERVALS
+        } else {
+            1
+        };
+        Some(peer.sent_at? + self.options.timing.heartbeat_interval * intervals)
     }
 
     fn vote_request(&self, host: &str, phase: VotePhase) -> Option<(Term, Request)> {
@@ -137,6 +148,7 @@
             return Prepared::WaitUntil(due);
         }
         let (kind, request) = self.append_request(next_index);
+        self.peers[host].sent_commit = self.commit;
         self.outgoing(host, kind, term, request, now)
     }
 
@@ -244,7 +256,8 @@
                 // the host may have missed the formation.
                 peer.needs_form = !leading;
                 peer.next_index = 1;
-                peer.retry_at = None;
+                let repeated = matches!(call.kind, CallKind::Snapshot { .. });
+                peer.retry_at = repeated.then_some(retry_at);
             }
             _ => peer.retry_at = Some(retry_at),
         }
--- a/src/replication/peer.rs
+++ b/src/replication/peer.rs
@@ -17,6 +17,8 @@
     pub match_index: Index,
     /// Send time of the latest call in this term that the host answered as follower or voter.
     pub acked_at: Option<Instant>,
+    /// Commit index in the latest call with entries or heartbeat.
+    pub sent_commit: Index,
     /// Send time of the latest call.
     pub sent_at: Option<Instant>,
     /// No call before this time, after a failed one.
@@ -57,6 +59,7 @@
             next_index: 1,
             match_index: 0,
             acked_at: None,
+            sent_commit: 0,
             sent_at: None,
             retry_at: None,
             in_flight: false,
@@ -75,6 +78,7 @@
     pub(super) fn start_term(&mut self, next_index: Index) {
         self.next_index = next_index;
         self.match_index = 0;
+        self.sent_commit = 0;
         self.snapshot_offset = 0;
         self.caught_up = false;
         self.retry_at = None;
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -303,6 +303,29 @@
 }
 
 impl<T: Send + 'static> Shared<T> {
+    /// Runs the time-driven steps. Wakes the other threads only after a change, since those with
+    /// something to send at a certain time wait for it themselves.
+    fn tick(&self) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let position = |state: &State<T>| {
+            let handing_over = state.transfer.is_some();
+            let last_index = state.log.last_index();
+            (
+                state.role,
+                state.election_deadline,
+                last_index,
+                handing_over,
+            )
+        };
+        let before = position(&state);
+        state.tick(now);
+        *self.lease.lock().unwrap() = state.lease(now);
+        if position(&state) != before {
+            self.work.notify_all();
+        }
+    }
+
     fn spawn(self: &Arc<Self>, name: &str, run: impl FnOnce(Arc<Self>) + Send + 'static) {
         let shared = Arc::clone(self);
         let mut threads = self.threads.lock().unwrap();
@@ -339,7 +362,7 @@
 
     fn run_timer(self: &Arc<Self>, tick: Duration) {
         while !self.stopping.load(Ordering::Acquire) {
-            self.step(State::tick);
+            self.tick();
             self.spawn_peer_threads();
             thread::sleep(tick);
         }
--- a/src/replication/tests/rules.rs
+++ b/src/replication/tests/rules.rs
@@ -9,6 +9,7 @@
 use crate::replication::message::{
     Reply, ReplyEnvelope, Request, RequestEnvelope, VotePhase, decode, encode,
 };
+use crate::replication::peer::Prepared;
 use crate::replication::state::{Role, State};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -277,6 +278,33 @@
     assert!(matches!(second, Err(ProposeError::Refused(_))));
 }
 
+/// Guards against a leader whose calls to many idle learners exceed its control traffic, and
+/// against learners that hear of a commit late.
+#[test]
+fn an_idle_learner_is_called_rarely() {
+    let (mut cluster, leader) = settled();
+    let now = cluster.now;
+    let state = state(&mut cluster, leader);
+    let other = state.peers.keys().next().unwrap().clone();
+    let learner = Member {
+        role: MemberRole::Learner,
+        ..state.log.membership().get(&other).unwrap().clone()
+    };
+    let next = state.log.membership().with(learner);
+    assert!(state.change_membership(next, now).is_ok());
+    let peer = &mut state.peers[&other];
+    (peer.in_flight, peer.sent_at) = (false, Some(now));
+    (peer.next_index, peer.sent_commit) = (state.log.last_index() + 1, state.commit);
+    let wait = |state: &mut State<u64>| match state.prepare(&other, now) {
+        Prepared::WaitUntil(until) => until - now,
+        _ => Duration::ZERO,
+    };
+    let interval = state.options.timing.heartbeat_interval;
+    assert_eq!(wait(state), interval * 5);
+    state.commit += 1;
+    assert_eq!(wait(state), interval);
+}
+
 /// Guards against a proposer that is told that its command was dropped although this host cannot
 /// know, since a snapshot replaced the entries.
 #[test]
