feature: fair sharing, admission control and outlier quarantine for requests

Cause: the queue was first come first served with one bound, so one member could take all slots and the whole queue; runners were chosen by a scan for the least busy.

Change: weighted fair queueing over members and callers in measured slot time, with urgency inside a member, reserved slots, per-member and total bounds, shedding on standing delay, early rejection and retry-after from the backlog. The former order and strict priority remain as scheduling.request_policy. Entry hosts shed locally by the accept ratio.

--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -12,7 +12,7 @@
 use crate::options::arguments::value;
 use crate::options::settings::{
     CellHost, CellSettings, HostSettings, LimitSettings, ListenerSettings, LoggingSettings,
-    TimingSettings,
+    SchedulingSettings, TimingSettings,
 };
 use crate::protocol::worker::RunnerCapacity;
 use crate::resources::Resources;
@@ -178,6 +178,7 @@
         },
         limits: LimitSettings::default(),
         timing: TimingSettings::default(),
+        scheduling: SchedulingSettings::default(),
         logging: LoggingSettings::default(),
     }
 }
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -12,6 +12,7 @@
 use crate::clock::Clock;
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router};
+use crate::gateway::throttle::Throttle;
 use crate::http::{Client, ClientOptions, Request, Response, Server, ServerOptions};
 use crate::ids::HostId;
 use crate::options::Settings;
@@ -43,6 +44,7 @@
             data_centre: this.data_centre.clone(),
             limits: settings.limits.clone(),
             timing: settings.timing.clone(),
+            request_policy: settings.scheduling.request_policy,
             clock: Clock::system(),
             journal: placement_journal(&settings),
             client: Client::new(ClientOptions::default()),
@@ -55,6 +57,7 @@
                 remote: remote_hosts(&settings),
             },
             timing: settings.timing.clone(),
+            throttle: Throttle::default(),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,5 +2,6 @@
 
 pub mod api;
 pub mod routing;
+pub mod throttle;
 
 pub use routing::Router;
--- a/src/gateway/api.rs
+++ b/src/gateway/api.rs
@@ -8,6 +8,7 @@
 use opentelemetry::KeyValue;
 
 use super::Router;
+use super::throttle::{Throttle, ThrottleKey};
 use crate::http::{Request, Response};
 use crate::options::settings::TimingSettings;
 use crate::placer::{Outcome, key};
@@ -25,6 +26,8 @@
     pub router: Router,
     /// Timeouts.
     pub timing: TimingSettings,
+    /// Sheds requests that the placer would refuse.
+    pub throttle: Throttle,
     /// Set on shutdown; new requests are refused.
     pub draining: AtomicBool,
     /// Requests in flight.
@@ -70,7 +73,8 @@
             return Response::error(&error.retry_after_ms(100), &request_id);
         }
         let outcome = self.submission(request).and_then(|submission| {
-            let outcome = self.router.submit(&submission);
+            let keyed = request.header(headers::IDEMPOTENCY_KEY).is_some();
+            let outcome = self.submit_throttled(&submission, keyed);
             log_outcome(&request_id, &submission, &outcome);
             outcome
         });
@@ -78,6 +82,25 @@
         self.respond(outcome, &request_id)
     }
 
+    /// Passes a request on unless its member floods the placer. A key from the caller may belong
+    /// to an attempt that ran, which only the placer knows, so that such a request is not shed.
+    fn submit_throttled(&self, submission: &Submission, keyed: bool) -> Outcome {
+        let throttle_key = ThrottleKey {
+            data_centre: key::home_data_centre(&submission.key, &self.router.data_centres),
+            member: submission.member.clone(),
+            service: submission.service.clone(),
+            urgency: submission.urgency,
+        };
+        if !keyed {
+            self.throttle
+                .check(&throttle_key, Instant::now(), rand::random())?;
+        }
+        let outcome = self.router.submit(submission);
+        self.throttle
+            .record(&throttle_key, &outcome, Instant::now());
+        outcome
+    }
+
     fn respond(&self, outcome: Outcome, request_id: &str) -> Response {
         let response = match outcome {
             Ok(answer) => Response::bytes(200, answer.body)
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::ids::{DataCentreName, HostId, RegionName};
+use crate::scheduling::request_queue::policy::RequestPolicyName;
 
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -26,6 +27,9 @@
     /// Leases and timeouts.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// Scheduling decisions.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// Log output.
     #[serde(default)]
     pub logging: LoggingSettings,
@@ -169,6 +173,14 @@
     }
 }
 
+/// Scheduling decisions.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SchedulingSettings {
+    /// Order of waiting requests: `fair`, `first_come_first_served` or `strict_priority`.
+    pub request_policy: RequestPolicyName,
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -18,10 +18,12 @@
 use crate::options::settings::{LimitSettings, TimingSettings};
 use crate::protocol::caller::{Answer, Submission};
 use crate::protocol::worker::{Announcement, AnnouncementReply};
+use crate::scheduling::request_queue::policy::{RequestPolicy, RequestPolicyName, same_policy};
 use crate::scheduling::request_queue::{QueuedRequest, RequestQueue};
 use crate::verdict::{ErrorCode, RequestError};
 use journal::Journal;
 use records::{KeyRecord, PlacementRecord, PlacementState, RequestDigest};
+use runners::health::Execution;
 use runners::{RunnerSlot, RunnerTable};
 
 /// Outcome of a request.
@@ -35,6 +37,8 @@
     pub limits: LimitSettings,
     /// Leases and timeouts.
     pub timing: TimingSettings,
+    /// Order of waiting requests.
+    pub request_policy: RequestPolicyName,
     /// Time source.
     pub clock: Clock,
     /// Replicated records.
@@ -62,7 +66,11 @@
     /// A placer without runners.
     pub fn new(options: PlacerOptions) -> Arc<Self> {
         let state = PlacerState {
-            queue: RequestQueue::new(options.limits.max_queued_requests),
+            queue: RequestQueue::with_policy(
+                options.limits.max_queued_requests,
+                options.request_policy,
+                same_policy(RequestPolicy::default()),
+            ),
             runners: RunnerTable::default(),
             waiting: IndexMap::new(),
         };
@@ -108,7 +116,7 @@
             Admission::Duplicate => return self.wait_for_completion(submission),
         };
         let outcome = self.run(submission, digest, &queued, &slot);
-        self.release(&queued, &slot);
+        self.release(&queued, &slot, &outcome);
         outcome
     }
 
@@ -258,15 +266,14 @@
     /// Hands free slots to waiting requests.
     fn assign_slots(&self, state: &mut PlacerState) {
         let now = self.options.clock.now();
+        let dropped = state.queue.take_dropped();
+        refuse_waiting(state, dropped, now);
         for service in state.runners.services() {
+            let slots = state.runners.slots(&service, now);
+            state.queue.set_slots(&service, slots);
             while let Some(slot) = state.runners.reserve(&service, now) {
                 let selection = state.queue.next(&service, now);
-                for (refused, code) in selection.refused {
-                    if let Some(sender) = state.waiting.swap_remove(&refused.key) {
-                        let message = "refused before it got a slot";
-                        let _ = sender.send(Err(RequestError::did_not_run(code, message)));
-                    }
-                }
+                refuse_waiting(state, selection.refused, now);
                 let sender = selection
                     .chosen
                     .and_then(|chosen| state.waiting.swap_remove(&chosen.key));
@@ -308,9 +315,11 @@
         outcome
     }
 
-    fn release(&self, queued: &QueuedRequest, slot: &RunnerSlot) {
+    fn release(&self, queued: &QueuedRequest, slot: &RunnerSlot, outcome: &Outcome) {
         let now = self.options.clock.now();
         let mut state = self.state.lock().unwrap();
+        let execution = Execution::of(outcome, slot, now);
+        state.runners.record(slot, &queued.member, &execution, now);
         state.runners.release(slot);
         state.queue.finished(queued, slot.reserved_at, now);
         self.assign_slots(&mut state);
@@ -342,6 +351,19 @@
     }
 }
 
+/// Tells the threads of requests that left the queue without a slot.
+fn refuse_waiting(state: &mut PlacerState, refused: Vec<(QueuedRequest, ErrorCode)>, now: Instant) {
+    for (request, code) in refused {
+        let Some(sender) = state.waiting.swap_remove(&request.key) else {
+            continue;
+        };
+        let message = "refused before it got a slot";
+        let retry_after_ms = state.queue.retry_after_ms(&request, now);
+        let error = RequestError::did_not_run(code, message).retry_after_ms(retry_after_ms);
+        let _ = sender.send(Err(error));
+    }
+}
+
 enum Admission {
     Slot(RunnerSlot),
     Duplicate,
--- /dev/null
+++ b/src/scheduling/request_queue/flow.rs
@@ -0,0 +1,309 @@
+//! Waiting requests of one member at one service.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use indexmap::IndexMap;
+use slab::Slab;
+
+use super::policy::{LEVELS, RequestPolicy};
+use super::usage::{ExecutionTime, OpenUsage, RateWindow, advance};
+use crate::ids::{CallerId, MemberId};
+use crate::scheduling::admission::StandingDelay;
+
+/// Cancelled entries that a queue may hold beyond half of its length before it is compacted.
+const SPARE_CANCELLED: usize = 16;
+
+/// Position of an entry in the queue's storage; the sequence number tells reused positions apart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Ticket {
+    pub position: usize,
+    pub sequence: u64,
+}
+
+/// Tells whether the entry of a ticket still waits.
+pub(super) type IsWaiting<'a> = &'a dyn Fn(Ticket) -> bool;
+
+#[derive(Default)]
+struct Line {
+    tickets: VecDeque<Ticket>,
+    /// Tickets of cancelled requests in `tickets`.
+    cancelled: usize,
+}
+
+struct Caller {
+    id: CallerId,
+    weight: u32,
+    virtual_time: u64,
+    usage: OpenUsage,
+    lines: [Line; LEVELS],
+}
+
+impl Caller {
+    fn has_tickets(&self) -> bool {
+        self.lines.iter().any(|line| !line.tickets.is_empty())
+    }
+}
+
+#[derive(Default)]
+struct Level {
+    /// Callers with tickets on this level, by virtual time.
+    callers: BTreeSet<(u64, usize)>,
+    queued: usize,
+    delay: StandingDelay,
+}
+
+/// Waiting and running requests of one member at one service.
+pub(super) struct Flow {
+    pub service: usize,
+    pub member: MemberId,
+    pub policy: RequestPolicy,
+    pub virtual_time: u64,
+    pub usage: OpenUsage,
+    pub execution: ExecutionTime,
+    pub starts: RateWindow,
+    /// Requests that wait; equals the sum over the levels.
+    pub queued: usize,
+    /// Whether its weight counts among the active members of the service.
+    pub counted: bool,
+    levels: [Level; LEVELS],
+    callers: Slab<Caller>,
+    caller_ids: IndexMap<CallerId, usize>,
+    /// Callers without requests whose usage is still ahead of `caller_floor`.
+    idle_callers: BTreeSet<(u64, usize)>,
+    /// Virtual time of the caller served last; never falls.
+    caller_floor: u64,
+    /// Dispatches while more than one level had requests.
+    contended_turns: u32,
+}
+
+impl Flow {
+    pub(super) fn new(service: usize, member: MemberId, policy: RequestPolicy, now: u64) -> Self {
+        Self {
+            service,
+            member,
+            policy,
+            virtual_time: now,
+            usage: OpenUsage::default(),
+            execution: ExecutionTime::default(),
+            starts: RateWindow::default(),
+            queued: 0,
+            counted: false,
+            levels: Default::default(),
+            callers: Slab::new(),
+            caller_ids: IndexMap::new(),
+            idle_callers: BTreeSet::new(),
+            caller_floor: 0,
+            contended_turns: 0,
+        }
+    }
+
+    /// Requests that are served before a new one of the level.
+    pub(super) fn ahead(&self, level: usize) -> usize {
+        self.levels[level..].iter().map(|level| level.queued).sum()
+    }
+
+    /// Lowest level with waiting requests.
+    pub(super) fn lowest_level(&self) -> Option<usize> {
+        self.levels.iter().position(|level| level.queued > 0)
+    }
+
+    pub(super) fn is_level_empty(&self, level: usize) -> bool {
+        self.levels[level].queued == 0
+    }
+
+    pub(super) fn delay(&self, level: usize) -> &StandingDelay {
+        &self.levels[level].delay
+    }
+
+    pub(super) fn delay_mut(&mut self, level: usize) -> &mut StandingDelay {
+        &mut self.levels[level].delay
+    }
+
+    /// Position of the caller, which is created when unknown.
+    pub(super) fn caller(&mut self, id: &str, weight: u32) -> usize {
+        if let Some(&caller) = self.caller_ids.get(id) {
+            self.callers[caller].weight = weight;
+            return caller;
+        }
+        let caller = self.callers.insert(Caller {
+            id: id.to_owned(),
+            weight,
+            virtual_time: self.caller_floor,
+            usage: OpenUsage::default(),
+            lines: Default::default(),
+        });
+        self.caller_ids.insert(id.to_owned(), caller);
+        caller
+    }
+
+    pub(super) fn push(&mut self, position: usize, level: usize, ticket: Ticket) {
+        let caller = &mut self.callers[position];
+        self.idle_callers.remove(&(caller.virtual_time, position));
+        if !caller.has_tickets() {
+            caller.virtual_time = caller.virtual_time.max(self.caller_floor);
+        }
+        caller.lines[level].tickets.push_back(ticket);
+        self.levels[level]
+            .callers
+            .insert((caller.virtual_time, position));
+        self.levels[level].queued += 1;
+        self.queued += 1;
+    }
+
+    /// Takes note of a cancelled request. Its ticket stays until it is met or half of the line
+    /// consists of cancelled tickets, so that the cost is constant on average.
+    pub(super) fn cancelled(&mut self, position: usize, level: usize, is_waiting: IsWaiting<'_>) {
+        self.removed(level);
+        let line = &mut self.callers[position].lines[level];
+        line.cancelled += 1;
+        let all_cancelled = line.cancelled == line.tickets.len();
+        if all_cancelled || line.cancelled > line.tickets.len() / 2 + SPARE_CANCELLED {
+            line.tickets.retain(|ticket| is_waiting(*ticket));
+            line.cancelled = 0;
+            if line.tickets.is_empty() {
+                self.leave_level(position, level);
+                self.rest_if_idle(position);
+            }
+        }
+    }
+
+    fn removed(&mut self, level: usize) {
+        self.queued -= 1;
+        self.levels[level].queued -= 1;
+        if self.levels[level].queued == 0 {
+            self.levels[level].delay.clear();
+        }
+    }
+
+    /// Takes the next request of the member. The caller of a request that is then not started
+    /// must be passed to `rest_if_idle`.
+    pub(super) fn pop(&mut self, is_waiting: IsWaiting<'_>) -> Option<Ticket> {
+        let level = self.next_level()?;
+        while let Some(&(virtual_time, position)) = self.levels[level].callers.first() {
+            let ticket = self.take(position, level, is_waiting, VecDeque::pop_front);
+            if let Some(ticket) = ticket {
+                self.caller_floor = self.caller_floor.max(virtual_time);
+                self.drop_idle_callers();
+                return Some(ticket);
+            }
+            self.rest_if_idle(position);
+        }
+        None
+    }
+
+    /// Takes the latest request of the caller that used most, from the lowest level.
+    pub(super) fn pop_worst(&mut self, is_waiting: IsWaiting<'_>) -> Option<Ticket> {
+        let level = self.lowest_level()?;
+        while let Some(&(_, position)) = self.levels[level].callers.last() {
+            let ticket = self.take(position, level, is_waiting, VecDeque::pop_back);
+            if ticket.is_some() {
+                return ticket;
+            }
+            self.rest_if_idle(position);
+        }
+        None
+    }
+
+    fn take(
+        &mut self,
+        position: usize,
+        level: usize,
+        is_waiting: IsWaiting<'_>,
+        pop: fn(&mut VecDeque<Ticket>) -> Option<Ticket>,
+    ) -> Option<Ticket> {
+        let line = &mut self.callers[position].lines[level];
+        let mut found = None;
+        while let Some(ticket) = pop(&mut line.tickets) {
+            if is_waiting(ticket) {
+                found = Some(ticket);
+                break;
+            }
+            line.cancelled = line.cancelled.saturating_sub(1);
+        }
+        if line.tickets.is_empty() {
+            line.cancelled = 0;
+            self.leave_level(position, level);
+        }
+        if found.is_some() {
+            self.removed(level);
+        }
+        found
+    }
+
+    fn leave_level(&mut self, position: usize, level: usize) {
+        let caller = &self.callers[position];
+        self.levels[level]
+            .callers
+            .remove(&(caller.virtual_time, position));
+    }
+
+    /// Highest level with requests, and on every `lower_urgency_turn`th contended turn one of the
+    /// others in rotation. A level with requests thus gets at least one of
+    /// `lower_urgency_turn * (LEVELS - 1)` dispatches of the member.
+    fn next_level(&mut self) -> Option<usize> {
+        let waiting = |level: &usize| self.levels[*level].queued > 0;
+        let highest = (0..LEVELS).rev().find(waiting)?;
+        let lower: Vec<usize> = (0..highest).filter(waiting).collect();
+        if lower.is_empty() || self.policy.lower_urgency_turn == 0 {
+            return Some(highest);
+        }
+        self.contended_turns = self.contended_turns.wrapping_add(1);
+        let turn = self.policy.lower_urgency_turn;
+        if !self.contended_turns.is_multiple_of(turn) {
+            return Some(highest);
+        }
+        // The rotation runs over all levels, so that changes of `lower` starve none of them.
+        let first = (self.contended_turns / turn) as usize % LEVELS;
+        let next = lower.iter().find(|level| **level >= first);
+        Some(*next.unwrap_or(&lower[0]))
+    }
+
+    /// Charges a caller for a request that starts.
+    pub(super) fn start(&mut self, position: usize, now_us: u64, estimate_us: u64) {
+        let charge = self.callers[position].usage.start(now_us, estimate_us);
+        self.charge(position, charge);
+    }
+
+    /// Corrects the charge of a caller when a request finished.
+    pub(super) fn finish(&mut self, position: usize, start_us: u64, estimate_us: u64, now_us: u64) {
+        let caller = &mut self.callers[position];
+        let charge = caller.usage.finish(start_us, estimate_us, now_us);
+        self.charge(position, charge);
+        self.rest_if_idle(position);
+    }
+
+    fn charge(&mut self, position: usize, charge: i64) {
+        let caller = &mut self.callers[position];
+        let former = caller.virtual_time;
+        caller.virtual_time = advance(former, charge, caller.weight);
+        let present = caller.virtual_time;
+        for (level, line) in caller.lines.iter().enumerate() {
+            if line.tickets.is_empty() {
+                continue;
+            }
+            self.levels[level].callers.remove(&(former, position));
+            self.levels[level].callers.insert((present, position));
+        }
+    }
+
+    /// Takes note that a caller may have no requests any more.
+    pub(super) fn rest_if_idle(&mut self, position: usize) {
+        let caller = &self.callers[position];
+        if caller.usage.running() == 0 && !caller.has_tickets() {
+            self.idle_callers.insert((caller.virtual_time, position));
+            self.drop_idle_callers();
+        }
+    }
+
+    /// Forgets idle callers that the others have caught up with.
+    fn drop_idle_callers(&mut self) {
+        while let Some(&(virtual_time, position)) = self.idle_callers.first() {
+            if virtual_time > self.caller_floor {
+                return;
+            }
+            self.idle_callers.pop_first();
+            let caller = self.callers.remove(position);
+            self.caller_ids.swap_remove(&caller.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduling/request_queue/policy.rs
@@ -0,0 +1,108 @@
+//! Figures and disciplines of the request queue.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::QueuedRequest;
+use crate::ids::{CallerId, MemberId, ServiceName};
+use crate::protocol::caller::Urgency;
+
+/// Number of urgencies.
+pub const LEVELS: usize = 4;
+
+/// Figures for the requests of one caller of a member at a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RequestPolicy {
+    /// Share of the member relative to other members; at least 1.
+    pub member_weight: u32,
+    /// Share of the caller within its member relative to other callers; at least 1.
+    pub caller_weight: u32,
+    /// Requests of the member that may wait for the service.
+    pub max_queued: usize,
+    /// Waiting time above which a queue counts as delayed.
+    pub target_delay_ms: u64,
+    /// Time for which waiting must exceed the target before requests are shed.
+    pub delay_interval_ms: u64,
+    /// Slots of the service, in thousandths, that members above their share leave free while
+    /// other members are active. Without them every request of another member would wait for the
+    /// end of a running request.
+    pub reserve_permille: u32,
+    /// One of so many dispatches of the member goes to a lower urgency, when one waits.
+    pub lower_urgency_turn: u32,
+}
+
+impl Default for RequestPolicy {
+    fn default() -> Self {
+        Self {
+            member_weight: 1,
+            caller_weight: 1,
+            max_queued: 2_000,
+            target_delay_ms: 1_000,
+            delay_interval_ms: 2_000,
+            reserve_permille: 63,
+            lower_urgency_turn: 5,
+        }
+    }
+}
+
+/// Returns the figures for a member, a caller and a service.
+pub type PolicySource =
+    Arc<dyn Fn(&MemberId, &CallerId, &ServiceName) -> RequestPolicy + Send + Sync>;
+
+/// A source that returns the same figures for everybody.
+pub fn same_policy(policy: RequestPolicy) -> PolicySource {
+    Arc::new(move |_, _, _| policy.clone())
+}
+
+/// Names of the disciplines, for the settings.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestPolicyName {
+    /// Weighted fair sharing between members and callers, with admission control.
+    #[default]
+    Fair,
+    /// In the order of arrival.
+    FirstComeFirstServed,
+    /// By urgency, then in the order of arrival.
+    StrictPriority,
+}
+
+/// How requests are grouped and ordered. Requests of one group share one queue.
+#[derive(Clone)]
+pub struct Discipline {
+    /// Group that gets a share of the service.
+    pub member_of: fn(&QueuedRequest) -> &str,
+    /// Group within the member.
+    pub caller_of: fn(&QueuedRequest) -> &str,
+    /// Level within the member, below [`LEVELS`]; higher levels go first.
+    pub level_of: fn(Urgency) -> usize,
+    /// Whether members are protected from each other by bounds, shedding and reserved slots.
+    pub protects_members: bool,
+}
+
+impl Discipline {
+    /// The discipline of that name.
+    pub fn named(name: RequestPolicyName) -> Self {
+        let one_group = Self {
+            member_of: |_| "",
+            caller_of: |_| "",
+            level_of: |_| 0,
+            protects_members: false,
+        };
+        match name {
+            RequestPolicyName::Fair => Self {
+                member_of: |request| &request.member,
+                caller_of: |request| &request.caller,
+                level_of: |urgency| urgency as usize,
+                protects_members: true,
+            },
+            RequestPolicyName::FirstComeFirstServed => one_group,
+            RequestPolicyName::StrictPriority => Self {
+                level_of: |urgency| urgency as usize,
+                ..one_group
+            },
+        }
+    }
+}
