--- a/tests/slot_simulation/mod.rs
+++ b/tests/slot_simulation/mod.rs
@@ -215,6 +215,8 @@
     pub urgency: Urgency,
     pub per_second: f64,
     pub work_us: u64,
+    /// Whether execution times are exponentially distributed around `work_us`.
+    pub varied_work: bool,
     pub timeout_us: u64,
     pub from_us: u64,
     pub until_us: u64,
@@ -228,6 +230,7 @@
             urgency: Urgency::Normal,
             per_second,
             work_us,
+            varied_work: false,
             timeout_us: 10_000_000,
             from_us: 0,
             until_us: 30_000_000,
@@ -235,11 +238,11 @@
     }
 
     fn arrivals(&self, random: &mut impl rand::Rng) -> Vec<Arrival> {
-        use rand::RngExt;
         let mut arrivals = Vec::new();
         let mut at_us = self.from_us as f64;
         loop {
-            at_us += -(1.0 - random.random::<f64>()).ln() * 1e6 / self.per_second;
+            at_us += exponential(random) * 1e6 / self.per_second;
+            let factor = exponential(random);
             if at_us >= self.until_us as f64 {
                 return arrivals;
             }
@@ -248,13 +251,23 @@
                 member: self.member.clone(),
                 caller: format!("caller-{}", arrivals.len() % self.callers),
                 urgency: self.urgency,
-                work_us: self.work_us,
+                work_us: if self.varied_work {
+                    (self.work_us as f64 * factor) as u64 + 1
+                } else {
+                    self.work_us
+                },
                 timeout_us: self.timeout_us,
             });
         }
     }
 }
 
+/// A sample of the exponential distribution with mean 1.
+fn exponential(random: &mut impl rand::Rng) -> f64 {
+    use rand::RngExt;
+    -(1.0 - random.random::<f64>()).ln()
+}
+
 /// Merges Poisson arrivals of all streams, reproducibly.
 pub fn poisson(streams: &[Stream], seed: u64) -> Vec<Arrival> {
     use rand::SeedableRng;
