feature: slots kept free for members within their share follow the others' demand

Cause: a fixed reserve of 6% of the slots was too small for the fluctuation of the other members' demand, so their requests waited for the end of running ones.

Change: a member above its share leaves 2.5 standard deviations of the others' mean use free; whether it is above is judged by its mean use over 2 s.

--- a/benches/request_queue.rs
+++ b/benches/request_queue.rs
@@ -30,8 +30,8 @@
 const FLOOD_FROM_US: u64 = 10 * SECOND_US;
 const FLOOD_UNTIL_US: u64 = 40 * SECOND_US;
 const END_US: u64 = 50 * SECOND_US;
-/// Part of the slots that all members together use without a flood.
-const ORDINARY_LOAD: f64 = 0.8;
+/// Parts of the slots that all members together use without a flood.
+const ORDINARY_LOADS: [f64; 3] = [0.5, 0.8, 0.95];
 const FLOOD_FACTOR: f64 = 20.0;
 
 fn main() {
@@ -52,7 +52,9 @@
         }
     }
     println!();
-    flood_experiment();
+    for load in ORDINARY_LOADS {
+        flood_experiment(load);
+    }
 }
 
 fn median(mut sample: impl FnMut() -> f64) -> f64 {
@@ -156,7 +158,7 @@
 
 /// Goodput of all members but the flooding one, and their 99th percentile of waiting time.
 fn others(simulation: &Simulation) -> MemberResult {
-    let mut waits = Histogram::<u64>::new(3).expect("valid precision");
+    let mut waits = Histogram::<u64>::new_with_bounds(1, 60 * SECOND_US, 3).expect("valid bounds");
     let mut good = 0_u64;
     for (arrival, ending) in simulation.results() {
         let during = (FLOOD_FROM_US..FLOOD_UNTIL_US).contains(&arrival.at_us);
@@ -189,7 +191,7 @@
     waits.max().unwrap_or(0) as f64 / 1e3
 }
 
-fn ordinary_streams() -> Vec<Stream> {
+fn ordinary_streams(load: f64) -> Vec<Stream> {
     let capacity = SLOTS as f64 * 1e6 / WORK_US as f64;
     let stream = |index: usize| Stream {
         varied_work: true,
@@ -197,15 +199,15 @@
         until_us: END_US,
         ..Stream::new(
             &format!("member-{index}"),
-            capacity * ORDINARY_LOAD / MEMBERS as f64,
+            capacity * load / MEMBERS as f64,
             WORK_US,
         )
     };
     (0..MEMBERS).map(stream).collect()
 }
 
-fn floods() -> Vec<(&'static str, Vec<Stream>)> {
-    let ordinary = ordinary_streams();
+fn floods(load: f64) -> Vec<(&'static str, Vec<Stream>)> {
+    let ordinary = ordinary_streams(load);
     let flood = |urgency, callers, work_us| Stream {
         urgency,
         callers,
@@ -240,8 +242,8 @@
     ]
 }
 
-fn simulate(name: RequestPolicyName, flood: &[Stream], urgent: bool) -> Simulation {
-    let mut streams = ordinary_streams();
+fn simulate(name: RequestPolicyName, load: f64, flood: &[Stream], urgent: bool) -> Simulation {
+    let mut streams = ordinary_streams(load);
     if urgent {
         // Urgent work of the flooding member that uses a tenth of its share.
         let per_second = streams[0].per_second / 10.0;
@@ -265,9 +267,9 @@
     Simulation::run(queue, SLOTS, arrivals)
 }
 
-fn flood_experiment() {
+fn flood_experiment(load: f64) {
     println!(
-        "flood of {FLOOD_FACTOR}x by member-0 of {MEMBERS}, {SLOTS} slots, ordinary load {ORDINARY_LOAD}"
+        "flood of {FLOOD_FACTOR}x by member-0 of {MEMBERS}, {SLOTS} slots, ordinary load {load}"
     );
     println!(
         "{:<24} {:<30} {:>16} {:>14} {:>12} {:>20}",
@@ -279,11 +281,14 @@
         RequestPolicyName::StrictPriority,
     ] {
         let mut calm: Option<MemberResult> = None;
-        for (flood_name, flood) in floods() {
-            let result = others(&simulate(name, &flood, false));
+        for (flood_name, flood) in floods(load) {
+            let result = others(&simulate(name, load, &flood, false));
             let least_urgent = flood.iter().all(|stream| stream.urgency == Urgency::Low);
             let urgent = if least_urgent {
-                format!("{:.1}", slowest_urgent_ms(&simulate(name, &flood, true)))
+                format!(
+                    "{:.1}",
+                    slowest_urgent_ms(&simulate(name, load, &flood, true))
+                )
             } else {
                 "-".to_owned()
             };
--- a/src/scheduling/request_queue.rs
+++ b/src/scheduling/request_queue.rs
@@ -172,7 +172,7 @@
                     .retry_after_ms(refusal.retry_after_ms),
             );
         }
-        self.enqueue(request, flow, level, caller_weight, now_us);
+        self.enqueue(request, flow, level, caller_weight);
         self.rest_emptied();
         Ok(())
     }
@@ -262,6 +262,7 @@
         flow.finish(running.caller, start_us, estimate_us, now_us);
         let charge = flow.usage.finish(start_us, estimate_us, now_us);
         service.charge(running.flow, flow, charge);
+        service.running_changed(flow, now_us);
         self.rest_if_empty(running.flow);
     }
 
@@ -313,14 +314,7 @@
         id
     }
 
-    fn enqueue(
-        &mut self,
-        request: QueuedRequest,
-        id: usize,
-        level: usize,
-        caller_weight: u32,
-        now_us: u64,
-    ) {
+    fn enqueue(&mut self, request: QueuedRequest, id: usize, level: usize, caller_weight: u32) {
         let flow = &mut self.flows[id];
         let caller = flow.caller((self.discipline.caller_of)(&request), caller_weight);
         self.next_sequence += 1;
@@ -336,7 +330,6 @@
         self.positions.insert(key, position);
         flow.push(caller, level, Ticket { position, sequence });
         let service = &mut self.services[flow.service];
-        service.arrival(id, now_us);
         service.activate(id, flow);
         self.set_backlog(id);
     }
@@ -377,6 +370,7 @@
         let charge = flow.usage.start(now_us, estimate_us);
         service.charge(entry.flow, flow, charge);
         service.running += 1;
+        service.running_changed(flow, now_us);
         let running = Running {
             flow: entry.flow,
             caller: entry.caller,
--- a/src/scheduling/request_queue/flow.rs
+++ b/src/scheduling/request_queue/flow.rs
@@ -6,7 +6,7 @@
 use slab::Slab;
 
 use super::policy::{LEVELS, RequestPolicy};
-use super::usage::{ExecutionTime, OpenUsage, RateWindow, advance};
+use super::usage::{ExecutionTime, MeanRunning, OpenUsage, RateWindow, advance};
 use crate::ids::{CallerId, MemberId};
 use crate::scheduling::admission::StandingDelay;
 
@@ -61,6 +61,7 @@
     pub usage: OpenUsage,
     pub execution: ExecutionTime,
     pub starts: RateWindow,
+    pub mean_running: MeanRunning,
     /// Requests that wait; equals the sum over the levels.
     pub queued: usize,
     /// Whether its weight counts among the active members of the service.
@@ -86,6 +87,7 @@
             usage: OpenUsage::default(),
             execution: ExecutionTime::default(),
             starts: RateWindow::default(),
+            mean_running: MeanRunning::default(),
             queued: 0,
             counted: false,
             levels: Default::default(),
--- a/src/scheduling/request_queue/policy.rs
+++ b/src/scheduling/request_queue/policy.rs
@@ -25,10 +25,11 @@
     pub target_delay_ms: u64,
     /// Time for which waiting must exceed the target before requests are shed.
     pub delay_interval_ms: u64,
-    /// Slots of the service, in thousandths, that members above their share leave free while
-    /// other members are active. Without them every request of another member would wait for the
-    /// end of a running request.
-    pub reserve_permille: u32,
+    /// Slots that a member above its share leaves free, in multiples of the square root of the
+    /// slots that the others use. The latter is the standard deviation of their demand when
+    /// requests arrive independently, so that 2.5 of them cover 99% of its fluctuation. Without
+    /// free slots every request of the others would wait for the end of a running one.
+    pub reserve_deviations: f64,
     /// One of so many dispatches of the member goes to a lower urgency, when one waits.
     pub lower_urgency_turn: u32,
 }
@@ -41,7 +42,7 @@
             max_queued: 2_000,
             target_delay_ms: 1_000,
             delay_interval_ms: 2_000,
-            reserve_permille: 63,
+            reserve_deviations: 2.5,
             lower_urgency_turn: 5,
         }
     }
--- a/src/scheduling/request_queue/service.rs
+++ b/src/scheduling/request_queue/service.rs
@@ -7,11 +7,16 @@
 
 use super::flow::Flow;
 use super::policy::RequestPolicy;
-use super::usage::{ExecutionTime, advance};
+use super::usage::{ExecutionTime, MeanRunning, advance};
 use crate::ids::{MemberId, ServiceName};
 
-/// Time for which a member counts as active after its latest request.
-const ACTIVITY_US: u64 = 10_000_000;
+/// Largest part of the slots that is kept free.
+const MAX_RESERVE_FRACTION: f64 = 0.25;
+/// Mean use of slots, in shares, up to which a member may use reserved slots. The mean of a member
+/// that uses 95% of its share exceeds this only rarely by chance.
+const SHARE_TOLERANCE: f64 = 1.05;
+/// Use of slots by other members below which nothing is kept free for them.
+const MIN_MEAN_RUNNING: f64 = 0.01;
 /// Members looked at when those above their share must leave slots free.
 const MAX_CANDIDATES: usize = 16;
 /// Corrections for requests that outlast their estimate, per selection.
@@ -25,6 +30,7 @@
     /// Slots of its runners; zero when unknown.
     pub slots: u32,
     pub running: u64,
+    mean_running: MeanRunning,
     pub execution: ExecutionTime,
     pub flow_ids: IndexMap<MemberId, usize>,
     /// Flows with waiting requests, by virtual time; may hold flows whose requests were all
@@ -36,8 +42,6 @@
     floor: u64,
     /// Weights of the flows that have requests.
     active_weight: u64,
-    latest_arrival: Option<(usize, u64)>,
-    latest_arrival_of_another_us: Option<u64>,
 }
 
 impl ServiceQueue {
@@ -46,14 +50,13 @@
             name,
             slots: 0,
             running: 0,
+            mean_running: MeanRunning::default(),
             execution: ExecutionTime::default(),
             flow_ids: IndexMap::new(),
             waiting: BTreeSet::new(),
             idle: BTreeSet::new(),
             floor: 0,
             active_weight: 0,
-            latest_arrival: None,
-            latest_arrival_of_another_us: None,
         }
     }
 
@@ -61,22 +64,11 @@
         self.floor
     }
 
-    /// Takes note that a flow wants to be served.
-    pub(super) fn arrival(&mut self, id: usize, now_us: u64) {
-        if let Some((latest, at_us)) = self.latest_arrival
-            && latest != id
-        {
-            self.latest_arrival_of_another_us = Some(at_us);
-        }
-        self.latest_arrival = Some((id, now_us));
-    }
-
-    fn others_are_active(&self, id: usize, now_us: u64) -> bool {
-        let latest_us = match self.latest_arrival {
-            Some((latest, at_us)) if latest != id => Some(at_us),
-            _ => self.latest_arrival_of_another_us,
-        };
-        latest_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < ACTIVITY_US)
+    /// Takes note of the number of running requests of the service and of a flow.
+    pub(super) fn running_changed(&mut self, flow: &mut Flow, now_us: u64) {
+        self.mean_running.change(self.running, now_us);
+        let running = flow.usage.running();
+        flow.mean_running.change(running, now_us);
     }
 
     /// Makes a flow eligible for slots.
@@ -131,11 +123,13 @@
         self.settle_first(flows, now_us);
         let mut emptied = Vec::new();
         let mut chosen = None;
-        for &(virtual_time, id) in self.waiting.iter().take(MAX_CANDIDATES) {
-            let flow = &flows[id];
+        let candidates: Vec<(u64, usize)> =
+            self.waiting.iter().take(MAX_CANDIDATES).copied().collect();
+        for (virtual_time, id) in candidates {
+            let flow = &mut flows[id];
             if flow.queued == 0 {
                 emptied.push((virtual_time, id));
-            } else if self.may_start(id, flow, now_us) {
+            } else if self.may_start(flow, now_us) {
                 chosen = Some((virtual_time, id));
                 break;
             }
@@ -171,14 +165,27 @@
     }
 
     /// Whether the flow may take a slot, or must leave the last ones to members below their share.
-    fn may_start(&self, id: usize, flow: &Flow, now_us: u64) -> bool {
-        let reserve =
-            u64::from(self.slots) * u64::from(flow.policy.reserve_permille.min(1_000)) / 1_000;
-        if reserve == 0 || self.running + reserve < u64::from(self.slots) {
+    /// A member whose mean use is within its share may exceed it for a short time.
+    fn may_start(&mut self, flow: &mut Flow, now_us: u64) -> bool {
+        let deviations = flow.policy.reserve_deviations;
+        if self.slots == 0 || deviations <= 0.0 {
+            return true;
+        }
+        let own_mean = flow.mean_running.at(now_us);
+        let others_mean = self.mean_running.at(now_us) - own_mean;
+        if others_mean < MIN_MEAN_RUNNING {
+            return true;
+        }
+        let slots = f64::from(self.slots);
+        let reserve = (deviations * others_mean.sqrt()).min(slots * MAX_RESERVE_FRACTION);
+        // Long requests keep their slots when the others' use returns from a low to its mean.
+        let running = flow.usage.running() as f64;
+        let used = (self.running as f64).max(running + others_mean);
+        if used + reserve < slots {
             return true;
         }
-        let below_share = (flow.usage.running() as f64) < self.share(flow).max(1.0);
-        below_share || !self.others_are_active(id, now_us)
+        let share = self.share(flow);
+        running < share.max(1.0) || own_mean < share * SHARE_TOLERANCE
     }
 
     /// Takes a flow without waiting requests out of the order.
--- a/src/scheduling/request_queue/usage.rs
+++ b/src/scheduling/request_queue/usage.rs
@@ -10,6 +10,8 @@
 const EXECUTION_GAIN: f64 = 0.1;
 /// Window of the dispatch rate.
 const RATE_WINDOW_US: u64 = 1_000_000;
+/// Time constant of the mean number of running requests.
+const MEAN_RUNNING_US: f64 = 2e6;
 
 /// Moves a virtual time by slot time divided by the weight.
 pub(super) fn advance(virtual_time: u64, slot_us: i64, weight: u32) -> u64 {
@@ -127,3 +129,26 @@
         events / Duration::from_micros(RATE_WINDOW_US).as_secs_f64()
     }
 }
+
+/// Moving mean of a number of running requests, weighted by time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct MeanRunning {
+    running: u64,
+    mean: f64,
+    updated_us: u64,
+}
+
+impl MeanRunning {
+    pub(super) fn at(&mut self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.updated_us);
+        let weight = (-(age_us as f64) / MEAN_RUNNING_US).exp();
+        self.mean = self.mean * weight + self.running as f64 * (1.0 - weight);
+        self.updated_us = now_us;
+        self.mean
+    }
+
+    pub(super) fn change(&mut self, running: u64, now_us: u64) {
+        self.at(now_us);
+        self.running = running;
+    }
+}
