feature: members above their share overshoot it only by what their mean use leaves

Cause: a flooding member took all reserved slots at once whenever its mean use fell just below its share; with long requests the slots stayed taken.

Change: the number of slots up to which a member may use the reserve shrinks from three standard deviations above the share to the share as its mean use approaches the share.

--- a/src/scheduling/request_queue/service.rs
+++ b/src/scheduling/request_queue/service.rs
@@ -15,6 +15,9 @@
 /// Mean use of slots, in shares, up to which a member may use reserved slots. The mean of a member
 /// that uses 95% of its share exceeds this only rarely by chance.
 const SHARE_TOLERANCE: f64 = 1.05;
+/// Multiple of the square root of its share by which a member may exceed it for a short time, in
+/// proportion to what its mean use leaves. Three cover the fluctuation of independent requests.
+const OVERSHOOT_DEVIATIONS: f64 = 3.0;
 /// Use of slots by other members below which nothing is kept free for them.
 const MIN_MEAN_RUNNING: f64 = 0.01;
 /// Members looked at when those above their share must leave slots free.
@@ -185,7 +188,9 @@
             return true;
         }
         let share = self.share(flow);
-        running < share.max(1.0) || own_mean < share * SHARE_TOLERANCE
+        let headroom = (SHARE_TOLERANCE - own_mean / share) / (2.0 * (SHARE_TOLERANCE - 1.0));
+        let overshoot = OVERSHOOT_DEVIATIONS * share.sqrt() * headroom.clamp(0.0, 1.0);
+        running < (share + overshoot).max(1.0)
     }
 
     /// Takes a flow without waiting requests out of the order.
