--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,6 +1,7 @@
 //! Stand-in runner: executes requests of a service in slots.
 
 pub mod announcer;
+pub mod executions;
 pub mod payload;
 pub mod tasks;
 
@@ -56,7 +57,9 @@
     /// The error of binding the address.
     pub fn start(options: AgentOptions) -> io::Result<Self> {
         let incarnation = announcer::new_incarnation();
-        let tasks = Arc::new(TaskTable::new(options.runner.slots as usize, incarnation));
+        let mut tasks = TaskTable::new(options.runner.slots as usize, incarnation);
+        tasks.worker.clone_from(&options.worker);
+        let tasks = Arc::new(tasks);
         let serving = Arc::clone(&tasks);
         let handler: Handler = Arc::new(move |request| handle(&serving, &request));
         let server_options = ServerOptions {
@@ -131,6 +134,7 @@
     let wait = Duration::from_millis(request.query_value("wait_ms").unwrap_or(0));
     let result = match (&request.method, request.segments().as_slice()) {
         (&Method::GET, ["live"]) => return Response::text(200, "live\n"),
+        (&Method::GET, ["v1", "executions"]) => return tasks.executions.respond(request),
         (&Method::PUT, ["v1", "tasks", id]) => {
             tasks.create(id, request).map(|()| tasks.wait(id, wait))
         }
--- a/src/agent/payload.rs
+++ b/src/agent/payload.rs
@@ -14,9 +14,16 @@
     pub answer_bytes: usize,
     /// Text that the answer starts with.
     pub echo: String,
+    /// Worker on which the execution fails.
+    pub fail_on: String,
 }
 
 impl StandInPayload {
+    /// Whether the execution fails on the worker.
+    pub fn fails_on(&self, worker: &str) -> bool {
+        self.fail || (!self.fail_on.is_empty() && self.fail_on == worker)
+    }
+
     /// The answer: `echo`, padded to `answer_bytes`.
     pub fn answer(&self) -> Vec<u8> {
         let mut answer = self.echo.clone().into_bytes();
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -6,9 +6,10 @@
 
 use indexmap::IndexMap;
 
+use super::executions::ExecutionLog;
 use super::payload::StandInPayload;
 use crate::http::Request;
-use crate::ids::{Epoch, Incarnation, TaskId};
+use crate::ids::{Epoch, Incarnation, TaskId, WorkerId};
 use crate::protocol::headers;
 use crate::protocol::worker::TaskState;
 use crate::verdict::{ErrorCode, RequestError};
@@ -43,6 +44,10 @@
     incarnation: Incarnation,
     table: Mutex<Table>,
     changed: Condvar,
+    /// Worker id, for payloads that fail on one runner.
+    pub worker: WorkerId,
+    /// What was executed.
+    pub executions: ExecutionLog,
 }
 
 impl TaskTable {
@@ -53,6 +58,8 @@
             incarnation,
             table: Mutex::default(),
             changed: Condvar::new(),
+            worker: WorkerId::new(),
+            executions: ExecutionLog::default(),
         }
     }
 
@@ -85,6 +92,7 @@
         };
         table.tasks.insert(id.to_owned(), view);
         drop(table);
+        self.executions.started(id, &request.body);
         let (tasks, id, payload) = (Arc::clone(self), id.to_owned(), request.body.clone());
         thread::spawn(move || tasks.execute(&id, &payload));
         Ok(())
@@ -108,7 +116,7 @@
             table = self.changed.wait_timeout(table, remaining).unwrap().0;
         }
         let finished = match instructions {
-            Some(payload) if payload.fail => TaskView {
+            Some(payload) if payload.fails_on(&self.worker) => TaskView {
                 state: TaskState::Failed,
                 answer: b"instructed to fail".to_vec(),
             },
@@ -129,6 +137,7 @@
             *view = finished;
         }
         table.running -= 1;
+        self.executions.ended(id);
         drop_oldest(&mut table);
         self.changed.notify_all();
     }
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -65,7 +65,12 @@
             host.admin_address()
         );
     }
-    println!("service {SERVICE} has {} runners", cell.runners.len());
+    let runners: Vec<String> = cell
+        .runners
+        .iter()
+        .map(|runner| runner.address().to_string())
+        .collect();
+    println!("service {SERVICE} has runners {}", runners.join(" "));
     println!(
         "try: jujubewinch submit --entry {} --service {SERVICE} --idempotent --data hello",
         cell.hosts[0].caller_address()
@@ -109,9 +114,14 @@
         let mut runners = Vec::new();
         for (data_centre, _) in DATA_CENTRES {
             for index in 1..=RUNNERS_PER_DATA_CENTRE {
+                let port = match first_port {
+                    0 => 0,
+                    _ => first_port + 300 + runners.len() as u16,
+                };
                 runners.push(Agent::start(runner_options(
                     data_centre,
                     index,
+                    port,
                     &entry_hosts,
                 ))?);
             }
@@ -183,12 +193,17 @@
     }
 }
 
-fn runner_options(data_centre: &str, index: usize, entry_hosts: &[SocketAddr]) -> AgentOptions {
+fn runner_options(
+    data_centre: &str,
+    index: usize,
+    port: u16,
+    entry_hosts: &[SocketAddr],
+) -> AgentOptions {
     AgentOptions {
         worker: format!("{data_centre}-worker-{index}"),
         data_centre: data_centre.to_owned(),
         rack: format!("rack-{index}"),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         entry_hosts: entry_hosts.to_vec(),
         resources: Resources {
             cpu_millis: 16_000,
--- /dev/null
+++ b/src/load/check.rs
@@ -0,0 +1,154 @@
+//! Compares what callers were told with what the runners executed.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::run::{Attempt, Recording};
+use crate::agent::executions::{Execution, ExecutionList};
+use crate::http::client::ClientRequest;
+use crate::http::{Client, ClientOptions};
+use crate::verdict::Verdict;
+
+/// Time for the list of one runner.
+const LIST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest list of one runner.
+const MAX_LIST_BYTES: u64 = 512 * 1024 * 1024;
+/// Violations that are described; all are counted.
+const MAX_DESCRIBED: usize = 50;
+
+/// Result of the comparison.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Findings {
+    /// Whether the executions of the runners were compared.
+    pub executions_checked: bool,
+    /// Executions of the run's requests.
+    pub executions: usize,
+    /// Violations of the promises to callers.
+    pub violations: usize,
+    /// Descriptions of the first violations.
+    pub descriptions: Vec<String>,
+}
+
+impl Findings {
+    fn violation(&mut self, description: String) {
+        self.violations += 1;
+        if self.descriptions.len() < MAX_DESCRIBED {
+            self.descriptions.push(description);
+        }
+    }
+}
+
+/// Fetches the executions of a run from all runners.
+///
+/// # Errors
+///
+/// The runner that does not answer, or whose record is not complete.
+pub fn fetch_executions(
+    runners: &[SocketAddr],
+    token_prefix: &str,
+) -> Result<Vec<Execution>, String> {
+    let client = Client::new(ClientOptions {
+        max_body_bytes: MAX_LIST_BYTES,
+        ..ClientOptions::default()
+    });
+    let mut executions = Vec::new();
+    for runner in runners {
+        let url = format!("http://{runner}/v1/executions?token_prefix={token_prefix}");
+        let request = ClientRequest::new(Method::GET, url, Instant::now() + LIST_TIMEOUT);
+        let response = client.send(request).map_err(|error| error.to_string())?;
+        let list: ExecutionList = serde_json::from_slice(&response.body)
+            .map_err(|error| format!("runner {runner}: {error}"))?;
+        if list.not_recorded > 0 {
+            return Err(format!("runner {runner} did not record all executions"));
+        }
+        executions.extend(list.executions);
+    }
+    Ok(executions)
+}
+
+/// Checks a run; without executions only the answers are checked.
+pub fn check(recording: &Recording, executions: Option<&[Execution]>) -> Findings {
+    let mut findings = Findings {
+        executions_checked: executions.is_some(),
+        executions: executions.map_or(0, <[Execution]>::len),
+        ..Findings::default()
+    };
+    let mut attempts: IndexMap<usize, Vec<&Attempt>> = IndexMap::new();
+    for attempt in &recording.attempts {
+        attempts.entry(attempt.number).or_default().push(attempt);
+        if !attempt.answer_is_right {
+            findings.violation(format!(
+                "request {}: the answer is cut or foreign",
+                attempt.number
+            ));
+        }
+    }
+    let Some(executions) = executions else {
+        return findings;
+    };
+    let mut by_number: IndexMap<usize, Vec<&Execution>> = IndexMap::new();
+    for execution in executions {
+        let number = execution.token.strip_prefix(&recording.token_prefix);
+        if let Some(number) = number.and_then(|text| text.parse().ok()) {
+            by_number.entry(number).or_default().push(execution);
+        }
+    }
+    for (number, attempts) in &attempts {
+        let executed = by_number.get(number).map(Vec::as_slice).unwrap_or_default();
+        check_request(*number, attempts, executed, &mut findings);
+    }
+    findings
+}
+
+fn check_request(
+    number: usize,
+    attempts: &[&Attempt],
+    executions: &[&Execution],
+    findings: &mut Findings,
+) {
+    let idempotent = attempts.iter().all(|attempt| attempt.idempotent);
+    if !idempotent && executions.len() > 1 {
+        findings.violation(format!(
+            "request {number}: not idempotent, but executed {} times",
+            executions.len()
+        ));
+    }
+    if idempotent && overlap(executions) {
+        findings.violation(format!("request {number}: executed in two places at once"));
+    }
+    let told = |verdict| {
+        attempts
+            .iter()
+            .any(|attempt| attempt.verdict == Some(verdict))
+    };
+    // An attempt that did not run may be followed or accompanied by one of the same key that did,
+    // and that is told to the caller as well.
+    let only_refused = told(Verdict::DidNotRun)
+        && attempts
+            .iter()
+            .all(|attempt| attempt.verdict == Some(Verdict::DidNotRun));
+    let cancelled = attempts.iter().any(|attempt| attempt.cancellation);
+    if (only_refused || cancelled) && !executions.is_empty() {
+        findings.violation(format!(
+            "request {number}: the caller was told that it did not run, but it was executed"
+        ));
+    }
+    if told(Verdict::Ran) && executions.is_empty() {
+        findings.violation(format!(
+            "request {number}: the caller was told that it ran, but it was not executed"
+        ));
+    }
+}
+
+fn overlap(executions: &[&Execution]) -> bool {
+    let mut sorted: Vec<(u64, u64)> = executions
+        .iter()
+        .map(|execution| (execution.started_us, execution.ended_us.unwrap_or(u64::MAX)))
+        .collect();
+    sorted.sort_unstable();
+    sorted.windows(2).any(|pair| pair[1].0 < pair[0].1)
+}
