--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -170,6 +170,8 @@
 
 fn cancellation_wave() {
     let placer = Placer::new(PlacerOptions {
+        request_policy: jujubewinch::scheduling::request_queue::policy::RequestPolicyName::default(
+        ),
         data_centre: "erdenet".to_owned(),
         limits: LimitSettings {
             max_queued_requests: CANCELLATIONS,
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,6 +1,7 @@
 //! Stand-in runner: executes requests of a service in slots.
 
 pub mod announcer;
+pub mod executions;
 pub mod faults;
 pub mod payload;
 mod pool;
@@ -69,7 +70,9 @@
     /// The error of binding the address.
     pub fn start_with_token(options: AgentOptions, token: Option<String>) -> io::Result<Self> {
         let incarnation = announcer::new_incarnation();
-        let tasks = Arc::new(TaskTable::new(options.runner.slots as usize, incarnation));
+        let mut tasks = TaskTable::new(options.runner.slots as usize, incarnation);
+        tasks.worker.clone_from(&options.worker);
+        let tasks = Arc::new(tasks);
         let serving = Arc::clone(&tasks);
         let handler: Handler = Arc::new(move |request| serve(&serving, &request));
         let server_options = ServerOptions {
@@ -210,6 +213,7 @@
 fn handle(tasks: &Arc<TaskTable>, request: &Request, segments: &[&str]) -> Response {
     let wait = Duration::from_millis(request.query_value("wait_ms").unwrap_or(0));
     let result = match (&request.method, segments) {
+        (&Method::GET, ["v1", "executions"]) => return tasks.executions.respond(request),
         (&Method::PUT, ["v1", "tasks", id]) => match tasks.create(id, request) {
             Ok(()) => tasks.wait(id, request, wait),
             // This copy of the create starts nothing, now or later.
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -5,11 +5,12 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::executions::{Execution, ExecutionLog};
 use super::faults::Faults;
 use super::payload::StandInPayload;
 use super::pool::Pool;
 use crate::http::Request;
-use crate::ids::{Epoch, Incarnation, RequestKey, TaskId};
+use crate::ids::{Epoch, Incarnation, TaskId, WorkerId};
 use crate::protocol::headers;
 use crate::protocol::worker::TaskState;
 use crate::verdict::{ErrorCode, RequestError};
@@ -19,8 +20,6 @@
 const MAX_FINISHED_TASKS: usize = 100_000;
 /// Ids of dropped records kept, so that a late copy of their create starts nothing.
 const MAX_DROPPED_IDS: usize = 100_000;
-/// Executions recorded for checks.
-const MAX_EXECUTIONS: usize = 200_000;
 /// Longest wait for the end of a task within one exchange.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -42,19 +41,6 @@
     }
 }
 
-/// One execution, for checks in tests.
-#[derive(Clone, Debug)]
-pub struct Execution {
-    /// Task that was executed.
-    pub task: TaskId,
-    /// Key of its request, as the placer sent it.
-    pub key: RequestKey,
-    /// When it began.
-    pub started_at: Instant,
-    /// When it ended, also by a stop or a crash.
-    pub ended_at: Option<Instant>,
-}
-
 struct Task {
     view: TaskView,
     /// Set by a cancellation; the state changes once the execution has ended.
@@ -72,7 +58,6 @@
     started: usize,
     highest_epoch: Epoch,
     lease_ends_at: Option<Instant>,
-    executions: Vec<Execution>,
 }
 
 /// Tasks of one runner.
@@ -82,6 +67,10 @@
     pool: Pool,
     table: Mutex<Table>,
     changed: Condvar,
+    /// Worker id, for payloads that fail on one runner.
+    pub worker: WorkerId,
+    /// What was executed.
+    pub executions: ExecutionLog,
 }
 
 impl TaskTable {
@@ -96,6 +85,8 @@
                 ..Table::default()
             }),
             changed: Condvar::new(),
+            worker: WorkerId::new(),
+            executions: ExecutionLog::default(),
         }
     }
 
@@ -112,10 +103,7 @@
     /// Drops all tasks and records, as a crash of the process does, and begins an incarnation.
     pub fn crash(&self, incarnation: Incarnation) {
         let mut table = self.table.lock().unwrap();
-        let now = Instant::now();
-        for execution in &mut table.executions {
-            execution.ended_at.get_or_insert(now);
-        }
+        self.executions.all_ended();
         table.incarnation = incarnation;
         table.tasks.clear();
         table.dropped.clear();
@@ -165,12 +153,14 @@
             );
             return Ok(());
         }
-        table.start(id, request.header(headers::IDEMPOTENCY_KEY));
+        table.start(id);
         let incarnation = table.incarnation;
         drop(table);
+        let key = request.header(headers::IDEMPOTENCY_KEY);
+        self.executions.started(id, key, &request.body);
         let instructions: Option<StandInPayload> = serde_json::from_slice(&request.body).ok();
         let work_ms = instructions.as_ref().map_or(0, |payload| payload.work_ms);
-        let view = finished_view(instructions, &request.body);
+        let view = self.finished_view(instructions, &request.body);
         if work_ms == 0 {
             // A thread change would cost more than the work.
             self.execute(incarnation, id, Duration::ZERO, view);
@@ -196,10 +186,22 @@
             finished
         };
         table.end(id, view);
+        self.executions.ended(id);
         drop_oldest(&mut table);
         self.changed.notify_all();
     }
 
+    /// What a task shows after it ended by itself.
+    fn finished_view(&self, instructions: Option<StandInPayload>, payload: &[u8]) -> TaskView {
+        match instructions {
+            Some(payload) if payload.fails_on(&self.worker) => {
+                TaskView::new(TaskState::Failed, b"instructed to fail")
+            }
+            Some(payload) => TaskView::new(TaskState::Succeeded, &payload.answer()),
+            None => TaskView::new(TaskState::Succeeded, payload),
+        }
+    }
+
     /// Waits for the end of the work; returns whether the task was stopped before.
     fn work_until(&self, incarnation: Incarnation, id: &str, ends_at: Instant) -> bool {
         let mut table = self.table.lock().unwrap();
@@ -323,7 +325,7 @@
 
     /// Executions so far, in all incarnations.
     pub fn executions(&self) -> Vec<Execution> {
-        self.table.lock().unwrap().executions.clone()
+        self.executions.list("")
     }
 
     /// Highest epoch seen.
@@ -353,19 +355,11 @@
         self.tasks.insert(id.to_owned(), task);
     }
 
-    fn start(&mut self, id: &str, key: Option<&str>) {
+    fn start(&mut self, id: &str) {
         self.running += 1;
         self.started += 1;
         self.highest_running = self.highest_running.max(self.running);
         self.add(id, TaskView::new(TaskState::Running, b""));
-        if self.executions.len() < MAX_EXECUTIONS {
-            self.executions.push(Execution {
-                task: id.to_owned(),
-                key: key.unwrap_or_default().to_owned(),
-                started_at: Instant::now(),
-                ended_at: None,
-            });
-        }
     }
 
     fn end(&mut self, id: &str, view: TaskView) {
@@ -373,19 +367,6 @@
         if let Some(task) = self.tasks.get_mut(id) {
             task.view = view;
         }
-        let execution = self.executions.iter_mut().rev();
-        if let Some(execution) = execution.into_iter().find(|execution| execution.task == id) {
-            execution.ended_at = Some(Instant::now());
-        }
-    }
-}
-
-/// What a task shows after it ended by itself.
-fn finished_view(instructions: Option<StandInPayload>, payload: &[u8]) -> TaskView {
-    match instructions {
-        Some(payload) if payload.fail => TaskView::new(TaskState::Failed, b"instructed to fail"),
-        Some(payload) => TaskView::new(TaskState::Succeeded, &payload.answer()),
-        None => TaskView::new(TaskState::Succeeded, payload),
     }
 }
 
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -19,6 +19,7 @@
 use crate::configuration::log::ConfigurationLog;
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router};
+use crate::gateway::throttle::Throttle;
 use crate::http::{Server, ServerOptions};
 use crate::membership::agent::MembershipPeer;
 use crate::membership::{HostView, MembershipAgent, MembershipOptions, ProbeTiming};
@@ -71,6 +72,7 @@
             data_centre: this.data_centre.clone(),
             limits: settings.limits.clone(),
             timing: settings.timing.clone(),
+            request_policy: settings.scheduling.request_policy,
             clock: Clock::system(),
             journal,
             exchange: http_exchange(),
@@ -90,6 +92,7 @@
             is_configured: Box::new(move || {
                 joining.as_ref().is_none_or(|replica| replica.has_joined())
             }),
+            throttle: Throttle::default(),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,5 +3,6 @@
 pub mod access;
 pub mod api;
 pub mod routing;
+pub mod throttle;
 
 pub use routing::Router;
--- a/src/gateway/api.rs
+++ b/src/gateway/api.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use opentelemetry::KeyValue;
 
+use super::throttle::{Throttle, ThrottleKey};
 use super::{Router, access};
 use crate::configuration::Configuration;
 use crate::configuration::change::Role;
@@ -34,6 +35,8 @@
     /// Tells whether this host has received the configuration of the cell. Until then it knows
     /// neither tokens nor exceptions and takes no requests.
     pub is_configured: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Sheds requests that the placer would refuse.
+    pub throttle: Throttle,
     /// Set on shutdown; new requests are refused.
     pub draining: AtomicBool,
     /// Requests in flight.
@@ -94,7 +97,8 @@
             return Response::error(&error.retry_after_ms(1_000), &request_id);
         }
         let outcome = self.submission(request).and_then(|submission| {
-            let outcome = self.router.submit(&submission);
+            let keyed = request.header(headers::IDEMPOTENCY_KEY).is_some();
+            let outcome = self.submit_throttled(&submission, keyed);
             log_outcome(&request_id, &submission, &outcome);
             outcome
         });
@@ -102,6 +106,25 @@
         self.respond(outcome, &request_id)
     }
 
+    /// Passes a request on unless its member floods the placer. A key from the caller may belong
+    /// to an attempt that ran, which only the placer knows, so that such a request is not shed.
+    fn submit_throttled(&self, submission: &Submission, keyed: bool) -> Outcome {
+        let throttle_key = ThrottleKey {
+            data_centre: key::home_data_centre(&submission.key, &self.router.data_centres),
+            member: submission.member.clone(),
+            service: submission.service.clone(),
+            urgency: submission.urgency,
+        };
+        if !keyed {
+            self.throttle
+                .check(&throttle_key, Instant::now(), rand::random())?;
+        }
+        let outcome = self.router.submit(submission);
+        self.throttle
+            .record(&throttle_key, &outcome, Instant::now());
+        outcome
+    }
+
     fn respond(&self, outcome: Outcome, request_id: &str) -> Response {
         let response = match outcome {
             Ok(answer) => Response::bytes(200, answer.body)
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -12,6 +12,7 @@
 use crate::configuration::digest::Sha256Digest;
 use crate::ids::{DataCentreName, HostId, RegionName};
 use crate::peer::keys::{ClusterKey, ClusterKeys};
+use crate::scheduling::request_queue::policy::RequestPolicyName;
 
 /// Shortest secret of a cluster key.
 const MIN_SECRET_BYTES: usize = 16;
@@ -35,6 +36,9 @@
     /// Keys between entry hosts.
     #[serde(default)]
     pub security: SecuritySettings,
+    /// Scheduling decisions.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// Log output.
     #[serde(default)]
     pub logging: LoggingSettings,
@@ -226,6 +230,14 @@
     )
 }
 
+/// Scheduling decisions.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SchedulingSettings {
+    /// Order of waiting requests: `fair`, `first_come_first_served` or `strict_priority`.
+    pub request_policy: RequestPolicyName,
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -2,7 +2,6 @@
 
 mod admission;
 mod attempt;
-mod budget;
 mod dispatch;
 mod flight;
 mod follow;
@@ -27,15 +26,17 @@
 use crate::options::settings::{LimitSettings, TimingSettings};
 use crate::protocol::caller::Answer;
 use crate::protocol::worker::{Announcement, AnnouncementReply};
+use crate::scheduling::request_queue::policy::{RequestPolicy, RequestPolicyName, same_policy};
 use crate::scheduling::request_queue::{QueuedRequest, RequestQueue};
+use crate::scheduling::retry_budget::RetryBudget;
 use crate::verdict::{ErrorCode, RequestError, Verdict};
 pub use admission::Pending;
-use budget::RetryBudgets;
 use flight::{Flight, FlightEnd, SentTask};
 use follow::Followed;
 use journal::{Journal, JournalError};
 use links::Exchange;
 use records::{Completion, PlacementRecord};
+use runners::health::Execution;
 use runners::{Fate, RunnerSlot, RunnerTable};
 
 /// Retry-after of requests that reached a host which is not the placer. Errors with this value,
@@ -55,6 +56,8 @@
     pub limits: LimitSettings,
     /// Leases and timeouts.
     pub timing: TimingSettings,
+    /// Order of waiting requests.
+    pub request_policy: RequestPolicyName,
     /// Time source.
     pub clock: Clock,
     /// Replicated records.
@@ -83,7 +86,7 @@
     flights: IndexMap<RequestKey, Arc<Flight>>,
     /// Tasks without an owner; a key is present while a thread follows the runner.
     followed: IndexMap<WorkerId, Vec<Followed>>,
-    budgets: RetryBudgets,
+    budget: RetryBudget,
     /// Tasks whose records the runners may drop.
     forget: IndexMap<WorkerId, Vec<TaskId>>,
 }
@@ -93,12 +96,16 @@
     pub fn new(options: PlacerOptions) -> Arc<Self> {
         let state = PlacerState {
             epoch: None,
-            queue: RequestQueue::new(options.limits.max_queued_requests),
+            queue: RequestQueue::with_policy(
+                options.limits.max_queued_requests,
+                options.request_policy,
+                same_policy(RequestPolicy::default()),
+            ),
             runners: RunnerTable::default(),
             waiting: IndexMap::new(),
             flights: IndexMap::new(),
             followed: IndexMap::new(),
-            budgets: RetryBudgets::default(),
+            budget: RetryBudget::default(),
             forget: IndexMap::new(),
         };
         let placer = Arc::new(Self {
@@ -216,18 +223,17 @@
 
     /// Hands free slots of the service to waiting requests.
     fn assign_slots(&self, state: &mut PlacerState, service: &str) {
+        let now = self.options.clock.now();
+        let dropped = state.queue.take_dropped();
+        refuse_waiting(state, dropped, now);
         if state.queue.is_empty() {
             return;
         }
-        let now = self.options.clock.now();
+        let slots = state.runners.slots(service, now);
+        state.queue.set_slots(service, slots);
         while let Some(slot) = state.runners.reserve(service, now) {
             let selection = state.queue.next(service, now);
-            for (refused, code) in selection.refused {
-                if let Some(sender) = state.waiting.swap_remove(&refused.key) {
-                    let message = "refused before it got a slot";
-                    let _ = sender.send(Err(RequestError::did_not_run(code, message)));
-                }
-            }
+            refuse_waiting(state, selection.refused, now);
             let sender = selection
                 .chosen
                 .and_then(|chosen| state.waiting.swap_remove(&chosen.key));
@@ -295,9 +301,13 @@
         flight.finish(end);
     }
 
-    fn release(&self, queued: &QueuedRequest, slot: &RunnerSlot) {
+    /// Frees the slot; `execution` tells how the runner did, unless it got nothing to do.
+    fn release(&self, queued: &QueuedRequest, slot: &RunnerSlot, execution: Option<Execution>) {
         let now = self.options.clock.now();
         let mut state = self.state.lock().unwrap();
+        if let Some(execution) = execution {
+            state.runners.record(slot, &queued.member, &execution, now);
+        }
         state
             .runners
             .release(&slot.worker, slot.incarnation, slot.generation);
@@ -334,11 +344,12 @@
     }
 
     fn deposit(&self, member: &str, worker: &str) {
-        self.state.lock().unwrap().budgets.deposit(member, worker);
+        let mut state = self.state.lock().unwrap();
+        state.budget.record_request(member, worker);
     }
 
     fn withdraw(&self, member: &str, worker: &str) -> bool {
-        self.state.lock().unwrap().budgets.withdraw(member, worker)
+        self.state.lock().unwrap().budget.try_retry(member, worker)
     }
 
     /// Requests that wait for a slot.
@@ -381,6 +392,19 @@
     }
 }
 
+/// Tells the threads of requests that left the queue without a slot.
+fn refuse_waiting(state: &mut PlacerState, refused: Vec<(QueuedRequest, ErrorCode)>, now: Instant) {
+    for (request, code) in refused {
+        let Some(sender) = state.waiting.swap_remove(&request.key) else {
+            continue;
+        };
+        let message = "refused before it got a slot";
+        let retry_after_ms = state.queue.retry_after_ms(&request, now);
+        let error = RequestError::did_not_run(code, message).retry_after_ms(retry_after_ms);
+        let _ = sender.send(Err(error));
+    }
+}
+
 /// Error of a request that reached a host which is not the placer.
 fn not_placer() -> RequestError {
     RequestError::did_not_run(ErrorCode::Unavailable, "this host is not the placer")
--- a/src/placer/attempt.rs
+++ b/src/placer/attempt.rs
@@ -12,6 +12,7 @@
 use super::journal::JournalError;
 use super::records::{Intent, PlacementRecord};
 use super::runners::RunnerSlot;
+use super::runners::health::Execution;
 use super::{Outcome, Placer, not_placer};
 use crate::ids::TaskId;
 use crate::protocol::caller::{Answer, Submission};
@@ -102,7 +103,7 @@
                     return self.follow_held(&slot, acknowledged, error);
                 }
                 End::Again { error, started } => {
-                    self.release(&slot);
+                    self.release(&slot, Some(&Err::<(), _>(error.clone())));
                     let error = self.cancelled_error(error);
                     if !self.may_retry(submission, &slot, started, retries) {
                         return self.commit(&slot, Err(error), true, false);
@@ -142,11 +143,11 @@
             }
             // The record of another attempt was committed first.
             Ok(()) => {
-                self.release(slot);
+                self.release(slot, None::<&Result<(), _>>);
                 Err(Landing::End(FlightEnd::LookAgain))
             }
             Err(error @ JournalError::NotLeader(_)) => {
-                self.release(slot);
+                self.release(slot, None::<&Result<(), _>>);
                 log::debug!("intent of {} refused: {error}", self.queued.key);
                 Err(self.refused(not_placer()))
             }
@@ -261,7 +262,7 @@
         over: bool,
         may_forget: bool,
     ) -> Landing {
-        self.release(&slot);
+        self.release(&slot, Some(&outcome));
         let wait = slot
             .reserved_at
             .saturating_duration_since(self.queued.admitted_at);
@@ -308,8 +309,11 @@
         Landing::Followed(told)
     }
 
-    fn release(&self, slot: &RunnerSlot) {
-        self.placer.release(&self.queued, slot);
+    /// Frees the slot; `outcome` is what the runner made of the task, if it got one.
+    fn release<T>(&self, slot: &RunnerSlot, outcome: Option<&Result<T, RequestError>>) {
+        let now = self.placer.options.clock.now();
+        let execution = outcome.map(|outcome| Execution::of(outcome, slot, now));
+        self.placer.release(&self.queued, slot, execution);
     }
 
     fn follow_held(
@@ -364,7 +368,7 @@
         if !self.placer.leave_queue(&self.queued.key, &self.flight)
             && let Ok(Ok(slot)) = self.assigned.try_recv()
         {
-            self.release(&slot);
+            self.release(&slot, None::<&Result<(), _>>);
         }
         let error = if self.begun {
             RequestError::may_have_run(ErrorCode::Internal, "its attempt was abandoned")
--- a/src/placer/follow.rs
+++ b/src/placer/follow.rs
@@ -11,6 +11,7 @@
 use super::dispatch::lapsed;
 use super::flight::{Flight, FlightEnd};
 use super::links::RunnerLink;
+use super::runners::health::Execution;
 use super::runners::{Fate, RunnerSlot};
 use super::task_calls::{self, MAX_DAMAGED_ANSWERS, Reply};
 use super::{Outcome, Placer, not_placer};
@@ -206,6 +207,10 @@
             && over
             && verdict != Verdict::Ran
             && !followed.flight.is_cancelled();
+        let execution = match &followed.held {
+            Held::Slot(held) => Some(Execution::of(&outcome, &held.1, self.options.clock.now())),
+            Held::Nothing | Held::Adopted => None,
+        };
         let end = if another {
             FlightEnd::LookAgain
         } else {
@@ -213,7 +218,7 @@
         };
         match &followed.held {
             Held::Nothing => {}
-            Held::Slot(held) => self.release(&held.0, &held.1),
+            Held::Slot(held) => self.release(&held.0, &held.1, execution),
             Held::Adopted => self.release_adopted(followed),
         }
         self.land(&followed.key, &followed.flight, end);
--- a/src/placer/runners.rs
+++ b/src/placer/runners.rs
@@ -1,17 +1,35 @@
 //! Runners of a data centre and their slots.
 
+pub mod health;
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use super::links::RunnerLink;
 use crate::ids::{Epoch, Incarnation, ServiceName, TaskId, WorkerId};
 use crate::protocol::worker::{Announcement, RunnerCapacity, WorkerPhase};
+use health::{Execution, Health, KindCounts};
 
 /// Time after the end of its lease for which a silent runner stays listed.
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
 
+/// Up to so many runners of a service all of them are compared, otherwise two random ones.
+const MAX_COMPARED: usize = 4;
+/// Random choices tried before all runners of a service are looked at.
+const MAX_TRIES: usize = 8;
+/// Weight of the rack's load against the runner's own.
+const RACK_WEIGHT: f64 = 0.25;
+/// Time for which a count of slots is used when no runner announces itself.
+const SLOTS_VALID: Duration = Duration::from_secs(1);
+/// One of so many runners of a service may be in quarantine at once.
+const MAX_QUARANTINED_FRACTION: usize = 3;
+
 /// A reserved slot of a runner.
 #[derive(Clone)]
 pub struct RunnerSlot {
@@ -53,23 +71,46 @@
     busy_slots: u32,
     /// Gets no new work before this, since its latest exchange failed.
     avoided_until: Option<Instant>,
+    health: Health,
 }
 
 impl RunnerEntry {
+    fn is_up(&self, now: Instant) -> bool {
+        self.announcement.phase == WorkerPhase::Up && self.lease_ends_at > now
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.busy_slots) / f64::from(self.capacity.slots.max(1))
+    }
+
     fn is_usable(&self, now: Instant) -> bool {
         // One exchange is left for cancellations and for questions about earlier tasks.
         let exchanges = RunnerLink::exchange_limit(self.capacity.connections);
         let usable_slots = self.capacity.slots.min(exchanges.saturating_sub(1).max(1));
-        self.announcement.phase == WorkerPhase::Up
+        self.is_up(now)
             && self.busy_slots < usable_slots
-            && self.lease_ends_at > now
+            && self.health.admits(now)
             && exchanges > 0
             && self.avoided_until.is_none_or(|until| until <= now)
     }
 }
 
-/// Runners that announced themselves to the present epoch.
 #[derive(Default)]
+struct RackLoad {
+    busy_slots: u32,
+    runners: u32,
+}
+
+#[derive(Default)]
+struct ServiceRunners {
+    workers: IndexSet<WorkerId>,
+    racks: IndexMap<String, RackLoad>,
+    kinds: KindCounts,
+    /// Slots of the runners that were up, and when they were counted.
+    slots: Option<(u32, Instant)>,
+}
+
+/// Runners that announced themselves to the present epoch.
 pub struct RunnerTable {
     epoch: Epoch,
     /// Grows each time when the table begins anew, also when a host gets the same epoch again, so
@@ -78,14 +119,34 @@
     /// Leases granted by former epochs end at this time at the latest.
     former_leases_end_at: Option<Instant>,
     runners: IndexMap<WorkerId, RunnerEntry>,
-    /// Positions in `runners` by service.
-    services: IndexMap<ServiceName, Vec<usize>>,
+    /// Runners and load of racks by service; matches `runners`.
+    by_service: IndexMap<ServiceName, ServiceRunners>,
+    random: StdRng,
     /// Slots held on incarnations that are not in `runners`: by tasks of former epochs whose
     /// runners did not announce themselves yet, and by tasks of replaced incarnations.
     absent: IndexMap<(WorkerId, Incarnation), u32>,
 }
 
+impl Default for RunnerTable {
+    fn default() -> Self {
+        Self::with_seed(rand::random())
+    }
+}
+
 impl RunnerTable {
+    /// An empty table whose random choices can be repeated.
+    pub fn with_seed(seed: u64) -> Self {
+        Self {
+            epoch: 0,
+            generation: 0,
+            former_leases_end_at: None,
+            runners: IndexMap::new(),
+            by_service: IndexMap::new(),
+            random: StdRng::seed_from_u64(seed),
+            absent: IndexMap::new(),
+        }
+    }
+
     /// Forgets all runners; they must announce themselves to the new epoch.
     pub(super) fn begin_epoch(&mut self, epoch: Epoch, former_leases_end_at: Instant) {
         *self = Self {
@@ -141,14 +202,15 @@
         };
         let entry = RunnerEntry {
             avoided_until: same.and_then(|entry| entry.avoided_until),
+            health: same.map_or_else(Health::default, |entry| entry.health.clone()),
             announcement,
             capacity,
             lease_ends_at,
             link,
             busy_slots,
         };
-        let same_service =
-            former.is_some_and(|former| former.capacity.service == entry.capacity.service);
+        self.detach(&worker);
+        self.attach(&worker, &entry);
         if let Some(replaced) = self.runners.insert(worker.clone(), entry)
             && replaced.announcement.incarnation != identity.1
             && replaced.busy_slots > 0
@@ -156,45 +218,94 @@
             let replaced_identity = (worker, replaced.announcement.incarnation);
             self.absent.insert(replaced_identity, replaced.busy_slots);
         }
-        if !same_service {
-            self.index_services();
-        }
         true
     }
 
     /// Drops runners that have been silent for long.
     pub(super) fn drop_forgotten(&mut self, now: Instant) {
-        let before = self.runners.len();
-        self.runners
-            .retain(|_, entry| entry.busy_slots > 0 || entry.lease_ends_at + FORGET_AFTER > now);
-        if self.runners.len() != before {
-            self.index_services();
+        let forgotten = self.runners.iter().filter(|(_, entry)| {
+            entry.busy_slots == 0 && entry.lease_ends_at + FORGET_AFTER <= now
+        });
+        let forgotten: Vec<WorkerId> = forgotten.map(|(worker, _)| worker.clone()).collect();
+        for worker in forgotten {
+            self.detach(&worker);
+            self.runners.swap_remove(&worker);
         }
     }
 
-    fn index_services(&mut self) {
-        self.services.clear();
-        for (position, entry) in self.runners.values().enumerate() {
-            let service = entry.capacity.service.clone();
-            self.services.entry(service).or_default().push(position);
+    /// Adds a runner to the indexes of its service.
+    fn attach(&mut self, worker: &str, entry: &RunnerEntry) {
+        let service = self
+            .by_service
+            .entry(entry.capacity.service.clone())
+            .or_default();
+        service.workers.insert(worker.to_owned());
+        let rack = service
+            .racks
+            .entry(entry.announcement.rack.clone())
+            .or_default();
+        rack.busy_slots += entry.busy_slots;
+        rack.runners += 1;
+        service.slots = None;
+    }
+
+    /// Takes a runner out of the indexes of its service.
+    fn detach(&mut self, worker: &str) {
+        let Some(entry) = self.runners.get(worker) else {
+            return;
+        };
+        let Some(service) = self.by_service.get_mut(&entry.capacity.service) else {
+            return;
+        };
+        service.workers.swap_remove(worker);
+        let rack = &entry.announcement.rack;
+        if let Some(load) = service.racks.get_mut(rack) {
+            load.busy_slots = load.busy_slots.saturating_sub(entry.busy_slots);
+            load.runners -= 1;
+            if load.runners == 0 {
+                service.racks.swap_remove(rack);
+            }
+        }
+        if service.workers.is_empty() {
+            self.by_service.swap_remove(&entry.capacity.service);
         }
     }
 
     /// Services with at least one runner.
     pub fn services(&self) -> IndexSet<ServiceName> {
-        self.services.keys().cloned().collect()
+        self.by_service.keys().cloned().collect()
     }
 
-    /// Reserves a slot of the least busy runner of the service.
+    /// Slots of a service's runners that are up; at most `SLOTS_VALID` old.
+    pub fn slots(&mut self, service: &str, now: Instant) -> u32 {
+        let Some(service) = self.by_service.get_mut(service) else {
+            return 0;
+        };
+        if let Some((slots, counted_at)) = service.slots
+            && now.saturating_duration_since(counted_at) < SLOTS_VALID
+        {
+            return slots;
+        }
+        let entries = service.workers.iter().map(|worker| &self.runners[worker]);
+        let slots = entries
+            .filter(|entry| entry.is_up(now))
+            .map(|entry| entry.capacity.slots)
+            .sum();
+        service.slots = Some((slots, now));
+        slots
+    }
+
+    /// Reserves a slot of the service: of two random runners the one with the lower load, counting
+    /// the load of its rack, so that work spreads over racks.
     pub fn reserve(&mut self, service: &str, now: Instant) -> Option<RunnerSlot> {
-        let positions = self.services.get(service)?;
-        let usable = positions
-            .iter()
-            .copied()
-            .filter(|position| self.runners[*position].is_usable(now));
-        let best = usable.min_by_key(|position| self.runners[*position].busy_slots)?;
-        let entry = &mut self.runners[best];
+        let service = self.by_service.get_mut(service)?;
+        let chosen = choose(service, &self.runners, &mut self.random, now)?;
+        let entry = &mut self.runners[&chosen];
         entry.busy_slots += 1;
+        entry.health.sent(now);
+        if let Some(rack) = service.racks.get_mut(&entry.announcement.rack) {
+            rack.busy_slots += 1;
+        }
         Some(RunnerSlot {
             worker: entry.announcement.worker.clone(),
             incarnation: entry.announcement.incarnation,
@@ -222,7 +333,15 @@
         if let Some(entry) = self.runners.get_mut(worker)
             && entry.announcement.incarnation == incarnation
         {
-            entry.busy_slots = entry.busy_slots.saturating_sub(1);
+            if entry.busy_slots > 0 {
+                entry.busy_slots -= 1;
+                let service = self.by_service.get_mut(&entry.capacity.service);
+                let rack =
+                    service.and_then(|service| service.racks.get_mut(&entry.announcement.rack));
+                if let Some(rack) = rack {
+                    rack.busy_slots = rack.busy_slots.saturating_sub(1);
+                }
+            }
             return;
         }
         let identity = (worker.to_owned(), incarnation);
@@ -235,6 +354,50 @@
         }
     }
 
+    /// Records how a request of a kind ended; a runner that fails or is slow where the others are
+    /// not is quarantined. Kinds are the members, since payloads are opaque.
+    pub fn record(&mut self, slot: &RunnerSlot, kind: &str, execution: &Execution, now: Instant) {
+        let Some(entry) = self.runners.get_mut(&slot.worker) else {
+            return;
+        };
+        if entry.announcement.incarnation != slot.incarnation {
+            return;
+        }
+        let Some(service) = self.by_service.get_mut(&entry.capacity.service) else {
+            return;
+        };
+        if !entry
+            .health
+            .record(&mut service.kinds, kind, execution, now)
+        {
+            return;
+        }
+        let quarantined = self.quarantined(&slot.worker);
+        let entry = &mut self.runners[&slot.worker];
+        let service = &self.by_service[&entry.capacity.service];
+        let most = (service.workers.len() / MAX_QUARANTINED_FRACTION).max(1);
+        if quarantined < most && service.workers.len() > 1 {
+            log::warn!(worker = slot.worker.as_str(); "runner quarantined");
+            entry.health.quarantine(now);
+        }
+    }
+
+    /// Runners in quarantine among those of the same service.
+    fn quarantined(&self, worker: &str) -> usize {
+        let service = &self.by_service[&self.runners[worker].capacity.service];
+        let entries = service.workers.iter().map(|worker| &self.runners[worker]);
+        entries
+            .filter(|entry| entry.health.is_quarantined())
+            .count()
+    }
+
+    /// Whether the runner gets no requests, or only probes, because of its failures.
+    pub fn is_quarantined(&self, worker: &str) -> bool {
+        self.runners
+            .get(worker)
+            .is_some_and(|entry| entry.health.is_quarantined())
+    }
+
     /// Gives the runner no new work before `until`.
     pub(super) fn avoid(&mut self, worker: &str, until: Instant) {
         if let Some(entry) = self.runners.get_mut(worker) {
@@ -295,3 +458,39 @@
         capacity.connections,
     ))
 }
+
+fn choose(
+    service: &ServiceRunners,
+    runners: &IndexMap<WorkerId, RunnerEntry>,
+    random: &mut StdRng,
+    now: Instant,
+) -> Option<WorkerId> {
+    let score = |entry: &RunnerEntry| {
+        let rack = service.racks.get(&entry.announcement.rack);
+        let rack_load = rack.map_or(0.0, |rack| {
+            f64::from(rack.busy_slots) / f64::from(rack.runners * entry.capacity.slots.max(1))
+        });
+        entry.load() + RACK_WEIGHT * rack_load
+    };
+    let count = service.workers.len();
+    let mut usable = Vec::new();
+    if count > MAX_COMPARED {
+        for _ in 0..MAX_TRIES {
+            let entry = &runners[&service.workers[random.random_range(0..count)]];
+            if entry.is_usable(now) {
+                usable.push(entry);
+            }
+            if usable.len() == 2 {
+                break;
+            }
+        }
+    }
+    if usable.is_empty() {
+        let entries = service.workers.iter().map(|worker| &runners[worker]);
+        usable = entries.filter(|entry| entry.is_usable(now)).collect();
+    }
+    let best = usable
+        .into_iter()
+        .min_by(|one, other| score(one).total_cmp(&score(other)))?;
+    Some(best.announcement.worker.clone())
+}
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -1,5 +1,6 @@
 //! Decisions: what runs next and where.
 
+pub mod admission;
 pub mod estimates;
 pub mod fair_share;
 pub mod feasibility;
@@ -12,3 +13,4 @@
 pub mod placement_index;
 pub mod quarantine;
 pub mod request_queue;
+pub mod retry_budget;
--- /dev/null
+++ b/src/scheduling/request_queue/service.rs
@@ -0,0 +1,217 @@
+//! Members that compete for the slots of one service.
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+use slab::Slab;
+
+use super::flow::Flow;
+use super::policy::RequestPolicy;
+use super::usage::{ExecutionTime, MeanRunning, advance};
+use crate::ids::{MemberId, ServiceName};
+
+/// Largest part of the slots that is kept free.
+const MAX_RESERVE_FRACTION: f64 = 0.25;
+/// Mean use of slots, in shares, up to which a member may use reserved slots. The mean of a member
+/// that uses 95% of its share exceeds this only rarely by chance.
+const SHARE_TOLERANCE: f64 = 1.05;
+/// Multiple of the square root of its share by which a member may exceed it for a short time, in
+/// proportion to what its mean use leaves. Three cover the fluctuation of independent requests.
+const OVERSHOOT_DEVIATIONS: f64 = 3.0;
+/// Use of slots by other members below which nothing is kept free for them.
+const MIN_MEAN_RUNNING: f64 = 0.01;
+/// Members looked at when those above their share must leave slots free.
+const MAX_CANDIDATES: usize = 16;
+/// Corrections for requests that outlast their estimate, per selection.
+const MAX_SETTLEMENTS: usize = 4;
+/// Members without requests whose usage and execution time are remembered.
+const MAX_IDLE_FLOWS: usize = 4_096;
+
+/// Members of one service in the order of their virtual time.
+pub(super) struct ServiceQueue {
+    pub name: ServiceName,
+    /// Slots of its runners; zero when unknown.
+    pub slots: u32,
+    pub running: u64,
+    mean_running: MeanRunning,
+    pub execution: ExecutionTime,
+    pub flow_ids: IndexMap<MemberId, usize>,
+    /// Flows with waiting requests, by virtual time; may hold flows whose requests were all
+    /// cancelled.
+    waiting: BTreeSet<(u64, usize)>,
+    /// Flows without waiting and running requests.
+    idle: BTreeSet<(u64, usize)>,
+    /// Virtual time of the flow served last; never falls.
+    floor: u64,
+    /// Weights of the flows that have requests.
+    active_weight: u64,
+}
+
+impl ServiceQueue {
+    pub(super) fn new(name: ServiceName) -> Self {
+        Self {
+            name,
+            slots: 0,
+            running: 0,
+            mean_running: MeanRunning::default(),
+            execution: ExecutionTime::default(),
+            flow_ids: IndexMap::new(),
+            waiting: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            floor: 0,
+            active_weight: 0,
+        }
+    }
+
+    pub(super) fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Takes note of the number of running requests of the service and of a flow.
+    pub(super) fn running_changed(&mut self, flow: &mut Flow, now_us: u64) {
+        self.mean_running.change(self.running, now_us);
+        let running = flow.usage.running();
+        flow.mean_running.change(running, now_us);
+    }
+
+    /// Makes a flow eligible for slots.
+    pub(super) fn activate(&mut self, id: usize, flow: &mut Flow) {
+        self.idle.remove(&(flow.virtual_time, id));
+        if !self.waiting.contains(&(flow.virtual_time, id)) {
+            flow.virtual_time = flow.virtual_time.max(self.floor);
+            self.waiting.insert((flow.virtual_time, id));
+        }
+        self.count(flow);
+    }
+
+    /// Keeps `active_weight` in step with the flow.
+    pub(super) fn count(&mut self, flow: &mut Flow) {
+        let weight = u64::from(flow.policy.member_weight.max(1));
+        let active = flow.queued > 0 || flow.usage.running() > 0;
+        if active && !flow.counted {
+            self.active_weight += weight;
+        } else if !active && flow.counted {
+            self.active_weight -= weight;
+        }
+        flow.counted = active;
+    }
+
+    /// Replaces the figures of a flow.
+    pub(super) fn change_policy(&mut self, flow: &mut Flow, policy: RequestPolicy) {
+        if flow.counted {
+            self.active_weight -= u64::from(flow.policy.member_weight.max(1));
+            self.active_weight += u64::from(policy.member_weight.max(1));
+        }
+        flow.policy = policy;
+    }
+
+    /// Slots that the flow is entitled to while all active members want theirs.
+    pub(super) fn share(&self, flow: &Flow) -> f64 {
+        let weight = u64::from(flow.policy.member_weight.max(1));
+        let others = self.active_weight - if flow.counted { weight } else { 0 };
+        f64::from(self.slots) * weight as f64 / (others + weight) as f64
+    }
+
+    /// Charges a flow and keeps its position.
+    pub(super) fn charge(&mut self, id: usize, flow: &mut Flow, charge_us: i64) {
+        let former = flow.virtual_time;
+        flow.virtual_time = advance(former, charge_us, flow.policy.member_weight);
+        if self.waiting.remove(&(former, id)) {
+            self.waiting.insert((flow.virtual_time, id));
+        }
+    }
+
+    /// Chooses the flow that gets a free slot.
+    pub(super) fn choose(&mut self, flows: &mut Slab<Flow>, now_us: u64) -> Option<usize> {
+        self.settle_first(flows, now_us);
+        let mut emptied = Vec::new();
+        let mut chosen = None;
+        let candidates: Vec<(u64, usize)> =
+            self.waiting.iter().take(MAX_CANDIDATES).copied().collect();
+        for (virtual_time, id) in candidates {
+            let flow = &mut flows[id];
+            if flow.queued == 0 {
+                emptied.push((virtual_time, id));
+            } else if self.may_start(flow, now_us) {
+                chosen = Some((virtual_time, id));
+                break;
+            }
+        }
+        let found_empty = !emptied.is_empty();
+        for (_, id) in emptied {
+            self.rest(id, &mut flows[id]);
+        }
+        match chosen {
+            Some((virtual_time, id)) => {
+                self.floor = self.floor.max(virtual_time);
+                Some(id)
+            }
+            // Emptied flows may have hidden one with requests.
+            None if found_empty => self.choose(flows, now_us),
+            None => None,
+        }
+    }
+
+    /// Charges the first flows for running requests that outlast their estimates.
+    fn settle_first(&mut self, flows: &mut Slab<Flow>, now_us: u64) {
+        for _ in 0..MAX_SETTLEMENTS {
+            let Some(&(_, id)) = self.waiting.first() else {
+                return;
+            };
+            let flow = &mut flows[id];
+            let charge = flow.usage.settle(now_us);
+            if charge == 0 {
+                return;
+            }
+            self.charge(id, flow, charge);
+        }
+    }
+
+    /// Whether the flow may take a slot, or must leave the last ones to members below their share.
+    /// A member whose mean use is within its share may exceed it for a short time.
+    fn may_start(&mut self, flow: &mut Flow, now_us: u64) -> bool {
+        let deviations = flow.policy.reserve_deviations;
+        if self.slots == 0 || deviations <= 0.0 {
+            return true;
+        }
+        let own_mean = flow.mean_running.at(now_us);
+        let others_mean = self.mean_running.at(now_us) - own_mean;
+        if others_mean < MIN_MEAN_RUNNING {
+            return true;
+        }
+        let slots = f64::from(self.slots);
+        let reserve = (deviations * others_mean.sqrt()).min(slots * MAX_RESERVE_FRACTION);
+        // Long requests keep their slots when the others' use returns from a low to its mean.
+        let running = flow.usage.running() as f64;
+        let used = (self.running as f64).max(running + others_mean);
+        if used + reserve < slots {
+            return true;
+        }
+        let share = self.share(flow);
+        let headroom = (SHARE_TOLERANCE - own_mean / share) / (2.0 * (SHARE_TOLERANCE - 1.0));
+        let overshoot = OVERSHOOT_DEVIATIONS * share.sqrt() * headroom.clamp(0.0, 1.0);
+        running < (share + overshoot).max(1.0)
+    }
+
+    /// Takes a flow without waiting requests out of the order.
+    pub(super) fn rest(&mut self, id: usize, flow: &mut Flow) {
+        self.waiting.remove(&(flow.virtual_time, id));
+        if flow.usage.running() == 0 {
+            self.idle.insert((flow.virtual_time, id));
+        }
+        self.count(flow);
+    }
+
+    /// Whether no request waits or runs.
+    pub(super) fn is_idle(&self) -> bool {
+        self.running == 0 && self.active_weight == 0
+    }
+
+    /// An idle flow that need not be remembered.
+    pub(super) fn forget_idle(&mut self) -> Option<usize> {
+        if self.idle.len() <= MAX_IDLE_FLOWS {
+            return None;
+        }
+        self.idle.pop_first().map(|(_, id)| id)
+    }
+}
--- a/tests/placer_support/mod.rs
+++ b/tests/placer_support/mod.rs
@@ -12,8 +12,9 @@
 use hyper::HeaderMap;
 use hyper::header::{HeaderName, HeaderValue};
 use indexmap::IndexMap;
+use jujubewinch::agent::executions::Execution;
 use jujubewinch::agent::serve;
-use jujubewinch::agent::tasks::{Execution, TaskTable};
+use jujubewinch::agent::tasks::TaskTable;
 use jujubewinch::clock::Clock;
 use jujubewinch::http::Request;
 use jujubewinch::http::client::{ClientError, ClientRequest, ClientResponse};
@@ -283,6 +284,8 @@
         let epoch = self.log.begin_epoch();
         let gates = Arc::new(Gates::default());
         let placer = Placer::new(PlacerOptions {
+            request_policy:
+                jujubewinch::scheduling::request_queue::policy::RequestPolicyName::default(),
             data_centre: "erdenet".to_owned(),
             limits: self.limits.clone(),
             timing: self.timing.clone(),
--- a/tests/runner_connections.rs
+++ b/tests/runner_connections.rs
@@ -22,6 +22,8 @@
 
 fn start(slots: u32, connections: u32) -> (Arc<Placer>, Agent) {
     let placer = Placer::new(PlacerOptions {
+        request_policy: jujubewinch::scheduling::request_queue::policy::RequestPolicyName::default(
+        ),
         data_centre: "erdenet".to_owned(),
         limits: LimitSettings::default(),
         timing: TimingSettings {
