bug: a standing delay ended whenever shedding emptied the queue

Cause: the state was cleared by an empty queue or one waiting time just below the target, so that a flooding member's queue grew to its bound again and again: p50 wait of its requests 2.4 s at a target of 1 s. The member's rate was overestimated by its share while its slots were not available. A key that was cancelled and then sent again by its caller was reported as a violation by the load tool; the trace of the cancellation burst shows the new attempt starting after the cancellation was answered.

Change: the state ends after an interval of waits below half of the target; a standing delay uses the measured rate; target 500 ms, interval 1 s; up to half of the slots may be kept free in small cells.

Conclusion: floods are refused on arrival instead of after waiting.

--- a/src/load/check.rs
+++ b/src/load/check.rs
@@ -113,8 +113,9 @@
     let idempotent = attempts.iter().all(|attempt| attempt.idempotent);
     if !idempotent && executions.len() > 1 {
         findings.violation(format!(
-            "request {number}: not idempotent, but executed {} times",
-            executions.len()
+            "request {number}: not idempotent, but executed {} times: {}",
+            executions.len(),
+            describe(attempts, executions)
         ));
     }
     if idempotent && overlap(executions) {
@@ -131,10 +132,10 @@
         && attempts
             .iter()
             .all(|attempt| attempt.verdict == Some(Verdict::DidNotRun));
-    let cancelled = attempts.iter().any(|attempt| attempt.cancellation);
-    if (only_refused || cancelled) && !executions.is_empty() {
+    if (only_refused || cancelled_for_good(attempts)) && !executions.is_empty() {
         findings.violation(format!(
-            "request {number}: the caller was told that it did not run, but it was executed"
+            "request {number}: the caller was told that it did not run, but it was executed: {}",
+            describe(attempts, executions)
         ));
     }
     if told(Verdict::Ran) && executions.is_empty() {
@@ -144,6 +145,43 @@
     }
 }
 
+/// Whether a cancellation was confirmed and the key was not sent again afterwards.
+fn cancelled_for_good(attempts: &[&Attempt]) -> bool {
+    let cancellations = attempts.iter().filter(|attempt| attempt.cancellation);
+    let Some(cancelled_us) = cancellations.map(|attempt| attempt.ended_us).max() else {
+        return false;
+    };
+    attempts
+        .iter()
+        .all(|attempt| attempt.started_us < cancelled_us)
+}
+
+fn describe(attempts: &[&Attempt], executions: &[&Execution]) -> String {
+    let attempts: Vec<String> = attempts
+        .iter()
+        .map(|attempt| {
+            let verdict = attempt
+                .verdict
+                .map_or("no response".to_owned(), |verdict| verdict.to_string());
+            let kind = if attempt.cancellation {
+                "cancellation"
+            } else {
+                "attempt"
+            };
+            let (from_us, to_us) = (attempt.started_us, attempt.ended_us);
+            format!(
+                "{kind} from {from_us} to {to_us} us {verdict} {}",
+                attempt.status
+            )
+        })
+        .collect();
+    let executions: Vec<String> = executions
+        .iter()
+        .map(|execution| format!("execution of task {}", execution.task))
+        .collect();
+    [attempts, executions].concat().join(", ")
+}
+
 fn overlap(executions: &[&Execution]) -> bool {
     let mut sorted: Vec<(u64, u64)> = executions
         .iter()
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -49,6 +49,8 @@
     pub wait_us: Option<u64>,
     /// Time from the planned start to the end.
     pub latency_us: u64,
+    /// Start of the exchange, from the start of the run.
+    pub started_us: u64,
     /// End, from the start of the run.
     pub ended_us: u64,
     /// Whether a cancellation was confirmed; such an entry is not an attempt of its own.
@@ -243,6 +245,7 @@
             request = request.header(headers::IDEMPOTENCY_KEY, key);
         }
         request.body = serde_json::to_vec(&payload).unwrap_or_default();
+        let started_us = self.started_at.elapsed().as_micros() as u64;
         let response = self.client.send(request);
         if let Err(error) = &response {
             log::debug!("{error}");
@@ -260,6 +263,7 @@
                 .is_none_or(|response| is_right(response, &payload.answer())),
             wait_us: field(headers::WAIT_US).and_then(|text| text.parse().ok()),
             latency_us: planned_at.elapsed().as_micros() as u64,
+            started_us,
             ended_us: self.started_at.elapsed().as_micros() as u64,
             cancellation: false,
         }
@@ -310,6 +314,9 @@
             answer_is_right: true,
             wait_us: None,
             latency_us: sent_at.elapsed().as_micros() as u64,
+            started_us: sent_at
+                .saturating_duration_since(self.started_at)
+                .as_micros() as u64,
             ended_us: self.started_at.elapsed().as_micros() as u64,
             cancellation: true,
         });
--- a/src/scheduling/admission.rs
+++ b/src/scheduling/admission.rs
@@ -84,29 +84,43 @@
 }
 
 /// Detects that waiting times stay above a target, as opposed to a short burst.
+///
+/// It begins after an interval in which no request waited less than half of the target, counted
+/// from the first that exceeded the target, and ends after an interval in which none exceeded the
+/// half. Ending it earlier, for example when the queue is empty after shedding, would let the
+/// queue grow to its former length again and again during one flood.
 #[derive(Clone, Debug, Default)]
 pub struct StandingDelay {
     above_since_us: Option<u64>,
+    below_since_us: Option<u64>,
+    standing: bool,
+    recorded_us: u64,
 }
 
 impl StandingDelay {
     /// Records the waiting time of a request that left the queue.
-    pub fn record(&mut self, waited_us: u64, target_us: u64, now_us: u64) {
-        if waited_us < target_us {
+    pub fn record(&mut self, waited_us: u64, target_us: u64, interval_us: u64, now_us: u64) {
+        if now_us.saturating_sub(self.recorded_us) > interval_us {
+            // Nothing left the queue for an interval; what was seen before tells nothing.
+            *self = Self::default();
+        }
+        self.recorded_us = now_us;
+        if waited_us < target_us / 2 {
             self.above_since_us = None;
-        } else {
+            let since_us = *self.below_since_us.get_or_insert(now_us);
+            self.standing &= now_us - since_us < interval_us;
+            return;
+        }
+        self.below_since_us = None;
+        if waited_us >= target_us {
             self.above_since_us.get_or_insert(now_us);
         }
+        let above_us = self.above_since_us.map_or(0, |since_us| now_us - since_us);
+        self.standing |= above_us >= interval_us;
     }
 
-    /// Forgets the delay when the queue has become empty.
-    pub fn clear(&mut self) {
-        self.above_since_us = None;
-    }
-
-    /// Whether every waiting time was above the target for the whole interval.
+    /// Whether requests are to be shed.
     pub fn is_standing(&self, interval_us: u64, now_us: u64) -> bool {
-        self.above_since_us
-            .is_some_and(|since_us| now_us.saturating_sub(since_us) >= interval_us)
+        self.standing && now_us.saturating_sub(self.recorded_us) <= interval_us
     }
 }
--- a/src/scheduling/request_queue.rs
+++ b/src/scheduling/request_queue.rs
@@ -353,12 +353,11 @@
         let target_us = flow.policy.target_delay_ms * 1_000;
         let interval_us = flow.policy.delay_interval_ms * 1_000;
         let waited_us = now_us.saturating_sub(admitted_us);
-        if flow.is_level_empty(entry.level) {
-            return false;
-        }
         let delay = flow.delay_mut(entry.level);
-        delay.record(waited_us, target_us, now_us);
-        delay.is_standing(interval_us, now_us) && waited_us > target_us + interval_us
+        delay.record(waited_us, target_us, interval_us, now_us);
+        delay.is_standing(interval_us, now_us)
+            && waited_us > target_us + interval_us
+            && !flow.is_level_empty(entry.level)
     }
 
     fn start(&mut self, service: usize, entry: Waiting, now_us: u64) -> QueuedRequest {
--- a/src/scheduling/request_queue/admit.rs
+++ b/src/scheduling/request_queue/admit.rs
@@ -22,12 +22,21 @@
         let execution_us = flow.execution.or(&service.execution);
         let entitled = service.share(flow) * 1e6 / execution_us as f64;
         let interval_us = flow.policy.delay_interval_ms * 1_000;
+        let standing_delay = flow.delay(level).is_standing(interval_us, now_us);
+        let measured = flow.starts.per_second(now_us);
+        // A member with a standing delay has shown its rate; slots that count for its share may be
+        // held by other members or be out of order.
+        let starts_per_second = if standing_delay && measured > 0.0 {
+            measured
+        } else {
+            entitled.max(measured)
+        };
         Demand {
             ahead: flow.ahead(level),
-            starts_per_second: entitled.max(flow.starts.per_second(now_us)),
+            starts_per_second,
             execution_ms: execution_us / 1_000,
             remaining_ms: request.deadline.saturating_duration_since(now).as_millis() as u64,
-            standing_delay: flow.delay(level).is_standing(interval_us, now_us),
+            standing_delay,
             target_delay_ms: flow.policy.target_delay_ms,
         }
     }
--- a/src/scheduling/request_queue/flow.rs
+++ b/src/scheduling/request_queue/flow.rs
@@ -172,9 +172,6 @@
     fn removed(&mut self, level: usize) {
         self.queued -= 1;
         self.levels[level].queued -= 1;
-        if self.levels[level].queued == 0 {
-            self.levels[level].delay.clear();
-        }
     }
 
     /// Takes the next request of the member. The caller of a request that is then not started
--- a/src/scheduling/request_queue/policy.rs
+++ b/src/scheduling/request_queue/policy.rs
@@ -40,8 +40,8 @@
             member_weight: 1,
             caller_weight: 1,
             max_queued: 2_000,
-            target_delay_ms: 1_000,
-            delay_interval_ms: 2_000,
+            target_delay_ms: 500,
+            delay_interval_ms: 1_000,
             reserve_deviations: 2.5,
             lower_urgency_turn: 5,
         }
--- a/src/scheduling/request_queue/service.rs
+++ b/src/scheduling/request_queue/service.rs
@@ -11,7 +11,7 @@
 use crate::ids::{MemberId, ServiceName};
 
 /// Largest part of the slots that is kept free.
-const MAX_RESERVE_FRACTION: f64 = 0.25;
+const MAX_RESERVE_FRACTION: f64 = 0.5;
 /// Mean use of slots, in shares, up to which a member may use reserved slots. The mean of a member
 /// that uses 95% of its share exceeds this only rarely by chance.
 const SHARE_TOLERANCE: f64 = 1.05;
