--- a/tests/load_experiment.rs
+++ b/tests/load_experiment.rs
@@ -1,6 +1,6 @@
 //! The experiment tool: reproducible plans, true checks and readable results.
 
-use jujubewinch::agent::executions::Execution;
+use jujubewinch::agent::executions::ReportedExecution;
 use jujubewinch::load::check::check;
 use jujubewinch::load::experiment::Experiment;
 use jujubewinch::load::report::{ExperimentResult, compare};
@@ -31,8 +31,8 @@
     }
 }
 
-fn execution(started_us: u64, ended_us: u64) -> Execution {
-    Execution {
+fn execution(started_us: u64, ended_us: u64) -> ReportedExecution {
+    ReportedExecution {
         task: format!("task-{started_us}"),
         token: "run.0".to_owned(),
         started_us,
