bug: the search for a worker to clear took up to 23 ms in one round

Cause: every 100 ms each member below its share was tried, and each failed try looked at all tasks of 64 workers.

Change: a try ends at a worker where one preemption suffices; after two tries without a result the round goes on, and the next begins with the following members.

--- a/src/scheduling/job_scheduler.rs
+++ b/src/scheduling/job_scheduler.rs
@@ -64,6 +64,8 @@
     /// Feasibility generation for which parked jobs were last checked.
     checked_generation: u64,
     starvation_checked_at: Option<Instant>,
+    /// Position at which the next search for members below their share begins.
+    clearing_offset: usize,
     /// Whether a worker got room since the gang reservation last looked for some.
     room_grew: bool,
     /// Jobs that ended without a reported task end.
@@ -94,6 +96,7 @@
             rescanned_at: None,
             checked_generation: 0,
             starvation_checked_at: None,
+            clearing_offset: 0,
             room_grew: false,
             ended: Vec::new(),
             next_seq: 0,
--- a/src/scheduling/job_scheduler/clearing.rs
+++ b/src/scheduling/job_scheduler/clearing.rs
@@ -15,6 +15,8 @@
 
 /// Workers that are compared when one is to be cleared or drained.
 pub(super) const MIN_SAMPLE: usize = 64;
+/// Searches without a result in one round; each looks at all tasks of the sampled workers.
+const MAX_FAILED_CLEARINGS: usize = 2;
 /// Time that a task which overran its estimate is assumed to go on.
 const OVERRUN: Duration = Duration::from_secs(1);
 
@@ -139,7 +141,12 @@
             return;
         };
         let weight = self.queue.active_weight();
-        for starving in self.queue.starving(arrived_by, weight) {
+        let mut starving = self.queue.starving(arrived_by, weight);
+        // Members for whom no worker could be cleared must not keep the others from their turn.
+        let first = self.clearing_offset % starving.len().max(1);
+        starving.rotate_left(first);
+        let mut failures = 0;
+        for starving in starving {
             let Some(job) = self.jobs.get(&starving.job) else {
                 self.queue.pop(starving.lane);
                 continue;
@@ -152,11 +159,16 @@
                 .values()
                 .any(|drain| drain.job == starving.job);
             let single = self.reserved.values().filter(|drain| !drain.gang).count();
-            if job.is_gang() || served || single >= self.settings.max_reserved_workers {
+            if job.is_gang() || served {
                 continue;
             }
-            self.clear_worker(&starving.job, weight, now, decisions);
+            if single >= self.settings.max_reserved_workers || failures >= MAX_FAILED_CLEARINGS {
+                break;
+            }
+            let cleared = self.clear_worker(&starving.job, weight, now, decisions);
+            failures += usize::from(!cleared);
         }
+        self.clearing_offset = if failures > 0 { first + failures } else { 0 };
     }
 
     /// Reserves the worker on which the fewest resources have to be preempted for a task.
@@ -166,9 +178,9 @@
         weight: u64,
         now: Instant,
         decisions: &mut Vec<Decision>,
-    ) {
+    ) -> bool {
         let Some(job) = self.jobs.get(id) else {
-            return;
+            return false;
         };
         let need = job.spec.resources;
         let mut best = None;
@@ -183,9 +195,12 @@
             {
                 best = Some((worker, tasks));
             }
+            if best.as_ref().is_some_and(|(_, tasks)| tasks.len() <= 1) {
+                break;
+            }
         }
         let Some((worker, tasks)) = best else {
-            return;
+            return false;
         };
         let deadline = self.reserve_worker(worker, id, 1, false, now);
         decisions.push(Decision::Reserve {
@@ -199,6 +214,7 @@
         for (task, measure) in tasks {
             self.preempt(&task, measure, PreemptReason::BelowShare, now, decisions);
         }
+        true
     }
 
     /// Random workers on which the job may run and that are not reserved.
--- a/tests/job_policies.rs
+++ b/tests/job_policies.rs
@@ -262,6 +262,53 @@
     assert_eq!(quarantine.standing(7), Standing::Healthy);
 }
 
+/// Guards against bytes that cross regions although a nearer data centre has room, and against a
+/// task outside the only data centre in which it may run.
+#[test]
+fn tasks_stay_near_their_data() {
+    let cases = [
+        // Preferred data centre, region, bytes, required; data centres in the order of use.
+        (
+            Some("b"),
+            Some("orkhon"),
+            1 << 30,
+            false,
+            vec!["b", "a", "c"],
+        ),
+        (None, Some("khentii"), 1 << 30, false, vec!["c", "a", "b"]),
+        (Some("c"), None, 1 << 30, true, vec!["c"]),
+    ];
+    for (data_centre, region, transfer_bytes, required, expected) in cases {
+        let now = Instant::now();
+        let mut scheduler = JobScheduler::new(SchedulerSettings::default());
+        for (id, region) in [("a", "orkhon"), ("b", "orkhon"), ("c", "khentii")] {
+            let mut description = worker(id, id, resources(4_000, 8_192, 0));
+            description.region = region.into();
+            scheduler.worker_announced(description, &IndexMap::new(), now);
+        }
+        let mut spec = job("near", 0, resources(4_000, 8_192, 0));
+        spec.tasks = 3;
+        spec.preference.data_centre = data_centre.map(str::to_owned);
+        spec.preference.region = region.map(str::to_owned);
+        spec.preference.transfer_bytes = transfer_bytes;
+        spec.preference.required = required;
+        scheduler.submit(spec, now).unwrap();
+        let decisions = scheduler.decide(now, 10);
+        let used = decisions.iter().filter_map(|decision| match decision {
+            Decision::Start(start) => Some(start.worker.as_str()),
+            _ => None,
+        });
+        let used: Vec<&str> = used.collect();
+        let (near, far) = used.split_at(1);
+        assert_eq!(near, &expected[..1]);
+        let mut far = far.to_vec();
+        if region == Some("khentii") {
+            far.sort_unstable();
+        }
+        assert_eq!(far, &expected[1..]);
+    }
+}
+
 /// A full fleet of `workers` workers with four places each, used by one member.
 fn hogged(workers: usize, now: Instant) -> JobScheduler {
     let mut scheduler = JobScheduler::new(SchedulerSettings::default());
