bug: announcements could stop tasks of requests and stretch a lease by the commit time

Cause: the reply to a former incarnation listed every task, tasks of requests included, and the reply gave the whole lease although the commit before it may have taken seconds.

Change: only ids of job tasks are listed; the lease in the reply runs from the announcement.

Figures: with a commit of 3 s and a lease of 5 s the reply now gives 2,000 ms instead of 5,000 ms (tests/job_life.rs).

Conclusion: both cases are covered by a test; the test cell moved to tests/support/cell.rs.

--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -178,9 +178,11 @@
         let epoch = term.epoch;
         self.commit(&mut guard)?;
         let ms = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        // The lease runs from the announcement, also when the commit took long.
+        let spent = self.options.clock.now().saturating_duration_since(now);
         Ok(AnnouncementReply {
             epoch,
-            lease_ms: ms(self.options.lease),
+            lease_ms: ms(self.options.lease.saturating_sub(spent)),
             next_announcement_ms: ms(self.options.announcement_interval),
             stop,
         })
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -140,7 +140,12 @@
         let id = &announcement.worker;
         let known = self.leases.workers.get(id);
         if known.is_some_and(|lease| lease.incarnation > announcement.incarnation) {
-            return announcement.tasks.keys().cloned().collect();
+            // Tasks of requests are listed too; their runner is responsible for them.
+            let tasks = announcement.tasks.keys();
+            return tasks
+                .filter(|task| parse_task_id(task).is_some())
+                .cloned()
+                .collect();
         }
         let lease = WorkerLease {
             address: announcement.address.clone(),
--- a/tests/job_life.rs
+++ b/tests/job_life.rs
@@ -1,251 +1,17 @@
 //! The life of jobs against a journal and workers that can be made to fail.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime};
+mod support;
+
+use std::time::Duration;
 
 use indexmap::IndexMap;
-use jujubewinch::clock::Clock;
-use jujubewinch::ids::{Epoch, TaskId};
-use jujubewinch::placer::job_records::{JobRecord, JobState};
-use jujubewinch::placer::jobs::{
-    JobJournal, JobPlacer, JobPlacerOptions, JobStatus, WorkerCall, WorkerCallError, WorkerClient,
-    WorkerReply, WorkerRequest,
-};
+use jujubewinch::placer::job_records::JobRecord;
+use jujubewinch::placer::jobs::JobStatus;
 use jujubewinch::placer::journal::JournalError;
-use jujubewinch::protocol::caller::Urgency;
-use jujubewinch::protocol::worker::{Announcement, TaskState, WorkerPhase};
-use jujubewinch::resources::Resources;
-use jujubewinch::scheduling::job::{JobSpec, LocationPreference};
-use jujubewinch::scheduling::job_scheduler::{Cancellation, SchedulerSettings};
-use jujubewinch::scheduling::overuse::Measure;
+use jujubewinch::protocol::worker::TaskState;
+use jujubewinch::scheduling::job_scheduler::Cancellation;
 use jujubewinch::verdict::{ErrorCode, Verdict};
-
-const LEASE: Duration = Duration::from_secs(5);
-const MARGIN: Duration = Duration::from_secs(2);
-
-#[derive(Default)]
-struct World {
-    /// Tasks on each worker.
-    workers: IndexMap<String, IndexMap<TaskId, TaskState>>,
-    /// How often each task began to run.
-    begun: IndexMap<TaskId, u32>,
-    /// Answers that are lost after the worker acted.
-    lose_answers: bool,
-    /// Starts sent without a committed intent.
-    uncommitted_starts: u32,
-    calls: Vec<WorkerCall>,
-    fail: Option<JournalError>,
-}
-
-struct Cell {
-    world: Arc<Mutex<World>>,
-    state: Arc<Mutex<JobState>>,
-    epoch: Arc<AtomicU64>,
-    elapsed_ms: Arc<AtomicU64>,
-    placer: JobPlacer,
-}
-
-fn job(id: &str, kind: &str, tasks: u32, at_most_once: bool) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        kind: kind.into(),
-        member: "tuul".into(),
-        caller: "nightly".into(),
-        workload: "wheel-rendering".into(),
-        tasks,
-        resources: resources(4_000, 8_192),
-        expected_run_ms: Some(10_000),
-        urgency: Urgency::Normal,
-        at_most_once,
-        preference: LocationPreference::default(),
-        payload: b"wheel 12".to_vec(),
-    }
-}
-
-fn resources(cpu_millis: u64, memory_mib: u64) -> Resources {
-    Resources {
-        cpu_millis,
-        memory_mib,
-        accelerators: 0,
-    }
-}
-
-impl Cell {
-    fn new(workers: &[&str]) -> Self {
-        let world = Arc::new(Mutex::new(World::default()));
-        let state = Arc::new(Mutex::new(JobState::default()));
-        let (epoch, elapsed_ms) = (Arc::new(AtomicU64::new(1)), Arc::new(AtomicU64::new(0)));
-        let placer = placer(&world, &state, &epoch, &elapsed_ms);
-        for worker in workers {
-            world
-                .lock()
-                .unwrap()
-                .workers
-                .insert((*worker).into(), IndexMap::new());
-        }
-        let cell = Self {
-            world,
-            state,
-            epoch,
-            elapsed_ms,
-            placer,
-        };
-        cell.announce_all();
-        cell.advance(LEASE);
-        cell.announce_all();
-        cell
-    }
-
-    /// Another host becomes the placer with the committed records.
-    fn change_placer(&mut self) {
-        self.epoch.fetch_add(1, Ordering::SeqCst);
-        self.placer = placer(&self.world, &self.state, &self.epoch, &self.elapsed_ms);
-    }
-
-    fn announce(&self, worker: &str) {
-        let tasks = self.world.lock().unwrap().workers[worker].clone();
-        let announcement = Announcement {
-            worker: worker.into(),
-            incarnation: 1,
-            data_centre: "erdenet".into(),
-            rack: "rack-1".into(),
-            address: "127.0.0.1:17900".into(),
-            resources: resources(16_000, 32_768),
-            runner: None,
-            phase: WorkerPhase::Up,
-            tasks,
-            usage: IndexMap::new(),
-            highest_epoch: 0,
-        };
-        self.placer.announce(&announcement).unwrap();
-    }
-
-    fn announce_all(&self) {
-        let workers: Vec<String> = self.world.lock().unwrap().workers.keys().cloned().collect();
-        for worker in workers {
-            self.announce(&worker);
-        }
-    }
-
-    fn advance(&self, by: Duration) {
-        self.elapsed_ms
-            .fetch_add(by.as_millis() as u64, Ordering::SeqCst);
-    }
-
-    /// Announcements of these workers and rounds of the placer, each half a second.
-    fn run(&self, seconds: u64, announcing: &[&str]) {
-        for _ in 0..seconds * 2 {
-            self.advance(Duration::from_millis(500));
-            for worker in announcing {
-                self.announce(worker);
-            }
-            for call in self.placer.tick().unwrap() {
-                self.placer.perform(&call).unwrap();
-            }
-        }
-    }
-
-    fn begun(&self, job: &str) -> Vec<(TaskId, u32)> {
-        let world = self.world.lock().unwrap();
-        let begun = world.begun.iter().filter(|(task, _)| task.starts_with(job));
-        begun.map(|(task, count)| (task.clone(), *count)).collect()
-    }
-
-    fn finish_all(&self, state: TaskState) {
-        for tasks in self.world.lock().unwrap().workers.values_mut() {
-            for running in tasks
-                .values_mut()
-                .filter(|state| **state == TaskState::Running)
-            {
-                *running = state;
-            }
-        }
-    }
-}
-
-fn placer(
-    world: &Arc<Mutex<World>>,
-    state: &Arc<Mutex<JobState>>,
-    epoch: &Arc<AtomicU64>,
-    elapsed_ms: &Arc<AtomicU64>,
-) -> JobPlacer {
-    let own_epoch = epoch.load(Ordering::SeqCst);
-    let (base, elapsed) = (Instant::now(), Arc::clone(elapsed_ms));
-    let now = move || base + Duration::from_millis(elapsed.load(Ordering::SeqCst));
-    let (applied, failing) = (Arc::clone(state), Arc::clone(world));
-    let (current, sent, committed) = (Arc::clone(epoch), Arc::clone(world), Arc::clone(state));
-    JobPlacer::new(JobPlacerOptions {
-        data_centre: "erdenet".into(),
-        region: "orkhon".into(),
-        lease: LEASE,
-        clock_margin: MARGIN,
-        announcement_interval: Duration::from_secs(1),
-        max_starts_per_s: 50,
-        scheduler: SchedulerSettings::default(),
-        teams: Vec::new(),
-        clock: Clock::new(now, || SystemTime::UNIX_EPOCH),
-        journal: JobJournal {
-            append: Arc::new(move |records| {
-                if let Some(error) = failing.lock().unwrap().fail.clone() {
-                    return Err(error);
-                }
-                let mut state = applied.lock().unwrap();
-                records.into_iter().for_each(|record| state.apply(record));
-                Ok(())
-            }),
-            epoch: Arc::new(move || {
-                (current.load(Ordering::SeqCst) == own_epoch).then_some(own_epoch as Epoch)
-            }),
-            state: Arc::clone(state),
-        },
-        client: WorkerClient {
-            send: Arc::new(move |call| {
-                let intended = committed
-                    .lock()
-                    .unwrap()
-                    .jobs
-                    .get(&call.job)
-                    .is_some_and(|entry| entry.running.contains_key(&call.task));
-                answer(&mut sent.lock().unwrap(), call, intended)
-            }),
-        },
-    })
-}
-
-/// What a worker does with a call, following section 7.2 of the design.
-fn answer(
-    world: &mut World,
-    call: &WorkerCall,
-    intended: bool,
-) -> Result<WorkerReply, WorkerCallError> {
-    world.calls.push(call.clone());
-    let tasks = world
-        .workers
-        .get_mut(&call.worker)
-        .expect("the worker exists");
-    let known = tasks.get(&call.task).copied();
-    let state = match (&call.request, known) {
-        (WorkerRequest::Start { .. }, None) => {
-            world.uncommitted_starts += u32::from(!intended);
-            *world.begun.entry(call.task.clone()).or_default() += 1;
-            TaskState::Running
-        }
-        (WorkerRequest::Apply(Measure::Stop) | WorkerRequest::Cancel, Some(TaskState::Running)) => {
-            TaskState::Stopped
-        }
-        (_, None) => TaskState::NeverStarted,
-        (_, Some(state)) => state,
-    };
-    tasks.insert(call.task.clone(), state);
-    if call.request == WorkerRequest::Forget {
-        tasks.swap_remove(&call.task);
-    }
-    if world.lose_answers {
-        return Err(WorkerCallError::NoAnswer("connection closed".into()));
-    }
-    Ok(WorkerReply::State(state))
-}
+use support::cell::{Cell, job};
 
 /// Guards against telling a caller that a job is accepted although no record of it is committed.
 #[test]
@@ -401,6 +167,37 @@
     }
 }
 
+/// Guards against stopping tasks of requests, which a worker that is a runner lists as well, and
+/// against a lease that the reply extends by the time of a slow commit.
+#[test]
+fn announcements_of_runners_and_slow_commits() {
+    let cell = Cell::new(&["worker-1"]);
+    let request = "0123456789abcdef0123456789abcdef".to_owned();
+    let mut announcement = cell.announcement("worker-1");
+    announcement.tasks.insert(request, TaskState::Running);
+    announcement
+        .tasks
+        .insert("unknown-0-0".into(), TaskState::Running);
+    for incarnation in [1, 0] {
+        announcement.incarnation = incarnation;
+        assert_eq!(
+            cell.placer.announce(&announcement).unwrap().stop,
+            ["unknown-0-0"]
+        );
+    }
+    cell.placer
+        .submit(job("render", "batch", 1, false))
+        .unwrap();
+    cell.run(1, &["worker-1"]);
+    cell.finish_all(TaskState::Succeeded);
+    cell.world.lock().unwrap().commit_takes = Duration::from_secs(3);
+    let reply = cell
+        .placer
+        .announce(&cell.announcement("worker-1"))
+        .unwrap();
+    assert_eq!(reply.lease_ms, 2_000);
+}
+
 /// Guards against a burst of starts when a new placer takes over a long queue.
 #[test]
 fn recovery_starts_at_a_bounded_rate() {
