feature: a member counts for the shares of others for a second after its last request

Cause: in small cells the other members are often without requests for a moment, and the share of a flooding member grew each time.

Change: shares are computed with members that had requests within the last second.

--- a/src/scheduling/request_queue.rs
+++ b/src/scheduling/request_queue.rs
@@ -414,7 +414,8 @@
     }
 
     fn forget_flow(&mut self, id: usize) {
-        let flow = self.flows.remove(id);
+        let mut flow = self.flows.remove(id);
+        self.services[flow.service].end_lingering(&mut flow);
         self.services[flow.service]
             .flow_ids
             .swap_remove(&flow.member);
--- a/src/scheduling/request_queue/flow.rs
+++ b/src/scheduling/request_queue/flow.rs
@@ -66,6 +66,8 @@
     pub queued: usize,
     /// Whether its weight counts among the active members of the service.
     pub counted: bool,
+    /// Until when it counts for the shares of others although it has no requests.
+    pub lingers_until_us: Option<u64>,
     levels: [Level; LEVELS],
     callers: Slab<Caller>,
     caller_ids: IndexMap<CallerId, usize>,
@@ -90,6 +92,7 @@
             mean_running: MeanRunning::default(),
             queued: 0,
             counted: false,
+            lingers_until_us: None,
             levels: Default::default(),
             callers: Slab::new(),
             caller_ids: IndexMap::new(),
--- a/src/scheduling/request_queue/service.rs
+++ b/src/scheduling/request_queue/service.rs
@@ -1,6 +1,6 @@
 //! Members that compete for the slots of one service.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use indexmap::IndexMap;
 use slab::Slab;
@@ -18,6 +18,9 @@
 /// Multiple of the square root of its share by which a member may exceed it for a short time, in
 /// proportion to what its mean use leaves. Three cover the fluctuation of independent requests.
 const OVERSHOOT_DEVIATIONS: f64 = 3.0;
+/// Time for which a member counts for the shares of the others after its last request. Without it
+/// their shares would grow whenever the member has nothing to do for a moment.
+const LINGER_US: u64 = 1_000_000;
 /// Use of slots by other members below which nothing is kept free for them.
 const MIN_MEAN_RUNNING: f64 = 0.01;
 /// Members looked at when those above their share must leave slots free.
@@ -45,6 +48,12 @@
     floor: u64,
     /// Weights of the flows that have requests.
     active_weight: u64,
+    /// Weights of the flows that had requests within `LINGER_US` and have none now.
+    lingering_weight: u64,
+    /// Ends of lingering, in order; an entry counts only while the flow has the same end.
+    lingering: VecDeque<(u64, usize)>,
+    /// Time of the latest start, end or choice.
+    now_us: u64,
 }
 
 impl ServiceQueue {
@@ -60,6 +69,9 @@
             idle: BTreeSet::new(),
             floor: 0,
             active_weight: 0,
+            lingering_weight: 0,
+            lingering: VecDeque::new(),
+            now_us: 0,
         }
     }
 
@@ -69,6 +81,7 @@
 
     /// Takes note of the number of running requests of the service and of a flow.
     pub(super) fn running_changed(&mut self, flow: &mut Flow, now_us: u64) {
+        self.now_us = now_us;
         self.mean_running.change(self.running, now_us);
         let running = flow.usage.running();
         flow.mean_running.change(running, now_us);
@@ -81,23 +94,51 @@
             flow.virtual_time = flow.virtual_time.max(self.floor);
             self.waiting.insert((flow.virtual_time, id));
         }
-        self.count(flow);
+        self.count(id, flow);
     }
 
-    /// Keeps `active_weight` in step with the flow.
-    pub(super) fn count(&mut self, flow: &mut Flow) {
+    /// Keeps `active_weight` and `lingering_weight` in step with the flow.
+    pub(super) fn count(&mut self, id: usize, flow: &mut Flow) {
         let weight = u64::from(flow.policy.member_weight.max(1));
         let active = flow.queued > 0 || flow.usage.running() > 0;
         if active && !flow.counted {
             self.active_weight += weight;
+            self.end_lingering(flow);
         } else if !active && flow.counted {
             self.active_weight -= weight;
+            let until_us = self.now_us + LINGER_US;
+            flow.lingers_until_us = Some(until_us);
+            self.lingering_weight += weight;
+            self.lingering.push_back((until_us, id));
         }
         flow.counted = active;
     }
 
+    /// Takes the flow out of the lingering ones, also before it is forgotten.
+    pub(super) fn end_lingering(&mut self, flow: &mut Flow) {
+        if flow.lingers_until_us.take().is_some() {
+            self.lingering_weight -= u64::from(flow.policy.member_weight.max(1));
+        }
+    }
+
+    fn advance_time(&mut self, flows: &mut Slab<Flow>, now_us: u64) {
+        self.now_us = now_us;
+        while let Some(&(until_us, id)) = self.lingering.front() {
+            if until_us > now_us {
+                return;
+            }
+            self.lingering.pop_front();
+            if let Some(flow) = flows.get_mut(id)
+                && flow.lingers_until_us == Some(until_us)
+            {
+                self.end_lingering(flow);
+            }
+        }
+    }
+
     /// Replaces the figures of a flow.
     pub(super) fn change_policy(&mut self, flow: &mut Flow, policy: RequestPolicy) {
+        self.end_lingering(flow);
         if flow.counted {
             self.active_weight -= u64::from(flow.policy.member_weight.max(1));
             self.active_weight += u64::from(policy.member_weight.max(1));
@@ -108,7 +149,9 @@
     /// Slots that the flow is entitled to while all active members want theirs.
     pub(super) fn share(&self, flow: &Flow) -> f64 {
         let weight = u64::from(flow.policy.member_weight.max(1));
-        let others = self.active_weight - if flow.counted { weight } else { 0 };
+        let own_counts = flow.counted || flow.lingers_until_us.is_some();
+        let own = if own_counts { weight } else { 0 };
+        let others = self.active_weight + self.lingering_weight - own;
         f64::from(self.slots) * weight as f64 / (others + weight) as f64
     }
 
@@ -123,6 +166,7 @@
 
     /// Chooses the flow that gets a free slot.
     pub(super) fn choose(&mut self, flows: &mut Slab<Flow>, now_us: u64) -> Option<usize> {
+        self.advance_time(flows, now_us);
         self.settle_first(flows, now_us);
         let mut emptied = Vec::new();
         let mut chosen = None;
@@ -199,7 +243,7 @@
         if flow.usage.running() == 0 {
             self.idle.insert((flow.virtual_time, id));
         }
-        self.count(flow);
+        self.count(id, flow);
     }
 
     /// Whether no request waits or runs.
