feature: policy figures of a request in one struct

Cause: admission control needs the figures of a member, caller and service, and each reader would look them up with a subject of its own. Change: RequestPolicy::of takes all of them from one version. New figures caller.weight and request.max_queued_per_caller. The retry budgets of member and service are looked up apart, so that neither exception widens the other. Conclusion: nothing reads the struct yet.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -13,6 +13,7 @@
 pub mod log;
 pub mod machine;
 pub mod policy;
+pub mod request_policy;
 pub mod scope;
 pub mod snapshot;
 #[cfg(test)]
--- a/src/configuration/figures.rs
+++ b/src/configuration/figures.rs
@@ -14,6 +14,17 @@
     description: "requests of one member that may wait at one placer",
 };
 
+/// Bound of a caller's queue at one placer.
+pub static MAX_QUEUED_PER_CALLER: Figure = Figure {
+    name: "request.max_queued_per_caller",
+    unit: Unit::Requests,
+    default: 2_000,
+    min: 1,
+    max: 1_000_000,
+    scopes: &[ScopeKind::Member, ScopeKind::Caller],
+    description: "requests of one caller that may wait at one placer",
+};
+
 /// Queueing delay above which admission control refuses requests.
 pub static MAX_QUEUE_DELAY_MS: Figure = Figure {
     name: "request.max_queue_delay_ms",
@@ -58,6 +69,17 @@
     description: "share relative to other members, for members without a team",
 };
 
+/// Share of a caller within its member.
+pub static CALLER_WEIGHT: Figure = Figure {
+    name: "caller.weight",
+    unit: Unit::Weight,
+    default: 1,
+    min: 1,
+    max: 10_000,
+    scopes: &[ScopeKind::Member, ScopeKind::Caller],
+    description: "share relative to other callers of the same member",
+};
+
 /// Duration of a gang's reservation.
 pub static GANG_RESERVATION_MS: Figure = Figure {
     name: "job.gang_reservation_ms",
@@ -81,6 +103,8 @@
 };
 
 inventory::submit! { RegisteredFigure(&MAX_QUEUED_PER_MEMBER) }
+inventory::submit! { RegisteredFigure(&MAX_QUEUED_PER_CALLER) }
+inventory::submit! { RegisteredFigure(&CALLER_WEIGHT) }
 inventory::submit! { RegisteredFigure(&MAX_QUEUE_DELAY_MS) }
 inventory::submit! { RegisteredFigure(&URGENT_SHARE_PERCENT) }
 inventory::submit! { RegisteredFigure(&RETRY_BUDGET_PERCENT) }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -6,17 +6,79 @@
 
 use jujubewinch::clock::Clock;
 use jujubewinch::configuration::Configuration;
-use jujubewinch::configuration::change::{Change, NewToken, Role};
+use jujubewinch::configuration::change::{Change, NewToken, Quota, Role, Team};
 use jujubewinch::configuration::digest::Sha256Digest;
-use jujubewinch::configuration::figures::{MAX_QUEUED_PER_MEMBER, RETRY_BUDGET_PERCENT};
+use jujubewinch::configuration::figures::{
+    CALLER_WEIGHT, MAX_QUEUE_DELAY_MS, MAX_QUEUED_PER_CALLER, MAX_QUEUED_PER_MEMBER, MEMBER_WEIGHT,
+    RETRY_BUDGET_PERCENT, URGENT_SHARE_PERCENT,
+};
 use jujubewinch::configuration::identity::{SETTINGS_OPERATOR, authenticate, bearer_token};
-use jujubewinch::configuration::policy;
+use jujubewinch::configuration::policy::{self, Figure};
+use jujubewinch::configuration::request_policy::RequestPolicy;
 use jujubewinch::configuration::scope::{DrainTarget, Scope, Subject};
 use jujubewinch::configuration::snapshot::Source;
 use jujubewinch::verdict::ErrorCode;
 
 use support::{command, configuration, default_change, exception};
 
+/// Guards against a part of a request's policy that is looked up for the wrong subject.
+#[test]
+fn the_policy_of_a_request_is_taken_from_one_version() {
+    let exception = |figure: &Figure, scope: &str, value| Change::AddException {
+        figure: figure.name.to_owned(),
+        scope: scope.parse().unwrap(),
+        value,
+        expires_at_unix_ms: None,
+    };
+    let snapshot = configuration(vec![
+        exception(&MEMBER_WEIGHT, "member:tuul", 3),
+        exception(&CALLER_WEIGHT, "caller:tuul/desk", 5),
+        exception(&MAX_QUEUED_PER_CALLER, "member:tuul", 70),
+        exception(&MAX_QUEUE_DELAY_MS, "service:quotes", 900),
+        exception(&RETRY_BUDGET_PERCENT, "member:tuul", 11),
+        exception(&RETRY_BUDGET_PERCENT, "service:quotes", 12),
+        Change::SetTeam(Team {
+            member: "lowell".to_owned(),
+            weight: 40,
+            quota: Quota {
+                request_slots: Some(6),
+                ..Quota::default()
+            },
+        }),
+    ])
+    .read();
+    let built_in = RequestPolicy::of(&snapshot, "other", None, "cuts", 0);
+    let expected = RequestPolicy {
+        member_weight: 3,
+        caller_weight: 5,
+        max_queued_per_caller: 70,
+        max_queue_delay_ms: 900,
+        member_retry_percent: 11,
+        service_retry_percent: 12,
+        ..built_in
+    };
+    let policy = RequestPolicy::of(&snapshot, "tuul", Some("desk"), "quotes", 0);
+    assert_eq!(policy, expected);
+    let expected = RequestPolicy {
+        member_weight: 40,
+        request_slots: Some(6),
+        ..built_in
+    };
+    let policy = RequestPolicy::of(&snapshot, "lowell", Some("desk"), "cuts", 0);
+    assert_eq!(policy, expected);
+    let figures = [
+        (built_in.member_weight, &MEMBER_WEIGHT),
+        (built_in.caller_weight, &CALLER_WEIGHT),
+        (built_in.max_queued_per_member, &MAX_QUEUED_PER_MEMBER),
+        (built_in.max_queue_delay_ms, &MAX_QUEUE_DELAY_MS),
+        (built_in.urgent_share_percent, &URGENT_SHARE_PERCENT),
+        (built_in.service_retry_percent, &RETRY_BUDGET_PERCENT),
+    ];
+    for (value, figure) in figures {
+        assert_eq!(value, figure.default, "{}", figure.name);
+    }
+}
+
 /// Guards against the wrong exception deciding, and against one that counts after its expiry.
 #[test]
 fn the_narrowest_exception_in_effect_decides() {
