feature: operators list and change the replicas of the configuration log

Cause: a voter with a failed disk could not be seen nor replaced; draining a worker had no effect on the placer; a restarted host served with an older version than it had applied until the log arrived; a host that was cut off went on to report a quorum. Change: calls below /v1/replicas and the subcommand replica (list, add, promote, remove, replace), with checks of the quorum against hosts that answer now. The placer gives drained workers no work. A host is ready once it has the version of the leader. has_quorum needs a leader that was heard within the election timeout. LinkConditions simulate delays and cuts for tests.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -2,6 +2,7 @@
 
 pub mod changes;
 pub mod reads;
+pub mod replicas;
 pub mod routes;
 pub mod sources;
 pub mod validation;
--- a/src/admin/changes.rs
+++ b/src/admin/changes.rs
@@ -248,7 +248,7 @@
 
 /// With authentication on the author is the holder of the token, so that nobody can write an
 /// audit entry in another's name.
-fn author(call: &Call<'_>, named: Option<String>) -> Result<String, RequestError> {
+pub(super) fn author(call: &Call<'_>, named: Option<String>) -> Result<String, RequestError> {
     let Some(identity) = &call.identity else {
         return Ok(named.unwrap_or_else(|| ANONYMOUS_AUTHOR.to_owned()));
     };
--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -2,7 +2,7 @@
 
 use percent_encoding::percent_decode_str;
 
-use super::{Admin, Call, changes, reads};
+use super::{Admin, Call, changes, reads, replicas};
 use crate::configuration::change::Role;
 use crate::http::Response;
 use crate::verdict::RequestError;
@@ -108,6 +108,11 @@
     read("/v1/audit/verify", &[], reads::verify_audit),
     read("/v1/changes/{change_id}", &[], changes::status),
     read("/v1/configuration/status", &[], reads::status),
+    read("/v1/replicas", &[], replicas::list),
+    change("POST", "/v1/replicas/{host}/add", replicas::add),
+    change("POST", "/v1/replicas/{host}/promote", replicas::promote),
+    change("POST", "/v1/replicas/{host}/remove", replicas::remove),
+    change("POST", "/v1/replicas/{host}/replace", replicas::replace),
     read("/v1/hosts", &[], reads::hosts),
     read("/v1/fleet", &[], reads::fleet),
     read("/v1/queue", &[], reads::queue),
--- a/src/admin/sources.rs
+++ b/src/admin/sources.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::replicas::ReplicaControl;
 use crate::ids::{ConfigVersion, DataCentreName, HostId, MemberId, RegionName};
 use crate::protocol::worker::Announcement;
 
@@ -13,6 +14,8 @@
 /// Closures that read the state of other parts of the entry host.
 #[derive(Clone)]
 pub struct AdminSources {
+    /// Replicas of the configuration log; `None` when the cell has none.
+    pub replicas: Option<ReplicaControl>,
     /// Whether the host wants callers.
     pub ready: Source<bool>,
     /// Entry hosts of the cell.
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -9,6 +9,7 @@
 mod exception;
 mod fleet;
 mod load;
+mod replica;
 mod request;
 mod runner;
 mod serve;
@@ -82,6 +83,7 @@
                 undrain::subcommand(),
                 audit::subcommand(),
                 fleet::subcommand(),
+                replica::subcommand(),
             ],
         ),
         (
--- a/src/commands/administration.rs
+++ b/src/commands/administration.rs
@@ -8,6 +8,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use hyper::Method;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::de::DeserializeOwned;
 use serde_json::{Map, Value, json};
 
 use super::CommandError;
@@ -56,20 +57,28 @@
         )
 }
 
+/// Adds the reason, which every change needs.
+pub(super) fn with_reason(command: Command) -> Command {
+    command.arg(
+        Arg::new("reason")
+            .long("reason")
+            .required(true)
+            .help("Why; others read it in the audit trail"),
+    )
+}
+
+/// Adds the author.
+pub(super) fn with_author(command: Command) -> Command {
+    command.arg(
+        Arg::new("author")
+            .long("author")
+            .help("Author, where authentication is off; USER by default"),
+    )
+}
+
 /// Adds the options of calls that change the configuration.
 pub(super) fn with_change(command: Command) -> Command {
-    with_connection(command)
-        .arg(
-            Arg::new("reason")
-                .long("reason")
-                .required(true)
-                .help("Why; others read it in the audit trail"),
-        )
-        .arg(
-            Arg::new("author")
-                .long("author")
-                .help("Author, where authentication is off; USER by default"),
-        )
+    with_author(with_reason(with_connection(command)))
         .arg(
             Arg::new("dry-run")
                 .long("dry-run")
@@ -232,11 +241,7 @@
             Some(version) => *version,
             None => self.version()?,
         };
-        let author = matches.get_one::<String>("author").cloned();
-        let author = author.or_else(|| {
-            let user = std::env::var("USER").ok();
-            user.filter(|user| self.token.is_none() && !user.is_empty())
-        });
+        let author = self.author(matches);
         let mut body = match fields {
             Value::Object(fields) => fields,
             _ => Map::new(),
@@ -252,6 +257,35 @@
         Ok(Value::Object(body).to_string().into_bytes())
     }
 
+    /// Author to name in a change; with a token the host knows it.
+    pub fn author(&self, matches: &ArgMatches) -> Option<String> {
+        let named = matches.get_one::<String>("author").cloned();
+        named.or_else(|| {
+            let user = std::env::var("USER").ok();
+            user.filter(|user| self.token.is_none() && !user.is_empty())
+        })
+    }
+
+    /// Makes a call that is no change of the configuration and whose answer has a form of its own
+    /// with every status.
+    pub fn operate<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &Value,
+        timeout: Duration,
+    ) -> Result<T, CommandError> {
+        let bytes = body.to_string().into_bytes();
+        match self.send_within(Method::POST, path, Some(&bytes), timeout) {
+            Ok(response) => serde_json::from_slice(&response.body).map_err(|_| refusal(&response)),
+            Err(error @ ClientError::NotSent { .. }) => Err(failed(&error)),
+            Err(error) => {
+                let message = format!("the operation may have been carried out: {error}");
+                let error = RequestError::may_have_run(ErrorCode::Unavailable, message);
+                Err(CommandError::Request(error))
+            }
+        }
+    }
+
     fn version(&self) -> Result<u64, CommandError> {
         let status = self.get("/v1/configuration/status", &[])?;
         status["version"]
@@ -264,9 +298,19 @@
         method: Method,
         path: &str,
         body: Option<&[u8]>,
+    ) -> Result<ClientResponse, ClientError> {
+        self.send_within(method, path, body, EXCHANGE_TIMEOUT)
+    }
+
+    fn send_within(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&[u8]>,
+        timeout: Duration,
     ) -> Result<ClientResponse, ClientError> {
         let url = format!("http://{}{path}", self.address);
-        let mut request = ClientRequest::new(method, url, Instant::now() + EXCHANGE_TIMEOUT);
+        let mut request = ClientRequest::new(method, url, Instant::now() + timeout);
         if let Some(token) = &self.token {
             request = request.header(headers::AUTHORIZATION, format!("Bearer {token}"));
         }
--- a/src/configuration/log.rs
+++ b/src/configuration/log.rs
@@ -29,8 +29,11 @@
     pub voters: Vec<HostId>,
     /// Index of the last entry that this host applied.
     pub applied_index: u64,
-    /// Whether this host can reach a majority of the voters, as far as it knows.
+    /// Whether this host leads, or heard from a leader within the election timeout. Otherwise it
+    /// may be behind.
     pub has_quorum: bool,
+    /// Time since this host heard from a leader.
+    pub leader_heard_age_ms: Option<u64>,
 }
 
 /// Appends a command and returns the output of the state machine once it is applied here.
@@ -104,6 +107,7 @@
                 voters: vec![host.clone()],
                 applied_index: status_applied.load(Ordering::Acquire),
                 has_quorum: true,
+                leader_heard_age_ms: Some(0),
             }),
         }
     }
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -4,6 +4,8 @@
 mod configuration_log;
 mod placement_log;
 mod replica_calls;
+mod replica_operations;
+mod replica_reports;
 
 use std::io;
 use std::net::SocketAddr;
@@ -23,7 +25,7 @@
 use crate::membership::agent::MembershipPeer;
 use crate::membership::{HostView, MembershipAgent, MembershipOptions, ProbeTiming};
 use crate::options::Settings;
-use crate::peer::{PeerClient, PeerClientOptions, PeerServer};
+use crate::peer::{LinkConditions, PeerClient, PeerClientOptions, PeerServer};
 use crate::placer::links::http_exchange;
 use crate::placer::{Placer, PlacerOptions};
 use crate::protocol::caller::Submission;
@@ -35,6 +37,15 @@
 /// Time for passing the leadership of the placement log on during a shutdown.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What tests and measurements choose beside the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Conditions {
+    /// Simulated conditions of the links to other hosts.
+    pub links: Option<Arc<LinkConditions>>,
+    /// Entries after which the configuration log takes a snapshot.
+    pub max_configuration_log_entries: Option<u64>,
+}
+
 /// A running entry host.
 pub struct EntryHost {
     settings: Settings,
@@ -56,13 +67,24 @@
     ///
     /// The error of binding a listener.
     pub fn start(settings: Settings) -> io::Result<Self> {
+        Self::start_under(settings, Conditions::default())
+    }
+
+    /// Starts a host under conditions that tests and measurements choose.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding a listener.
+    pub fn start_under(settings: Settings, conditions: Conditions) -> io::Result<Self> {
+        let links = conditions.links.clone();
         let this = settings.this_host().clone();
-        let remote = remote_hosts(&settings);
+        let remote = remote_hosts(&settings, links.as_ref());
         let (placement, journal) = PlacementLogs::start(&settings, &remote);
         let placement = Arc::new(placement);
         let operator_token = settings.cell.operator_token_sha256;
         let configuration = Configuration::new(operator_token, Clock::system());
-        let configuration_replica = start_configuration(&settings, &remote, &configuration)?;
+        let configuration_replica =
+            start_configuration(&settings, &remote, &configuration, &conditions)?;
         let configuration_log = match &configuration_replica {
             Some(replica) => replica.log(),
             None => ConfigurationLog::in_memory(Arc::clone(&configuration), this.id.clone()),
@@ -75,6 +97,14 @@
             journal,
             exchange: http_exchange(),
         });
+        let (drains, caught_up) = (Arc::clone(&configuration), configuration_replica.clone());
+        placer.observe_drains(Box::new(move |worker| {
+            // A placer that does not know the drains yet must not send work to a drained worker.
+            let known = caught_up
+                .as_ref()
+                .is_none_or(|replica| replica.is_caught_up());
+            !known || drains.read().is_worker_drained(worker)
+        }));
         let joining = configuration_replica.clone();
         let gateway = Arc::new(Gateway {
             router: Router {
@@ -88,12 +118,14 @@
             configuration: Arc::clone(&configuration),
             timing: settings.timing.clone(),
             is_configured: Box::new(move || {
-                joining.as_ref().is_none_or(|replica| replica.has_joined())
+                joining
+                    .as_ref()
+                    .is_none_or(|replica| replica.is_caught_up())
             }),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
-        let membership = start_membership(&settings)?;
+        let membership = start_membership(&settings, links)?;
         let incoming = Incoming {
             placer: Arc::clone(&placer),
             placement: Arc::clone(&placement),
@@ -230,16 +262,25 @@
     settings: &Settings,
     remote: &IndexMap<String, Vec<RemoteHost>>,
     configuration: &Arc<Configuration>,
+    conditions: &Conditions,
 ) -> io::Result<Option<Arc<ConfigurationReplica>>> {
     if !settings.cell.hosts.iter().any(|host| host.votes) {
         return Ok(None);
     }
-    let started = ConfigurationReplica::start(settings, remote, configuration);
+    let started = ConfigurationReplica::start(
+        settings,
+        remote,
+        configuration,
+        conditions.max_configuration_log_entries,
+    );
     started.map(Some).map_err(io::Error::other)
 }
 
 /// Starts failure detection on the UDP port with the number of the peer listener.
-fn start_membership(settings: &Settings) -> io::Result<Arc<MembershipAgent>> {
+fn start_membership(
+    settings: &Settings,
+    links: Option<Arc<LinkConditions>>,
+) -> io::Result<Arc<MembershipAgent>> {
     let others = settings
         .cell
         .hosts
@@ -259,11 +300,15 @@
         keys: settings.security.keys(),
         timing: ProbeTiming::default(),
         seed: rand::random(),
+        links,
     })?;
     Ok(Arc::new(agent))
 }
 
-fn remote_hosts(settings: &Settings) -> IndexMap<String, Vec<RemoteHost>> {
+fn remote_hosts(
+    settings: &Settings,
+    links: Option<&Arc<LinkConditions>>,
+) -> IndexMap<String, Vec<RemoteHost>> {
     let mut remote: IndexMap<String, Vec<RemoteHost>> = IndexMap::new();
     for host in &settings.cell.hosts {
         if host.id == settings.host.id {
@@ -275,6 +320,7 @@
             address: host.peers,
             keys: settings.security.keys(),
             scope: settings.scope_of(host).to_owned(),
+            links: links.cloned(),
         });
         let entry = RemoteHost {
             id: host.id.clone(),
--- a/src/entry_host/administration.rs
+++ b/src/entry_host/administration.rs
@@ -5,6 +5,7 @@
 
 use super::configuration_log::ConfigurationReplica;
 use crate::admin::Admin;
+use crate::admin::replicas::ReplicaControl;
 use crate::admin::sources::{AdminSources, AppliedVersion, HostStatus, QueueStatus};
 use crate::clock::Clock;
 use crate::configuration::Configuration;
@@ -31,7 +32,7 @@
     observed: Observed,
 ) -> Admin {
     warn_without_operator(settings, configuration);
-    if settings.cell.hosts.len() > 1 {
+    if settings.cell.hosts.len() > 1 && observed.configuration.is_none() {
         ::log::warn!(
             "the configuration is kept in the memory of this host: changes reach no other host \
              and are lost when it restarts"
@@ -74,7 +75,9 @@
     let hosts = host_list(settings);
     let this = settings.this_host().clone();
     let configuration = Arc::clone(configuration);
+    let replicas = replica_control(&observed);
     AdminSources {
+        replicas,
         ready: Arc::new(move || ready.is_ready()),
         hosts: Arc::new(move || with_liveness(&hosts, &observed.membership)),
         applied_versions: Arc::new(move || {
@@ -109,6 +112,23 @@
     }
 }
 
+fn replica_control(observed: &Observed) -> Option<ReplicaControl> {
+    let listing = observed.configuration.clone()?;
+    let (changing, membership) = (Arc::clone(&listing), Arc::clone(&observed.membership));
+    Some(ReplicaControl {
+        list: Arc::new(move || {
+            let views = membership.views();
+            let mut replicas = listing.replicas();
+            for replica in &mut replicas {
+                let view = views.iter().find(|view| view.host == replica.host);
+                replica.liveness = view.map(|view| view.state);
+            }
+            replicas
+        }),
+        change: Arc::new(move |operation| changing.change_members(operation)),
+    })
+}
+
 fn with_liveness(hosts: &[HostStatus], membership: &MembershipAgent) -> Vec<HostStatus> {
     let mut hosts = hosts.to_vec();
     for host in &mut hosts {
--- a/src/entry_host/configuration_log.rs
+++ b/src/entry_host/configuration_log.rs
@@ -1,5 +1,6 @@
 //! The replicated configuration log of the cell.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -8,12 +9,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::replica_calls;
-use crate::admin::sources::AppliedVersion;
+use super::replica_operations::{Reservation, STEP};
+use super::replica_reports::{REPORT, Report, milliseconds};
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::configuration::log::{ConfigurationLog, LogStatus, ProposeError};
 use crate::gateway::routing::RemoteHost;
-use crate::ids::{ConfigVersion, DataCentreName, HostId};
+use crate::ids::{DataCentreName, HostId};
 use crate::options::Settings;
 use crate::options::settings::CellHost;
 use crate::peer::{CallError, PeerClient};
@@ -27,8 +29,6 @@
 pub(super) const GROUP: &str = "configuration";
 /// Peer extension by which a host passes a command to the leader.
 const PROPOSE: &str = "configuration/propose";
-/// Peer extension by which a host is asked for the version that it applies.
-const VERSION: &str = "configuration/version";
 /// Intervals of the log. Longer than those of placement logs, since its traffic crosses regions
 /// and an election has to fit into the 13 s for a change only.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -36,9 +36,7 @@
 /// Time for a change to be committed; covers one election.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Pause before a host that knows no leader looks again.
-const LEADER_PAUSE: Duration = Duration::from_millis(100);
-/// Time for a host to tell its version.
-const VERSION_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const LEADER_PAUSE: Duration = Duration::from_millis(100);
 /// Interval in which the leader looks for hosts that do not receive the log yet.
 const ADMISSION_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for a host to be added as a learner.
@@ -53,22 +51,20 @@
     MayHaveBeenAccepted(String),
 }
 
-/// Reply to [`VERSION`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct VersionReply {
-    version: ConfigVersion,
-    applied_age_ms: u64,
-}
-
 /// This host's part in the configuration log.
 pub(super) struct ConfigurationReplica {
-    replica: Replica<Vec<u8>>,
-    configuration: Arc<Configuration>,
-    host: CellHost,
-    hosts: Vec<CellHost>,
-    clients: IndexMap<HostId, PeerClient>,
+    pub(super) replica: Replica<Vec<u8>>,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) host: CellHost,
+    pub(super) hosts: Vec<CellHost>,
+    pub(super) clients: IndexMap<HostId, PeerClient>,
+    /// Whether this host keeps the log on a disk.
+    pub(super) on_disk: bool,
+    pub(super) caught_up: AtomicBool,
     /// Latest reports of other hosts.
-    reports: Mutex<IndexMap<HostId, (Instant, VersionReply)>>,
+    pub(super) reports: Mutex<IndexMap<HostId, (Instant, Report)>>,
+    /// Operation on the members that this host last worked on as leader.
+    pub(super) reservation: Mutex<Reservation>,
 }
 
 impl ConfigurationReplica {
@@ -81,6 +77,7 @@
         settings: &Settings,
         remote: &IndexMap<DataCentreName, Vec<RemoteHost>>,
         configuration: &Arc<Configuration>,
+        max_log_entries: Option<u64>,
     ) -> Result<Arc<Self>, StorageError> {
         let clients = replica_calls::clients(remote);
         let hosts = settings.cell.hosts.clone();
@@ -94,6 +91,9 @@
             .data_folder
             .as_ref()
             .map(|folder| folder.join(GROUP));
+        let on_disk = folder.is_some();
+        let mut limits = Limits::default();
+        limits.max_log_entries = max_log_entries.unwrap_or(limits.max_log_entries);
         let replica = Replica::start(ReplicaOptions {
             group: GROUP.to_owned(),
             host: settings.host.id.clone(),
@@ -106,7 +106,7 @@
                 election_timeout: ELECTION_TIMEOUT,
                 ..Timing::default()
             },
-            limits: Limits::default(),
+            limits,
             seed: rand::random(),
             send: replica_calls::sender(GROUP, clients.clone()),
             machine: machine(configuration),
@@ -117,7 +117,10 @@
             host: settings.this_host().clone(),
             hosts,
             clients,
+            on_disk,
+            caught_up: AtomicBool::new(false),
             reports: Mutex::default(),
+            reservation: Mutex::default(),
         });
         let admitting = Arc::downgrade(&this);
         let spawned = thread::Builder::new()
@@ -148,23 +151,23 @@
     pub(super) fn handle_extension(&self, name: &str, message: Vec<u8>) -> Option<PeerReply> {
         let reply = match name {
             PROPOSE => postcard::to_stdvec(&self.propose_here(message)),
-            VERSION => postcard::to_stdvec(&self.version()),
+            REPORT => postcard::to_stdvec(&self.report()),
+            STEP => {
+                let step = postcard::from_bytes(&message);
+                step.and_then(|step| postcard::to_stdvec(&self.step_here(&step)))
+            }
             _ => return None,
         };
         Some(match reply {
             Ok(reply) => PeerReply::Message(reply),
-            Err(error) => PeerReply::Refused(format!("cannot encode the reply: {error}")),
+            Err(error) => PeerReply::Refused(format!("cannot read or write a message: {error}")),
         })
     }
 
-    /// Whether this host has received the log as a member, so that its configuration is not just
-    /// the built-in defaults.
-    pub(super) fn has_joined(&self) -> bool {
-        self.replica
-            .status()
-            .membership
-            .get(&self.host.id)
-            .is_some()
+    /// Whether this host has applied, since its start, everything that was committed at its start.
+    /// Before, its version may be older than one that it applied before it was restarted.
+    pub(super) fn is_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::Acquire)
     }
 
     /// State of the replica.
@@ -267,67 +270,23 @@
 
     fn log_status(&self) -> LogStatus {
         let status = self.replica.status();
+        let leads = self.replica.leadership().is_some();
+        let heard_age = status.heard_leader_at.map(|heard| heard.elapsed());
+        let heard_age = if leads {
+            Some(Duration::ZERO)
+        } else {
+            heard_age
+        };
         LogStatus {
-            leader: self.replica.leader_hint(),
+            leader: status.leader,
             voters: status
                 .membership
                 .voters()
                 .map(|member| member.host.clone())
                 .collect(),
             applied_index: status.applied,
-            has_quorum: self.replica.leader_hint().is_some(),
-        }
-    }
-
-    fn version(&self) -> VersionReply {
-        let snapshot = self.configuration.read();
-        let age = Instant::now().saturating_duration_since(snapshot.applied_at());
-        VersionReply {
-            version: snapshot.version(),
-            applied_age_ms: milliseconds(age),
-        }
-    }
-
-    /// Asks all hosts for their version; a host that does not answer keeps its latest report.
-    pub(super) fn applied_versions(&self) -> Vec<AppliedVersion> {
-        thread::scope(|scope| {
-            for (host, client) in &self.clients {
-                scope.spawn(|| self.ask_version(host, client));
-            }
-        });
-        let reports = self.reports.lock().unwrap();
-        let mut versions = Vec::new();
-        for host in &self.hosts {
-            let own = (host.id == self.host.id).then(|| (Instant::now(), self.version()));
-            let Some((reported_at, reply)) = own.or_else(|| reports.get(&host.id).cloned()) else {
-                continue;
-            };
-            let reported_age = Instant::now().saturating_duration_since(reported_at);
-            versions.push(AppliedVersion {
-                host: host.id.clone(),
-                data_centre: host.data_centre.clone(),
-                version: reply.version,
-                applied_age_ms: reply.applied_age_ms + milliseconds(reported_age),
-                reported_age_ms: milliseconds(reported_age),
-            });
-        }
-        versions
-    }
-
-    fn ask_version(&self, host: &HostId, client: &PeerClient) {
-        let request = PeerRequest::Extension {
-            name: VERSION.to_owned(),
-            message: Vec::new(),
-        };
-        let Ok(PeerReply::Message(reply)) = client.call(request, Instant::now() + VERSION_TIMEOUT)
-        else {
-            return;
-        };
-        if let Ok(reply) = postcard::from_bytes(&reply) {
-            self.reports
-                .lock()
-                .unwrap()
-                .insert(host.clone(), (Instant::now(), reply));
+            has_quorum: heard_age.is_some_and(|age| age < ELECTION_TIMEOUT),
+            leader_heard_age_ms: heard_age.map(milliseconds),
         }
     }
 
@@ -357,9 +316,15 @@
         if matches!(strong.replica.status().phase, ReplicaPhase::Faulty(_)) {
             return;
         }
-        strong.admit_missing();
+        let pause = if strong.is_caught_up() {
+            strong.admit_missing();
+            ADMISSION_INTERVAL
+        } else {
+            strong.check_caught_up();
+            LEADER_PAUSE
+        };
         drop(strong);
-        thread::sleep(ADMISSION_INTERVAL);
+        thread::sleep(pause);
     }
 }
 
@@ -381,7 +346,3 @@
         }),
     }
 }
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -17,7 +17,7 @@
 use super::prober::{Exchanges, ProbeTiming, RelayAnswer, UPDATES_PER_MESSAGE, probe_next};
 use super::table::{HostState, HostView, MembershipTable};
 use crate::ids::{HostId, Incarnation};
-use crate::peer::ClusterKeys;
+use crate::peer::{ClusterKeys, LinkConditions};
 use crate::telemetry::metrics::metrics;
 
 /// How often the receiving thread looks at the stop flag.
@@ -55,6 +55,8 @@
     pub timing: ProbeTiming,
     /// Seed of the probing order.
     pub seed: u64,
+    /// Simulated conditions of the links; for tests and measurements.
+    pub links: Option<Arc<LinkConditions>>,
 }
 
 /// Running failure detection of one host. Dropping it ends its threads.
@@ -270,6 +272,29 @@
         receiver
     }
 
+    /// Sends a datagram under the conditions of its link. A delayed one is sent by a thread of its
+    /// own, since the caller may be the receiving thread.
+    fn transmit(&self, to: &HostId, bytes: Vec<u8>, address: SocketAddr) -> io::Result<usize> {
+        let Some(links) = &self.options.links else {
+            return self.socket.send_to(&bytes, address);
+        };
+        let from = &self.options.host;
+        if links.is_cut(from, to) {
+            return Ok(0);
+        }
+        links.count(from, to, bytes.len());
+        let delay = links.delay(from, to);
+        if delay.is_zero() {
+            return self.socket.send_to(&bytes, address);
+        }
+        let (socket, length) = (self.socket.try_clone()?, bytes.len());
+        thread::Builder::new().spawn(move || {
+            thread::sleep(delay);
+            let _ = socket.send_to(&bytes, address);
+        })?;
+        Ok(length)
+    }
+
     fn send(&self, to: &HostId, message: Message) {
         let Some(peer) = self.peers.get(to) else {
             return;
@@ -287,7 +312,7 @@
                 .take_updates(to, UPDATES_PER_MESSAGE),
         };
         let sent = seal(&datagram, &self.options.keys)
-            .and_then(|bytes| self.socket.send_to(&bytes, peer.address));
+            .and_then(|bytes| self.transmit(to, bytes, peer.address));
         match sent {
             Ok(bytes) => {
                 let labels = [
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -9,10 +9,12 @@
 pub mod frame;
 pub mod handshake;
 pub mod keys;
+pub mod link_conditions;
 pub mod server;
 
 pub use client::{CallError, PeerClient, PeerClientOptions};
 pub use keys::ClusterKeys;
+pub use link_conditions::LinkConditions;
 pub use server::{PeerHandler, PeerServer};
 
 use std::time::Duration;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -16,6 +16,7 @@
 use super::frame::Frame;
 use super::handshake;
 use super::keys::ClusterKeys;
+use super::link_conditions::LinkConditions;
 use super::{
     BUSY_PING_INTERVAL, CONNECT_TIMEOUT, IDLE_PING_INTERVAL, SILENCE_TIMEOUT, WRITE_TIMEOUT,
 };
@@ -62,6 +63,8 @@
     pub keys: ClusterKeys,
     /// Label of the metric of control bytes: `data_centre`, `region` or `cross_region`.
     pub scope: String,
+    /// Simulated conditions of the link; for tests and measurements.
+    pub links: Option<Arc<LinkConditions>>,
 }
 
 /// Calls to one other host.
@@ -124,6 +127,7 @@
     pub fn call(&self, request: PeerRequest, deadline: Instant) -> Result<PeerReply, CallError> {
         let call_id = self.shared.next_call_id.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = bounded(1);
+        self.simulate_request(deadline)?;
         let mut connection = self.connection()?;
         if !connection.expect_reply(call_id, &sender) {
             // The connection ended between being looked up and being used.
@@ -154,6 +158,46 @@
         }
         let reply = self.wait(&receiver, deadline);
         connection.forget(call_id);
+        self.simulate_reply(reply, deadline)
+    }
+
+    /// Delays a request, or refuses it while the link is cut.
+    fn simulate_request(&self, deadline: Instant) -> Result<(), CallError> {
+        let PeerClientOptions {
+            links,
+            local_host,
+            remote_host,
+            ..
+        } = &self.shared.options;
+        let Some(links) = links else {
+            return Ok(());
+        };
+        links.travel(local_host, remote_host, deadline);
+        if links.is_cut(local_host, remote_host) {
+            return Err(self.not_sent("the link is cut"));
+        }
+        Ok(())
+    }
+
+    /// Delays a reply, or drops it when the link was cut meanwhile.
+    fn simulate_reply(
+        &self,
+        reply: Result<PeerReply, CallError>,
+        deadline: Instant,
+    ) -> Result<PeerReply, CallError> {
+        let PeerClientOptions {
+            links,
+            local_host,
+            remote_host,
+            ..
+        } = &self.shared.options;
+        let Some(links) = links else {
+            return reply;
+        };
+        links.travel(remote_host, local_host, deadline);
+        if links.is_cut(remote_host, local_host) {
+            return Err(self.no_reply("the link is cut"));
+        }
         reply
     }
 
@@ -272,7 +316,11 @@
     }
 
     fn count_bytes(&self, kind: &'static str, bytes: usize) {
-        let scope = KeyValue::new("scope", self.shared.options.scope.clone());
+        let options = &self.shared.options;
+        if let Some(links) = &options.links {
+            links.count(&options.local_host, &options.remote_host, bytes);
+        }
+        let scope = KeyValue::new("scope", options.scope.clone());
         metrics()
             .control_bytes
             .add(bytes as u64, &[KeyValue::new("kind", kind), scope]);
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -14,7 +14,7 @@
 mod takeover;
 mod task_calls;
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::Sender;
@@ -61,6 +61,9 @@
     pub exchange: Exchange,
 }
 
+/// Tells whether a worker is to get no new work.
+pub type IsDrained = Box<dyn Fn(&str) -> bool + Send + Sync>;
+
 /// The placer of one data centre.
 pub struct Placer {
     options: PlacerOptions,
@@ -68,6 +71,8 @@
     state: Mutex<PlacerState>,
     /// Held during a takeover.
     takeover: Mutex<()>,
+    /// Tells which workers operators have drained; no worker is drained before it is set.
+    is_drained: OnceLock<IsDrained>,
 }
 
 struct PlacerState {
@@ -103,11 +108,18 @@
             options,
             state: Mutex::new(state),
             takeover: Mutex::new(()),
+            is_drained: OnceLock::new(),
         });
         placer.start_threads();
         placer
     }
 
+    /// Sets the function that tells which workers get no new work. Only the first call has an
+    /// effect.
+    pub fn observe_drains(&self, is_drained: IsDrained) {
+        let _ = self.is_drained.set(is_drained);
+    }
+
     /// Data centre for which it decides.
     pub fn data_centre(&self) -> &str {
         &self.options.data_centre
@@ -215,7 +227,8 @@
             return;
         }
         let now = self.options.clock.now();
-        while let Some(slot) = state.runners.reserve(service, now) {
+        let is_drained = |worker: &str| self.is_drained.get().is_some_and(|check| check(worker));
+        while let Some(slot) = state.runners.reserve(service, now, &is_drained) {
             let selection = state.queue.next(service, now);
             for (refused, code) in selection.refused {
                 if let Some(sender) = state.waiting.swap_remove(&refused.key) {
--- a/src/placer/runners.rs
+++ b/src/placer/runners.rs
@@ -172,13 +172,18 @@
         self.services.keys().cloned().collect()
     }
 
-    /// Reserves a slot of the least busy runner of the service.
-    pub fn reserve(&mut self, service: &str, now: Instant) -> Option<RunnerSlot> {
+    /// Reserves a slot of the least busy runner of the service on a worker that is not drained.
+    pub fn reserve(
+        &mut self,
+        service: &str,
+        now: Instant,
+        is_drained: &dyn Fn(&str) -> bool,
+    ) -> Option<RunnerSlot> {
         let positions = self.services.get(service)?;
-        let usable = positions
-            .iter()
-            .copied()
-            .filter(|position| self.runners[*position].is_usable(now));
+        let usable = positions.iter().copied().filter(|position| {
+            let entry = &self.runners[*position];
+            entry.is_usable(now) && !is_drained(&entry.announcement.worker)
+        });
         let best = usable.min_by_key(|position| self.runners[*position].busy_slots)?;
         let entry = &mut self.runners[best];
         entry.busy_slots += 1;
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -49,6 +49,8 @@
     pub term: Term,
     /// Leader, when known.
     pub leader: Option<HostId>,
+    /// Last contact with a leader; on a host that leads, the contact before it was elected.
+    pub heard_leader_at: Option<Instant>,
     /// Last committed entry that is known here.
     pub commit: Index,
     /// Last applied entry.
@@ -57,8 +59,10 @@
     pub last_index: Index,
     /// Entries kept in the log.
     pub log_entries: u64,
-    /// Membership in effect.
+    /// Membership in effect; it may not be committed yet.
     pub membership: Membership,
+    /// Committed membership.
+    pub committed_membership: Membership,
 }
 
 /// A replica and its threads.
@@ -176,11 +180,13 @@
             incarnation: state.hard.incarnation,
             term: state.hard.term,
             leader: state.leader.clone(),
+            heard_leader_at: state.heard_leader_at,
             commit: state.commit,
             applied: state.applied,
             last_index: state.log.last_index(),
             log_entries: state.log.last_index() - state.log.base_index(),
             membership: state.log.membership().clone(),
+            committed_membership: state.log.membership_at(state.commit).clone(),
         }
     }
 
--- a/tests/administration.rs
+++ b/tests/administration.rs
@@ -21,8 +21,10 @@
 use jujubewinch::options::Settings;
 use jujubewinch::protocol::headers;
 use jujubewinch::protocol::worker::RunnerCapacity;
+use jujubewinch::replication::ReplicaPhase;
 use jujubewinch::resources::Resources;
 use serde_json::{Value, json};
+use tempfile::TempDir;
 
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Secrets of the tokens that [`Host::start`] adds, by role.
@@ -183,6 +185,40 @@
     check(&Host::start(), include_str!("administration/refusals.txt"));
 }
 
+/// Guards against calls on replicas whose path, status or body differs from `docs/api.md`.
+#[test]
+fn replicas_are_listed_and_wrong_operations_refused() {
+    let folder = TempDir::new().unwrap();
+    let text = include_str!("settings/valid/single.toml").replace(
+        "[host]",
+        &format!("[host]\ndata_folder = {:?}", folder.path()),
+    ) + "votes = true\n";
+    let mut settings = Settings::parse(&text, "single.toml").unwrap();
+    settings.cell.authentication = true;
+    settings.cell.operator_token_sha256 = Some(Sha256Digest::of(OPERATOR.as_bytes()));
+    let host = Host {
+        host: EntryHost::start(settings).expect("free ports are available"),
+        client: Client::new(ClientOptions::default()),
+    };
+    let deadline = Instant::now() + PATIENCE;
+    let leads = || host.host.configuration_status().unwrap().phase == ReplicaPhase::Leader;
+    while !leads() && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    check(&host, include_str!("administration/replicas.txt"));
+    let calls = [
+        ("GET", "/v1/replicas"),
+        ("POST", "/v1/replicas/erdenet-1/add"),
+    ];
+    for (method, path) in calls {
+        let in_memory = Host::start();
+        let body = json!({ "reason": "r" });
+        let body = if method == "GET" { &Value::Null } else { &body };
+        let response = in_memory.call(method, path, Some(OPERATOR), body);
+        assert_eq!(response.status, 404, "{method} {path}");
+    }
+}
+
 /// Guards against two winners for one version, a resend that is applied twice, and a dry run that
 /// changes something.
 #[test]
@@ -209,6 +245,7 @@
         }),
         clock: Clock::system(),
         sources: AdminSources {
+            replicas: None,
             ready: Arc::new(|| true),
             hosts: Arc::new(Vec::new),
             applied_versions: Arc::new(Vec::new),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -35,6 +35,7 @@
             log,
             clock: Clock::system(),
             sources: AdminSources {
+                replicas: None,
                 ready: Arc::new(|| true),
                 hosts: Arc::new(Vec::new),
                 applied_versions: Arc::new(Vec::new),
@@ -292,6 +293,7 @@
         "undrain",
         "audit",
         "fleet",
+        "replica",
     ] {
         let subcommand = command.find_subcommand_mut(group).expect("it exists");
         insta::assert_snapshot!(
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -406,6 +406,7 @@
             scope: "data_centre".to_owned(),
         });
         MembershipAgent::start(MembershipOptions {
+            links: None,
             host: name(index),
             incarnation: 1,
             address: addresses[index],
--- a/tests/peer_transport.rs
+++ b/tests/peer_transport.rs
@@ -29,6 +29,7 @@
 
 fn client(address: SocketAddr, keys: ClusterKeys) -> PeerClient {
     PeerClient::new(PeerClientOptions {
+        links: None,
         local_host: "a".to_owned(),
         remote_host: "b".to_owned(),
         address,
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -118,3 +118,29 @@
     }
     assert_eq!(cell.runner.tasks().started(), 0);
 }
+
+/// Guards against new work on a runner whose worker an operator has drained.
+#[test]
+fn a_drained_worker_gets_no_new_work() {
+    let cell = Cell::start();
+    let idempotent = (headers::IDEMPOTENT, "true");
+    assert_eq!(cell.post("before", &[idempotent]).status, 200);
+    let admin = |method: Method, path: &str| {
+        let url = format!(
+            "http://{}/v1/drains/worker:worker-1{path}",
+            cell.host.admin_address()
+        );
+        let mut request = ClientRequest::new(method, url, Instant::now() + PATIENCE);
+        request.body = br#"{"reason": "new memory"}"#.to_vec();
+        let response = cell.client.send(request).expect("the host answers");
+        assert_eq!(response.status, 200);
+    };
+    admin(Method::PUT, "");
+    // The later header decides; the runner would answer at once.
+    let response = cell.post("during", &[idempotent, (headers::TIMEOUT_MS, "1500")]);
+    assert_eq!(response.status, 504);
+    assert_eq!(response.header(headers::VERDICT), Some("did_not_run"));
+    assert_eq!(cell.runner.tasks().started(), 1);
+    admin(Method::POST, "/undrain");
+    assert_eq!(cell.post("after", &[idempotent]).status, 200);
+}
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -117,6 +117,7 @@
         let id = format!("erdenet-{}", index + 1);
         RemoteHost {
             client: PeerClient::new(PeerClientOptions {
+                links: None,
                 local_host: "chinggis-1".to_owned(),
                 remote_host: id.clone(),
                 address: remote.address,
