--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::experiment::{CancellationBurst, Experiment, Planned};
-use crate::http::client::{ClientRequest, ClientResponse};
+use crate::http::client::{ClientError, ClientRequest, ClientResponse};
 use crate::http::{Client, ClientOptions};
 use crate::protocol::headers;
 use crate::verdict::Verdict;
@@ -224,14 +224,12 @@
     ) -> Attempt {
         let workload = &self.experiment.workloads[planned.workload];
         let turn = planned.number + usize::from(planned.duplicate) + attempt;
-        let entry = self.entry_hosts[turn % self.entry_hosts.len()];
         let payload = self
             .experiment
             .payload(planned, &self.token(planned.number));
         let timeout = Duration::from_millis(workload.timeout_ms);
-        let url = format!("http://{entry}/v1/requests");
         let mut request =
-            ClientRequest::new(Method::POST, url, Instant::now() + timeout + REPLY_GRACE)
+            ClientRequest::new(Method::POST, "", Instant::now() + timeout + REPLY_GRACE)
                 .header(headers::SERVICE, &workload.service)
                 .header(headers::MEMBER, &workload.member)
                 .header(
@@ -246,11 +244,7 @@
         }
         request.body = serde_json::to_vec(&payload).unwrap_or_default();
         let started_us = self.started_at.elapsed().as_micros() as u64;
-        let response = self.client.send(request);
-        if let Err(error) = &response {
-            log::debug!("{error}");
-        }
-        let response = response.ok();
+        let response = self.send_through_balancer(&request, turn);
         let field = |name| response.as_ref().and_then(|response| response.header(name));
         Attempt {
             number: planned.number,
@@ -269,6 +263,30 @@
         }
     }
 
+    /// Sends the request to an entry host, or to the next one while none takes the connection, as
+    /// the platform's balancer does.
+    fn send_through_balancer(
+        &self,
+        request: &ClientRequest,
+        turn: usize,
+    ) -> Option<ClientResponse> {
+        for offset in 0..self.entry_hosts.len() {
+            let entry = self.entry_hosts[(turn + offset) % self.entry_hosts.len()];
+            let mut request = request.clone();
+            request.url = format!("http://{entry}/v1/requests");
+            match self.client.send(request) {
+                Ok(response) => return Some(response),
+                Err(error) => {
+                    log::debug!("{error}");
+                    if !matches!(error, ClientError::NotSent { .. }) {
+                        return None;
+                    }
+                }
+            }
+        }
+        None
+    }
+
     fn cancel_burst(&self, burst: &CancellationBurst) {
         let at = self.started_at + Duration::from_secs_f64(burst.at_seconds);
         thread::sleep(at.saturating_duration_since(Instant::now()));
--- a/src/placer/runners.rs
+++ b/src/placer/runners.rs
@@ -296,10 +296,17 @@
     }
 
     /// Reserves a slot of the service: of two random runners the one with the lower load, counting
-    /// the load of its rack, so that work spreads over racks.
-    pub fn reserve(&mut self, service: &str, now: Instant) -> Option<RunnerSlot> {
+    /// the load of its rack, so that work spreads over racks. Drained workers get none.
+    pub fn reserve(
+        &mut self,
+        service: &str,
+        now: Instant,
+        is_drained: &dyn Fn(&str) -> bool,
+    ) -> Option<RunnerSlot> {
         let service = self.by_service.get_mut(service)?;
-        let chosen = choose(service, &self.runners, &mut self.random, now)?;
+        let chosen = choose(service, &self.runners, &mut self.random, &|entry| {
+            entry.is_usable(now) && !is_drained(&entry.announcement.worker)
+        })?;
         let entry = &mut self.runners[&chosen];
         entry.busy_slots += 1;
         entry.health.sent(now);
@@ -463,7 +470,7 @@
     service: &ServiceRunners,
     runners: &IndexMap<WorkerId, RunnerEntry>,
     random: &mut StdRng,
-    now: Instant,
+    is_usable: &dyn Fn(&RunnerEntry) -> bool,
 ) -> Option<WorkerId> {
     let score = |entry: &RunnerEntry| {
         let rack = service.racks.get(&entry.announcement.rack);
@@ -477,7 +484,7 @@
     if count > MAX_COMPARED {
         for _ in 0..MAX_TRIES {
             let entry = &runners[&service.workers[random.random_range(0..count)]];
-            if entry.is_usable(now) {
+            if is_usable(entry) {
                 usable.push(entry);
             }
             if usable.len() == 2 {
@@ -487,7 +494,7 @@
     }
     if usable.is_empty() {
         let entries = service.workers.iter().map(|worker| &runners[worker]);
-        usable = entries.filter(|entry| entry.is_usable(now)).collect();
+        usable = entries.filter(|entry| is_usable(entry)).collect();
     }
     let best = usable
         .into_iter()
