--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -77,11 +77,11 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         entry_hosts,
         resources: Resources::ZERO,
-        runner: RunnerCapacity {
+        runner: Some(RunnerCapacity {
             service: "quotes".to_owned(),
             slots: SLOTS,
             connections: 64,
-        },
+        }),
     })
     .unwrap()
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,4 +1,5 @@
-//! Stand-in runner: executes requests of a service in slots.
+//! Stand-in runner and worker: executes requests of a service in slots and tasks of jobs within
+//! its resources.
 
 pub mod announcer;
 pub mod executions;
@@ -25,6 +26,9 @@
 use faults::Fault;
 use tasks::{TaskTable, TaskView};
 
+/// Connections accepted at once by a worker that is no runner.
+const WORKER_CONNECTIONS: u32 = 64;
+
 /// Options of a stand-in runner.
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
@@ -40,8 +44,8 @@
     pub entry_hosts: Vec<SocketAddr>,
     /// What the worker has.
     pub resources: Resources,
-    /// Service, slots and connections.
-    pub runner: RunnerCapacity,
+    /// Service, slots and connections; absent on a worker that runs tasks of jobs only.
+    pub runner: Option<RunnerCapacity>,
 }
 
 /// A running stand-in runner.
@@ -70,13 +74,17 @@
     /// The error of binding the address.
     pub fn start_with_token(options: AgentOptions, token: Option<String>) -> io::Result<Self> {
         let incarnation = announcer::new_incarnation();
-        let mut tasks = TaskTable::new(options.runner.slots as usize, incarnation);
+        let runner = options.runner.as_ref();
+        let slots = runner.map_or(0, |runner| runner.slots);
+        let connections = runner.map_or(WORKER_CONNECTIONS, |runner| runner.connections);
+        let mut tasks = TaskTable::new(slots as usize, incarnation);
+        tasks.capacity = options.resources;
         tasks.worker.clone_from(&options.worker);
         let tasks = Arc::new(tasks);
         let serving = Arc::clone(&tasks);
         let handler: Handler = Arc::new(move |request| serve(&serving, &request));
         let server_options = ServerOptions {
-            max_connections: options.runner.connections as usize,
+            max_connections: connections as usize,
             ..ServerOptions::default()
         };
         let server = Server::start(options.address, server_options, handler)?;
@@ -87,7 +95,7 @@
             rack: options.rack,
             address: server.local_address().to_string(),
             resources: options.resources,
-            runner: Some(options.runner),
+            runner: options.runner,
             phase: WorkerPhase::Up,
             tasks: indexmap::IndexMap::new(),
             usage: indexmap::IndexMap::new(),
@@ -129,7 +137,8 @@
     pub fn announcement(&self) -> Announcement {
         let mut announcement = self.announcement.clone();
         announcement.incarnation = self.tasks.incarnation();
-        announcement.tasks = self.tasks.running_tasks();
+        announcement.tasks = self.tasks.announced_tasks();
+        announcement.usage = self.tasks.usage();
         announcement.highest_epoch = self.tasks.highest_epoch();
         if self.leaving.load(Ordering::Acquire) {
             announcement.phase = WorkerPhase::Leaving;
@@ -223,9 +232,12 @@
             }
         },
         (&Method::GET, ["v1", "tasks", id]) => tasks.wait(id, request, wait),
-        (&Method::POST, ["v1", "tasks", id, "cancel"]) => tasks
+        (&Method::POST, ["v1", "tasks", id, "cancel" | "stop"]) => tasks
             .cancel(id, request)
             .and_then(|()| tasks.wait(id, request, wait)),
+        (&Method::POST, ["v1", "tasks", id, "checkpoint" | "throttle"]) => {
+            tasks.wait(id, request, Duration::ZERO)
+        }
         (&Method::DELETE, ["v1", "tasks", ids]) => {
             for id in ids.split(',') {
                 tasks.forget(id);
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -58,6 +58,7 @@
                 Some(reply) => {
                     let lease_ends_at = sent_at + Duration::from_millis(reply.lease_ms);
                     self.tasks.renew(reply.epoch, lease_ends_at);
+                    self.tasks.stop(&reply.stop);
                     Duration::from_millis(reply.next_announcement_ms)
                 }
                 None => RETRY_PAUSE,
@@ -75,7 +76,8 @@
             self.announcement.phase = WorkerPhase::Leaving;
         }
         self.announcement.incarnation = self.tasks.incarnation();
-        self.announcement.tasks = self.tasks.running_tasks();
+        self.announcement.tasks = self.tasks.announced_tasks();
+        self.announcement.usage = self.tasks.usage();
         self.announcement.highest_epoch = self.tasks.highest_epoch();
         let host = self.entry_hosts[next_host % self.entry_hosts.len()];
         let deadline = Instant::now() + ANNOUNCEMENT_TIMEOUT;
--- a/src/agent/payload.rs
+++ b/src/agent/payload.rs
@@ -1,7 +1,12 @@
 //! Instructions that the stand-in runner understands.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+/// Stands for no end; a longer duration could overflow the clock.
+const UNTIL_STOPPED: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
+
 /// Payload of a request to the stand-in runner; any other payload is answered as it is.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -16,9 +21,19 @@
     pub echo: String,
     /// Worker on which the execution fails.
     pub fail_on: String,
+    /// Whether it runs until it is stopped, as a service does.
+    pub until_stopped: bool,
 }
 
 impl StandInPayload {
+    /// How long the execution takes unless it is stopped.
+    pub fn work(&self) -> Duration {
+        if self.until_stopped {
+            return UNTIL_STOPPED;
+        }
+        Duration::from_millis(self.work_ms)
+    }
+
     /// Whether the execution fails on the worker.
     pub fn fails_on(&self, worker: &str) -> bool {
         self.fail || (!self.fail_on.is_empty() && self.fail_on == worker)
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -13,6 +13,7 @@
 use crate::ids::{Epoch, Incarnation, TaskId, WorkerId};
 use crate::protocol::headers;
 use crate::protocol::worker::TaskState;
+use crate::resources::Resources;
 use crate::verdict::{ErrorCode, RequestError};
 
 /// Finished tasks and tombstones kept; the oldest are dropped first. The placer has them dropped
@@ -45,6 +46,8 @@
     view: TaskView,
     /// Set by a cancellation; the state changes once the execution has ended.
     stop_requested: bool,
+    /// Allocation of a task of a job; absent for tasks of requests, which use a slot.
+    resources: Option<Resources>,
 }
 
 #[derive(Default)]
@@ -54,6 +57,8 @@
     dropped: IndexSet<TaskId>,
     leaving: bool,
     running: usize,
+    /// Running tasks of requests.
+    busy_slots: usize,
     highest_running: usize,
     started: usize,
     highest_epoch: Epoch,
@@ -67,6 +72,8 @@
     pool: Pool,
     table: Mutex<Table>,
     changed: Condvar,
+    /// What the worker has for tasks of jobs.
+    pub capacity: Resources,
     /// Worker id, for payloads that fail on one runner.
     pub worker: WorkerId,
     /// What was executed.
@@ -85,6 +92,7 @@
                 ..Table::default()
             }),
             changed: Condvar::new(),
+            capacity: Resources::ZERO,
             worker: WorkerId::new(),
             executions: ExecutionLog::default(),
         }
@@ -108,6 +116,7 @@
         table.tasks.clear();
         table.dropped.clear();
         table.running = 0;
+        table.busy_slots = 0;
         table.highest_epoch = 0;
         table.lease_ends_at = None;
         self.changed.notify_all();
@@ -123,9 +132,10 @@
     /// # Errors
     ///
     /// `did_not_run` when the epoch or incarnation is stale, the lease has lapsed, all slots are
-    /// busy, the runner is leaving, or the record of the id was dropped. A refused id becomes a tombstone.
+    /// busy, the resources are not free, the runner is leaving, or the record of the id was dropped. A refused id becomes a tombstone.
     pub fn create(self: &Arc<Self>, id: &str, request: &Request) -> Result<(), RequestError> {
         let refuse = |message: &str| RequestError::did_not_run(ErrorCode::Unavailable, message);
+        let resources = task_resources(request)?;
         let mut table = self.table.lock().unwrap();
         check_epoch(&mut table, request)?;
         check_incarnation(&table, request)?;
@@ -140,39 +150,51 @@
             Some("the lease of the runner has lapsed")
         } else if table.leaving {
             Some("the runner is leaving")
-        } else if table.running >= self.slots {
-            Some("all slots are busy")
         } else {
-            None
+            self.lacking(&table, resources)
         };
         if let Some(message) = refusal {
             // Another copy of this create may still arrive when a slot is free.
-            table.add(
-                id,
-                TaskView::new(TaskState::NeverStarted, message.as_bytes()),
-            );
+            let view = TaskView::new(TaskState::NeverStarted, message.as_bytes());
+            table.add(id, view, resources);
             return Ok(());
         }
-        table.start(id);
+        table.start(id, resources);
         let incarnation = table.incarnation;
         drop(table);
         let key = request.header(headers::IDEMPOTENCY_KEY);
         self.executions.started(id, key, &request.body);
         let instructions: Option<StandInPayload> = serde_json::from_slice(&request.body).ok();
-        let work_ms = instructions.as_ref().map_or(0, |payload| payload.work_ms);
+        let work = instructions.as_ref().map(StandInPayload::work);
+        let work = work.unwrap_or_default();
         let view = self.finished_view(instructions, &request.body);
-        if work_ms == 0 {
+        if work.is_zero() {
             // A thread change would cost more than the work.
             self.execute(incarnation, id, Duration::ZERO, view);
             return Ok(());
         }
         let (tasks, id) = (Arc::clone(self), id.to_owned());
-        let work = Duration::from_millis(work_ms);
         self.pool
             .execute(move || tasks.execute(incarnation, &id, work, view));
         Ok(())
     }
 
+    /// Why there is no room for another task.
+    fn lacking(&self, table: &Table, resources: Option<Resources>) -> Option<&'static str> {
+        let Some(resources) = resources else {
+            return (table.busy_slots >= self.slots).then_some("all slots are busy");
+        };
+        let running = table
+            .tasks
+            .values()
+            .filter(|task| task.view.state == TaskState::Running);
+        let allocated = running
+            .filter_map(|task| task.resources)
+            .try_fold(resources, |sum, allocation| sum.checked_add(&allocation));
+        let fits = allocated.is_some_and(|sum| self.capacity.covers(&sum));
+        (!fits).then_some("the resources of the worker are allocated to other tasks")
+    }
+
     fn execute(&self, incarnation: Incarnation, id: &str, work: Duration, finished: TaskView) {
         let stopped = self.work_until(incarnation, id, Instant::now() + work);
         self.faults.wait_while_paused();
@@ -263,7 +285,11 @@
         }
         match table.tasks.get_mut(id) {
             Some(task) => task.stop_requested = true,
-            None => table.add(id, TaskView::new(TaskState::NeverStarted, b"cancelled")),
+            None => table.add(
+                id,
+                TaskView::new(TaskState::NeverStarted, b"cancelled"),
+                None,
+            ),
         }
         self.changed.notify_all();
         Ok(())
@@ -286,6 +312,29 @@
         table.dropped.insert(id.to_owned());
     }
 
+    /// Stops tasks that the placer does not know.
+    pub fn stop(&self, ids: &[TaskId]) {
+        let mut table = self.table.lock().unwrap();
+        for id in ids {
+            if let Some(task) = table.tasks.get_mut(id) {
+                task.stop_requested = true;
+            }
+        }
+        self.changed.notify_all();
+    }
+
+    /// Measured usage of running tasks of jobs; the stand-in uses what it is allocated.
+    pub fn usage(&self) -> IndexMap<TaskId, Resources> {
+        let table = self.table.lock().unwrap();
+        let running = table
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.view.state == TaskState::Running);
+        running
+            .filter_map(|(id, task)| Some((id.clone(), task.resources?)))
+            .collect()
+    }
+
     /// Renews the lease of all tasks.
     pub fn renew(&self, epoch: Epoch, lease_ends_at: Instant) {
         let mut table = self.table.lock().unwrap();
@@ -333,43 +382,57 @@
         self.table.lock().unwrap().highest_epoch
     }
 
-    /// Tasks that are running, for announcements.
-    pub fn running_tasks(&self) -> IndexMap<TaskId, TaskState> {
+    /// Tasks that are running, and ended tasks of jobs until their records are dropped.
+    pub fn announced_tasks(&self) -> IndexMap<TaskId, TaskState> {
         let table = self.table.lock().unwrap();
-        let running = table
+        let announced = table
             .tasks
             .iter()
-            .filter(|(_, task)| task.view.state == TaskState::Running);
-        running
+            .filter(|(_, task)| task.view.state == TaskState::Running || task.resources.is_some());
+        announced
             .map(|(id, task)| (id.clone(), task.view.state))
             .collect()
     }
 }
 
 impl Table {
-    fn add(&mut self, id: &str, view: TaskView) {
+    fn add(&mut self, id: &str, view: TaskView, resources: Option<Resources>) {
         let task = Task {
             view,
             stop_requested: false,
+            resources,
         };
         self.tasks.insert(id.to_owned(), task);
     }
 
-    fn start(&mut self, id: &str) {
+    fn start(&mut self, id: &str, resources: Option<Resources>) {
         self.running += 1;
+        self.busy_slots += usize::from(resources.is_none());
         self.started += 1;
         self.highest_running = self.highest_running.max(self.running);
-        self.add(id, TaskView::new(TaskState::Running, b""));
+        self.add(id, TaskView::new(TaskState::Running, b""), resources);
     }
 
     fn end(&mut self, id: &str, view: TaskView) {
         self.running -= 1;
         if let Some(task) = self.tasks.get_mut(id) {
             task.view = view;
+            self.busy_slots -= usize::from(task.resources.is_none());
         }
     }
 }
 
+/// Allocation in the header of a task of a job.
+fn task_resources(request: &Request) -> Result<Option<Resources>, RequestError> {
+    let Some(text) = request.header(headers::RESOURCES) else {
+        return Ok(None);
+    };
+    serde_json::from_str(text).map(Some).map_err(|error| {
+        let message = format!("header jujubewinch-resources is not valid: {error}");
+        RequestError::did_not_run(ErrorCode::BadRequest, message)
+    })
+}
+
 fn check_epoch(table: &mut Table, request: &Request) -> Result<(), RequestError> {
     let epoch = request
         .parse_header::<Epoch>(headers::EPOCH)?
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod exception;
 mod fleet;
+mod job;
 mod load;
 mod request;
 mod runner;
@@ -71,6 +72,7 @@
             "Requests",
             vec![request::submit(), request::status(), request::cancel()],
         ),
+        ("Jobs", vec![job::subcommand()]),
         (
             "Administration",
             vec![
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -29,6 +29,12 @@
 const SERVICE: &str = "wheel-orders";
 /// Stand-in runners in each data centre.
 const RUNNERS_PER_DATA_CENTRE: usize = 2;
+/// Resources of the worker for jobs in each data centre.
+const WORKER_RESOURCES: Resources = Resources {
+    cpu_millis: 16_000,
+    memory_mib: 32 * 1024,
+    accelerators: 2,
+};
 /// Time for leaving runners to finish their tasks.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -88,6 +94,8 @@
 struct DevelopmentCell {
     hosts: Vec<EntryHost>,
     runners: Vec<Agent>,
+    /// Stand-in workers that run tasks of jobs.
+    workers: Vec<Agent>,
     /// Data folders of the hosts; removed with the cell.
     _folder: TempDir,
 }
@@ -137,9 +145,19 @@
                 ))?);
             }
         }
+        let mut workers = Vec::new();
+        for (data_centre, _) in DATA_CENTRES {
+            let port = match first_port {
+                0 => 0,
+                _ => first_port + 400 + workers.len() as u16,
+            };
+            let options = worker_options(data_centre, port, &entry_hosts);
+            workers.push(Agent::start(options)?);
+        }
         Ok(Self {
             hosts,
             runners,
+            workers,
             _folder: folder,
         })
     }
@@ -148,7 +166,7 @@
         for host in &self.hosts {
             host.shutdown();
         }
-        for runner in &self.runners {
+        for runner in self.runners.iter().chain(&self.workers) {
             runner.leave(Instant::now() + LEAVE_TIMEOUT);
         }
     }
@@ -227,15 +245,24 @@
         rack: format!("rack-{index}"),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         entry_hosts: entry_hosts.to_vec(),
-        resources: Resources {
-            cpu_millis: 16_000,
-            memory_mib: 32 * 1024,
-            accelerators: 0,
-        },
-        runner: RunnerCapacity {
+        // The workers for jobs hold the resources; requests use slots.
+        resources: Resources::ZERO,
+        runner: Some(RunnerCapacity {
             service: SERVICE.to_owned(),
             slots: 8,
             connections: 64,
-        },
+        }),
+    }
+}
+
+fn worker_options(data_centre: &str, port: u16, entry_hosts: &[SocketAddr]) -> AgentOptions {
+    AgentOptions {
+        worker: format!("{data_centre}-jobs-1"),
+        data_centre: data_centre.to_owned(),
+        rack: "rack-jobs".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        entry_hosts: entry_hosts.to_vec(),
+        resources: WORKER_RESOURCES,
+        runner: None,
     }
 }
--- a/src/commands/request.rs
+++ b/src/commands/request.rs
@@ -140,7 +140,7 @@
     ))?)
 }
 
-fn send(mut request: ClientRequest) -> Result<ClientResponse, CommandError> {
+pub(super) fn send(mut request: ClientRequest) -> Result<ClientResponse, CommandError> {
     if let Some(token) = token_from_environment() {
         request = request.header(headers::AUTHORIZATION, format!("Bearer {token}"));
     }
@@ -156,7 +156,7 @@
     })
 }
 
-fn payload(data: &str) -> Result<Vec<u8>, CommandError> {
+pub(super) fn payload(data: &str) -> Result<Vec<u8>, CommandError> {
     let unreadable = |error| CommandError::Usage(format!("cannot read {data}: {error}"));
     let Some(file) = data.strip_prefix('@') else {
         return Ok(data.as_bytes().to_vec());
@@ -171,8 +171,8 @@
     Ok(bytes)
 }
 
-fn print_answer(response: ClientResponse) -> Result<(), CommandError> {
-    if response.status != 200 {
+pub(super) fn print_answer(response: ClientResponse) -> Result<(), CommandError> {
+    if !matches!(response.status, 200 | 202) {
         let error: ErrorBody = serde_json::from_slice(&response.body).map_err(|error| {
             CommandError::Failed(format!(
                 "status {} without an error body: {error}",
--- a/src/commands/runner.rs
+++ b/src/commands/runner.rs
@@ -31,7 +31,11 @@
         .arg(text("id").help("Identifier of the worker"))
         .arg(text("data-centre").help("Data centre of the worker"))
         .arg(text("rack").help("Rack of the worker"))
-        .arg(text("service").help("Service whose requests it executes"))
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .help("Service whose requests it executes; without it, only tasks of jobs"),
+        )
         .arg(
             Arg::new("address")
                 .long("address")
@@ -51,6 +55,7 @@
         .arg(number("connections", "64").help("Connections accepted at once"))
         .arg(number("cores", "16").help("Processors of the worker"))
         .arg(number("memory-mib", "32768").help("Memory of the worker"))
+        .arg(number("accelerators", "0").help("Accelerators of the worker"))
 }
 
 fn number(name: &'static str, default: &'static str) -> Arg {
@@ -75,13 +80,15 @@
         resources: Resources {
             cpu_millis: u64::from(value::<u32>(matches, "cores")) * 1000,
             memory_mib: u64::from(value::<u32>(matches, "memory-mib")),
-            accelerators: 0,
-        },
-        runner: RunnerCapacity {
-            service: value(matches, "service"),
-            slots: value(matches, "slots"),
-            connections: value(matches, "connections"),
+            accelerators: u64::from(value::<u32>(matches, "accelerators")),
         },
+        runner: matches
+            .get_one::<String>("service")
+            .map(|service| RunnerCapacity {
+                service: service.clone(),
+                slots: value(matches, "slots"),
+                connections: value(matches, "connections"),
+            }),
     };
     let agent = Agent::start_with_token(options, token_from_environment())
         .map_err(|error| CommandError::Failed(format!("cannot start the runner: {error}")))?;
--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -2,6 +2,7 @@
 
 mod administration;
 mod configuration_log;
+mod jobs;
 mod placement_log;
 mod replica_calls;
 
@@ -18,19 +19,21 @@
 use crate::configuration::Configuration;
 use crate::configuration::log::ConfigurationLog;
 use crate::gateway::api::Gateway;
-use crate::gateway::routing::{RemoteHost, Router};
+use crate::gateway::routing::{RemoteHost, Router, announce_to_both};
 use crate::gateway::throttle::Throttle;
 use crate::http::{Server, ServerOptions};
 use crate::membership::agent::MembershipPeer;
 use crate::membership::{HostView, MembershipAgent, MembershipOptions, ProbeTiming};
 use crate::options::Settings;
 use crate::peer::{PeerClient, PeerClientOptions, PeerServer};
+use crate::placer::jobs::JobPlacer;
 use crate::placer::links::http_exchange;
 use crate::placer::{Placer, PlacerOptions};
 use crate::protocol::caller::Submission;
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
 use crate::replication::ReplicaStatus;
 use configuration_log::ConfigurationReplica;
+use jobs::Jobs;
 use placement_log::PlacementLogs;
 
 /// Time for passing the leadership of the placement log on during a shutdown.
@@ -45,6 +48,7 @@
     admin: Server,
     peers: PeerServer,
     placement: Arc<PlacementLogs>,
+    jobs: Jobs,
     /// Absent in a cell whose settings name no voter.
     configuration_replica: Option<Arc<ConfigurationReplica>>,
     membership: Arc<MembershipAgent>,
@@ -59,7 +63,7 @@
     pub fn start(settings: Settings) -> io::Result<Self> {
         let this = settings.this_host().clone();
         let remote = remote_hosts(&settings);
-        let (placement, journal) = PlacementLogs::start(&settings, &remote);
+        let (placement, journals) = PlacementLogs::start(&settings, &remote);
         let placement = Arc::new(placement);
         let operator_token = settings.cell.operator_token_sha256;
         let configuration = Configuration::new(operator_token, Clock::system());
@@ -74,15 +78,17 @@
             timing: settings.timing.clone(),
             request_policy: settings.scheduling.request_policy,
             clock: Clock::system(),
-            journal,
+            journal: journals.requests,
             exchange: http_exchange(),
         });
+        let jobs = Jobs::start(&settings, journals.jobs);
         let joining = configuration_replica.clone();
         let gateway = Arc::new(Gateway {
             router: Router {
                 data_centre: this.data_centre.clone(),
                 data_centres: settings.data_centres(),
                 local: Some(Arc::clone(&placer)),
+                local_jobs: Some(Arc::clone(&jobs.placer)),
                 remote,
             },
             host: this.id.clone(),
@@ -99,6 +105,7 @@
         let membership = start_membership(&settings)?;
         let incoming = Incoming {
             placer: Arc::clone(&placer),
+            jobs: Arc::clone(&jobs.placer),
             placement: Arc::clone(&placement),
             configuration: configuration_replica.clone(),
         };
@@ -144,6 +151,7 @@
             admin,
             peers,
             placement,
+            jobs,
             configuration_replica,
             membership,
         })
@@ -204,6 +212,7 @@
     }
 
     fn stop_logs(&self) {
+        self.jobs.stop();
         self.placement.stop();
         if let Some(replica) = &self.configuration_replica {
             replica.stop();
@@ -294,6 +303,7 @@
 /// Receivers of calls from other hosts.
 struct Incoming {
     placer: Arc<Placer>,
+    jobs: Arc<JobPlacer>,
     placement: Arc<PlacementLogs>,
     configuration: Option<Arc<ConfigurationReplica>>,
 }
@@ -325,9 +335,17 @@
                 Some(placer) => PeerReply::Outcome(placer.query(&key)),
                 None => PeerReply::NotPlacer { placer: None },
             },
+            PeerRequest::Job { data_centre, call } => match self.placer_of(&data_centre) {
+                Some(_) => PeerReply::Job(self.jobs.handle(call)),
+                None => PeerReply::NotPlacer { placer: None },
+            },
             PeerRequest::Announce(announcement) => {
                 match self.placer_of(&announcement.data_centre) {
-                    Some(placer) => PeerReply::Announced(placer.announce(announcement)),
+                    Some(placer) => PeerReply::Announced(announce_to_both(
+                        placer,
+                        Some(&self.jobs),
+                        announcement,
+                    )),
                     None => PeerReply::NotPlacer { placer: None },
                 }
             }
--- /dev/null
+++ b/src/entry_host/jobs.rs
@@ -0,0 +1,160 @@
+//! Runs the jobs of this host's data centre while the host leads its placement log.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender, bounded};
+use hyper::Method;
+
+use crate::clock::Clock;
+use crate::http::client::{ClientError, ClientRequest, ClientResponse};
+use crate::http::{Client, ClientOptions};
+use crate::options::Settings;
+use crate::placer::jobs::{
+    JobJournal, JobPlacer, JobPlacerOptions, WorkerCall, WorkerCallError, WorkerClient,
+    WorkerReply, WorkerRequest,
+};
+use crate::protocol::headers;
+use crate::scheduling::job_scheduler::SchedulerSettings;
+use crate::scheduling::overuse::Measure;
+
+/// Time between two rounds of decisions.
+const TICK: Duration = Duration::from_millis(50);
+/// Calls to workers at once. A silent worker occupies a thread for the time of one exchange.
+const CALL_THREADS: usize = 16;
+/// Calls that wait for a thread; one beyond them is dropped and is due again after a second.
+const MAX_WAITING_CALLS: usize = 1_000;
+/// Starts of tasks per second; five times the 47/s that a data centre has at the target scale.
+const MAX_STARTS_PER_S: u32 = 235;
+
+/// The placer of jobs with its threads.
+pub(super) struct Jobs {
+    pub placer: Arc<JobPlacer>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Jobs {
+    /// Starts the rounds of decisions and the calls to workers.
+    pub fn start(settings: &Settings, journal: JobJournal) -> Self {
+        let placer = Arc::new(JobPlacer::new(options(settings, journal)));
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (sender, receiver) = bounded(MAX_WAITING_CALLS);
+        for _ in 0..CALL_THREADS {
+            let (placer, receiver) = (Arc::clone(&placer), receiver.clone());
+            thread::spawn(move || perform(&placer, &receiver));
+        }
+        let (ticking, ends) = (Arc::clone(&placer), Arc::clone(&stopped));
+        thread::spawn(move || {
+            while !ends.load(Ordering::Acquire) {
+                tick(&ticking, &sender);
+                thread::sleep(TICK);
+            }
+        });
+        Self { placer, stopped }
+    }
+
+    /// Ends the rounds; calls under way end by their timeout.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+}
+
+fn options(settings: &Settings, journal: JobJournal) -> JobPlacerOptions {
+    let this = settings.this_host();
+    let timing = &settings.timing;
+    JobPlacerOptions {
+        data_centre: this.data_centre.clone(),
+        region: this.region.clone(),
+        lease: Duration::from_millis(timing.lease_ms),
+        clock_margin: Duration::from_millis(timing.clock_margin_ms),
+        announcement_interval: Duration::from_millis(timing.announcement_interval_ms),
+        key_retention: Duration::from_millis(timing.key_retention_ms),
+        max_starts_per_s: MAX_STARTS_PER_S,
+        scheduler: SchedulerSettings::default(),
+        teams: Vec::new(),
+        clock: Clock::system(),
+        journal,
+        client: worker_client(
+            timing.exchange_timeout(),
+            Duration::from_millis(timing.lease_ms),
+        ),
+    }
+}
+
+fn tick(placer: &JobPlacer, calls: &Sender<WorkerCall>) {
+    if !placer.is_leading() {
+        return;
+    }
+    match placer.tick() {
+        Ok(due) => {
+            for call in due {
+                if let Err(error) = calls.try_send(call) {
+                    log::warn!("a call to a worker is postponed: {error}");
+                }
+            }
+        }
+        Err(error) => log::debug!("no decisions about jobs: {error}"),
+    }
+}
+
+fn perform(placer: &JobPlacer, calls: &Receiver<WorkerCall>) {
+    for call in calls {
+        if let Err(error) = placer.perform(&call) {
+            log::debug!("the reply about task {} has no effect: {error}", call.task);
+        }
+    }
+}
+
+/// Calls over HTTP.
+fn worker_client(timeout: Duration, lease: Duration) -> WorkerClient {
+    let client = Client::new(ClientOptions::default());
+    WorkerClient {
+        send: Arc::new(move |call| {
+            let request = http_request(call, Instant::now() + timeout, lease);
+            client.send(request).map_or_else(no_answer, interpret)
+        }),
+    }
+}
+
+fn http_request(call: &WorkerCall, deadline: Instant, lease: Duration) -> ClientRequest {
+    let url = |suffix: &str| format!("http://{}/v1/tasks/{}{suffix}", call.address, call.task);
+    let mut request = match &call.request {
+        WorkerRequest::Start { resources, payload } => {
+            let resources = serde_json::to_string(resources).unwrap_or_default();
+            let mut request = ClientRequest::new(Method::PUT, url(""), deadline)
+                .header(headers::RESOURCES, resources)
+                .header(headers::LEASE_MS, lease.as_millis().to_string());
+            request.body.clone_from(payload);
+            request
+        }
+        WorkerRequest::Apply(measure) => {
+            let suffix = match measure {
+                Measure::Throttle => "/throttle",
+                Measure::Checkpoint => "/checkpoint",
+                Measure::Stop => "/stop",
+            };
+            ClientRequest::new(Method::POST, url(suffix), deadline)
+        }
+        WorkerRequest::Cancel => ClientRequest::new(Method::POST, url("/cancel"), deadline),
+        WorkerRequest::Forget => ClientRequest::new(Method::DELETE, url(""), deadline),
+    };
+    request = request
+        .header(headers::EPOCH, call.epoch.to_string())
+        .header(headers::INCARNATION, call.incarnation.to_string());
+    request
+}
+
+fn no_answer(error: ClientError) -> Result<WorkerReply, WorkerCallError> {
+    Err(WorkerCallError::NoAnswer(error.to_string()))
+}
+
+/// A reply without a task state proves nothing about the task.
+fn interpret(response: ClientResponse) -> Result<WorkerReply, WorkerCallError> {
+    let state = response
+        .header(headers::TASK_STATE)
+        .and_then(|text| text.parse().ok());
+    let no_state = || WorkerCallError::NoAnswer(format!("status {}", response.status));
+    state.map(WorkerReply::State).ok_or_else(no_state)
+}
--- a/src/entry_host/placement_log.rs
+++ b/src/entry_host/placement_log.rs
@@ -5,13 +5,16 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::replica_calls;
 use crate::clock::Clock;
 use crate::gateway::routing::RemoteHost;
 use crate::ids::{DataCentreName, HostId};
 use crate::options::Settings;
-use crate::placer::journal::{Journal, JournalError};
+use crate::placer::job_records::{JobRecord, JobState};
+use crate::placer::jobs::JobJournal;
+use crate::placer::journal::{CurrentEpoch, Journal, JournalError};
 use crate::placer::records::{PlacementRecord, PlacementState};
 use crate::protocol::peer::PeerReply;
 use crate::replication::{
@@ -22,6 +25,28 @@
 /// outcome is usually known.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// One entry of a placement log.
+#[derive(Serialize, Deserialize)]
+enum LogRecord {
+    /// About a request.
+    Requests(PlacementRecord),
+    /// About jobs, applied as one unit.
+    Jobs(Vec<JobRecord>),
+}
+
+/// What the committed records of a placement log build.
+#[derive(Clone, Default)]
+struct LogState {
+    requests: Arc<Mutex<PlacementState>>,
+    jobs: Arc<Mutex<JobState>>,
+}
+
+/// Access of both placers to the placement log.
+pub(super) struct Journals {
+    pub requests: Journal,
+    pub jobs: JobJournal,
+}
+
 /// The placement logs that are kept on this host, by group name.
 #[derive(Default)]
 pub(super) struct PlacementLogs {
@@ -29,27 +54,32 @@
 }
 
 impl PlacementLogs {
-    /// Starts the replicas of this host. Returns them and the journal of its own placer.
+    /// Starts the replicas of this host. Returns them and the journals of its own placers.
     pub(super) fn start(
         settings: &Settings,
         remote: &IndexMap<DataCentreName, Vec<RemoteHost>>,
-    ) -> (Self, Journal) {
+    ) -> (Self, Journals) {
         let mut logs = Self::default();
         let this = settings.this_host();
         if let Some(witnessed) = &this.witness_for {
-            let state = Arc::default();
+            let state = LogState::default();
             logs.start_replica(settings, remote, witnessed, &state);
         }
         let own = &this.data_centre;
         if voters(settings, own).len() == 1 && settings.host.data_folder.is_none() {
-            return (logs, Journal::in_memory(epoch_of_start()));
+            let epoch = epoch_of_start();
+            let journals = Journals {
+                requests: Journal::in_memory(epoch),
+                jobs: JobJournal::in_memory(epoch),
+            };
+            return (logs, journals);
         }
-        let state = Arc::default();
-        let journal = match logs.start_replica(settings, remote, own, &state) {
-            Some(replica) => journal(replica, state),
-            None => unavailable_journal(state),
+        let state = LogState::default();
+        let journals = match logs.start_replica(settings, remote, own, &state) {
+            Some(replica) => journals(&replica, state),
+            None => unavailable_journals(state),
         };
-        (logs, journal)
+        (logs, journals)
     }
 
     fn start_replica(
@@ -57,7 +87,7 @@
         settings: &Settings,
         remote: &IndexMap<DataCentreName, Vec<RemoteHost>>,
         data_centre: &str,
-        state: &Arc<Mutex<PlacementState>>,
+        state: &LogState,
     ) -> Option<Arc<Replica<()>>> {
         let group = format!("placement/{data_centre}");
         let folder = settings.host.data_folder.as_ref();
@@ -142,34 +172,52 @@
     Clock::system().unix_seconds() * 1_000
 }
 
-fn machine(state: &Arc<Mutex<PlacementState>>) -> StateMachine<()> {
-    let (apply, snapshot, restore) = (Arc::clone(state), Arc::clone(state), Arc::clone(state));
+fn machine(state: &LogState) -> StateMachine<()> {
+    let (apply, snapshot, restore) = (state.clone(), state.clone(), state.clone());
     StateMachine {
         apply: Box::new(move |index, command| match postcard::from_bytes(command) {
-            Ok(record) => apply.lock().unwrap().apply(record),
+            Ok(LogRecord::Requests(record)) => apply.requests.lock().unwrap().apply(record),
+            Ok(LogRecord::Jobs(records)) => {
+                let mut jobs = apply.jobs.lock().unwrap();
+                records.into_iter().for_each(|record| jobs.apply(record));
+            }
             Err(error) => log::error!("record {index} cannot be decoded: {error}"),
         }),
         snapshot: Box::new(move || {
-            let state = snapshot.lock().unwrap();
-            postcard::to_stdvec(&*state).expect("the state consists of types postcard can encode")
+            let requests = snapshot.requests.lock().unwrap();
+            let jobs = snapshot.jobs.lock().unwrap();
+            postcard::to_stdvec(&(&*requests, &*jobs))
+                .expect("the state consists of types postcard can encode")
         }),
         restore: Box::new(move |bytes| match postcard::from_bytes(bytes) {
-            Ok(restored) => *restore.lock().unwrap() = restored,
+            Ok((requests, jobs)) => {
+                *restore.requests.lock().unwrap() = requests;
+                *restore.jobs.lock().unwrap() = jobs;
+            }
             Err(error) => log::error!("a snapshot cannot be decoded: {error}"),
         }),
     }
 }
 
-fn journal(replica: Arc<Replica<()>>, state: Arc<Mutex<PlacementState>>) -> Journal {
-    let leading = Arc::clone(&replica);
-    Journal {
-        append: Arc::new(move |record| append(&replica, &record)),
-        epoch: Arc::new(move || leading.leadership()),
-        state,
+fn journals(replica: &Arc<Replica<()>>, state: LogState) -> Journals {
+    let (for_requests, for_jobs) = (Arc::clone(replica), Arc::clone(replica));
+    let leading = Arc::clone(replica);
+    let epoch: CurrentEpoch = Arc::new(move || leading.leadership());
+    Journals {
+        requests: Journal {
+            append: Arc::new(move |record| append(&for_requests, &LogRecord::Requests(record))),
+            epoch: Arc::clone(&epoch),
+            state: state.requests,
+        },
+        jobs: JobJournal {
+            append: Arc::new(move |records| append(&for_jobs, &LogRecord::Jobs(records))),
+            epoch,
+            state: state.jobs,
+        },
     }
 }
 
-fn append(replica: &Replica<()>, record: &PlacementRecord) -> Result<(), JournalError> {
+fn append(replica: &Replica<()>, record: &LogRecord) -> Result<(), JournalError> {
     let command = postcard::to_stdvec(record)
         .map_err(|error| JournalError::NotLeader(format!("cannot encode the record: {error}")))?;
     match replica.propose(command, Instant::now() + APPEND_TIMEOUT) {
@@ -181,15 +229,19 @@
     }
 }
 
-/// A journal of a host whose log cannot be used; the host forwards to the others.
-fn unavailable_journal(state: Arc<Mutex<PlacementState>>) -> Journal {
-    Journal {
-        append: Arc::new(|_| {
-            Err(JournalError::NotLeader(
-                "the log is not available on this host".to_owned(),
-            ))
-        }),
-        epoch: Arc::new(|| None),
-        state,
+/// Journals of a host whose log cannot be used; the host forwards to the others.
+fn unavailable_journals(state: LogState) -> Journals {
+    let refused = || JournalError::NotLeader("the log is not available on this host".to_owned());
+    Journals {
+        requests: Journal {
+            append: Arc::new(move |_| Err(refused())),
+            epoch: Arc::new(|| None),
+            state: state.requests,
+        },
+        jobs: JobJournal {
+            append: Arc::new(move |_| Err(refused())),
+            epoch: Arc::new(|| None),
+            state: state.jobs,
+        },
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,6 +2,7 @@
 
 pub mod access;
 pub mod api;
+pub mod jobs;
 pub mod routing;
 pub mod throttle;
 
--- a/src/gateway/api.rs
+++ b/src/gateway/api.rs
@@ -8,7 +8,7 @@
 use opentelemetry::KeyValue;
 
 use super::throttle::{Throttle, ThrottleKey};
-use super::{Router, access};
+use super::{Router, access, jobs};
 use crate::configuration::Configuration;
 use crate::configuration::change::Role;
 use crate::http::{Request, Response};
@@ -64,6 +64,9 @@
                 self.respond(outcome, "")
             }
             (&Method::DELETE, ["v1", "requests", key]) => self.cancel(request, key),
+            (&Method::POST, ["v1", "jobs"]) => jobs::submit(self, request),
+            (&Method::GET, ["v1", "jobs", id]) => jobs::query(self, request, id),
+            (&Method::DELETE, ["v1", "jobs", id]) => jobs::cancel(self, request, id),
             (&Method::POST, ["v1", "announcements"]) => self.announce(request),
             _ => {
                 let message = format!("no {} {}", request.method, request.path);
@@ -87,14 +90,8 @@
 
     fn submit(&self, request: &Request) -> Response {
         let request_id = format!("{:016x}", rand::random::<u64>());
-        if self.draining.load(Ordering::Acquire) {
-            let error = RequestError::did_not_run(ErrorCode::ShuttingDown, "this host is draining");
-            return Response::error(&error.retry_after_ms(100), &request_id);
-        }
-        if !(self.is_configured)() {
-            let message = "this host has not received the configuration yet";
-            let error = RequestError::did_not_run(ErrorCode::Unavailable, message);
-            return Response::error(&error.retry_after_ms(1_000), &request_id);
+        if let Err(error) = self.accepts_work() {
+            return Response::error(&error, &request_id);
         }
         let outcome = self.submission(request).and_then(|submission| {
             let keyed = request.header(headers::IDEMPOTENCY_KEY).is_some();
@@ -106,6 +103,20 @@
         self.respond(outcome, &request_id)
     }
 
+    /// Refuses new work while this host is shutting down or not configured.
+    pub(super) fn accepts_work(&self) -> Result<(), RequestError> {
+        if self.draining.load(Ordering::Acquire) {
+            let error = RequestError::did_not_run(ErrorCode::ShuttingDown, "this host is draining");
+            return Err(error.retry_after_ms(100));
+        }
+        if !(self.is_configured)() {
+            let message = "this host has not received the configuration yet";
+            let error = RequestError::did_not_run(ErrorCode::Unavailable, message);
+            return Err(error.retry_after_ms(1_000));
+        }
+        Ok(())
+    }
+
     /// Passes a request on unless its member floods the placer. A key from the caller may belong
     /// to an attempt that ran, which only the placer knows, so that such a request is not shed.
     fn submit_throttled(&self, submission: &Submission, keyed: bool) -> Outcome {
@@ -225,7 +236,7 @@
         Ok(value.to_owned())
     }
 
-    fn generated_key(&self) -> String {
+    pub(super) fn generated_key(&self) -> String {
         let now = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -8,8 +8,10 @@
 
 use crate::ids::{DataCentreName, HostId};
 use crate::peer::{CallError, PeerClient};
+use crate::placer::jobs::{JobPlacer, join_replies};
 use crate::placer::{Outcome, Placer, is_not_placer, key};
 use crate::protocol::caller::Submission;
+use crate::protocol::job::{JobCall, JobView};
 use crate::protocol::peer::{ForwardedSubmission, PeerReply, PeerRequest};
 use crate::protocol::worker::{Announcement, AnnouncementReply};
 use crate::verdict::{ErrorCode, RequestError, Verdict};
@@ -43,6 +45,8 @@
     pub data_centres: Vec<DataCentreName>,
     /// Placer in this process, when it has one.
     pub local: Option<Arc<Placer>>,
+    /// Placer of jobs in this process, when it has one.
+    pub local_jobs: Option<Arc<JobPlacer>>,
     /// Other hosts by data centre.
     pub remote: IndexMap<DataCentreName, Vec<RemoteHost>>,
 }
@@ -151,7 +155,7 @@
     pub fn announce(&self, announcement: Announcement) -> Result<AnnouncementReply, RequestError> {
         let home = announcement.data_centre.clone();
         if let Some(placer) = self.local_placer(&home) {
-            return placer.announce(announcement);
+            return announce_to_both(placer, self.local_jobs.as_ref(), announcement);
         }
         match self.call_placer(&home, &PeerRequest::Announce(announcement))? {
             PeerReply::Announced(reply) => reply,
@@ -159,6 +163,34 @@
         }
     }
 
+    /// Carries out a call about a job at its home data centre.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError`] with the verdict.
+    pub fn job(&self, call: JobCall) -> Result<JobView, RequestError> {
+        let id = match &call {
+            JobCall::Submit(spec) => &spec.id,
+            JobCall::Query(id) | JobCall::Cancel(id) => id,
+        };
+        let home = key::home_data_centre(id, &self.data_centres);
+        let local = self.local_jobs.as_ref();
+        if let Some(placer) =
+            local.filter(|placer| placer.data_centre() == home && placer.is_leading())
+        {
+            return placer.handle(call);
+        }
+        let request = PeerRequest::Job {
+            data_centre: home.clone(),
+            call,
+        };
+        let (reply, search) = self.search_placer(&home, &request)?;
+        match reply {
+            PeerReply::Job(outcome) => outcome.map_err(|error| search.truthful_error(error)),
+            other => Err(unexpected(&other)),
+        }
+    }
+
     /// The placer of the data centre, when it is in this process and leading.
     pub fn local_placer(&self, data_centre: &str) -> Option<&Arc<Placer>> {
         self.local
@@ -173,6 +205,15 @@
         data_centre: &str,
         request: &PeerRequest,
     ) -> Result<PeerReply, RequestError> {
+        let reply = self.search_placer(data_centre, request);
+        reply.map(|(reply, _)| reply)
+    }
+
+    fn search_placer(
+        &self,
+        data_centre: &str,
+        request: &PeerRequest,
+    ) -> Result<(PeerReply, Search), RequestError> {
         let mut search = Search::new(Instant::now() + SHORT_CALL_TIMEOUT);
         loop {
             let mut hosts = self.hosts(data_centre, &mut search);
@@ -180,7 +221,7 @@
                 let deadline = search.deadline.min(Instant::now() + SHORT_CALL_ATTEMPT);
                 match host.client.call(request.clone(), deadline) {
                     Ok(PeerReply::NotPlacer { placer }) => search.follow_hint(&host.id, placer),
-                    Ok(reply) => return Ok(reply),
+                    Ok(reply) => return Ok((reply, search)),
                     Err(error) => search.failed(&error),
                 }
             }
@@ -267,13 +308,17 @@
     /// A copy of the request that was not answered may still be processed after a later copy was
     /// refused.
     fn truthful(&self, outcome: Outcome) -> Outcome {
-        outcome.map_err(|error| match error.verdict {
+        outcome.map_err(|error| self.truthful_error(error))
+    }
+
+    fn truthful_error(&self, error: RequestError) -> RequestError {
+        match error.verdict {
             Verdict::DidNotRun if self.unanswered => RequestError {
                 verdict: Verdict::MayHaveRun,
                 ..error
             },
             _ => error,
-        })
+        }
     }
 
     fn into_error(self, data_centre: &str) -> RequestError {
@@ -286,6 +331,20 @@
     }
 }
 
+/// Hands an announcement to the placers of requests and of jobs in this process.
+pub fn announce_to_both(
+    requests: &Arc<Placer>,
+    jobs: Option<&Arc<JobPlacer>>,
+    announcement: Announcement,
+) -> Result<AnnouncementReply, RequestError> {
+    let jobs = jobs.map(|jobs| jobs.announce(&announcement)).transpose()?;
+    let reply = requests.announce(announcement)?;
+    Ok(match jobs {
+        Some(jobs) => join_replies(reply, jobs),
+        None => reply,
+    })
+}
+
 fn forwarded(home: &str, submission: &Submission, remaining: Duration) -> ForwardedSubmission {
     ForwardedSubmission {
         data_centre: home.to_owned(),
--- a/src/load/experiment.rs
+++ b/src/load/experiment.rs
@@ -300,6 +300,7 @@
             answer_bytes: workload.answer_bytes,
             echo: token.to_owned(),
             fail_on: workload.fail_on.clone().unwrap_or_default(),
+            until_stopped: false,
         }
     }
 }
--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -17,8 +17,10 @@
 
 use super::job_records::{JobEnd, JobEntry, JobRecord, JobState};
 use super::journal::{CurrentEpoch, JournalError};
+use super::key;
 use crate::clock::Clock;
-use crate::ids::{DataCentreName, JobId, RegionName};
+use crate::ids::{DataCentreName, Epoch, JobId, RegionName};
+use crate::protocol::job::{JobCall, JobPhase, JobView};
 use crate::protocol::worker::{Announcement, AnnouncementReply};
 use crate::scheduling::fair_share::TeamShare;
 use crate::scheduling::job::JobSpec;
@@ -42,6 +44,23 @@
     pub state: Arc<Mutex<JobState>>,
 }
 
+impl JobJournal {
+    /// A journal of a single host that keeps its records in memory.
+    pub fn in_memory(epoch: Epoch) -> Self {
+        let state = Arc::new(Mutex::new(JobState::default()));
+        let applied = Arc::clone(&state);
+        Self {
+            append: Arc::new(move |records| {
+                let mut state = applied.lock().unwrap();
+                records.into_iter().for_each(|record| state.apply(record));
+                Ok(())
+            }),
+            epoch: Arc::new(move || Some(epoch)),
+            state,
+        }
+    }
+}
+
 /// Everything that the jobs of a data centre need.
 pub struct JobPlacerOptions {
     /// Data centre.
@@ -54,6 +73,9 @@
     pub clock_margin: Duration,
     /// Time between two announcements of a worker.
     pub announcement_interval: Duration,
+    /// Age of its id after which a job without a record is refused: the record of an earlier
+    /// submission may have been dropped.
+    pub key_retention: Duration,
     /// Starts per second; a new placer would otherwise start everything that waits at once.
     pub max_starts_per_s: u32,
     /// Policies.
@@ -93,6 +115,61 @@
         }
     }
 
+    /// Data centre.
+    pub fn data_centre(&self) -> &str {
+        &self.options.data_centre
+    }
+
+    /// Whether this host is the placer of its data centre now.
+    pub fn is_leading(&self) -> bool {
+        (self.options.journal.epoch)().is_some()
+    }
+
+    /// Carries out a call of a caller.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::submit`] and [`Self::cancel`], and `NotFound` for an unknown job.
+    pub fn handle(&self, call: JobCall) -> Result<JobView, RequestError> {
+        let id = match call {
+            JobCall::Submit(spec) => {
+                let id = spec.id.clone();
+                // The description of a job that is over is gone, so that it is not compared.
+                if !matches!(self.status(&id), Some(JobStatus::Ended(_))) {
+                    self.check_age(&id)?;
+                    self.submit(*spec)?;
+                }
+                id
+            }
+            JobCall::Query(id) => id,
+            JobCall::Cancel(id) => {
+                self.cancel(&id)?;
+                id
+            }
+        };
+        let unknown = || RequestError::did_not_run(ErrorCode::NotFound, format!("no job {id}"));
+        self.status(&id)
+            .map(|status| view(&id, status))
+            .ok_or_else(unknown)
+    }
+
+    fn check_age(&self, id: &str) -> Result<(), RequestError> {
+        if self.status(id).is_some() {
+            return Ok(());
+        }
+        let issued = key::issued_unix_seconds(id).unwrap_or(0);
+        let now = self.options.clock.unix_seconds();
+        if issued > now + key::MAX_FUTURE_SECONDS {
+            let message = "the id is issued in the future";
+            return Err(RequestError::did_not_run(ErrorCode::BadRequest, message));
+        }
+        if issued + self.options.key_retention.as_secs() < now {
+            let message = "the id is too old; its job may have run";
+            return Err(RequestError::may_have_run(ErrorCode::KeyExpired, message));
+        }
+        Ok(())
+    }
+
     /// Accepts a job; returns once it is committed. The same job may be submitted again.
     ///
     /// # Errors
@@ -285,3 +362,50 @@
         }
     }
 }
+
+fn view(id: &str, status: JobStatus) -> JobView {
+    match status {
+        JobStatus::Active(entry) => {
+            let succeeded = entry
+                .settled
+                .values()
+                .filter(|succeeded| **succeeded)
+                .count();
+            JobView {
+                id: id.to_owned(),
+                phase: match (entry.cancel_requested, entry.running.is_empty()) {
+                    (true, _) => JobPhase::Stopping,
+                    (false, true) => JobPhase::Waiting,
+                    (false, false) => JobPhase::Running,
+                },
+                tasks: Some(entry.spec.tasks),
+                running: entry.running.len(),
+                succeeded,
+                failed: entry.settled.len() - succeeded,
+                reason: String::new(),
+            }
+        }
+        JobStatus::Ended(end) => JobView {
+            id: id.to_owned(),
+            phase: match end.cancelled {
+                true => JobPhase::Cancelled,
+                false => JobPhase::Ended,
+            },
+            tasks: None,
+            running: 0,
+            succeeded: end.succeeded as usize,
+            failed: end.failed as usize,
+            reason: end.reason,
+        },
+    }
+}
+
+/// Reply to a worker that both placers of a data centre have answered. The shorter lease counts.
+pub fn join_replies(requests: AnnouncementReply, jobs: AnnouncementReply) -> AnnouncementReply {
+    AnnouncementReply {
+        epoch: requests.epoch.max(jobs.epoch),
+        lease_ms: requests.lease_ms.min(jobs.lease_ms),
+        next_announcement_ms: requests.next_announcement_ms.min(jobs.next_announcement_ms),
+        stop: requests.stop.into_iter().chain(jobs.stop).collect(),
+    }
+}
--- a/src/placer/key.rs
+++ b/src/placer/key.rs
@@ -9,7 +9,7 @@
 /// Longest key.
 pub const MAX_KEY_BYTES: usize = 200;
 /// How far ahead of this host's clock a key's issue time may be.
-const MAX_FUTURE_SECONDS: u64 = 60;
+pub(super) const MAX_FUTURE_SECONDS: u64 = 60;
 
 /// Parts of a key of the form `<data centre>.<Unix seconds>.<text>`.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,5 +2,6 @@
 
 pub mod caller;
 pub mod headers;
+pub mod job;
 pub mod peer;
 pub mod worker;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::caller::{Answer, Urgency};
+use super::job::{JobCall, JobView};
 use super::worker::{Announcement, AnnouncementReply};
 use crate::ids::{CallerId, DataCentreName, MemberId, RequestKey, ServiceName};
 use crate::verdict::RequestError;
@@ -49,6 +50,13 @@
         /// Key of the request.
         key: RequestKey,
     },
+    /// A call about a job.
+    Job {
+        /// Data centre whose placer decides.
+        data_centre: DataCentreName,
+        /// What the caller wants.
+        call: JobCall,
+    },
     /// Passes on a worker's announcement.
     Announce(Announcement),
     /// A message of a replicated log.
@@ -74,6 +82,7 @@
             Self::Submit(_) => "submit",
             Self::Cancel { .. } => "cancel",
             Self::Query { .. } => "query",
+            Self::Job { .. } => "job",
             Self::Announce(_) => "announce",
             Self::Replication { .. } => "replication",
             Self::Extension { .. } => "extension",
@@ -88,6 +97,8 @@
     Outcome(Result<Answer, RequestError>),
     /// Outcome of [`PeerRequest::Cancel`]: whether the request is certain not to run.
     Cancelled(Result<bool, RequestError>),
+    /// Reply to [`PeerRequest::Job`].
+    Job(Result<JobView, RequestError>),
     /// Reply to [`PeerRequest::Announce`].
     Announced(Result<AnnouncementReply, RequestError>),
     /// Reply to [`PeerRequest::Replication`] or [`PeerRequest::Extension`].
--- a/tests/administration.rs
+++ b/tests/administration.rs
@@ -316,11 +316,11 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         entry_hosts: vec![host.host.caller_address()],
         resources: Resources::ZERO,
-        runner: RunnerCapacity {
+        runner: Some(RunnerCapacity {
             service: "quotes".to_owned(),
             slots: 1,
             connections: 8,
-        },
+        }),
     };
     let _runner = Agent::start_with_token(options, Some("a-secret".to_owned())).unwrap();
     let url = format!("http://{}/v1/requests", host.host.caller_address());
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -184,6 +184,7 @@
         lease: LEASE,
         clock_margin: MARGIN,
         announcement_interval: Duration::from_secs(1),
+        key_retention: Duration::from_secs(600),
         max_starts_per_s: 50,
         scheduler: SchedulerSettings::default(),
         teams: Vec::new(),
--- a/tests/placement_log.rs
+++ b/tests/placement_log.rs
@@ -97,11 +97,11 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             entry_hosts: started.iter().map(EntryHost::caller_address).collect(),
             resources: Resources::ZERO,
-            runner: RunnerCapacity {
+            runner: Some(RunnerCapacity {
                 service: "quotes".to_owned(),
                 slots: 2,
                 connections: 64,
-            },
+            }),
         })
         .expect("a free port is available");
         Self {
--- a/tests/placer_support/mod.rs
+++ b/tests/placer_support/mod.rs
@@ -167,7 +167,7 @@
             } else {
                 WorkerPhase::Up
             },
-            tasks: self.tasks.running_tasks(),
+            tasks: self.tasks.announced_tasks(),
             usage: IndexMap::new(),
             highest_epoch: self.tasks.highest_epoch(),
         }
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -35,11 +35,11 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             entry_hosts: vec![host.caller_address()],
             resources: Resources::ZERO,
-            runner: RunnerCapacity {
+            runner: Some(RunnerCapacity {
                 service: "quotes".to_owned(),
                 slots: 2,
                 connections: 64,
-            },
+            }),
         })
         .expect("a free port is available");
         Self {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -102,6 +102,7 @@
     Router {
         data_centre: "chinggis".to_owned(),
         data_centres: vec!["chinggis".to_owned(), "erdenet".to_owned()],
+        local_jobs: None,
         local: None,
         remote: IndexMap::from([("erdenet".to_owned(), hosts.collect())]),
     }
--- a/tests/runner_connections.rs
+++ b/tests/runner_connections.rs
@@ -41,11 +41,11 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         entry_hosts: Vec::new(),
         resources: Resources::ZERO,
-        runner: RunnerCapacity {
+        runner: Some(RunnerCapacity {
             service: "quotes".to_owned(),
             slots,
             connections,
-        },
+        }),
     })
     .expect("a free port is available");
     placer.announce(agent.announcement()).unwrap();
