--- a/src/commands.rs
+++ b/src/commands.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod exception;
 mod fleet;
+mod job;
 mod load;
 mod replica;
 mod request;
@@ -72,6 +73,7 @@
             "Requests",
             vec![request::submit(), request::status(), request::cancel()],
         ),
+        ("Jobs", vec![job::subcommand()]),
         (
             "Administration",
             vec![
--- a/tests/configuration_faults.rs
+++ b/tests/configuration_faults.rs
@@ -111,11 +111,11 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         entry_hosts: vec![cell.host(host).caller_address()],
         resources: Resources::ZERO,
-        runner: RunnerCapacity {
+        runner: Some(RunnerCapacity {
             service: "quotes".to_owned(),
             slots: 1,
             connections: 8,
-        },
+        }),
     })
     .expect("a free port is available")
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -381,43 +381,59 @@
         .unwrap();
 }
 
-fn free_address() -> SocketAddr {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// Ports that were free a moment ago; the agents must know each other's before they are bound.
+fn free_addresses() -> Vec<SocketAddr> {
+    let bind = |_| UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let sockets: Vec<UdpSocket> = (0..3).map(bind).collect();
+    sockets
+        .iter()
+        .map(|socket| socket.local_addr().unwrap())
+        .collect()
+}
+
+fn start_agent(index: usize, addresses: &[SocketAddr]) -> std::io::Result<MembershipAgent> {
+    let others = (0..addresses.len()).filter(|other| *other != index);
+    let peers = others.map(|other| MembershipPeer {
+        host: name(other),
+        address: addresses[other],
+        scope: "data_centre".to_owned(),
+    });
+    MembershipAgent::start(MembershipOptions {
+        links: None,
+        host: name(index),
+        incarnation: 1,
+        address: addresses[index],
+        peers: peers.collect(),
+        keys: ClusterKeys::unauthenticated(),
+        timing: ProbeTiming {
+            interval: Duration::from_millis(50),
+            direct_timeout: Duration::from_millis(100),
+            indirect_timeout: Duration::from_millis(100),
+            suspicion: Duration::from_millis(300),
+        },
+        seed: index as u64,
+    })
+}
+
+/// Starts three agents; with other ports when one was taken by another process meanwhile.
+fn start_agents() -> Vec<MembershipAgent> {
+    for _ in 0..10 {
+        let addresses = free_addresses();
+        let started: std::io::Result<Vec<MembershipAgent>> =
+            (0..3).map(|index| start_agent(index, &addresses)).collect();
+        if let Ok(agents) = started {
+            return agents;
+        }
+    }
+    panic!("no free ports");
 }
 
 /// Guards against a protocol that works only over the fake network.
 #[test]
 fn agents_find_a_stopped_host_over_sockets() {
-    let addresses: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
-    let timing = ProbeTiming {
-        interval: Duration::from_millis(50),
-        direct_timeout: Duration::from_millis(100),
-        indirect_timeout: Duration::from_millis(100),
-        suspicion: Duration::from_millis(300),
-    };
-    let start = |index: usize| {
-        let others = (0..3).filter(|other| *other != index);
-        let peers = others.map(|other| MembershipPeer {
-            host: name(other),
-            address: addresses[other],
-            scope: "data_centre".to_owned(),
-        });
-        MembershipAgent::start(MembershipOptions {
-            links: None,
-            host: name(index),
-            incarnation: 1,
-            address: addresses[index],
-            peers: peers.collect(),
-            keys: ClusterKeys::unauthenticated(),
-            timing: timing.clone(),
-            seed: index as u64,
-        })
-        .unwrap()
-    };
-    let (first, second, third) = (start(0), start(1), start(2));
+    let mut agents = start_agents();
+    let third = agents.remove(2);
+    let (first, second) = (&agents[0], &agents[1]);
     thread::sleep(Duration::from_millis(300));
     assert!(!first.is_dead(&name(2)));
     drop(third);
--- a/tests/runner_connections.rs
+++ b/tests/runner_connections.rs
@@ -42,11 +42,11 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         entry_hosts: Vec::new(),
         resources: Resources::ZERO,
-        runner: RunnerCapacity {
+        runner: Some(RunnerCapacity {
             service: "quotes".to_owned(),
             slots,
             connections,
-        },
+        }),
     })
     .expect("a free port is available");
     placer.announce(agent.announcement()).unwrap();
@@ -78,7 +78,10 @@
                 scope.spawn(move || placer.submit(&submission(index, index as u64 % 7 * 40)))
             })
             .collect();
-        let outcomes: Vec<_> = callers.into_iter().map(|caller| caller.join()).collect();
+        let outcomes: Vec<_> = callers
+            .into_iter()
+            .map(thread::ScopedJoinHandle::join)
+            .collect();
         // Set before any check, so that a failed one does not leave the sampling running.
         done.store(true, Ordering::SeqCst);
         for outcome in outcomes {
