bug: a test waits for the vote of the new storage, not of the former one

Cause: after a voter returned with an empty folder, the leader's list showed the former incarnation as a voter until it heard of the new one; the test went on and stopped the leader too early. The trace showed the returned host still joining. Change: the wait also asks the host itself whether its own incarnation is a voter, which is stricter than before.

--- a/tests/cell_support/mod.rs
+++ b/tests/cell_support/mod.rs
@@ -250,7 +250,13 @@
     /// Waits until the host is a voter in the log as the leader knows it.
     pub fn wait_for_vote(&self, position: usize) {
         self.wait("the host votes", |cell| {
-            cell.replica(cell.leader(), position)["role"] == "voter"
+            // Before the leader hears of the new storage its list shows the former incarnation.
+            let status = cell.host(position).configuration_status().unwrap();
+            let id = format!("host-{position}");
+            status
+                .committed_membership
+                .is_voter(&id, status.incarnation)
+                && cell.replica(cell.leader(), position)["role"] == "voter"
         });
     }
 
