bug: a cancelled request could still run from a later copy

Cause: the cancellation of a waiting request left no record of its key. A copy that a gateway sent again after a lost reply was admitted anew and ran, although the caller had been told that the request did not run. Found by reading in the lane of admission; the new test fails without the change, since its copy waits for a slot and runs. Change: the cancellation is committed to the placement log before the caller hears of it, and a cancelled key permits no other attempt until its record leaves. The flight stays registered until then, so that no copy slips in between.

--- a/src/placer.rs
+++ b/src/placer.rs
@@ -35,7 +35,7 @@
 use follow::Followed;
 use journal::{Journal, JournalError};
 use links::Exchange;
-use records::{Completion, PlacementRecord};
+use records::{Cancellation, Completion, PlacementRecord};
 use runners::health::Execution;
 use runners::{Fate, RunnerSlot, RunnerTable};
 
@@ -171,10 +171,14 @@
             if let Some(sender) = state.waiting.swap_remove(key) {
                 state.queue.cancel(key);
                 flight.cancel();
+                drop(state);
+                // The flight stays registered until the cancellation is recorded, so that no copy
+                // of the request is admitted in between.
+                let recorded = self.record_cancellation(key, &flight);
                 let message = "cancelled while waiting";
                 let error = RequestError::did_not_run(ErrorCode::Cancelled, message);
                 let _ = sender.send(Err(error));
-                return !flight.has_started();
+                return recorded && !flight.has_started();
             }
             flight
         };
@@ -189,6 +193,26 @@
         }
     }
 
+    /// Records that the key is cancelled; returns whether that is committed.
+    fn record_cancellation(&self, key: &str, flight: &Flight) -> bool {
+        let Some(epoch) = (self.options.journal.epoch)() else {
+            return false;
+        };
+        let now_unix_ms = self.options.clock.unix_ms();
+        let retention_ms = self.options.timing.key_retention_ms;
+        let cancellation = Cancellation {
+            key: key.to_owned(),
+            digest: flight.digest.clone(),
+            epoch,
+            now_unix_ms,
+            keep_until_unix_ms: key::keep_until_unix_ms(key, now_unix_ms, retention_ms),
+        };
+        let appended = (self.options.journal.append)(PlacementRecord::Cancellation(cancellation));
+        appended
+            .inspect_err(|error| log::debug!("cancellation of {key} not recorded: {error}"))
+            .is_ok()
+    }
+
     fn is_known_not_to_run(&self, key: &str) -> bool {
         let outcome = self
             .record_or_window(key)
--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -84,6 +84,22 @@
     pub max_answer_bytes: u64,
 }
 
+/// A request was cancelled while it waited. Later copies of it, for example one that a gateway
+/// sends again after a lost reply, get this outcome, so that what the caller was told stays true.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Cancellation {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// What the request is.
+    pub digest: RequestDigest,
+    /// Epoch of the placer.
+    pub epoch: Epoch,
+    /// Wall-clock time of the placer.
+    pub now_unix_ms: u64,
+    /// When the record of the key may be dropped.
+    pub keep_until_unix_ms: u64,
+}
+
 /// One entry of the placement log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PlacementRecord {
@@ -98,6 +114,8 @@
     Intent(Intent),
     /// The outcome of a request is known.
     Completion(Completion),
+    /// A request was cancelled while it waited.
+    Cancellation(Cancellation),
     /// Time has passed; records whose time is over leave.
     Advance {
         /// Wall-clock time of the placer.
@@ -139,7 +157,8 @@
         };
         match error.verdict {
             Verdict::Ran => false,
-            Verdict::DidNotRun => true,
+            // A confirmed cancellation is final for its key.
+            Verdict::DidNotRun => error.code != ErrorCode::Cancelled,
             Verdict::MayHaveRun => self.idempotent && self.over,
         }
     }
@@ -182,6 +201,7 @@
             }
             PlacementRecord::Intent(intent) => self.apply_intent(intent),
             PlacementRecord::Completion(completion) => self.apply_completion(completion),
+            PlacementRecord::Cancellation(cancellation) => self.apply_cancellation(cancellation),
             PlacementRecord::Advance { now_unix_ms } => self.advance(now_unix_ms),
         }
     }
@@ -245,6 +265,34 @@
         self.drop_answers(completion.max_answer_bytes);
     }
 
+    fn apply_cancellation(&mut self, cancellation: Cancellation) {
+        self.advance(cancellation.now_unix_ms);
+        let latest = self.keys.get(&cancellation.key);
+        if latest.is_some_and(|record| !record.permits_another_attempt()) {
+            return;
+        }
+        let message = "cancelled while waiting";
+        let outcome = Err(RequestError::did_not_run(ErrorCode::Cancelled, message));
+        let record = KeyRecord {
+            digest: cancellation.digest,
+            idempotent: false,
+            task: TaskId::new(),
+            worker: WorkerId::new(),
+            incarnation: 0,
+            address: String::new(),
+            epoch: cancellation.epoch,
+            deadline_unix_ms: cancellation.now_unix_ms,
+            outcome: Some(outcome),
+            over: true,
+        };
+        self.keys.insert(cancellation.key.clone(), record);
+        self.completed.push_back(Completed {
+            key: cancellation.key,
+            task: TaskId::new(),
+            keep_until_unix_ms: cancellation.keep_until_unix_ms,
+        });
+    }
+
     fn advance(&mut self, now_unix_ms: u64) {
         self.now_unix_ms = self.now_unix_ms.max(now_unix_ms);
         while let Some(oldest) = self.completed.front() {
--- a/tests/placer_faults.rs
+++ b/tests/placer_faults.rs
@@ -260,6 +260,35 @@
     assert_eq!(verdict(&waiting.join().unwrap()), "ran");
 }
 
+/// Guards against a copy of a request, for example one that a gateway sends again after a lost
+/// reply, that runs after its caller was told that it is cancelled and did not run.
+#[test]
+fn a_cancelled_key_stays_cancelled_under_the_next_placer_too() {
+    let cell = Cell::new(1);
+    let old = cell.next_placer();
+    for index in 0..placer_support::SLOTS {
+        let key = fresh_key(&format!("busy-{index}"));
+        submit_in_background(&old.placer, &request(&key, false, 2_000));
+        cell.wait_for_execution(&key);
+    }
+    let keys = [false, true].map(|idempotent| {
+        let key = fresh_key(&format!("cancelled-{idempotent}"));
+        let first = submit_in_background(&old.placer, &request(&key, idempotent, 1));
+        wait_until("it waits", || old.placer.queued_requests() == 1);
+        assert!(old.placer.cancel(&key), "idempotent {idempotent}");
+        assert_eq!(verdict(&first.join().unwrap()), "did_not_run");
+        let copy = old.placer.submit(&request(&key, idempotent, 1));
+        assert_eq!(copy.unwrap_err().code, ErrorCode::Cancelled, "idempotent {idempotent}");
+        (key, idempotent)
+    });
+    let new = cell.next_placer();
+    for (key, idempotent) in keys {
+        let copy = new.placer.submit(&request(&key, idempotent, 1));
+        assert_eq!(copy.unwrap_err().code, ErrorCode::Cancelled, "idempotent {idempotent}");
+        assert_eq!(cell.executions(&key).len(), 0, "idempotent {idempotent}");
+    }
+}
+
 /// Guards against work for runners that did not announce themselves to the new epoch, which would
 /// accept creates of the old placer as well.
 #[test]
