--- a/src/entry_host/configuration_log.rs
+++ b/src/entry_host/configuration_log.rs
@@ -104,6 +104,7 @@
             timing: Timing {
                 heartbeat_interval: HEARTBEAT_INTERVAL,
                 election_timeout: ELECTION_TIMEOUT,
+                announces_commits: true,
                 ..Timing::default()
             },
             limits,
--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 
-use super::frame::{Frame, MAX_FRAME_BYTES, decode, encode, read_body, with_length};
+use super::frame::{Frame, LENGTH_BYTES, MAX_FRAME_BYTES, decode, encode, read_body, with_length};
 use super::keys::{CODE_BYTES, code, codes_match};
 
 /// Sends frames in one direction of a connection.
@@ -50,6 +50,7 @@
     stream: R,
     secret: [u8; 32],
     sequence: u64,
+    last_frame_bytes: usize,
 }
 
 impl<R: Read> FrameReader<R> {
@@ -59,9 +60,15 @@
             stream,
             secret,
             sequence: 0,
+            last_frame_bytes: 0,
         }
     }
 
+    /// Size of the last frame that was read, with its length and authentication code.
+    pub fn last_frame_bytes(&self) -> usize {
+        self.last_frame_bytes
+    }
+
     /// Reads and verifies one frame.
     ///
     /// # Errors
@@ -70,6 +77,7 @@
     /// that was changed, reordered or replayed.
     pub fn read(&mut self) -> io::Result<Frame> {
         let body = read_body(&mut self.stream, MAX_FRAME_BYTES)?;
+        self.last_frame_bytes = LENGTH_BYTES + body.len();
         let Some((content, received)) = body.split_last_chunk::<CODE_BYTES>() else {
             return Err(io::Error::new(
                 ErrorKind::InvalidData,
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -257,7 +257,7 @@
         thread::Builder::new()
             .name("peer-reader".to_owned())
             .spawn(move || {
-                let error = reading.read_replies(reader);
+                let error = reading.read_replies(reader, &client.shared.options);
                 log::debug!("connection to {} ended: {error}", client.remote_host());
                 client.discard(&reading);
             })?;
@@ -359,12 +359,20 @@
     }
 
     /// Hands replies to their calls until the connection ends; returns why it ended.
-    fn read_replies(&self, mut reader: FrameReader<TcpStream>) -> io::Error {
+    fn read_replies(
+        &self,
+        mut reader: FrameReader<TcpStream>,
+        options: &PeerClientOptions,
+    ) -> io::Error {
         loop {
             let frame = match reader.read() {
                 Ok(frame) => frame,
                 Err(error) => return error,
             };
+            if let Some(links) = &options.links {
+                let bytes = reader.last_frame_bytes();
+                links.count(&options.remote_host, &options.local_host, bytes);
+            }
             {
                 let mut activity = self.activity.lock().unwrap();
                 activity.last_received_at = Instant::now();
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -70,6 +70,9 @@
     pub election_timeout: Duration,
     /// Random share of `election_timeout` that is added, so that hosts rarely compete.
     pub election_spread: f64,
+    /// Whether followers are told at once that entries are committed, instead of with the next
+    /// entries or heartbeat. Costs a call to every follower for each change of a quiet log.
+    pub announces_commits: bool,
 }
 
 impl Default for Timing {
@@ -78,6 +81,7 @@
             heartbeat_interval: Duration::from_millis(200),
             election_timeout: Duration::from_millis(1_000),
             election_spread: 0.5,
+            announces_commits: false,
         }
     }
 }
--- a/src/replication/outbound.rs
+++ b/src/replication/outbound.rs
@@ -129,7 +129,9 @@
             let (kind, request) = self.snapshot_request(host);
             return self.outgoing(host, kind, term, request, now);
         }
+        let untold = self.options.timing.announces_commits && peer.told_commit < self.commit;
         if next_index > last_index
+            && !untold
             && let Some(due) = self.heartbeat_due(host).filter(|due| now < *due)
         {
             return Prepared::WaitUntil(due);
@@ -221,6 +223,7 @@
             }
             (CallKind::Append { last_index, commit }, Reply::Appended { index }) if leading => {
                 let matched = (*index).min(last_index);
+                peer.told_commit = commit;
                 acknowledge(peer, call.sent_at, matched, commit);
                 self.advance_commit(now);
             }
--- a/src/replication/peer.rs
+++ b/src/replication/peer.rs
@@ -15,6 +15,8 @@
     pub next_index: Index,
     /// Last entry that is known to be stored there, with the leader's content.
     pub match_index: Index,
+    /// Committed index in the latest call that the host answered.
+    pub told_commit: Index,
     /// Send time of the latest call in this term that the host answered as follower or voter.
     pub acked_at: Option<Instant>,
     /// Send time of the latest call.
@@ -56,6 +58,7 @@
             incarnation,
             next_index: 1,
             match_index: 0,
+            told_commit: 0,
             acked_at: None,
             sent_at: None,
             retry_at: None,
@@ -75,6 +78,7 @@
     pub(super) fn start_term(&mut self, next_index: Index) {
         self.next_index = next_index;
         self.match_index = 0;
+        self.told_commit = 0;
         self.snapshot_offset = 0;
         self.caught_up = false;
         self.retry_at = None;
