bug: fault tests wait for the re-admission, not for the role alone

The list still showed the report from before the crash, with the former incarnation as voter, so the leader was lost before the re-admission. Change: the tests wait until the incarnation in the committed membership has changed as well, which is stricter. Conclusion: a fault of the test; the list shows the age of its reports.

--- a/tests/cell_support/mod.rs
+++ b/tests/cell_support/mod.rs
@@ -262,6 +262,20 @@
             .collect()
     }
 
+    /// Identity of a host's storage in the log as the leader knows it.
+    pub fn incarnation(&self, position: usize) -> Value {
+        self.replica(self.leader(), position)["incarnation"].clone()
+    }
+
+    /// Waits until the host votes with another storage than the former one. The role alone does not
+    /// show it: the leader may not have noticed yet that the host came back.
+    pub fn wait_for_readmission(&self, position: usize, former: &Value) {
+        self.wait("the host is re-admitted", |cell| {
+            let replica = cell.replica(cell.leader(), position);
+            replica["role"] == "voter" && replica["incarnation"] != *former
+        });
+    }
+
     /// A voter that does not lead.
     pub fn follower(&self) -> usize {
         (self.leader() + 1) % VOTERS
--- a/tests/configuration_faults.rs
+++ b/tests/configuration_faults.rs
@@ -26,6 +26,7 @@
     cell.change_until_accepted(LEARNER, "first", 0, 20);
     let leader = cell.leader();
     let (empty, other) = ((leader + 1) % VOTERS, (leader + 2) % VOTERS);
+    let former = cell.incarnation(empty);
     cell.crash(empty);
     cell.crash(other);
     cell.restart_empty(empty);
@@ -34,7 +35,7 @@
     assert_eq!(cell.version(leader), 1);
     cell.restart(other);
     cell.change_until_accepted(LEARNER, "second", 1, 30);
-    cell.wait_for_vote(empty);
+    cell.wait_for_readmission(empty, &former);
     cell.wait_for_version(2);
 }
 
@@ -44,10 +45,11 @@
     let mut cell = Cell::start();
     cell.change_until_accepted(LEARNER, "first", 0, 20);
     let repaired = cell.follower();
+    let former = cell.incarnation(repaired);
     cell.crash(repaired);
     cell.change_until_accepted(LEARNER, "second", 1, 30);
     cell.restart_empty(repaired);
-    cell.wait_for_vote(repaired);
+    cell.wait_for_readmission(repaired, &former);
     let leader = cell.leader();
     cell.crash(leader);
     cell.change_until_accepted(LEARNER, "third", 2, 40);
