--- a/tests/placer_faults.rs
+++ b/tests/placer_faults.rs
@@ -278,13 +278,21 @@
         assert!(old.placer.cancel(&key), "idempotent {idempotent}");
         assert_eq!(verdict(&first.join().unwrap()), "did_not_run");
         let copy = old.placer.submit(&request(&key, idempotent, 1));
-        assert_eq!(copy.unwrap_err().code, ErrorCode::Cancelled, "idempotent {idempotent}");
+        assert_eq!(
+            copy.unwrap_err().code,
+            ErrorCode::Cancelled,
+            "idempotent {idempotent}"
+        );
         (key, idempotent)
     });
     let new = cell.next_placer();
     for (key, idempotent) in keys {
         let copy = new.placer.submit(&request(&key, idempotent, 1));
-        assert_eq!(copy.unwrap_err().code, ErrorCode::Cancelled, "idempotent {idempotent}");
+        assert_eq!(
+            copy.unwrap_err().code,
+            ErrorCode::Cancelled,
+            "idempotent {idempotent}"
+        );
         assert_eq!(cell.executions(&key).len(), 0, "idempotent {idempotent}");
     }
 }
