--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -19,7 +19,7 @@
 use jujubewinch::placer::links::http_exchange;
 use jujubewinch::placer::records::{Intent, PlacementRecord, PlacementState, RequestDigest};
 use jujubewinch::placer::{Placer, PlacerOptions};
-use jujubewinch::protocol::worker::{Announcement, RunnerCapacity, WorkerPhase};
+use jujubewinch::protocol::worker::{Announcement, RunnerCapacity, TaskState, WorkerPhase};
 use jujubewinch::resources::Resources;
 use jujubewinch::scheduling::request_queue::policy::RequestPolicyName;
 use jujubewinch::telemetry::metrics::metrics;
@@ -35,6 +35,11 @@
         &[50, 100, 200, 400, 800],
         announcement_us,
     );
+    report(
+        "announcement, bytes of its body, against running tasks",
+        &[5, 10, 20, 40, 80],
+        announcement_bytes,
+    );
     report(
         "key records, snapshot bytes, against records",
         &[1_000, 2_000, 4_000, 8_000, 16_000],
@@ -138,6 +143,23 @@
     started_at.elapsed().as_secs_f64() * 1e6 / (ANNOUNCEMENT_ROUNDS * workers) as f64
 }
 
+/// Size of the body of an announcement with so many running tasks.
+fn announcement_bytes(tasks: usize) -> f64 {
+    let mut announcement = announcement(100);
+    for index in 0..tasks {
+        let task = format!("erdenet.1764820000.job-{index:06}-0001-1");
+        let usage = Resources {
+            cpu_millis: 500,
+            memory_mib: 1_024,
+            accelerators: 0,
+        };
+        announcement.usage.insert(task.clone(), usage);
+        announcement.tasks.insert(task, TaskState::Running);
+    }
+    let body = serde_json::to_vec(&announcement).expect("announcements can be encoded");
+    body.len() as f64
+}
+
 /// Size of a snapshot with so many open key records.
 fn key_bytes(records: usize) -> f64 {
     let mut state = PlacementState::default();
