refactor: smaller files for the table of runners, settings and drains

Change: the choice among the runners of a service, and the settings of cluster keys, have files of their own; drain and undrain share one.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -17,7 +17,6 @@
 mod table;
 mod team;
 mod token;
-mod undrain;
 
 use clap::{ArgMatches, Command};
 use thiserror::Error;
@@ -81,8 +80,8 @@
                 exception::subcommand(),
                 team::subcommand(),
                 token::subcommand(),
-                drain::subcommand(),
-                undrain::subcommand(),
+                drain::drain(),
+                drain::undrain(),
                 audit::subcommand(),
                 fleet::subcommand(),
                 replica::subcommand(),
--- a/src/commands/drain.rs
+++ b/src/commands/drain.rs
@@ -1,4 +1,4 @@
-//! `drain`: takes a worker or entry host out of use.
+//! `drain` and `undrain`: take a worker or entry host out of use, and use it again.
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hyper::Method;
@@ -9,28 +9,36 @@
 use crate::configuration::scope::DrainTarget;
 use crate::options::arguments::value;
 
-pub(super) fn subcommand() -> Subcommand {
-    Subcommand { arguments, run }
+pub(super) fn drain() -> Subcommand {
+    Subcommand {
+        arguments: || command("drain", "Take a worker or entry host out of use"),
+        run: |matches| run(matches, Method::PUT, ""),
+    }
 }
 
-fn arguments() -> Command {
-    let command = Command::new("drain")
-        .about("Take a worker or entry host out of use")
-        .after_help("Example:\n  jujubewinch drain worker:w17 --reason 'new memory'")
-        .arg(
-            Arg::new("target")
-                .required(true)
-                .value_parser(value_parser!(DrainTarget))
-                .help("worker:WORKER or host:HOST"),
-        );
+pub(super) fn undrain() -> Subcommand {
+    Subcommand {
+        arguments: || command("undrain", "Use a drained worker or entry host again"),
+        run: |matches| run(matches, Method::POST, "/undrain"),
+    }
+}
+
+fn command(name: &'static str, about: &'static str) -> Command {
+    let example = format!("Example:\n  jujubewinch {name} worker:w17 --reason 'new memory'");
+    let command = Command::new(name).about(about).after_help(example).arg(
+        Arg::new("target")
+            .required(true)
+            .value_parser(value_parser!(DrainTarget))
+            .help("worker:WORKER or host:HOST"),
+    );
     with_change(command)
 }
 
-fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+fn run(matches: &ArgMatches, method: Method, action: &str) -> Result<(), CommandError> {
     let target = encode(&value::<DrainTarget>(matches, "target").to_string());
     let call = ChangeCall {
-        method: Method::PUT,
-        path: format!("/v1/drains/{target}"),
+        method,
+        path: format!("/v1/drains/{target}{action}"),
         fields: json!({}),
     };
     AdminClient::new(matches)?.change(matches, call)
--- a/src/options.rs
+++ b/src/options.rs
@@ -3,6 +3,7 @@
 pub mod arguments;
 mod position;
 mod ranges;
+pub mod security;
 pub mod settings;
 
 pub use settings::{Settings, SettingsError};
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -8,15 +8,18 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::security::decode_hex;
 use super::{position, ranges};
+
 use crate::configuration::digest::Sha256Digest;
 use crate::ids::{DataCentreName, HostId, RegionName};
-use crate::peer::keys::{ClusterKey, ClusterKeys};
 use crate::scheduling::request_queue::policy::RequestPolicyName;
 
 /// Shortest secret of a cluster key.
 const MIN_SECRET_BYTES: usize = 16;
 
+pub use super::security::{ClusterKeySettings, SecuritySettings};
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -185,51 +188,6 @@
     }
 }
 
-/// Keys between entry hosts.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct SecuritySettings {
-    /// Cluster keys: the first one is used for sending, all are accepted.
-    pub cluster_keys: Vec<ClusterKeySettings>,
-}
-
-/// A secret that all entry hosts share.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct ClusterKeySettings {
-    /// Number of the key, the same on all hosts.
-    pub id: u32,
-    /// Secret of at least 16 bytes in hexadecimal digits.
-    #[serde(skip_serializing)]
-    pub secret_hex: String,
-}
-
-impl SecuritySettings {
-    /// The keys; without any the cell is not authenticated.
-    pub fn keys(&self) -> ClusterKeys {
-        let mut keys = self.cluster_keys.iter().map(|key| ClusterKey {
-            id: key.id,
-            secret: decode_hex(&key.secret_hex).unwrap_or_default(),
-        });
-        match keys.next() {
-            Some(current) => ClusterKeys::new(current, keys.collect()),
-            None => ClusterKeys::unauthenticated(),
-        }
-    }
-}
-
-/// Bytes of a string of hexadecimal digits; `None` when it is not one.
-pub fn decode_hex(text: &str) -> Option<Vec<u8>> {
-    let digits: Option<Vec<u32>> = text.chars().map(|digit| digit.to_digit(16)).collect();
-    let digits = digits.filter(|digits| digits.len().is_multiple_of(2))?;
-    Some(
-        digits
-            .chunks(2)
-            .map(|pair| (pair[0] * 16 + pair[1]) as u8)
-            .collect(),
-    )
-}
-
 /// Scheduling decisions.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/placer/runners.rs
+++ b/src/placer/runners.rs
@@ -1,6 +1,7 @@
 //! Runners of a data centre and their slots.
 
 pub mod health;
+mod service;
 #[cfg(test)]
 mod tests;
 
@@ -8,23 +9,18 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 
 use super::links::RunnerLink;
 use crate::ids::{Epoch, Incarnation, ServiceName, TaskId, WorkerId};
 use crate::protocol::worker::{Announcement, RunnerCapacity, WorkerPhase};
-use health::{Execution, Health, KindCounts};
+use health::{Execution, Health};
+use service::{ServiceRunners, choose};
 
 /// Time after the end of its lease for which a silent runner stays listed.
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
 
-/// Up to so many runners of a service all of them are compared, otherwise two random ones.
-const MAX_COMPARED: usize = 4;
-/// Random choices tried before all runners of a service are looked at.
-const MAX_TRIES: usize = 8;
-/// Weight of the rack's load against the runner's own.
-const RACK_WEIGHT: f64 = 0.25;
 /// Time for which a count of slots is used when no runner announces itself.
 const SLOTS_VALID: Duration = Duration::from_secs(1);
 /// One of so many runners of a service may be in quarantine at once.
@@ -95,21 +91,6 @@
     }
 }
 
-#[derive(Default)]
-struct RackLoad {
-    busy_slots: u32,
-    runners: u32,
-}
-
-#[derive(Default)]
-struct ServiceRunners {
-    workers: IndexSet<WorkerId>,
-    racks: IndexMap<String, RackLoad>,
-    kinds: KindCounts,
-    /// Slots of the runners that were up, and when they were counted.
-    slots: Option<(u32, Instant)>,
-}
-
 /// Runners that announced themselves to the present epoch.
 pub struct RunnerTable {
     epoch: Epoch,
@@ -465,39 +446,3 @@
         capacity.connections,
     ))
 }
-
-fn choose(
-    service: &ServiceRunners,
-    runners: &IndexMap<WorkerId, RunnerEntry>,
-    random: &mut StdRng,
-    is_usable: &dyn Fn(&RunnerEntry) -> bool,
-) -> Option<WorkerId> {
-    let score = |entry: &RunnerEntry| {
-        let rack = service.racks.get(&entry.announcement.rack);
-        let rack_load = rack.map_or(0.0, |rack| {
-            f64::from(rack.busy_slots) / f64::from(rack.runners * entry.capacity.slots.max(1))
-        });
-        entry.load() + RACK_WEIGHT * rack_load
-    };
-    let count = service.workers.len();
-    let mut usable = Vec::new();
-    if count > MAX_COMPARED {
-        for _ in 0..MAX_TRIES {
-            let entry = &runners[&service.workers[random.random_range(0..count)]];
-            if is_usable(entry) {
-                usable.push(entry);
-            }
-            if usable.len() == 2 {
-                break;
-            }
-        }
-    }
-    if usable.is_empty() {
-        let entries = service.workers.iter().map(|worker| &runners[worker]);
-        usable = entries.filter(|entry| is_usable(entry)).collect();
-    }
-    let best = usable
-        .into_iter()
-        .min_by(|one, other| score(one).total_cmp(&score(other)))?;
-    Some(best.announcement.worker.clone())
-}
