feature: weights of teams reach the job scheduler

Cause: operators' teams were accepted and the job scheduler knew none of them. Change: the job placer reads the teams from the configuration when its version changes and when it takes over. Quotas stay out, since operators set upper bounds while the scheduler knows guaranteed amounts with borrowing; the two meanings have to be reconciled first. Result: a test with weights 3 and 1 on full workers sees at least twice the tasks for the heavier team, under the present and under the next placer.

--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -113,7 +113,7 @@
             !known || drains.read().is_worker_drained(worker)
         }));
         placer.observe_policy(request_policy::source(&configuration));
-        let jobs = Jobs::start(&settings, journals.jobs);
+        let jobs = Jobs::start(&settings, journals.jobs, &configuration);
         let joining = configuration_replica.clone();
         let gateway = Arc::new(Gateway {
             router: Router {
--- a/src/entry_host/jobs.rs
+++ b/src/entry_host/jobs.rs
@@ -9,14 +9,16 @@
 use hyper::Method;
 
 use crate::clock::Clock;
+use crate::configuration::Configuration;
 use crate::http::client::{ClientError, ClientRequest, ClientResponse};
 use crate::http::{Client, ClientOptions};
 use crate::options::Settings;
 use crate::placer::jobs::{
-    JobJournal, JobPlacer, JobPlacerOptions, WorkerCall, WorkerCallError, WorkerClient,
+    JobJournal, JobPlacer, JobPlacerOptions, TeamSource, WorkerCall, WorkerCallError, WorkerClient,
     WorkerReply, WorkerRequest,
 };
 use crate::protocol::headers;
+use crate::scheduling::fair_share::TeamShare;
 use crate::scheduling::job_scheduler::SchedulerSettings;
 use crate::scheduling::overuse::Measure;
 
@@ -37,8 +39,13 @@
 
 impl Jobs {
     /// Starts the rounds of decisions and the calls to workers.
-    pub fn start(settings: &Settings, journal: JobJournal) -> Self {
-        let placer = Arc::new(JobPlacer::new(options(settings, journal)));
+    pub fn start(
+        settings: &Settings,
+        journal: JobJournal,
+        configuration: &Arc<Configuration>,
+    ) -> Self {
+        let options = options(settings, journal, configuration);
+        let placer = Arc::new(JobPlacer::new(options));
         let stopped = Arc::new(AtomicBool::new(false));
         let (sender, receiver) = bounded(MAX_WAITING_CALLS);
         for _ in 0..CALL_THREADS {
@@ -46,8 +53,15 @@
             thread::spawn(move || perform(&placer, &receiver));
         }
         let (ticking, ends) = (Arc::clone(&placer), Arc::clone(&stopped));
+        let configuration = Arc::clone(configuration);
         thread::spawn(move || {
+            let mut version = 0;
             while !ends.load(Ordering::Acquire) {
+                let present = configuration.read().version();
+                if present != version {
+                    ticking.refresh_teams();
+                    version = present;
+                }
                 tick(&ticking, &sender);
                 thread::sleep(TICK);
             }
@@ -61,7 +75,11 @@
     }
 }
 
-fn options(settings: &Settings, journal: JobJournal) -> JobPlacerOptions {
+fn options(
+    settings: &Settings,
+    journal: JobJournal,
+    configuration: &Arc<Configuration>,
+) -> JobPlacerOptions {
     let this = settings.this_host();
     let timing = &settings.timing;
     JobPlacerOptions {
@@ -73,7 +91,7 @@
         key_retention: Duration::from_millis(timing.key_retention_ms),
         max_starts_per_s: MAX_STARTS_PER_S,
         scheduler: SchedulerSettings::default(),
-        teams: Vec::new(),
+        teams: teams(configuration),
         clock: Clock::system(),
         journal,
         client: worker_client(
@@ -83,6 +101,25 @@
     }
 }
 
+/// Weights of the teams. Quotas are not part of it yet: operators set upper bounds, while the
+/// scheduler knows guaranteed amounts with borrowing.
+fn teams(configuration: &Arc<Configuration>) -> TeamSource {
+    let configuration = Arc::clone(configuration);
+    Arc::new(move || {
+        let snapshot = configuration.read();
+        let teams = snapshot.content().teams.values();
+        teams
+            .map(|team| {
+                let share = TeamShare {
+                    weight: team.weight,
+                    ..TeamShare::default()
+                };
+                (team.member.clone(), share)
+            })
+            .collect()
+    })
+}
+
 fn tick(placer: &JobPlacer, calls: &Sender<WorkerCall>) {
     if !placer.is_leading() {
         return;
--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -19,7 +19,7 @@
 use super::journal::{CurrentEpoch, JournalError};
 use super::key;
 use crate::clock::Clock;
-use crate::ids::{DataCentreName, Epoch, JobId, RegionName};
+use crate::ids::{DataCentreName, Epoch, JobId, MemberId, RegionName};
 use crate::protocol::job::{JobCall, JobPhase, JobView};
 use crate::protocol::worker::{Announcement, AnnouncementReply};
 use crate::scheduling::fair_share::TeamShare;
@@ -61,6 +61,9 @@
     }
 }
 
+/// Returns the teams with their shares.
+pub type TeamSource = Arc<dyn Fn() -> Vec<(MemberId, TeamShare)> + Send + Sync>;
+
 /// Everything that the jobs of a data centre need.
 pub struct JobPlacerOptions {
     /// Data centre.
@@ -80,8 +83,8 @@
     pub max_starts_per_s: u32,
     /// Policies.
     pub scheduler: SchedulerSettings,
-    /// Teams with their shares.
-    pub teams: Vec<(String, TeamShare)>,
+    /// Returns the teams with their shares, as operators set them.
+    pub teams: TeamSource,
     /// Time source.
     pub clock: Clock,
     /// Replicated records.
@@ -310,6 +313,13 @@
         self.commit(&mut guard)
     }
 
+    /// Takes over the present teams. Called when operators may have changed them.
+    pub fn refresh_teams(&self) {
+        if let Some(term) = self.lock().as_mut() {
+            term.set_teams(&self.options.teams);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Option<Term>> {
         self.term.lock().unwrap()
     }
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -2,15 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use super::JobPlacerOptions;
 use super::calls::{WorkerCall, WorkerCallError, WorkerReply, WorkerRequest};
 use super::leases::{Leases, StartRate, WorkerLease};
 use super::live::LiveTasks;
-use crate::ids::{Epoch, JobId, TaskId};
+use super::{JobPlacerOptions, TeamSource};
+use crate::ids::{Epoch, JobId, MemberId, TaskId};
 use crate::placer::job_records::{JobEnd, JobEntry, JobRecord, JobState, TaskAttempt};
 use crate::protocol::worker::{Announcement, TaskState, WorkerPhase};
+use crate::scheduling::fair_share::TeamShare;
 use crate::scheduling::job::{TaskEnd, parse_task_id};
 use crate::scheduling::job_scheduler::{
     Decision, JobOutcome, JobScheduler, RestoredTask, TaskStart,
@@ -27,6 +28,8 @@
 pub(super) struct Term {
     pub(super) epoch: Epoch,
     pub(super) scheduler: JobScheduler,
+    /// Members whose shares were set.
+    teams: IndexSet<MemberId>,
     leases: Leases,
     tasks: LiveTasks,
     rate: StartRate,
@@ -48,6 +51,7 @@
         let mut term = Self {
             epoch,
             scheduler: JobScheduler::new(options.scheduler),
+            teams: IndexSet::new(),
             leases: Leases::default(),
             tasks: LiveTasks::default(),
             rate: StartRate::new(options.max_starts_per_s, now),
@@ -55,9 +59,7 @@
             records: Vec::new(),
             calls: Vec::new(),
         };
-        for (member, share) in &options.teams {
-            term.scheduler.set_team(member, share.clone());
-        }
+        term.set_teams(&options.teams);
         term.scheduler.set_reachable(&options.data_centre, false);
         for (id, entry) in &state.jobs {
             term.recover_job(options, id, entry, now);
@@ -65,6 +67,22 @@
         term
     }
 
+    /// Sets the shares of the present teams; a member that is no longer one gets the default.
+    pub(super) fn set_teams(&mut self, source: &TeamSource) {
+        let present: IndexMap<MemberId, TeamShare> = source().into_iter().collect();
+        for member in self
+            .teams
+            .iter()
+            .filter(|member| !present.contains_key(*member))
+        {
+            self.scheduler.set_team(member, TeamShare::default());
+        }
+        for (member, share) in &present {
+            self.scheduler.set_team(member, share.clone());
+        }
+        self.teams = present.into_keys().collect();
+    }
+
     fn recover_job(
         &mut self,
         options: &JobPlacerOptions,
--- a/tests/job_life.rs
+++ b/tests/job_life.rs
@@ -10,6 +10,7 @@
 use jujubewinch::placer::jobs::JobStatus;
 use jujubewinch::placer::journal::JournalError;
 use jujubewinch::protocol::worker::TaskState;
+use jujubewinch::scheduling::fair_share::TeamShare;
 use jujubewinch::scheduling::job_scheduler::Cancellation;
 use jujubewinch::verdict::{ErrorCode, Verdict};
 
@@ -280,3 +281,39 @@
         (ErrorCode::Unavailable, Verdict::DidNotRun)
     );
 }
+
+/// Guards against weights that operators set and that change nothing, for the present placer and
+/// for the next one.
+#[test]
+fn weights_of_teams_decide_about_free_workers() {
+    for change in [false, true] {
+        let names: Vec<String> = (0..8).map(|number| format!("worker-{number}")).collect();
+        let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut cell = Cell::new(&workers);
+        let share = |weight| TeamShare {
+            weight,
+            ..TeamShare::default()
+        };
+        cell.world.lock().unwrap().teams =
+            vec![("heavy".into(), share(3)), ("light".into(), share(1))];
+        if change {
+            cell.change_placer();
+            cell.announce_all();
+        } else {
+            cell.placer.refresh_teams();
+        }
+        for member in ["light", "heavy"] {
+            let mut spec = job(member, "batch", 100, false);
+            spec.member = member.into();
+            cell.placer.submit(spec).unwrap();
+        }
+        cell.run(10, &workers);
+        let [heavy, light] = ["heavy", "light"].map(|member| cell.begun(member).len());
+        assert!(heavy + light < 200, "the workers hold everything");
+        assert!(
+            heavy >= 2 * light,
+            "{heavy} against {light}, changed {change}"
+        );
+        assert!(light > 0, "{heavy} against {light}, changed {change}");
+    }
+}
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -16,6 +16,7 @@
 use jujubewinch::protocol::caller::Urgency;
 use jujubewinch::protocol::worker::{Announcement, TaskState, WorkerPhase};
 use jujubewinch::resources::Resources;
+use jujubewinch::scheduling::fair_share::TeamShare;
 use jujubewinch::scheduling::job::{JobSpec, LocationPreference};
 use jujubewinch::scheduling::job_scheduler::SchedulerSettings;
 use jujubewinch::scheduling::overuse::Measure;
@@ -36,6 +37,8 @@
     pub calls: Vec<WorkerCall>,
     pub fail: Option<JournalError>,
     pub commit_takes: Duration,
+    /// Shares of the teams.
+    pub teams: Vec<(String, TeamShare)>,
 }
 
 pub struct Cell {
@@ -177,6 +180,7 @@
     let now = move || base + Duration::from_millis(elapsed.load(Ordering::SeqCst));
     let (applied, failing) = (Arc::clone(state), Arc::clone(world));
     let clock = Arc::clone(elapsed_ms);
+    let teams = Arc::clone(world);
     let (current, sent, committed) = (Arc::clone(epoch), Arc::clone(world), Arc::clone(state));
     JobPlacer::new(JobPlacerOptions {
         data_centre: "erdenet".into(),
@@ -187,7 +191,7 @@
         key_retention: Duration::from_secs(600),
         max_starts_per_s: 50,
         scheduler: SchedulerSettings::default(),
-        teams: Vec::new(),
+        teams: Arc::new(move || teams.lock().unwrap().teams.clone()),
         clock: Clock::new(now, || SystemTime::UNIX_EPOCH),
         journal: JobJournal {
             append: Arc::new(move |records| {
