bug: every confirmed cancellation is final, and the check of the load tool is strict again

Cause: a cancellation that was confirmed since the request had just been refused, or since its record said that it did not run, still left no record of its own; a later copy could run. The load tool had been taught to accept that a key sent again after a confirmed cancellation runs. Change: each confirmation is recorded first, and only where no attempt ran, may have run or is open; the note of earlier attempts in memory is not needed any more. The tool reports any execution of a cancelled key; its test case now expects a violation where it expected none. Conclusion: a caller that is told that its cancelled request did not run can rely on it.

--- a/src/load/check.rs
+++ b/src/load/check.rs
@@ -132,7 +132,9 @@
         && attempts
             .iter()
             .all(|attempt| attempt.verdict == Some(Verdict::DidNotRun));
-    if (only_refused || cancelled_for_good(attempts)) && !executions.is_empty() {
+    // A confirmed cancellation is final for its key, whatever is sent afterwards.
+    let cancelled = attempts.iter().any(|attempt| attempt.cancellation);
+    if (only_refused || cancelled) && !executions.is_empty() {
         findings.violation(format!(
             "request {number}: the caller was told that it did not run, but it was executed: {}",
             describe(attempts, executions)
@@ -145,17 +147,6 @@
     }
 }
 
-/// Whether a cancellation was confirmed and the key was not sent again afterwards.
-fn cancelled_for_good(attempts: &[&Attempt]) -> bool {
-    let cancellations = attempts.iter().filter(|attempt| attempt.cancellation);
-    let Some(cancelled_us) = cancellations.map(|attempt| attempt.ended_us).max() else {
-        return false;
-    };
-    attempts
-        .iter()
-        .all(|attempt| attempt.started_us < cancelled_us)
-}
-
 fn describe(attempts: &[&Attempt], executions: &[&ReportedExecution]) -> String {
     let attempts: Vec<String> = attempts
         .iter()
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -35,7 +35,7 @@
 use follow::Followed;
 use journal::{Journal, JournalError};
 use links::Exchange;
-use records::{Cancellation, Completion, PlacementRecord};
+use records::{Cancellation, Completion, PlacementRecord, RequestDigest};
 use runners::health::Execution;
 use runners::{Fate, RunnerSlot, RunnerTable};
 
@@ -176,7 +176,7 @@
             let mut state = self.state.lock().unwrap();
             let Some(flight) = state.flights.get(key).cloned() else {
                 drop(state);
-                return self.is_known_not_to_run(key);
+                return self.cancel_ended(key);
             };
             if let Some(sender) = state.waiting.swap_remove(key) {
                 state.queue.cancel(key);
@@ -184,11 +184,11 @@
                 drop(state);
                 // The flight stays registered until the cancellation is recorded, so that no copy
                 // of the request is admitted in between.
-                let recorded = self.record_cancellation(key, &flight);
+                let recorded = self.record_cancellation(key, &flight.digest);
                 let message = "cancelled while waiting";
                 let error = RequestError::did_not_run(ErrorCode::Cancelled, message);
                 let _ = sender.send(Err(error));
-                return recorded && !flight.has_started();
+                return recorded;
             }
             flight
         };
@@ -198,13 +198,16 @@
             task_calls::cancel(&self.options, &link, &task, epoch, wait);
         }
         match flight.wait(deadline, &self.options.clock) {
-            Some(FlightEnd::Outcome(Err(error))) => error.verdict == Verdict::DidNotRun,
+            Some(FlightEnd::Outcome(Err(error))) if error.verdict == Verdict::DidNotRun => {
+                self.record_cancellation(key, &flight.digest)
+            }
             _ => false,
         }
     }
 
-    /// Records that the key is cancelled; returns whether that is committed.
-    fn record_cancellation(&self, key: &str, flight: &Flight) -> bool {
+    /// Records that the key is cancelled, so that no copy of the request runs later. Returns
+    /// whether that is committed and in effect.
+    fn record_cancellation(&self, key: &str, digest: &RequestDigest) -> bool {
         let Some(epoch) = (self.options.journal.epoch)() else {
             return false;
         };
@@ -212,23 +215,33 @@
         let retention_ms = self.options.timing.key_retention_ms;
         let cancellation = Cancellation {
             key: key.to_owned(),
-            digest: flight.digest.clone(),
+            digest: digest.clone(),
             epoch,
             now_unix_ms,
             keep_until_unix_ms: key::keep_until_unix_ms(key, now_unix_ms, retention_ms),
         };
         let appended = (self.options.journal.append)(PlacementRecord::Cancellation(cancellation));
-        appended
-            .inspect_err(|error| log::debug!("cancellation of {key} not recorded: {error}"))
-            .is_ok()
+        if let Err(error) = appended {
+            log::debug!("cancellation of {key} not recorded: {error}");
+            return false;
+        }
+        let placement = self.options.journal.state.lock().unwrap();
+        let outcome = placement
+            .keys
+            .get(key)
+            .and_then(|record| record.outcome.as_ref());
+        matches!(outcome, Some(Err(error))
+            if error.verdict == Verdict::DidNotRun && error.code == ErrorCode::Cancelled)
     }
 
-    fn is_known_not_to_run(&self, key: &str) -> bool {
-        let outcome = self
-            .record_or_window(key)
-            .ok()
-            .and_then(|record| record.outcome);
-        matches!(outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
+    /// Cancels a key without a flight: certain when its latest attempt did not run.
+    fn cancel_ended(&self, key: &str) -> bool {
+        let Ok(record) = self.record_or_window(key) else {
+            return false;
+        };
+        let did_not_run = matches!(&record.outcome, Some(Err(error))
+            if error.verdict == Verdict::DidNotRun);
+        did_not_run && self.record_cancellation(key, &record.digest)
     }
 
     /// Takes note of a worker and renews the leases of its tasks.
--- a/src/placer/admission.rs
+++ b/src/placer/admission.rs
@@ -180,12 +180,6 @@
             });
         }
         let flight = Flight::new(digest);
-        if former
-            .as_ref()
-            .is_some_and(|former| former.error.verdict == Verdict::MayHaveRun)
-        {
-            flight.set_started();
-        }
         let (sender, assigned) = bounded(1);
         state
             .flights
--- a/src/placer/attempt.rs
+++ b/src/placer/attempt.rs
@@ -109,9 +109,6 @@
                         return self.commit(&slot, Err(error), true, false);
                     }
                     retries += 1;
-                    if started {
-                        self.flight.set_started();
-                    }
                     log::info!(
                         key = submission.key.as_str(), member = submission.member.as_str(),
                         runner = slot.worker.as_str(), task = slot.task.as_str();
--- a/src/placer/flight.rs
+++ b/src/placer/flight.rs
@@ -34,8 +34,6 @@
     pub digest: RequestDigest,
     /// Set when the caller cancelled it; no further attempt is made.
     cancelled: AtomicBool,
-    /// Set when an earlier attempt may have started.
-    started: AtomicBool,
     /// Set before the first exchange of each attempt, so that a cancellation reaches the runner.
     sent: Mutex<Option<SentTask>>,
     end: Mutex<Option<FlightEnd>>,
@@ -48,7 +46,6 @@
         Arc::new(Self {
             digest,
             cancelled: AtomicBool::new(false),
-            started: AtomicBool::new(false),
             sent: Mutex::new(None),
             end: Mutex::new(None),
             ended: Condvar::new(),
@@ -75,16 +72,6 @@
         self.cancelled.load(Ordering::Acquire)
     }
 
-    /// Notes that an attempt may have started before the present one.
-    pub fn set_started(&self) {
-        self.started.store(true, Ordering::Release);
-    }
-
-    /// Whether an attempt before the present one may have started.
-    pub fn has_started(&self) -> bool {
-        self.started.load(Ordering::Acquire)
-    }
-
     /// Callers attached besides the one that began the flight.
     pub fn has_waiters(&self) -> bool {
         self.waiters.load(Ordering::Acquire) > 0
--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -267,8 +267,13 @@
 
     fn apply_cancellation(&mut self, cancellation: Cancellation) {
         self.advance(cancellation.now_unix_ms);
+        // An earlier attempt that may have run, or whose outcome is open, keeps its record.
         let latest = self.keys.get(&cancellation.key);
-        if latest.is_some_and(|record| !record.permits_another_attempt()) {
+        let did_not_run = |record: &KeyRecord| {
+            let outcome = record.outcome.as_ref();
+            matches!(outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
+        };
+        if latest.is_some_and(|record| !did_not_run(record)) {
             return;
         }
         let message = "cancelled while waiting";
--- a/tests/load_experiment.rs
+++ b/tests/load_experiment.rs
@@ -136,10 +136,10 @@
             1,
         ),
         (
-            "cancelled, then sent again",
+            "cancelled, then a copy ran",
             vec![cancelled, attempt(false, Some(Ran), 200)],
             once,
-            0,
+            1,
         ),
     ];
     for (name, attempts, executions, violations) in cases {
--- a/tests/placer_records.rs
+++ b/tests/placer_records.rs
@@ -7,7 +7,7 @@
 
 use jujubewinch::agent::faults::Fault;
 use jujubewinch::placer::records::{
-    Completion, Intent, PlacementRecord, PlacementState, RequestDigest,
+    Cancellation, Completion, Intent, PlacementRecord, PlacementState, RequestDigest,
 };
 use jujubewinch::protocol::caller::Answer;
 use jujubewinch::verdict::{ErrorCode, RequestError, Verdict};
@@ -445,3 +445,57 @@
     let deadline = Instant::now() + PATIENCE;
     assert!(host.placer.wait_until_idle(deadline));
 }
+
+/// Guards against a cancellation that turns "may have run" or an open attempt into "did not run",
+/// and against attempts after a cancellation.
+#[test]
+fn a_cancellation_is_final_only_where_nothing_ran() {
+    let failed = |verdict: fn(ErrorCode, String) -> RequestError| {
+        Err(verdict(ErrorCode::Unavailable, "lost".to_owned()))
+    };
+    let cases = [
+        ("no record", vec![], true),
+        ("open attempt", vec![intent("k", None, "one", 1, 1)], false),
+        (
+            "did not run",
+            vec![
+                intent("k", None, "one", 1, 1),
+                completion("k", "one", failed(RequestError::did_not_run), 1),
+            ],
+            true,
+        ),
+        (
+            "may have run",
+            vec![
+                intent("k", None, "one", 1, 1),
+                completion("k", "one", failed(RequestError::may_have_run), 1),
+            ],
+            false,
+        ),
+        (
+            "ran",
+            vec![
+                intent("k", None, "one", 1, 1),
+                completion("k", "one", answer(1), 1),
+            ],
+            false,
+        ),
+    ];
+    for (name, records, cancelled) in cases {
+        let mut state = PlacementState::default();
+        records.into_iter().for_each(|record| state.apply(record));
+        state.apply(PlacementRecord::Cancellation(Cancellation {
+            key: "k".to_owned(),
+            digest: RequestDigest::default(),
+            epoch: 1,
+            now_unix_ms: 2,
+            keep_until_unix_ms: 100,
+        }));
+        state.apply(intent("k", Some("one"), "two", 1, 3));
+        state.apply(intent("k", None, "three", 1, 3));
+        let outcome = state.keys["k"].outcome.clone();
+        let is_cancelled =
+            matches!(&outcome, Some(Err(error)) if error.code == ErrorCode::Cancelled);
+        assert_eq!(is_cancelled, cancelled, "{name}: {outcome:?}");
+    }
+}
