bug: a request with an unreadable key is refused

Cause: a header that is not plain text counted as absent, so that an idempotent request with such a key got a key of its own and a retry ran again. Found by reading. Change: key, member, caller and service must be readable, otherwise 400 with did_not_run. Result: the new test passes; nothing reaches the runner.

--- a/src/gateway/api.rs
+++ b/src/gateway/api.rs
@@ -20,6 +20,14 @@
 use crate::telemetry::metrics::metrics;
 use crate::verdict::{ErrorCode, RequestError, Verdict};
 
+/// Headers of a request that carry text.
+const TEXT_HEADERS: [&str; 4] = [
+    headers::IDEMPOTENCY_KEY,
+    headers::MEMBER,
+    headers::CALLER,
+    headers::SERVICE,
+];
+
 /// State of the caller interface.
 pub struct Gateway {
     /// This host.
@@ -172,8 +180,14 @@
     }
 
     fn submission(&self, request: &Request) -> Result<Submission, RequestError> {
-        let member = access::member(self, request)?;
         let bad = |message: &str| RequestError::did_not_run(ErrorCode::BadRequest, message);
+        for name in TEXT_HEADERS {
+            // Taken for absent, an unreadable key would let a retry run again under another key.
+            if request.headers.contains_key(name) && request.header(name).is_none() {
+                return Err(bad(&format!("header {name} is not plain text")));
+            }
+        }
+        let member = access::member(self, request)?;
         let service = request
             .header(headers::SERVICE)
             .filter(|service| !service.is_empty())
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -246,3 +246,27 @@
         assert_eq!(cell.post("excepted", &excepted).status, 200);
     });
 }
+
+/// Guards against an unreadable key that counts as absent, so that a retry runs again.
+#[test]
+fn unreadable_headers_are_refused() {
+    let cell = Cell::start();
+    for name in [
+        "idempotency-key",
+        "jujubewinch-member",
+        "jujubewinch-caller",
+    ] {
+        let mut stream = TcpStream::connect(cell.host.caller_address()).unwrap();
+        let head = format!(
+            "POST /v1/requests HTTP/1.1\r\nhost: entry\r\njujubewinch-service: quotes\r\n\
+             jujubewinch-idempotent: true\r\nconnection: close\r\ncontent-length: 0\r\n{name}: "
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(b"\xff\xfe\r\n\r\n").unwrap();
+        let mut reply = String::new();
+        std::io::Read::read_to_string(&mut stream, &mut reply).unwrap();
+        assert!(reply.starts_with("HTTP/1.1 400"), "{name}: {reply}");
+        assert!(reply.contains("did_not_run"), "{name}: {reply}");
+    }
+    assert_eq!(cell.runner.tasks().started(), 0);
+}
