refactor: one look-up in a query and one test of a record that did not run

Cause: the read-through found that a query looked its record up twice under two locks, and that the placer and the record each spelled out the same condition. Change: a query uses its first look-up; KeyRecord::did_not_run serves both places.

--- a/src/placer.rs
+++ b/src/placer.rs
@@ -157,12 +157,10 @@
     pub fn query(self: &Arc<Self>, key: &str) -> Outcome {
         self.lead()?;
         let in_flight = self.state.lock().unwrap().flights.contains_key(key);
-        let record = self.record_or_window(key).ok();
-        match record.and_then(|record| record.outcome) {
+        match self.record_or_window(key) {
             _ if in_flight => Err(still_open()),
-            Some(outcome) => outcome,
-            None if self.record_or_window(key).is_ok() => Err(still_open()),
-            None => Err(RequestError::did_not_run(
+            Ok(record) => record.outcome.unwrap_or_else(|| Err(still_open())),
+            Err(_) => Err(RequestError::did_not_run(
                 ErrorCode::NotFound,
                 "no record of this key",
             )),
@@ -239,9 +237,7 @@
         let Ok(record) = self.record_or_window(key) else {
             return false;
         };
-        let did_not_run = matches!(&record.outcome, Some(Err(error))
-            if error.verdict == Verdict::DidNotRun);
-        did_not_run && self.record_cancellation(key, &record.digest)
+        record.did_not_run() && self.record_cancellation(key, &record.digest)
     }
 
     /// Takes note of a worker and renews the leases of its tasks.
--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -149,6 +149,11 @@
 }
 
 impl KeyRecord {
+    /// Whether the latest attempt is known not to have run.
+    pub fn did_not_run(&self) -> bool {
+        matches!(&self.outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
+    }
+
     /// Whether a further submission of the key may start another attempt: the latest one did not
     /// run, or the request may be repeated and the latest one is certainly over without an answer.
     pub fn permits_another_attempt(&self) -> bool {
@@ -269,11 +274,7 @@
         self.advance(cancellation.now_unix_ms);
         // An earlier attempt that may have run, or whose outcome is open, keeps its record.
         let latest = self.keys.get(&cancellation.key);
-        let did_not_run = |record: &KeyRecord| {
-            let outcome = record.outcome.as_ref();
-            matches!(outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
-        };
-        if latest.is_some_and(|record| !did_not_run(record)) {
+        if latest.is_some_and(|record| !record.did_not_run()) {
             return;
         }
         let message = "cancelled while waiting";
