--- a/src/commands.rs
+++ b/src/commands.rs
@@ -66,7 +66,12 @@
     vec![
         (
             "Running the scheduler",
-            vec![serve::subcommand(), dev::subcommand(), check::subcommand()],
+            vec![
+                serve::subcommand(),
+                dev::subcommand(),
+                check::subcommand(),
+                crate::platform::command::subcommand(),
+            ],
         ),
         (
             "Requests",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,4 +23,8 @@
 pub mod scheduling;
 pub mod telemetry;
 pub mod verdict;
+pub mod workflow;
 pub mod workloads;
+
+#[path = "../platform/adapter.rs"]
+pub mod platform;
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -141,6 +141,17 @@
         })
     }
 
+    /// Appends a command without waiting. Whether it is committed shows when the state machine
+    /// applies it; the order of commands is the order of these calls.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError`]; the command was not appended.
+    pub fn append(&self, command: Vec<u8>) -> Result<(), ProposeError> {
+        let appended = self.shared.step(|state, now| state.propose(command, now));
+        appended.map(|_| ())
+    }
+
     fn wait(&self, outcome: &Outcome<T>, deadline: Instant) -> Result<Committed<T>, ProposeError> {
         outcome.recv_deadline(deadline).unwrap_or_else(|error| {
             let reason = match error {
--- /dev/null
+++ b/src/workflow.rs
@@ -0,0 +1,18 @@
+//! Workflows: jobs of dependent stages that one placer schedules for a whole cell.
+//!
+//! Storage hosts replicate one log of decisions; its leader is the placer. Entry hosts hold no
+//! scheduling state and forward calls to the placer. The placer drives the workers: it starts,
+//! stops and renews their runs, and records each end before it acknowledges it.
+//! `docs/platform.md` describes the programs and the path of a job.
+
+pub mod calls;
+pub mod decisions;
+pub mod directory;
+pub mod host;
+pub mod placer;
+pub mod queues;
+pub mod records;
+pub mod settings;
+pub mod spec;
+pub mod state;
+pub mod workers;
--- /dev/null
+++ b/src/workflow/decisions.rs
@@ -0,0 +1,8 @@
+//! Decisions about workflows, as functions of their inputs alone.
+
+pub mod admission;
+pub mod leases;
+pub mod permits;
+pub mod placing;
+pub mod ranking;
+pub mod worker_health;
--- /dev/null
+++ b/src/workflow/directory.rs
@@ -0,0 +1,224 @@
+//! Finding the placer, and repeating calls until it has answered.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::calls::{CALL_EXTENSION, Call, Reply};
+use super::placer::Placer;
+use crate::ids::HostId;
+use crate::peer::{CallError, ClusterKeys, PeerClient, PeerClientOptions};
+use crate::protocol::peer::{PeerReply, PeerRequest};
+
+/// Time for the answer of one host; longer than a commit among three regions under load.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause before the next host is asked who leads.
+const NEXT_HOST_PAUSE: Duration = Duration::from_millis(40);
+/// Storage hosts that are remembered beside the seeds.
+const MAX_KNOWN_HOSTS: usize = 32;
+
+/// Why a call has no reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unanswered {
+    /// No host that leads was reached: the call had no effect.
+    NotSent,
+    /// The call may have taken effect.
+    MayHaveTakenEffect,
+}
+
+/// Clients of the other hosts, and which of them leads.
+pub struct Directory {
+    own: HostId,
+    peer_port: u16,
+    seeds: Mutex<Vec<HostId>>,
+    clients: Mutex<IndexMap<HostId, PeerClient>>,
+    /// Hosts that were named as leaders.
+    named: Mutex<IndexSet<HostId>>,
+    leader: Mutex<Option<HostId>>,
+    /// The placer of this host, on storage hosts.
+    placer: OnceLock<Arc<Placer>>,
+}
+
+impl Directory {
+    /// A directory that knows the seeds.
+    pub fn new(own: HostId, peer_port: u16, seeds: Vec<HostId>) -> Self {
+        Self {
+            own,
+            peer_port,
+            seeds: Mutex::new(seeds),
+            clients: Mutex::default(),
+            named: Mutex::default(),
+            leader: Mutex::new(None),
+            placer: OnceLock::new(),
+        }
+    }
+
+    /// Sets the placer of this host.
+    pub fn set_placer(&self, placer: Arc<Placer>) {
+        let _ = self.placer.set(placer);
+    }
+
+    /// The placer of this host, on storage hosts.
+    pub fn placer(&self) -> Option<&Arc<Placer>> {
+        self.placer.get()
+    }
+
+    /// Replaces the seeds after a change of the settings.
+    pub fn set_seeds(&self, seeds: Vec<HostId>) {
+        *self.seeds.lock().unwrap() = seeds;
+    }
+
+    /// Seeds of the settings.
+    pub fn seeds(&self) -> Vec<HostId> {
+        self.seeds.lock().unwrap().clone()
+    }
+
+    /// Host that answered as leader last, or was named by another host.
+    pub fn leader(&self) -> Option<HostId> {
+        self.leader.lock().unwrap().clone()
+    }
+
+    /// The client for a host.
+    pub fn client(&self, host: &HostId) -> PeerClient {
+        let mut clients = self.clients.lock().unwrap();
+        if let Some(client) = clients.get(host) {
+            return client.clone();
+        }
+        let address = format!("{host}:{}", self.peer_port);
+        let client = PeerClient::new(PeerClientOptions {
+            local_host: self.own.clone(),
+            remote_host: host.clone(),
+            address: address
+                .parse()
+                .unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0))),
+            keys: ClusterKeys::unauthenticated(),
+            scope: "cell".to_owned(),
+            links: None,
+        });
+        clients.insert(host.clone(), client.clone());
+        client
+    }
+
+    /// Sends a call to the placer, wherever it is, until it answers or the deadline passes.
+    ///
+    /// # Errors
+    ///
+    /// [`Unanswered`], which tells whether the call may have taken effect.
+    pub fn call(&self, call: &Call, deadline: Instant) -> Result<Reply, Unanswered> {
+        let mut unanswered = Unanswered::NotSent;
+        let mut attempt = 0;
+        let message = match postcard::to_stdvec(call) {
+            Ok(message) => message,
+            Err(error) => {
+                log::error!("a call cannot be encoded: {error}");
+                return Err(unanswered);
+            }
+        };
+        while Instant::now() < deadline {
+            let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
+            let local = self
+                .placer()
+                .and_then(|placer| placer.handle(call.clone(), until));
+            match local {
+                Some(Reply::Unconfirmed) => unanswered = Unanswered::MayHaveTakenEffect,
+                Some(reply) => return Ok(reply),
+                None => {
+                    let host = self.next_host(attempt);
+                    match self.ask(&host, message.clone(), until) {
+                        Asked::Reply(reply) => return Ok(reply),
+                        Asked::Unconfirmed => unanswered = Unanswered::MayHaveTakenEffect,
+                        Asked::NotLeader => {}
+                    }
+                }
+            }
+            attempt += 1;
+            let left = deadline.saturating_duration_since(Instant::now());
+            thread::sleep(NEXT_HOST_PAUSE.min(left));
+        }
+        Err(unanswered)
+    }
+
+    /// Host to ask: the one that is believed to lead, otherwise each storage host in turn.
+    fn next_host(&self, attempt: usize) -> HostId {
+        if let Some(leader) = self.leader().filter(|leader| *leader != self.own) {
+            return leader;
+        }
+        let mut hosts: IndexSet<HostId> = self.seeds().into_iter().collect();
+        hosts.extend(self.named.lock().unwrap().iter().cloned());
+        hosts.shift_remove(&self.own);
+        let position = attempt % hosts.len().max(1);
+        hosts.get_index(position).cloned().unwrap_or_default()
+    }
+
+    fn ask(&self, host: &HostId, message: Vec<u8>, deadline: Instant) -> Asked {
+        let request = PeerRequest::Extension {
+            name: CALL_EXTENSION.to_owned(),
+            message,
+        };
+        let result = self.client(host).call(request, deadline);
+        match result {
+            Ok(PeerReply::Message(reply)) => match postcard::from_bytes(&reply) {
+                Ok(Reply::Unconfirmed) => Asked::Unconfirmed,
+                Ok(reply) => {
+                    self.note_leader(Some(host.clone()));
+                    Asked::Reply(reply)
+                }
+                Err(error) => {
+                    log::error!(host = host.as_str(); "a reply cannot be decoded: {error}");
+                    Asked::Unconfirmed
+                }
+            },
+            Ok(PeerReply::NotPlacer { placer }) => {
+                self.note_leader(placer.filter(|placer| placer != host));
+                Asked::NotLeader
+            }
+            Ok(other) => {
+                log::warn!(host = host.as_str(); "unexpected reply: {other:?}");
+                Asked::NotLeader
+            }
+            Err(error) => {
+                log::debug!(host = host.as_str(); "call failed: {error}");
+                self.forget_leader(host);
+                match error {
+                    CallError::NotSent { .. } => Asked::NotLeader,
+                    CallError::NoReply { .. } => Asked::Unconfirmed,
+                }
+            }
+        }
+    }
+
+    fn note_leader(&self, host: Option<HostId>) {
+        let mut leader = self.leader.lock().unwrap();
+        if *leader == host {
+            return;
+        }
+        log::info!(leader:? = host, before:? = *leader; "placer is elsewhere now");
+        leader.clone_from(&host);
+        let mut named = self.named.lock().unwrap();
+        if let Some(host) = host
+            && named.len() < MAX_KNOWN_HOSTS
+        {
+            named.insert(host);
+        }
+    }
+
+    fn forget_leader(&self, host: &HostId) {
+        let mut leader = self.leader.lock().unwrap();
+        if leader.as_ref() == Some(host) {
+            log::warn!(host = host.as_str(); "placer does not answer; asking the other storage hosts");
+            *leader = None;
+        }
+    }
+}
+
+/// What a host said.
+enum Asked {
+    Reply(Reply),
+    /// The call may have taken effect.
+    Unconfirmed,
+    /// The call had no effect there.
+    NotLeader,
+}
--- /dev/null
+++ b/src/workflow/host.rs
@@ -0,0 +1,309 @@
+//! A host of a cell: its replica and placer on storage hosts, forwarding everywhere.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+
+use super::calls::{
+    CALL_EXTENSION, Call, HostContact, OutsideCalls, POLICY_EXTENSION, PolicyQuestion, Reply,
+};
+use super::directory::{Directory, Unanswered};
+use super::placer::{Committed, Placer, PlacerSettings};
+use super::settings::WorkflowSettings;
+use crate::clock::Clock;
+use crate::ids::HostId;
+use crate::peer::{ClusterKeys, PeerServer};
+use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::replication::{Limits, Replica, ReplicaOptions, StorageError, StorageOptions, Timing};
+
+/// Name of the replicated log.
+const LOG_GROUP: &str = "workflow";
+/// Interval in which a host tells the placer that it is there.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for an answer to a contact.
+const CONTACT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without an answered contact after which a host reports that it is not ready: longer than
+/// the election of another placer.
+const READY_FOR: Duration = Duration::from_millis(3_000);
+/// Time that the placer takes at most to confirm a call of another host.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Lease of a worker: outlasts an election and the contact with all workers after it.
+const WORKER_LEASE: Duration = Duration::from_secs(6);
+/// Time without an answer after which another storage host stands for election. Three round trips
+/// between regions, and shorter than callers wait.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(900);
+/// Applied entries after which the log is replaced by a snapshot.
+const MAX_LOG_ENTRIES: u64 = 20_000;
+/// Size of the log at which it is replaced by a snapshot; a quarter of the smallest disk.
+const MAX_LOG_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why a host cannot start.
+#[derive(Debug, Error)]
+pub enum HostError {
+    /// The listener for other hosts.
+    #[error("cannot listen for other hosts: {0}")]
+    Listen(#[from] io::Error),
+    /// The log.
+    #[error("cannot open the log: {0}")]
+    Storage(#[from] StorageError),
+}
+
+/// A running host.
+pub struct WorkflowHost {
+    settings: WorkflowSettings,
+    directory: Arc<Directory>,
+    /// Latest answered contact with the placer.
+    contacted_at: Mutex<Option<Instant>>,
+    stopping: AtomicBool,
+    _peers: PeerServer,
+}
+
+impl WorkflowHost {
+    /// Starts the replica and the placer where there is a data folder, and the listener for other
+    /// hosts.
+    ///
+    /// # Errors
+    ///
+    /// [`HostError`].
+    pub fn start(
+        settings: WorkflowSettings,
+        outside: OutsideCalls,
+    ) -> Result<Arc<Self>, HostError> {
+        let own = settings.host_id();
+        let peers = settings.listeners.peers;
+        let directory = Arc::new(Directory::new(own, peers.port(), settings.seed_ids()));
+        let replica = match &settings.host.data_folder {
+            Some(folder) => Some(start_replica(
+                &settings,
+                folder.clone(),
+                &directory,
+                &outside,
+            )?),
+            None => None,
+        };
+        let server = serve_peers(peers, &directory, replica, outside)?;
+        let host = Arc::new(Self {
+            settings,
+            directory,
+            contacted_at: Mutex::new(None),
+            stopping: AtomicBool::new(false),
+            _peers: server,
+        });
+        let contacting = Arc::clone(&host);
+        thread::Builder::new()
+            .name("contact".to_owned())
+            .spawn(move || contacting.keep_contact())?;
+        Ok(host)
+    }
+
+    /// Sends a call to the placer, wherever it is.
+    ///
+    /// # Errors
+    ///
+    /// [`Unanswered`].
+    pub fn call(&self, call: &Call, deadline: Instant) -> Result<Reply, Unanswered> {
+        self.directory.call(call, deadline)
+    }
+
+    /// Whether new connections should come here: the placer has answered lately, and the host
+    /// does not stop.
+    pub fn is_ready(&self) -> bool {
+        let contacted = *self.contacted_at.lock().unwrap();
+        let fresh = contacted.is_some_and(|at| at.elapsed() < READY_FOR);
+        fresh && !self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Settings at the start.
+    pub fn settings(&self) -> &WorkflowSettings {
+        &self.settings
+    }
+
+    /// Host that leads, when known.
+    pub fn leader(&self) -> Option<HostId> {
+        let placer = self.directory.placer();
+        if placer.is_some_and(|placer| placer.is_leading()) {
+            return Some(self.settings.host_id());
+        }
+        let hint = placer.and_then(|placer| placer.leader_hint());
+        hint.or_else(|| self.directory.leader())
+    }
+
+    /// Takes over what can change while the host runs.
+    pub fn reload(&self, settings: &WorkflowSettings) {
+        let (before, after) = (self.directory.seeds(), settings.seed_ids());
+        if before != after {
+            log::info!(before:? = before, after:? = after; "seeds changed");
+            self.directory.set_seeds(after);
+        }
+        let fixed = settings.host != self.settings.host
+            || settings.listeners != self.settings.listeners
+            || settings.timing != self.settings.timing
+            || settings.placement_policy != self.settings.placement_policy;
+        if fixed {
+            log::warn!("changed settings other than the seeds take effect at the next start");
+        }
+    }
+
+    /// Reports not ready, and passes the leadership on.
+    pub fn begin_stop(&self, deadline: Instant) {
+        self.stopping.store(true, Ordering::Release);
+        if let Some(placer) = self.directory.placer() {
+            placer.hand_over(deadline);
+        }
+    }
+
+    fn keep_contact(&self) {
+        let contact = Call::Contact(HostContact {
+            host: self.settings.host_id(),
+            data_centre: self.settings.host.data_centre.clone(),
+            stores: self.settings.host.data_folder.is_some(),
+        });
+        let mut in_contact = false;
+        loop {
+            let started = Instant::now();
+            let reply = self.call(&contact, started + CONTACT_TIMEOUT);
+            let answered = reply.is_ok();
+            if answered {
+                *self.contacted_at.lock().unwrap() = Some(Instant::now());
+            }
+            if answered != in_contact {
+                in_contact = answered;
+                match reply {
+                    Ok(reply) => {
+                        log::info!(leader:? = self.leader(); "contact with the placer: {reply:?}");
+                    }
+                    Err(_) => log::warn!("no contact with the placer"),
+                }
+            }
+            thread::sleep(CONTACT_INTERVAL.saturating_sub(started.elapsed()));
+        }
+    }
+}
+
+fn start_replica(
+    settings: &WorkflowSettings,
+    folder: std::path::PathBuf,
+    directory: &Arc<Directory>,
+    outside: &OutsideCalls,
+) -> Result<Arc<Replica<()>>, HostError> {
+    let committed = Committed::default();
+    let sending = Arc::clone(directory);
+    let initial_voters = if settings.cell.forms_new_cell {
+        settings.seed_ids()
+    } else {
+        Vec::new()
+    };
+    let replica = Arc::new(Replica::start(ReplicaOptions {
+        group: LOG_GROUP.to_owned(),
+        host: settings.host_id(),
+        initial_voters,
+        may_lead: true,
+        storage: StorageOptions::Folder(folder),
+        clock: Clock::system(),
+        timing: Timing {
+            election_timeout: ELECTION_TIMEOUT,
+            announces_commits: false,
+            ..Timing::default()
+        },
+        limits: Limits {
+            max_log_entries: MAX_LOG_ENTRIES,
+            max_log_bytes: MAX_LOG_BYTES,
+            ..Limits::default()
+        },
+        seed: rand::random(),
+        send: Arc::new(move |host, message, deadline| {
+            let request = PeerRequest::Replication {
+                group: LOG_GROUP.to_owned(),
+                message,
+            };
+            match sending.client(host).call(request, deadline) {
+                Ok(PeerReply::Message(reply)) => Ok(reply),
+                Ok(other) => Err(format!("unexpected reply: {other:?}")),
+                Err(error) => Err(error.to_string()),
+            }
+        }),
+        machine: committed.machine(),
+    })?);
+    let max_lease = Duration::from_millis(settings.timing.max_worker_lease_ms);
+    let finding = Arc::clone(directory);
+    let placer = Placer::start(
+        PlacerSettings {
+            host: settings.host_id(),
+            lease: WORKER_LEASE.min(max_lease),
+            max_lease,
+            retention: settings.retention(),
+        },
+        Clock::system(),
+        Arc::clone(&replica),
+        committed,
+        outside.clone(),
+        Arc::new(move |host| finding.client(host)),
+    );
+    directory.set_placer(placer);
+    Ok(replica)
+}
+
+fn serve_peers(
+    address: SocketAddr,
+    directory: &Arc<Directory>,
+    replica: Option<Arc<Replica<()>>>,
+    outside: OutsideCalls,
+) -> io::Result<PeerServer> {
+    let directory = Arc::clone(directory);
+    let handler = move |from: HostId, request: PeerRequest| match request {
+        PeerRequest::Replication { message, .. } => match &replica {
+            Some(replica) => PeerReply::Message(replica.handle(&from, &message)),
+            None => PeerReply::Refused("this host stores no log".to_owned()),
+        },
+        PeerRequest::Extension { name, message } if name == CALL_EXTENSION => {
+            answer_call(&directory, &message)
+        }
+        PeerRequest::Extension { name, message } if name == POLICY_EXTENSION => {
+            answer_policy_question(&outside, &message)
+        }
+        other => PeerReply::Refused(format!("unknown call {}", other.kind())),
+    };
+    PeerServer::start(address, ClusterKeys::unauthenticated(), Arc::new(handler))
+}
+
+fn answer_call(directory: &Directory, message: &[u8]) -> PeerReply {
+    let Some(placer) = directory.placer() else {
+        return PeerReply::NotPlacer {
+            placer: directory.leader(),
+        };
+    };
+    let call = match postcard::from_bytes::<Call>(message) {
+        Ok(call) => call,
+        Err(error) => return PeerReply::Refused(format!("the call cannot be decoded: {error}")),
+    };
+    match placer.handle(call, Instant::now() + CONFIRMATION_TIMEOUT) {
+        Some(reply) => encode(&reply),
+        None => PeerReply::NotPlacer {
+            placer: placer.leader_hint(),
+        },
+    }
+}
+
+fn answer_policy_question(outside: &OutsideCalls, message: &[u8]) -> PeerReply {
+    let question: PolicyQuestion = match postcard::from_bytes(message) {
+        Ok(question) => question,
+        Err(error) => {
+            return PeerReply::Refused(format!("the question cannot be decoded: {error}"));
+        }
+    };
+    let deadline = Instant::now() + Duration::from_millis(question.timeout_ms);
+    let answer = (outside.ask_policy)(&question, deadline);
+    encode(&answer.map_err(|failure| failure.to_string()))
+}
+
+fn encode(reply: &impl serde::Serialize) -> PeerReply {
+    match postcard::to_stdvec(reply) {
+        Ok(bytes) => PeerReply::Message(bytes),
+        Err(error) => PeerReply::Refused(format!("the reply cannot be encoded: {error}")),
+    }
+}
--- /dev/null
+++ b/src/workflow/placer.rs
@@ -0,0 +1,390 @@
+//! The placer of a cell: the leader of the workflow log.
+//!
+//! Threads of callers, workers and timers lock the term, change it and leave; what they append is
+//! proposed in that order when they leave. A thread executes the effects of committed batches.
+
+mod client_calls;
+mod orders;
+mod policy;
+mod reports;
+mod runs;
+mod scheduling;
+mod takeover;
+mod term;
+mod workers;
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
+
+use super::calls::{Call, OutsideCalls, Reply};
+use super::records::Batch;
+use super::state::WorkflowState;
+use crate::clock::Clock;
+use crate::ids::{Epoch, HostId};
+use crate::peer::PeerClient;
+use crate::replication::{Replica, StateMachine};
+
+use term::{Effect, Term};
+pub use term::{Order, OrderKind};
+
+/// Interval of time-driven steps.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time in which changes are collected before a scheduling pass.
+const SCHEDULING_DELAY: Duration = Duration::from_millis(4);
+/// Threads that send orders to workers; each waits for one answer at a time.
+const ORDER_THREADS: usize = 48;
+/// Threads that put questions to the placement policy; each waits for one answer at a time.
+const POLICY_THREADS: usize = 24;
+/// Stack of the threads of the placer; they do not recurse.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Figures of the placer.
+#[derive(Clone, Debug)]
+pub struct PlacerSettings {
+    /// This host.
+    pub host: HostId,
+    /// Lease that each renewal grants to a worker.
+    pub lease: Duration,
+    /// Longest lease that a worker accepts.
+    pub max_lease: Duration,
+    /// Time for which ended jobs are kept.
+    pub retention: Duration,
+}
+
+/// Finds the client for calls to another host.
+pub type FindPeer = Arc<dyn Fn(&HostId) -> PeerClient + Send + Sync>;
+
+/// The committed state of a replica, and the announcements of its commits.
+#[derive(Clone)]
+pub struct Committed {
+    /// State after the last applied batch.
+    pub state: Arc<Mutex<WorkflowState>>,
+    applied: Sender<(Epoch, u64)>,
+    notices: Receiver<(Epoch, u64)>,
+}
+
+impl Default for Committed {
+    fn default() -> Self {
+        let (applied, notices) = unbounded();
+        Self {
+            state: Arc::default(),
+            applied,
+            notices,
+        }
+    }
+}
+
+impl Committed {
+    /// The state machine of the workflow log.
+    pub fn machine(&self) -> StateMachine<()> {
+        let (apply, snapshot, restore) = (self.clone(), self.clone(), self.clone());
+        StateMachine {
+            apply: Box::new(
+                move |index, command| match postcard::from_bytes::<Batch>(command) {
+                    Ok(batch) => {
+                        let position = (batch.epoch, batch.sequence);
+                        if apply.state.lock().unwrap().apply(batch) {
+                            let _ = apply.applied.send(position);
+                        }
+                    }
+                    Err(error) => log::error!("workflow batch {index} cannot be decoded: {error}"),
+                },
+            ),
+            snapshot: Box::new(move || {
+                postcard::to_stdvec(&*snapshot.state.lock().unwrap())
+                    .expect("the state consists of types postcard can encode")
+            }),
+            restore: Box::new(move |bytes| match postcard::from_bytes(bytes) {
+                Ok(state) => *restore.state.lock().unwrap() = state,
+                Err(error) => log::error!("a workflow snapshot cannot be decoded: {error}"),
+            }),
+        }
+    }
+}
+
+/// The placer on one storage host; acts only while the host leads.
+pub struct Placer {
+    settings: PlacerSettings,
+    clock: Clock,
+    replica: Arc<Replica<()>>,
+    committed: Committed,
+    outside: OutsideCalls,
+    find_peer: FindPeer,
+    term: Mutex<Option<Term>>,
+    orders: Sender<Order>,
+    questions: Sender<policy::Question>,
+    /// Holds at most one request for a scheduling pass.
+    wake_scheduler: Sender<()>,
+}
+
+/// Time of a step.
+#[derive(Clone, Copy, Debug)]
+struct Now {
+    /// Steady clock.
+    at: Instant,
+    /// Time of day.
+    unix_ms: u64,
+}
+
+impl Placer {
+    /// Starts the threads of the placer.
+    pub fn start(
+        settings: PlacerSettings,
+        clock: Clock,
+        replica: Arc<Replica<()>>,
+        committed: Committed,
+        outside: OutsideCalls,
+        find_peer: FindPeer,
+    ) -> Arc<Self> {
+        let (orders, order_queue) = unbounded();
+        let (questions, question_queue) = unbounded();
+        let (wake_scheduler, wake_ups) = bounded(1);
+        let notices = committed.notices.clone();
+        let placer = Arc::new(Self {
+            settings,
+            clock,
+            replica,
+            committed,
+            outside,
+            find_peer,
+            term: Mutex::new(None),
+            orders,
+            questions,
+            wake_scheduler,
+        });
+        placer.spawn("effects", move |placer| placer.run_effects(&notices));
+        placer.spawn("scheduler", move |placer| placer.run_scheduler(&wake_ups));
+        placer.spawn("timer", Self::run_timer);
+        for _ in 0..ORDER_THREADS {
+            let queue = order_queue.clone();
+            placer.spawn("orders", move |placer| placer.run_orders(&queue));
+        }
+        for _ in 0..POLICY_THREADS {
+            let queue = question_queue.clone();
+            placer.spawn("policy", move |placer| placer.run_questions(&queue));
+        }
+        placer
+    }
+
+    fn spawn(self: &Arc<Self>, name: &str, run: impl FnOnce(&Arc<Self>) + Send + 'static) {
+        let placer = Arc::clone(self);
+        let spawned = thread::Builder::new()
+            .name(format!("placer-{name}"))
+            .stack_size(STACK_BYTES)
+            .spawn(move || run(&placer));
+        if let Err(error) = spawned {
+            log::error!(thread = name; "cannot start a thread of the placer: {error}");
+        }
+    }
+
+    /// Whether this host leads and has taken over.
+    pub fn is_leading(&self) -> bool {
+        let epoch = self.replica.leadership();
+        let term = self.lock();
+        term.as_ref()
+            .is_some_and(|term| term.ready && epoch == Some(term.epoch))
+    }
+
+    /// Handles a call; `None` when this host does not lead, and the call had no effect.
+    pub fn handle(&self, call: Call, deadline: Instant) -> Option<Reply> {
+        if !self.is_leading() {
+            return None;
+        }
+        if let Call::Query(target) = &call {
+            return Some(self.query(target));
+        }
+        let (sender, receiver) = bounded(1);
+        self.with_term(None, |term, now| term.handle_call(call, &sender, now))?;
+        drop(sender);
+        match receiver.recv_deadline(deadline) {
+            Ok(reply) => Some(reply),
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+                Some(Reply::Unconfirmed)
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Term>> {
+        self.term.lock().unwrap()
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            at: self.clock.now(),
+            unix_ms: self.clock.unix_ms(),
+        }
+    }
+
+    /// Runs a step of the term, given its epoch or whichever there is, and appends what it
+    /// recorded. `None` when there is no such term.
+    fn with_term<R>(
+        &self,
+        epoch: Option<Epoch>,
+        step: impl FnOnce(&mut Term, Now) -> R,
+    ) -> Option<R> {
+        let mut guard = self.lock();
+        let term = guard.as_mut()?;
+        if epoch.is_some_and(|epoch| epoch != term.epoch) {
+            return None;
+        }
+        let result = step(term, self.now());
+        if let Err(reason) = self.flush(term) {
+            log::warn!(epoch = term.epoch; "stops placing: {reason}");
+            *guard = None;
+            return None;
+        }
+        drop(guard);
+        let _ = self.wake_scheduler.try_send(());
+        Some(result)
+    }
+
+    /// Appends the pending records, or executes the pending effects when there is nothing to
+    /// commit.
+    fn flush(&self, term: &mut Term) -> Result<(), String> {
+        if term.records.is_empty() && !term.needs_commit {
+            let effects = std::mem::take(&mut term.effects);
+            self.execute(term, effects);
+            return Ok(());
+        }
+        let sequence = term.next_sequence;
+        let batch = Batch {
+            epoch: term.epoch,
+            sequence,
+            records: std::mem::take(&mut term.records),
+        };
+        term.next_sequence += 1;
+        term.needs_commit = false;
+        let effects = std::mem::take(&mut term.effects);
+        term.uncommitted.push_back((sequence, effects));
+        let command = postcard::to_stdvec(&batch).map_err(|error| error.to_string())?;
+        self.replica
+            .append(command)
+            .map_err(|error| error.to_string())
+    }
+
+    fn run_effects(&self, notices: &Receiver<(Epoch, u64)>) {
+        for (epoch, sequence) in notices {
+            let mut guard = self.lock();
+            let Some(term) = guard.as_mut().filter(|term| term.epoch == epoch) else {
+                continue;
+            };
+            while term
+                .uncommitted
+                .front()
+                .is_some_and(|(first, _)| *first <= sequence)
+            {
+                let Some((_, effects)) = term.uncommitted.pop_front() else {
+                    break;
+                };
+                self.execute(term, effects);
+            }
+            drop(guard);
+            let _ = self.wake_scheduler.try_send(());
+        }
+    }
+
+    fn execute(&self, term: &mut Term, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Reply(sender, reply) => {
+                    let _ = sender.send(reply);
+                }
+                Effect::ReplyQueues(sender) => {
+                    let state = self.committed.state.lock().unwrap();
+                    let document = state.configuration.as_ref();
+                    let document = document.map(|present| present.document.clone());
+                    let _ = sender.send(Reply::Queues(document));
+                }
+                Effect::Order(order) => {
+                    let _ = self.orders.send(order);
+                }
+                Effect::EndsRecorded {
+                    worker,
+                    incarnation,
+                    through,
+                } => term.note_recorded_ends(&worker, incarnation, through),
+                Effect::TakenOver => {
+                    term.ready = true;
+                    log::info!(
+                        epoch = term.epoch, jobs = term.state.jobs.len(), runs = term.runs.len(),
+                        workers = term.workers.len(), version = term.state.version();
+                        "took over as placer"
+                    );
+                }
+            }
+        }
+    }
+
+    fn run_scheduler(self: &Arc<Self>, wake_ups: &Receiver<()>) {
+        for () in wake_ups {
+            thread::sleep(SCHEDULING_DELAY);
+            let mut guard = self.lock();
+            let Some(term) = guard.as_mut().filter(|term| term.ready) else {
+                continue;
+            };
+            let questions = term.schedule(self.now());
+            if let Err(reason) = self.flush(term) {
+                log::warn!(epoch = term.epoch; "stops placing: {reason}");
+                *guard = None;
+                continue;
+            }
+            drop(guard);
+            for question in questions {
+                let _ = self.questions.send(question);
+            }
+        }
+    }
+
+    fn run_timer(self: &Arc<Self>) {
+        loop {
+            self.follow_leadership();
+            let links = self.with_term(None, Term::tick);
+            for (worker, generation) in links.into_iter().flatten() {
+                self.spawn("link", move |placer| placer.run_link(&worker, generation));
+            }
+            thread::sleep(TICK_INTERVAL);
+        }
+    }
+
+    /// Begins or ends a term when the leadership has changed.
+    fn follow_leadership(&self) {
+        let epoch = self.replica.leadership();
+        let mut guard = self.lock();
+        let held = guard.as_ref().map(|term| term.epoch);
+        if held == epoch {
+            return;
+        }
+        if let Some(held) = held {
+            log::warn!(epoch = held; "no longer leads the workflow log");
+        }
+        *guard = None;
+        let Some(epoch) = epoch else {
+            return;
+        };
+        let state = self.committed.state.lock().unwrap().clone();
+        let mut term = Term::begin(epoch, state, self.settings.clone(), self.now());
+        match self.flush(&mut term) {
+            Ok(()) => *guard = Some(term),
+            Err(reason) => log::warn!(epoch; "cannot take over: {reason}"),
+        }
+    }
+
+    /// Passes the leadership to another storage host, for a planned stop.
+    pub fn hand_over(&self, deadline: Instant) {
+        if self.replica.leadership().is_none() {
+            return;
+        }
+        match self.replica.transfer_leadership(None, deadline) {
+            Ok(()) => log::info!("handed the leadership over"),
+            Err(error) => log::warn!("the leadership was not handed over: {error}"),
+        }
+    }
+
+    /// Host that leads, when known.
+    pub fn leader_hint(&self) -> Option<HostId> {
+        self.replica.leader_hint()
+    }
+}
--- /dev/null
+++ b/src/workflow/placer/client_calls.rs
@@ -0,0 +1,212 @@
+//! Calls of callers, workers and operators.
+
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Sender;
+
+use super::super::calls::{Call, HostContact, Reply};
+use super::super::decisions::admission::{self, Admission, Backlog};
+use super::super::decisions::ranking::LATE_FACTOR;
+use super::super::queues::{QueueAddress, QueueConfiguration};
+use super::super::records::Record;
+use super::super::spec::WorkflowSpec;
+use super::super::state::{JobPhase, WorkflowState};
+use super::term::{Effect, PolicyCaller, Term};
+use super::{Now, Placer};
+use crate::ids::JobId;
+
+impl Placer {
+    /// Answers a query from the committed state.
+    pub(super) fn query(&self, target: &QueueAddress) -> Reply {
+        let state = self.committed.state.lock().unwrap();
+        let Some(configuration) = &state.configuration else {
+            return Reply::NotConfigured;
+        };
+        let Some((queue, rest)) = configuration.find(&target.host, &target.path_prefix) else {
+            return Reply::NoSuchQueue;
+        };
+        if rest.is_empty() {
+            return Reply::WaitingJobs(waiting_jobs(&state, &queue.address));
+        }
+        match state.jobs.get(rest) {
+            Some(job) => Reply::Progress(job.phase),
+            None => Reply::NoSuchJob,
+        }
+    }
+}
+
+fn waiting_jobs(state: &WorkflowState, queue: &QueueAddress) -> u64 {
+    let jobs = state.jobs.values();
+    let waiting = jobs.filter(|job| job.phase == JobPhase::Queued && job.queue.address == *queue);
+    waiting.count() as u64
+}
+
+impl Term {
+    pub(super) fn handle_call(&mut self, call: Call, sender: &Sender<Reply>, now: Now) {
+        let reply = |reply| Effect::Reply(sender.clone(), reply);
+        match call {
+            Call::Submit { target, spec } => {
+                let answer = self.submit(&target, *spec, now);
+                self.effects.push(reply(answer));
+            }
+            Call::Cancel(target) => {
+                let answer = self.cancel(&target, now);
+                self.effects.push(reply(answer));
+            }
+            Call::ReplaceQueues(configuration) => {
+                let answer = self.replace_queues(*configuration);
+                self.effects.push(reply(answer));
+            }
+            Call::ReadQueues => {
+                self.needs_commit = true;
+                self.effects.push(Effect::ReplyQueues(sender.clone()));
+            }
+            Call::Heartbeat(heartbeat) => {
+                self.note_heartbeat(*heartbeat, now);
+                self.effects.push(reply(Reply::WorkerNoted));
+            }
+            Call::WorkerLeaves(worker) => {
+                self.remove_worker(&worker, now);
+                self.effects.push(reply(Reply::WorkerNoted));
+            }
+            Call::Contact(contact) => {
+                self.note_contact(contact, now.at);
+                let version = self.state.version();
+                self.effects.push(reply(Reply::Contacted { version }));
+            }
+            Call::Query(_) => self.effects.push(reply(Reply::Unconfirmed)),
+        }
+    }
+
+    fn submit(&mut self, target: &QueueAddress, spec: WorkflowSpec, now: Now) -> Reply {
+        let Some(configuration) = &self.state.configuration else {
+            return Reply::NotConfigured;
+        };
+        let Some((queue, id)) = configuration.find(&target.host, &target.path_prefix) else {
+            return Reply::NoSuchQueue;
+        };
+        if id.is_empty() || id.contains(['/', '.']) {
+            return Reply::Invalid(format!("{id:?} is not the name of a job"));
+        }
+        if self.state.jobs.contains_key(id) {
+            // The first submission may not be committed yet.
+            self.needs_commit = true;
+            return Reply::Accepted;
+        }
+        if let Err(reason) = spec.validate() {
+            return Reply::Invalid(reason);
+        }
+        let (queue, id) = (queue.clone(), JobId::from(id));
+        if let Admission::Refuse { retry_after } = self.admit(&queue, &spec) {
+            let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+            log::info!(job = id.as_str(), queue = queue.name.as_str(), retry_after_ms; "job refused: the backlog is too long");
+            return Reply::NotAccepted { retry_after_ms };
+        }
+        log::info!(
+            job = id.as_str(), queue = queue.name.as_str(), stages = spec.stages.len(),
+            tasks = spec.stages.iter().map(|stage| stage.task_count).sum::<u32>(),
+            version = configuration.version;
+            "job accepted"
+        );
+        self.record(Record::JobAccepted {
+            id: id.clone(),
+            queue: Box::new(queue),
+            spec: Box::new(spec),
+            at_unix_ms: now.unix_ms,
+        });
+        self.activate_stages(&id, now);
+        Reply::Accepted
+    }
+
+    fn admit(&self, queue: &super::super::queues::Queue, spec: &WorkflowSpec) -> Admission {
+        if spec.repetition.is_some() || spec.stages.iter().any(|stage| stage.lasting) {
+            return Admission::Accept;
+        }
+        let chain_ms = spec.critical_path_ms() as f64;
+        let objective_ms = chain_ms * queue.slack_factor + queue.target_latency_ms as f64;
+        let allowed_ms = objective_ms * f64::from(LATE_FACTOR) - chain_ms;
+        let backlog = Backlog {
+            cpu_work_ms: self.waiting_cpu_work_ms(queue.priority),
+            capacity_millis: self.ledger.capacity().cpu_millis,
+        };
+        admission::decide(&backlog, Duration::from_millis(allowed_ms.max(0.0) as u64))
+    }
+
+    /// Declared processor time of waiting tasks of the same or a higher priority.
+    fn waiting_cpu_work_ms(&self, priority: u32) -> u64 {
+        let mut work_ms = 0;
+        for (key, stage) in &self.stages {
+            let Some(job) = self.state.jobs.get(&key.job) else {
+                continue;
+            };
+            if stage.waiting.is_empty() || job.queue.priority > priority {
+                continue;
+            }
+            let Some(spec) = job.stage_spec(key.stage) else {
+                continue;
+            };
+            let tasks = stage.waiting.len() as u64;
+            work_ms += tasks * spec.estimate_ms * spec.ledger_amount().cpu_millis / 1_000;
+        }
+        work_ms
+    }
+
+    fn cancel(&mut self, target: &QueueAddress, now: Now) -> Reply {
+        let Some(configuration) = &self.state.configuration else {
+            return Reply::NotConfigured;
+        };
+        let Some((_, id)) = configuration.find(&target.host, &target.path_prefix) else {
+            return Reply::NoSuchQueue;
+        };
+        let id = JobId::from(id);
+        let Some(job) = self.state.jobs.get(&id) else {
+            return Reply::NoSuchJob;
+        };
+        self.needs_commit = true;
+        if !job.is_open() {
+            return Reply::Cancelled;
+        }
+        log::info!(job = id.as_str(), phase:% = job.phase; "job cancelled");
+        self.record(Record::JobCancelled {
+            id: id.clone(),
+            at_unix_ms: now.unix_ms,
+        });
+        self.stop_job(&id, now.at);
+        Reply::Cancelled
+    }
+
+    fn replace_queues(&mut self, configuration: QueueConfiguration) -> Reply {
+        if let Err(error) = configuration.validate() {
+            log::warn!(version = configuration.version, present = self.state.version(); "configuration refused: {error}");
+            return Reply::Invalid(error.to_string());
+        }
+        self.needs_commit = true;
+        let (version, present) = (configuration.version, self.state.version());
+        if version > present {
+            log::info!(version, present, queues = configuration.queues.len(); "configuration accepted");
+            self.record(Record::QueuesReplaced(Box::new(configuration)));
+        } else {
+            log::info!(version, present; "configuration acknowledged without effect: it is not newer");
+        }
+        Reply::QueuesReplaced
+    }
+
+    fn note_contact(&mut self, contact: HostContact, now: Instant) {
+        let host = contact.host.clone();
+        match self.policy_callers.get_mut(&host) {
+            Some(caller) => {
+                caller.contact = contact;
+                caller.heard_at = now;
+            }
+            None => {
+                log::info!(host = host.as_str(), data_centre = contact.data_centre.as_str(); "host made contact");
+                let caller = PolicyCaller {
+                    contact,
+                    heard_at: now,
+                    busy_until: now,
+                };
+                self.policy_callers.insert(host, caller);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/workflow/placer/policy.rs
@@ -0,0 +1,156 @@
+//! Questions to the placement policy, spread over the hosts of the cell.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Receiver;
+
+use super::super::calls::{CallFailure, POLICY_EXTENSION, PolicyAnswer, PolicyQuestion};
+use super::super::queues::PlacementPolicy;
+use super::super::spec::StageKey;
+use super::term::{PolicyCaller, Term};
+use super::{Now, Placer};
+use crate::ids::{Epoch, HostId, WorkerId};
+use crate::protocol::peer::{PeerReply, PeerRequest};
+
+/// Time for a question beyond what the policy needs: a round trip between regions and a queue.
+const ANSWER_GRACE: Duration = Duration::from_millis(700);
+/// Pause of a stage after a question without an answer.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(150);
+/// Time without contact after which a host gets no questions.
+const CALLER_FRESHNESS: Duration = Duration::from_millis(2_500);
+/// Decisions that take longer are slow; only some hosts take them, so that quick ones do not wait
+/// behind them.
+const SLOW_DECISION_MS: f64 = 200.0;
+
+/// A question on its way.
+pub(super) struct Question {
+    pub epoch: Epoch,
+    pub stage: StageKey,
+    pub workers: Vec<WorkerId>,
+    /// Host that asks; `None` for this one.
+    pub host: Option<HostId>,
+    pub expected: Duration,
+}
+
+impl Placer {
+    pub(super) fn run_questions(self: &Arc<Self>, queue: &Receiver<Question>) {
+        for question in queue {
+            let result = self.ask(&question);
+            self.with_term(Some(question.epoch), |term, now| {
+                term.note_policy_answer(&question, result, now);
+            });
+        }
+    }
+
+    fn ask(&self, question: &Question) -> Result<PolicyAnswer, CallFailure> {
+        let timeout = question.expected + ANSWER_GRACE;
+        let deadline = self.clock.now() + timeout;
+        let message = PolicyQuestion {
+            stage: question.stage.clone(),
+            workers: question.workers.clone(),
+            timeout_ms: u64::try_from(timeout.as_millis()).unwrap_or(0),
+        };
+        let Some(host) = &question.host else {
+            return (self.outside.ask_policy)(&message, deadline);
+        };
+        let encoded = postcard::to_stdvec(&message);
+        let message = encoded.map_err(|error| CallFailure::NotSent(error.to_string()))?;
+        let request = PeerRequest::Extension {
+            name: POLICY_EXTENSION.to_owned(),
+            message,
+        };
+        match (self.find_peer)(host).call(request, deadline) {
+            Ok(PeerReply::Message(reply)) => {
+                let decoded: Result<Result<PolicyAnswer, String>, _> = postcard::from_bytes(&reply);
+                let answer = decoded.map_err(|error| CallFailure::NoAnswer(error.to_string()))?;
+                answer.map_err(CallFailure::NoAnswer)
+            }
+            Ok(other) => Err(CallFailure::NoAnswer(format!("{other:?}"))),
+            Err(error) => Err(CallFailure::NoAnswer(error.to_string())),
+        }
+    }
+}
+
+impl Term {
+    /// Chooses the host that will have answered first, and books the question there.
+    pub(super) fn choose_policy_caller(
+        &mut self,
+        policy: &PlacementPolicy,
+        workers: usize,
+        now: Instant,
+    ) -> (Option<HostId>, Duration) {
+        let cost_ms = policy.decision_ms + policy.per_worker_ms * workers as f64;
+        let cost = Duration::from_millis(cost_ms.ceil() as u64);
+        let slow = policy.decision_ms > SLOW_DECISION_MS;
+        let fresh = |caller: &PolicyCaller| now < caller.heard_at + CALLER_FRESHNESS;
+        let usable: Vec<HostId> = self
+            .policy_callers
+            .iter()
+            .filter(|(_, caller)| fresh(caller))
+            .map(|(host, _)| host.clone())
+            .collect();
+        // The first half takes slow decisions; quick ones prefer the other half.
+        let half = usable.len().div_ceil(2);
+        let (for_slow, for_quick) = usable.split_at(half);
+        let preferred = if slow || for_quick.is_empty() {
+            for_slow
+        } else {
+            for_quick
+        };
+        let free_at = |host: &HostId| self.policy_callers[host].busy_until.max(now);
+        let Some(host) = preferred.iter().min_by_key(|host| free_at(host)).cloned() else {
+            return (None, cost);
+        };
+        let ready = free_at(&host) + cost;
+        self.policy_callers[&host].busy_until = ready;
+        let expected = ready.saturating_duration_since(now);
+        let this_host = host == self.settings.host;
+        ((!this_host).then_some(host), expected)
+    }
+
+    fn note_policy_answer(
+        &mut self,
+        question: &Question,
+        result: Result<PolicyAnswer, CallFailure>,
+        now: Now,
+    ) {
+        let Some(stage) = self.stages.get_mut(&question.stage) else {
+            return;
+        };
+        stage.asking = false;
+        let Some(job) = self.state.jobs.get(&question.stage.job) else {
+            return;
+        };
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(failure) => {
+                log::warn!(
+                    stage:% = question.stage, host:? = question.host,
+                    workers = question.workers.len();
+                    "the placement policy did not answer: {failure}"
+                );
+                stage.ask_again_at = now.at + ASK_AGAIN_AFTER;
+                return;
+            }
+        };
+        let configured = job
+            .queue
+            .placement_policy
+            .as_ref()
+            .map(|policy| policy.validity_ms);
+        let validity_ms = answer.validity_ms.or(configured).unwrap_or(0);
+        let expires_at = now.at + Duration::from_millis(validity_ms);
+        stage
+            .permits
+            .record(&question.workers, &answer.granted, expires_at);
+        log::info!(
+            stage:% = question.stage, host:? = question.host, asked = question.workers.len(),
+            granted = answer.granted.len(), validity_ms;
+            "placement policy answered"
+        );
+        let queue = job.queue.name.clone();
+        let share = self.good_shares.entry(queue).or_default();
+        share.learn(question.workers.len(), answer.granted.len());
+    }
+}
--- /dev/null
+++ b/src/workflow/placer/runs.rs
@@ -0,0 +1,139 @@
+//! Life of runs: their end, and orders to stop them.
+
+use std::time::Instant;
+
+use super::super::records::{Record, RunOutcome};
+use super::super::spec::{StageKey, TaskKey};
+use super::Now;
+use super::term::{Effect, Order, OrderKind, RunPhase, Term};
+use crate::ids::JobId;
+
+impl Term {
+    /// Takes the end of a run into account: records it, returns its resources, and makes its task
+    /// or the next stages schedulable.
+    pub(super) fn finish_run(
+        &mut self,
+        task: &TaskKey,
+        outcome: RunOutcome,
+        checkpoint: String,
+        now: Now,
+    ) {
+        let Some(run) = self.runs.swap_remove(task) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.runs.swap_remove(task);
+            let index = worker.index;
+            self.ledger.release(index, &task.to_string());
+        }
+        log::info!(
+            task:% = task, run = run.run, worker = run.worker.as_str(), outcome:% = outcome,
+            placed_ms_ago = now.at.saturating_duration_since(run.placed_at).as_millis() as u64;
+            "run ended"
+        );
+        self.record(Record::RunEnded {
+            task: task.clone(),
+            run: run.run,
+            outcome,
+            checkpoint,
+            at_unix_ms: now.unix_ms,
+        });
+        self.update_stage(task, now);
+        let gang = self.is_gang(&task.stage);
+        if gang && outcome != RunOutcome::Succeeded {
+            self.stop_gang(&task.stage, now.at);
+        }
+    }
+
+    fn is_gang(&self, key: &StageKey) -> bool {
+        let job = self.state.jobs.get(&key.job);
+        let spec = job.and_then(|job| job.stage_spec(key.stage));
+        spec.is_some_and(|spec| spec.gang)
+    }
+
+    fn update_stage(&mut self, task: &TaskKey, now: Now) {
+        let Some(job) = self.state.jobs.get(&task.stage.job) else {
+            return;
+        };
+        let complete = job
+            .stage(&task.stage)
+            .is_some_and(super::super::state::Stage::is_complete);
+        let open = job.is_open();
+        let phase = job.phase;
+        let waits = self
+            .state
+            .task(task)
+            .is_some_and(|task| task.progress == super::super::state::TaskProgress::Waiting);
+        if let Some(stage) = self.stages.get_mut(&task.stage) {
+            stage.live_runs = stage.live_runs.saturating_sub(1);
+            if waits && !stage.waiting.contains(&task.index) {
+                stage.waiting.push(task.index);
+            }
+        }
+        if !open {
+            log::info!(job = task.stage.job.as_str(), phase:% = phase; "job ended");
+            let job = task.stage.job.clone();
+            self.stop_job(&job, now.at);
+            return;
+        }
+        if complete {
+            self.stages.shift_remove(&task.stage);
+            self.activate_stages(&task.stage.job.clone(), now);
+        }
+    }
+
+    /// Stops all runs of a job that has ended.
+    pub(super) fn stop_job(&mut self, id: &JobId, now: Instant) {
+        self.stages.retain(|key, _| key.job != *id);
+        let runs = self.runs.keys().filter(|task| task.stage.job == *id);
+        let runs: Vec<TaskKey> = runs.cloned().collect();
+        for task in runs {
+            self.stop_run(&task, now);
+        }
+    }
+
+    /// Stops the members of a gang that are still there, since they cannot succeed any more.
+    pub(super) fn stop_gang(&mut self, key: &StageKey, now: Instant) {
+        let members = self.runs.keys().filter(|task| task.stage == *key);
+        let members: Vec<TaskKey> = members.cloned().collect();
+        for task in members {
+            self.stop_run(&task, now);
+        }
+    }
+
+    /// Begins to stop a run.
+    pub(super) fn stop_run(&mut self, task: &TaskKey, now: Instant) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if matches!(run.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        run.phase = RunPhase::Stopping {
+            confirmed_at: None,
+            ordered_at: now,
+        };
+        self.order_stop(task, now);
+    }
+
+    pub(super) fn order_stop(&mut self, task: &TaskKey, now: Instant) {
+        let epoch = self.epoch;
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if let RunPhase::Stopping { ordered_at, .. } = &mut run.phase {
+            *ordered_at = now;
+        }
+        let Some(worker) = self.workers.get(&run.worker) else {
+            return;
+        };
+        self.effects.push(Effect::Order(Order {
+            epoch,
+            task: task.clone(),
+            run: run.run,
+            worker: run.worker.clone(),
+            incarnation: worker.record.incarnation,
+            kind: OrderKind::Stop,
+        }));
+    }
+}
--- /dev/null
+++ b/src/workflow/placer/scheduling.rs
@@ -0,0 +1,299 @@
+//! A scheduling pass: which waiting tasks get which workers.
+
+use super::super::decisions::placing::{self, Candidate};
+use super::super::decisions::ranking::{self, Rank, Waiting};
+use super::super::records::{Placement, Record};
+use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
+use super::Now;
+use super::policy::Question;
+use super::takeover::urgency;
+use super::term::{Effect, LiveRun, LiveWorker, Order, OrderKind, RunPhase, Term};
+use crate::ids::WorkerId;
+use crate::scheduling::ledger::{Allocation, Purpose, WorkerStatus};
+
+/// A worker that is chosen for a task.
+struct Choice {
+    task: TaskIndex,
+    worker: WorkerId,
+    permit: Option<String>,
+}
+
+/// What a stage gets in a pass.
+enum StageDecision {
+    /// Nothing can be done now.
+    Wait,
+    /// Tasks are placed.
+    Place(Vec<Choice>),
+    /// The policy has to be asked about workers with room.
+    Ask(Vec<WorkerId>),
+}
+
+impl Term {
+    /// Places what has room; returns questions to the placement policy.
+    pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
+        let mut order: Vec<(Rank, StageKey)> = Vec::new();
+        for (key, stage) in &self.stages {
+            if stage.waiting.is_empty() {
+                continue;
+            }
+            let Some(job) = self.state.jobs.get(&key.job) else {
+                continue;
+            };
+            let waiting = Waiting {
+                priority: job.queue.priority,
+                due_at: stage.due_at,
+                objective: stage.objective,
+                remaining: stage.remaining,
+                cpu_work_ms: job.spec.cpu_work_ms(),
+            };
+            order.push((ranking::rank(&waiting, now.at), key.clone()));
+        }
+        order.sort_by_key(|(rank, _)| *rank);
+        let mut questions = Vec::new();
+        for (_, key) in order {
+            match self.decide_stage(&key, now) {
+                StageDecision::Wait => {}
+                StageDecision::Place(choices) => {
+                    self.place(&key, choices, now);
+                    // A part of the stage may still need permits for further workers.
+                    if let StageDecision::Ask(workers) = self.decide_stage(&key, now) {
+                        questions.extend(self.question(&key, workers, now));
+                    }
+                }
+                StageDecision::Ask(workers) => questions.extend(self.question(&key, workers, now)),
+            }
+        }
+        questions
+    }
+
+    fn decide_stage(&self, key: &StageKey, now: Now) -> StageDecision {
+        let (Some(job), Some(stage)) = (self.state.jobs.get(&key.job), self.stages.get(key)) else {
+            return StageDecision::Wait;
+        };
+        let Some(spec) = job.stage_spec(key.stage) else {
+            return StageDecision::Wait;
+        };
+        let wanted = stage.waiting.len();
+        if wanted == 0 || (spec.gang && wanted < spec.task_count as usize) {
+            return StageDecision::Wait;
+        }
+        let mut permitted = Vec::new();
+        let mut unknown = Vec::new();
+        for (id, worker) in &self.workers {
+            let Some(candidate) = self.candidate(key, spec, &job.queue.service, (id, worker), now)
+            else {
+                continue;
+            };
+            if job.queue.placement_policy.is_none() || stage.permits.usable(id, now.at).is_some() {
+                permitted.push(candidate);
+            } else if !stage.permits.is_denied(id) {
+                unknown.push(candidate);
+            }
+        }
+        let chosen = placing::place(spec, wanted, &permitted);
+        if chosen.is_empty() {
+            return self.decide_question(key, spec, wanted, &permitted, unknown, now);
+        }
+        let choices = chosen.iter().zip(&stage.waiting).map(|(&position, &task)| {
+            let worker = permitted[position].worker.clone();
+            let permit = stage.permits.usable(&worker, now.at).map(str::to_owned);
+            Choice {
+                task,
+                worker,
+                permit,
+            }
+        });
+        StageDecision::Place(choices.collect())
+    }
+
+    fn decide_question(
+        &self,
+        key: &StageKey,
+        spec: &StageSpec,
+        wanted: usize,
+        permitted: &[Candidate<'_, WorkerId>],
+        mut unknown: Vec<Candidate<'_, WorkerId>>,
+        now: Now,
+    ) -> StageDecision {
+        let Some(stage) = self.stages.get(key) else {
+            return StageDecision::Wait;
+        };
+        if unknown.is_empty() || stage.asking || now.at < stage.ask_again_at {
+            return StageDecision::Wait;
+        }
+        let held: usize = permitted
+            .iter()
+            .map(|one| placing::room(spec, one, wanted))
+            .sum();
+        let missing = wanted.saturating_sub(held).max(1);
+        let rooms: usize = unknown
+            .iter()
+            .map(|one| placing::room(spec, one, wanted))
+            .sum();
+        if spec.gang && rooms + held < wanted {
+            return StageDecision::Wait;
+        }
+        // Known good workers first, then those with the most room.
+        unknown.sort_by_key(|candidate| {
+            let known = stage.permits.was_granted(&candidate.worker);
+            (!known, std::cmp::Reverse(candidate.free.cpu_millis))
+        });
+        let job = self.state.jobs.get(&key.job);
+        let share = job.and_then(|job| self.good_shares.get(&job.queue.name));
+        let share = share.copied().unwrap_or_default();
+        let average_room = (rooms / unknown.len()).max(1);
+        let count = share.workers_to_ask(missing.div_ceil(average_room));
+        let workers = unknown.into_iter().take(count);
+        StageDecision::Ask(workers.map(|candidate| candidate.worker).collect())
+    }
+
+    /// The worker as a candidate for the stage, when it may run it and has room for a task.
+    fn candidate<'a>(
+        &self,
+        key: &StageKey,
+        spec: &StageSpec,
+        service: &str,
+        (id, worker): (&WorkerId, &'a LiveWorker),
+        now: Now,
+    ) -> Option<Candidate<'a, WorkerId>> {
+        if !worker.reachable || worker.record.service != service || worker.health.is_avoided(now.at)
+        {
+            return None;
+        }
+        let entry = self.ledger.worker(worker.index)?;
+        if entry.status != WorkerStatus::Up {
+            return None;
+        }
+        let free = entry.free();
+        if !free.covers(&spec.ledger_amount()) {
+            return None;
+        }
+        if worker.health.needs_probe() && (spec.gang || !worker.runs.is_empty()) {
+            return None;
+        }
+        if let Some(label) = &spec.required_label
+            && !worker.record.has_label(label)
+        {
+            return None;
+        }
+        let tasks_of_stage = if spec.max_tasks_per_worker.is_some() {
+            worker.runs.iter().filter(|task| task.stage == *key).count() as u32
+        } else {
+            0
+        };
+        Some(Candidate {
+            worker: id.clone(),
+            free,
+            rack: worker.record.rack(),
+            tasks_of_stage,
+            slowness: worker.health.slowness(),
+        })
+    }
+
+    fn place(&mut self, key: &StageKey, choices: Vec<Choice>, now: Now) {
+        let Some(job) = self.state.jobs.get(&key.job) else {
+            return;
+        };
+        let Some(spec) = job.stage_spec(key.stage).cloned() else {
+            return;
+        };
+        let urgency = urgency(job.queue.priority);
+        let gang_run = job.stage(key).map_or(1, |stage| {
+            stage.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1
+        });
+        let mut placements = Vec::new();
+        let mut orders = Vec::new();
+        for choice in choices {
+            let task = TaskKey {
+                stage: key.clone(),
+                index: choice.task,
+            };
+            let Some(worker) = self.workers.get_mut(&choice.worker) else {
+                continue;
+            };
+            let allocation = Allocation {
+                amount: spec.ledger_amount(),
+                purpose: Purpose::Task,
+                urgency,
+            };
+            if let Err(error) = self
+                .ledger
+                .allocate(worker.index, &task.to_string(), allocation)
+            {
+                log::error!(task:% = task, worker = choice.worker.as_str(); "a chosen worker has no room: {error}");
+                continue;
+            }
+            let incarnation = worker.record.incarnation;
+            worker.runs.insert(task.clone());
+            let run = if spec.gang {
+                gang_run
+            } else {
+                self.state.task(&task).map_or(1, |task| task.run + 1)
+            };
+            placements.push(Placement {
+                task: choice.task,
+                run,
+                worker: choice.worker.clone(),
+                incarnation,
+            });
+            self.runs.insert(
+                task.clone(),
+                LiveRun {
+                    run,
+                    worker: choice.worker.clone(),
+                    phase: RunPhase::Starting,
+                    placed_at: now.at,
+                },
+            );
+            orders.push(Effect::Order(Order {
+                epoch: self.epoch,
+                task,
+                run,
+                worker: choice.worker,
+                incarnation,
+                kind: OrderKind::Start {
+                    permit: choice.permit,
+                },
+            }));
+        }
+        self.note_placed(key, placements, orders, now);
+    }
+
+    fn note_placed(
+        &mut self,
+        key: &StageKey,
+        placements: Vec<Placement>,
+        orders: Vec<Effect>,
+        now: Now,
+    ) {
+        if let Some(stage) = self.stages.get_mut(key) {
+            let placed: Vec<TaskIndex> = placements.iter().map(|one| one.task).collect();
+            stage.waiting.retain(|task| !placed.contains(task));
+            stage.live_runs += placed.len();
+            log::info!(
+                stage:% = key, tasks = placed.len(), left = stage.waiting.len(),
+                waited_ms = now.at.saturating_duration_since(stage.due_at).as_millis() as u64;
+                "tasks placed"
+            );
+        }
+        self.record(Record::RunsPlaced {
+            stage: key.clone(),
+            placements,
+        });
+        self.effects.extend(orders);
+    }
+
+    fn question(&mut self, key: &StageKey, workers: Vec<WorkerId>, now: Now) -> Option<Question> {
+        let job = self.state.jobs.get(&key.job)?;
+        let policy = job.queue.placement_policy.clone()?;
+        let (host, expected) = self.choose_policy_caller(&policy, workers.len(), now.at);
+        self.stages.get_mut(key)?.asking = true;
+        Some(Question {
+            epoch: self.epoch,
+            stage: key.clone(),
+            workers,
+            host,
+            expected,
+        })
+    }
+}
--- /dev/null
+++ b/src/workflow/placer/takeover.rs
@@ -0,0 +1,199 @@
+//! Start of a term: rebuilding what the leader holds from the committed state.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::super::records::Record;
+use super::super::spec::{StageKey, TaskKey};
+use super::super::state::{TaskProgress, WorkflowState};
+use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
+use super::{Now, PlacerSettings};
+use crate::ids::{Epoch, JobId};
+use crate::protocol::caller::Urgency;
+use crate::scheduling::ledger::Ledger;
+
+/// Workers that the objective of a job assumes in a question to the placement policy.
+const OBJECTIVE_POLICY_WORKERS: f64 = 30.0;
+
+impl Term {
+    /// A leader with the committed state. Runs of earlier leaders are unresolved until their
+    /// workers report in this term.
+    pub(super) fn begin(
+        epoch: Epoch,
+        state: WorkflowState,
+        settings: PlacerSettings,
+        now: Now,
+    ) -> Self {
+        let mut term = Self {
+            epoch,
+            settings,
+            began_at: now.at,
+            ready: false,
+            state,
+            records: vec![Record::TakenOver],
+            effects: vec![Effect::TakenOver],
+            needs_commit: true,
+            next_sequence: 0,
+            uncommitted: VecDeque::new(),
+            ledger: Ledger::default(),
+            workers: IndexMap::new(),
+            stages: IndexMap::new(),
+            runs: IndexMap::new(),
+            good_shares: IndexMap::new(),
+            policy_callers: IndexMap::new(),
+            stray_stops: IndexMap::new(),
+            ticks: 0,
+            adopted_checked: false,
+        };
+        let records: Vec<_> = term.state.workers.values().cloned().collect();
+        for record in records {
+            term.add_worker(record);
+        }
+        let jobs: Vec<JobId> = term.state.jobs.keys().cloned().collect();
+        for job in jobs {
+            term.adopt_job(&job, now);
+        }
+        term
+    }
+
+    fn adopt_job(&mut self, id: &JobId, now: Now) {
+        let Some(job) = self.state.jobs.get(id) else {
+            return;
+        };
+        for key in job.stage_keys(id) {
+            self.adopt_runs(&key, now.at);
+        }
+        self.activate_stages(id, now);
+    }
+
+    fn adopt_runs(&mut self, key: &StageKey, now: Instant) {
+        let Some(job) = self.state.jobs.get(&key.job) else {
+            return;
+        };
+        let (Some(stage), Some(spec)) = (job.stage(key), job.stage_spec(key.stage)) else {
+            return;
+        };
+        let amount = spec.ledger_amount();
+        let urgency = urgency(job.queue.priority);
+        let mut adopted = Vec::new();
+        for (index, task) in stage.tasks.iter().enumerate() {
+            let TaskProgress::Placed {
+                worker,
+                incarnation,
+            } = &task.progress
+            else {
+                continue;
+            };
+            let task_key = TaskKey {
+                stage: key.clone(),
+                index: index as u32,
+            };
+            adopted.push((task_key, task.run, worker.clone(), *incarnation));
+        }
+        for (task, run, worker, incarnation) in adopted {
+            let live = LiveRun {
+                run,
+                worker: worker.clone(),
+                phase: RunPhase::Unresolved,
+                placed_at: now,
+            };
+            self.runs.insert(task.clone(), live);
+            let known = self.workers.get_mut(&worker);
+            // A worker that left or restarted runs nothing of before; the first tick ends the run.
+            let Some(known) = known.filter(|known| known.record.incarnation == incarnation) else {
+                continue;
+            };
+            known.runs.insert(task.clone());
+            let index = known.index;
+            self.ledger.adopt(index, &task.to_string(), amount, urgency);
+        }
+    }
+
+    /// Makes the stages of a job schedulable whose dependencies are met and whose time has come.
+    pub(super) fn activate_stages(&mut self, id: &JobId, now: Now) {
+        let Some(job) = self.state.jobs.get(id) else {
+            return;
+        };
+        if !job.is_open() {
+            return;
+        }
+        let mut activated = Vec::new();
+        for key in job.stage_keys(id) {
+            if self.stages.contains_key(&key) || !job.dependencies_met(&key) {
+                continue;
+            }
+            let due_unix_ms = job
+                .spec
+                .repetition
+                .as_ref()
+                .map_or(job.accepted_unix_ms, |repeat| {
+                    repeat.first_due_unix_ms + u64::from(key.occurrence) * repeat.interval_ms
+                });
+            if due_unix_ms > now.unix_ms && job.spec.repetition.is_some() {
+                continue;
+            }
+            let Some(stage) = job.stage(&key).filter(|stage| !stage.is_complete()) else {
+                continue;
+            };
+            let mut waiting = Vec::new();
+            let mut live_runs = 0;
+            for (index, task) in stage.tasks.iter().enumerate() {
+                match task.progress {
+                    TaskProgress::Waiting => waiting.push(index as u32),
+                    TaskProgress::Placed { .. } => live_runs += 1,
+                    TaskProgress::Succeeded => {}
+                }
+            }
+            let age = Duration::from_millis(now.unix_ms.saturating_sub(due_unix_ms));
+            let live = LiveStage {
+                waiting,
+                live_runs,
+                permits: Default::default(),
+                asking: false,
+                ask_again_at: now.at,
+                due_at: now.at.checked_sub(age).unwrap_or(now.at),
+                objective: objective(job),
+                remaining: remaining(job, key.stage),
+            };
+            activated.push((key, live));
+        }
+        self.stages.extend(activated);
+    }
+}
+
+/// Urgency of the ledger that stands for a priority, of which zero is the most urgent.
+pub(super) fn urgency(priority: u32) -> Urgency {
+    match priority {
+        0 => Urgency::Urgent,
+        1 => Urgency::High,
+        2 => Urgency::Normal,
+        _ => Urgency::Low,
+    }
+}
+
+fn objective(job: &super::super::state::Job) -> Duration {
+    let policy_ms = job.queue.placement_policy.as_ref().map_or(0.0, |policy| {
+        policy.decision_ms + policy.per_worker_ms * OBJECTIVE_POLICY_WORKERS
+    });
+    let chain_ms = job.spec.critical_path_ms() as f64 + policy_ms * job.spec.stages.len() as f64;
+    let slack_ms = chain_ms * job.queue.slack_factor;
+    Duration::from_millis(slack_ms as u64 + job.queue.target_latency_ms)
+}
+
+/// Declared run time of a stage and the longest chain that depends on it.
+fn remaining(job: &super::super::state::Job, stage: u32) -> Duration {
+    let stages = &job.spec.stages;
+    let mut longest = vec![0_u64; stages.len()];
+    for index in (0..stages.len()).rev() {
+        let after = stages.iter().enumerate().skip(index + 1);
+        let dependents = after.filter(|(_, other)| other.depends_on.contains(&(index as u32)));
+        let behind = dependents
+            .map(|(other, _)| longest[other])
+            .max()
+            .unwrap_or(0);
+        longest[index] = stages[index].estimate_ms + behind;
+    }
+    Duration::from_millis(longest.get(stage as usize).copied().unwrap_or(0))
+}
--- /dev/null
+++ b/src/workflow/placer/term.rs
@@ -0,0 +1,225 @@
+//! What the placer holds while it leads.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Sender;
+use indexmap::{IndexMap, IndexSet};
+
+use super::super::calls::{HostContact, Reply};
+use super::super::decisions::leases::{ClockReading, lapsed_without_reading};
+use super::super::decisions::permits::{GoodShare, PermitBook};
+use super::super::decisions::worker_health::WorkerHealth;
+use super::super::records::{Record, RunNumber};
+use super::super::spec::{StageKey, TaskIndex, TaskKey};
+use super::super::state::WorkflowState;
+use super::super::workers::WorkerRecord;
+use super::PlacerSettings;
+use crate::ids::{Epoch, HostId, WorkerId};
+use crate::scheduling::ledger::{Ledger, WorkerIndex};
+
+/// State of a leader. It runs ahead of the log: records are applied to `state` when they are
+/// appended, and whatever others can see of them waits in `effects` until they are committed. A
+/// leader that fails to commit drops the whole term.
+pub struct Term {
+    /// Fencing token of this leader.
+    pub epoch: Epoch,
+    /// Settings.
+    pub settings: PlacerSettings,
+    /// When it began to lead. Earlier leaders have granted no lease after this time.
+    pub began_at: Instant,
+    /// Whether its take-over is committed.
+    pub ready: bool,
+    /// Committed state and the records that are on their way.
+    pub state: WorkflowState,
+    /// Records that are not appended yet.
+    pub records: Vec<Record>,
+    /// Effects that wait for `records`.
+    pub effects: Vec<Effect>,
+    /// Whether the effects wait for a commit even without records.
+    pub needs_commit: bool,
+    /// Number of the next batch.
+    pub next_sequence: u64,
+    /// Effects of batches that are not committed yet, by sequence number.
+    pub uncommitted: VecDeque<(u64, Vec<Effect>)>,
+    /// Capacity and allocations.
+    pub ledger: Ledger,
+    /// Workers.
+    pub workers: IndexMap<WorkerId, LiveWorker>,
+    /// Stages whose dependencies are met and that are not complete.
+    pub stages: IndexMap<StageKey, LiveStage>,
+    /// Runs that may exist on a worker.
+    pub runs: IndexMap<TaskKey, LiveRun>,
+    /// Learned share of workers that the policy of a queue allows.
+    pub good_shares: IndexMap<String, GoodShare>,
+    /// Hosts that can call the placement policy.
+    pub policy_callers: IndexMap<HostId, PolicyCaller>,
+    /// Runs that a worker lists and nobody wants, with the time of the last order to stop them.
+    pub stray_stops: IndexMap<(TaskKey, RunNumber), Instant>,
+    /// Number of time-driven steps.
+    pub ticks: u64,
+    /// Whether runs of earlier terms were compared with the workers that are known.
+    pub adopted_checked: bool,
+}
+
+/// What becomes visible to others once a batch is committed.
+pub enum Effect {
+    /// Answers a call.
+    Reply(Sender<Reply>, Reply),
+    /// Answers with the committed configuration.
+    ReplyQueues(Sender<Reply>),
+    /// Sends an order to a worker.
+    Order(Order),
+    /// Ends up to a number are recorded; the worker's link may acknowledge them.
+    EndsRecorded {
+        /// Worker.
+        worker: WorkerId,
+        /// Its incarnation.
+        incarnation: u64,
+        /// Last recorded end.
+        through: u64,
+    },
+    /// The take-over is committed.
+    TakenOver,
+}
+
+/// An order on its way to a worker.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Epoch that gave it.
+    pub epoch: Epoch,
+    /// Task.
+    pub task: TaskKey,
+    /// Run.
+    pub run: RunNumber,
+    /// Worker.
+    pub worker: WorkerId,
+    /// Incarnation of the worker.
+    pub incarnation: u64,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// Kind of an order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderKind {
+    /// Starts the run, with a permit where the queue has a policy.
+    Start {
+        /// Permit of the placement policy.
+        permit: Option<String>,
+    },
+    /// Stops the run.
+    Stop,
+}
+
+/// A worker as this leader sees it.
+pub struct LiveWorker {
+    /// Position in the ledger.
+    pub index: WorkerIndex,
+    /// Latest record.
+    pub record: WorkerRecord,
+    /// Highest heartbeat number of this incarnation.
+    pub heartbeat_sequence: u64,
+    /// Latest reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// Latest end of a lease that may have reached it, on its own clock.
+    pub granted_until_clock_ms: u64,
+    /// Whether it answered the latest renewal.
+    pub reachable: bool,
+    /// When it failed to answer for the first time since its last answer.
+    pub silent_since: Option<Instant>,
+    /// Last end that was processed.
+    pub seen_ends: u64,
+    /// Last end that is recorded in the log.
+    pub recorded_ends: u64,
+    /// Wakes the link when `recorded_ends` has grown.
+    pub recorded_signal: Option<Sender<()>>,
+    /// Runs that may exist on it.
+    pub runs: IndexSet<TaskKey>,
+    /// What the ends of its runs say about it.
+    pub health: WorkerHealth,
+    /// Number of the link thread that serves it; an older one ends itself.
+    pub link_generation: u64,
+}
+
+impl LiveWorker {
+    /// Time after which nothing that was started before runs there any more, unless its lease is
+    /// renewed.
+    pub fn lapses_at(&self, term_began_at: Instant, max_lease: Duration) -> Instant {
+        match &self.clock {
+            Some(reading) => reading.lapsed_at(self.granted_until_clock_ms),
+            None => lapsed_without_reading(term_began_at, max_lease),
+        }
+    }
+}
+
+/// A stage that has tasks to run.
+pub struct LiveStage {
+    /// Tasks that need a run.
+    pub waiting: Vec<TaskIndex>,
+    /// Runs that may exist.
+    pub live_runs: usize,
+    /// Answers of the placement policy.
+    pub permits: PermitBook,
+    /// Whether a question to the policy is on its way.
+    pub asking: bool,
+    /// Earliest time of the next question after a failed one.
+    pub ask_again_at: Instant,
+    /// When the job, or the occurrence, was due.
+    pub due_at: Instant,
+    /// Time that the job may take from then on.
+    pub objective: Duration,
+    /// Declared run time of this stage and the longest chain behind it.
+    pub remaining: Duration,
+}
+
+/// A run that may exist on a worker.
+pub struct LiveRun {
+    /// Number.
+    pub run: RunNumber,
+    /// Worker.
+    pub worker: WorkerId,
+    /// What is known of it.
+    pub phase: RunPhase,
+    /// When it was placed, or adopted from an earlier leader.
+    pub placed_at: Instant,
+}
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RunPhase {
+    /// Placed by an earlier leader; the worker's lists will tell.
+    Unresolved,
+    /// Its start order is on its way.
+    Starting,
+    /// The worker has confirmed it.
+    Running {
+        /// When the confirmation arrived.
+        confirmed_at: Instant,
+    },
+    /// It has to end.
+    Stopping {
+        /// When the worker confirmed the stop order.
+        confirmed_at: Option<Instant>,
+        /// When the latest stop order was given.
+        ordered_at: Instant,
+    },
+}
+
+/// A host that can call the placement policy, which serves one call at a time for each host.
+pub struct PolicyCaller {
+    /// What the host said of itself.
+    pub contact: HostContact,
+    /// When it was heard from.
+    pub heard_at: Instant,
+    /// When its present calls are expected to be answered.
+    pub busy_until: Instant,
+}
+
+impl Term {
+    /// Appends a record and applies it to the state ahead of its commit.
+    pub fn record(&mut self, record: Record) {
+        self.state.apply_record(record.clone());
+        self.records.push(record);
+    }
+}
--- /dev/null
+++ b/src/workflow/spec.rs
@@ -0,0 +1,188 @@
+//! What a caller submits: stages of equal tasks that depend on each other.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::JobId;
+use crate::resources::Resources;
+
+/// Position of a stage within its workflow.
+pub type StageIndex = u32;
+/// Position of a task within its stage.
+pub type TaskIndex = u32;
+/// Number of a repetition of the workflow, from zero.
+pub type Occurrence = u32;
+
+/// Most tasks that one workflow may have over all stages and occurrences.
+pub const MAX_TASKS: u64 = 20_000;
+
+/// A workflow as its caller describes it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkflowSpec {
+    /// Opaque text that every run gets.
+    pub payload: String,
+    /// Stages in the order of their indexes. A stage depends only on earlier ones.
+    pub stages: Vec<StageSpec>,
+    /// Present when the stages run more than once.
+    pub repetition: Option<Repetition>,
+}
+
+/// Due times of a repeated workflow.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Repetition {
+    /// Number of occurrences.
+    pub count: u32,
+    /// Due time of the first occurrence, in Unix milliseconds.
+    pub first_due_unix_ms: u64,
+    /// Time between the due times of two occurrences.
+    pub interval_ms: u64,
+}
+
+/// Tasks of equal size.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StageSpec {
+    /// Number of tasks.
+    pub task_count: u32,
+    /// What each task needs.
+    pub resources: Resources,
+    /// Declared run time of a task; may be far off.
+    pub estimate_ms: u64,
+    /// Stages whose tasks must all have succeeded before.
+    pub depends_on: Vec<StageIndex>,
+    /// All tasks run at the same time and succeed or fail together.
+    pub gang: bool,
+    /// The tasks are slowed down unless all run in one rack.
+    pub prefers_one_rack: bool,
+    /// Label that a worker must have.
+    pub required_label: Option<String>,
+    /// Rack near the data; tasks elsewhere are slowed down.
+    pub data_rack: Option<String>,
+    /// Most tasks of one occurrence on one worker.
+    pub max_tasks_per_worker: Option<u32>,
+    /// Several runs of a task may exist at once; the first success counts.
+    pub allows_duplicates: bool,
+    /// The tasks run until the workflow is cancelled and are restarted however they end.
+    pub lasting: bool,
+    /// Runs save checkpoints from which a later run can resume.
+    pub saves_checkpoints: bool,
+    /// The processors of a task are not counted against the worker.
+    pub uses_leftover_cpu: bool,
+    /// Bound of the tail of the response times of a task that serves requests.
+    pub response_time_target_ms: Option<u64>,
+}
+
+impl StageSpec {
+    /// Amount that a task takes from the ledger of its worker.
+    pub fn ledger_amount(&self) -> Resources {
+        let mut amount = self.resources;
+        if self.uses_leftover_cpu {
+            amount.cpu_millis = 0;
+        }
+        amount
+    }
+
+    /// Declared processor time of all tasks, in milliseconds of one core.
+    pub fn cpu_work_ms(&self) -> u64 {
+        let tasks = u64::from(self.task_count) * self.estimate_ms;
+        tasks.saturating_mul(self.resources.cpu_millis) / 1_000
+    }
+}
+
+impl WorkflowSpec {
+    /// Number of occurrences, at least one.
+    pub fn occurrences(&self) -> u32 {
+        self.repetition.as_ref().map_or(1, |repeat| repeat.count)
+    }
+
+    /// Declared length of the longest chain of dependent stages, in milliseconds.
+    pub fn critical_path_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.stages.len());
+        for stage in &self.stages {
+            let before = stage
+                .depends_on
+                .iter()
+                .filter_map(|&index| ends.get(index as usize));
+            let start = before.max().copied().unwrap_or(0);
+            ends.push(start + stage.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Declared processor time of one occurrence, in milliseconds of one core.
+    pub fn cpu_work_ms(&self) -> u64 {
+        self.stages.iter().map(StageSpec::cpu_work_ms).sum()
+    }
+
+    /// Why the workflow cannot be accepted.
+    ///
+    /// # Errors
+    ///
+    /// A sentence for the caller.
+    pub fn validate(&self) -> Result<(), String> {
+        if self.stages.is_empty() {
+            return Err("a workflow needs at least one stage".to_owned());
+        }
+        let mut tasks = 0;
+        for (index, stage) in self.stages.iter().enumerate() {
+            if stage.task_count == 0 {
+                return Err(format!("stage {index} has no tasks"));
+            }
+            if stage
+                .depends_on
+                .iter()
+                .any(|&other| other as usize >= index)
+            {
+                return Err(format!(
+                    "stage {index} depends on a stage that is not earlier"
+                ));
+            }
+            tasks += u64::from(stage.task_count);
+        }
+        tasks = tasks.saturating_mul(u64::from(self.occurrences()));
+        if tasks == 0 || tasks > MAX_TASKS {
+            return Err(format!("{tasks} tasks; 1 to {MAX_TASKS} are allowed"));
+        }
+        Ok(())
+    }
+}
+
+/// A stage of one occurrence of a job.
+#[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[display("{job}.{occurrence}.{stage}")]
+pub struct StageKey {
+    /// Job.
+    pub job: JobId,
+    /// Occurrence.
+    pub occurrence: Occurrence,
+    /// Stage.
+    pub stage: StageIndex,
+}
+
+/// A task of a stage.
+#[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[display("{stage}.{index}")]
+pub struct TaskKey {
+    /// Its stage.
+    pub stage: StageKey,
+    /// Its position.
+    pub index: TaskIndex,
+}
+
+impl TaskKey {
+    /// Parses the form that [`Display`](std::fmt::Display) writes.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.rsplitn(4, '.');
+        let index = parts.next()?.parse().ok()?;
+        let stage = parts.next()?.parse().ok()?;
+        let occurrence = parts.next()?.parse().ok()?;
+        let job = parts.next()?.to_owned();
+        Some(Self {
+            stage: StageKey {
+                job,
+                occurrence,
+                stage,
+            },
+            index,
+        })
+    }
+}
--- /dev/null
+++ b/src/workflow/state.rs
@@ -0,0 +1,378 @@
+//! State that follows from the workflow log.
+
+use derive_more::Display;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::queues::{Queue, QueueConfiguration};
+use super::records::{Batch, Placement, Record, RunNumber, RunOutcome};
+use super::spec::{Occurrence, StageIndex, StageKey, StageSpec, TaskKey, WorkflowSpec};
+use super::workers::WorkerRecord;
+use crate::ids::{Epoch, Incarnation, JobId, WorkerId};
+
+/// Everything that is committed. Equal logs give equal states.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkflowState {
+    /// Leader that took over last.
+    pub epoch: Epoch,
+    /// Configuration in force.
+    pub configuration: Option<QueueConfiguration>,
+    /// Workers that have not left.
+    pub workers: IndexMap<WorkerId, WorkerRecord>,
+    /// Jobs, also ended ones until their retention is over.
+    pub jobs: IndexMap<JobId, Job>,
+}
+
+/// Progress of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[display(rename_all = "snake_case")]
+pub enum JobPhase {
+    /// No task has been placed.
+    Queued,
+    /// Some tasks have been placed.
+    Running,
+    /// All tasks succeeded.
+    Completed,
+    /// A task or gang used up its attempts.
+    Failed,
+    /// Cancelled by its caller.
+    Cancelled,
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Queue as it was at acceptance.
+    pub queue: Queue,
+    /// What runs.
+    pub spec: WorkflowSpec,
+    /// Time of acceptance.
+    pub accepted_unix_ms: u64,
+    /// Progress.
+    pub phase: JobPhase,
+    /// Time of the end; `None` while the job is open.
+    pub ended_unix_ms: Option<u64>,
+    /// Stages of all occurrences: occurrence 0 first, each in the order of its stages.
+    stages: Vec<Stage>,
+}
+
+/// Progress of a stage of one occurrence.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stage {
+    /// Tasks by index.
+    pub tasks: Vec<Task>,
+    /// Tasks that succeeded.
+    pub succeeded: u32,
+    /// Latest failed run of a gang; its members fail together and count once.
+    pub failed_gang_run: RunNumber,
+}
+
+/// Progress of a task.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Task {
+    /// Latest run; zero before the first.
+    pub run: RunNumber,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Latest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// What it is doing.
+    pub progress: TaskProgress,
+}
+
+/// What a task is doing.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub enum TaskProgress {
+    /// It needs a run.
+    #[default]
+    Waiting,
+    /// Its latest run may exist on a worker.
+    Placed {
+        /// Worker.
+        worker: WorkerId,
+        /// Incarnation of the worker.
+        incarnation: Incarnation,
+    },
+    /// It succeeded.
+    Succeeded,
+}
+
+impl WorkflowState {
+    /// Applies a batch. Returns whether it was made by the present leader.
+    pub fn apply(&mut self, batch: Batch) -> bool {
+        let takes_over = batch.records.first() == Some(&Record::TakenOver);
+        if takes_over {
+            self.epoch = self.epoch.max(batch.epoch);
+        }
+        if batch.epoch != self.epoch {
+            return false;
+        }
+        for record in batch.records {
+            self.apply_record(record);
+        }
+        true
+    }
+
+    /// Applies one record of the present leader.
+    pub fn apply_record(&mut self, record: Record) {
+        match record {
+            Record::TakenOver => {}
+            Record::QueuesReplaced(configuration) => self.replace_queues(*configuration),
+            Record::WorkerSeen(worker) => {
+                self.workers.insert(worker.id.clone(), *worker);
+            }
+            Record::WorkerLeft {
+                worker,
+                incarnation,
+            } => {
+                let known = self.workers.get(&worker);
+                if known.is_some_and(|known| known.incarnation <= incarnation) {
+                    self.workers.shift_remove(&worker);
+                }
+            }
+            Record::JobAccepted {
+                id,
+                queue,
+                spec,
+                at_unix_ms,
+            } => {
+                let job = Job::new(*queue, *spec, at_unix_ms);
+                self.jobs.entry(id).or_insert(job);
+            }
+            Record::JobCancelled { id, at_unix_ms } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.end(JobPhase::Cancelled, at_unix_ms);
+                }
+            }
+            Record::RunsPlaced { stage, placements } => {
+                if let Some(job) = self.jobs.get_mut(&stage.job) {
+                    job.place(&stage, placements);
+                }
+            }
+            Record::RunEnded {
+                task,
+                run,
+                outcome,
+                checkpoint,
+                at_unix_ms,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&task.stage.job) {
+                    job.end_run(&task, run, outcome, checkpoint, at_unix_ms);
+                }
+            }
+            Record::JobsForgotten(ids) => {
+                let ids: indexmap::IndexSet<JobId> = ids.into_iter().collect();
+                self.jobs.retain(|id, _| !ids.contains(id));
+            }
+        }
+    }
+
+    fn replace_queues(&mut self, configuration: QueueConfiguration) {
+        if configuration.version > self.version() {
+            self.configuration = Some(configuration);
+        }
+    }
+
+    /// Version of the configuration in force; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.configuration
+            .as_ref()
+            .map_or(0, |present| present.version)
+    }
+
+    /// A task.
+    pub fn task(&self, key: &TaskKey) -> Option<&Task> {
+        let stage = self.jobs.get(&key.stage.job)?.stage(&key.stage)?;
+        stage.tasks.get(key.index as usize)
+    }
+}
+
+impl Job {
+    fn new(queue: Queue, spec: WorkflowSpec, accepted_unix_ms: u64) -> Self {
+        let stages = (0..spec.occurrences()).flat_map(|_| spec.stages.iter().map(Stage::new));
+        Self {
+            stages: stages.collect(),
+            queue,
+            spec,
+            accepted_unix_ms,
+            phase: JobPhase::Queued,
+            ended_unix_ms: None,
+        }
+    }
+
+    /// Whether tasks may still be placed.
+    pub fn is_open(&self) -> bool {
+        self.ended_unix_ms.is_none()
+    }
+
+    fn position(&self, occurrence: Occurrence, stage: StageIndex) -> usize {
+        occurrence as usize * self.spec.stages.len() + stage as usize
+    }
+
+    /// A stage of an occurrence.
+    pub fn stage(&self, key: &StageKey) -> Option<&Stage> {
+        if key.stage as usize >= self.spec.stages.len() {
+            return None;
+        }
+        self.stages.get(self.position(key.occurrence, key.stage))
+    }
+
+    fn stage_mut(&mut self, key: &StageKey) -> Option<&mut Stage> {
+        let position = self.position(key.occurrence, key.stage);
+        self.stages.get_mut(position)
+    }
+
+    /// Description of a stage.
+    pub fn stage_spec(&self, stage: StageIndex) -> Option<&StageSpec> {
+        self.spec.stages.get(stage as usize)
+    }
+
+    /// Whether all tasks on which a stage depends have succeeded.
+    pub fn dependencies_met(&self, key: &StageKey) -> bool {
+        let Some(spec) = self.stage_spec(key.stage) else {
+            return false;
+        };
+        spec.depends_on.iter().all(|&other| {
+            let stage = self.stages.get(self.position(key.occurrence, other));
+            stage.is_some_and(Stage::is_complete)
+        })
+    }
+
+    /// Keys of all stages of the job.
+    pub fn stage_keys(&self, job: &JobId) -> Vec<StageKey> {
+        let key = |occurrence, stage| StageKey {
+            job: job.clone(),
+            occurrence,
+            stage,
+        };
+        let stages = self.spec.stages.len() as u32;
+        let occurrences = 0..self.spec.occurrences();
+        occurrences
+            .flat_map(|occurrence| (0..stages).map(move |stage| (occurrence, stage)))
+            .map(|(occurrence, stage)| key(occurrence, stage))
+            .collect()
+    }
+
+    fn place(&mut self, key: &StageKey, placements: Vec<Placement>) {
+        if !self.is_open() {
+            return;
+        }
+        let Some(stage) = self.stage_mut(key) else {
+            return;
+        };
+        for placement in placements {
+            let Some(task) = stage.tasks.get_mut(placement.task as usize) else {
+                continue;
+            };
+            task.run = placement.run;
+            task.progress = TaskProgress::Placed {
+                worker: placement.worker,
+                incarnation: placement.incarnation,
+            };
+        }
+        if self.phase == JobPhase::Queued {
+            self.phase = JobPhase::Running;
+        }
+    }
+
+    fn end_run(
+        &mut self,
+        key: &TaskKey,
+        run: RunNumber,
+        outcome: RunOutcome,
+        checkpoint: String,
+        at_unix_ms: u64,
+    ) {
+        let Some(spec) = self.stage_spec(key.stage.stage) else {
+            return;
+        };
+        let (gang, lasting, max_attempts) = (spec.gang, spec.lasting, self.queue.max_attempts);
+        let Some(stage) = self.stage_mut(&key.stage) else {
+            return;
+        };
+        let Some(task) = stage.tasks.get_mut(key.index as usize) else {
+            return;
+        };
+        if task.run != run || task.progress == TaskProgress::Succeeded {
+            return;
+        }
+        task.progress = TaskProgress::Waiting;
+        if !checkpoint.is_empty() {
+            stage.keep_checkpoint(key, gang, checkpoint);
+        }
+        if outcome == RunOutcome::Succeeded && !lasting {
+            stage.succeed(key, gang);
+        }
+        let failed = outcome == RunOutcome::Failed && !lasting;
+        if failed && stage.fail(key, run, gang) >= max_attempts {
+            self.end(JobPhase::Failed, at_unix_ms);
+        }
+        if self.stages.iter().all(Stage::is_complete) {
+            self.end(JobPhase::Completed, at_unix_ms);
+        }
+    }
+
+    fn end(&mut self, phase: JobPhase, at_unix_ms: u64) {
+        if self.is_open() {
+            self.phase = phase;
+            self.ended_unix_ms = Some(at_unix_ms);
+        }
+    }
+}
+
+impl Stage {
+    fn new(spec: &StageSpec) -> Self {
+        Self {
+            tasks: vec![Task::default(); spec.task_count as usize],
+            succeeded: 0,
+            failed_gang_run: 0,
+        }
+    }
+
+    /// Whether all tasks succeeded.
+    pub fn is_complete(&self) -> bool {
+        self.succeeded as usize == self.tasks.len()
+    }
+
+    /// A checkpoint of any member is valid for its whole gang.
+    fn keep_checkpoint(&mut self, key: &TaskKey, gang: bool, checkpoint: String) {
+        if gang {
+            for task in &mut self.tasks {
+                task.checkpoint.clone_from(&checkpoint);
+            }
+        } else if let Some(task) = self.tasks.get_mut(key.index as usize) {
+            task.checkpoint = checkpoint;
+        }
+    }
+
+    /// The success of one member represents its gang.
+    fn succeed(&mut self, key: &TaskKey, gang: bool) {
+        for (index, task) in self.tasks.iter_mut().enumerate() {
+            if !gang && index != key.index as usize {
+                continue;
+            }
+            if task.progress != TaskProgress::Succeeded {
+                task.progress = TaskProgress::Succeeded;
+                self.succeeded += 1;
+            }
+        }
+    }
+
+    /// Counts a failure and returns how many there were.
+    fn fail(&mut self, key: &TaskKey, run: RunNumber, gang: bool) -> u32 {
+        if !gang {
+            let Some(task) = self.tasks.get_mut(key.index as usize) else {
+                return 0;
+            };
+            task.failures += 1;
+            return task.failures;
+        }
+        if self.failed_gang_run < run {
+            self.failed_gang_run = run;
+            for task in &mut self.tasks {
+                task.failures += 1;
+            }
+        }
+        self.tasks.first().map_or(0, |task| task.failures)
+    }
+}
