feature: storage hosts that replace lost ones become voters of the workflow log

Ruled out: the election (two hosts restarted, but one without its disk).

Change: the leader looks at the members every 500 ms: storage hosts in contact learn the log; one is promoted when a voter is silent for 2.5 s or too few vote, and then the silent one leaves. The decision is tests/workflow_replicas.rs.

--- a/src/replication.rs
+++ b/src/replication.rs
@@ -35,7 +35,7 @@
 pub use log::{Index, Term};
 pub use membership::{Member, MemberRole, Membership};
 pub use propose::{Proposal, ProposeError};
-pub use replica::{Replica, ReplicaPhase, ReplicaStatus};
+pub use replica::{MemberProgress, Replica, ReplicaPhase, ReplicaStatus};
 pub use storage::{StorageError, StorageOptions};
 
 /// Sends a message to another host and returns its reply, at the latest at the deadline.
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use super::log::{Index, Term};
-use super::membership::Membership;
+use super::membership::{MemberRole, Membership};
 use super::peer::Prepared;
 use super::propose::{Committed, Lease, Outcome, Proposal, ProposeError};
 use super::state::{Role, State};
@@ -65,6 +65,20 @@
     pub committed_membership: Membership,
 }
 
+/// A member as the leader sees it.
+#[derive(Clone, Debug)]
+pub struct MemberProgress {
+    /// Host.
+    pub host: HostId,
+    /// What it counts for.
+    pub role: MemberRole,
+    /// When the latest call that it answered in this term was sent; `None` for this host and
+    /// before the first answer.
+    pub answered_at: Option<Instant>,
+    /// Whether it had all entries that were committed when it was last called.
+    pub caught_up: bool,
+}
+
 /// A replica and its threads.
 pub struct Replica<T> {
     shared: Arc<Shared<T>>,
@@ -201,6 +215,23 @@
         }
     }
 
+    /// Members with their progress; meaningful only on the leader.
+    pub fn members(&self) -> Vec<MemberProgress> {
+        let state = self.shared.lock();
+        let members = state.log.membership().members.iter();
+        members
+            .map(|member| {
+                let peer = state.peers.get(&member.host);
+                MemberProgress {
+                    host: member.host.clone(),
+                    role: member.role,
+                    answered_at: peer.and_then(|peer| peer.acked_at),
+                    caught_up: peer.is_some_and(|peer| peer.caught_up),
+                }
+            })
+            .collect()
+    }
+
     /// Adds a host as learner and waits until it is a member.
     ///
     /// # Errors
--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -5,4 +5,5 @@
 pub mod permits;
 pub mod placing;
 pub mod ranking;
+pub mod replicas;
 pub mod worker_health;
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -237,6 +237,7 @@
             lease: WORKER_LEASE.min(max_lease),
             max_lease,
             retention: settings.retention(),
+            wanted_voters: settings.cell.tolerated_losses * 2 + 1,
         },
         Clock::system(),
         Arc::clone(&replica),
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -6,6 +6,7 @@
 mod client_calls;
 mod orders;
 mod policy;
+mod replicas;
 mod reports;
 mod runs;
 mod scheduling;
@@ -54,6 +55,8 @@
     pub max_lease: Duration,
     /// Time for which ended jobs are kept.
     pub retention: Duration,
+    /// Voters of the log when enough storage hosts are there.
+    pub wanted_voters: usize,
 }
 
 /// Finds the client for calls to another host.
@@ -160,6 +163,7 @@
         placer.spawn("effects", move |placer| placer.run_effects(&notices));
         placer.spawn("scheduler", move |placer| placer.run_scheduler(&wake_ups));
         placer.spawn("timer", Self::run_timer);
+        placer.spawn("membership", Self::run_membership);
         for _ in 0..ORDER_THREADS {
             let queue = order_queue.clone();
             placer.spawn("orders", move |placer| placer.run_orders(&queue));
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -19,7 +19,7 @@
 /// Pause of a stage after a question without an answer.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(150);
 /// Time without contact after which a host gets no questions.
-const CALLER_FRESHNESS: Duration = Duration::from_millis(2_500);
+pub(super) const CALLER_FRESHNESS: Duration = Duration::from_millis(2_500);
 /// Time beyond the decision itself that an answer is expected to take before it was measured: a
 /// round trip between regions.
 pub(super) const INITIAL_TRIP: Duration = Duration::from_millis(60);
--- /dev/null
+++ b/src/workflow/placer/replicas.rs
@@ -0,0 +1,82 @@
+//! Keeps the members of the workflow log in step with the storage hosts that are there.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::super::decisions::replicas::{MemberView, MembershipStep, next_step};
+use super::Placer;
+use super::policy::CALLER_FRESHNESS;
+use crate::ids::{Epoch, HostId};
+use crate::replication::MemberRole;
+
+/// Interval in which the members are looked at.
+const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for a membership change: several commits among three regions.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+impl Placer {
+    pub(super) fn run_membership(self: &Arc<Self>) {
+        let mut leads_since: Option<(Epoch, Instant)> = None;
+        loop {
+            thread::sleep(MEMBERSHIP_INTERVAL);
+            let Some(epoch) = self.replica.leadership() else {
+                leads_since = None;
+                continue;
+            };
+            let now = self.clock.now();
+            let since = match leads_since {
+                Some((held, since)) if held == epoch => since,
+                _ => now,
+            };
+            leads_since = Some((epoch, since));
+            self.change_membership(since, now);
+        }
+    }
+
+    fn change_membership(&self, leads_since: Instant, now: Instant) {
+        let own = &self.settings.host;
+        let members: Vec<MemberView> = self
+            .replica
+            .members()
+            .into_iter()
+            .map(|member| MemberView {
+                votes: member.role != MemberRole::Learner,
+                caught_up: member.caught_up,
+                silent_for: if member.host == *own {
+                    Duration::ZERO
+                } else {
+                    let heard_at = member.answered_at.unwrap_or(leads_since);
+                    now.saturating_duration_since(heard_at.max(leads_since))
+                },
+                host: member.host,
+            })
+            .collect();
+        let candidates = self.storage_hosts_in_contact(now);
+        let Some(step) = next_step(&members, &candidates, self.settings.wanted_voters) else {
+            return;
+        };
+        log::info!(step:? = step, members:? = members; "changing the members of the workflow log");
+        let deadline = now + CHANGE_TIMEOUT;
+        let changed = match &step {
+            MembershipStep::AddLearner(host) => self.replica.add_learner(host, deadline),
+            MembershipStep::Promote(host) => self.replica.promote(host, deadline),
+            MembershipStep::Remove(host) => self.replica.remove(host, deadline),
+        };
+        if let Err(error) = changed {
+            log::warn!(step:? = step; "the members of the workflow log were not changed: {error}");
+        }
+    }
+
+    fn storage_hosts_in_contact(&self, now: Instant) -> Vec<HostId> {
+        let guard = self.lock();
+        let Some(term) = guard.as_ref() else {
+            return Vec::new();
+        };
+        let callers = term.policy_callers.iter();
+        let fresh = callers.filter(|(_, caller)| {
+            caller.contact.stores && now < caller.heard_at + CALLER_FRESHNESS
+        });
+        fresh.map(|(host, _)| host.clone()).collect()
+    }
+}
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -70,6 +70,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether the seeds form a new cell. Only at its very first start.
     pub forms_new_cell: bool,
+    /// Storage hosts that may be lost at once; twice as many and one vote, as far as they exist.
+    pub tolerated_losses: usize,
 }
 
 /// Leases and timeouts.
--- /dev/null
+++ b/tests/platform_wire.rs
@@ -0,0 +1,159 @@
+//! Messages of the users' platform, valid and not.
+
+use jujubewinch::platform::wire::{
+    JobBody, StartBody, decode_configuration, decode_heartbeat, decode_policy_answer, decode_report,
+};
+use jujubewinch::workflow::records::RunOutcome;
+
+fn job(text: &str) -> Result<JobBody, serde_json::Error> {
+    serde_json::from_str(text)
+}
+
+/// Guards against fields that are lost or mixed up between the platform's words and ours.
+#[test]
+fn jobs_are_decoded_with_all_their_fields() {
+    let body = job(r#"{"task_spec":"text","steps":[
+            {"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1-3"},
+            {"count":20,"cpu":2000,"mem_mb":1024,"gpu":1,"estimate_ms":7000,"depends_on":[0],
+             "saves_progress":true,"gang":true,"same_rack":true,"required_label":"a",
+             "anti_affinity":2,"allow_duplicates":true,"long_running":true,"fill_count":true,
+             "target_ms":40,"later_field":1}],
+            "repeat_count":3,"start_at_ms":9,"interval_ms":5}"#);
+    insta::assert_debug_snapshot!(body.unwrap().into_spec());
+}
+
+/// Guards against malformed bodies that are taken for jobs.
+#[test]
+fn malformed_jobs_are_refused() {
+    for text in [
+        "",
+        "{}",
+        "[]",
+        r#"{"steps":[{"cpu":1}]}"#,
+        r#"{"steps":[{"count":"4"}]}"#,
+        r#"{"steps":[{"count":-1}]}"#,
+        r#"{"steps":[{"count":1}]"#,
+    ] {
+        assert!(job(text).is_err(), "{text}");
+    }
+}
+
+const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"nony24.example",
+    "path_prefix":"/lohu930/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":1200,
+    "priority":1,"service":"huvo11a","max_attempts":4,"slack_factor":2.2,
+    "policy_service":{"decision_ms":410.0,"per_worker_ms":5.9,"validity_ms":2000}}],
+    "services":[{"name":"huvo11a","enforce_capacity":false}],"limits":{}}"#;
+
+/// Guards against a configuration that is read back other than it was sent.
+#[test]
+fn configurations_are_kept_as_they_were_sent() {
+    let decoded = decode_configuration(CONFIGURATION.as_bytes()).unwrap();
+    assert_eq!(decoded.document, CONFIGURATION.as_bytes());
+    assert_eq!(decoded.version, 7);
+    insta::assert_debug_snapshot!(decoded.queues);
+}
+
+/// Guards against configurations in force that cannot be read in full.
+#[test]
+fn unreadable_configurations_are_refused() {
+    let cut_short = &CONFIGURATION.as_bytes()[..CONFIGURATION.len() - 20];
+    assert!(decode_configuration(cut_short).is_err());
+    for field in [
+        "\"version\":7,",
+        "\"timeout_ms\":3000,",
+        "\"service\":\"huvo11a\",",
+    ] {
+        let without = CONFIGURATION.replace(field, "");
+        assert!(decode_configuration(without.as_bytes()).is_err(), "{field}");
+    }
+}
+
+const HEARTBEAT: &str = r#"{"service":"huvo11a","addr":"10.128.0.9:8080","zone":"erdenet",
+    "version":"v1","slots":8,"state":"ready","cold_left_ms":0,"born":1772671542368,
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"seq":4}"#;
+
+/// Guards against heartbeats of other writers that are taken for workers.
+#[test]
+fn heartbeats_of_other_writers_name_no_worker() {
+    let beat = decode_heartbeat("i-1", HEARTBEAT.as_bytes()).unwrap();
+    assert_eq!(beat.record.incarnation, 1_772_671_542_368);
+    assert_eq!(beat.record.rack(), "r1-3");
+    assert!(!beat.record.draining);
+    for (field, other) in [
+        ("\"state\":\"ready\"", "\"state\":\"sleeping\""),
+        ("\"addr\":\"10.128.0.9:8080\"", "\"addr\":\"somewhere\""),
+        ("\"seq\":4", "\"seq\":\"4\""),
+        ("\"labels\":[\"a\",\"r1-3\"],", ""),
+        ("\"cpu\":16000", "\"cpu\":null"),
+    ] {
+        let text = HEARTBEAT.replace(field, other);
+        assert!(decode_heartbeat("i-1", text.as_bytes()).is_err(), "{other}");
+    }
+    assert!(decode_heartbeat("i-1", b"\xff\xfe").is_err());
+}
+
+/// Guards against a list with an unreadable row that is taken as complete: a missing row would
+/// mean that the run is gone, and another one would be started.
+#[test]
+fn lists_with_unreadable_rows_are_refused() {
+    let good = r#"{"clock_ms":5,"born":3,
+        "running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,7]],
+        "ended_runs":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}"#;
+    let report = decode_report(good.as_bytes(), 1).unwrap();
+    assert_eq!((report.incarnation, report.clock_ms), (3, 5));
+    assert_eq!(
+        report.running[0].task.to_string(),
+        "5c0e7a21d94b36f8.0.1.17"
+    );
+    assert_eq!(report.ends[0].outcome, RunOutcome::Succeeded);
+    assert!(report.complete);
+    for (field, other) in [
+        ("\"done\"", "\"dunno\""),
+        ("58,", "\"58\","),
+        (".0.1.17", ""),
+    ] {
+        let text = good.replace(field, other);
+        assert!(decode_report(text.as_bytes(), 1).is_err(), "{other}");
+    }
+}
+
+/// Guards against a list of ends that is cut at the limit of an answer and taken as complete.
+#[test]
+fn long_lists_of_ends_are_not_complete() {
+    let rows: Vec<String> = (1..=500)
+        .map(|number| format!(r#"[{number},"5c0e7a21d94b36f8.0.0.{number}",1,"done",""]"#))
+        .collect();
+    let text = format!(
+        r#"{{"clock_ms":5,"running":[],"ended_runs":[{}]}}"#,
+        rows.join(",")
+    );
+    assert!(!decode_report(text.as_bytes(), 1).unwrap().complete);
+}
+
+/// Guards against permits that go to the wrong worker.
+#[test]
+fn permits_are_decoded_by_worker() {
+    let answer = br#"{"good":[["i-7f3a91c2","c81e-7a21d94b"]],"validity_ms":3000}"#;
+    let answer = decode_policy_answer(answer).unwrap();
+    assert_eq!(
+        answer.granted,
+        [("i-7f3a91c2".to_owned(), "c81e-7a21d94b".to_owned())]
+    );
+    assert_eq!(answer.validity_ms, Some(3_000));
+    assert!(decode_policy_answer(b"{}").is_err());
+}
+
+/// Guards against an empty checkpoint that is sent as if it were one.
+#[test]
+fn a_start_without_checkpoint_names_none() {
+    let body = StartBody {
+        task: "5c0e7a21d94b36f8.0.1.17".to_owned(),
+        run_id: 2,
+        task_spec: "text",
+        deadline_ms: 9,
+        fence_token: 7,
+        last_checkpoint: "",
+        ticket_id: None,
+    };
+    insta::assert_snapshot!(serde_json::to_string(&body).unwrap(), @r#"{"task":"5c0e7a21d94b36f8.0.1.17","run_id":2,"task_spec":"text","deadline_ms":9,"fence_token":7}"#);
+}
--- /dev/null
+++ b/tests/workflow_replicas.rs
@@ -0,0 +1,91 @@
+//! Which storage hosts vote, over the loss and replacement of hosts.
+
+use std::time::Duration;
+
+use jujubewinch::ids::HostId;
+use jujubewinch::workflow::decisions::replicas::{
+    FORGET_LEARNER_AFTER, MemberView, MembershipStep, REPLACE_AFTER, next_step,
+};
+
+fn member(host: &str, votes: bool, silent_for: Duration) -> MemberView {
+    MemberView {
+        host: host.to_owned(),
+        votes,
+        caught_up: true,
+        silent_for,
+    }
+}
+
+fn hosts(names: &[&str]) -> Vec<HostId> {
+    names.iter().map(|&name| name.to_owned()).collect()
+}
+
+fn voters(names: &[&str]) -> Vec<MemberView> {
+    let names = names.iter();
+    names
+        .map(|name| member(name, true, Duration::ZERO))
+        .collect()
+}
+
+/// Guards against the loss of the log on the day `fresh-82d3` of the Authority: a storage host was
+/// gone for good, its successor never voted, and the next lost disk left no majority.
+#[test]
+fn a_successor_votes_before_the_silent_host_leaves() {
+    let mut members = voters(&["a", "b", "c"]);
+    members[2].silent_for = REPLACE_AFTER + Duration::from_millis(1);
+    let candidates = hosts(&["a", "b", "d"]);
+    let step = |members: &[MemberView]| next_step(members, &candidates, 3);
+    assert_eq!(
+        step(&members),
+        Some(MembershipStep::AddLearner("d".to_owned()))
+    );
+    members.push(member("d", false, Duration::ZERO));
+    members[3].caught_up = false;
+    assert_eq!(step(&members), None, "it does not have the log yet");
+    members[3].caught_up = true;
+    assert_eq!(
+        step(&members),
+        Some(MembershipStep::Promote("d".to_owned()))
+    );
+    members[3].votes = true;
+    assert_eq!(step(&members), Some(MembershipStep::Remove("c".to_owned())));
+    members.remove(2);
+    assert_eq!(step(&members), None);
+}
+
+/// Guards against a host that is replaced although it only restarts, or without a successor.
+#[test]
+fn short_silence_and_missing_successors_change_nothing() {
+    let mut members = voters(&["a", "b", "c"]);
+    members.push(member("d", false, Duration::ZERO));
+    members[2].silent_for = REPLACE_AFTER - Duration::from_millis(1);
+    let candidates = hosts(&["a", "b", "c", "d"]);
+    assert_eq!(next_step(&members, &candidates, 3), None);
+    members.pop();
+    members[2].silent_for = REPLACE_AFTER * 4;
+    assert_eq!(next_step(&members, &hosts(&["a", "b"]), 3), None);
+}
+
+/// Guards against a cell that bears fewer losses than its settings say, when more storage hosts
+/// are there than formed it.
+#[test]
+fn further_hosts_vote_until_there_are_enough() {
+    let mut members = voters(&["a", "b", "c"]);
+    members.push(member("d", false, Duration::ZERO));
+    let candidates = hosts(&["a", "b", "c", "d"]);
+    assert_eq!(
+        next_step(&members, &candidates, 5),
+        Some(MembershipStep::Promote("d".to_owned()))
+    );
+}
+
+/// Guards against learners that are gone and are called for ever.
+#[test]
+fn silent_learners_are_forgotten() {
+    let mut members = voters(&["a", "b", "c"]);
+    members.push(member("d", false, FORGET_LEARNER_AFTER * 2));
+    assert_eq!(
+        next_step(&members, &hosts(&["a", "b", "c"]), 3),
+        Some(MembershipStep::Remove("d".to_owned()))
+    );
+}
