feature: gangs gather room on known good workers; quick policy questions go to near hosts

Change: up to three gangs, in rank order, keep what becomes free on workers that the policy has granted, renew expired permits and start whole. The nearer half of the hosts takes quick questions, the other half slow ones. A job's end is logged once.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -6,4 +6,5 @@
 pub mod placing;
 pub mod ranking;
 pub mod replicas;
+pub mod reservations;
 pub mod worker_health;
--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -86,6 +86,11 @@
         self.answers.get(worker) == Some(&Permit::Denied)
     }
 
+    /// Whether the policy has answered about the worker.
+    pub fn is_known(&self, worker: &str) -> bool {
+        self.answers.contains_key(worker)
+    }
+
     /// Whether the policy has ever granted the worker.
     pub fn was_granted(&self, worker: &str) -> bool {
         matches!(self.answers.get(worker), Some(Permit::Granted { .. }))
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -4,6 +4,7 @@
 //! proposed in that order when they leave. A thread executes the effects of committed batches.
 
 mod client_calls;
+mod gangs;
 mod orders;
 mod policy;
 mod replicas;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -100,16 +100,17 @@
         if self.open_questions >= POLICY_THREADS {
             return None;
         }
-        let usable: Vec<HostId> = self
+        let mut usable: Vec<HostId> = self
             .policy_callers
             .iter()
             .filter(|(_, caller)| fresh(caller))
             .map(|(host, _)| host.clone())
             .collect();
-        // The first half takes slow decisions; quick ones prefer the other half.
+        // The nearer half takes quick decisions, for which the way counts most.
+        usable.sort_by_key(|host| self.policy_callers[host].trip);
         let half = usable.len().div_ceil(2);
-        let (for_slow, for_quick) = usable.split_at(half);
-        let preferred = if slow || for_quick.is_empty() {
+        let (for_quick, for_slow) = usable.split_at(half);
+        let preferred = if slow && !for_slow.is_empty() {
             for_slow
         } else {
             for_quick
@@ -139,7 +140,6 @@
         now: Now,
     ) -> Option<Question> {
         self.open_questions = self.open_questions.saturating_sub(1);
-        self.release_holds(&question.stage);
         let took = now.at.saturating_duration_since(sent_at);
         if result.is_ok() {
             let host = question.host.as_ref().unwrap_or(&self.settings.host);
@@ -161,6 +161,10 @@
         );
         self.take_policy_answer(question, result, now);
         // The stage is served before others take the room that was held for it.
+        if self.is_gang(&question.stage) {
+            return self.serve_gang(&question.stage, true, now);
+        }
+        self.release_holds(&question.stage);
         self.serve_stage(&question.stage, now)
     }
 
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -31,6 +31,7 @@
             placed_ms_ago = now.at.saturating_duration_since(run.placed_at).as_millis() as u64;
             "run ended"
         );
+        let was_open = self.is_open(&task.stage.job);
         self.record(Record::RunEnded {
             task: task.clone(),
             run: run.run,
@@ -38,20 +39,25 @@
             checkpoint,
             at_unix_ms: now.unix_ms,
         });
-        self.update_stage(task, now);
+        self.update_stage(task, was_open, now);
         let gang = self.is_gang(&task.stage);
         if gang && outcome != RunOutcome::Succeeded {
             self.stop_gang(&task.stage, now.at);
         }
     }
 
-    fn is_gang(&self, key: &StageKey) -> bool {
+    pub(super) fn is_gang(&self, key: &StageKey) -> bool {
         let job = self.state.jobs.get(&key.job);
         let spec = job.and_then(|job| job.stage_spec(key.stage));
         spec.is_some_and(|spec| spec.gang)
     }
 
-    fn update_stage(&mut self, task: &TaskKey, now: Now) {
+    fn is_open(&self, job: &JobId) -> bool {
+        let job = self.state.jobs.get(job);
+        job.is_some_and(super::super::state::Job::is_open)
+    }
+
+    fn update_stage(&mut self, task: &TaskKey, was_open: bool, now: Now) {
         let Some(job) = self.state.jobs.get(&task.stage.job) else {
             return;
         };
@@ -70,6 +76,9 @@
                 stage.waiting.push(task.index);
             }
         }
+        if !open && !was_open {
+            return;
+        }
         if !open {
             log::info!(job = task.stage.job.as_str(), phase:% = phase; "job ended");
             let job = task.stage.job.clone();
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -3,6 +3,7 @@
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
+use super::super::decisions::reservations::MAX_GATHERING_GANGS;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
@@ -10,17 +11,18 @@
 use super::takeover::urgency;
 use super::term::{Effect, LiveRun, LiveWorker, Order, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
+use crate::protocol::caller::Urgency;
 use crate::scheduling::ledger::{Allocation, Purpose, WorkerStatus};
 
 /// A worker that is chosen for a task.
-struct Choice {
-    task: TaskIndex,
-    worker: WorkerId,
-    permit: Option<String>,
+pub(super) struct Choice {
+    pub task: TaskIndex,
+    pub worker: WorkerId,
+    pub permit: Option<String>,
 }
 
 /// What a stage gets in a pass.
-enum StageDecision {
+pub(super) enum StageDecision {
     /// Nothing can be done now.
     Wait,
     /// Tasks are placed.
@@ -43,9 +45,18 @@
             order.push((ranking::rank(&waiting, now.at), key.clone()));
         }
         order.sort_by_key(|(rank, _)| *rank);
-        let keys = order.into_iter();
-        keys.filter_map(|(_, key)| self.serve_stage(&key, now))
-            .collect()
+        let mut gathering = 0;
+        let mut questions = Vec::new();
+        for (_, key) in order {
+            if !self.is_gang(&key) {
+                questions.extend(self.serve_stage(&key, now));
+                continue;
+            }
+            let may_gather = gathering < MAX_GATHERING_GANGS;
+            gathering += 1;
+            questions.extend(self.serve_gang(&key, may_gather, now));
+        }
+        questions
     }
 
     /// What decides the rank of a stage.
@@ -73,7 +84,7 @@
         }
     }
 
-    fn decide_stage(&self, key: &StageKey, now: Now) -> StageDecision {
+    pub(super) fn decide_stage(&self, key: &StageKey, now: Now) -> StageDecision {
         let (Some(job), Some(stage)) = (self.state.jobs.get(&key.job), self.stages.get(key)) else {
             return StageDecision::Wait;
         };
@@ -133,7 +144,7 @@
     }
 
     /// The worker as a candidate for the stage, when it may run it and has room for a task.
-    fn candidate<'a>(
+    pub(super) fn candidate<'a>(
         &self,
         key: &StageKey,
         spec: &StageSpec,
@@ -175,7 +186,7 @@
         })
     }
 
-    fn place(&mut self, key: &StageKey, choices: Vec<Choice>, now: Now) {
+    pub(super) fn place(&mut self, key: &StageKey, choices: Vec<Choice>, now: Now) {
         let Some(job) = self.state.jobs.get(&key.job) else {
             return;
         };
@@ -270,7 +281,7 @@
 
     /// A question about workers, on which room is held until the answer; `None` while all callers
     /// of the policy are busy.
-    fn question(
+    pub(super) fn question(
         &mut self,
         key: &StageKey,
         workers: Vec<Unpermitted>,
@@ -303,34 +314,72 @@
         let Some(spec) = job.stage_spec(key.stage) else {
             return;
         };
-        let urgency = urgency(job.queue.priority);
-        let mut missing = stage.waiting.len();
-        let mut held = Vec::new();
+        let held: usize = stage.holds.values().sum();
+        let mut missing = stage.waiting.len().saturating_sub(held);
+        let spec = spec.clone();
         for one in workers {
             let count = one.room.min(missing);
-            let amount = spec.ledger_amount().checked_mul(count as u64);
-            let (Some(amount), Some(worker)) = (amount, self.workers.get(&one.worker)) else {
-                continue;
-            };
-            if count == 0 {
-                break;
-            }
-            let allocation = Allocation {
-                amount,
-                purpose: Purpose::Gang,
-                urgency,
-            };
-            if self
-                .ledger
-                .allocate(worker.index, &hold_name(key), allocation)
-                .is_ok()
-            {
+            if count > 0 && self.hold(key, &spec, &one.worker, count) {
                 missing -= count;
-                held.push(one.worker.clone());
             }
         }
-        if let Some(stage) = self.stages.get_mut(key) {
-            stage.holds = held;
+    }
+
+    /// Holds room for further tasks of a stage on a worker; returns whether there was room.
+    pub(super) fn hold(
+        &mut self,
+        key: &StageKey,
+        spec: &StageSpec,
+        worker: &WorkerId,
+        count: usize,
+    ) -> bool {
+        let (Some(stage), Some(live)) = (self.stages.get_mut(key), self.workers.get(worker)) else {
+            return false;
+        };
+        let name = hold_name(key);
+        let before = stage.holds.get(worker).copied().unwrap_or(0);
+        let amount = |count: usize| spec.ledger_amount().checked_mul(count as u64);
+        let (Some(all), Some(former)) = (amount(before + count), amount(before)) else {
+            return false;
+        };
+        let urgency = self
+            .state
+            .jobs
+            .get(&key.job)
+            .map_or(Urgency::Normal, |job| urgency(job.queue.priority));
+        let allocation = |amount| Allocation {
+            amount,
+            purpose: Purpose::Gang,
+            urgency,
+        };
+        self.ledger.release(live.index, &name);
+        if self
+            .ledger
+            .allocate(live.index, &name, allocation(all))
+            .is_ok()
+        {
+            stage.holds.insert(worker.clone(), before + count);
+            return true;
+        }
+        let restored = before > 0
+            && self
+                .ledger
+                .allocate(live.index, &name, allocation(former))
+                .is_ok();
+        if before > 0 && !restored {
+            stage.holds.shift_remove(worker);
+        }
+        false
+    }
+
+    /// Returns the room that was held for a stage on one worker.
+    pub(super) fn release_hold(&mut self, key: &StageKey, worker: &WorkerId) {
+        let Some(stage) = self.stages.get_mut(key) else {
+            return;
+        };
+        stage.holds.shift_remove(worker);
+        if let Some(worker) = self.workers.get(worker) {
+            self.ledger.release(worker.index, &hold_name(key));
         }
     }
 
@@ -339,7 +388,7 @@
         let Some(stage) = self.stages.get_mut(key) else {
             return;
         };
-        for worker in std::mem::take(&mut stage.holds) {
+        for (worker, _) in std::mem::take(&mut stage.holds) {
             if let Some(worker) = self.workers.get(&worker) {
                 self.ledger.release(worker.index, &hold_name(key));
             }
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -153,7 +153,7 @@
                 live_runs,
                 permits: Default::default(),
                 asking: false,
-                holds: Vec::new(),
+                holds: IndexMap::new(),
                 ask_again_at: now.at,
                 due_at: now.at.checked_sub(age).unwrap_or(now.at),
                 objective: objective(job),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -165,8 +165,9 @@
     pub permits: PermitBook,
     /// Whether a question to the policy is on its way.
     pub asking: bool,
-    /// Workers on which room is held until the policy answers.
-    pub holds: Vec<WorkerId>,
+    /// Tasks for which room is held on workers: until the policy answers, or until a gang has room
+    /// for all members.
+    pub holds: IndexMap<WorkerId, usize>,
     /// Earliest time of the next question after a failed one.
     pub ask_again_at: Instant,
     /// When the job, or the occurrence, was due.
