bug: ends, leases and departures could let a task run twice

Effects of a step without records were executed at once, also while earlier batches were not committed: a report without news acknowledged ends that were not recorded; the worker forgot them, the next leader started the tasks again. 2. A worker that answered a new leader once and went silent counted as lapsed at once, although the former leader's lease may hold for up to the longest lease. 3. A departure call ended the runs of the worker at once; a late one of a former incarnation ended those of the present one. Ruled out by reading: orders of former leaders (fencing token), late starts (numbers of runs, stops), the limit of 500 listed ends.

Change: effects never overtake those of earlier steps; a lapse is never before the longest lease after the take-over; a leaving worker is gone once its port is closed.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -44,6 +44,8 @@
         url: String,
         /// What the library reported.
         reason: String,
+        /// Whether nothing listens at the address: the process that did has ended.
+        port_closed: bool,
     },
     /// The response is larger than the client accepts.
     #[error("the response from {url} is too large: {reason}")]
@@ -156,6 +158,7 @@
             return Err(ClientError::NotSent {
                 url,
                 reason: "the deadline has passed".to_owned(),
+                port_closed: false,
             });
         }
         let mut builder = hyper::Request::builder()
@@ -169,6 +172,7 @@
             .map_err(|error| ClientError::NotSent {
                 url: url.clone(),
                 reason: error.to_string(),
+                port_closed: false,
             })?;
         let message = agent
             .configure_request(message)
@@ -247,10 +251,18 @@
         | ureq::Error::BadUri(_)
         | ureq::Error::Http(_)
         | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-            ClientError::NotSent { url, reason }
+            ClientError::NotSent {
+                url,
+                reason,
+                port_closed: false,
+            }
         }
         ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            ClientError::NotSent { url, reason }
+            ClientError::NotSent {
+                url,
+                reason,
+                port_closed: true,
+            }
         }
         _ => ClientError::Interrupted { url, reason },
     }
--- a/src/placer/links.rs
+++ b/src/placer/links.rs
@@ -99,6 +99,7 @@
             return Err(ClientError::NotSent {
                 url: request.url,
                 reason: "all connections to the runner are in use".to_owned(),
+                port_closed: false,
             });
         }
         let _permit = Permit(self);
--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -224,6 +224,9 @@
     /// The call never left this host.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing listens at the address, so the call was not sent and the process there has ended.
+    #[error("not sent: the port is closed")]
+    PortClosed,
     /// The call may be carried out, now or later.
     #[error("no answer: {0}")]
     NoAnswer(String),
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -13,6 +13,8 @@
 mod scheduling;
 mod takeover;
 mod term;
+#[cfg(test)]
+mod tests;
 mod workers;
 
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -29,7 +31,7 @@
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
 
-use term::{Effect, Term};
+use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
 
 /// Interval of time-driven steps.
@@ -251,25 +253,17 @@
     /// Appends the pending records, or executes the pending effects when there is nothing to
     /// commit.
     fn flush(&self, term: &mut Term) -> Result<(), String> {
-        if term.records.is_empty() && !term.needs_commit {
-            let effects = std::mem::take(&mut term.effects);
-            self.execute(term, effects);
-            return Ok(());
+        match term.seal() {
+            Sealed::Effects(effects) => {
+                self.execute(term, effects);
+                Ok(())
+            }
+            Sealed::Batch(batch) => {
+                let command = postcard::to_stdvec(&batch).map_err(|error| error.to_string())?;
+                let appended = self.replica.append(command);
+                appended.map_err(|error| error.to_string())
+            }
         }
-        let sequence = term.next_sequence;
-        let batch = Batch {
-            epoch: term.epoch,
-            sequence,
-            records: std::mem::take(&mut term.records),
-        };
-        term.next_sequence += 1;
-        term.needs_commit = false;
-        let effects = std::mem::take(&mut term.effects);
-        term.uncommitted.push_back((sequence, effects));
-        let command = postcard::to_stdvec(&batch).map_err(|error| error.to_string())?;
-        self.replica
-            .append(command)
-            .map_err(|error| error.to_string())
     }
 
     fn run_effects(&self, notices: &Receiver<(Epoch, u64)>) {
@@ -278,16 +272,8 @@
             let Some(term) = guard.as_mut().filter(|term| term.epoch == epoch) else {
                 continue;
             };
-            while term
-                .uncommitted
-                .front()
-                .is_some_and(|(first, _)| *first <= sequence)
-            {
-                let Some((_, effects)) = term.uncommitted.pop_front() else {
-                    break;
-                };
-                self.execute(term, effects);
-            }
+            let effects = term.committed(sequence);
+            self.execute(term, effects);
             drop(guard);
             let _ = self.wake_scheduler.try_send(());
         }
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -67,7 +67,7 @@
                 self.effects.push(reply(Reply::WorkerNoted));
             }
             Call::WorkerLeaves(worker) => {
-                self.remove_worker(&worker, now);
+                self.note_leave(&worker);
                 self.effects.push(reply(Reply::WorkerNoted));
             }
             Call::Contact(contact) => {
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -61,12 +61,13 @@
                 }
                 Err(failure) => failure,
             };
-            may_have_arrived |= !matches!(failure, CallFailure::NotSent(_));
+            let sent = !matches!(failure, CallFailure::NotSent(_) | CallFailure::PortClosed);
+            may_have_arrived |= sent;
             log::warn!(
                 task:% = order.task, run = order.run, worker = order.worker.as_str(), attempt;
                 "start order failed: {failure}"
             );
-            if matches!(failure, CallFailure::NotSent(_)) {
+            if !sent {
                 thread::sleep(ORDER_PAUSE);
             }
         }
@@ -136,7 +137,7 @@
         })
     }
 
-    fn note_start_answer(&mut self, order: &Order, answer: OrderAnswer, now: Now) {
+    pub(super) fn note_start_answer(&mut self, order: &Order, answer: OrderAnswer, now: Now) {
         self.note_clock(&order.worker, answer.clock_ms, now.at);
         let Some(run) = self.runs.get_mut(&order.task) else {
             return;
@@ -184,7 +185,12 @@
     }
 
     /// A start order got no answer: it must not take effect later, or never arrived.
-    fn note_start_unanswered(&mut self, order: &Order, may_have_arrived: bool, now: Now) {
+    pub(super) fn note_start_unanswered(
+        &mut self,
+        order: &Order,
+        may_have_arrived: bool,
+        now: Now,
+    ) {
         let current = self.runs.get(&order.task);
         let starting =
             current.is_some_and(|run| run.run == order.run && run.phase == RunPhase::Starting);
@@ -206,7 +212,7 @@
         }
     }
 
-    fn note_stop_answer(&mut self, order: &Order, answer: OrderAnswer, now: Now) {
+    pub(super) fn note_stop_answer(&mut self, order: &Order, answer: OrderAnswer, now: Now) {
         self.note_clock(&order.worker, answer.clock_ms, now.at);
         log::info!(
             task:% = order.task, run = order.run, worker = order.worker.as_str(),
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -27,14 +27,14 @@
 const COMMIT_WAIT: Duration = Duration::from_millis(700);
 
 /// A renewal that is due.
-struct Renewal {
+pub(super) struct Renewal {
     target: WorkerTarget,
     order: RenewOrder,
     sent_at: Instant,
 }
 
 /// What a link does next.
-enum NextStep {
+pub(super) enum NextStep {
     /// Renews at once.
     Renew,
     /// Renews once the ends are recorded.
@@ -58,7 +58,7 @@
             let result = (self.outside.renew)(&renewal.target, &renewal.order, deadline);
             let next = self.with_term(Some(generation), |term, now| match result {
                 Ok(report) => term.note_report(worker, &renewal, report, now),
-                Err(failure) => term.note_silence(worker, &renewal, &failure),
+                Err(failure) => term.note_silence(worker, &renewal, &failure, now),
             });
             match next {
                 None => return,
@@ -78,7 +78,12 @@
 
 impl Term {
     /// The next renewal of a worker's lease; `None` when the worker is gone or has another link.
-    fn next_renewal(&mut self, worker: &WorkerId, wait: Duration, now: Now) -> Option<Renewal> {
+    pub(super) fn next_renewal(
+        &mut self,
+        worker: &WorkerId,
+        wait: Duration,
+        now: Now,
+    ) -> Option<Renewal> {
         let epoch = self.epoch;
         let lease_until_clock_ms = self.grant_lease(worker, now.at);
         let live = self.workers.get(worker)?;
@@ -117,11 +122,12 @@
         });
     }
 
-    fn note_silence(
+    pub(super) fn note_silence(
         &mut self,
         worker: &WorkerId,
         renewal: &Renewal,
         failure: &CallFailure,
+        now: Now,
     ) -> NextStep {
         let Some(live) = self.workers.get_mut(worker) else {
             return NextStep::Pause;
@@ -138,12 +144,15 @@
         }
         live.reachable = false;
         live.silent_since.get_or_insert(renewal.sent_at);
-        let index = live.index;
+        let (index, leaving) = (live.index, live.leaving);
         self.ledger.set_status(index, WorkerStatus::Lost);
+        if leaving && *failure == CallFailure::PortClosed {
+            self.remove_worker(worker, now);
+        }
         NextStep::Pause
     }
 
-    fn note_report(
+    pub(super) fn note_report(
         &mut self,
         worker: &WorkerId,
         renewal: &Renewal,
@@ -162,8 +171,8 @@
         }
         live.reachable = true;
         live.silent_since = None;
-        let (index, draining) = (live.index, live.record.draining);
-        let status = if draining {
+        let (index, ends) = (live.index, live.record.draining || live.leaving);
+        let status = if ends {
             WorkerStatus::Leaving
         } else {
             WorkerStatus::Up
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -10,7 +10,7 @@
 use super::super::decisions::leases::{ClockReading, lapsed_without_reading};
 use super::super::decisions::permits::{GoodShare, PermitBook};
 use super::super::decisions::worker_health::WorkerHealth;
-use super::super::records::{Record, RunNumber};
+use super::super::records::{Batch, Record, RunNumber};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::super::state::WorkflowState;
 use super::super::workers::WorkerRecord;
@@ -140,6 +140,8 @@
     pub runs: IndexSet<TaskKey>,
     /// What the ends of its runs say about it.
     pub health: WorkerHealth,
+    /// Whether it said that it leaves; it is gone once its port is closed.
+    pub leaving: bool,
     /// Number of the link thread that serves it; an older one ends itself.
     pub link_generation: u64,
 }
@@ -148,9 +150,11 @@
     /// Time after which nothing that was started before runs there any more, unless its lease is
     /// renewed.
     pub fn lapses_at(&self, term_began_at: Instant, max_lease: Duration) -> Instant {
+        // An earlier leader may have granted more than this one has.
+        let earlier = lapsed_without_reading(term_began_at, max_lease);
         match &self.clock {
-            Some(reading) => reading.lapsed_at(self.granted_until_clock_ms),
-            None => lapsed_without_reading(term_began_at, max_lease),
+            Some(reading) => reading.lapsed_at(self.granted_until_clock_ms).max(earlier),
+            None => earlier,
         }
     }
 }
@@ -223,7 +227,51 @@
     pub trip: Duration,
 }
 
+/// What a step left to do.
+pub enum Sealed {
+    /// To be appended to the log.
+    Batch(Batch),
+    /// To be executed at once: nothing has to be committed before.
+    Effects(Vec<Effect>),
+}
+
 impl Term {
+    /// Ends a step. Effects never overtake those of earlier steps: what they tell may rest on
+    /// records that are not committed yet.
+    pub fn seal(&mut self) -> Sealed {
+        let effects = std::mem::take(&mut self.effects);
+        if self.records.is_empty() && !self.needs_commit {
+            let Some((_, waiting)) = self.uncommitted.back_mut() else {
+                return Sealed::Effects(effects);
+            };
+            waiting.extend(effects);
+            return Sealed::Effects(Vec::new());
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.needs_commit = false;
+        self.uncommitted.push_back((sequence, effects));
+        Sealed::Batch(Batch {
+            epoch: self.epoch,
+            sequence,
+            records: std::mem::take(&mut self.records),
+        })
+    }
+
+    /// Effects that may be executed once the batch with this number is committed.
+    pub fn committed(&mut self, sequence: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some((first, _)) = self.uncommitted.front() {
+            if *first > sequence {
+                break;
+            }
+            if let Some((_, more)) = self.uncommitted.pop_front() {
+                effects.extend(more);
+            }
+        }
+        effects
+    }
+
     /// Appends a record and applies it to the state ahead of its commit.
     pub fn record(&mut self, record: Record) {
         self.state.apply_record(record.clone());
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -37,6 +37,7 @@
             recorded_signal: None,
             runs: IndexSet::new(),
             health: Default::default(),
+            leaving: false,
             link_generation: 0,
             record,
         };
@@ -94,6 +95,18 @@
         }
     }
 
+    /// Takes note that a worker leaves. The call may be a late one of an earlier incarnation, so
+    /// its runs end only when its port is found closed or its lease lapses.
+    pub(super) fn note_leave(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.leaving = true;
+        let index = worker.index;
+        log::info!(worker = id.as_str(), runs = worker.runs.len(); "worker says that it leaves");
+        self.ledger.set_status(index, WorkerStatus::Leaving);
+    }
+
     /// Removes a worker that is gone for good.
     pub(super) fn remove_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else {
--- a/tests/placer_support/mod.rs
+++ b/tests/placer_support/mod.rs
@@ -354,7 +354,11 @@
     let (url, deadline) = (request.url.clone(), request.deadline);
     if runner.unreachable.load(Ordering::SeqCst) {
         let reason = "unreachable".to_owned();
-        return Err(ClientError::NotSent { url, reason });
+        return Err(ClientError::NotSent {
+            url,
+            reason,
+            port_closed: false,
+        });
     }
     let taken = |count: usize| count.checked_sub(1);
     if runner
