--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -62,7 +62,8 @@
     /// Latest answered contact with the placer.
     contacted_at: Mutex<Option<Instant>>,
     stopping: AtomicBool,
-    _peers: PeerServer,
+    replica: Option<Arc<Replica<()>>>,
+    peers: PeerServer,
 }
 
 impl WorkflowHost {
@@ -88,13 +89,14 @@
             )?),
             None => None,
         };
-        let server = serve_peers(peers, &directory, replica, outside)?;
+        let server = serve_peers(peers, &directory, replica.clone(), outside)?;
         let host = Arc::new(Self {
             settings,
             directory,
             contacted_at: Mutex::new(None),
             stopping: AtomicBool::new(false),
-            _peers: server,
+            replica,
+            peers: server,
         });
         let contacting = Arc::clone(&host);
         thread::Builder::new()
@@ -159,6 +161,15 @@
         }
     }
 
+    /// Stops abruptly, as if the process had been killed.
+    pub fn crash(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.peers.stop();
+        if let Some(replica) = &self.replica {
+            replica.shutdown();
+        }
+    }
+
     fn keep_contact(&self) {
         let contact = Call::Contact(HostContact {
             host: self.settings.host_id(),
@@ -166,7 +177,7 @@
             stores: self.settings.host.data_folder.is_some(),
         });
         let mut in_contact = false;
-        loop {
+        while !self.stopping.load(Ordering::Acquire) {
             let started = Instant::now();
             let reply = self.call(&contact, started + CONTACT_TIMEOUT);
             let answered = reply.is_ok();
--- /dev/null
+++ b/tests/platform_support/mod.rs
@@ -0,0 +1,374 @@
+//! Stand-ins of the users' platform that speak its published protocol over sockets.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use indexmap::IndexMap;
+use jujubewinch::http::client::{ClientRequest, ClientResponse};
+use jujubewinch::http::{Client, ClientOptions, Request, Response, Server, ServerOptions};
+use jujubewinch::platform::listeners::Listeners;
+use jujubewinch::platform::outside::outside_calls;
+use jujubewinch::workflow::host::WorkflowHost;
+use jujubewinch::workflow::settings::WorkflowSettings;
+use serde_json::{Value, json};
+
+/// Time for anything to happen on a busy machine; waits end as soon as it has.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+/// Run time of each task of the stand-in.
+const RUN_TIME: Duration = Duration::from_millis(150);
+/// Time after which an order whose answer is lost counts as unanswered for its sender.
+const LOST_ANSWER_TIME: Duration = Duration::from_millis(1_500);
+
+/// A runner: run numbers, fencing tokens, its lease on its own clock, and its list of ends.
+pub struct Runner {
+    started_at: Instant,
+    state: Mutex<RunnerState>,
+    changed: Condvar,
+    /// Start orders that will be carried out without an answer.
+    pub lose_answers: AtomicUsize,
+    server: Mutex<Option<Server>>,
+}
+
+#[derive(Default)]
+struct RunnerState {
+    fence: u64,
+    lease_until_ms: u64,
+    running: IndexMap<String, (u64, Instant)>,
+    /// Highest run that was stopped or ended, by task.
+    closed: IndexMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    next_end: u64,
+    /// Every start in order: task and run.
+    starts: Vec<(String, u64)>,
+    overlaps: usize,
+}
+
+impl Runner {
+    /// Starts a runner on a free port of 127.0.0.1.
+    pub fn start() -> Arc<Self> {
+        let runner = Arc::new(Self {
+            started_at: Instant::now(),
+            state: Mutex::new(RunnerState {
+                next_end: 1,
+                ..RunnerState::default()
+            }),
+            changed: Condvar::new(),
+            lose_answers: AtomicUsize::new(0),
+            server: Mutex::new(None),
+        });
+        let answering = Arc::clone(&runner);
+        let server = Server::start(
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            ServerOptions::default(),
+            Arc::new(move |request| answering.answer(&request)),
+        );
+        *runner.server.lock().unwrap() = Some(server.unwrap());
+        let working = Arc::clone(&runner);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(10));
+                working.end_runs();
+            }
+        });
+        runner
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.server
+            .lock()
+            .unwrap()
+            .as_ref()
+            .unwrap()
+            .local_address()
+    }
+
+    /// Starts so far, as task and run.
+    pub fn starts(&self) -> Vec<(String, u64)> {
+        self.state.lock().unwrap().starts.clone()
+    }
+
+    /// Starts of a task while an earlier run of it was still there.
+    pub fn overlaps(&self) -> usize {
+        self.state.lock().unwrap().overlaps
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+
+    fn end_runs(&self) {
+        let clock_ms = self.clock_ms();
+        let mut state = self.state.lock().unwrap();
+        let lapsed = clock_ms > state.lease_until_ms;
+        let over: Vec<String> = state
+            .running
+            .iter()
+            .filter(|(_, (_, ends_at))| lapsed || Instant::now() >= *ends_at)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in over {
+            state.close(&task, if lapsed { "lapsed" } else { "done" });
+            self.changed.notify_all();
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        let body: Value = serde_json::from_slice(&request.body).unwrap();
+        let fence = body["fence_token"].as_u64().unwrap_or(0);
+        {
+            let mut state = self.state.lock().unwrap();
+            if fence < state.fence {
+                let refusal = json!({"clock_ms": self.clock_ms(), "reason": "fence"});
+                return Response::json(409, &refusal);
+            }
+            state.fence = fence;
+            if let Some(until_ms) = body["deadline_ms"].as_u64() {
+                state.lease_until_ms = state.lease_until_ms.max(until_ms);
+            }
+        }
+        match request.path.as_str() {
+            "/api/run-start" => self.run_start(&body),
+            "/api/run-stop" => self.run_stop(&body),
+            "/api/hold" => self.hold(&body),
+            _ => Response::text(404, ""),
+        }
+    }
+
+    fn run_start(&self, body: &Value) -> Response {
+        let task = body["task"].as_str().unwrap().to_owned();
+        let run = body["run_id"].as_u64().unwrap();
+        let refused =
+            |reason| Response::json(409, &json!({"clock_ms": self.clock_ms(), "reason": reason}));
+        {
+            let mut state = self.state.lock().unwrap();
+            if self.clock_ms() > state.lease_until_ms {
+                return refused("late");
+            }
+            if state.closed.get(&task).is_some_and(|closed| run <= *closed) {
+                return refused("old");
+            }
+            match state.running.get(&task) {
+                Some((present, _)) if *present == run => {}
+                present => {
+                    state.overlaps += usize::from(present.is_some());
+                    let ends_at = Instant::now() + RUN_TIME;
+                    state.running.insert(task.clone(), (run, ends_at));
+                    state.starts.push((task, run));
+                }
+            }
+        }
+        let lost = self
+            .lose_answers
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
+                left.checked_sub(1)
+            });
+        if lost.is_ok() {
+            thread::sleep(LOST_ANSWER_TIME);
+        }
+        Response::json(200, &json!({"clock_ms": self.clock_ms()}))
+    }
+
+    fn run_stop(&self, body: &Value) -> Response {
+        let task = body["task"].as_str().unwrap().to_owned();
+        let run = body["run_id"].as_u64().unwrap();
+        let mut state = self.state.lock().unwrap();
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|(present, _)| *present == run)
+        {
+            state.close(&task, "stopped");
+        }
+        let closed = state.closed.entry(task).or_insert(0);
+        *closed = run.max(*closed);
+        self.changed.notify_all();
+        Response::json(200, &json!({"clock_ms": self.clock_ms()}))
+    }
+
+    fn hold(&self, body: &Value) -> Response {
+        let cursor = body["ack_cursor"].as_u64().unwrap();
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+        let mut state = self.state.lock().unwrap();
+        state.ended.retain(|(number, ..)| *number > cursor);
+        let empty = |state: &mut RunnerState| state.ended.is_empty();
+        state = self
+            .changed
+            .wait_timeout_while(state, wait, empty)
+            .unwrap()
+            .0;
+        let running: Vec<Value> = state
+            .running
+            .iter()
+            .map(|(task, (run, _))| json!([task, run, "", 100, 0]))
+            .collect();
+        let ended: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+            .collect();
+        let answer = json!({"clock_ms": self.clock_ms(), "running": running, "ended_runs": ended, "born": 1});
+        Response::json(200, &answer)
+    }
+}
+
+impl RunnerState {
+    fn close(&mut self, task: &str, how: &'static str) {
+        if let Some((run, _)) = self.running.shift_remove(task) {
+            self.ended.push((self.next_end, task.to_owned(), run, how));
+            self.next_end += 1;
+            let closed = self.closed.entry(task.to_owned()).or_insert(0);
+            *closed = run.max(*closed);
+        }
+    }
+}
+
+/// Ports of a cell whose hosts are 127.0.0.1, 127.0.0.2 and so on.
+#[derive(Clone, Copy)]
+pub struct Ports {
+    pub peers: u16,
+    pub callers: u16,
+    pub readiness: u16,
+    pub control: u16,
+}
+
+/// Storage hosts 127.0.0.1 to 127.0.0.3 and an entry host 127.0.0.4, in one process.
+pub struct Cell {
+    pub hosts: Vec<Arc<WorkflowHost>>,
+    pub ports: Ports,
+    _listeners: Vec<Listeners>,
+    client: Client,
+}
+
+impl Cell {
+    /// Starts the hosts; storage hosts keep their logs below the folder.
+    pub fn start(folder: &Path, ports: Ports) -> Self {
+        let mut hosts = Vec::new();
+        let mut listeners = Vec::new();
+        for number in 1..=4 {
+            let stores = number < 4;
+            let text = settings(number, folder, ports, stores);
+            let settings = WorkflowSettings::parse("test", &text).unwrap();
+            let host = WorkflowHost::start(settings, outside_calls(None)).unwrap();
+            listeners.push(Listeners::start(&host).unwrap());
+            hosts.push(host);
+        }
+        Self {
+            hosts,
+            ports,
+            _listeners: listeners,
+            client: Client::new(ClientOptions::default()),
+        }
+    }
+
+    pub fn send(&self, method: Method, url: &str, body: &Value) -> Option<ClientResponse> {
+        let deadline = Instant::now() + Duration::from_secs(4);
+        let mut request = ClientRequest::new(method, url, deadline).header("host", "shop.example");
+        if !body.is_null() {
+            request.body = serde_json::to_vec(body).unwrap();
+        }
+        self.client.send(request).ok()
+    }
+
+    pub fn caller(&self, method: Method, path: &str, body: &Value) -> Option<ClientResponse> {
+        let url = format!("http://127.0.0.4:{}{path}", self.ports.callers);
+        self.send(method, &url, body)
+    }
+
+    /// Sends an order of the operator, or a heartbeat, until a host takes it.
+    pub fn control(&self, method: &Method, path: &str, body: &Value) -> ClientResponse {
+        let mut host = 0;
+        await_some(|| {
+            host = host % 3 + 1;
+            let url = format!("http://127.0.0.{host}:{}{path}", self.ports.control);
+            let answer = self.send(method.clone(), &url, body);
+            answer.filter(|answer| answer.status < 500)
+        })
+    }
+
+    /// Announces a runner.
+    pub fn announce(&self, id: &str, runner: &Runner, sequence: u64) {
+        let beat = json!({"service": "shopdesk", "addr": runner.address().to_string(),
+            "zone": "lowell-yard", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+            "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0}, "labels": ["a", "r1"],
+            "clock_ms": 1, "seq": sequence, "born": 1});
+        let answer = self.control(&Method::PUT, &format!("/api/instances/{id}"), &beat);
+        assert_eq!(answer.status, 200);
+    }
+
+    pub fn configure(&self, version: u64) -> ClientResponse {
+        self.control(&Method::PUT, "/api/config", &configuration(version))
+    }
+
+    /// State of a job; `None` when it was not told.
+    pub fn state(&self, job: &str) -> Option<String> {
+        let answer = self.caller(Method::GET, &format!("/plans/{job}"), &Value::Null)?;
+        let body: Value = serde_json::from_slice(&answer.body).ok()?;
+        body["state"].as_str().map(str::to_owned)
+    }
+
+    /// Position of the storage host that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let named = self.hosts[3].leader()?;
+        named
+            .strip_prefix("127.0.0.")?
+            .parse::<usize>()
+            .ok()?
+            .checked_sub(1)
+    }
+}
+
+fn settings(number: usize, folder: &Path, ports: Ports, stores: bool) -> String {
+    let ip = format!("127.0.0.{number}");
+    let listeners = if stores {
+        format!("control = \"{ip}:{}\"", ports.control)
+    } else {
+        format!(
+            "callers = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"",
+            ports.callers, ports.readiness
+        )
+    };
+    let data = folder.join(number.to_string());
+    let data = if stores {
+        format!("data_folder = {data:?}")
+    } else {
+        String::new()
+    };
+    let seed = |number| format!("\"127.0.0.{number}:{}\"", ports.control);
+    let seeds: Vec<String> = (1..=3).map(seed).collect();
+    format!(
+        "[host]\naddress = \"{ip}\"\nname = \"host-{number}\"\ndata_centre = \"lowell-yard\"\n{data}\n\
+         [listeners]\npeers = \"{ip}:{}\"\n{listeners}\n\
+         [cell]\nseeds = [{}]\nforms_new_cell = true\ntolerated_losses = 1\n\
+         [timing]\nmax_worker_lease_ms = 10000\nstop_grace_ms = 6000\njob_retention_ms = 120000\n",
+        ports.peers,
+        seeds.join(", ")
+    )
+}
+
+/// A configuration with one queue.
+pub fn configuration(version: u64) -> Value {
+    json!({"version": version, "routes": [{"name": "plans", "host": "shop.example",
+        "path_prefix": "/plans/", "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0,
+        "service": "shopdesk", "max_attempts": 3, "slack_factor": 4.0}],
+        "services": [{"name": "shopdesk", "enforce_capacity": false}], "limits": {}})
+}
+
+/// Waits until the closure returns something.
+pub fn await_some<T>(mut attempt: impl FnMut() -> Option<T>) -> T {
+    let give_up_at = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = attempt() {
+            return found;
+        }
+        assert!(
+            Instant::now() < give_up_at,
+            "nothing happened in {PATIENCE:?}"
+        );
+        thread::sleep(Duration::from_millis(30));
+    }
+}
