bug: the lease of a silent worker never lapsed

Ruled out: the policy and room (the stages had no waiting task), the stop order (port closed, logged).

Change: a silent worker gets no longer lease, and renewals to it name none. Tests in placer/tests.rs (failed before) and tests/workflow_state.rs.

--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -10,7 +10,7 @@
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
 use super::super::spec::WorkflowSpec;
-use super::super::state::{JobPhase, WorkflowState};
+use super::super::state::WorkflowState;
 use super::policy::INITIAL_TRIP;
 use super::term::{Effect, PolicyCaller, Term};
 use super::{Now, Placer};
@@ -38,7 +38,8 @@
 
 fn waiting_jobs(state: &WorkflowState, queue: &QueueAddress) -> u64 {
     let jobs = state.jobs.values();
-    let waiting = jobs.filter(|job| job.phase == JobPhase::Queued && job.queue.address == *queue);
+    let waiting =
+        jobs.filter(|job| job.is_open() && job.queue.address == *queue && !job.has_begun());
     waiting.count() as u64
 }
 
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -85,8 +85,9 @@
         now: Now,
     ) -> Option<Renewal> {
         let epoch = self.epoch;
-        let lease_until_clock_ms = self.grant_lease(worker, now.at);
+        let granted = self.grant_lease(worker, now.at);
         let live = self.workers.get(worker)?;
+        let lease_until_clock_ms = granted.filter(|_| live.silent_since.is_none());
         if live.link_generation != epoch {
             return None;
         }
@@ -102,13 +103,16 @@
         })
     }
 
-    /// End of a lease that begins now, on the worker's clock; remembered as granted. `None` while
-    /// the clock is not known.
+    /// End of a lease that begins now, on the worker's clock; remembered as granted. A worker that
+    /// does not answer gets no longer lease, so that its lease lapses. `None` while the clock is
+    /// not known.
     pub(super) fn grant_lease(&mut self, worker: &WorkerId, now: Instant) -> Option<u64> {
         let lease_ms = u64::try_from(self.settings.lease.as_millis()).unwrap_or(0);
         let live = self.workers.get_mut(worker)?;
         let until = live.clock.as_ref()?.at_least_ms(now) + lease_ms;
-        live.granted_until_clock_ms = live.granted_until_clock_ms.max(until);
+        if live.silent_since.is_none() {
+            live.granted_until_clock_ms = live.granted_until_clock_ms.max(until);
+        }
         Some(live.granted_until_clock_ms)
     }
 
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -348,6 +348,22 @@
     assert!(!fixture.term.runs.contains_key(&task(0)));
 }
 
+/// Guards against a lease that never lapses: each attempt to renew it counted as a longer grant, so
+/// that the runs of a worker that was gone for good were never started elsewhere.
+#[test]
+fn attempts_to_reach_a_silent_worker_do_not_extend_its_lease() {
+    let mut fixture = Fixture::running_on_w();
+    for _ in 0..80 {
+        fixture.silence("w", &CallFailure::NoAnswer("gone".to_owned()));
+        fixture.pass(Duration::from_millis(150));
+        fixture.term.tick(fixture.now);
+    }
+    assert!(!fixture.term.runs.contains_key(&task(0)));
+    fixture.announce("other");
+    fixture.term.schedule(fixture.now);
+    assert_eq!(fixture.term.runs[&task(0)].worker, "other");
+}
+
 /// Guards against a late departure call of a former incarnation that ends the runs of the present
 /// one, which would then be started twice.
 #[test]
--- a/src/workflow/state.rs
+++ b/src/workflow/state.rs
@@ -205,6 +205,12 @@
         self.ended_unix_ms.is_none()
     }
 
+    /// Whether a task has a run or has succeeded. A job whose runs were all lost has not begun.
+    pub fn has_begun(&self) -> bool {
+        let mut tasks = self.stages.iter().flat_map(|stage| &stage.tasks);
+        tasks.any(|task| task.progress != TaskProgress::Waiting)
+    }
+
     fn position(&self, occurrence: Occurrence, stage: StageIndex) -> usize {
         occurrence as usize * self.spec.stages.len() + stage as usize
     }
--- a/tests/workflow_state.rs
+++ b/tests/workflow_state.rs
@@ -172,6 +172,19 @@
     assert_eq!(phase(&state), JobPhase::Completed);
 }
 
+/// Guards against jobs that are missing from the number of waiting ones although nothing of them
+/// runs: the runs that were placed never started.
+#[test]
+fn a_job_whose_runs_were_all_lost_waits_again() {
+    let mut state = state(vec![
+        accept(vec![stage(1, &[])], None),
+        placed(key(0, 0), &[0], 1),
+    ]);
+    assert!(state.jobs[JOB].has_begun());
+    state.apply_record(ended(key(0, 0), 0, 1, RunOutcome::NeverStarted));
+    assert!(!state.jobs[JOB].has_begun());
+}
+
 /// Guards against lasting tasks that use up attempts or end their job.
 #[test]
 fn lasting_tasks_are_restarted_however_they_end() {
