feature: services reload on SIGHUP; queued log; threads of peer calls are reused

Each log line was a write under the lock of the placer, and each call of another host started a thread. Change: serve reads its settings again: the log level is taken over, other sections are named in a warning, an invalid file is refused with file and line. cell logs to standard output by a thread of its own, bounded in lines and rate; dropped lines are counted. Threads that handled a call serve further ones.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -14,6 +14,7 @@
 mod request;
 mod runner;
 mod serve;
+pub mod signals;
 mod table;
 mod team;
 mod token;
@@ -23,6 +24,9 @@
 
 use crate::verdict::{RequestError, Verdict};
 
+/// Interval in which a service looks at its signals.
+const SIGNAL_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(50);
+
 /// A subcommand: its arguments and what it does.
 pub struct Subcommand {
     /// Definition for the command line; its name selects the subcommand.
@@ -123,20 +127,19 @@
     (chosen.run)(matches)
 }
 
+/// Whether the chosen subcommand is a service whose output is its log.
+pub fn logs_to_standard_output(matches: &ArgMatches) -> bool {
+    matches.subcommand_name() == Some(crate::platform::command::NAME)
+}
+
 /// Blocks until the process is asked to end by SIGTERM or SIGINT, or the deadline passes.
 fn wait_for_termination(deadline: Option<std::time::Instant>) -> std::io::Result<()> {
-    use std::sync::Arc;
-    use std::sync::atomic::{AtomicBool, Ordering};
-
-    let terminated = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, Arc::clone(&terminated))?;
-    }
-    while !terminated.load(Ordering::Acquire) {
+    let signals = signals::Signals::register()?;
+    while !signals.terminated() {
         if deadline.is_some_and(|deadline| std::time::Instant::now() >= deadline) {
             return Ok(());
         }
-        std::thread::sleep(std::time::Duration::from_millis(50));
+        std::thread::sleep(SIGNAL_CHECK_INTERVAL);
     }
     Ok(())
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,13 +1,15 @@
 //! `serve`: runs an entry host.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use clap::{ArgMatches, Command};
 
-use super::{CommandError, Subcommand};
+use super::signals::Signals;
+use super::{CommandError, SIGNAL_CHECK_INTERVAL, Subcommand};
 use crate::entry_host::EntryHost;
 use crate::options::Settings;
 use crate::options::arguments::{settings_argument, value};
+use crate::telemetry::logging;
 
 pub(super) fn subcommand() -> Subcommand {
     Subcommand { arguments, run }
@@ -23,7 +25,9 @@
 fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     let path: PathBuf = value(matches, "settings");
     let settings = Settings::load(&path).map_err(|error| CommandError::Usage(error.to_string()))?;
-    let host = EntryHost::start(settings)
+    let signals = Signals::register()
+        .map_err(|error| CommandError::Failed(format!("cannot handle signals: {error}")))?;
+    let host = EntryHost::start(settings.clone())
         .map_err(|error| CommandError::Failed(format!("cannot start the entry host: {error}")))?;
     log::info!(
         "serving callers on {}, operators on {}, peers on {}",
@@ -31,8 +35,12 @@
         host.admin_address(),
         host.peer_address()
     );
-    super::wait_for_termination(None)
-        .map_err(|error| CommandError::Failed(format!("cannot handle signals: {error}")))?;
+    while !signals.terminated() {
+        if signals.take_reload() {
+            reload(&path, &settings);
+        }
+        std::thread::sleep(SIGNAL_CHECK_INTERVAL);
+    }
     log::info!("draining");
     if host.shutdown() {
         Ok(())
@@ -42,3 +50,37 @@
         ))
     }
 }
+
+/// Takes over the log level of a changed settings file, and names the other changes, which take
+/// effect at the next start. A file that cannot be used changes nothing.
+fn reload(path: &Path, present: &Settings) {
+    let settings = match Settings::load(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            log::error!("the settings stay as they were: {error}");
+            return;
+        }
+    };
+    logging::set_level(&settings.logging.level);
+    let sections = changed_sections(present, &settings);
+    log::info!(level = settings.logging.level.as_str(); "settings reloaded");
+    if !sections.is_empty() {
+        log::warn!(
+            "changes of {} take effect at the next start",
+            sections.join(", ")
+        );
+    }
+}
+
+/// Sections other than that of the log that differ.
+fn changed_sections(present: &Settings, next: &Settings) -> Vec<String> {
+    let sections = |settings: &Settings| match toml::Value::try_from(settings) {
+        Ok(toml::Value::Table(table)) => table,
+        _ => toml::Table::new(),
+    };
+    let (present, next) = (sections(present), sections(next));
+    let names = next.iter().filter(|(name, value)| {
+        name.as_str() != "logging" && present.get(name.as_str()) != Some(*value)
+    });
+    names.map(|(name, _)| name.clone()).collect()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,8 +14,14 @@
         settings.level.clone_from(level);
     }
     settings.json = matches.get_flag("log-json");
-    logging::start(&settings);
-    match commands::run(&matches) {
+    if commands::logs_to_standard_output(&matches) {
+        logging::start_queued(&settings);
+    } else {
+        logging::start(&settings);
+    }
+    let result = commands::run(&matches);
+    logging::flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Duration;
 
+use crossbeam::channel::{Receiver, Sender, unbounded};
+
 use super::channel::{FrameReader, FrameWriter};
 use super::frame::Frame;
 use super::handshake;
@@ -21,6 +23,8 @@
 const MAX_CALLS_IN_FLIGHT: usize = 4096;
 /// Stack of a call's thread; handlers do not recurse.
 const CALL_STACK_BYTES: usize = 256 * 1024;
+/// Time after which a thread without calls ends.
+const IDLE_THREAD_LIFETIME: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -35,7 +39,7 @@
 
 struct Shared {
     keys: ClusterKeys,
-    handler: PeerHandler,
+    threads: CallThreads,
     stopping: AtomicBool,
     /// Open connections, so that stopping can end them.
     connections: Mutex<Vec<TcpStream>>,
@@ -52,7 +56,7 @@
         let local_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             keys,
-            handler,
+            threads: CallThreads::new(handler),
             stopping: AtomicBool::new(false),
             connections: Mutex::new(Vec::new()),
         });
@@ -165,16 +169,13 @@
                         .write(&Frame::Reply { call_id, reply })?;
                     continue;
                 }
-                let call = Call {
-                    handler: Arc::clone(&shared.handler),
+                shared.threads.run(Call {
                     writer: Arc::clone(&writer),
                     in_flight: Arc::clone(&in_flight),
                     host: session.client.clone(),
                     call_id,
-                };
-                thread::Builder::new()
-                    .stack_size(CALL_STACK_BYTES)
-                    .spawn(move || call.handle(request))?;
+                    request,
+                })?;
             }
             Frame::Ping => {
                 writer.lock().unwrap().write(&Frame::Pong)?;
@@ -187,18 +188,83 @@
     }
 }
 
+/// Threads that handle calls. A call never waits for another one: when no thread is free, one is
+/// started, which then serves further calls. Starting a thread for each call took a third of the
+/// processor time of a follower.
+struct CallThreads {
+    handler: PeerHandler,
+    calls: Sender<Call>,
+    queue: Receiver<Call>,
+    /// Threads that wait for a call, less the calls that were handed to them.
+    free: Arc<AtomicUsize>,
+}
+
+impl CallThreads {
+    fn new(handler: PeerHandler) -> Self {
+        let (calls, queue) = unbounded();
+        Self {
+            handler,
+            calls,
+            queue,
+            free: Arc::default(),
+        }
+    }
+
+    fn run(&self, call: Call) -> io::Result<()> {
+        let taken = self
+            .free
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| {
+                free.checked_sub(1)
+            });
+        if taken.is_ok() {
+            // Cannot fail: this side holds a receiver.
+            let _ = self.calls.send(call);
+            return Ok(());
+        }
+        let (handler, queue) = (Arc::clone(&self.handler), self.queue.clone());
+        let free = Arc::clone(&self.free);
+        thread::Builder::new()
+            .name("peer-call".to_owned())
+            .stack_size(CALL_STACK_BYTES)
+            .spawn(move || {
+                let mut next = Some(call);
+                while let Some(call) = next {
+                    call.handle(&handler);
+                    next = next_call(&queue, &free);
+                }
+            })?;
+        Ok(())
+    }
+}
+
+/// Waits for a call; `None` when the thread may end.
+fn next_call(queue: &Receiver<Call>, free: &AtomicUsize) -> Option<Call> {
+    free.fetch_add(1, Ordering::AcqRel);
+    if let Ok(call) = queue.recv_timeout(IDLE_THREAD_LIFETIME) {
+        return Some(call);
+    }
+    let left = free.fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| {
+        free.checked_sub(1)
+    });
+    if left.is_ok() {
+        return None;
+    }
+    // A call was handed to this thread while it gave up.
+    queue.recv().ok()
+}
+
 /// One call that is being handled.
 struct Call {
-    handler: PeerHandler,
     writer: Arc<Mutex<FrameWriter<TcpStream>>>,
     in_flight: Arc<AtomicUsize>,
     host: HostId,
     call_id: u64,
+    request: PeerRequest,
 }
 
 impl Call {
-    fn handle(self, request: PeerRequest) {
-        let reply = (self.handler)(self.host, request);
+    fn handle(self, handler: &PeerHandler) {
+        let reply = handler(self.host, self.request);
         self.in_flight.fetch_sub(1, Ordering::AcqRel);
         let frame = Frame::Reply {
             call_id: self.call_id,
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -2,18 +2,87 @@
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::time::SystemTime;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
 
+use crossbeam::channel::{Receiver, Sender, bounded};
 use log::kv::{Key, Value, VisitSource};
 
 use crate::options::settings::LoggingSettings;
 
+/// Lines that wait for the writer; further ones are dropped and counted.
+const QUEUE_LINES: usize = 4_096;
+/// Interval in which the writer takes lines.
+const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// Lines that are written in one interval: 4,000 a second, twice what the busiest second needed.
+const LINES_PER_INTERVAL: usize = 200;
+/// Time for writing the last lines when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Starts logging to standard error; later calls have no effect.
 pub fn start(settings: &LoggingSettings) {
-    let level = settings.level.parse().unwrap_or(log::LevelFilter::Info);
+    // One write per event keeps lines of several processes apart in a shared log.
+    start_with(settings, |line| {
+        let _ = std::io::stderr().lock().write_all(line.as_bytes());
+    });
+}
+
+/// Starts logging to standard output by a thread of its own, so that logging never blocks and its
+/// volume is bounded. Lines that are dropped are counted in a line of their own.
+pub fn start_queued(settings: &LoggingSettings) {
+    let (sender, receiver) = bounded(QUEUE_LINES);
+    let writing = thread::Builder::new().name("log-writer".to_owned());
+    if let Err(error) = writing.spawn(move || write_lines(&receiver)) {
+        eprintln!("cannot start the log writer: {error}");
+    }
+    let _ = QUEUE.set(sender.clone());
+    start_with(settings, move |line| {
+        if sender.try_send(line).is_err() {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+}
+
+static QUEUE: OnceLock<Sender<String>> = OnceLock::new();
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Waits a moment until the queued lines are written, before the process ends.
+pub fn flush() {
+    let deadline = Instant::now() + FLUSH_TIMEOUT;
+    let is_empty = || QUEUE.get().is_none_or(Sender::is_empty);
+    while !is_empty() && Instant::now() < deadline {
+        thread::sleep(WRITE_INTERVAL / 4);
+    }
+    // The writer may still be writing what it took last.
+    if QUEUE.get().is_some() {
+        thread::sleep(WRITE_INTERVAL / 4);
+    }
+}
+
+fn write_lines(lines: &Receiver<String>) {
+    while let Ok(first) = lines.recv() {
+        let mut text = first;
+        for line in lines.try_iter().take(LINES_PER_INTERVAL - 1) {
+            text.push_str(&line);
+        }
+        let dropped = DROPPED_LINES.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = serde_json::json!({"level": "WARN", "message": "log lines dropped",
+                "fields": {"lines": dropped.to_string()}});
+            text.push_str(&format!("{line}\n"));
+        }
+        // Nothing can be told about an output that is gone.
+        let _ = std::io::stdout().lock().write_all(text.as_bytes());
+        thread::sleep(WRITE_INTERVAL);
+    }
+}
+
+fn start_with(settings: &LoggingSettings, write: impl Fn(String) + Send + Sync + 'static) {
     let json = settings.json;
     let dispatch = fern::Dispatch::new()
-        .level(level)
+        .level(log::LevelFilter::Trace)
         .level_for("ureq", log::LevelFilter::Warn)
         .level_for("ureq_proto", log::LevelFilter::Warn)
         .format(move |out, message, record| {
@@ -40,13 +109,17 @@
                 record.target()
             ));
         })
-        .chain(fern::Output::call(|record| {
-            // One write per event keeps lines of several processes apart in a shared log.
-            let line = format!("{}\n", record.args());
-            let _ = std::io::stderr().lock().write_all(line.as_bytes());
+        .chain(fern::Output::call(move |record| {
+            write(format!("{}\n", record.args()));
         }));
     // A second start, for example in tests, keeps the first logger.
     let _ = dispatch.apply();
+    set_level(&settings.level);
+}
+
+/// Changes the lowest level of events that are written; an unknown level is `info`.
+pub fn set_level(level: &str) {
+    log::set_max_level(level.parse().unwrap_or(log::LevelFilter::Info));
 }
 
 fn fields(record: &log::Record<'_>) -> BTreeMap<String, String> {
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -155,9 +155,10 @@
             .as_millis() as u64;
         let expected_ms = question.expected.as_millis() as u64;
         log::info!(
-            stage:% = question.stage, host:? = question.host, queued_ms, took_ms, expected_ms,
-            answered = result.is_ok();
-            "question to the placement policy ended"
+            stage:% = question.stage, host:? = question.host, asked = question.workers.len(),
+            granted:? = result.as_ref().ok().map(|answer| answer.granted.len()), queued_ms,
+            took_ms, expected_ms;
+            "placement policy answered"
         );
         self.take_policy_answer(question, result, now);
         // The stage is served before others take the room that was held for it.
@@ -203,11 +204,6 @@
         stage
             .permits
             .record(&question.workers, &answer.granted, expires_at);
-        log::info!(
-            stage:% = question.stage, host:? = question.host, asked = question.workers.len(),
-            granted = answer.granted.len(), validity_ms;
-            "placement policy answered"
-        );
         let queue = job.queue.name.clone();
         let share = self.good_shares.entry(queue).or_default();
         share.learn(question.workers.len(), answer.granted.len());
