--- a/src/workflow.rs
+++ b/src/workflow.rs
@@ -9,6 +9,7 @@
 pub mod decisions;
 pub mod directory;
 pub mod host;
+pub mod instruments;
 pub mod placer;
 pub mod queues;
 pub mod records;
--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -8,6 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::calls::{CALL_EXTENSION, Call, Reply};
+use super::instruments::instruments;
 use super::placer::Placer;
 use crate::ids::HostId;
 use crate::peer::{CallError, ClusterKeys, PeerClient, PeerClientOptions};
@@ -138,6 +139,7 @@
             let left = deadline.saturating_duration_since(Instant::now());
             thread::sleep(NEXT_HOST_PAUSE.min(left));
         }
+        instruments().count_unanswered_call();
         Err(unanswered)
     }
 
--- /dev/null
+++ b/src/workflow/instruments.rs
@@ -0,0 +1,96 @@
+//! Counters and latency histograms of workflows.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+
+use crate::telemetry::metrics::metrics;
+
+/// Upper bounds of the latency buckets, from a round trip within a data centre to the longest that
+/// a caller waits.
+const LATENCY_BOUNDARIES_SECONDS: [f64; 12] = [
+    0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.6, 3.0, 10.0,
+];
+
+/// Instruments of the placer.
+pub struct Instruments {
+    jobs: Counter<u64>,
+    runs: Counter<u64>,
+    orders: Counter<u64>,
+    policy_questions: Counter<u64>,
+    placement_wait: Histogram<f64>,
+    order_latency: Histogram<f64>,
+    policy_latency: Histogram<f64>,
+    unanswered_calls: Counter<u64>,
+}
+
+/// The instruments of this process.
+pub fn instruments() -> &'static Instruments {
+    static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
+    INSTRUMENTS.get_or_init(Instruments::new)
+}
+
+impl Instruments {
+    fn new() -> Self {
+        let meter = &metrics().meter;
+        let counter = |name| meter.u64_counter(name).build();
+        let histogram = |name| {
+            let builder = meter.f64_histogram(name);
+            let boundaries = LATENCY_BOUNDARIES_SECONDS.to_vec();
+            builder.with_boundaries(boundaries).build()
+        };
+        Self {
+            jobs: counter("jujubewinch_workflow_jobs"),
+            runs: counter("jujubewinch_workflow_runs"),
+            orders: counter("jujubewinch_workflow_orders"),
+            policy_questions: counter("jujubewinch_workflow_policy_questions"),
+            placement_wait: histogram("jujubewinch_workflow_placement_wait_seconds"),
+            order_latency: histogram("jujubewinch_workflow_order_seconds"),
+            policy_latency: histogram("jujubewinch_workflow_policy_seconds"),
+            unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
+        }
+    }
+
+    /// A job was `accepted` or `refused`, or ended in a phase.
+    pub fn count_job(&self, outcome: &str) {
+        self.jobs.add(1, &[outcome_label(outcome)]);
+    }
+
+    /// A run ended.
+    pub fn count_run(&self, outcome: &str) {
+        self.runs.add(1, &[outcome_label(outcome)]);
+    }
+
+    /// Tasks were placed after a wait.
+    pub fn record_placement(&self, tasks: usize, wait: Duration) {
+        for _ in 0..tasks {
+            self.placement_wait.record(wait.as_secs_f64(), &[]);
+        }
+    }
+
+    /// A worker answered an order, or did not.
+    pub fn record_order(&self, kind: &'static str, outcome: &str, latency: Duration) {
+        let labels = [KeyValue::new("kind", kind), outcome_label(outcome)];
+        self.orders.add(1, &labels);
+        self.order_latency
+            .record(latency.as_secs_f64(), &labels[..1]);
+    }
+
+    /// The placement policy answered, or did not.
+    pub fn record_policy(&self, answered: bool, latency: Duration) {
+        let outcome = if answered { "answered" } else { "unanswered" };
+        self.policy_questions.add(1, &[outcome_label(outcome)]);
+        self.policy_latency.record(latency.as_secs_f64(), &[]);
+    }
+
+    /// A call found no placer in time.
+    pub fn count_unanswered_call(&self) {
+        self.unanswered_calls.add(1, &[]);
+    }
+}
+
+fn outcome_label(outcome: &str) -> KeyValue {
+    KeyValue::new("outcome", outcome.to_owned())
+}
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -7,6 +7,7 @@
 use super::super::calls::{Call, HostContact, Reply};
 use super::super::decisions::admission::{self, Admission, Backlog};
 use super::super::decisions::ranking::{self, LATE_FACTOR, Usefulness};
+use super::super::instruments::instruments;
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
 use super::super::spec::WorkflowSpec;
@@ -102,6 +103,7 @@
         if let Admission::Refuse { retry_after } = self.admit(&queue, &spec, now.at) {
             let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             log::info!(job = id.as_str(), queue = queue.name.as_str(), retry_after_ms; "job refused: the backlog is too long");
+            instruments().count_job("refused");
             return Reply::NotAccepted { retry_after_ms };
         }
         log::info!(
@@ -110,6 +112,7 @@
             version = configuration.version;
             "job accepted"
         );
+        instruments().count_job("accepted");
         self.record(Record::JobAccepted {
             id: id.clone(),
             queue: Box::new(queue),
@@ -129,11 +132,23 @@
         let allowed_ms = objective_ms * f64::from(LATE_FACTOR) - chain_ms;
         let backlog = Backlog {
             cpu_work_ms: self.waiting_cpu_work_ms(queue.priority, now),
-            capacity_millis: self.ledger.capacity().cpu_millis,
+            capacity_millis: self.expected_capacity_millis(),
         };
         admission::decide(&backlog, Duration::from_millis(allowed_ms.max(0.0) as u64))
     }
 
+    /// Processors of the workers that are not known to be gone. Right after a take-over most have
+    /// not answered yet; counting only those that have would refuse jobs for no reason.
+    fn expected_capacity_millis(&self) -> u64 {
+        let workers = self.workers.values();
+        let present = workers.filter(|worker| {
+            worker.silent_since.is_none() && !worker.leaving && !worker.record.draining
+        });
+        present
+            .map(|worker| worker.record.capacity.cpu_millis)
+            .sum()
+    }
+
     /// Declared processor time of waiting tasks that come before a new job of the priority.
     fn waiting_cpu_work_ms(&self, priority: u32, now: Instant) -> u64 {
         let mut work_ms = 0;
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::Receiver;
 
 use super::super::calls::{
     CallFailure, OrderAnswer, OrderOutcome, StartOrder, StopOrder, WorkerTarget,
 };
+use super::super::instruments::instruments;
 use super::super::records::RunOutcome;
 use super::reports::target;
 use super::term::{Order, OrderKind, RunPhase, Term};
@@ -51,8 +52,10 @@
             else {
                 return;
             };
-            let deadline = self.clock.now() + ORDER_TIMEOUT;
-            let failure = match (self.outside.start)(&target, &start, deadline) {
+            let sent_at = self.clock.now();
+            let result = (self.outside.start)(&target, &start, sent_at + ORDER_TIMEOUT);
+            self.count_order("start", &result, sent_at);
+            let failure = match result {
                 Ok(answer) => {
                     self.with_term(Some(order.epoch), |term, now| {
                         term.note_start_answer(order, answer, now);
@@ -76,6 +79,22 @@
         });
     }
 
+    fn count_order(
+        &self,
+        kind: &'static str,
+        result: &Result<OrderAnswer, CallFailure>,
+        sent_at: Instant,
+    ) {
+        let latency = self.clock.now().saturating_duration_since(sent_at);
+        match result {
+            Ok(answer) => {
+                let outcome = format!("{:?}", answer.outcome);
+                instruments().record_order(kind, &outcome, latency);
+            }
+            Err(_) => instruments().record_order(kind, "unanswered", latency),
+        }
+    }
+
     fn send_stop(&self, order: &Order) {
         let prepared = self.with_term(Some(order.epoch), |term, _| {
             let worker = term.workers.get(&order.worker)?;
@@ -89,8 +108,10 @@
             run: order.run,
             fence: order.epoch,
         };
-        let deadline = self.clock.now() + ORDER_TIMEOUT;
-        match (self.outside.stop)(&target, &stop, deadline) {
+        let sent_at = self.clock.now();
+        let result = (self.outside.stop)(&target, &stop, sent_at + ORDER_TIMEOUT);
+        self.count_order("stop", &result, sent_at);
+        match result {
             Ok(answer) => {
                 self.with_term(Some(order.epoch), |term, now| {
                     term.note_stop_answer(order, answer, now);
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -7,6 +7,7 @@
 
 use super::super::calls::{CallFailure, POLICY_EXTENSION, PolicyAnswer, PolicyQuestion};
 use super::super::decisions::permits::MAX_QUEUE;
+use super::super::instruments::instruments;
 use super::super::queues::PlacementPolicy;
 use super::super::spec::StageKey;
 use super::term::{PolicyCaller, Term};
@@ -149,6 +150,7 @@
                     + trip * TRIP_WEIGHT_PERCENT / 100;
             }
         }
+        instruments().record_policy(result.is_ok(), took);
         let took_ms = took.as_millis() as u64;
         let queued_ms = sent_at
             .saturating_duration_since(question.decided_at)
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::super::instruments::instruments;
 use super::super::records::{Record, RunOutcome};
 use super::super::spec::{StageKey, TaskKey};
 use super::Now;
@@ -31,6 +32,7 @@
             placed_ms_ago = now.at.saturating_duration_since(run.placed_at).as_millis() as u64;
             "run ended"
         );
+        instruments().count_run(&outcome.to_string());
         let was_open = self.is_open(&task.stage.job);
         self.record(Record::RunEnded {
             task: task.clone(),
@@ -81,6 +83,7 @@
         }
         if !open {
             log::info!(job = task.stage.job.as_str(), phase:% = phase; "job ended");
+            instruments().count_job(&phase.to_string());
             let job = task.stage.job.clone();
             self.stop_job(&job, now.at);
             return;
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -4,6 +4,7 @@
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
 use super::super::decisions::reservations::MAX_GATHERING_GANGS;
+use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
@@ -266,9 +267,11 @@
             let placed: Vec<TaskIndex> = placements.iter().map(|one| one.task).collect();
             stage.waiting.retain(|task| !placed.contains(task));
             stage.live_runs += placed.len();
+            let waited = now.at.saturating_duration_since(stage.due_at);
+            instruments().record_placement(placed.len(), waited);
             log::info!(
                 stage:% = key, tasks = placed.len(), left = stage.waiting.len(),
-                waited_ms = now.at.saturating_duration_since(stage.due_at).as_millis() as u64;
+                waited_ms = waited.as_millis() as u64;
                 "tasks placed"
             );
         }
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -590,6 +590,39 @@
     assert_eq!(fixture.term.state.jobs[JOB].spec.stages[0].task_count, 1);
 }
 
+/// Guards against jobs that are refused right after a change of the placer, when few workers have
+/// answered yet and the backlog seems long for their capacity (hunt-62ec-3: time to come back 5.6 s
+/// with most of the cell free).
+#[test]
+fn workers_that_were_not_heard_yet_count_as_capacity() {
+    let mut fixture = Fixture::new();
+    for worker in ["a", "b", "c", "d"] {
+        fixture.announce(worker);
+    }
+    fixture.submit(vec![stage(60)]);
+    fixture.commit_all();
+    let mut successor = Fixture::with_state(fixture.term.state);
+    successor.report("a", vec![], vec![]);
+    let (sender, receiver) = bounded(1);
+    let call = Call::Submit {
+        target: QueueAddress {
+            host: "shop.example".to_owned(),
+            path_prefix: "/plans/00c0ffee00000002".to_owned(),
+        },
+        spec: Box::new(WorkflowSpec {
+            payload: String::new(),
+            stages: vec![stage(1)],
+            repetition: None,
+        }),
+    };
+    successor.term.handle_call(call, &sender, successor.now);
+    drop(sender);
+    let effects = std::mem::take(&mut successor.term.effects);
+    let accepted = |effect: &Effect| matches!(effect, Effect::Reply(_, Reply::Accepted));
+    assert!(effects.iter().any(accepted));
+    drop((effects, receiver));
+}
+
 /// Guards against an old configuration that comes back, and an invalid one that is acknowledged.
 #[test]
 fn older_configurations_are_acknowledged_without_effect() {
