bug: a refused attempt hid that an earlier one may have run

An idempotent request whose first attempt was stopped by its runner got another attempt; when that one never started, its verdict did_not_run replaced that of the first, in the owner's ticket and in the record that the next placer reads. Ruled out: the runner's tombstones (the second attempt indeed never started). Change: an intent carries whether an earlier attempt may have run, the record keeps it, and the outcome of the request is that over all attempts; owner and follower tell the recorded outcome. The format of the placement log has changed. Tests: tests/placer_records.rs, both ways in which the second attempt begins.

--- a/src/placer.rs
+++ b/src/placer.rs
@@ -325,13 +325,14 @@
         record.is_some_and(|record| record.task == slot.task)
     }
 
+    /// Commits the outcome of an attempt, and returns that of the request over all its attempts.
     fn commit_completion(
         &self,
         key: &str,
         task: &str,
         outcome: &Outcome,
         over: bool,
-    ) -> Result<(), JournalError> {
+    ) -> Result<Outcome, JournalError> {
         let now_unix_ms = self.options.clock.unix_ms();
         let retention_ms = self.options.timing.key_retention_ms;
         let completion = Completion {
@@ -343,7 +344,11 @@
             keep_until_unix_ms: key::keep_until_unix_ms(key, now_unix_ms, retention_ms),
             max_answer_bytes: self.options.limits.max_answer_bytes as u64,
         };
-        (self.options.journal.append)(PlacementRecord::Completion(completion))
+        (self.options.journal.append)(PlacementRecord::Completion(completion))?;
+        let placement = self.options.journal.state.lock().unwrap();
+        let record = placement.keys.get(key).filter(|record| record.task == task);
+        let recorded = record.and_then(|record| record.outcome.clone());
+        Ok(recorded.unwrap_or_else(|| outcome.clone()))
     }
 
     /// Ends a flight after its outcome was committed.
--- a/src/placer/attempt.rs
+++ b/src/placer/attempt.rs
@@ -104,7 +104,10 @@
                 }
                 End::Again { error, started } => {
                     self.release(&slot, Some(&Err::<(), _>(error.clone())));
-                    let error = self.cancelled_error(error);
+                    let mut error = self.cancelled_error(error);
+                    if self.earlier_may_have_run() {
+                        error.verdict = Verdict::MayHaveRun;
+                    }
                     if !self.may_retry(submission, &slot, started, retries) {
                         return self.commit(&slot, Err(error), true, false);
                     }
@@ -166,6 +169,7 @@
             idempotent: submission.idempotent,
             task: slot.task.clone(),
             former: self.former.as_ref().map(|former| former.task.clone()),
+            former_may_have_run: self.earlier_may_have_run(),
             worker: slot.worker.clone(),
             incarnation: slot.incarnation,
             address: slot.link.address.clone(),
@@ -175,6 +179,12 @@
         }
     }
 
+    /// Whether an ended attempt of this owner may have run.
+    fn earlier_may_have_run(&self) -> bool {
+        let former = self.former.as_ref();
+        former.is_some_and(|former| former.error.verdict == Verdict::MayHaveRun)
+    }
+
     fn wait_for_slot(&mut self) -> Result<RunnerSlot, RequestError> {
         if let Ok(assigned) = self.assigned.recv_deadline(self.queued.deadline) {
             return assigned;
@@ -288,12 +298,15 @@
         let committed = self
             .placer
             .commit_completion(key, &slot.task, &outcome, over);
-        let Err(error) = committed else {
-            if may_forget {
-                self.placer.forget_later(&slot.worker, &slot.task);
+        let error = match committed {
+            Ok(recorded) => {
+                if may_forget {
+                    self.placer.forget_later(&slot.worker, &slot.task);
+                }
+                log_outcome(&self.queued, slot, &recorded);
+                return Landing::End(FlightEnd::Outcome(recorded));
             }
-            log_outcome(&self.queued, slot, &outcome);
-            return Landing::End(FlightEnd::Outcome(outcome));
+            Err(error) => error,
         };
         log::warn!("completion of {key} not confirmed: {error}");
         // What the runner reported is true whether the record of it is committed or not. That
--- a/src/placer/follow.rs
+++ b/src/placer/follow.rs
@@ -190,11 +190,15 @@
     /// Commits the outcome and ends the flight; returns false when that must be tried again.
     fn resolve(self: &Arc<Self>, followed: &Followed, outcome: Outcome, over: bool) -> bool {
         let outcome = outcome.map_err(|error| describe_cancelled(followed, error));
-        if let Err(error) = self.commit_completion(&followed.key, &followed.task, &outcome, over) {
-            // The end of the epoch ends the following; until then it goes on.
-            log::debug!("completion of {} not confirmed: {error}", followed.key);
-            return false;
-        }
+        let committed = self.commit_completion(&followed.key, &followed.task, &outcome, over);
+        let outcome = match committed {
+            Ok(recorded) => recorded,
+            Err(error) => {
+                // The end of the epoch ends the following; until then it goes on.
+                log::debug!("completion of {} not confirmed: {error}", followed.key);
+                return false;
+            }
+        };
         let verdict = outcome
             .as_ref()
             .map_or_else(|error| error.verdict, |_| Verdict::Ran);
--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -50,6 +50,9 @@
     pub task: TaskId,
     /// Attempt that it replaces; the intent has no effect when another one is the latest.
     pub former: Option<TaskId>,
+    /// Whether that one, or one before it, may have run. Its record may have no outcome yet, so the
+    /// intent has to carry it.
+    pub former_may_have_run: bool,
     /// Runner that gets it.
     pub worker: WorkerId,
     /// Incarnation of the runner.
@@ -130,6 +133,8 @@
     pub digest: RequestDigest,
     /// Whether another attempt is allowed once this one cannot be running.
     pub idempotent: bool,
+    /// Whether an attempt before the latest one may have run.
+    pub earlier_may_have_run: bool,
     /// Latest attempt.
     pub task: TaskId,
     /// Runner of the latest attempt.
@@ -149,6 +154,27 @@
 }
 
 impl KeyRecord {
+    /// Whether an attempt of the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        let latest =
+            matches!(&self.outcome, Some(Err(error)) if error.verdict == Verdict::MayHaveRun);
+        latest || self.earlier_may_have_run
+    }
+
+    /// The outcome of the request when this is the outcome of its latest attempt: that the latest
+    /// one did not run says nothing about earlier ones.
+    fn over_all_attempts(&self, latest: Outcome) -> Outcome {
+        let earlier_may_have_run = self.earlier_may_have_run;
+        latest.map_err(|error| match error.verdict {
+            Verdict::DidNotRun if earlier_may_have_run => RequestError {
+                verdict: Verdict::MayHaveRun,
+                message: format!("{}; an earlier attempt may have run", error.message),
+                ..error
+            },
+            _ => error,
+        })
+    }
+
     /// Whether the latest attempt is known not to have run.
     pub fn did_not_run(&self) -> bool {
         matches!(&self.outcome, Some(Err(error)) if error.verdict == Verdict::DidNotRun)
@@ -232,9 +258,12 @@
         {
             return;
         }
+        let earlier_may_have_run =
+            intent.former_may_have_run || latest.is_some_and(KeyRecord::may_have_run);
         let record = KeyRecord {
             digest: intent.digest,
             idempotent: intent.idempotent,
+            earlier_may_have_run,
             task: intent.task,
             worker: intent.worker,
             incarnation: intent.incarnation,
@@ -260,7 +289,7 @@
             self.answered
                 .push_back((completion.key.clone(), completion.task.clone()));
         }
-        record.outcome = Some(completion.outcome);
+        record.outcome = Some(record.over_all_attempts(completion.outcome));
         record.over = completion.over;
         self.completed.push_back(Completed {
             key: completion.key,
@@ -282,6 +311,7 @@
         let record = KeyRecord {
             digest: cancellation.digest,
             idempotent: false,
+            earlier_may_have_run: false,
             task: TaskId::new(),
             worker: WorkerId::new(),
             incarnation: 0,
--- a/tests/placer_records.rs
+++ b/tests/placer_records.rs
@@ -274,6 +274,7 @@
         idempotent: false,
         task: task.to_owned(),
         former: former.map(str::to_owned),
+        former_may_have_run: false,
         worker: "worker-1".to_owned(),
         incarnation: 1,
         address: "worker-1".to_owned(),
@@ -499,3 +500,46 @@
         assert_eq!(is_cancelled, cancelled, "{name}: {outcome:?}");
     }
 }
+
+fn refusal(verdict: Verdict) -> RequestError {
+    RequestError {
+        verdict,
+        ..RequestError::did_not_run(ErrorCode::Unavailable, "refused")
+    }
+}
+
+/// Guards against a caller that is told that its request did not run although an earlier attempt
+/// had started: seen after the kill of one placer and the stop of another, when the runner had
+/// stopped the first attempt and the second one found no runner.
+#[test]
+fn a_refused_attempt_does_not_hide_an_earlier_one() {
+    // Whether the first attempt has an outcome when the second begins.
+    for first_is_recorded in [true, false] {
+        let mut state = PlacementState::default();
+        state.apply(intent("k", None, "t1", 0, 1));
+        let mut second = intent("k", Some("t1"), "t2", 0, 3);
+        if first_is_recorded {
+            state.apply(completion("k", "t1", Err(refusal(Verdict::MayHaveRun)), 2));
+            // Only a request that may be repeated gets another attempt.
+            state.keys["k"].idempotent = true;
+        } else if let PlacementRecord::Intent(second) = &mut second {
+            second.former_may_have_run = true;
+        }
+        state.apply(second);
+        state.apply(completion("k", "t2", Err(refusal(Verdict::DidNotRun)), 4));
+        let outcome = state.keys["k"].outcome.clone().unwrap();
+        assert_eq!(verdict(&outcome), "may_have_run", "{first_is_recorded}");
+    }
+}
+
+/// Guards against a request that keeps an uncertain verdict although no attempt started.
+#[test]
+fn attempts_that_never_started_leave_the_verdict_certain() {
+    let mut state = PlacementState::default();
+    state.apply(intent("k", None, "t1", 0, 1));
+    state.apply(completion("k", "t1", Err(refusal(Verdict::DidNotRun)), 2));
+    state.apply(intent("k", Some("t1"), "t2", 0, 3));
+    state.apply(completion("k", "t2", Err(refusal(Verdict::DidNotRun)), 4));
+    let outcome = state.keys["k"].outcome.clone().unwrap();
+    assert_eq!(verdict(&outcome), "did_not_run");
+}
