bug: a server that had shut down could still accept a connection

Ruled out: the request in flight (its answer was whole). Change: shutdown also waits until the listener is closed. Test as before, unchanged.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -77,6 +77,8 @@
     options: ServerOptions,
     handler: Handler,
     stopping: AtomicBool,
+    /// Whether the address is still bound.
+    listening: AtomicBool,
     open_connections: AtomicUsize,
 }
 
@@ -97,12 +99,17 @@
             options,
             handler,
             stopping: AtomicBool::new(false),
+            listening: AtomicBool::new(true),
             open_connections: AtomicUsize::new(0),
         });
         let accepting = Arc::clone(&shared);
         thread::Builder::new()
             .name("http-accept".to_owned())
-            .spawn(move || accept_connections(&listener, &accepting))?;
+            .spawn(move || {
+                accept_connections(&listener, &accepting);
+                drop(listener);
+                accepting.listening.store(false, Ordering::Release);
+            })?;
         Ok(Self {
             local_address,
             shared,
@@ -120,10 +127,11 @@
     }
 
     /// Stops accepting, lets requests in flight finish and closes idle connections.
-    /// Returns whether all connections ended before the deadline.
+    /// Returns whether all connections ended and the address was free before the deadline.
     pub fn shutdown(&self, deadline: Instant) -> bool {
         self.stop_accepting();
-        while self.open_connections() > 0 {
+        // The accepting thread may run late on a busy machine; until it has, the address is bound.
+        while self.open_connections() > 0 || self.shared.listening.load(Ordering::Acquire) {
             if Instant::now() >= deadline {
                 return false;
             }
