bug: workers that had failed twice stayed closed to gangs

Ruled out: the log and the leases (no run was open); permits (renewed or known). Change: a worker that is not probed within 2 s after being left out counts as sound. Test: a_worker_that_is_not_probed_counts_as_sound_after_a_time.

--- a/src/workflow/decisions/worker_health.rs
+++ b/src/workflow/decisions/worker_health.rs
@@ -12,6 +12,9 @@
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(1_500);
 /// Longest time for which a worker is left out.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(6);
+/// Time after being left out in which the next run is a probe. Later the worker counts as sound
+/// again, since nothing may be there to probe it with.
+const PROBE_PERIOD: Duration = Duration::from_secs(2);
 /// Weight of the newest run in the learned slowness.
 const SLOWNESS_WEIGHT: f64 = 0.3;
 /// Difference of slowness below which workers count as equally fast.
@@ -64,8 +67,9 @@
     }
 
     /// Whether the next run is a probe after failures.
-    pub fn needs_probe(&self) -> bool {
-        self.failures_in_a_row >= FAILURES_TO_AVOID
+    pub fn needs_probe(&self, now: Instant) -> bool {
+        self.avoided_until
+            .is_some_and(|until| now < until + PROBE_PERIOD)
     }
 
     /// Expected run time relative to other workers, in steps that hide small differences.
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -165,7 +165,7 @@
         if !free.covers(&spec.ledger_amount()) {
             return None;
         }
-        if worker.health.needs_probe() && (spec.gang || !worker.runs.is_empty()) {
+        if worker.health.needs_probe(now.at) && (spec.gang || !worker.runs.is_empty()) {
             return None;
         }
         if let Some(label) = &spec.required_label
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -268,12 +268,25 @@
     health.record_failure(now);
     assert!(!health.is_avoided(now), "a sound worker fails now and then");
     health.record_failure(now);
-    assert!(health.is_avoided(now) && health.needs_probe());
+    assert!(health.is_avoided(now) && health.needs_probe(now));
     assert!(!health.is_avoided(now + 2 * SECOND));
     health.record_failure(now + 2 * SECOND);
     assert!(health.is_avoided(now + 4 * SECOND), "the time doubles");
     health.record_success(SECOND, SECOND);
-    assert!(!health.is_avoided(now + 2 * SECOND) && !health.needs_probe());
+    assert!(!health.is_avoided(now + 2 * SECOND) && !health.needs_probe(now));
+}
+
+/// Guards against a gang that never runs at the end of a day: its workers had failed hopeless tasks,
+/// no other work was left to probe them with, and gangs make no probes (LOST 1 on four days of the
+/// Authority, among them quiet-1 --seed 149491530815).
+#[test]
+fn a_worker_that_is_not_probed_counts_as_sound_after_a_time() {
+    let now = Instant::now();
+    let mut health = WorkerHealth::default();
+    health.record_failure(now);
+    health.record_failure(now);
+    assert!(health.needs_probe(now + 2 * SECOND));
+    assert!(!health.needs_probe(now + 10 * SECOND));
 }
 
 /// Guards against a slow worker that is preferred because it is emptier.
