--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -223,10 +223,8 @@
         }
         if may_have_arrived {
             self.stop_run(&order.task, now.at);
-            let gang = self.state.jobs.get(&order.task.stage.job);
-            let gang = gang.and_then(|job| job.stage_spec(order.task.stage.stage));
-            if gang.is_some_and(|spec| spec.gang) {
-                self.stop_gang(&order.task.stage.clone(), now.at);
+            if self.is_gang(&order.task.stage) {
+                self.stop_gang(&order.task.stage, now.at);
             }
         } else {
             self.finish_run(&order.task, RunOutcome::NeverStarted, String::new(), now);
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -72,11 +72,11 @@
             .state
             .task(task)
             .is_some_and(|task| task.progress == super::super::state::TaskProgress::Waiting);
-        if let Some(stage) = self.stages.get_mut(&task.stage) {
-            stage.live_runs = stage.live_runs.saturating_sub(1);
-            if waits && !stage.waiting.contains(&task.index) {
-                stage.waiting.push(task.index);
-            }
+        if let Some(stage) = self.stages.get_mut(&task.stage)
+            && waits
+            && !stage.waiting.contains(&task.index)
+        {
+            stage.waiting.push(task.index);
         }
         if !open && !was_open {
             return;
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -266,7 +266,6 @@
         if let Some(stage) = self.stages.get_mut(key) {
             let placed: Vec<TaskIndex> = placements.iter().map(|one| one.task).collect();
             stage.waiting.retain(|task| !placed.contains(task));
-            stage.live_runs += placed.len();
             let waited = now.at.saturating_duration_since(stage.due_at);
             instruments().record_placement(placed.len(), waited);
             log::info!(
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -138,19 +138,12 @@
             let Some(stage) = job.stage(&key).filter(|stage| !stage.is_complete()) else {
                 continue;
             };
-            let mut waiting = Vec::new();
-            let mut live_runs = 0;
-            for (index, task) in stage.tasks.iter().enumerate() {
-                match task.progress {
-                    TaskProgress::Waiting => waiting.push(index as u32),
-                    TaskProgress::Placed { .. } => live_runs += 1,
-                    TaskProgress::Succeeded => {}
-                }
-            }
+            let tasks = stage.tasks.iter().enumerate();
+            let waiting = tasks.filter(|(_, task)| task.progress == TaskProgress::Waiting);
+            let waiting = waiting.map(|(index, _)| index as u32).collect();
             let age = Duration::from_millis(now.unix_ms.saturating_sub(due_unix_ms));
             let live = LiveStage {
                 waiting,
-                live_runs,
                 permits: Default::default(),
                 asking: false,
                 holds: IndexMap::new(),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -163,8 +163,6 @@
 pub struct LiveStage {
     /// Tasks that need a run.
     pub waiting: Vec<TaskIndex>,
-    /// Runs that may exist.
-    pub live_runs: usize,
     /// Answers of the placement policy.
     pub permits: PermitBook,
     /// Whether a question to the policy is on its way.
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -80,12 +80,6 @@
         }
         amount
     }
-
-    /// Declared processor time of all tasks, in milliseconds of one core.
-    pub fn cpu_work_ms(&self) -> u64 {
-        let tasks = u64::from(self.task_count) * self.estimate_ms;
-        tasks.saturating_mul(self.resources.cpu_millis) / 1_000
-    }
 }
 
 impl WorkflowSpec {
@@ -108,11 +102,6 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Declared processor time of one occurrence, in milliseconds of one core.
-    pub fn cpu_work_ms(&self) -> u64 {
-        self.stages.iter().map(StageSpec::cpu_work_ms).sum()
-    }
-
     /// Why the workflow cannot be accepted.
     ///
     /// # Errors
