feature: line and gauges for the load of the cell

Once a second the placer logs workers that accept runs, processors allocated and held, and what waits.

--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::telemetry::metrics::metrics;
 
@@ -24,6 +24,8 @@
     order_latency: Histogram<f64>,
     policy_latency: Histogram<f64>,
     unanswered_calls: Counter<u64>,
+    cell_cpu: Gauge<u64>,
+    waiting_tasks: Gauge<u64>,
 }
 
 /// The instruments of this process.
@@ -36,6 +38,7 @@
     fn new() -> Self {
         let meter = &metrics().meter;
         let counter = |name| meter.u64_counter(name).build();
+        let gauge = |name| meter.u64_gauge(name).build();
         let histogram = |name| {
             let builder = meter.f64_histogram(name);
             let boundaries = LATENCY_BOUNDARIES_SECONDS.to_vec();
@@ -50,6 +53,8 @@
             order_latency: histogram("jujubewinch_workflow_order_seconds"),
             policy_latency: histogram("jujubewinch_workflow_policy_seconds"),
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
+            cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
+            waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
         }
     }
 
@@ -85,6 +90,15 @@
         self.policy_latency.record(latency.as_secs_f64(), &[]);
     }
 
+    /// How full the cell is, in thousandths of a core, and how many tasks wait.
+    pub fn record_load(&self, capacity: u64, allocated: u64, held: u64, tasks: u64) {
+        let label = |part| [KeyValue::new("part", part)];
+        self.cell_cpu.record(capacity, &label("capacity"));
+        self.cell_cpu.record(allocated, &label("allocated"));
+        self.cell_cpu.record(held, &label("held"));
+        self.waiting_tasks.record(tasks, &[]);
+    }
+
     /// A call found no placer in time.
     pub fn count_unanswered_call(&self) {
         self.unanswered_calls.add(1, &[]);
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -5,6 +5,7 @@
 
 mod client_calls;
 mod gangs;
+mod load;
 mod orders;
 mod policy;
 mod replicas;
--- /dev/null
+++ b/src/workflow/placer/load.rs
@@ -0,0 +1,87 @@
+//! Regular report of how full the cell is and what waits.
+
+use std::time::Instant;
+
+use super::super::decisions::ranking::{self, Usefulness};
+use super::super::instruments::instruments;
+use super::term::Term;
+use crate::scheduling::ledger::WorkerStatus;
+
+/// Interval of the report, in ticks of 100 ms: short enough to see a burst, at one line a second.
+pub(super) const LOAD_REPORT_TICKS: u64 = 10;
+
+/// How full the cell is and what waits.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Load {
+    /// Workers that accept runs.
+    pub workers_up: usize,
+    /// Workers that are left out after failures.
+    pub workers_avoided: usize,
+    /// Their processors, in thousandths of a core.
+    pub capacity_millis: u64,
+    /// Processors that are allocated or held, in thousandths of a core.
+    pub allocated_millis: u64,
+    /// Part of it that is held for stages without a run, in thousandths of a core.
+    pub held_millis: u64,
+    /// Stages with waiting tasks that can still end within their objective.
+    pub stages_in_time: usize,
+    /// Stages with waiting tasks that cannot.
+    pub stages_late: usize,
+    /// Gangs among the waiting stages.
+    pub gangs: usize,
+    /// Waiting tasks.
+    pub tasks: usize,
+}
+
+impl Term {
+    pub(super) fn load(&self, now: Instant) -> Load {
+        let mut load = Load {
+            held_millis: self.ledger.held().cpu_millis,
+            ..Load::default()
+        };
+        for worker in self.workers.values() {
+            let entry = self.ledger.worker(worker.index);
+            let Some(entry) = entry.filter(|entry| entry.status == WorkerStatus::Up) else {
+                continue;
+            };
+            load.workers_up += 1;
+            load.workers_avoided += usize::from(worker.health.is_avoided(now));
+            load.capacity_millis += entry.description.capacity.cpu_millis;
+            load.allocated_millis += entry.allocated().cpu_millis;
+        }
+        for (key, stage) in &self.stages {
+            if stage.waiting.is_empty() {
+                continue;
+            }
+            let Some(waiting) = self.waiting(key) else {
+                continue;
+            };
+            load.tasks += stage.waiting.len();
+            load.gangs += usize::from(self.is_gang(key));
+            if ranking::usefulness(&waiting, now) == Usefulness::InTime {
+                load.stages_in_time += 1;
+            } else {
+                load.stages_late += 1;
+            }
+        }
+        load
+    }
+
+    pub(super) fn report_load(&self, now: Instant) {
+        let load = self.load(now);
+        log::info!(
+            epoch = self.epoch, workers_up = load.workers_up,
+            workers_avoided = load.workers_avoided, capacity_millis = load.capacity_millis,
+            allocated_millis = load.allocated_millis, held_millis = load.held_millis,
+            stages_in_time = load.stages_in_time, stages_late = load.stages_late,
+            gangs = load.gangs, tasks = load.tasks, runs = self.runs.len();
+            "load of the cell"
+        );
+        instruments().record_load(
+            load.capacity_millis,
+            load.allocated_millis,
+            load.held_millis,
+            load.tasks as u64,
+        );
+    }
+}
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -8,6 +8,7 @@
 use super::super::spec::TaskKey;
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
+use super::load::LOAD_REPORT_TICKS;
 use super::term::{LiveWorker, RunPhase, Term};
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::{WorkerDescription, WorkerStatus};
@@ -145,9 +146,13 @@
         self.end_lapsed_runs(now);
         self.end_runs_without_worker(now);
         self.repeat_stops(now.at);
-        if self.next_tick().is_multiple_of(FORGET_JOBS_TICKS) {
+        let tick = self.next_tick();
+        if tick.is_multiple_of(FORGET_JOBS_TICKS) {
             self.forget_old_jobs(now.unix_ms);
         }
+        if tick.is_multiple_of(LOAD_REPORT_TICKS) {
+            self.report_load(now.at);
+        }
         self.activate_due_occurrences(now);
         let epoch = self.epoch;
         let mut needed = Vec::new();
