bug: gangs renewed the permits of their workers one after the other

Cause: a gang that gathers room asked the policy only about those of its workers whose permit had expired. An answer takes 550 ms there and a permit is usable for 1,550 ms, so with four workers or more the first had expired before the last was renewed, and the gang asked about one worker every 550 ms for ever, in an idle cell.

Ruled out: a run left in Starting, room that leaked from the ledger (the load line shows nothing held or allocated at the end), a question that was never answered.

All held workers are asked about together once a permit has expired. The test replays it and fails without the change.

--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -210,7 +210,7 @@
         Reply::QueuesReplaced
     }
 
-    fn note_contact(&mut self, contact: HostContact, now: Instant) {
+    pub(super) fn note_contact(&mut self, contact: HostContact, now: Instant) {
         let host = contact.host.clone();
         match self.policy_callers.get_mut(&host) {
             Some(caller) => {
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -86,8 +86,9 @@
         }
     }
 
-    /// Starts a gang whose members all have room and permits; renews permits that have expired once
-    /// most members have room.
+    /// Starts a gang whose members all have room and permits; renews the permits once most members
+    /// have room and one has expired. All are renewed together: one after the other, the first would
+    /// expire again before the last is there.
     fn start_gathered(
         &mut self,
         key: &StageKey,
@@ -102,21 +103,18 @@
         if !needs_permits(held, tasks) {
             return None;
         }
-        let expired: Vec<Unpermitted> = stage
-            .holds
-            .keys()
-            .filter(|worker| has_policy && stage.permits.usable(worker, now.at).is_none())
-            .map(|worker| Unpermitted {
-                worker: worker.clone(),
-                room: 0,
-                known_good: true,
-            })
-            .collect();
-        if !expired.is_empty() {
+        let expires = |worker: &WorkerId| stage.permits.usable(worker, now.at).is_none();
+        if has_policy && stage.holds.keys().any(expires) {
             if now.at < stage.ask_again_at {
                 return None;
             }
-            return self.question(key, expired, now);
+            let held = stage.holds.keys().map(|worker| Unpermitted {
+                worker: worker.clone(),
+                room: 0,
+                known_good: true,
+            });
+            let held = held.collect();
+            return self.question(key, held, now);
         }
         if held < tasks {
             return None;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -133,7 +133,7 @@
         Some(((!this_host).then_some(host), expected))
     }
 
-    fn note_policy_answer(
+    pub(super) fn note_policy_answer(
         &mut self,
         question: &Question,
         sent_at: Instant,
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -2,4 +2,5 @@
 
 mod calls;
 mod fixture;
+mod gangs;
 mod runs;
--- /dev/null
+++ b/src/workflow/placer/tests/gangs.rs
@@ -0,0 +1,103 @@
+//! Gangs of a queue with a placement policy.
+
+use std::time::Duration;
+
+use super::fixture::{Fixture, configuration, stage, task};
+use crate::workflow::calls::{HostContact, PolicyAnswer};
+use crate::workflow::placer::policy::Question;
+use crate::workflow::queues::PlacementPolicy;
+use crate::workflow::spec::{StageKey, StageSpec};
+use crate::workflow::state::WorkflowState;
+
+/// Answer time of the policy as seen by the placer.
+const ANSWER_TIME: Duration = Duration::from_millis(550);
+
+fn key() -> StageKey {
+    task(0).stage
+}
+
+const WORKERS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn spec() -> StageSpec {
+    StageSpec {
+        gang: true,
+        ..stage(5)
+    }
+}
+
+/// A gang that holds room for one member on each of five workers, as it became free.
+fn waiting_gang() -> Fixture {
+    let mut configuration = configuration(3);
+    configuration.queues[0].placement_policy = Some(PlacementPolicy {
+        decision_ms: 400.0,
+        per_worker_ms: 6.0,
+        validity_ms: 2_000,
+    });
+    let mut fixture = Fixture::with_state(WorkflowState {
+        configuration: Some(configuration),
+        ..WorkflowState::default()
+    });
+    let contact = HostContact {
+        host: "10.0.0.1".to_owned(),
+        data_centre: "lowell-yard".to_owned(),
+        stores: true,
+    };
+    fixture.term.note_contact(contact, fixture.now.at);
+    for worker in WORKERS {
+        fixture.announce(worker);
+    }
+    fixture.submit(vec![spec()]);
+    fixture.commit_all();
+    fixture.term.stages[&key()].asking = false;
+    for worker in WORKERS {
+        let held = fixture.term.hold(&key(), &spec(), &worker.to_owned(), 1);
+        assert!(held);
+    }
+    fixture
+}
+
+fn answer(fixture: &mut Fixture, question: &Question) -> Option<Question> {
+    let granted = question.workers.iter();
+    let granted = granted.map(|worker| (worker.clone(), "permit".to_owned()));
+    let answer = PolicyAnswer {
+        granted: granted.collect(),
+        validity_ms: Some(2_000),
+    };
+    let sent_at = fixture.now.at;
+    fixture.pass(ANSWER_TIME);
+    let now = fixture.now;
+    fixture
+        .term
+        .note_policy_answer(question, sent_at, Ok(answer), now)
+}
+
+/// Guards against a gang that renews the permits of its workers one after the other: an answer
+/// takes 550 ms and a permit is usable for 1,550 ms, so that of five the first had expired again
+/// before the last was there, and the gang never started in an idle cell (LOST on trouble-3
+/// --seed 171049560099 and quiet-1 of the Authority).
+#[test]
+fn permits_of_a_gang_are_renewed_together() {
+    let mut fixture = waiting_gang();
+    let stage = &mut fixture.term.stages[&key()];
+    for (position, worker) in WORKERS.into_iter().enumerate() {
+        let expires_at = fixture.now.at + ANSWER_TIME * position as u32;
+        let worker = worker.to_owned();
+        let granted = [(worker.clone(), "permit".to_owned())];
+        stage.permits.record(&[worker], &granted, expires_at);
+    }
+    for _ in 0..30 {
+        fixture.pass(Duration::from_millis(100));
+        let now = fixture.now;
+        let mut question = fixture.term.serve_gang(&key(), true, now);
+        for _ in 0..5 {
+            let Some(asked) = question else {
+                break;
+            };
+            question = answer(&mut fixture, &asked);
+        }
+        if fixture.term.stages[&key()].waiting.is_empty() {
+            return;
+        }
+    }
+    panic!("the gang waits for permits with all its room free");
+}
