bug: jobs on workers that are cut off count as waiting; faster take-over

Runs that no worker has confirmed no longer count. - Answers of the placement policy were kept for a worker that restarted under its id; they hold for one life of it.

--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -42,6 +42,13 @@
     latest_start: Instant,
 }
 
+impl Rank {
+    /// Priority of the queue.
+    pub fn priority(&self) -> u32 {
+        self.priority
+    }
+}
+
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Group {
     /// The most urgent queue while its jobs count at all. They are small: many of them are served
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -4,12 +4,14 @@
 //! since small tasks take each piece of room at once. The gangs that come first keep what becomes
 //! free on their workers until all members have room; others go on with the rest.
 
+use indexmap::IndexMap;
+
 use super::super::spec::StageSpec;
 use super::placing::{Candidate, room};
 
-/// Gangs that gather room at the same time: each leaves up to its own size idle meanwhile. With 8,
-/// four of four days at high load were worth less than with 3.
-pub const MAX_GATHERING_GANGS: usize = 3;
+/// Gangs of one priority that gather room at the same time: each leaves up to its own size idle
+/// meanwhile. With 8, four of four days at high load were worth less than with 3.
+const MAX_GATHERING_GANGS: usize = 3;
 /// Part of its room that a gang has when its permits are renewed, in percent, so that they are
 /// there when the rest is.
 const RENEW_PERMITS_AT_PERCENT: usize = 60;
@@ -17,6 +19,20 @@
 /// it would wait for particular workers.
 const GOOD_WORKERS_FACTOR: usize = 2;
 
+/// Which gangs of a scheduling pass may gather room. Each priority has its own slots: many small
+/// urgent gangs wait for an instant only, and would take those of the large ones.
+#[derive(Clone, Debug, Default)]
+pub struct GatheringSlots(IndexMap<u32, usize>);
+
+impl GatheringSlots {
+    /// Claims a slot for the next gang of a priority, in the order of their ranks.
+    pub fn claim(&mut self, priority: u32) -> bool {
+        let taken = self.0.entry(priority).or_default();
+        *taken += 1;
+        *taken <= MAX_GATHERING_GANGS
+    }
+}
+
 /// Number of further tasks to keep room for on each candidate, in their order. Together they do
 /// not exceed `missing`.
 pub fn gather<T>(spec: &StageSpec, missing: usize, candidates: &[Candidate<'_, T>]) -> Vec<usize> {
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -34,11 +34,11 @@
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Lease of a worker: outlasts an election and the contact with all workers after it.
 const WORKER_LEASE: Duration = Duration::from_secs(6);
-/// Time without an answer after which another storage host stands for election: five heartbeats,
-/// and ten round trips between regions. With 900 ms, a lost placer was replaced after 1.7 s.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(650);
+/// Time without an answer after which another storage host stands for election: four heartbeats,
+/// and seven round trips between regions. With 650 ms, a lost placer was replaced after 1.3 s.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(420);
 /// Interval of calls to followers when there is nothing to send.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(130);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Applied entries after which the log is replaced by a snapshot.
 const MAX_LOG_ENTRIES: u64 = 20_000;
 /// Size of the log at which it is replaced by a snapshot; a quarter of the smallest disk.
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -37,6 +37,9 @@
 
 /// Interval of time-driven steps.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of the look whether this host leads; a part of `TICK_INTERVAL`, since nothing is placed
+/// between an election and the take-over.
+const LEADERSHIP_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which changes are collected before a scheduling pass.
 const SCHEDULING_DELAY: Duration = Duration::from_millis(4);
 /// Threads that send orders to workers; each waits for one answer at a time.
@@ -333,13 +336,17 @@
     }
 
     fn run_timer(self: &Arc<Self>) {
+        let mut next_tick_at = self.clock.now();
         loop {
             self.follow_leadership();
-            let links = self.with_term(None, Term::tick);
-            for (worker, generation) in links.into_iter().flatten() {
-                self.spawn("link", move |placer| placer.run_link(&worker, generation));
+            if self.clock.now() >= next_tick_at {
+                next_tick_at = self.clock.now() + TICK_INTERVAL;
+                let links = self.with_term(None, Term::tick);
+                for (worker, generation) in links.into_iter().flatten() {
+                    self.spawn("link", move |placer| placer.run_link(&worker, generation));
+                }
             }
-            thread::sleep(TICK_INTERVAL);
+            thread::sleep(LEADERSHIP_INTERVAL);
         }
     }
 
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::Sender;
+use indexmap::IndexMap;
 
 use super::super::calls::{Call, HostContact, Reply};
 use super::super::decisions::admission::{self, Admission, Backlog};
@@ -11,9 +12,8 @@
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
 use super::super::spec::WorkflowSpec;
-use super::super::state::WorkflowState;
 use super::policy::INITIAL_TRIP;
-use super::term::{Effect, PolicyCaller, Term};
+use super::term::{Effect, PolicyCaller, RunPhase, Term};
 use super::{Now, Placer};
 use crate::ids::JobId;
 
@@ -28,20 +28,28 @@
             return Reply::NoSuchQueue;
         };
         if rest.is_empty() {
-            return Reply::WaitingJobs(waiting_jobs(&state, &queue.address));
+            let address = queue.address.clone();
+            // The term is locked before the state everywhere.
+            drop(state);
+            return self.count_waiting_jobs(&address);
         }
         match state.jobs.get(rest) {
             Some(job) => Reply::Progress(job.phase),
             None => Reply::NoSuchJob,
         }
     }
-}
 
-fn waiting_jobs(state: &WorkflowState, queue: &QueueAddress) -> u64 {
-    let jobs = state.jobs.values();
-    let waiting =
-        jobs.filter(|job| job.is_open() && job.queue.address == *queue && !job.has_begun());
-    waiting.count() as u64
+    fn count_waiting_jobs(&self, queue: &QueueAddress) -> Reply {
+        let unseen = self.lock().as_ref().map(Term::unseen_runs);
+        let unseen = unseen.unwrap_or_default();
+        let state = self.committed.state.lock().unwrap();
+        let jobs = state.jobs.iter();
+        let open = jobs.filter(|(_, job)| job.is_open() && job.queue.address == *queue);
+        let waiting = open.filter(|(id, job)| {
+            job.begun_tasks() <= unseen.get(id.as_str()).copied().unwrap_or_default()
+        });
+        Reply::WaitingJobs(waiting.count() as u64)
+    }
 }
 
 impl Term {
@@ -81,6 +89,24 @@
         }
     }
 
+    /// Runs for each job that were placed but that their worker has not confirmed: a worker that is
+    /// cut off may never start them.
+    pub(super) fn unseen_runs(&self) -> IndexMap<JobId, usize> {
+        let mut unseen = IndexMap::new();
+        for (task, run) in &self.runs {
+            let reachable = self
+                .workers
+                .get(&run.worker)
+                .is_some_and(|worker| worker.reachable);
+            // Runs of an earlier leader were mostly confirmed to it; their worker will tell soon.
+            if run.seen || (run.phase == RunPhase::Unresolved && reachable) {
+                continue;
+            }
+            *unseen.entry(task.stage.job.clone()).or_default() += 1;
+        }
+        unseen
+    }
+
     fn submit(&mut self, target: &QueueAddress, spec: WorkflowSpec, now: Now) -> Reply {
         let Some(configuration) = &self.state.configuration else {
             return Reply::NotConfigured;
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -174,6 +174,7 @@
         );
         match answer.outcome {
             OrderOutcome::Done => {
+                run.seen = true;
                 run.phase = RunPhase::Running {
                     confirmed_at: now.at,
                 };
@@ -185,7 +186,15 @@
                     ordered_at: now.at,
                 };
             }
-            OrderOutcome::OtherIncarnation | OrderOutcome::Fenced => {}
+            // The address has a new owner, or a later placer leads: the run never started here. An
+            // earlier attempt of the order may have reached the worker that was meant, which its
+            // lists or its lapsed lease will tell.
+            OrderOutcome::OtherIncarnation | OrderOutcome::Fenced => {
+                run.phase = RunPhase::Stopping {
+                    confirmed_at: Some(now.at),
+                    ordered_at: now.at,
+                };
+            }
             OrderOutcome::PermitInvalid => {
                 if let Some(stage) = self.stages.get_mut(&order.task.stage) {
                     stage.permits.forget(&order.worker);
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -290,6 +290,7 @@
                 strays.push((listed.task.clone(), listed.run));
                 continue;
             };
+            run.seen = true;
             if matches!(run.phase, RunPhase::Unresolved | RunPhase::Starting) {
                 run.phase = RunPhase::Running { confirmed_at: now };
             }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -3,7 +3,7 @@
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
-use super::super::decisions::reservations::MAX_GATHERING_GANGS;
+use super::super::decisions::reservations::GatheringSlots;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
@@ -46,20 +46,31 @@
             order.push((ranking::rank(&waiting, now.at), key.clone()));
         }
         order.sort_by_key(|(rank, _)| *rank);
-        let mut gathering = 0;
+        let mut slots = GatheringSlots::default();
         let mut questions = Vec::new();
-        for (_, key) in order {
+        for (rank, key) in order {
             if !self.is_gang(&key) {
                 questions.extend(self.serve_stage(&key, now));
                 continue;
             }
-            let may_gather = gathering < MAX_GATHERING_GANGS;
-            gathering += 1;
+            if !self.is_whole(&key) {
+                continue;
+            }
+            let may_gather = slots.claim(rank.priority());
             questions.extend(self.serve_gang(&key, may_gather, now));
         }
         questions
     }
 
+    /// Whether all members of a gang wait; until then it can't be placed.
+    fn is_whole(&self, key: &StageKey) -> bool {
+        let job = self.state.jobs.get(&key.job);
+        let spec = job.and_then(|job| job.stage_spec(key.stage));
+        let stage = self.stages.get(key);
+        spec.zip(stage)
+            .is_some_and(|(spec, stage)| stage.waiting.len() >= spec.task_count as usize)
+    }
+
     /// What decides the rank of a stage.
     pub(super) fn waiting(&self, key: &StageKey) -> Option<Waiting> {
         let stage = self.stages.get(key)?;
@@ -239,6 +250,7 @@
                     run,
                     worker: choice.worker.clone(),
                     phase: RunPhase::Starting,
+                    seen: false,
                     placed_at: now.at,
                 },
             );
@@ -379,7 +391,9 @@
         let Some(stage) = self.stages.get_mut(key) else {
             return;
         };
-        stage.holds.shift_remove(worker);
+        if stage.holds.shift_remove(worker).is_none() {
+            return;
+        }
         if let Some(worker) = self.workers.get(worker) {
             self.ledger.release(worker.index, &hold_name(key));
         }
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -98,6 +98,7 @@
                 run,
                 worker: worker.clone(),
                 phase: RunPhase::Unresolved,
+                seen: false,
                 placed_at: now,
             };
             self.runs.insert(task.clone(), live);
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -188,6 +188,8 @@
     pub worker: WorkerId,
     /// What is known of it.
     pub phase: RunPhase,
+    /// Whether the worker has listed it or confirmed its start in this term.
+    pub seen: bool,
     /// When it was placed, or adopted from an earlier leader.
     pub placed_at: Instant,
 }
--- a/src/workflow/placer/tests/calls.rs
+++ b/src/workflow/placer/tests/calls.rs
@@ -4,7 +4,7 @@
 
 use super::super::term::Effect;
 use super::fixture::*;
-use crate::workflow::calls::{Call, CallFailure, Reply};
+use crate::workflow::calls::{Call, CallFailure, OrderOutcome, Reply};
 use crate::workflow::queues::QueueAddress;
 use crate::workflow::records::Record;
 use crate::workflow::spec::WorkflowSpec;
@@ -141,3 +141,42 @@
             .any(|record| matches!(record, Record::QueuesReplaced(_)))
     );
 }
+
+/// Guards against waiting jobs that are missing from the number of waiting ones: their runs were
+/// placed on workers that were cut off and never started them (MIXED on mix --seed 4108665479 of
+/// the Authority: 1 job said to wait, 7 did).
+#[test]
+fn jobs_whose_runs_are_not_confirmed_still_wait() {
+    let mut fixture = Fixture::new();
+    fixture.announce("w");
+    fixture.submit(vec![stage(2)]);
+    fixture.commit_all();
+    assert_eq!(fixture.term.unseen_runs()[JOB], 2);
+    assert_eq!(fixture.term.state.jobs[JOB].begun_tasks(), 2);
+    fixture.answer_starts(OrderOutcome::Done);
+    assert!(fixture.term.unseen_runs().is_empty());
+
+    let mut successor = Fixture::with_state(fixture.term.state);
+    assert_eq!(successor.term.unseen_runs()[JOB], 2);
+    successor.report("w", vec![listed(0, 1), listed(1, 1)], vec![]);
+    assert!(successor.term.unseen_runs().is_empty());
+}
+
+/// Guards against a worker that a stage may not use any more after its restart, although its new
+/// life may be of another kind.
+#[test]
+fn answers_of_the_policy_hold_for_one_life_of_a_worker() {
+    let mut fixture = Fixture::new();
+    fixture.submit(vec![stage(1)]);
+    let key = task(0).stage;
+    let stages = &mut fixture.term.stages;
+    stages[&key]
+        .permits
+        .record(&["w".to_owned()], &[], fixture.now.at);
+    fixture.announce("w");
+    assert!(fixture.term.stages[&key].permits.is_denied("w"));
+    fixture
+        .term
+        .note_heartbeat(heartbeat("w", 2, 1), fixture.now);
+    assert!(!fixture.term.stages[&key].permits.is_known("w"));
+}
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 
 use super::super::records::{Record, RunOutcome};
-use super::super::spec::TaskKey;
+use super::super::spec::{StageKey, TaskKey};
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
 use super::load::LOAD_REPORT_TICKS;
@@ -74,6 +74,7 @@
             }
             if known.record.incarnation < record.incarnation {
                 self.end_runs_on(&id, RunOutcome::Lost, "the worker restarted", now);
+                self.forget_permits(&id);
                 self.workers.shift_remove(&id);
             }
         }
@@ -116,6 +117,7 @@
         let (incarnation, index) = (worker.record.incarnation, worker.index);
         log::info!(worker = id.as_str(), incarnation; "worker left");
         self.end_runs_on(id, RunOutcome::Lost, "the worker left", now);
+        self.forget_permits(id);
         self.workers.shift_remove(id);
         self.ledger.forget(index);
         self.record(Record::WorkerLeft {
@@ -124,6 +126,17 @@
         });
     }
 
+    /// Drops what is known and held for stages on a worker: its next life may be of another kind.
+    fn forget_permits(&mut self, id: &WorkerId) {
+        let keys: Vec<StageKey> = self.stages.keys().cloned().collect();
+        for key in keys {
+            self.release_hold(&key, id);
+            if let Some(stage) = self.stages.get_mut(&key) {
+                stage.permits.forget(id);
+            }
+        }
+    }
+
     fn end_runs_on(&mut self, id: &WorkerId, outcome: RunOutcome, reason: &str, now: Now) {
         let Some(worker) = self.workers.get(id) else {
             return;
--- a/src/workflow/state.rs
+++ b/src/workflow/state.rs
@@ -205,10 +205,12 @@
         self.ended_unix_ms.is_none()
     }
 
-    /// Whether a task has a run or has succeeded. A job whose runs were all lost has not begun.
-    pub fn has_begun(&self) -> bool {
-        let mut tasks = self.stages.iter().flat_map(|stage| &stage.tasks);
-        tasks.any(|task| task.progress != TaskProgress::Waiting)
+    /// Number of tasks that have a run or have succeeded; none when all runs were lost.
+    pub fn begun_tasks(&self) -> usize {
+        let tasks = self.stages.iter().flat_map(|stage| &stage.tasks);
+        tasks
+            .filter(|task| task.progress != TaskProgress::Waiting)
+            .count()
     }
 
     fn position(&self, occurrence: Occurrence, stage: StageIndex) -> usize {
--- a/tests/workflow_state.rs
+++ b/tests/workflow_state.rs
@@ -180,9 +180,9 @@
         accept(vec![stage(1, &[])], None),
         placed(key(0, 0), &[0], 1),
     ]);
-    assert!(state.jobs[JOB].has_begun());
+    assert_eq!(state.jobs[JOB].begun_tasks(), 1);
     state.apply_record(ended(key(0, 0), 0, 1, RunOutcome::NeverStarted));
-    assert!(!state.jobs[JOB].has_begun());
+    assert_eq!(state.jobs[JOB].begun_tasks(), 0);
 }
 
 /// Guards against lasting tasks that use up attempts or end their job.
