feature: gathered room is given out anew by rank; policy asked about all workers at once

Late ones kept the room that they had gathered (50 to 100 of 672 cores) from gangs that could still be in time. Each scheduling pass now returns gathered room and gives it out in the order of the ranks.

--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -21,6 +21,8 @@
 /// Longest queue of questions at one caller: a later question may be more urgent, and workers that
 /// have room now are full by the time of a late answer.
 pub const MAX_QUEUE: Duration = Duration::from_millis(150);
+/// Time of the way to and from a caller, in milliseconds: a round trip between regions.
+const SECOND_TRIP_MS: f64 = 60.0;
 /// Fewest unknown workers in one call.
 const MIN_WORKERS_PER_CALL: usize = 3;
 /// Validity that must remain when a run is placed: its commit and its start order take part of it.
@@ -136,6 +138,30 @@
     pub known_good: bool,
 }
 
+/// Time that a question costs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuestionCost {
+    /// Fixed time of an answer, in milliseconds.
+    pub decision_ms: f64,
+    /// Further time for each worker, in milliseconds.
+    pub per_worker_ms: f64,
+    /// Whether enough callers are free for longer questions.
+    pub callers_are_free: bool,
+}
+
+impl QuestionCost {
+    /// Number of workers to ask about where `needed` of `known` would probably do: all, when that
+    /// takes less time than the second question that a bad guess costs.
+    fn workers_to_ask(&self, needed: usize, known: usize) -> usize {
+        let further = known.saturating_sub(needed) as f64 * self.per_worker_ms;
+        if self.callers_are_free && further <= self.decision_ms + SECOND_TRIP_MS {
+            known
+        } else {
+            needed
+        }
+    }
+}
+
 /// Chooses the workers to ask about for `missing` tasks: known good ones as far as they go, then
 /// unknown ones, those with the most room first. With `whole`, nothing when the tasks cannot all
 /// get room.
@@ -144,6 +170,7 @@
     missing: usize,
     whole: bool,
     share: GoodShare,
+    cost: QuestionCost,
 ) -> Vec<Unpermitted> {
     unpermitted.sort_by_key(|one| (!one.known_good, std::cmp::Reverse(one.room)));
     let rooms: usize = unpermitted.iter().map(|one| one.room).sum();
@@ -165,7 +192,8 @@
         let unknown_rooms: usize = unknown.iter().map(|one| one.room).sum();
         let average_room = (unknown_rooms / unknown.len()).max(1);
         let needed = (missing - covered).div_ceil(average_room);
-        chosen.extend(unknown.into_iter().take(share.workers_to_ask(needed)));
+        let asked = cost.workers_to_ask(share.workers_to_ask(needed), unknown.len());
+        chosen.extend(unknown.into_iter().take(asked));
     }
     chosen.truncate(MAX_WORKERS_PER_CALL);
     chosen
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -55,6 +55,15 @@
         self.start_gathered(key, &spec, has_policy, now)
     }
 
+    /// Returns the room that a gang has gathered, so that each scheduling pass gives it out anew in
+    /// the order of the ranks: a gang that is late would otherwise keep room that one in time needs.
+    pub(super) fn return_gathered_room(&mut self, key: &StageKey) {
+        let asking = self.stages.get(key).is_none_or(|stage| stage.asking);
+        if !asking && self.is_gang(key) {
+            self.release_holds(key);
+        }
+    }
+
     /// Keeps room on good workers as it becomes free.
     fn gather_room(&mut self, key: &StageKey, spec: &StageSpec, now: Now) {
         let Some(job) = self.state.jobs.get(&key.job) else {
@@ -191,8 +200,13 @@
         });
         let share = self.good_shares.get(&job.queue.name).copied();
         let wanted = spec.task_count as usize * 2;
-        let workers =
-            permits::choose_workers(workers.collect(), wanted, false, share.unwrap_or_default());
+        let workers = permits::choose_workers(
+            workers.collect(),
+            wanted,
+            false,
+            share.unwrap_or_default(),
+            self.question_cost(job),
+        );
         if workers.is_empty() {
             return None;
         }
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -6,10 +6,11 @@
 use crossbeam::channel::Receiver;
 
 use super::super::calls::{CallFailure, POLICY_EXTENSION, PolicyAnswer, PolicyQuestion};
-use super::super::decisions::permits::MAX_QUEUE;
+use super::super::decisions::permits::{MAX_QUEUE, QuestionCost};
 use super::super::instruments::instruments;
 use super::super::queues::PlacementPolicy;
 use super::super::spec::StageKey;
+use super::super::state::Job;
 use super::term::{PolicyCaller, Term};
 use super::{Now, POLICY_THREADS, Placer};
 use crate::ids::{Epoch, HostId, WorkerId};
@@ -86,6 +87,17 @@
 }
 
 impl Term {
+    /// Cost of a question about a job of a queue with a policy.
+    pub(super) fn question_cost(&self, job: &Job) -> QuestionCost {
+        let policy = job.queue.placement_policy.as_ref();
+        QuestionCost {
+            decision_ms: policy.map_or(0.0, |policy| policy.decision_ms),
+            per_worker_ms: policy.map_or(0.0, |policy| policy.per_worker_ms),
+            // Half of the callers are near enough for quick questions.
+            callers_are_free: self.open_questions * 2 < self.policy_callers.len(),
+        }
+    }
+
     /// Chooses the host that will have answered first, and books the question there; `None` while
     /// the queues of all hosts are long.
     pub(super) fn choose_policy_caller(
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -46,6 +46,9 @@
             order.push((ranking::rank(&waiting, now.at), key.clone()));
         }
         order.sort_by_key(|(rank, _)| *rank);
+        for (_, key) in &order {
+            self.return_gathered_room(key);
+        }
         let mut slots = GatheringSlots::default();
         let mut questions = Vec::new();
         for (rank, key) in order {
@@ -136,7 +139,13 @@
             let missing = wanted.saturating_sub(held).max(1);
             let share = self.good_shares.get(&job.queue.name);
             let share = share.copied().unwrap_or_default();
-            let workers = permits::choose_workers(unpermitted, missing, spec.gang, share);
+            let workers = permits::choose_workers(
+                unpermitted,
+                missing,
+                spec.gang,
+                share,
+                self.question_cost(job),
+            );
             return if workers.is_empty() {
                 StageDecision::Wait
             } else {
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -234,11 +234,15 @@
     }
 
     pub(super) fn submit(&mut self, stages: Vec<StageSpec>) {
+        self.submit_as(JOB, stages);
+    }
+
+    pub(super) fn submit_as(&mut self, job: &str, stages: Vec<StageSpec>) {
         let (sender, _receiver) = bounded(1);
         let call = Call::Submit {
             target: QueueAddress {
                 host: "shop.example".to_owned(),
-                path_prefix: format!("/plans/{JOB}"),
+                path_prefix: format!("/plans/{job}"),
             },
             spec: Box::new(WorkflowSpec {
                 payload: "plan".to_owned(),
--- a/src/workflow/placer/tests/gangs.rs
+++ b/src/workflow/placer/tests/gangs.rs
@@ -101,3 +101,21 @@
     }
     panic!("the gang waits for permits with all its room free");
 }
+
+/// Guards against a late gang that keeps the room of one that can still be in time: at high load
+/// late gangs held 10% of the cell while others became late in turn.
+#[test]
+fn gangs_in_time_take_the_room_that_late_ones_gathered() {
+    let mut fixture = Fixture::new();
+    fixture.announce("a");
+    let gang = |members| StageSpec {
+        gang: true,
+        ..stage(members)
+    };
+    fixture.submit(vec![gang(5)]);
+    assert_eq!(fixture.term.load(fixture.now.at).held_millis, 4_000);
+    fixture.pass(Duration::from_secs(5));
+    fixture.submit_as("00c0ffee00000002", vec![gang(3)]);
+    fixture.commit_all();
+    assert_eq!(fixture.starts(), 3);
+}
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -6,7 +6,7 @@
 use jujubewinch::workflow::decisions::admission::{self, Admission, Backlog};
 use jujubewinch::workflow::decisions::leases::{ClockReading, lapsed_without_reading};
 use jujubewinch::workflow::decisions::permits::{
-    GoodShare, PERMIT_MARGIN, PermitBook, Unpermitted, choose_workers,
+    GoodShare, PERMIT_MARGIN, PermitBook, QuestionCost, Unpermitted, choose_workers,
 };
 use jujubewinch::workflow::decisions::placing::{Candidate, place};
 use jujubewinch::workflow::decisions::ranking::{Waiting, rank};
@@ -15,6 +15,12 @@
 use jujubewinch::workflow::spec::StageSpec;
 use proptest::prelude::*;
 
+/// A policy for which each further worker counts.
+const SLOW_QUESTION: QuestionCost = QuestionCost {
+    decision_ms: 10.0,
+    per_worker_ms: 100.0,
+    callers_are_free: true,
+};
 const SECOND: Duration = Duration::from_secs(1);
 
 fn waiting(priority: u32, due_at: Instant) -> Waiting {
@@ -189,7 +195,7 @@
         unpermitted("good", 2, true),
         unpermitted("other", 9, false),
     ];
-    let chosen = choose_workers(workers, 2, false, GoodShare::default());
+    let chosen = choose_workers(workers, 2, false, GoodShare::default(), SLOW_QUESTION);
     assert_eq!(chosen, [unpermitted("good", 2, true)]);
 }
 
@@ -197,8 +203,17 @@
 #[test]
 fn nothing_is_asked_for_a_gang_without_room() {
     let workers = vec![unpermitted("one", 2, false), unpermitted("two", 1, true)];
-    assert!(choose_workers(workers.clone(), 4, true, GoodShare::default()).is_empty());
-    assert!(!choose_workers(workers, 3, true, GoodShare::default()).is_empty());
+    assert!(
+        choose_workers(
+            workers.clone(),
+            4,
+            true,
+            GoodShare::default(),
+            SLOW_QUESTION
+        )
+        .is_empty()
+    );
+    assert!(!choose_workers(workers, 3, true, GoodShare::default(), SLOW_QUESTION).is_empty());
 }
 
 /// Guards against too few workers in a question to a strict policy, which costs a second question.
@@ -320,3 +335,22 @@
     let claims: Vec<bool> = (0..5).map(|_| slots.claim(1)).collect();
     assert_eq!(claims, [true, true, true, false, false]);
 }
+
+/// Guards against gangs that learn of their good workers in two or three questions one after the
+/// other, of 600 ms each, where one about all workers takes 750 ms.
+#[test]
+fn all_workers_are_asked_about_when_that_is_quicker_than_a_second_question() {
+    let workers: Vec<Unpermitted> = (0..48)
+        .map(|worker| unpermitted(&format!("w{worker}"), 3, false))
+        .collect();
+    let cost = |callers_are_free| QuestionCost {
+        decision_ms: 440.0,
+        per_worker_ms: 6.3,
+        callers_are_free,
+    };
+    let share = GoodShare::default();
+    let asked = choose_workers(workers.clone(), 16, false, share, cost(true));
+    assert_eq!(asked.len(), 48);
+    let asked = choose_workers(workers, 16, false, share, cost(false));
+    assert!(asked.len() < 30);
+}
