bug: calls waited for a frozen placer after its successor led

Cause: a call waited 1 s for the believed placer, then asked it again because the other storage hosts still named it. An election and a take-over take about 900 ms. The first answer is now awaited for 450 ms, doubled with each call without one, and a host that did not answer is passed over for 250 ms.

The expected time to the end of a job counts two commits, orders and later questions to the policy, so that a job that cannot be in time does not rank as if it could.

--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -14,8 +14,15 @@
 use crate::peer::{CallError, ClusterKeys, PeerClient, PeerClientOptions};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 
-/// Time for the answer of one host; longer than a commit among three regions under load.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for the first answer of one host, doubled with each call without one: three commits among
+/// three regions. A new placer leads about 900 ms after the last one froze; with 1,000 ms, calls
+/// still waited for the frozen one by then.
+const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(450);
+/// Doublings of the time for an answer.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
+/// Time for which a host that did not answer is asked only when no other is known. By then the
+/// others have noticed too, after 630 ms at most, and no longer name it as the placer.
+const SILENT_FOR: Duration = Duration::from_millis(250);
 /// Pause before the next host is asked who leads.
 const NEXT_HOST_PAUSE: Duration = Duration::from_millis(40);
 /// Storage hosts that are remembered beside the seeds.
@@ -39,6 +46,8 @@
     /// Hosts that were named as leaders.
     named: Mutex<IndexSet<HostId>>,
     leader: Mutex<Option<HostId>>,
+    /// Hosts that did not answer, and until when they count as silent.
+    silent_until: Mutex<IndexMap<HostId, Instant>>,
     /// The placer of this host, on storage hosts.
     placer: OnceLock<Arc<Placer>>,
 }
@@ -53,6 +62,7 @@
             clients: Mutex::default(),
             named: Mutex::default(),
             leader: Mutex::new(None),
+            silent_until: Mutex::default(),
             placer: OnceLock::new(),
         }
     }
@@ -111,6 +121,7 @@
     pub fn call(&self, call: &Call, deadline: Instant) -> Result<Reply, Unanswered> {
         let mut unanswered = Unanswered::NotSent;
         let mut attempt = 0;
+        let mut unanswered_attempts = 0;
         let message = match postcard::to_stdvec(call) {
             Ok(message) => message,
             Err(error) => {
@@ -119,18 +130,26 @@
             }
         };
         while Instant::now() < deadline {
-            let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
+            let timeout = FIRST_ATTEMPT_TIMEOUT * (1 << unanswered_attempts);
+            let until = deadline.min(Instant::now() + timeout);
             let local = self
                 .placer()
                 .and_then(|placer| placer.handle(call.clone(), until));
             match local {
-                Some(Reply::Unconfirmed) => unanswered = Unanswered::MayHaveTakenEffect,
+                Some(Reply::Unconfirmed) => {
+                    unanswered = Unanswered::MayHaveTakenEffect;
+                    unanswered_attempts = MAX_TIMEOUT_DOUBLINGS.min(unanswered_attempts + 1);
+                }
                 Some(reply) => return Ok(reply),
                 None => {
                     let host = self.next_host(attempt);
                     match self.ask(&host, message.clone(), until) {
                         Asked::Reply(reply) => return Ok(reply),
-                        Asked::Unconfirmed => unanswered = Unanswered::MayHaveTakenEffect,
+                        Asked::Unconfirmed => {
+                            unanswered = Unanswered::MayHaveTakenEffect;
+                            unanswered_attempts =
+                                MAX_TIMEOUT_DOUBLINGS.min(unanswered_attempts + 1);
+                        }
                         Asked::NotLeader => {}
                     }
                 }
@@ -151,10 +170,25 @@
         let mut hosts: IndexSet<HostId> = self.seeds().into_iter().collect();
         hosts.extend(self.named.lock().unwrap().iter().cloned());
         hosts.shift_remove(&self.own);
+        let answering: IndexSet<HostId> = hosts
+            .iter()
+            .filter(|host| !self.is_silent(host))
+            .cloned()
+            .collect();
+        if !answering.is_empty() {
+            hosts = answering;
+        }
         let position = attempt % hosts.len().max(1);
         hosts.get_index(position).cloned().unwrap_or_default()
     }
 
+    fn is_silent(&self, host: &HostId) -> bool {
+        let silent = self.silent_until.lock().unwrap();
+        silent
+            .get(host)
+            .is_some_and(|until| Instant::now() < *until)
+    }
+
     fn ask(&self, host: &HostId, message: Vec<u8>, deadline: Instant) -> Asked {
         let request = PeerRequest::Extension {
             name: CALL_EXTENSION.to_owned(),
@@ -174,7 +208,9 @@
                 }
             },
             Ok(PeerReply::NotPlacer { placer }) => {
-                match placer.filter(|placer| placer != host) {
+                // Until the election is over, other hosts name the placer that does not answer.
+                let named = placer.filter(|placer| placer != host && !self.is_silent(placer));
+                match named {
                     Some(placer) => self.note_leader(Some(placer)),
                     None => self.forget_leader(host),
                 }
@@ -187,6 +223,11 @@
             Err(error) => {
                 log::debug!(host = host.as_str(); "call failed: {error}");
                 self.forget_leader(host);
+                let until = Instant::now() + SILENT_FOR;
+                self.silent_until
+                    .lock()
+                    .unwrap()
+                    .insert(host.clone(), until);
                 match error {
                     CallError::NotSent { .. } => Asked::NotLeader,
                     CallError::NoReply { .. } => Asked::Unconfirmed,
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -14,6 +14,9 @@
 use crate::protocol::caller::Urgency;
 use crate::scheduling::ledger::Ledger;
 
+/// Time of a run beside its work, in milliseconds: two commits among three regions of 90 ms, the
+/// start order and the report of the end, each up to 60 ms, and the look that shows the end.
+const RUN_OVERHEAD_MS: u64 = 350;
 /// Workers that the objective of a job assumes in a question to the placement policy.
 const OBJECTIVE_POLICY_WORKERS: f64 = 30.0;
 
@@ -169,27 +172,34 @@
     }
 }
 
-fn objective(job: &super::super::state::Job) -> Duration {
-    let policy_ms = job.queue.placement_policy.as_ref().map_or(0.0, |policy| {
+/// Time of a question to the placement policy of a job, in milliseconds.
+fn policy_ms(job: &super::super::state::Job) -> f64 {
+    job.queue.placement_policy.as_ref().map_or(0.0, |policy| {
         policy.decision_ms + policy.per_worker_ms * OBJECTIVE_POLICY_WORKERS
-    });
-    let chain_ms = job.spec.critical_path_ms() as f64 + policy_ms * job.spec.stages.len() as f64;
+    })
+}
+
+fn objective(job: &super::super::state::Job) -> Duration {
+    let chain_ms =
+        job.spec.critical_path_ms() as f64 + policy_ms(job) * job.spec.stages.len() as f64;
     let slack_ms = chain_ms * job.queue.slack_factor;
     Duration::from_millis(slack_ms as u64 + job.queue.target_latency_ms)
 }
 
-/// Declared run time of a stage and the longest chain that depends on it.
+/// Expected time from the placement of a stage to the recorded end of the longest chain that
+/// depends on it.
 fn remaining(job: &super::super::state::Job, stage: u32) -> Duration {
     let stages = &job.spec.stages;
+    let policy_ms = policy_ms(job) as u64;
     let mut longest = vec![0_u64; stages.len()];
     for index in (0..stages.len()).rev() {
         let after = stages.iter().enumerate().skip(index + 1);
         let dependents = after.filter(|(_, other)| other.depends_on.contains(&(index as u32)));
         let behind = dependents
-            .map(|(other, _)| longest[other])
+            .map(|(other, _)| longest[other] + policy_ms)
             .max()
             .unwrap_or(0);
-        longest[index] = stages[index].estimate_ms + behind;
+        longest[index] = stages[index].estimate_ms + RUN_OVERHEAD_MS + behind;
     }
     Duration::from_millis(longest.get(stage as usize).copied().unwrap_or(0))
 }
