feature: workers whose runs stand still get nothing new

Workers report the progress of their runs; it is decoded now. A run without progress for 1 s, or for a twentieth of its declared time, marks its worker for 1.5 s, renewed with each report; runs of at most 3 s are stopped and started elsewhere. Members of gangs are no evidence, since they stand still when another worker does.

The test fails without the change.

--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -190,6 +190,8 @@
     pub run: RunNumber,
     /// Latest checkpoint; empty for none.
     pub checkpoint: String,
+    /// Work that is done, in percent; `None` where the worker does not tell.
+    pub progress_percent: Option<u8>,
 }
 
 /// An end that a worker lists.
--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -4,6 +4,7 @@
 pub mod leases;
 pub mod permits;
 pub mod placing;
+pub mod progress;
 pub mod ranking;
 pub mod replicas;
 pub mod reservations;
--- a/src/workflow/decisions/worker_health.rs
+++ b/src/workflow/decisions/worker_health.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::progress::STILL_WORKER_AVOIDANCE;
+
 /// Failures in a row after which a worker is left out; a sound worker fails one run in 200.
 const FAILURES_TO_AVOID: u32 = 2;
 /// First time for which a worker is left out.
@@ -25,6 +27,8 @@
 pub struct WorkerHealth {
     failures_in_a_row: u32,
     avoided_until: Option<Instant>,
+    /// Its runs stand still; it needs no probe, since their progress shows when it goes on.
+    still_until: Option<Instant>,
     slowness: f64,
 }
 
@@ -33,6 +37,7 @@
         Self {
             failures_in_a_row: 0,
             avoided_until: None,
+            still_until: None,
             slowness: 1.0,
         }
     }
@@ -61,9 +66,17 @@
         self.avoided_until = Some(now + pause);
     }
 
+    /// Takes note that its runs stand still; returns whether that is new.
+    pub fn record_stall(&mut self, now: Instant) -> bool {
+        let is_new = self.still_until.is_none_or(|until| until < now);
+        self.still_until = Some(now + STILL_WORKER_AVOIDANCE);
+        is_new
+    }
+
     /// Whether new runs should go elsewhere.
     pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoided_until.is_some_and(|until| now < until)
+        let until = self.avoided_until.max(self.still_until);
+        until.is_some_and(|until| now < until)
     }
 
     /// Whether the next run is a probe after failures.
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -10,6 +10,7 @@
     CallFailure, ListedEnd, ListedRun, RenewOrder, WorkerReport, WorkerTarget,
 };
 use super::super::decisions::leases::ClockReading;
+use super::super::decisions::progress::{Progress, RESTARTED_RUN_TIME};
 use super::super::records::{RunNumber, RunOutcome};
 use super::super::spec::TaskKey;
 use super::term::{Effect, Order, OrderKind, RunPhase, Term};
@@ -186,6 +187,7 @@
         self.note_clock(worker, Some(report.clock_ms), now.at);
         self.note_ends(worker, &report.ends, now);
         self.note_running(worker, &report.running, now.at);
+        self.note_stalls(worker, now.at);
         if report.complete {
             self.note_absent(worker, renewal.sent_at, &report, now);
         }
@@ -294,6 +296,11 @@
             if matches!(run.phase, RunPhase::Unresolved | RunPhase::Starting) {
                 run.phase = RunPhase::Running { confirmed_at: now };
             }
+            if let Some(percent) = listed.progress_percent {
+                run.progress
+                    .get_or_insert(Progress::new(percent, now))
+                    .note(percent, now);
+            }
         }
         for (task, run) in strays {
             self.stop_stray(worker, task, run, now);
@@ -301,6 +308,46 @@
         self.stop_adopted_runs_of_ended_jobs(worker, now);
     }
 
+    /// Leaves out a worker whose runs stand still, and starts short ones again elsewhere.
+    fn note_stalls(&mut self, worker: &WorkerId, now: Instant) {
+        let Some(live) = self.workers.get(worker) else {
+            return;
+        };
+        let mut still = Vec::new();
+        for task in &live.runs {
+            let Some(run) = self.runs.get(task) else {
+                continue;
+            };
+            let job = self.state.jobs.get(&task.stage.job);
+            let Some(spec) = job.and_then(|job| job.stage_spec(task.stage.stage)) else {
+                continue;
+            };
+            let (RunPhase::Running { .. }, Some(progress)) = (run.phase, &run.progress) else {
+                continue;
+            };
+            let run_time = Duration::from_millis(spec.estimate_ms);
+            // A member of a gang stands still when the worker of another one does; lasting tasks
+            // have no end to work towards.
+            if !spec.lasting && !spec.gang && progress.stands_still(run_time, now) {
+                still.push((task.clone(), run_time <= RESTARTED_RUN_TIME));
+            }
+        }
+        if still.is_empty() {
+            return;
+        }
+        let runs = live.runs.len();
+        if let Some(live) = self.workers.get_mut(worker)
+            && live.health.record_stall(now)
+        {
+            log::warn!(worker = worker.as_str(), still = still.len(), runs; "runs stand still; the worker gets no new ones");
+        }
+        for (task, restart) in still {
+            if restart {
+                self.stop_run(&task, now);
+            }
+        }
+    }
+
     /// Stops a run that nobody wants: a start order that was carried out late.
     fn stop_stray(&mut self, worker: &WorkerId, task: TaskKey, run: RunNumber, now: Instant) {
         let key = (task.clone(), run);
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -260,6 +260,7 @@
                     worker: choice.worker.clone(),
                     phase: RunPhase::Starting,
                     seen: false,
+                    progress: None,
                     placed_at: now.at,
                 },
             );
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -102,6 +102,7 @@
                 worker: worker.clone(),
                 phase: RunPhase::Unresolved,
                 seen: false,
+                progress: None,
                 placed_at: now,
             };
             self.runs.insert(task.clone(), live);
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -9,6 +9,7 @@
 use super::super::calls::{HostContact, Reply};
 use super::super::decisions::leases::{ClockReading, lapsed_without_reading};
 use super::super::decisions::permits::{GoodShare, PermitBook};
+use super::super::decisions::progress::Progress;
 use super::super::decisions::worker_health::WorkerHealth;
 use super::super::records::{Batch, Record, RunNumber};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
@@ -190,6 +191,8 @@
     pub phase: RunPhase,
     /// Whether the worker has listed it or confirmed its start in this term.
     pub seen: bool,
+    /// Progress that its worker reports, once it has.
+    pub progress: Option<Progress>,
     /// When it was placed, or adopted from an earlier leader.
     pub placed_at: Instant,
 }
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -117,6 +117,7 @@
         task: task(index),
         run,
         checkpoint: String::new(),
+        progress_percent: None,
     }
 }
 
--- a/src/workflow/placer/tests/runs.rs
+++ b/src/workflow/placer/tests/runs.rs
@@ -4,7 +4,7 @@
 
 use super::super::term::{OrderKind, RunPhase};
 use super::fixture::*;
-use crate::workflow::calls::{Call, CallFailure, OrderAnswer, OrderOutcome};
+use crate::workflow::calls::{Call, CallFailure, ListedRun, OrderAnswer, OrderOutcome};
 use crate::workflow::queues::QueueAddress;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::state::JobPhase;
@@ -236,3 +236,33 @@
     );
     assert!(fixture.orders.is_empty(), "the wanted run goes on");
 }
+
+/// Guards against work for a worker whose runs stand still: it answers and looks free, and short
+/// tasks there ended after three times their objective (trouble-1 of Tuul, workers that hang).
+#[test]
+fn a_worker_whose_runs_stand_still_gets_nothing_new() {
+    let mut fixture = Fixture::running_on_w();
+    let at = |percent| ListedRun {
+        progress_percent: Some(percent),
+        ..listed(0, 1)
+    };
+    for percent in [10, 40, 60] {
+        fixture.pass(Duration::from_millis(1_000));
+        fixture.report("w", vec![at(percent)], vec![]);
+    }
+    fixture.commit_all();
+    assert!(fixture.orders.is_empty(), "it makes progress");
+    fixture.pass(Duration::from_millis(1_000));
+    fixture.report("w", vec![at(60)], vec![]);
+    fixture.commit_all();
+    assert_eq!(fixture.orders[0].kind, OrderKind::Stop);
+    fixture.announce("x");
+    fixture.submit_as("00c0ffee00000002", vec![stage(2)]);
+    fixture.commit_all();
+    let starts = fixture
+        .orders
+        .iter()
+        .filter(|order| order.kind != OrderKind::Stop);
+    let workers: Vec<&str> = starts.map(|order| order.worker.as_str()).collect();
+    assert_eq!(workers, ["x", "x"]);
+}
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -9,6 +9,7 @@
     GoodShare, PERMIT_MARGIN, PermitBook, QuestionCost, Unpermitted, choose_workers,
 };
 use jujubewinch::workflow::decisions::placing::{Candidate, place};
+use jujubewinch::workflow::decisions::progress::Progress;
 use jujubewinch::workflow::decisions::ranking::{Waiting, rank};
 use jujubewinch::workflow::decisions::reservations::GatheringSlots;
 use jujubewinch::workflow::decisions::worker_health::WorkerHealth;
@@ -354,3 +355,17 @@
     let asked = choose_workers(workers, 16, false, share, cost(false));
     assert!(asked.len() < 30);
 }
+
+/// Guards against long runs that count as standing still because a percent of them takes longer
+/// than the interval of the reports.
+#[test]
+fn runs_stand_still_after_a_time_that_their_length_explains() {
+    let start = Instant::now();
+    let mut progress = Progress::new(0, start);
+    progress.note(30, start + SECOND);
+    assert!(!progress.stands_still(SECOND, start + 3 * SECOND / 2));
+    progress.note(30, start + 2 * SECOND);
+    assert!(progress.stands_still(SECOND, start + 2 * SECOND));
+    assert!(!progress.stands_still(60 * SECOND, start + 3 * SECOND));
+    assert!(progress.stands_still(60 * SECOND, start + 4 * SECOND));
+}
