feature: gangs are served newest first while many are late

Served by their latest start, each began when its slack was used up; estimates are wrong by half, so that it then ended late, for a fifth of its worth. From three late gangs on, gangs that can be in time are served newest first.

--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -4,6 +4,7 @@
 //! objective come first, the queue's priority decides among them, and jobs that are too late to
 //! count come last, so that they do not make further jobs late.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 /// Multiple of its objective after which the end of a job no longer counts.
@@ -31,6 +32,8 @@
     pub objective: Duration,
     /// Expected run time of the rest.
     pub remaining: Duration,
+    /// Whether jobs of its kind are served newest first, since too many are late already.
+    pub newest_first: bool,
 }
 
 /// Sorts waiting stages; smaller comes first.
@@ -39,7 +42,14 @@
     group: Group,
     priority: u32,
     usefulness: Usefulness,
-    latest_start: Instant,
+    turn: Turn,
+}
+
+/// Order among jobs of equal rank otherwise.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Turn {
+    LatestStart(Instant),
+    NewestFirst(Reverse<Instant>),
 }
 
 impl Rank {
@@ -84,12 +94,17 @@
         Usefulness::InTime => waiting.due_at + waiting.objective,
         Usefulness::Late | Usefulness::TooLate => waiting.due_at + waiting.objective * LATE_FACTOR,
     };
+    let latest_start = latest_end
+        .checked_sub(waiting.remaining)
+        .unwrap_or(waiting.due_at);
     Rank {
         group,
         priority: waiting.priority,
         usefulness,
-        latest_start: latest_end
-            .checked_sub(waiting.remaining)
-            .unwrap_or(waiting.due_at),
+        turn: if waiting.newest_first && usefulness == Usefulness::InTime {
+            Turn::NewestFirst(Reverse(waiting.due_at))
+        } else {
+            Turn::LatestStart(latest_start)
+        },
     }
 }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -2,7 +2,7 @@
 
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
-use super::super::decisions::ranking::{self, Rank, Waiting};
+use super::super::decisions::ranking::{self, Rank, Usefulness, Waiting};
 use super::super::decisions::reservations::GatheringSlots;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
@@ -15,6 +15,9 @@
 use crate::protocol::caller::Urgency;
 use crate::scheduling::ledger::{Allocation, Purpose, WorkerStatus};
 
+/// Late gangs from which on gangs are served newest first: as many as gather room at a time.
+const MANY_LATE_GANGS: usize = 3;
+
 /// A worker that is chosen for a task.
 pub(super) struct Choice {
     pub task: TaskIndex,
@@ -35,6 +38,7 @@
 impl Term {
     /// Places what has room; returns questions to the placement policy.
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
+        let mut late_gangs = 0;
         let mut order: Vec<(Rank, StageKey)> = Vec::new();
         for (key, stage) in &self.stages {
             if stage.waiting.is_empty() {
@@ -43,8 +47,11 @@
             let Some(waiting) = self.waiting(key) else {
                 continue;
             };
+            let late = ranking::usefulness(&waiting, now.at) != Usefulness::InTime;
+            late_gangs += usize::from(late && self.is_gang(key));
             order.push((ranking::rank(&waiting, now.at), key.clone()));
         }
+        self.late_gangs = late_gangs;
         order.sort_by_key(|(rank, _)| *rank);
         for (_, key) in &order {
             self.return_gathered_room(key);
@@ -83,6 +90,7 @@
             due_at: stage.due_at,
             objective: stage.objective,
             remaining: stage.remaining,
+            newest_first: self.late_gangs >= MANY_LATE_GANGS && self.is_gang(key),
         })
     }
 
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -44,6 +44,7 @@
             workers: IndexMap::new(),
             stages: IndexMap::new(),
             runs: IndexMap::new(),
+            late_gangs: 0,
             good_shares: IndexMap::new(),
             policy_callers: IndexMap::new(),
             open_questions: 0,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -51,6 +51,8 @@
     pub stages: IndexMap<StageKey, LiveStage>,
     /// Runs that may exist on a worker.
     pub runs: IndexMap<TaskKey, LiveRun>,
+    /// Waiting gangs that were late in the last scheduling pass.
+    pub late_gangs: usize,
     /// Learned share of workers that the policy of a queue allows.
     pub good_shares: IndexMap<String, GoodShare>,
     /// Hosts that can call the placement policy.
--- a/src/workflow/placer/tests/gangs.rs
+++ b/src/workflow/placer/tests/gangs.rs
@@ -6,7 +6,8 @@
 use crate::workflow::calls::{HostContact, PolicyAnswer};
 use crate::workflow::placer::policy::Question;
 use crate::workflow::queues::PlacementPolicy;
-use crate::workflow::spec::{StageKey, StageSpec};
+use crate::workflow::records::RunOutcome;
+use crate::workflow::spec::{StageKey, StageSpec, TaskKey};
 use crate::workflow::state::WorkflowState;
 
 /// Answer time of the policy as seen by the placer.
@@ -119,3 +120,37 @@
     fixture.commit_all();
     assert_eq!(fixture.starts(), 3);
 }
+
+/// Replays a lasting overload: gangs arrive twice as fast as the cell can run them, and run 0.6 times
+/// longer than declared. By their latest start, each began just in time for the declared run time
+/// and ended late; served newest first, half are in time.
+#[test]
+fn half_of_the_gangs_are_in_time_at_twice_the_load() {
+    let mut fixture = Fixture::new();
+    fixture.announce("a");
+    let gang = StageSpec {
+        gang: true,
+        ..stage(4)
+    };
+    let run_time = Duration::from_millis(1_600);
+    let mut in_time = 0;
+    for second in 0..40 {
+        for half in 0..2 {
+            fixture.submit_as(&format!("gang{second}x{half}"), vec![gang.clone()]);
+            fixture.pass(run_time / 2);
+        }
+        let running: Vec<TaskKey> = fixture.term.runs.keys().cloned().collect();
+        for task in &running {
+            let job = &fixture.term.state.jobs[&task.stage.job];
+            let took_ms = fixture.now.unix_ms - job.accepted_unix_ms;
+            in_time += usize::from(task.index == 0 && took_ms <= 3_000);
+            let now = fixture.now;
+            fixture
+                .term
+                .finish_run(task, RunOutcome::Succeeded, String::new(), now);
+        }
+        fixture.term.schedule(fixture.now);
+        fixture.commit_all();
+    }
+    assert!(in_time >= 30, "{in_time} of 80 gangs were in time");
+}
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -30,6 +30,7 @@
         due_at,
         objective: 3 * SECOND,
         remaining: SECOND,
+        newest_first: false,
     }
 }
 
@@ -369,3 +370,22 @@
     assert!(!progress.stands_still(60 * SECOND, start + 3 * SECOND));
     assert!(progress.stands_still(60 * SECOND, start + 4 * SECOND));
 }
+
+/// Guards against an overload in which each gang is started just too late: served by their latest
+/// start, all had used up their slack when their turn came.
+#[test]
+fn gangs_are_served_newest_first_while_many_are_late() {
+    let now = Instant::now() + 100 * SECOND;
+    let ranked = |age, newest_first| {
+        let gang = Waiting {
+            newest_first,
+            ..waiting(1, now - age)
+        };
+        rank(&gang, now)
+    };
+    let (older, newer) = (3 * SECOND / 2, SECOND);
+    assert!(ranked(older, false) < ranked(newer, false));
+    assert!(ranked(newer, true) < ranked(older, true));
+    let late = 4 * SECOND;
+    assert!(ranked(older, true) < ranked(late, true));
+}
