refactor: one loader for settings files

The settings of a cell's host had their own reader, error type and option, beside those of the entry host. Both now go through options/file.rs; faults of a cell's settings name line and key like the others, which a test checks. What is accepted and refused is unchanged, only the words of a refusal are those of the entry host's.

--- a/src/options.rs
+++ b/src/options.rs
@@ -1,9 +1,11 @@
 //! Command-line arguments and settings file.
 
 pub mod arguments;
+pub mod file;
 mod position;
 mod ranges;
 pub mod security;
 pub mod settings;
 
-pub use settings::{Settings, SettingsError};
+pub use file::SettingsError;
+pub use settings::Settings;
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -1,16 +1,14 @@
 //! Settings file of an entry host, in TOML.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
+use super::file::{self, Fault, SettingsError};
+use super::ranges;
 use super::security::decode_hex;
-use super::{position, ranges};
-
 use crate::configuration::digest::Sha256Digest;
 use crate::ids::{DataCentreName, HostId, RegionName};
 use crate::scheduling::request_queue::policy::RequestPolicyName;
@@ -215,43 +213,6 @@
     }
 }
 
-/// A settings file that cannot be used.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("cannot read {file}: {reason}")]
-    Unreadable {
-        /// Path of the file.
-        file: String,
-        /// What the operating system reported.
-        reason: String,
-    },
-    /// The file is not valid TOML or has an unknown key or a value of the wrong type.
-    #[error("{file}, line {line}: {key}: {reason}")]
-    Malformed {
-        /// Path of the file.
-        file: String,
-        /// Line of the fault, counted from one.
-        line: usize,
-        /// Dotted key, or the words of the line when it is not TOML.
-        key: String,
-        /// What is wrong.
-        reason: String,
-    },
-    /// Two values contradict each other or a value is out of range.
-    #[error("{file}, line {line}: {key}: {reason}")]
-    Contradiction {
-        /// Path of the file.
-        file: String,
-        /// Line of the key, counted from one; that of its table when the key is absent.
-        line: usize,
-        /// Dotted key.
-        key: String,
-        /// What is wrong and what to do.
-        reason: String,
-    },
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -259,12 +220,7 @@
     ///
     /// [`SettingsError`] with file, line and key.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let file = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
-            file: file.clone(),
-            reason: error.to_string(),
-        })?;
-        Self::parse(&text, &file)
+        file::load(path, Self::check)
     }
 
     /// Parses and checks the text of a settings file; `file` is used in messages.
@@ -273,24 +229,7 @@
     ///
     /// [`SettingsError`] with file, line and key.
     pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|error| {
-            let offset = error.span().map_or(0, |span| span.start);
-            SettingsError::Malformed {
-                file: file.to_owned(),
-                line: position::line_of_offset(text, offset),
-                key: position::key_of_fault(text, offset, error.message()),
-                reason: error.message().trim_end().to_owned(),
-            }
-        })?;
-        settings
-            .check()
-            .map_err(|fault| SettingsError::Contradiction {
-                file: file.to_owned(),
-                line: position::line_of_key(text, &fault.key),
-                key: fault.key,
-                reason: fault.reason,
-            })?;
-        Ok(settings)
+        file::parse(text, file, Self::check)
     }
 
     /// The entry of this host in the cell.
@@ -386,7 +325,7 @@
                 .iter()
                 .any(|earlier| earlier.id == host.id)
             {
-                return Err(Fault::of_host(
+                return Err(host_fault(
                     position,
                     "id",
                     &format!("host {} appears twice", host.id),
@@ -397,18 +336,18 @@
                 .any(|earlier| earlier.peers == host.peers)
             {
                 let reason = format!("address {} appears twice", host.peers);
-                return Err(Fault::of_host(position, "peers", &reason));
+                return Err(host_fault(position, "peers", &reason));
             }
             if host.id.trim().is_empty() {
-                return Err(Fault::of_host(position, "id", "is empty"));
+                return Err(host_fault(position, "id", "is empty"));
             }
             if host.data_centre.is_empty() || host.data_centre.contains('.') {
                 let reason = format!("data centre {:?} is empty or has a dot", host.data_centre);
-                return Err(Fault::of_host(position, "data_centre", &reason));
+                return Err(host_fault(position, "data_centre", &reason));
             }
             if host.witness_for.as_ref() == Some(&host.data_centre) {
                 let reason = format!("host {} is a witness for its own data centre", host.id);
-                return Err(Fault::of_host(position, "witness_for", &reason));
+                return Err(host_fault(position, "witness_for", &reason));
             }
         }
         self.check_witnesses()?;
@@ -437,28 +376,14 @@
             };
             if !names.contains(witnessed) {
                 let reason = format!("no host is in data centre {witnessed}");
-                return Err(Fault::of_host(position, "witness_for", &reason));
+                return Err(host_fault(position, "witness_for", &reason));
             }
         }
         Ok(())
     }
 }
 
-struct Fault {
-    key: String,
-    reason: String,
-}
-
-impl Fault {
-    /// A fault in one of the hosts of the cell.
-    fn of_host(position: usize, field: &str, reason: &str) -> Self {
-        Self::new(&format!("cell.hosts[{position}].{field}"), reason)
-    }
-
-    fn new(key: &str, reason: &str) -> Self {
-        Self {
-            key: key.to_owned(),
-            reason: reason.to_owned(),
-        }
-    }
+/// A fault in one of the hosts of the cell.
+fn host_fault(position: usize, field: &str, reason: &str) -> Fault {
+    Fault::new(&format!("cell.hosts[{position}].{field}"), reason)
 }
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -1,14 +1,13 @@
 //! Settings file of a host that schedules workflows, in TOML.
 
-use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::Deserialize;
-use thiserror::Error;
 
 use crate::ids::{DataCentreName, HostId};
+use crate::options::file::{self, Fault, SettingsError};
 
 /// Settings of one host.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -95,83 +94,42 @@
     pub address: Option<SocketAddr>,
 }
 
-/// A settings file that cannot be used.
-#[derive(Debug, Error)]
-pub enum WorkflowSettingsError {
-    /// It cannot be read.
-    #[error("cannot read {path}: {reason}")]
-    Unreadable {
-        /// File.
-        path: String,
-        /// What the operating system reported.
-        reason: String,
-    },
-    /// It is not TOML, or a key is missing, unknown or of another type.
-    #[error("{path}: {reason}")]
-    Malformed {
-        /// File.
-        path: String,
-        /// What the library reported, with the line.
-        reason: String,
-    },
-    /// A value is out of its range.
-    #[error("{path}: {key}: {reason}")]
-    Invalid {
-        /// File.
-        path: String,
-        /// Dotted key.
-        key: &'static str,
-        /// What is wrong.
-        reason: &'static str,
-    },
-}
-
 impl WorkflowSettings {
     /// Reads and checks a file.
     ///
     /// # Errors
     ///
-    /// [`WorkflowSettingsError`].
-    pub fn load(path: &Path) -> Result<Self, WorkflowSettingsError> {
-        let name = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|error| WorkflowSettingsError::Unreadable {
-            path: name.clone(),
-            reason: error.to_string(),
-        })?;
-        Self::parse(&name, &text)
+    /// [`SettingsError`] with file, line and key.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        file::load(path, Self::check)
     }
 
-    /// Parses and checks a text; `path` is named in errors.
+    /// Parses and checks a text; `file` is used in messages.
     ///
     /// # Errors
     ///
-    /// [`WorkflowSettingsError`].
-    pub fn parse(path: &str, text: &str) -> Result<Self, WorkflowSettingsError> {
-        let settings: Self =
-            toml::from_str(text).map_err(|error| WorkflowSettingsError::Malformed {
-                path: path.to_owned(),
-                reason: error.to_string(),
-            })?;
-        let invalid = |key, reason| {
-            Err(WorkflowSettingsError::Invalid {
-                path: path.to_owned(),
-                key,
-                reason,
-            })
-        };
-        if settings.timing.max_worker_lease_ms == 0 {
-            return invalid("timing.max_worker_lease_ms", "must be at least 1");
+    /// [`SettingsError`] with file, line and key.
+    pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
+        file::parse(text, file, Self::check)
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        if self.timing.max_worker_lease_ms == 0 {
+            return Err(Fault::new(
+                "timing.max_worker_lease_ms",
+                "must be at least 1",
+            ));
         }
-        if settings.cell.seeds.is_empty() {
-            return invalid("cell.seeds", "must name a host");
+        if self.cell.seeds.is_empty() {
+            return Err(Fault::new("cell.seeds", "must name a host"));
         }
-        if settings.listeners.callers.is_some() && settings.listeners.readiness.is_none() {
-            return invalid(
+        if self.listeners.callers.is_some() && self.listeners.readiness.is_none() {
+            return Err(Fault::new(
                 "listeners.readiness",
                 "is required on a host that serves callers",
-            );
+            ));
         }
-        Ok(settings)
+        Ok(())
     }
 
     /// Identifier of this host.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -252,7 +252,7 @@
         for number in 1..=4 {
             let stores = number < 4;
             let text = settings(number, folder, ports, stores);
-            let settings = WorkflowSettings::parse("test", &text).unwrap();
+            let settings = WorkflowSettings::parse(&text, "test").unwrap();
             let host = WorkflowHost::start(settings, outside_calls(None)).unwrap();
             listeners.push(Listeners::start(&host).unwrap());
             hosts.push(host);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use jujubewinch::options::Settings;
+use jujubewinch::workflow::settings::WorkflowSettings;
 
 fn files(folder: &str) -> Vec<PathBuf> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -71,3 +72,35 @@
         "{error}"
     );
 }
+
+/// Guards against faults in the settings of a cell's host that are reported without line and key.
+#[test]
+fn faults_of_a_cell_host_name_line_and_key() {
+    let sample = "[host]\naddress = \"10.0.0.1\"\nname = \"a\"\ndata_centre = \"erdenet\"\n\
+        [listeners]\npeers = \"10.0.0.1:1\"\n\
+        [cell]\nseeds = [\"10.0.0.1:1\"]\nforms_new_cell = true\ntolerated_losses = 1\n\
+        [timing]\nmax_worker_lease_ms = 10000\nstop_grace_ms = 6000\njob_retention_ms = 1000\n";
+    assert!(WorkflowSettings::parse(sample, "cell.toml").is_ok());
+    let cases = [
+        (
+            "max_worker_lease_ms = 10000",
+            "max_worker_lease_ms = 0",
+            "12: timing.max_worker_lease_ms: ",
+        ),
+        ("seeds = [\"10.0.0.1:1\"]", "seeds = []", "8: cell.seeds: "),
+        (
+            "[cell]",
+            "callers = \"10.0.0.1:2\"\n[cell]",
+            "5: listeners.readiness: ",
+        ),
+        ("name = ", "nmae = ", "3: host.nmae: "),
+    ];
+    for (present, changed, expected) in cases {
+        let text = sample.replace(present, changed);
+        let error = WorkflowSettings::parse(&text, "cell.toml")
+            .unwrap_err()
+            .to_string();
+        let expected = format!("cell.toml, line {expected}");
+        assert!(error.starts_with(&expected), "{error}");
+    }
+}
