refactor: calls to the placer count their unanswered attempts in one place

The directory kept the verdict beside the number of unanswered attempts, from which it follows, and raised both in two equal blocks.

--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -119,47 +119,45 @@
     ///
     /// [`Unanswered`], which tells whether the call may have taken effect.
     pub fn call(&self, call: &Call, deadline: Instant) -> Result<Reply, Unanswered> {
-        let mut unanswered = Unanswered::NotSent;
-        let mut attempt = 0;
-        let mut unanswered_attempts = 0;
         let message = match postcard::to_stdvec(call) {
             Ok(message) => message,
             Err(error) => {
                 log::error!("a call cannot be encoded: {error}");
-                return Err(unanswered);
+                return Err(Unanswered::NotSent);
             }
         };
+        let mut attempt = 0;
+        let mut unanswered_attempts = 0;
         while Instant::now() < deadline {
-            let timeout = FIRST_ATTEMPT_TIMEOUT * (1 << unanswered_attempts);
+            let doublings = MAX_TIMEOUT_DOUBLINGS.min(unanswered_attempts);
+            let timeout = FIRST_ATTEMPT_TIMEOUT * 2_u32.pow(doublings);
             let until = deadline.min(Instant::now() + timeout);
-            let local = self
-                .placer()
-                .and_then(|placer| placer.handle(call.clone(), until));
-            match local {
-                Some(Reply::Unconfirmed) => {
-                    unanswered = Unanswered::MayHaveTakenEffect;
-                    unanswered_attempts = MAX_TIMEOUT_DOUBLINGS.min(unanswered_attempts + 1);
-                }
-                Some(reply) => return Ok(reply),
-                None => {
-                    let host = self.next_host(attempt);
-                    match self.ask(&host, message.clone(), until) {
-                        Asked::Reply(reply) => return Ok(reply),
-                        Asked::Unconfirmed => {
-                            unanswered = Unanswered::MayHaveTakenEffect;
-                            unanswered_attempts =
-                                MAX_TIMEOUT_DOUBLINGS.min(unanswered_attempts + 1);
-                        }
-                        Asked::NotLeader => {}
-                    }
-                }
+            match self.attempt(call, &message, attempt, until) {
+                Asked::Reply(reply) => return Ok(reply),
+                Asked::Unconfirmed => unanswered_attempts += 1,
+                Asked::NotLeader => {}
             }
             attempt += 1;
             let left = deadline.saturating_duration_since(Instant::now());
             thread::sleep(NEXT_HOST_PAUSE.min(left));
         }
         instruments().count_unanswered_call();
-        Err(unanswered)
+        Err(match unanswered_attempts {
+            0 => Unanswered::NotSent,
+            _ => Unanswered::MayHaveTakenEffect,
+        })
+    }
+
+    /// Asks the placer of this host when it leads, otherwise the next host.
+    fn attempt(&self, call: &Call, message: &[u8], attempt: usize, until: Instant) -> Asked {
+        let local = self
+            .placer()
+            .and_then(|placer| placer.handle(call.clone(), until));
+        match local {
+            Some(Reply::Unconfirmed) => Asked::Unconfirmed,
+            Some(reply) => Asked::Reply(reply),
+            None => self.ask(&self.next_host(attempt), message.to_vec(), until),
+        }
     }
 
     /// Host to ask: the one that is believed to lead, otherwise each storage host in turn.
@@ -199,7 +197,7 @@
             Ok(PeerReply::Message(reply)) => match postcard::from_bytes(&reply) {
                 Ok(Reply::Unconfirmed) => Asked::Unconfirmed,
                 Ok(reply) => {
-                    self.note_leader(Some(host.clone()));
+                    self.note_leader(host);
                     Asked::Reply(reply)
                 }
                 Err(error) => {
@@ -211,7 +209,7 @@
                 // Until the election is over, other hosts name the placer that does not answer.
                 let named = placer.filter(|placer| placer != host && !self.is_silent(placer));
                 match named {
-                    Some(placer) => self.note_leader(Some(placer)),
+                    Some(placer) => self.note_leader(&placer),
                     None => self.forget_leader(host),
                 }
                 Asked::NotLeader
@@ -236,18 +234,16 @@
         }
     }
 
-    fn note_leader(&self, host: Option<HostId>) {
+    fn note_leader(&self, host: &HostId) {
         let mut leader = self.leader.lock().unwrap();
-        if *leader == host {
+        if leader.as_ref() == Some(host) {
             return;
         }
-        log::info!(leader:? = host, before:? = *leader; "placer is elsewhere now");
-        leader.clone_from(&host);
+        log::info!(leader = host.as_str(), before:? = *leader; "placer is elsewhere now");
+        *leader = Some(host.clone());
         let mut named = self.named.lock().unwrap();
-        if let Some(host) = host
-            && named.len() < MAX_KNOWN_HOSTS
-        {
-            named.insert(host);
+        if named.len() < MAX_KNOWN_HOSTS {
+            named.insert(host.clone());
         }
     }
 
