refactor: a scheduling pass judges each stage once

A pass worked out the usefulness of each stage twice and looked up whether it is a gang up to four times; a ranked entry carries both. Orders have one place where they are made, runs one constructor and one confirmation, and a gang's completeness one check. A release of room that was always empty by then is gone.

--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -57,6 +57,11 @@
     pub fn priority(&self) -> u32 {
         self.priority
     }
+
+    /// Whether the job can still end within its objective.
+    pub fn is_in_time(&self) -> bool {
+        self.usefulness == Usefulness::InTime
+    }
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -23,10 +23,10 @@
         let job = self.state.jobs.get(&key.job)?;
         let spec = job.stage_spec(key.stage)?.clone();
         let has_policy = job.queue.placement_policy.is_some();
-        let stage = self.stages.get(key)?;
-        if stage.waiting.len() < spec.task_count as usize {
+        if !self.is_whole(key) {
             return None;
         }
+        let stage = self.stages.get(key)?;
         if stage.holds.is_empty() || stage.asking {
             // Without held room the gang may still find it all free at once.
             match self.decide_stage(key, now) {
@@ -42,7 +42,6 @@
             return None;
         }
         if !may_gather || spec.prefers_one_rack {
-            self.release_holds(key);
             return self.ask_for_gang(key, &spec, now);
         }
         if has_policy && !knows_enough(&spec, self.potential(key, &spec)) {
@@ -59,7 +58,7 @@
     /// the order of the ranks: a gang that is late would otherwise keep room that one in time needs.
     pub(super) fn return_gathered_room(&mut self, key: &StageKey) {
         let asking = self.stages.get(key).is_none_or(|stage| stage.asking);
-        if !asking && self.is_gang(key) {
+        if !asking {
             self.release_holds(key);
         }
     }
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -173,23 +173,11 @@
             "start order answered"
         );
         match answer.outcome {
-            OrderOutcome::Done => {
-                run.seen = true;
-                run.phase = RunPhase::Running {
-                    confirmed_at: now.at,
-                };
-            }
-            // An earlier attempt of the order may have run and ended: the worker's lists tell.
-            OrderOutcome::Superseded => {
-                run.phase = RunPhase::Stopping {
-                    confirmed_at: Some(now.at),
-                    ordered_at: now.at,
-                };
-            }
-            // The address has a new owner, or a later placer leads: the run never started here. An
-            // earlier attempt of the order may have reached the worker that was meant, which its
-            // lists or its lapsed lease will tell.
-            OrderOutcome::OtherIncarnation | OrderOutcome::Fenced => {
+            OrderOutcome::Done => run.confirm(now.at),
+            // The worker, a new owner of its address or a worker that follows a later placer
+            // refused the run for good. An earlier attempt of the order may have started it: the
+            // worker's lists or its lapsed lease will tell.
+            OrderOutcome::Superseded | OrderOutcome::OtherIncarnation | OrderOutcome::Fenced => {
                 run.phase = RunPhase::Stopping {
                     confirmed_at: Some(now.at),
                     ordered_at: now.at,
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -13,7 +13,7 @@
 use super::super::decisions::progress::{Progress, RESTARTED_RUN_TIME};
 use super::super::records::{RunNumber, RunOutcome};
 use super::super::spec::TaskKey;
-use super::term::{Effect, Order, OrderKind, RunPhase, Term};
+use super::term::{Effect, OrderKind, RunPhase, Term};
 use super::{Now, Placer};
 use crate::ids::{Epoch, WorkerId};
 use crate::scheduling::ledger::WorkerStatus;
@@ -292,10 +292,7 @@
                 strays.push((listed.task.clone(), listed.run));
                 continue;
             };
-            run.seen = true;
-            if matches!(run.phase, RunPhase::Unresolved | RunPhase::Starting) {
-                run.phase = RunPhase::Running { confirmed_at: now };
-            }
+            run.confirm(now);
             if let Some(percent) = listed.progress_percent {
                 run.progress
                     .get_or_insert(Progress::new(percent, now))
@@ -357,16 +354,10 @@
         let Some(live) = self.workers.get(worker) else {
             return;
         };
+        let incarnation = live.record.incarnation;
         log::warn!(task:% = task, run, worker = worker.as_str(); "stopping a run that is not wanted");
         self.stray_stops.insert(key, now);
-        self.effects.push(Effect::Order(Order {
-            epoch: self.epoch,
-            task,
-            run,
-            worker: worker.clone(),
-            incarnation: live.record.incarnation,
-            kind: OrderKind::Stop,
-        }));
+        self.push_order(task, run, (worker.clone(), incarnation), OrderKind::Stop);
     }
 
     fn stop_adopted_runs_of_ended_jobs(&mut self, worker: &WorkerId, now: Instant) {
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -3,11 +3,11 @@
 use std::time::Instant;
 
 use super::super::instruments::instruments;
-use super::super::records::{Record, RunOutcome};
+use super::super::records::{Record, RunNumber, RunOutcome};
 use super::super::spec::{StageKey, TaskKey};
 use super::Now;
 use super::term::{Effect, Order, OrderKind, RunPhase, Term};
-use crate::ids::JobId;
+use crate::ids::{Incarnation, JobId, WorkerId};
 
 impl Term {
     /// Takes the end of a run into account: records it, returns its resources, and makes its task
@@ -135,7 +135,6 @@
     }
 
     pub(super) fn order_stop(&mut self, task: &TaskKey, now: Instant) {
-        let epoch = self.epoch;
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
@@ -145,13 +144,25 @@
         let Some(worker) = self.workers.get(&run.worker) else {
             return;
         };
+        let (run, target) = (run.run, (run.worker.clone(), worker.record.incarnation));
+        self.push_order(task.clone(), run, target, OrderKind::Stop);
+    }
+
+    /// Gives an order to an incarnation of a worker, once the records before it are committed.
+    pub(super) fn push_order(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+        (worker, incarnation): (WorkerId, Incarnation),
+        kind: OrderKind,
+    ) {
         self.effects.push(Effect::Order(Order {
-            epoch,
-            task: task.clone(),
-            run: run.run,
-            worker: run.worker.clone(),
-            incarnation: worker.record.incarnation,
-            kind: OrderKind::Stop,
+            epoch: self.epoch,
+            task,
+            run,
+            worker,
+            incarnation,
+            kind,
         }));
     }
 }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -2,7 +2,7 @@
 
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
-use super::super::decisions::ranking::{self, Rank, Usefulness, Waiting};
+use super::super::decisions::ranking::{self, Rank, Waiting};
 use super::super::decisions::reservations::GatheringSlots;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
@@ -10,7 +10,7 @@
 use super::Now;
 use super::policy::Question;
 use super::takeover::urgency;
-use super::term::{Effect, LiveRun, LiveWorker, Order, OrderKind, RunPhase, Term};
+use super::term::{LiveRun, LiveWorker, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
 use crate::protocol::caller::Urgency;
 use crate::scheduling::ledger::{Allocation, Purpose, WorkerStatus};
@@ -18,6 +18,13 @@
 /// Late gangs from which on gangs are served newest first: as many as gather room at a time.
 const MANY_LATE_GANGS: usize = 3;
 
+/// A stage in the order of a scheduling pass.
+struct Ranked {
+    rank: Rank,
+    stage: StageKey,
+    gang: bool,
+}
+
 /// A worker that is chosen for a task.
 pub(super) struct Choice {
     pub task: TaskIndex,
@@ -38,42 +45,50 @@
 impl Term {
     /// Places what has room; returns questions to the placement policy.
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
-        let mut late_gangs = 0;
-        let mut order: Vec<(Rank, StageKey)> = Vec::new();
-        for (key, stage) in &self.stages {
-            if stage.waiting.is_empty() {
-                continue;
-            }
-            let Some(waiting) = self.waiting(key) else {
-                continue;
-            };
-            let late = ranking::usefulness(&waiting, now.at) != Usefulness::InTime;
-            late_gangs += usize::from(late && self.is_gang(key));
-            order.push((ranking::rank(&waiting, now.at), key.clone()));
-        }
-        self.late_gangs = late_gangs;
-        order.sort_by_key(|(rank, _)| *rank);
-        for (_, key) in &order {
-            self.return_gathered_room(key);
+        let order = self.order(now);
+        let gangs = order.iter().filter(|entry| entry.gang);
+        self.late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
+        for entry in order.iter().filter(|entry| entry.gang) {
+            self.return_gathered_room(&entry.stage);
         }
         let mut slots = GatheringSlots::default();
         let mut questions = Vec::new();
-        for (rank, key) in order {
-            if !self.is_gang(&key) {
-                questions.extend(self.serve_stage(&key, now));
+        for Ranked { rank, stage, gang } in order {
+            if !gang {
+                questions.extend(self.serve_stage(&stage, now));
                 continue;
             }
-            if !self.is_whole(&key) {
+            if !self.is_whole(&stage) {
                 continue;
             }
             let may_gather = slots.claim(rank.priority());
-            questions.extend(self.serve_gang(&key, may_gather, now));
+            questions.extend(self.serve_gang(&stage, may_gather, now));
         }
         questions
     }
 
+    /// Stages with waiting tasks in the order in which they get room.
+    fn order(&self, now: Now) -> Vec<Ranked> {
+        let mut order = Vec::new();
+        for (key, stage) in &self.stages {
+            if stage.waiting.is_empty() {
+                continue;
+            }
+            let Some(waiting) = self.waiting(key) else {
+                continue;
+            };
+            order.push(Ranked {
+                rank: ranking::rank(&waiting, now.at),
+                stage: key.clone(),
+                gang: self.is_gang(key),
+            });
+        }
+        order.sort_by_key(|entry| entry.rank);
+        order
+    }
+
     /// Whether all members of a gang wait; until then it can't be placed.
-    fn is_whole(&self, key: &StageKey) -> bool {
+    pub(super) fn is_whole(&self, key: &StageKey) -> bool {
         let job = self.state.jobs.get(&key.job);
         let spec = job.and_then(|job| job.stage_spec(key.stage));
         let stage = self.stages.get(key);
@@ -227,7 +242,6 @@
             stage.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1
         });
         let mut placements = Vec::new();
-        let mut orders = Vec::new();
         for choice in choices {
             let task = TaskKey {
                 stage: key.clone(),
@@ -261,38 +275,18 @@
                 worker: choice.worker.clone(),
                 incarnation,
             });
-            self.runs.insert(
-                task.clone(),
-                LiveRun {
-                    run,
-                    worker: choice.worker.clone(),
-                    phase: RunPhase::Starting,
-                    seen: false,
-                    progress: None,
-                    placed_at: now.at,
-                },
-            );
-            orders.push(Effect::Order(Order {
-                epoch: self.epoch,
-                task,
-                run,
-                worker: choice.worker,
-                incarnation,
-                kind: OrderKind::Start {
-                    permit: choice.permit,
-                },
-            }));
+            let worker = choice.worker;
+            let live = LiveRun::new(run, worker.clone(), RunPhase::Starting, now.at);
+            self.runs.insert(task.clone(), live);
+            let kind = OrderKind::Start {
+                permit: choice.permit,
+            };
+            self.push_order(task, run, (worker, incarnation), kind);
         }
-        self.note_placed(key, placements, orders, now);
+        self.note_placed(key, placements, now);
     }
 
-    fn note_placed(
-        &mut self,
-        key: &StageKey,
-        placements: Vec<Placement>,
-        orders: Vec<Effect>,
-        now: Now,
-    ) {
+    fn note_placed(&mut self, key: &StageKey, placements: Vec<Placement>, now: Now) {
         if let Some(stage) = self.stages.get_mut(key) {
             let placed: Vec<TaskIndex> = placements.iter().map(|one| one.task).collect();
             stage.waiting.retain(|task| !placed.contains(task));
@@ -308,7 +302,6 @@
             stage: key.clone(),
             placements,
         });
-        self.effects.extend(orders);
     }
 
     /// A question about workers, on which room is held until the answer; `None` while all callers
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -7,7 +7,7 @@
 
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
-use super::super::state::{TaskProgress, WorkflowState};
+use super::super::state::{Job, TaskProgress, WorkflowState};
 use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
 use crate::ids::{Epoch, JobId};
@@ -98,14 +98,7 @@
             adopted.push((task_key, task.run, worker.clone(), *incarnation));
         }
         for (task, run, worker, incarnation) in adopted {
-            let live = LiveRun {
-                run,
-                worker: worker.clone(),
-                phase: RunPhase::Unresolved,
-                seen: false,
-                progress: None,
-                placed_at: now,
-            };
+            let live = LiveRun::new(run, worker.clone(), RunPhase::Unresolved, now);
             self.runs.insert(task.clone(), live);
             let known = self.workers.get_mut(&worker);
             // A worker that left or restarted runs nothing of before; the first tick ends the run.
@@ -175,13 +168,13 @@
 }
 
 /// Time of a question to the placement policy of a job, in milliseconds.
-fn policy_ms(job: &super::super::state::Job) -> f64 {
+fn policy_ms(job: &Job) -> f64 {
     job.queue.placement_policy.as_ref().map_or(0.0, |policy| {
         policy.decision_ms + policy.per_worker_ms * OBJECTIVE_POLICY_WORKERS
     })
 }
 
-fn objective(job: &super::super::state::Job) -> Duration {
+fn objective(job: &Job) -> Duration {
     let chain_ms =
         job.spec.critical_path_ms() as f64 + policy_ms(job) * job.spec.stages.len() as f64;
     let slack_ms = chain_ms * job.queue.slack_factor;
@@ -190,7 +183,7 @@
 
 /// Expected time from the placement of a stage to the recorded end of the longest chain that
 /// depends on it.
-fn remaining(job: &super::super::state::Job, stage: u32) -> Duration {
+fn remaining(job: &Job, stage: u32) -> Duration {
     let stages = &job.spec.stages;
     let policy_ms = policy_ms(job) as u64;
     let mut longest = vec![0_u64; stages.len()];
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -199,6 +199,28 @@
     pub placed_at: Instant,
 }
 
+impl LiveRun {
+    /// A run that its worker has not listed yet.
+    pub fn new(run: RunNumber, worker: WorkerId, phase: RunPhase, now: Instant) -> Self {
+        Self {
+            run,
+            worker,
+            phase,
+            seen: false,
+            progress: None,
+            placed_at: now,
+        }
+    }
+
+    /// Takes note that the worker has listed the run or confirmed its start.
+    pub fn confirm(&mut self, now: Instant) {
+        self.seen = true;
+        if matches!(self.phase, RunPhase::Unresolved | RunPhase::Starting) {
+            self.phase = RunPhase::Running { confirmed_at: now };
+        }
+    }
+}
+
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RunPhase {
