feature: figures of the placer's own work tell why its leadership ends

Change: the lock of the term notes who holds it and for how long; passes count the stages and workers that they examine; the listener for other hosts counts its calls and threads and the wait of a call for a thread; threads charge their processor time to their activity. A thread that never locks the term writes the line 'load of the placer' once a second while the host leads. The lines about a lost leadership name the age of the calls to the other storage hosts, sent and answered, and who held the term.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,6 +4,7 @@
 //! later frame carries a message authentication code over its sequence number, so that a changed,
 //! reordered or replayed frame ends the connection.
 
+pub mod call_load;
 pub mod channel;
 pub mod client;
 pub mod frame;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,6 +9,7 @@
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 
+use super::call_load::{CountedCall, CountedThread};
 use super::channel::{FrameReader, FrameWriter};
 use super::frame::Frame;
 use super::handshake;
@@ -174,6 +175,7 @@
                     in_flight: Arc::clone(&in_flight),
                     host: session.client.clone(),
                     call_id,
+                    counted: CountedCall::arrived(&request),
                     request,
                 })?;
             }
@@ -227,6 +229,7 @@
             .name("peer-call".to_owned())
             .stack_size(CALL_STACK_BYTES)
             .spawn(move || {
+                let _counted = CountedThread::begin();
                 let mut next = Some(call);
                 while let Some(call) = next {
                     call.handle(&handler);
@@ -259,11 +262,13 @@
     in_flight: Arc<AtomicUsize>,
     host: HostId,
     call_id: u64,
+    counted: CountedCall,
     request: PeerRequest,
 }
 
 impl Call {
     fn handle(self, handler: &PeerHandler) {
+        self.counted.begin();
         let reply = handler(self.host, self.request);
         self.in_flight.fetch_sub(1, Ordering::AcqRel);
         let frame = Frame::Reply {
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -17,6 +17,7 @@
 use super::{ReplicaOptions, SendMessage};
 use crate::clock::Clock;
 use crate::ids::{Epoch, HostId, Incarnation};
+use crate::telemetry::processor_time::{self, Activity};
 
 /// Steps of the timer thread within one heartbeat interval.
 const TICKS_PER_HEARTBEAT: u32 = 4;
@@ -75,6 +76,8 @@
     /// When the latest call that it answered in this term was sent; `None` for this host and
     /// before the first answer.
     pub answered_at: Option<Instant>,
+    /// When the latest call to it was sent.
+    pub sent_at: Option<Instant>,
     /// Whether it had all entries that were committed when it was last called.
     pub caught_up: bool,
 }
@@ -226,6 +229,7 @@
                     host: member.host.clone(),
                     role: member.role,
                     answered_at: peer.and_then(|peer| peer.acked_at),
+                    sent_at: peer.and_then(|peer| peer.sent_at),
                     caught_up: peer.is_some_and(|peer| peer.caught_up),
                 }
             })
@@ -382,7 +386,10 @@
         }
         let spawned = thread::Builder::new()
             .name(format!("replica-{name}"))
-            .spawn(move || run(shared));
+            .spawn(move || {
+                processor_time::begin(Activity::Replication);
+                run(shared);
+            });
         match spawned {
             Ok(thread) => {
                 threads.insert(name.to_owned(), thread);
@@ -412,6 +419,7 @@
         while !self.stopping.load(Ordering::Acquire) {
             self.tick();
             self.spawn_peer_threads();
+            processor_time::charge();
             thread::sleep(tick);
         }
     }
@@ -437,6 +445,7 @@
             }
             let reply = reply.ok();
             self.step(|state, now| state.complete(&call, reply.as_deref(), now));
+            processor_time::charge();
             state = self.lock();
         }
     }
@@ -452,6 +461,7 @@
             drop(state);
             let result = snapshot.run();
             self.step(|state, now| state.finish_snapshot(snapshot, result, now));
+            processor_time::charge();
             state = self.lock();
         }
     }
@@ -472,6 +482,7 @@
             drop(state);
             let result = sync.run();
             self.step(|state, now| state.finish_sync(&sync, result, now));
+            processor_time::charge();
             state = self.lock();
         }
     }
--- a/src/replication/state.rs
+++ b/src/replication/state.rs
@@ -203,6 +203,7 @@
     pub(super) fn step_down(&mut self, now: Instant) {
         if self.role == Role::Leader {
             log::info!(
+                calls_ms_ago = self.describe_calls(now);
                 "{} no longer leads {} in term {}",
                 self.options.host,
                 self.options.group,
@@ -215,6 +216,22 @@
         self.reset_election_deadline(now);
     }
 
+    /// For each other host, how long ago the latest answered call and the latest call were sent.
+    fn describe_calls(&self, now: Instant) -> String {
+        let age = |at: Option<Instant>| {
+            at.map_or_else(
+                || "never".to_owned(),
+                |at| now.saturating_duration_since(at).as_millis().to_string(),
+            )
+        };
+        let mut calls = Vec::new();
+        for (host, peer) in &self.peers {
+            let (answered, sent) = (age(peer.acked_at), age(peer.sent_at));
+            calls.push(format!("{host} answered={answered} sent={sent}"));
+        }
+        calls.join(", ")
+    }
+
     /// Makes the peers those of the membership in effect.
     pub(super) fn update_peers(&mut self) {
         let membership = self.log.membership();
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -2,3 +2,4 @@
 
 pub mod logging;
 pub mod metrics;
+pub mod processor_time;
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -6,6 +6,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
+use crate::peer::call_load::CallLoad;
 use crate::telemetry::metrics::metrics;
 
 /// Upper bounds of the latency buckets, from a round trip within a data centre to the longest that
@@ -26,6 +27,15 @@
     unanswered_calls: Counter<u64>,
     cell_cpu: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
+    term_hold: Histogram<f64>,
+    pass: Histogram<f64>,
+    stages_examined: Counter<u64>,
+    workers_examined: Counter<u64>,
+    commit_gap: Histogram<f64>,
+    uncommitted_age: Gauge<f64>,
+    queued: Gauge<u64>,
+    peer_calls: Gauge<u64>,
+    peer_call_threads: Gauge<u64>,
 }
 
 /// The instruments of this process.
@@ -55,6 +65,17 @@
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
             cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
             waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
+            term_hold: histogram("jujubewinch_workflow_term_hold_seconds"),
+            pass: histogram("jujubewinch_workflow_pass_seconds"),
+            stages_examined: counter("jujubewinch_workflow_stages_examined"),
+            workers_examined: counter("jujubewinch_workflow_workers_examined"),
+            commit_gap: histogram("jujubewinch_workflow_commit_gap_seconds"),
+            uncommitted_age: meter
+                .f64_gauge("jujubewinch_workflow_oldest_uncommitted_seconds")
+                .build(),
+            queued: gauge("jujubewinch_workflow_queued"),
+            peer_calls: gauge("jujubewinch_peer_calls_in_flight"),
+            peer_call_threads: gauge("jujubewinch_peer_call_threads"),
         }
     }
 
@@ -99,6 +120,41 @@
         self.waiting_tasks.record(tasks, &[]);
     }
 
+    /// An activity held the term of the placer.
+    pub fn record_term_hold(&self, activity: &'static str, held: Duration) {
+        let labels = [KeyValue::new("activity", activity)];
+        self.term_hold.record(held.as_secs_f64(), &labels);
+    }
+
+    /// A scheduling pass ended; the counts include what was examined since the pass before.
+    pub fn record_pass(&self, took: Duration, stages: u64, workers: u64) {
+        self.pass.record(took.as_secs_f64(), &[]);
+        self.stages_examined.add(stages, &[]);
+        self.workers_examined.add(workers, &[]);
+    }
+
+    /// Time between two commits of the placer, or from the append to the commit of a batch that
+    /// had none before it.
+    pub fn record_commit_gap(&self, gap: Duration) {
+        self.commit_gap.record(gap.as_secs_f64(), &[]);
+    }
+
+    /// Age of the oldest batch that is not committed.
+    pub fn record_uncommitted(&self, oldest: Duration) {
+        self.uncommitted_age.record(oldest.as_secs_f64(), &[]);
+    }
+
+    /// Lengths of the queues of orders and of questions to the policy, and the calls of other
+    /// hosts.
+    pub fn record_queues(&self, orders: u64, questions: u64, calls: CallLoad) {
+        self.queued
+            .record(orders, &[KeyValue::new("queue", "orders")]);
+        let questions_label = [KeyValue::new("queue", "questions")];
+        self.queued.record(questions, &questions_label);
+        self.peer_calls.record(calls.in_flight, &[]);
+        self.peer_call_threads.record(calls.threads, &[]);
+    }
+
     /// A call found no placer in time.
     pub fn count_unanswered_call(&self) {
         self.unanswered_calls.add(1, &[]);
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -4,6 +4,7 @@
 //! proposed in that order when they leave. A thread executes the effects of committed batches.
 
 mod client_calls;
+mod figures;
 mod gangs;
 mod load;
 mod orders;
@@ -14,11 +15,12 @@
 mod scheduling;
 mod takeover;
 mod term;
+mod term_lock;
 #[cfg(test)]
 mod tests;
 mod workers;
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -31,9 +33,12 @@
 use crate::ids::{Epoch, HostId};
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
+use crate::telemetry::processor_time::{self, Activity};
 
+use figures::Figures;
 use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
+use term_lock::{TermGuard, TermLock};
 
 /// Interval of time-driven steps.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -125,7 +130,8 @@
     committed: Committed,
     outside: OutsideCalls,
     find_peer: FindPeer,
-    term: Mutex<Option<Term>>,
+    term: TermLock,
+    figures: Arc<Figures>,
     orders: Sender<Order>,
     questions: Sender<policy::Question>,
     /// Holds at most one request for a scheduling pass.
@@ -155,6 +161,7 @@
         let (questions, question_queue) = unbounded();
         let (wake_scheduler, wake_ups) = bounded(1);
         let notices = committed.notices.clone();
+        let figures = Arc::<Figures>::default();
         let placer = Arc::new(Self {
             settings,
             clock,
@@ -162,32 +169,42 @@
             committed,
             outside,
             find_peer,
-            term: Mutex::new(None),
+            term: TermLock::new(Arc::clone(&figures)),
+            figures,
             orders,
             questions,
             wake_scheduler,
         });
-        placer.spawn("effects", move |placer| placer.run_effects(&notices));
-        placer.spawn("scheduler", move |placer| placer.run_scheduler(&wake_ups));
-        placer.spawn("timer", Self::run_timer);
-        placer.spawn("membership", Self::run_membership);
+        placer.spawn(Activity::Effects, move |placer| {
+            placer.run_effects(&notices);
+        });
+        placer.spawn(Activity::Pass, move |placer| {
+            placer.run_scheduler(&wake_ups);
+        });
+        placer.spawn(Activity::Tick, Self::run_timer);
+        placer.spawn(Activity::Membership, Self::run_membership);
+        placer.spawn(Activity::Call, |placer| placer.run_reports());
         for _ in 0..ORDER_THREADS {
             let queue = order_queue.clone();
-            placer.spawn("orders", move |placer| placer.run_orders(&queue));
+            placer.spawn(Activity::Order, move |placer| placer.run_orders(&queue));
         }
         for _ in 0..POLICY_THREADS {
             let queue = question_queue.clone();
-            placer.spawn("policy", move |placer| placer.run_questions(&queue));
+            placer.spawn(Activity::Policy, move |placer| placer.run_questions(&queue));
         }
         placer
     }
 
-    fn spawn(self: &Arc<Self>, name: &str, run: impl FnOnce(&Arc<Self>) + Send + 'static) {
+    fn spawn(self: &Arc<Self>, activity: Activity, run: impl FnOnce(&Arc<Self>) + Send + 'static) {
         let placer = Arc::clone(self);
+        let name = activity.label();
         let spawned = thread::Builder::new()
             .name(format!("placer-{name}"))
             .stack_size(STACK_BYTES)
-            .spawn(move || run(&placer));
+            .spawn(move || {
+                processor_time::begin(activity);
+                run(&placer);
+            });
         if let Err(error) = spawned {
             log::error!(thread = name; "cannot start a thread of the placer: {error}");
         }
@@ -220,8 +237,21 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Term>> {
-        self.term.lock().unwrap()
+    fn lock(&self) -> TermGuard<'_> {
+        self.term.lock()
+    }
+
+    /// Ends the term after a failure to append.
+    fn stop_placing(&self, guard: &mut TermGuard<'_>, reason: &str) {
+        let Some(term) = guard.take() else {
+            return;
+        };
+        self.figures.note_term(None);
+        self.report_loss(
+            term.epoch,
+            guard.waited,
+            &format!("stops placing: {reason}"),
+        );
     }
 
     fn now(&self) -> Now {
@@ -245,8 +275,7 @@
         }
         let result = step(term, self.now());
         if let Err(reason) = self.flush(term) {
-            log::warn!(epoch = term.epoch; "stops placing: {reason}");
-            *guard = None;
+            self.stop_placing(&mut guard, &reason);
             return None;
         }
         drop(guard);
@@ -264,6 +293,7 @@
             }
             Sealed::Batch(batch) => {
                 let command = postcard::to_stdvec(&batch).map_err(|error| error.to_string())?;
+                self.figures.note_appended(batch.sequence, Instant::now());
                 let appended = self.replica.append(command);
                 appended.map_err(|error| error.to_string())
             }
@@ -276,6 +306,7 @@
             let Some(term) = guard.as_mut().filter(|term| term.epoch == epoch) else {
                 continue;
             };
+            self.figures.note_committed(sequence, Instant::now());
             let effects = term.committed(sequence);
             self.execute(term, effects);
             drop(guard);
@@ -307,7 +338,8 @@
                     term.ready = true;
                     log::info!(
                         epoch = term.epoch, jobs = term.state.jobs.len(), runs = term.runs.len(),
-                        workers = term.workers.len(), version = term.state.version();
+                        workers = term.workers.len(), version = term.state.version(),
+                        after_ms = term.began_at.elapsed().as_millis() as u64;
                         "took over as placer"
                     );
                 }
@@ -322,10 +354,12 @@
             let Some(term) = guard.as_mut().filter(|term| term.ready) else {
                 continue;
             };
+            let began_at = Instant::now();
             let questions = term.schedule(self.now());
+            self.figures
+                .note_pass(began_at.elapsed(), term.examined.take());
             if let Err(reason) = self.flush(term) {
-                log::warn!(epoch = term.epoch; "stops placing: {reason}");
-                *guard = None;
+                self.stop_placing(&mut guard, &reason);
                 continue;
             }
             drop(guard);
@@ -343,7 +377,9 @@
                 next_tick_at = self.clock.now() + TICK_INTERVAL;
                 let links = self.with_term(None, Term::tick);
                 for (worker, generation) in links.into_iter().flatten() {
-                    self.spawn("link", move |placer| placer.run_link(&worker, generation));
+                    self.spawn(Activity::Report, move |placer| {
+                        placer.run_link(&worker, generation);
+                    });
                 }
             }
             thread::sleep(LEADERSHIP_INTERVAL);
@@ -358,10 +394,11 @@
         if held == epoch {
             return;
         }
+        *guard = None;
+        self.figures.note_term(epoch);
         if let Some(held) = held {
-            log::warn!(epoch = held; "no longer leads the workflow log");
+            self.report_loss(held, guard.waited, "no longer leads the workflow log");
         }
-        *guard = None;
         let Some(epoch) = epoch else {
             return;
         };
@@ -369,7 +406,10 @@
         let mut term = Term::begin(epoch, state, self.settings.clone(), self.now());
         match self.flush(&mut term) {
             Ok(()) => *guard = Some(term),
-            Err(reason) => log::warn!(epoch; "cannot take over: {reason}"),
+            Err(reason) => {
+                self.figures.note_term(None);
+                log::warn!(epoch; "cannot take over: {reason}");
+            }
         }
     }
 
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -74,6 +74,7 @@
         let policy = job.queue.placement_policy.is_some();
         let held: usize = stage.holds.values().sum();
         let missing = stage.waiting.len().saturating_sub(held);
+        self.examined.note(self.workers.len());
         let mut candidates: Vec<Candidate<'_, WorkerId>> = Vec::new();
         for (id, worker) in &self.workers {
             if policy && !stage.permits.was_granted(id) {
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -133,6 +133,7 @@
         if wanted == 0 || (spec.gang && wanted < spec.task_count as usize) {
             return StageDecision::Wait;
         }
+        self.examined.note(self.workers.len());
         let mut permitted = Vec::new();
         let mut unpermitted = Vec::new();
         for (id, worker) in &self.workers {
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -8,7 +8,7 @@
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
 use super::super::state::{Job, TaskProgress, WorkflowState};
-use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
+use super::term::{Effect, Examined, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
 use crate::ids::{Epoch, JobId};
 use crate::protocol::caller::Urgency;
@@ -51,6 +51,7 @@
             stray_stops: IndexMap::new(),
             ticks: 0,
             adopted_checked: false,
+            examined: Examined::default(),
         };
         let records: Vec<_> = term.state.workers.values().cloned().collect();
         for record in records {
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -1,5 +1,6 @@
 //! What the placer holds while it leads.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -65,6 +66,28 @@
     pub ticks: u64,
     /// Whether runs of earlier terms were compared with the workers that are known.
     pub adopted_checked: bool,
+    /// Stages and workers that were examined for placements.
+    pub examined: Examined,
+}
+
+/// Stages and workers that were examined for placements since the last report.
+#[derive(Debug, Default)]
+pub struct Examined {
+    stages: Cell<u64>,
+    workers: Cell<u64>,
+}
+
+impl Examined {
+    /// Counts a look at a stage with so many workers.
+    pub fn note(&self, workers: usize) {
+        self.stages.set(self.stages.get() + 1);
+        self.workers.set(self.workers.get() + workers as u64);
+    }
+
+    /// The counts of stages and of workers, which begin anew.
+    pub fn take(&self) -> (u64, u64) {
+        (self.stages.take(), self.workers.take())
+    }
 }
 
 /// What becomes visible to others once a batch is committed.
