bug: accepted jobs never ran on cells with 350 workers

Cause: the leading storage host alone exchanged all messages with all workers, one thread and about 0.9 ms of processor time for each renewal and order, of 0.4 of a core. The first burst of starts, and the first contact with 350 workers after each take-over, kept it from its own log for longer than its lease.

Change: entry hosts relay. The placer decides and records as before and sends instructions (grants and orders) to a relay for each worker; relays speak HTTP, renew leases within the grants and report answers and ends in batches. The threads for each worker and for orders leave the placer. Losses are repeated: ends until they are acknowledged, start orders without an outcome after 2 s or when their relay is gone, under the same run number. A refused copy is no proof that a run never started when another copy was sent.

--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -96,7 +96,7 @@
 }
 
 /// Where a worker is called.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct WorkerTarget {
     /// Worker.
     pub worker: WorkerId,
@@ -107,7 +107,7 @@
 }
 
 /// Order to start a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// Task.
     pub task: TaskKey,
@@ -126,7 +126,7 @@
 }
 
 /// Order to stop a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StopOrder {
     /// Task.
     pub task: TaskKey,
@@ -150,7 +150,7 @@
 }
 
 /// How a worker answered an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum OrderOutcome {
     /// Carried out, now or before.
     Done,
@@ -172,8 +172,22 @@
     OtherIncarnation,
 }
 
+impl OrderOutcome {
+    /// Whether the worker did not carry this order out, but could carry out another copy of it.
+    pub fn is_refusal(self) -> bool {
+        matches!(
+            self,
+            Self::LeasePassed
+                | Self::NoRoom
+                | Self::PermitInvalid
+                | Self::Unhealthy
+                | Self::Refused
+        )
+    }
+}
+
 /// A worker's answer with the reading of its clock, when it gave one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct OrderAnswer {
     /// Outcome.
     pub outcome: OrderOutcome,
@@ -182,7 +196,7 @@
 }
 
 /// A run that a worker lists.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ListedRun {
     /// Task.
     pub task: TaskKey,
@@ -195,7 +209,7 @@
 }
 
 /// An end that a worker lists.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ListedEnd {
     /// Number within the worker's incarnation; grows.
     pub number: u64,
@@ -206,7 +220,7 @@
 }
 
 /// A worker's lists.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// Incarnation that answered.
     pub incarnation: Incarnation,
@@ -221,7 +235,7 @@
 }
 
 /// Why a call has no answer.
-#[derive(Clone, Debug, Error, Eq, PartialEq)]
+#[derive(Clone, Debug, Error, Eq, PartialEq, Serialize, Deserialize)]
 pub enum CallFailure {
     /// The call never left this host.
     #[error("not sent: {0}")]
--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -6,6 +6,7 @@
 pub mod placing;
 pub mod progress;
 pub mod ranking;
+pub mod relays;
 pub mod replicas;
 pub mod reservations;
 pub mod worker_health;
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -14,6 +14,8 @@
 };
 use super::directory::{Directory, Unanswered};
 use super::placer::{Committed, Placer, PlacerSettings};
+use super::relay::Relay;
+use super::relay::messages::{INSTRUCTIONS_EXTENSION, Instructions, REPORT_EXTENSION, RelayReport};
 use super::settings::WorkflowSettings;
 use crate::clock::Clock;
 use crate::ids::HostId;
@@ -25,6 +27,8 @@
 const LOG_GROUP: &str = "workflow";
 /// Interval in which a host tells the placer that it is there.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of the look whether another placer has become known: short against its take-over.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for an answer to a contact.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time without an answered contact after which a host reports that it is not ready: longer than
@@ -80,16 +84,18 @@
         let own = settings.host_id();
         let peers = settings.listeners.peers;
         let directory = Arc::new(Directory::new(own, peers.port(), settings.seed_ids()));
+        let relay = start_relay(&settings, &directory, &outside);
         let replica = match &settings.host.data_folder {
             Some(folder) => Some(start_replica(
                 &settings,
                 folder.clone(),
                 &directory,
                 &outside,
+                &relay,
             )?),
             None => None,
         };
-        let server = serve_peers(peers, &directory, replica.clone(), outside)?;
+        let server = serve_peers(peers, &directory, replica.clone(), outside, relay)?;
         let host = Arc::new(Self {
             settings,
             directory,
@@ -193,9 +199,61 @@
                     Err(_) => log::warn!("no contact with the placer"),
                 }
             }
-            thread::sleep(CONTACT_INTERVAL.saturating_sub(started.elapsed()));
+            self.await_next_contact(started + CONTACT_INTERVAL);
         }
     }
+
+    /// Waits for the next contact, which is due at once when another placer becomes known: it
+    /// needs this host as a relay.
+    fn await_next_contact(&self, due_at: Instant) {
+        let leader = self.directory.leader();
+        while Instant::now() < due_at && self.directory.leader() == leader {
+            thread::sleep(LEADER_CHECK_INTERVAL);
+        }
+    }
+}
+
+fn start_relay(
+    settings: &WorkflowSettings,
+    directory: &Arc<Directory>,
+    outside: &OutsideCalls,
+) -> Arc<Relay> {
+    let directory = Arc::clone(directory);
+    let own = settings.host_id();
+    let send_report = move |placer: &HostId, report: RelayReport, deadline: Instant| {
+        if *placer == report.host {
+            let local = directory.placer();
+            let noted = local.is_some_and(|placer| placer.note_relay_report(report));
+            return noted.then_some(()).ok_or_else(no_longer_placer);
+        }
+        send_extension(&directory, placer, REPORT_EXTENSION, &report, deadline)
+    };
+    Relay::start(own, outside.clone(), Arc::new(send_report))
+}
+
+fn no_longer_placer() -> String {
+    "the host is no longer the placer".to_owned()
+}
+
+/// Sends a message that is answered without content.
+fn send_extension(
+    directory: &Directory,
+    host: &HostId,
+    name: &str,
+    message: &impl serde::Serialize,
+    deadline: Instant,
+) -> Result<(), String> {
+    let message = postcard::to_stdvec(message).map_err(|error| error.to_string())?;
+    let request = PeerRequest::Extension {
+        name: name.to_owned(),
+        message,
+    };
+    match directory.client(host).call(request, deadline) {
+        Ok(PeerReply::Message(_)) => Ok(()),
+        Ok(PeerReply::NotPlacer { .. }) => Err(no_longer_placer()),
+        Ok(other) => Err(format!("unexpected reply: {other:?}")),
+        Err(error) => Err(error.to_string()),
+    }
 }
 
 fn start_replica(
@@ -203,6 +261,7 @@
     folder: std::path::PathBuf,
     directory: &Arc<Directory>,
     outside: &OutsideCalls,
+    relay: &Arc<Relay>,
 ) -> Result<Arc<Replica<()>>, HostError> {
     let committed = Committed::default();
     let sending = Arc::clone(directory);
@@ -244,6 +303,20 @@
     })?);
     let max_lease = Duration::from_millis(settings.timing.max_worker_lease_ms);
     let finding = Arc::clone(directory);
+    let (own, sending, relay) = (settings.host_id(), Arc::clone(directory), Arc::clone(relay));
+    let send_instructions = move |host: &HostId, instructions: Instructions, deadline: Instant| {
+        if *host == own {
+            relay.accept(instructions);
+            return Ok(());
+        }
+        send_extension(
+            &sending,
+            host,
+            INSTRUCTIONS_EXTENSION,
+            &instructions,
+            deadline,
+        )
+    };
     let placer = Placer::start(
         PlacerSettings {
             host: settings.host_id(),
@@ -257,6 +330,7 @@
         committed,
         outside.clone(),
         Arc::new(move |host| finding.client(host)),
+        Arc::new(send_instructions),
     );
     directory.set_placer(placer);
     Ok(replica)
@@ -267,6 +341,7 @@
     directory: &Arc<Directory>,
     replica: Option<Arc<Replica<()>>>,
     outside: OutsideCalls,
+    relay: Arc<Relay>,
 ) -> io::Result<PeerServer> {
     let directory = Arc::clone(directory);
     let handler = move |from: HostId, request: PeerRequest| match request {
@@ -277,6 +352,12 @@
         PeerRequest::Extension { name, message } if name == CALL_EXTENSION => {
             answer_call(&directory, &message)
         }
+        PeerRequest::Extension { name, message } if name == INSTRUCTIONS_EXTENSION => {
+            take_instructions(&relay, &message)
+        }
+        PeerRequest::Extension { name, message } if name == REPORT_EXTENSION => {
+            take_relay_report(&directory, &message)
+        }
         PeerRequest::Extension { name, message } if name == POLICY_EXTENSION => {
             answer_policy_question(&outside, &message)
         }
@@ -303,6 +384,29 @@
     }
 }
 
+fn take_instructions(relay: &Arc<Relay>, message: &[u8]) -> PeerReply {
+    match postcard::from_bytes(message) {
+        Ok(instructions) => {
+            relay.accept(instructions);
+            PeerReply::Message(Vec::new())
+        }
+        Err(error) => PeerReply::Refused(format!("instructions cannot be decoded: {error}")),
+    }
+}
+
+fn take_relay_report(directory: &Directory, message: &[u8]) -> PeerReply {
+    let report: RelayReport = match postcard::from_bytes(message) {
+        Ok(report) => report,
+        Err(error) => return PeerReply::Refused(format!("a report cannot be decoded: {error}")),
+    };
+    match directory.placer() {
+        Some(placer) if placer.note_relay_report(report) => PeerReply::Message(Vec::new()),
+        _ => PeerReply::NotPlacer {
+            placer: directory.leader(),
+        },
+    }
+}
+
 fn answer_policy_question(outside: &OutsideCalls, message: &[u8]) -> PeerReply {
     let question: PolicyQuestion = match postcard::from_bytes(message) {
         Ok(question) => question,
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -144,11 +144,11 @@
         self.uncommitted_age.record(oldest.as_secs_f64(), &[]);
     }
 
-    /// Lengths of the queues of orders and of questions to the policy, and the calls of other
+    /// Lengths of the queues of instructions to relays and of questions to the policy, and the calls of other
     /// hosts.
-    pub fn record_queues(&self, orders: u64, questions: u64, calls: CallLoad) {
+    pub fn record_queues(&self, instructions: u64, questions: u64, calls: CallLoad) {
         self.queued
-            .record(orders, &[KeyValue::new("queue", "orders")]);
+            .record(instructions, &[KeyValue::new("queue", "instructions")]);
         let questions_label = [KeyValue::new("queue", "questions")];
         self.queued.record(questions, &questions_label);
         self.peer_calls.record(calls.in_flight, &[]);
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -9,6 +9,7 @@
 mod load;
 mod orders;
 mod policy;
+mod relaying;
 mod replicas;
 mod reports;
 mod runs;
@@ -36,6 +37,8 @@
 use crate::telemetry::processor_time::{self, Activity};
 
 use figures::Figures;
+use relaying::RelaySenders;
+pub use relaying::SendInstructions;
 use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
 use term_lock::{TermGuard, TermLock};
@@ -47,8 +50,6 @@
 const LEADERSHIP_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which changes are collected before a scheduling pass.
 const SCHEDULING_DELAY: Duration = Duration::from_millis(4);
-/// Threads that send orders to workers; each waits for one answer at a time.
-const ORDER_THREADS: usize = 48;
 /// Threads that put questions to the placement policy; each waits for one answer at a time. At a
 /// round trip of 200 ms they carry 300 questions a second; with 24 threads, questions of a burst
 /// waited 1.2 s.
@@ -130,9 +131,12 @@
     committed: Committed,
     outside: OutsideCalls,
     find_peer: FindPeer,
+    send: SendInstructions,
+    relay_senders: Mutex<RelaySenders>,
     term: TermLock,
     figures: Arc<Figures>,
-    orders: Sender<Order>,
+    /// Holds at most one request to send pending orders.
+    wake_dispatcher: Sender<()>,
     questions: Sender<policy::Question>,
     /// Holds at most one request for a scheduling pass.
     wake_scheduler: Sender<()>,
@@ -156,8 +160,9 @@
         committed: Committed,
         outside: OutsideCalls,
         find_peer: FindPeer,
+        send: SendInstructions,
     ) -> Arc<Self> {
-        let (orders, order_queue) = unbounded();
+        let (wake_dispatcher, orders) = bounded(1);
         let (questions, question_queue) = unbounded();
         let (wake_scheduler, wake_ups) = bounded(1);
         let notices = committed.notices.clone();
@@ -169,9 +174,11 @@
             committed,
             outside,
             find_peer,
+            send,
+            relay_senders: Mutex::default(),
             term: TermLock::new(Arc::clone(&figures)),
             figures,
-            orders,
+            wake_dispatcher,
             questions,
             wake_scheduler,
         });
@@ -184,10 +191,9 @@
         placer.spawn(Activity::Tick, Self::run_timer);
         placer.spawn(Activity::Membership, Self::run_membership);
         placer.spawn(Activity::Call, |placer| placer.run_reports());
-        for _ in 0..ORDER_THREADS {
-            let queue = order_queue.clone();
-            placer.spawn(Activity::Order, move |placer| placer.run_orders(&queue));
-        }
+        placer.spawn(Activity::Order, move |placer| {
+            placer.run_dispatcher(&orders);
+        });
         for _ in 0..POLICY_THREADS {
             let queue = question_queue.clone();
             placer.spawn(Activity::Policy, move |placer| placer.run_questions(&queue));
@@ -327,7 +333,8 @@
                     let _ = sender.send(Reply::Queues(document));
                 }
                 Effect::Order(order) => {
-                    let _ = self.orders.send(order);
+                    term.pending_orders.push(order);
+                    let _ = self.wake_dispatcher.try_send(());
                 }
                 Effect::EndsRecorded {
                     worker,
@@ -375,12 +382,7 @@
             self.follow_leadership();
             if self.clock.now() >= next_tick_at {
                 next_tick_at = self.clock.now() + TICK_INTERVAL;
-                let links = self.with_term(None, Term::tick);
-                for (worker, generation) in links.into_iter().flatten() {
-                    self.spawn(Activity::Report, move |placer| {
-                        placer.run_link(&worker, generation);
-                    });
-                }
+                self.with_term(None, Term::tick);
             }
             thread::sleep(LEADERSHIP_INTERVAL);
         }
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -249,6 +249,7 @@
                     contact,
                     heard_at: now,
                     busy_until: now,
+                    relays_from: now,
                     trip: INITIAL_TRIP,
                 };
                 self.policy_callers.insert(host, caller);
--- a/src/workflow/placer/figures.rs
+++ b/src/workflow/placer/figures.rs
@@ -160,8 +160,8 @@
 
     fn report(&self, now: Instant, interval: Duration, processor_ms: &str) {
         let calls = call_load::take();
-        let (orders, questions) = (self.orders.len(), self.questions.len());
-        instruments().record_queues(orders as u64, questions as u64, calls);
+        let (instructions, questions) = (self.queued_instructions(), self.questions.len());
+        instruments().record_queues(instructions as u64, questions as u64, calls);
         let (counts, epoch, oldest, uncommitted, holder) = {
             let mut inner = self.figures.inner.lock().unwrap();
             let oldest = inner.uncommitted.front().map(|(_, at)| *at);
@@ -190,7 +190,7 @@
             held_now_ms:? = holder, longest_term_wait_ms = ms(counts.longest_wait),
             passes = counts.passes, pass_ms = ms(counts.pass_time),
             longest_pass_ms = ms(counts.longest_pass), stages_examined = counts.stages,
-            workers_examined = counts.workers, orders_queued = orders,
+            workers_examined = counts.workers, instructions_queued = instructions,
             questions_queued = questions, calls_in_flight = in_flight, call_threads = threads,
             longest_call_wait_ms = ms(calls.longest_wait),
             longest_replication_wait_ms = ms(calls.longest_replication_wait),
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -1,109 +1,18 @@
-//! Links to workers: renewing their leases and reading their lists.
+//! What workers answer to renewals: their lists of runs and ends.
 
-use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Receiver, bounded};
-
-use super::super::calls::{
-    CallFailure, ListedEnd, ListedRun, RenewOrder, WorkerReport, WorkerTarget,
-};
+use super::super::calls::{CallFailure, ListedEnd, ListedRun, WorkerReport, WorkerTarget};
 use super::super::decisions::leases::ClockReading;
 use super::super::decisions::progress::{Progress, RESTARTED_RUN_TIME};
 use super::super::records::{RunNumber, RunOutcome};
 use super::super::spec::TaskKey;
+use super::Now;
 use super::term::{Effect, OrderKind, RunPhase, Term};
-use super::{Now, Placer};
-use crate::ids::{Epoch, WorkerId};
+use crate::ids::{Incarnation, WorkerId};
 use crate::scheduling::ledger::WorkerStatus;
 
-/// How long a worker may wait for an end before it answers a renewal.
-const RENEWAL_WAIT: Duration = Duration::from_millis(1_000);
-/// Time for an answer beyond the wait: a round trip between regions and the worker's own delay.
-const RENEWAL_GRACE: Duration = Duration::from_millis(600);
-/// Pause after a renewal without an answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Longest wait of a link for the commit of ends before it renews the lease without them.
-const COMMIT_WAIT: Duration = Duration::from_millis(700);
-
-/// A renewal that is due.
-pub(super) struct Renewal {
-    target: WorkerTarget,
-    order: RenewOrder,
-    sent_at: Instant,
-}
-
-/// What a link does next.
-pub(super) enum NextStep {
-    /// Renews at once.
-    Renew,
-    /// Renews once the ends are recorded.
-    AwaitCommit(Receiver<()>),
-    /// Renews after a pause.
-    Pause,
-}
-
-impl Placer {
-    /// Serves one worker until the term ends or the worker is gone.
-    pub(super) fn run_link(self: &Arc<Self>, worker: &WorkerId, generation: Epoch) {
-        let mut wait = Duration::ZERO;
-        loop {
-            let renewal = self.with_term(Some(generation), |term, now| {
-                term.next_renewal(worker, wait, now)
-            });
-            let Some(renewal) = renewal.flatten() else {
-                return;
-            };
-            let deadline = renewal.sent_at + wait + RENEWAL_GRACE;
-            let result = (self.outside.renew)(&renewal.target, &renewal.order, deadline);
-            let next = self.with_term(Some(generation), |term, now| match result {
-                Ok(report) => term.note_report(worker, &renewal, report, now),
-                Err(failure) => term.note_silence(worker, &renewal, &failure, now),
-            });
-            match next {
-                None => return,
-                Some(NextStep::Renew) => wait = RENEWAL_WAIT,
-                Some(NextStep::AwaitCommit(signal)) => {
-                    wait = RENEWAL_WAIT;
-                    let _ = signal.recv_timeout(COMMIT_WAIT);
-                }
-                Some(NextStep::Pause) => {
-                    wait = Duration::ZERO;
-                    thread::sleep(RETRY_PAUSE);
-                }
-            }
-        }
-    }
-}
-
 impl Term {
-    /// The next renewal of a worker's lease; `None` when the worker is gone or has another link.
-    pub(super) fn next_renewal(
-        &mut self,
-        worker: &WorkerId,
-        wait: Duration,
-        now: Now,
-    ) -> Option<Renewal> {
-        let epoch = self.epoch;
-        let granted = self.grant_lease(worker, now.at);
-        let live = self.workers.get(worker)?;
-        let lease_until_clock_ms = granted.filter(|_| live.silent_since.is_none());
-        if live.link_generation != epoch {
-            return None;
-        }
-        Some(Renewal {
-            target: target(live),
-            order: RenewOrder {
-                fence: epoch,
-                lease_until_clock_ms,
-                recorded_ends: live.recorded_ends,
-                wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
-            },
-            sent_at: now.at,
-        })
-    }
-
     /// End of a lease that begins now, on the worker's clock; remembered as granted. A worker that
     /// does not answer gets no longer lease, so that its lease lapses. `None` while the clock is
     /// not known.
@@ -130,15 +39,15 @@
     pub(super) fn note_silence(
         &mut self,
         worker: &WorkerId,
-        renewal: &Renewal,
+        incarnation: Incarnation,
         failure: &CallFailure,
         now: Now,
-    ) -> NextStep {
+    ) {
         let Some(live) = self.workers.get_mut(worker) else {
-            return NextStep::Pause;
+            return;
         };
-        if live.record.incarnation != renewal.target.incarnation {
-            return NextStep::Pause;
+        if live.record.incarnation != incarnation {
+            return;
         }
         if live.reachable || live.silent_since.is_none() {
             log::warn!(
@@ -148,34 +57,36 @@
             );
         }
         live.reachable = false;
-        live.silent_since.get_or_insert(renewal.sent_at);
+        live.silent_since.get_or_insert(now.at);
         let (index, leaving) = (live.index, live.leaving);
         self.ledger.set_status(index, WorkerStatus::Lost);
         if leaving && *failure == CallFailure::PortClosed {
             self.remove_worker(worker, now);
         }
-        NextStep::Pause
     }
 
+    /// Takes the answer to a renewal that was sent after `asked_at`.
     pub(super) fn note_report(
         &mut self,
         worker: &WorkerId,
-        renewal: &Renewal,
-        report: WorkerReport,
+        asked_at: Instant,
+        report: &WorkerReport,
         now: Now,
-    ) -> NextStep {
+    ) {
         let Some(live) = self.workers.get_mut(worker) else {
-            return NextStep::Pause;
+            return;
         };
         let incarnation = live.record.incarnation;
-        if incarnation != renewal.target.incarnation || report.incarnation != incarnation {
-            return NextStep::Pause;
+        if report.incarnation != incarnation {
+            return;
         }
+        let needs_lease = live.clock.is_none() || live.silent_since.is_some();
         if !live.reachable {
             log::info!(worker = worker.as_str(), incarnation, running = report.running.len(); "worker answers");
         }
         live.reachable = true;
         live.silent_since = None;
+        live.avoided_relay = None;
         let (index, ends) = (live.index, live.record.draining || live.leaving);
         let status = if ends {
             WorkerStatus::Leaving
@@ -189,30 +100,28 @@
         self.note_running(worker, &report.running, now.at);
         self.note_stalls(worker, now.at);
         if report.complete {
-            self.note_absent(worker, renewal.sent_at, &report, now);
+            self.note_absent(worker, asked_at, report, now);
+        }
+        self.acknowledge_ends(worker, seen_before);
+        if needs_lease {
+            self.due_grants.insert(worker.clone());
         }
-        self.await_commit(worker, incarnation, seen_before)
     }
 
-    /// Waits while ends of this or an earlier report are not recorded yet.
-    fn await_commit(&mut self, worker: &WorkerId, incarnation: u64, seen_before: u64) -> NextStep {
-        let Some(live) = self.workers.get_mut(worker) else {
-            return NextStep::Pause;
+    /// Acknowledges new ends once they are committed, and those of an earlier report again when
+    /// the worker still lists them.
+    fn acknowledge_ends(&mut self, worker: &WorkerId, seen_before: u64) {
+        let Some(live) = self.workers.get(worker) else {
+            return;
         };
-        if live.seen_ends <= live.recorded_ends {
-            return NextStep::Renew;
-        }
-        let (sender, receiver) = bounded(1);
-        live.recorded_signal = Some(sender);
         // Ends of an earlier report have their own effect, which waits for their commit.
         if live.seen_ends > seen_before {
             self.effects.push(Effect::EndsRecorded {
                 worker: worker.clone(),
-                incarnation,
+                incarnation: live.record.incarnation,
                 through: live.seen_ends,
             });
         }
-        NextStep::AwaitCommit(receiver)
     }
 
     /// Ends up to a number are committed.
@@ -224,9 +133,7 @@
             return;
         }
         live.recorded_ends = live.recorded_ends.max(through);
-        if let Some(signal) = live.recorded_signal.take() {
-            let _ = signal.try_send(());
-        }
+        self.due_grants.insert(worker.clone());
     }
 
     fn note_ends(&mut self, worker: &WorkerId, ends: &[ListedEnd], now: Now) {
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -277,7 +277,8 @@
                 incarnation,
             });
             let worker = choice.worker;
-            let live = LiveRun::new(run, worker.clone(), RunPhase::Starting, now.at);
+            let mut live = LiveRun::new(run, worker.clone(), RunPhase::Starting, now.at);
+            live.permit.clone_from(&choice.permit);
             self.runs.insert(task.clone(), live);
             let kind = OrderKind::Start {
                 permit: choice.permit,
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
@@ -52,10 +52,12 @@
             ticks: 0,
             adopted_checked: false,
             examined: Examined::default(),
+            pending_orders: Vec::new(),
+            due_grants: IndexSet::new(),
         };
         let records: Vec<_> = term.state.workers.values().cloned().collect();
         for record in records {
-            term.add_worker(record);
+            term.add_worker(record, now.at);
         }
         let jobs: Vec<JobId> = term.state.jobs.keys().cloned().collect();
         for job in jobs {
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -68,6 +68,10 @@
     pub adopted_checked: bool,
     /// Stages and workers that were examined for placements.
     pub examined: Examined,
+    /// Committed orders that are not sent to a relay yet.
+    pub pending_orders: Vec<Order>,
+    /// Workers whose relay needs a new grant before the regular one.
+    pub due_grants: IndexSet<WorkerId>,
 }
 
 /// Stages and workers that were examined for placements since the last report.
@@ -160,16 +164,18 @@
     pub seen_ends: u64,
     /// Last end that is recorded in the log.
     pub recorded_ends: u64,
-    /// Wakes the link when `recorded_ends` has grown.
-    pub recorded_signal: Option<Sender<()>>,
     /// Runs that may exist on it.
     pub runs: IndexSet<TaskKey>,
     /// What the ends of its runs say about it.
     pub health: WorkerHealth,
     /// Whether it said that it leaves; it is gone once its port is closed.
     pub leaving: bool,
-    /// Number of the link thread that serves it; an older one ends itself.
-    pub link_generation: u64,
+    /// Host that relays orders to it.
+    pub relay: Option<HostId>,
+    /// When its present relay began.
+    pub relayed_since: Instant,
+    /// Former relay that could not reach it.
+    pub avoided_relay: Option<HostId>,
 }
 
 impl LiveWorker {
@@ -220,6 +226,12 @@
     pub progress: Option<Progress>,
     /// When it was placed, or adopted from an earlier leader.
     pub placed_at: Instant,
+    /// Permit with which it is started; `None` without a policy and once the start is answered.
+    pub permit: Option<String>,
+    /// When its start order was sent last.
+    pub start_sent_at: Option<Instant>,
+    /// How often its start order was sent.
+    pub starts_sent: u32,
 }
 
 impl LiveRun {
@@ -232,6 +244,9 @@
             seen: false,
             progress: None,
             placed_at: now,
+            permit: None,
+            start_sent_at: None,
+            starts_sent: 0,
         }
     }
 
@@ -273,6 +288,8 @@
     pub heard_at: Instant,
     /// When its present calls are expected to be answered.
     pub busy_until: Instant,
+    /// It relays nothing until then, since instructions did not reach it.
+    pub relays_from: Instant,
     /// Time that an answer takes beyond the decision itself.
     pub trip: Duration,
 }
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -3,4 +3,5 @@
 mod calls;
 mod fixture;
 mod gangs;
+mod relays;
 mod runs;
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -4,6 +4,7 @@
 
 use crossbeam::channel::bounded;
 
+use super::super::orders::OrderedRun;
 use super::super::term::{Effect, Order, OrderKind, Sealed, Term};
 use super::super::{Now, PlacerSettings};
 use crate::resources::Resources;
@@ -129,6 +130,15 @@
     }
 }
 
+/// The run that an order is about.
+pub(super) fn ordered(order: &Order) -> OrderedRun<'_> {
+    OrderedRun {
+        task: &order.task,
+        run: order.run,
+        worker: &order.worker,
+    }
+}
+
 impl Fixture {
     /// A term that has taken over a configured cell without workers.
     pub(super) fn new() -> Self {
@@ -201,12 +211,9 @@
 
     pub(super) fn report(&mut self, worker: &str, running: Vec<ListedRun>, ends: Vec<ListedEnd>) {
         let incarnation = self.term.workers[worker].record.incarnation;
-        self.term.workers[worker].link_generation = EPOCH;
         let id = worker.to_owned();
-        let renewal = self
-            .term
-            .next_renewal(&id, Duration::ZERO, self.now)
-            .unwrap();
+        let asked_at = self.now.at;
+        self.term.grant(&id, asked_at);
         self.pass(Duration::from_millis(60));
         let report = WorkerReport {
             incarnation,
@@ -215,17 +222,14 @@
             ends,
             complete: true,
         };
-        self.term.note_report(&id, &renewal, report, self.now);
+        self.term.note_report(&id, asked_at, &report, self.now);
     }
 
     pub(super) fn silence(&mut self, worker: &str, failure: &CallFailure) {
         let id = worker.to_owned();
-        self.term.workers[worker].link_generation = EPOCH;
-        let renewal = self
-            .term
-            .next_renewal(&id, Duration::ZERO, self.now)
-            .unwrap();
-        self.term.note_silence(&id, &renewal, failure, self.now);
+        let incarnation = self.term.workers[worker].record.incarnation;
+        self.term.grant(&id, self.now.at);
+        self.term.note_silence(&id, incarnation, failure, self.now);
     }
 
     pub(super) fn announce(&mut self, worker: &str) {
@@ -269,7 +273,8 @@
                 outcome,
                 clock_ms: Some(self.clock_ms()),
             };
-            self.term.note_start_answer(&order, answer, self.now);
+            self.term
+                .note_start_answer(&ordered(&order), answer, self.now);
         }
     }
 
--- a/src/workflow/placer/tests/runs.rs
+++ b/src/workflow/placer/tests/runs.rs
@@ -130,7 +130,7 @@
     let order = fixture.orders.pop().unwrap();
     fixture
         .term
-        .note_start_unanswered(&order, true, fixture.now);
+        .note_start_unanswered(&ordered(&order), true, fixture.now);
     fixture.commit_all();
     fixture.report("w", vec![], vec![]);
     assert!(
@@ -143,7 +143,9 @@
         outcome: OrderOutcome::Done,
         clock_ms: None,
     };
-    fixture.term.note_stop_answer(&stop, answer, fixture.now);
+    fixture
+        .term
+        .note_stop_answer(&ordered(&stop), answer, fixture.now);
     fixture.pass(Duration::from_millis(1));
     fixture.report("w", vec![], vec![]);
     assert!(!fixture.term.runs.contains_key(&task(0)));
@@ -159,7 +161,7 @@
     let order = fixture.orders.pop().unwrap();
     fixture
         .term
-        .note_start_unanswered(&order, false, fixture.now);
+        .note_start_unanswered(&ordered(&order), false, fixture.now);
     assert!(!fixture.term.runs.contains_key(&task(0)));
 }
 
@@ -181,7 +183,7 @@
     };
     fixture
         .term
-        .note_start_answer(&refused, answer, fixture.now);
+        .note_start_answer(&ordered(&refused), answer, fixture.now);
     fixture.commit_all();
     let stops = fixture
         .orders
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -9,6 +9,7 @@
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
 use super::load::LOAD_REPORT_TICKS;
+use super::relaying::GRANT_TICKS;
 use super::term::{LiveWorker, RunPhase, Term};
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::{WorkerDescription, WorkerStatus};
@@ -22,7 +23,7 @@
 
 impl Term {
     /// Takes note of a worker that is not known in this term.
-    pub(super) fn add_worker(&mut self, record: WorkerRecord) {
+    pub(super) fn add_worker(&mut self, record: WorkerRecord, now: Instant) {
         let index = self.ledger.announce(describe(&record));
         // It accepts runs once it has answered in this term.
         self.ledger.set_status(index, WorkerStatus::Lost);
@@ -35,11 +36,12 @@
             silent_since: None,
             seen_ends: 0,
             recorded_ends: 0,
-            recorded_signal: None,
             runs: IndexSet::new(),
             health: Default::default(),
             leaving: false,
-            link_generation: 0,
+            relay: None,
+            relayed_since: now,
+            avoided_relay: None,
             record,
         };
         self.workers.insert(worker.record.id.clone(), worker);
@@ -93,7 +95,7 @@
                     self.ledger.set_status(known.index, WorkerStatus::Lost);
                 }
             }
-            None => self.add_worker(record),
+            None => self.add_worker(record, now.at),
         }
     }
 
@@ -151,13 +153,15 @@
         }
     }
 
-    /// Time-driven steps; returns workers that need a link thread, with its number.
-    pub(super) fn tick(&mut self, now: Now) -> Vec<(WorkerId, u64)> {
+    /// Time-driven steps.
+    pub(super) fn tick(&mut self, now: Now) {
         if !self.ready {
-            return Vec::new();
+            return;
         }
         self.end_lapsed_runs(now);
         self.end_runs_without_worker(now);
+        self.assign_relays(now.at);
+        self.repeat_starts(now);
         self.repeat_stops(now.at);
         let tick = self.next_tick();
         if tick.is_multiple_of(FORGET_JOBS_TICKS) {
@@ -166,16 +170,10 @@
         if tick.is_multiple_of(LOAD_REPORT_TICKS) {
             self.report_load(now.at);
         }
-        self.activate_due_occurrences(now);
-        let epoch = self.epoch;
-        let mut needed = Vec::new();
-        for (id, worker) in &mut self.workers {
-            if worker.link_generation == 0 {
-                worker.link_generation = epoch;
-                needed.push((id.clone(), epoch));
-            }
+        if tick.is_multiple_of(GRANT_TICKS) {
+            self.due_grants.extend(self.workers.keys().cloned());
         }
-        needed
+        self.activate_due_occurrences(now);
     }
 
     fn next_tick(&mut self) -> u64 {
--- /dev/null
+++ b/src/workflow/relay/orders.rs
@@ -0,0 +1,118 @@
+//! Orders that a relay sends to workers.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Receiver;
+
+use super::super::calls::{CallFailure, OrderAnswer, StartOrder, StopOrder, WorkerTarget};
+use super::super::instruments::instruments;
+use super::Relay;
+use super::messages::{RelayEventKind, RelayedOrder, WorkerOrder};
+
+/// Time for the answer to an order: a round trip between regions and the worker's own delay.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
+/// Attempts to deliver an order. A start that stays unanswered is then stopped, well within the
+/// time that the members of a gang wait for each other.
+const ORDER_ATTEMPTS: u32 = 3;
+/// Pause after an order that could not be sent.
+const ORDER_PAUSE: Duration = Duration::from_millis(60);
+
+impl Relay {
+    pub(super) fn run_orders(self: &Arc<Self>, queue: &Receiver<RelayedOrder>) {
+        for RelayedOrder { target, order } in queue {
+            if !self.is_current(order.fence()) {
+                continue;
+            }
+            match order {
+                WorkerOrder::Start(order) => self.send_start(&target, order),
+                WorkerOrder::Stop(order) => self.send_stop(&target, order),
+            }
+        }
+    }
+
+    fn send_start(&self, target: &WorkerTarget, order: StartOrder) {
+        let mut may_have_arrived = false;
+        for attempt in 1..=ORDER_ATTEMPTS {
+            let sent_at = Instant::now();
+            let result = (self.outside.start)(target, &order, sent_at + ORDER_TIMEOUT);
+            count_order("start", &result, sent_at);
+            let failure = match result {
+                // An earlier attempt may still be carried out after this refusal.
+                Ok(answer) if may_have_arrived && answer.outcome.is_refusal() => break,
+                Ok(answer) => {
+                    log::info!(
+                        task:% = order.task, run = order.run, worker = target.worker.as_str(),
+                        epoch = order.fence, attempt, outcome:? = answer.outcome,
+                        took_ms = sent_at.elapsed().as_millis() as u64;
+                        "start order answered"
+                    );
+                    let event = RelayEventKind::StartAnswered {
+                        task: order.task,
+                        run: order.run,
+                        answer,
+                    };
+                    self.note(order.fence, target, event);
+                    return;
+                }
+                Err(failure) => failure,
+            };
+            let sent = !matches!(failure, CallFailure::NotSent(_) | CallFailure::PortClosed);
+            may_have_arrived |= sent;
+            log::warn!(
+                task:% = order.task, run = order.run, worker = target.worker.as_str(), attempt;
+                "start order failed: {failure}"
+            );
+            if !self.is_current(order.fence) {
+                return;
+            }
+            if !sent {
+                thread::sleep(ORDER_PAUSE);
+            }
+        }
+        let event = RelayEventKind::StartUnanswered {
+            task: order.task,
+            run: order.run,
+            may_have_arrived,
+        };
+        self.note(order.fence, target, event);
+    }
+
+    /// Sends a stop order once; the placer repeats it while the run is there.
+    fn send_stop(&self, target: &WorkerTarget, order: StopOrder) {
+        let sent_at = Instant::now();
+        let result = (self.outside.stop)(target, &order, sent_at + ORDER_TIMEOUT);
+        count_order("stop", &result, sent_at);
+        match result {
+            Ok(answer) => {
+                log::info!(
+                    task:% = order.task, run = order.run, worker = target.worker.as_str(),
+                    epoch = order.fence, outcome:? = answer.outcome;
+                    "stop order answered"
+                );
+                let event = RelayEventKind::StopAnswered {
+                    task: order.task,
+                    run: order.run,
+                    answer,
+                };
+                self.note(order.fence, target, event);
+            }
+            Err(failure) => log::warn!(
+                task:% = order.task, run = order.run, worker = target.worker.as_str();
+                "stop order failed: {failure}"
+            ),
+        }
+    }
+}
+
+fn count_order(kind: &'static str, result: &Result<OrderAnswer, CallFailure>, sent_at: Instant) {
+    let latency = sent_at.elapsed();
+    match result {
+        Ok(answer) => {
+            let outcome = format!("{:?}", answer.outcome);
+            instruments().record_order(kind, &outcome, latency);
+        }
+        Err(_) => instruments().record_order(kind, "unanswered", latency),
+    }
+}
