bug: a scheduling pass runs only after a change that it depends on

Callers saw jobs on cells with 350 workers that were accepted and not started. Each step of the placer asked for a scheduling pass, also heartbeats, contacts, renewals, reads and effects of a commit. With 350 workers this kept the scheduler at a pass every 4 ms, whether or not anything could be placed.

The ledger counts how often the room of a worker has grown, and the term notes other changes that a pass depends on: a waiting stage, an answer of the policy, a new or returned caller of the policy. A pass is due only after one of them; each tick of 100 ms makes one due for what depends on time alone.

--- a/src/scheduling/ledger.rs
+++ b/src/scheduling/ledger.rs
@@ -169,6 +169,8 @@
     held: Resources,
     /// Sum of what new tasks can get on each worker.
     free_total: Resources,
+    /// How often the room of a worker has grown.
+    growths: u64,
 }
 
 impl Ledger {
@@ -227,6 +229,7 @@
 
     fn change_free(&mut self, before: &Resources, after: &Resources) {
         self.free_total = add(&subtract(&self.free_total, before), after);
+        self.growths += u64::from(!before.covers(after));
     }
 
     /// Index of a worker that is named in committed records but has not announced itself yet. It
@@ -307,6 +310,11 @@
         self.free_total
     }
 
+    /// How often the room of a worker has grown; unchanged when no task fits that did not before.
+    pub fn growths(&self) -> u64 {
+        self.growths
+    }
+
     /// What a new task can get on a worker.
     pub fn free(&self, index: WorkerIndex) -> Resources {
         self.worker(index)
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -7,6 +7,7 @@
 mod gangs;
 mod load;
 mod orders;
+mod passes;
 mod policy;
 mod replicas;
 mod reports;
@@ -249,8 +250,9 @@
             *guard = None;
             return None;
         }
+        let pass_is_due = term.pass_is_due();
         drop(guard);
-        let _ = self.wake_scheduler.try_send(());
+        self.request_pass(pass_is_due);
         Some(result)
     }
 
@@ -278,7 +280,14 @@
             };
             let effects = term.committed(sequence);
             self.execute(term, effects);
+            let pass_is_due = term.pass_is_due();
             drop(guard);
+            self.request_pass(pass_is_due);
+        }
+    }
+
+    fn request_pass(&self, is_due: bool) {
+        if is_due {
             let _ = self.wake_scheduler.try_send(());
         }
     }
@@ -319,7 +328,10 @@
         for () in wake_ups {
             thread::sleep(SCHEDULING_DELAY);
             let mut guard = self.lock();
-            let Some(term) = guard.as_mut().filter(|term| term.ready) else {
+            let due = guard
+                .as_mut()
+                .filter(|term| term.ready && term.pass_is_due());
+            let Some(term) = due else {
                 continue;
             };
             let questions = term.schedule(self.now());
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -12,7 +12,7 @@
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
 use super::super::spec::WorkflowSpec;
-use super::policy::INITIAL_TRIP;
+use super::policy::{CALLER_FRESHNESS, INITIAL_TRIP};
 use super::term::{Effect, PolicyCaller, RunPhase, Term};
 use super::{Now, Placer};
 use crate::ids::JobId;
@@ -240,6 +240,7 @@
         let host = contact.host.clone();
         match self.policy_callers.get_mut(&host) {
             Some(caller) => {
+                self.passes.changed |= now >= caller.heard_at + CALLER_FRESHNESS;
                 caller.contact = contact;
                 caller.heard_at = now;
             }
@@ -252,6 +253,7 @@
                     trip: INITIAL_TRIP,
                 };
                 self.policy_callers.insert(host, caller);
+                self.passes.changed = true;
             }
         }
     }
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -153,6 +153,8 @@
         now: Now,
     ) -> Option<Question> {
         self.open_questions = self.open_questions.saturating_sub(1);
+        // Other stages may use the caller, and this one its permits.
+        self.passes.changed = true;
         let took = now.at.saturating_duration_since(sent_at);
         if result.is_ok() {
             let host = question.host.as_ref().unwrap_or(&self.settings.host);
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -77,6 +77,7 @@
             && !stage.waiting.contains(&task.index)
         {
             stage.waiting.push(task.index);
+            self.passes.changed = true;
         }
         if !open && !was_open {
             return;
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -64,6 +64,7 @@
             let may_gather = slots.claim(rank.priority());
             questions.extend(self.serve_gang(&stage, may_gather, now));
         }
+        self.note_pass();
         questions
     }
 
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -44,6 +44,7 @@
             workers: IndexMap::new(),
             stages: IndexMap::new(),
             runs: IndexMap::new(),
+            passes: Default::default(),
             late_gangs: 0,
             good_shares: IndexMap::new(),
             policy_callers: IndexMap::new(),
@@ -153,6 +154,7 @@
             };
             activated.push((key, live));
         }
+        self.passes.changed |= !activated.is_empty();
         self.stages.extend(activated);
     }
 }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -16,6 +16,7 @@
 use super::super::state::WorkflowState;
 use super::super::workers::WorkerRecord;
 use super::PlacerSettings;
+use super::passes::Passes;
 use crate::ids::{Epoch, HostId, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
@@ -51,6 +52,8 @@
     pub stages: IndexMap<StageKey, LiveStage>,
     /// Runs that may exist on a worker.
     pub runs: IndexMap<TaskKey, LiveRun>,
+    /// What has changed since the last scheduling pass.
+    pub passes: Passes,
     /// Waiting gangs that were late in the last scheduling pass.
     pub late_gangs: usize,
     /// Learned share of workers that the policy of a queue allows.
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -1,6 +1,9 @@
 //! Steps of a term, without threads, log or network.
 
 mod calls;
+mod cost;
 mod fixture;
 mod gangs;
+mod grown_cell;
+mod passes;
 mod runs;
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -239,6 +239,11 @@
     }
 
     pub(super) fn submit_as(&mut self, job: &str, stages: Vec<StageSpec>) {
+        self.submit_without_pass(job, stages);
+        self.term.schedule(self.now);
+    }
+
+    pub(super) fn submit_without_pass(&mut self, job: &str, stages: Vec<StageSpec>) {
         let (sender, _receiver) = bounded(1);
         let call = Call::Submit {
             target: QueueAddress {
@@ -252,7 +257,6 @@
             }),
         };
         self.term.handle_call(call, &sender, self.now);
-        self.term.schedule(self.now);
     }
 
     pub(super) fn call(&mut self, call: Call) {
--- /dev/null
+++ b/src/workflow/placer/tests/passes.rs
@@ -0,0 +1,98 @@
+//! What causes a scheduling pass.
+
+use std::time::Duration;
+
+use super::fixture::*;
+use crate::workflow::calls::{Call, CallFailure, HostContact};
+use crate::workflow::records::RunOutcome;
+
+/// A cell with a full worker, whose changes a pass has seen.
+fn settled() -> Fixture {
+    let mut fixture = Fixture::running_on_w();
+    fixture.term.schedule(fixture.now);
+    assert!(!fixture.term.pass_is_due());
+    fixture
+}
+
+fn contact() -> HostContact {
+    HostContact {
+        host: "10.0.0.9".to_owned(),
+        data_centre: "lowell-yard".to_owned(),
+        stores: false,
+    }
+}
+
+/// Guards against a pass after each step: at 350 workers, their renewals and heartbeats caused 250
+/// passes a second, which took more processor time than the leading host has.
+#[test]
+fn renewals_heartbeats_and_contacts_cause_no_pass() {
+    let mut fixture = settled();
+    fixture.term.note_contact(contact(), fixture.now.at);
+    fixture.term.schedule(fixture.now);
+    for sequence in 2..20 {
+        fixture
+            .term
+            .note_heartbeat(heartbeat("w", 1, sequence), fixture.now);
+        fixture.report("w", vec![listed(0, 1)], vec![]);
+        fixture.term.note_contact(contact(), fixture.now.at);
+        fixture.call(Call::ReadQueues);
+        fixture.commit_all();
+        assert!(!fixture.term.pass_is_due(), "after renewal {sequence}");
+    }
+}
+
+/// Guards against work that waits although something has changed that would let it start.
+#[test]
+fn each_change_that_a_pass_depends_on_causes_one() {
+    type Change = fn(&mut Fixture);
+    let changes: [(&str, Change); 8] = [
+        ("a run ended", |fixture| {
+            let now = fixture.now;
+            let end = RunOutcome::Succeeded;
+            fixture.term.finish_run(&task(0), end, String::new(), now);
+        }),
+        ("a run on a silent worker ended", |fixture| {
+            fixture.silence("w", &CallFailure::NoAnswer("cut off".to_owned()));
+            assert!(!fixture.term.pass_is_due());
+            let now = fixture.now;
+            let end = RunOutcome::Lost;
+            fixture.term.finish_run(&task(0), end, String::new(), now);
+        }),
+        ("a job was accepted", |fixture| {
+            fixture.submit_without_pass("00c0ffee00000002", vec![stage(1)]);
+        }),
+        ("a worker answered", |fixture| fixture.announce("v")),
+        ("a silent worker answered again", |fixture| {
+            fixture.silence("w", &CallFailure::NoAnswer("cut off".to_owned()));
+            fixture.report("w", vec![listed(0, 1)], vec![]);
+        }),
+        ("a host made contact", |fixture| {
+            fixture.term.note_contact(contact(), fixture.now.at);
+        }),
+        ("held room was returned", |fixture| {
+            fixture.submit_without_pass(
+                "00c0ffee00000002",
+                vec![crate::workflow::spec::StageSpec {
+                    gang: true,
+                    ..stage(9)
+                }],
+            );
+            fixture.term.schedule(fixture.now);
+            let key = fixture.term.stages.keys().last().unwrap().clone();
+            assert!(!fixture.term.stages[&key].holds.is_empty());
+            assert!(!fixture.term.pass_is_due());
+            fixture.term.release_holds(&key);
+        }),
+        ("time passed", |fixture| {
+            fixture.pass(Duration::from_millis(100));
+            fixture.term.tick(fixture.now);
+        }),
+    ];
+    for (name, change) in changes {
+        let mut fixture = settled();
+        change(&mut fixture);
+        assert!(fixture.term.pass_is_due(), "no pass after: {name}");
+        fixture.term.schedule(fixture.now);
+        assert!(!fixture.term.pass_is_due(), "a second pass after: {name}");
+    }
+}
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -167,6 +167,8 @@
             self.report_load(now.at);
         }
         self.activate_due_occurrences(now);
+        // Ranks, permits and avoided workers change with time.
+        self.passes.changed = true;
         let epoch = self.epoch;
         let mut needed = Vec::new();
         for (id, worker) in &mut self.workers {
