bug: a search for workers examines those with room, not all

Callers saw accepted jobs that were not started on cells with 350 workers and more. Each scheduling pass examined all workers for each waiting stage, cloned their ids and sorted them, so that the cost of a start grew with stages x workers and took the processor of the leading host.

The ledger keeps the workers of each service in the order of their free processors, and the workers whose room has grown last. A search begins at the need of the stage and ends once the best fit is complete; with a policy it examines the workers that the policy has granted. A pass skips amounts for which no worker has room, stages whose last search found nothing while no worker has gained room for them (for 100 ms at the most, since permits and health change with time), and questions while all callers are busy. What a rank needs is kept beside the stage instead of looked up by name.

--- a/src/scheduling/ledger.rs
+++ b/src/scheduling/ledger.rs
@@ -3,6 +3,8 @@
 //! This is the only place that adds an allocation to a worker, and therefore the only place that
 //! has to uphold the invariant that no worker is allocated more than it has.
 
+use std::collections::{BTreeSet, VecDeque};
+
 use indexmap::IndexMap;
 use thiserror::Error;
 
@@ -12,6 +14,11 @@
 
 /// Position of a worker in the ledger; reused once a worker is forgotten.
 pub type WorkerIndex = usize;
+/// Number of a group of workers that serve the same work.
+pub type PoolIndex = usize;
+
+/// Growths of room that are remembered; more than a cell of 1,600 workers has between two passes.
+const REMEMBERED_GROWTHS: usize = 4_096;
 
 /// What an allocation is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -103,6 +110,7 @@
     pub description: WorkerDescription,
     /// Whether it can be used.
     pub status: WorkerStatus,
+    pool: PoolIndex,
     /// Always the sum of `allocations`. Exceeds the capacity only by tasks that were already
     /// running when the worker shrank or when they were adopted.
     allocated: Resources,
@@ -131,6 +139,11 @@
             .unwrap_or(Resources::ZERO)
     }
 
+    /// Key in the order of free processors; `None` while the worker accepts no tasks.
+    fn free_cpu_millis(&self) -> Option<u64> {
+        (self.status == WorkerStatus::Up).then(|| self.free().cpu_millis)
+    }
+
     /// Whether more is running than the worker has.
     pub fn is_over_allocated(&self) -> bool {
         !self.description.capacity.covers(&self.allocated)
@@ -171,6 +184,10 @@
     free_total: Resources,
     /// How often the room of a worker has grown.
     growths: u64,
+    /// Workers of the latest growths, the newest last.
+    grown: VecDeque<WorkerIndex>,
+    /// For each pool, its workers that are up, with their free processors in thousandths of a core.
+    by_free_cpu: Vec<BTreeSet<(u64, WorkerIndex)>>,
 }
 
 impl Ledger {
@@ -194,6 +211,7 @@
         let worker = LedgerWorker {
             description,
             status: WorkerStatus::Lost,
+            pool: 0,
             allocated: Resources::ZERO,
             allocations: IndexMap::new(),
         };
@@ -221,15 +239,42 @@
             (false, true) => self.capacity = subtract(&self.capacity, &capacity),
             _ => {}
         }
-        let before = worker.free();
-        worker.status = status;
-        let after = worker.free();
-        self.change_free(&before, &after);
+        self.change(index, |worker| worker.status = status);
+    }
+
+    /// Moves a worker to a pool; each is in pool 0 at first.
+    pub fn set_pool(&mut self, index: WorkerIndex, pool: PoolIndex) {
+        self.change(index, |worker| worker.pool = pool);
     }
 
-    fn change_free(&mut self, before: &Resources, after: &Resources) {
-        self.free_total = add(&subtract(&self.free_total, before), after);
-        self.growths += u64::from(!before.covers(after));
+    /// Changes a worker and keeps what is derived from its room in step.
+    fn change(&mut self, index: WorkerIndex, change: impl FnOnce(&mut LedgerWorker)) {
+        let Some(worker) = self.workers.get_mut(index).and_then(Option::as_mut) else {
+            return;
+        };
+        let (before, former) = (worker.free(), (worker.pool, worker.free_cpu_millis()));
+        change(worker);
+        let (after, present) = (worker.free(), (worker.pool, worker.free_cpu_millis()));
+        self.free_total = add(&subtract(&self.free_total, &before), &after);
+        if !before.covers(&after) {
+            self.growths += 1;
+            self.grown.push_back(index);
+            if self.grown.len() > REMEMBERED_GROWTHS {
+                self.grown.pop_front();
+            }
+        }
+        if former == present {
+            return;
+        }
+        if let (pool, Some(cpu_millis)) = former {
+            self.by_free_cpu[pool].remove(&(cpu_millis, index));
+        }
+        if let (pool, Some(cpu_millis)) = present {
+            if pool >= self.by_free_cpu.len() {
+                self.by_free_cpu.resize_with(pool + 1, BTreeSet::new);
+            }
+            self.by_free_cpu[pool].insert((cpu_millis, index));
+        }
     }
 
     /// Index of a worker that is named in committed records but has not announced itself yet. It
@@ -315,6 +360,26 @@
         self.growths
     }
 
+    /// Workers whose room has grown since [`Ledger::growths`] had a value, some of them repeatedly;
+    /// `None` when that is too long ago to be known.
+    pub fn grown_since(&self, growths: u64) -> Option<impl Iterator<Item = WorkerIndex>> {
+        let count = usize::try_from(self.growths.checked_sub(growths)?).ok()?;
+        let known = self.grown.len().checked_sub(count)?;
+        Some(self.grown.range(known..).copied())
+    }
+
+    /// Workers of a pool that are up and have at least as many free processors, those with the
+    /// fewest first.
+    pub fn with_free_cpu(
+        &self,
+        pool: PoolIndex,
+        cpu_millis: u64,
+    ) -> impl DoubleEndedIterator<Item = WorkerIndex> {
+        let workers = self.by_free_cpu.get(pool);
+        let workers = workers.map(|workers| workers.range((cpu_millis, 0)..));
+        workers.into_iter().flatten().map(|&(_, index)| index)
+    }
+
     /// What a new task can get on a worker.
     pub fn free(&self, index: WorkerIndex) -> Resources {
         self.worker(index)
@@ -352,12 +417,9 @@
                 need: allocation.amount,
             });
         };
-        let before = worker.free();
-        worker.allocated = sum;
-        let after = worker.free();
         let (amount, purpose) = (allocation.amount, allocation.purpose);
         worker.allocations.insert(task.to_owned(), allocation);
-        self.change_free(&before, &after);
+        self.change(index, |worker| worker.allocated = sum);
         if purpose != Purpose::Task {
             self.held = add(&self.held, &amount);
         }
@@ -371,16 +433,14 @@
         let Ok(worker) = self.worker_mut(index) else {
             return;
         };
-        let before = worker.free();
-        worker.allocated = add(&worker.allocated, &amount);
-        let after = worker.free();
         let allocation = Allocation {
             amount,
             purpose: Purpose::Task,
             urgency,
         };
         worker.allocations.insert(task.to_owned(), allocation);
-        self.change_free(&before, &after);
+        let sum = add(&worker.allocated, &amount);
+        self.change(index, |worker| worker.allocated = sum);
     }
 
     /// Turns a hold into the allocation of a task that starts; returns whether it existed.
@@ -404,10 +464,8 @@
     pub fn release(&mut self, index: WorkerIndex, task: &str) -> Option<Allocation> {
         let worker = self.worker_mut(index).ok()?;
         let allocation = worker.allocations.swap_remove(task)?;
-        let before = worker.free();
-        worker.allocated = subtract(&worker.allocated, &allocation.amount);
-        let after = worker.free();
-        self.change_free(&before, &after);
+        let rest = subtract(&worker.allocated, &allocation.amount);
+        self.change(index, |worker| worker.allocated = rest);
         if allocation.purpose != Purpose::Task {
             self.held = subtract(&self.held, &allocation.amount);
         }
--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -93,6 +93,13 @@
         self.answers.contains_key(worker)
     }
 
+    /// Workers that the policy has granted, also those whose permit has expired.
+    pub fn granted_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        let answers = self.answers.iter();
+        let granted = answers.filter(|(_, permit)| matches!(permit, Permit::Granted { .. }));
+        granted.map(|(worker, _)| worker)
+    }
+
     /// Whether the policy has ever granted the worker.
     pub fn was_granted(&self, worker: &str) -> bool {
         matches!(self.answers.get(worker), Some(Permit::Granted { .. }))
--- a/src/workflow/decisions/placing.rs
+++ b/src/workflow/decisions/placing.rs
@@ -40,6 +40,15 @@
         .min(by_accelerators)
 }
 
+/// Whether no candidate is preferred to this one for a reason other than its free room.
+pub fn is_best_class<T>(spec: &StageSpec, candidate: &Candidate<'_, T>) -> bool {
+    let far = spec
+        .data_rack
+        .as_ref()
+        .is_some_and(|rack| rack != candidate.rack);
+    !far && candidate.slowness <= 1.0
+}
+
 fn quotient(free: u64, need: u64, limit: usize) -> usize {
     free.checked_div(need)
         .map_or(limit, |count| usize::try_from(count).unwrap_or(limit))
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -13,6 +13,7 @@
 mod reports;
 mod runs;
 mod scheduling;
+mod search;
 mod takeover;
 mod term;
 #[cfg(test)]
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -179,10 +179,10 @@
     fn waiting_cpu_work_ms(&self, priority: u32, now: Instant) -> u64 {
         let mut work_ms = 0;
         for (key, stage) in &self.stages {
-            let (Some(waiting), Some(job)) = (self.waiting(key), self.state.jobs.get(&key.job))
-            else {
+            let Some(job) = self.state.jobs.get(&key.job) else {
                 continue;
             };
+            let waiting = self.waiting(stage);
             let too_late = ranking::usefulness(&waiting, now) == Usefulness::TooLate;
             if stage.waiting.is_empty() || waiting.priority > priority || too_late {
                 continue;
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -1,5 +1,7 @@
 //! Placement of gangs: room is gathered for all members before any of them starts.
 
+use std::time::Duration;
+
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::reservations::{gather, knows_enough, needs_permits};
@@ -7,27 +9,33 @@
 use super::Now;
 use super::policy::Question;
 use super::scheduling::{Choice, StageDecision};
+use super::search::MAX_UNKNOWN_WORKERS;
 use super::term::{LiveWorker, Term};
 use crate::ids::WorkerId;
 use crate::resources::Resources;
 
+/// Time after which a gang that knows all workers looks for new ones. One tick.
+const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(100);
+
 impl Term {
     /// Places a gang that has room, or keeps room for it where `may_gather` allows it; returns a
-    /// question about its workers.
+    /// question about its workers. `may_fit` is false when its last search found no room for all
+    /// members and no room has grown since that one of them could use.
     pub(super) fn serve_gang(
         &mut self,
         key: &StageKey,
         may_gather: bool,
+        may_fit: bool,
         now: Now,
     ) -> Option<Question> {
         let job = self.state.jobs.get(&key.job)?;
         let spec = job.stage_spec(key.stage)?.clone();
         let has_policy = job.queue.placement_policy.is_some();
-        if !self.is_whole(key) {
+        let stage = self.stages.get(key)?;
+        if !stage.is_whole() {
             return None;
         }
-        let stage = self.stages.get(key)?;
-        if stage.holds.is_empty() || stage.asking {
+        if may_fit && (stage.holds.is_empty() || stage.asking) {
             // Without held room the gang may still find it all free at once.
             match self.decide_stage(key, now) {
                 StageDecision::Place(choices) => {
@@ -36,6 +44,7 @@
                     return None;
                 }
                 StageDecision::Ask(_) | StageDecision::Wait => {}
+                StageDecision::NothingFound => self.note_empty_search(key, now),
             }
         }
         if self.stages.get(key)?.asking {
@@ -54,44 +63,32 @@
         self.start_gathered(key, &spec, has_policy, now)
     }
 
-    /// Returns the room that a gang has gathered, so that each scheduling pass gives it out anew in
-    /// the order of the ranks: a gang that is late would otherwise keep room that one in time needs.
-    pub(super) fn return_gathered_room(&mut self, key: &StageKey) {
-        let asking = self.stages.get(key).is_none_or(|stage| stage.asking);
-        if !asking {
-            self.release_holds(key);
-        }
+    /// The stage at a position, when it holds room that it has gathered. Each scheduling pass returns
+    /// this room and gives it out anew in the order of the ranks: a gang that is late would otherwise
+    /// keep room that one in time needs.
+    pub(super) fn gathering_gang(&self, position: usize) -> Option<StageKey> {
+        let (key, stage) = self.stages.get_index(position)?;
+        (!stage.asking && !stage.holds.is_empty()).then(|| key.clone())
     }
 
     /// Keeps room on good workers as it becomes free.
     fn gather_room(&mut self, key: &StageKey, spec: &StageSpec, now: Now) {
-        let Some(job) = self.state.jobs.get(&key.job) else {
-            return;
-        };
-        let Some(stage) = self.stages.get(key) else {
+        let Some(search) = self.search(key, now) else {
             return;
         };
-        let policy = job.queue.placement_policy.is_some();
-        let held: usize = stage.holds.values().sum();
-        let missing = stage.waiting.len().saturating_sub(held);
-        let mut candidates: Vec<Candidate<'_, WorkerId>> = Vec::new();
-        for (id, worker) in &self.workers {
-            if policy && !stage.permits.was_granted(id) {
-                continue;
-            }
-            candidates.extend(self.candidate(key, spec, &job.queue.service, (id, worker), now));
-        }
+        let held: usize = search.stage.holds.values().sum();
+        let missing = search.stage.waiting.len().saturating_sub(held);
+        let candidates = self.gathering_candidates(&search, missing);
         let kept = gather(spec, missing, &candidates);
-        let kept: Vec<(WorkerId, usize)> = candidates
-            .into_iter()
-            .map(|candidate| candidate.worker)
-            .zip(kept)
-            .collect();
-        for (worker, count) in kept {
+        let mut holds: Vec<(WorkerId, usize)> = Vec::new();
+        for (candidate, count) in candidates.iter().zip(kept) {
             if count > 0 {
-                self.hold(key, spec, &worker, count);
+                holds.push((candidate.worker.clone(), count));
             }
         }
+        for (worker, count) in holds {
+            self.hold(key, spec, &worker, count);
+        }
     }
 
     /// Starts a gang whose members all have room and permits; renews the permits once most members
@@ -162,51 +159,70 @@
         let Some(stage) = self.stages.get(key) else {
             return 0;
         };
-        let workers = self.workers.iter();
-        let good = workers.filter(|(id, worker)| {
-            worker.reachable && !worker.record.draining && stage.permits.was_granted(id)
-        });
-        good.map(|(_, worker)| capacity_for(spec, worker.record.capacity))
-            .sum()
+        let mut potential = 0;
+        for id in stage.permits.granted_workers() {
+            self.passes.count_examined();
+            let Some(worker) = self.workers.get(id) else {
+                continue;
+            };
+            if worker.reachable && !worker.record.draining {
+                potential += capacity_for(spec, worker.record.capacity);
+            }
+        }
+        potential
     }
 
     /// Asks about workers that the gang does not know, whether they have room now or not: what the
     /// policy says of a worker does not change.
     fn ask_for_gang(&mut self, key: &StageKey, spec: &StageSpec, now: Now) -> Option<Question> {
         let job = self.state.jobs.get(&key.job)?;
-        job.queue.placement_policy.as_ref()?;
+        let policy = job.queue.placement_policy.as_ref()?;
         let stage = self.stages.get(key)?;
-        if stage.asking || now.at < stage.ask_again_at {
+        if stage.asking
+            || now.at < stage.ask_again_at.max(stage.look_again_at)
+            || self.callers_are_busy(policy)
+        {
             return None;
         }
+        let label = spec.required_label.as_ref();
         let mut unknown = Vec::new();
-        for (id, worker) in &self.workers {
-            let label = spec.required_label.as_ref();
-            let fits = worker.reachable
-                && !worker.record.draining
-                && worker.record.service == job.queue.service
-                && label.is_none_or(|label| worker.record.has_label(label));
+        // Those with the most free processors first.
+        for index in self.ledger.with_free_cpu(stage.needs.pool, 0).rev() {
+            self.passes.count_examined();
+            let id = self.ledger.worker(index).map(|entry| &entry.description.id);
+            let Some((id, worker)) = id.and_then(|id| Some((id, self.workers.get(id)?))) else {
+                continue;
+            };
+            if stage.permits.is_known(id)
+                || !worker.reachable
+                || !label.is_none_or(|label| worker.record.has_label(label))
+            {
+                continue;
+            }
             let room = capacity_for(spec, worker.record.capacity);
-            if fits && room > 0 && !stage.permits.is_known(id) {
-                unknown.push((self.ledger.free(worker.index).cpu_millis, id, room));
+            if room == 0 {
+                continue;
+            }
+            unknown.push(Unpermitted {
+                worker: id.clone(),
+                room,
+                known_good: false,
+            });
+            if unknown.len() == MAX_UNKNOWN_WORKERS {
+                break;
             }
         }
-        unknown.sort_by_key(|(free, ..)| std::cmp::Reverse(*free));
-        let workers = unknown.into_iter().map(|(_, id, room)| Unpermitted {
-            worker: id.clone(),
-            room,
-            known_good: false,
-        });
         let share = self.good_shares.get(&job.queue.name).copied();
+        let share = share.unwrap_or_default();
         let wanted = spec.task_count as usize * 2;
-        let workers = permits::choose_workers(
-            workers.collect(),
-            wanted,
-            false,
-            share.unwrap_or_default(),
-            self.question_cost(job),
-        );
+        let mut cost = self.question_cost(job);
+        // Workers that were not examined are too many to ask about all.
+        cost.callers_are_free &= unknown.len() < MAX_UNKNOWN_WORKERS;
+        let workers = permits::choose_workers(unknown, wanted, false, share, cost);
         if workers.is_empty() {
+            if let Some(stage) = self.stages.get_mut(key) {
+                stage.look_again_at = now.at + LOOK_AGAIN_AFTER;
+            }
             return None;
         }
         // Nothing is held for these questions: room counts once the good workers are known.
--- a/src/workflow/placer/load.rs
+++ b/src/workflow/placer/load.rs
@@ -49,16 +49,13 @@
             load.capacity_millis += entry.description.capacity.cpu_millis;
             load.allocated_millis += entry.allocated().cpu_millis;
         }
-        for (key, stage) in &self.stages {
+        for stage in self.stages.values() {
             if stage.waiting.is_empty() {
                 continue;
             }
-            let Some(waiting) = self.waiting(key) else {
-                continue;
-            };
             load.tasks += stage.waiting.len();
-            load.gangs += usize::from(self.is_gang(key));
-            if ranking::usefulness(&waiting, now) == Usefulness::InTime {
+            load.gangs += usize::from(stage.needs.gang);
+            if ranking::usefulness(&self.waiting(stage), now) == Usefulness::InTime {
                 load.stages_in_time += 1;
             } else {
                 load.stages_late += 1;
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -1,6 +1,13 @@
 //! When a scheduling pass is due.
 
+use std::cell::Cell;
+
+use indexmap::IndexSet;
+
+use super::super::queues::PlacementPolicy;
+use super::policy::is_slow;
 use super::term::Term;
+use crate::scheduling::ledger::WorkerIndex;
 
 /// What has changed since the last scheduling pass.
 pub struct Passes {
@@ -9,8 +16,21 @@
     pub changed: bool,
     /// Value of `Ledger::growths` at the end of the last pass.
     pub seen_growths: u64,
+    /// Value of `Ledger::growths` when the last pass began.
+    pub searched_growths: u64,
     /// Passes of this term.
     pub count: u64,
+    /// Workers that were examined for a stage in this term.
+    pub examined_workers: Cell<u64>,
+    /// Whether all callers of the policy for quick and for slow decisions were busy in this pass.
+    pub busy_callers: [bool; 2],
+}
+
+impl Passes {
+    /// Counts a worker that is examined for a stage.
+    pub fn count_examined(&self) {
+        self.examined_workers.set(self.examined_workers.get() + 1);
+    }
 }
 
 impl Default for Passes {
@@ -19,7 +39,10 @@
         Self {
             changed: true,
             seen_growths: 0,
+            searched_growths: 0,
             count: 0,
+            examined_workers: Cell::new(0),
+            busy_callers: [false; 2],
         }
     }
 }
@@ -32,6 +55,19 @@
         self.passes.changed || self.ledger.growths() != self.passes.seen_growths
     }
 
+    /// Begins a pass; returns the workers whose room has grown since the last one began, or `None`
+    /// when that is not known.
+    pub(super) fn begin_pass(&mut self) -> Option<IndexSet<WorkerIndex>> {
+        self.passes.busy_callers = [false; 2];
+        let grown = self.ledger.grown_since(self.passes.searched_growths);
+        grown.map(Iterator::collect)
+    }
+
+    /// Whether the policy can't be asked now since its callers are busy.
+    pub(super) fn callers_are_busy(&self, policy: &PlacementPolicy) -> bool {
+        self.passes.busy_callers[usize::from(is_slow(policy))]
+    }
+
     /// Takes note that a pass has seen all changes.
     pub(super) fn note_pass(&mut self) {
         self.passes.changed = false;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -86,6 +86,11 @@
     }
 }
 
+/// Whether answers of the policy take so long that they are kept apart from quick ones.
+pub(super) fn is_slow(policy: &PlacementPolicy) -> bool {
+    policy.decision_ms > SLOW_DECISION_MS
+}
+
 impl Term {
     /// Cost of a question about a job of a queue with a policy.
     pub(super) fn question_cost(&self, job: &Job) -> QuestionCost {
@@ -108,19 +113,15 @@
     ) -> Option<(Option<HostId>, Duration)> {
         let cost_ms = policy.decision_ms + policy.per_worker_ms * workers as f64;
         let cost = Duration::from_millis(cost_ms.ceil() as u64);
-        let slow = policy.decision_ms > SLOW_DECISION_MS;
+        let slow = is_slow(policy);
         let fresh = |caller: &PolicyCaller| now < caller.heard_at + CALLER_FRESHNESS;
         if self.open_questions >= POLICY_THREADS {
             return None;
         }
-        let mut usable: Vec<HostId> = self
-            .policy_callers
-            .iter()
-            .filter(|(_, caller)| fresh(caller))
-            .map(|(host, _)| host.clone())
-            .collect();
+        let callers = self.policy_callers.iter();
+        let mut usable: Vec<_> = callers.filter(|(_, caller)| fresh(caller)).collect();
         // The nearer half takes quick decisions, for which the way counts most.
-        usable.sort_by_key(|host| self.policy_callers[host].trip);
+        usable.sort_by_key(|(_, caller)| caller.trip);
         let half = usable.len().div_ceil(2);
         let (for_quick, for_slow) = usable.split_at(half);
         let preferred = if slow && !for_slow.is_empty() {
@@ -128,11 +129,9 @@
         } else {
             for_quick
         };
-        let free_at = |host: &HostId| {
-            let caller = &self.policy_callers[host];
-            caller.busy_until.max(now) + caller.trip
-        };
-        let host = preferred.iter().min_by_key(|host| free_at(host)).cloned()?;
+        let free_at = |caller: &PolicyCaller| caller.busy_until.max(now) + caller.trip;
+        let first = preferred.iter().min_by_key(|(_, caller)| free_at(caller));
+        let host = first.map(|(host, _)| (*host).clone())?;
         let caller = self.policy_callers.get_mut(&host)?;
         let begins_at = caller.busy_until.max(now);
         if begins_at > now + MAX_QUEUE {
@@ -155,6 +154,7 @@
         self.open_questions = self.open_questions.saturating_sub(1);
         // Other stages may use the caller, and this one its permits.
         self.passes.changed = true;
+        self.passes.busy_callers = [false; 2];
         let took = now.at.saturating_duration_since(sent_at);
         if result.is_ok() {
             let host = question.host.as_ref().unwrap_or(&self.settings.host);
@@ -179,7 +179,7 @@
         self.take_policy_answer(question, result, now);
         // The stage is served before others take the room that was held for it.
         if self.is_gang(&question.stage) {
-            return self.serve_gang(&question.stage, true, now);
+            return self.serve_gang(&question.stage, true, true, now);
         }
         self.release_holds(&question.stage);
         self.serve_stage(&question.stage, now)
@@ -195,6 +195,7 @@
             return;
         };
         stage.asking = false;
+        stage.empty_search = None;
         let Some(job) = self.state.jobs.get(&question.stage.job) else {
             return;
         };
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -1,5 +1,7 @@
 //! A scheduling pass: which waiting tasks get which workers.
 
+use indexmap::IndexSet;
+
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
@@ -8,12 +10,13 @@
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
-use super::policy::Question;
+use super::policy::{Question, is_slow};
+use super::search::{AmountsWithoutRoom, Search};
 use super::takeover::urgency;
-use super::term::{LiveRun, LiveWorker, OrderKind, RunPhase, Term};
+use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
 use crate::protocol::caller::Urgency;
-use crate::scheduling::ledger::{Allocation, Purpose, WorkerStatus};
+use crate::scheduling::ledger::{Allocation, Purpose};
 
 /// Late gangs from which on gangs are served newest first: as many as gather room at a time.
 const MANY_LATE_GANGS: usize = 3;
@@ -21,7 +24,8 @@
 /// A stage in the order of a scheduling pass.
 struct Ranked {
     rank: Rank,
-    stage: StageKey,
+    /// Position among the stages of the term, none of which is removed during a pass.
+    position: usize,
     gang: bool,
 }
 
@@ -36,6 +40,8 @@
 pub(super) enum StageDecision {
     /// Nothing can be done now.
     Wait,
+    /// No worker has room that the stage may use or ask about.
+    NothingFound,
     /// Tasks are placed.
     Place(Vec<Choice>),
     /// The policy has to be asked about workers with room.
@@ -45,25 +51,47 @@
 impl Term {
     /// Places what has room; returns questions to the placement policy.
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
+        let searched_growths = self.ledger.growths();
         let order = self.order(now);
         let gangs = order.iter().filter(|entry| entry.gang);
         self.late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
         for entry in order.iter().filter(|entry| entry.gang) {
-            self.return_gathered_room(&entry.stage);
+            if let Some(key) = self.gathering_gang(entry.position) {
+                self.release_holds(&key);
+            }
         }
+        let grown = self.begin_pass();
+        let mut without_room = AmountsWithoutRoom::default();
         let mut slots = GatheringSlots::default();
         let mut questions = Vec::new();
-        for Ranked { rank, stage, gang } in order {
-            if !gang {
-                questions.extend(self.serve_stage(&stage, now));
+        for Ranked { rank, position, .. } in order {
+            let Some((key, stage)) = self.stages.get_index(position) else {
+                continue;
+            };
+            if stage.needs.gang {
+                if !stage.is_whole() {
+                    continue;
+                }
+                let key = key.clone();
+                let may_gather = slots.claim(rank.priority());
+                let may_fit = !self.finds_nothing(stage, grown.as_ref(), now);
+                if !may_fit {
+                    self.keep_empty_search(position);
+                }
+                questions.extend(self.serve_gang(&key, may_gather, may_fit, now));
+                continue;
+            }
+            if !self.has_room(&stage.needs, &mut without_room) {
                 continue;
             }
-            if !self.is_whole(&stage) {
+            if self.finds_nothing(stage, grown.as_ref(), now) {
+                self.keep_empty_search(position);
                 continue;
             }
-            let may_gather = slots.claim(rank.priority());
-            questions.extend(self.serve_gang(&stage, may_gather, now));
+            let key = key.clone();
+            questions.extend(self.serve_stage(&key, now));
         }
+        self.passes.searched_growths = searched_growths;
         self.note_pass();
         questions
     }
@@ -71,43 +99,29 @@
     /// Stages with waiting tasks in the order in which they get room.
     fn order(&self, now: Now) -> Vec<Ranked> {
         let mut order = Vec::new();
-        for (key, stage) in &self.stages {
+        for (position, stage) in self.stages.values().enumerate() {
             if stage.waiting.is_empty() {
                 continue;
             }
-            let Some(waiting) = self.waiting(key) else {
-                continue;
-            };
             order.push(Ranked {
-                rank: ranking::rank(&waiting, now.at),
-                stage: key.clone(),
-                gang: self.is_gang(key),
+                rank: ranking::rank(&self.waiting(stage), now.at),
+                position,
+                gang: stage.needs.gang,
             });
         }
         order.sort_by_key(|entry| entry.rank);
         order
     }
 
-    /// Whether all members of a gang wait; until then it can't be placed.
-    pub(super) fn is_whole(&self, key: &StageKey) -> bool {
-        let job = self.state.jobs.get(&key.job);
-        let spec = job.and_then(|job| job.stage_spec(key.stage));
-        let stage = self.stages.get(key);
-        spec.zip(stage)
-            .is_some_and(|(spec, stage)| stage.waiting.len() >= spec.task_count as usize)
-    }
-
     /// What decides the rank of a stage.
-    pub(super) fn waiting(&self, key: &StageKey) -> Option<Waiting> {
-        let stage = self.stages.get(key)?;
-        let job = self.state.jobs.get(&key.job)?;
-        Some(Waiting {
-            priority: job.queue.priority,
+    pub(super) fn waiting(&self, stage: &LiveStage) -> Waiting {
+        Waiting {
+            priority: stage.needs.priority,
             due_at: stage.due_at,
             objective: stage.objective,
             remaining: stage.remaining,
-            newest_first: self.late_gangs >= MANY_LATE_GANGS && self.is_gang(key),
-        })
+            newest_first: self.late_gangs >= MANY_LATE_GANGS && stage.needs.gang,
+        }
     }
 
     /// Places the tasks of a stage that have room; returns a question about further workers.
@@ -119,62 +133,27 @@
         }
         match decision {
             StageDecision::Ask(workers) => self.question(key, workers, now),
+            StageDecision::NothingFound => {
+                self.note_empty_search(key, now);
+                None
+            }
             StageDecision::Wait | StageDecision::Place(_) => None,
         }
     }
 
     pub(super) fn decide_stage(&self, key: &StageKey, now: Now) -> StageDecision {
-        let (Some(job), Some(stage)) = (self.state.jobs.get(&key.job), self.stages.get(key)) else {
-            return StageDecision::Wait;
-        };
-        let Some(spec) = job.stage_spec(key.stage) else {
+        let Some(search) = self.search(key, now) else {
             return StageDecision::Wait;
         };
+        let Search { stage, spec, .. } = &search;
         let wanted = stage.waiting.len();
-        if wanted == 0 || (spec.gang && wanted < spec.task_count as usize) {
+        if wanted == 0 || (spec.gang && !stage.is_whole()) {
             return StageDecision::Wait;
         }
-        let mut permitted = Vec::new();
-        let mut unpermitted = Vec::new();
-        for (id, worker) in &self.workers {
-            let Some(candidate) = self.candidate(key, spec, &job.queue.service, (id, worker), now)
-            else {
-                continue;
-            };
-            if job.queue.placement_policy.is_none() || stage.permits.usable(id, now.at).is_some() {
-                permitted.push(candidate);
-            } else if !stage.permits.is_denied(id) {
-                unpermitted.push(Unpermitted {
-                    room: placing::room(spec, &candidate, wanted),
-                    known_good: stage.permits.was_granted(id),
-                    worker: candidate.worker,
-                });
-            }
-        }
+        let permitted = self.usable_candidates(&search, wanted);
         let chosen = placing::place(spec, wanted, &permitted);
         if chosen.is_empty() {
-            if stage.asking || now.at < stage.ask_again_at {
-                return StageDecision::Wait;
-            }
-            let held: usize = permitted
-                .iter()
-                .map(|one| placing::room(spec, one, wanted))
-                .sum();
-            let missing = wanted.saturating_sub(held).max(1);
-            let share = self.good_shares.get(&job.queue.name);
-            let share = share.copied().unwrap_or_default();
-            let workers = permits::choose_workers(
-                unpermitted,
-                missing,
-                spec.gang,
-                share,
-                self.question_cost(job),
-            );
-            return if workers.is_empty() {
-                StageDecision::Wait
-            } else {
-                StageDecision::Ask(workers)
-            };
+            return self.decide_question(&search, &permitted);
         }
         let choices = chosen.iter().zip(&stage.waiting).map(|(&position, &task)| {
             let worker = permitted[position].worker.clone();
@@ -188,47 +167,43 @@
         StageDecision::Place(choices.collect())
     }
 
-    /// The worker as a candidate for the stage, when it may run it and has room for a task.
-    pub(super) fn candidate<'a>(
+    /// Which workers to ask about for a stage without room on the workers that it may use.
+    fn decide_question(
         &self,
-        key: &StageKey,
-        spec: &StageSpec,
-        service: &str,
-        (id, worker): (&WorkerId, &'a LiveWorker),
-        now: Now,
-    ) -> Option<Candidate<'a, WorkerId>> {
-        if !worker.reachable || worker.record.service != service || worker.health.is_avoided(now.at)
-        {
-            return None;
-        }
-        let entry = self.ledger.worker(worker.index)?;
-        if entry.status != WorkerStatus::Up {
-            return None;
-        }
-        let free = entry.free();
-        if !free.covers(&spec.ledger_amount()) {
-            return None;
+        search: &Search,
+        permitted: &[Candidate<'_, &WorkerId>],
+    ) -> StageDecision {
+        let Search {
+            stage, job, spec, ..
+        } = search;
+        // A gang is asked about as a whole, whether there is room now or not.
+        if spec.gang {
+            return StageDecision::NothingFound;
         }
-        if worker.health.needs_probe(now.at) && (spec.gang || !worker.runs.is_empty()) {
-            return None;
+        let Some(policy) = &job.queue.placement_policy else {
+            return StageDecision::NothingFound;
+        };
+        if stage.asking {
+            return StageDecision::NothingFound;
         }
-        if let Some(label) = &spec.required_label
-            && !worker.record.has_label(label)
-        {
-            return None;
+        if search.now.at < stage.ask_again_at || self.callers_are_busy(policy) {
+            return StageDecision::Wait;
         }
-        let tasks_of_stage = if spec.max_tasks_per_worker.is_some() {
-            worker.runs.iter().filter(|task| task.stage == *key).count() as u32
+        let wanted = stage.waiting.len();
+        let rooms = permitted.iter().map(|one| placing::room(spec, one, wanted));
+        let missing = wanted.saturating_sub(rooms.sum()).max(1);
+        let (unpermitted, has_more) = self.unpermitted(search, wanted);
+        let share = self.good_shares.get(&job.queue.name).copied();
+        let mut cost = self.question_cost(job);
+        // Workers that were not examined are too many to ask about all.
+        cost.callers_are_free &= !has_more;
+        let share = share.unwrap_or_default();
+        let workers = permits::choose_workers(unpermitted, missing, false, share, cost);
+        if workers.is_empty() {
+            StageDecision::NothingFound
         } else {
-            0
-        };
-        Some(Candidate {
-            worker: id.clone(),
-            free,
-            rack: worker.record.rack(),
-            tasks_of_stage,
-            slowness: worker.health.slowness(),
-        })
+            StageDecision::Ask(workers)
+        }
     }
 
     pub(super) fn place(&mut self, key: &StageKey, choices: Vec<Choice>, now: Now) {
@@ -289,7 +264,7 @@
 
     fn note_placed(&mut self, key: &StageKey, placements: Vec<Placement>, now: Now) {
         if let Some(stage) = self.stages.get_mut(key) {
-            let placed: Vec<TaskIndex> = placements.iter().map(|one| one.task).collect();
+            let placed: IndexSet<TaskIndex> = placements.iter().map(|one| one.task).collect();
             stage.waiting.retain(|task| !placed.contains(task));
             let waited = now.at.saturating_duration_since(stage.due_at);
             instruments().record_placement(placed.len(), waited);
@@ -315,7 +290,11 @@
     ) -> Option<Question> {
         let job = self.state.jobs.get(&key.job)?;
         let policy = job.queue.placement_policy.clone()?;
-        let (host, expected) = self.choose_policy_caller(&policy, workers.len(), now.at)?;
+        let Some((host, expected)) = self.choose_policy_caller(&policy, workers.len(), now.at)
+        else {
+            self.passes.busy_callers[usize::from(is_slow(&policy))] = true;
+            return None;
+        };
         self.hold_room(key, &workers);
         self.stages.get_mut(key)?.asking = true;
         Some(Question {
--- /dev/null
+++ b/src/workflow/placer/search.rs
@@ -0,0 +1,317 @@
+//! Search for workers that a stage can use, at a cost that follows from the workers with room for
+//! it and not from the size of the cell.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+
+use super::super::decisions::permits::{MAX_WORKERS_PER_CALL, Unpermitted};
+use super::super::decisions::placing::{self, Candidate};
+use super::super::spec::{StageKey, StageSpec};
+use super::super::state::Job;
+use super::Now;
+use super::term::{LiveStage, Term};
+use crate::ids::{ServiceName, WorkerId};
+use crate::resources::Resources;
+use crate::scheduling::ledger::{PoolIndex, WorkerIndex, WorkerStatus};
+
+/// Unknown workers among which a question chooses: more than fit in a call, so that those with the
+/// most room are among them although the index orders them by processors alone.
+pub(super) const MAX_UNKNOWN_WORKERS: usize = 2 * MAX_WORKERS_PER_CALL;
+/// Time after which a search without result is repeated although no room has grown: permits expire
+/// and avoided workers return with time. One tick.
+const REPEAT_SEARCH_AFTER: Duration = Duration::from_millis(100);
+/// Amounts without room that a pass remembers; each further stage is compared with all of them.
+const MAX_AMOUNTS_WITHOUT_ROOM: usize = 32;
+
+/// What a search needs to know of a stage; never changes after the acceptance of its job.
+#[derive(Clone, Copy, Debug)]
+pub struct StageNeeds {
+    /// Priority of its queue.
+    pub priority: u32,
+    /// Whether all tasks start together.
+    pub gang: bool,
+    /// Number of tasks.
+    pub task_count: usize,
+    /// Workers that serve it.
+    pub pool: PoolIndex,
+    /// What each task takes from the ledger.
+    pub amount: Resources,
+}
+
+/// A search of a stage that found neither room nor workers to ask about.
+#[derive(Clone, Copy, Debug)]
+pub struct EmptySearch {
+    /// `Ledger::growths` at that time.
+    pub growths: u64,
+    /// When the search is repeated in any case.
+    pub repeat_at: Instant,
+}
+
+/// A stage with what describes it.
+pub(super) struct Search<'a> {
+    pub key: &'a StageKey,
+    pub stage: &'a LiveStage,
+    pub job: &'a Job,
+    pub spec: &'a StageSpec,
+    pub now: Now,
+}
+
+/// Amounts for which no worker of a pool has room; valid within a pass, in which room shrinks.
+#[derive(Default)]
+pub(super) struct AmountsWithoutRoom(Vec<(PoolIndex, Resources)>);
+
+impl AmountsWithoutRoom {
+    /// Whether there is no room for an amount since there is none for a smaller one.
+    fn contains(&self, needs: &StageNeeds) -> bool {
+        let mut known = self.0.iter();
+        known.any(|(pool, amount)| *pool == needs.pool && needs.amount.covers(amount))
+    }
+
+    fn note(&mut self, needs: &StageNeeds) {
+        self.0
+            .retain(|(pool, amount)| *pool != needs.pool || !amount.covers(&needs.amount));
+        if self.0.len() < MAX_AMOUNTS_WITHOUT_ROOM {
+            self.0.push((needs.pool, needs.amount));
+        }
+    }
+}
+
+impl Term {
+    /// Pool of the workers of a service.
+    pub(super) fn pool_of(&mut self, service: &ServiceName) -> PoolIndex {
+        if let Some(pool) = self.pools.get_index_of(service) {
+            return pool;
+        }
+        self.pools.insert_full(service.clone()).0
+    }
+
+    pub(super) fn search<'a>(&'a self, key: &'a StageKey, now: Now) -> Option<Search<'a>> {
+        let job = self.state.jobs.get(&key.job)?;
+        Some(Search {
+            key,
+            stage: self.stages.get(key)?,
+            job,
+            spec: job.stage_spec(key.stage)?,
+            now,
+        })
+    }
+
+    /// Whether any worker has room for one task, whether the stage may use it or not.
+    pub(super) fn has_room(&self, needs: &StageNeeds, without: &mut AmountsWithoutRoom) -> bool {
+        if without.contains(needs) {
+            return false;
+        }
+        let workers = self
+            .ledger
+            .with_free_cpu(needs.pool, needs.amount.cpu_millis);
+        for index in workers {
+            self.passes.count_examined();
+            if self.ledger.free(index).covers(&needs.amount) {
+                return true;
+            }
+        }
+        without.note(needs);
+        false
+    }
+
+    /// Whether the last search of a stage found nothing and a further one would not either.
+    /// `grown` has all workers whose room has grown since the last pass began.
+    pub(super) fn finds_nothing(
+        &self,
+        stage: &LiveStage,
+        grown: Option<&IndexSet<WorkerIndex>>,
+        now: Now,
+    ) -> bool {
+        let (Some(empty), Some(grown)) = (stage.empty_search, grown) else {
+            return false;
+        };
+        if now.at >= empty.repeat_at || empty.growths < self.passes.searched_growths {
+            return false;
+        }
+        let amount = &stage.needs.amount;
+        for &index in grown {
+            self.passes.count_examined();
+            if self.ledger.free(index).covers(amount) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Takes note that a search of a stage found nothing.
+    pub(super) fn note_empty_search(&mut self, key: &StageKey, now: Now) {
+        let growths = self.ledger.growths();
+        if let Some(stage) = self.stages.get_mut(key) {
+            stage.empty_search = Some(EmptySearch {
+                growths,
+                repeat_at: now.at + REPEAT_SEARCH_AFTER,
+            });
+        }
+    }
+
+    /// Takes note that a further search would still find nothing.
+    pub(super) fn keep_empty_search(&mut self, position: usize) {
+        let growths = self.ledger.growths();
+        if let Some((_, stage)) = self.stages.get_index_mut(position)
+            && let Some(empty) = &mut stage.empty_search
+        {
+            empty.growths = growths;
+        }
+    }
+
+    /// Workers with room that the stage may use now; as many as `wanted` tasks need, or all.
+    pub(super) fn usable_candidates<'a>(
+        &'a self,
+        search: &Search<'a>,
+        wanted: usize,
+    ) -> Vec<Candidate<'a, &'a WorkerId>> {
+        let mut candidates = Vec::new();
+        if search.job.queue.placement_policy.is_some() {
+            for id in search.stage.permits.granted_workers() {
+                if search.stage.permits.usable(id, search.now.at).is_some() {
+                    candidates.extend(self.candidate(search, id));
+                }
+            }
+            return candidates;
+        }
+        let one_rack = search.spec.gang && search.spec.prefers_one_rack;
+        let mut room = 0;
+        for index in self.with_room_for(search) {
+            let Some(candidate) = self.candidate_at(search, index) else {
+                continue;
+            };
+            // Later ones of the same class have more free room, so that they are a worse fit.
+            if !one_rack && placing::is_best_class(search.spec, &candidate) {
+                room += placing::room(search.spec, &candidate, wanted);
+            }
+            candidates.push(candidate);
+            if room >= wanted {
+                break;
+            }
+        }
+        candidates
+    }
+
+    /// Workers that a gang may keep room on, those with the most room first; as many as `missing`
+    /// tasks need, or all.
+    pub(super) fn gathering_candidates<'a>(
+        &'a self,
+        search: &Search<'a>,
+        missing: usize,
+    ) -> Vec<Candidate<'a, &'a WorkerId>> {
+        let mut candidates = Vec::new();
+        if search.job.queue.placement_policy.is_some() {
+            for id in search.stage.permits.granted_workers() {
+                candidates.extend(self.candidate(search, id));
+            }
+            return candidates;
+        }
+        let mut room = 0;
+        for index in self.with_room_for(search).rev() {
+            let Some(candidate) = self.candidate_at(search, index) else {
+                continue;
+            };
+            room += placing::room(search.spec, &candidate, missing);
+            candidates.push(candidate);
+            if room >= missing {
+                break;
+            }
+        }
+        candidates
+    }
+
+    /// Workers with room about which the policy can be asked, and whether there are more.
+    pub(super) fn unpermitted(&self, search: &Search, wanted: usize) -> (Vec<Unpermitted>, bool) {
+        let permits = &search.stage.permits;
+        let mut found = Vec::new();
+        let unpermitted = |candidate: &Candidate<'_, &WorkerId>, known_good| Unpermitted {
+            room: placing::room(search.spec, candidate, wanted),
+            known_good,
+            worker: candidate.worker.clone(),
+        };
+        for id in permits.granted_workers() {
+            if permits.usable(id, search.now.at).is_none()
+                && let Some(candidate) = self.candidate(search, id)
+            {
+                found.push(unpermitted(&candidate, true));
+            }
+        }
+        let mut unknown = 0;
+        for index in self.with_room_for(search).rev() {
+            let Some(candidate) = self.candidate_at(search, index) else {
+                continue;
+            };
+            if permits.is_known(candidate.worker) {
+                continue;
+            }
+            if unknown == MAX_UNKNOWN_WORKERS {
+                return (found, true);
+            }
+            unknown += 1;
+            found.push(unpermitted(&candidate, false));
+        }
+        (found, false)
+    }
+
+    fn with_room_for(&self, search: &Search) -> impl DoubleEndedIterator<Item = WorkerIndex> {
+        let needs = &search.stage.needs;
+        self.ledger
+            .with_free_cpu(needs.pool, needs.amount.cpu_millis)
+    }
+
+    fn candidate_at<'a>(
+        &'a self,
+        search: &Search<'a>,
+        index: WorkerIndex,
+    ) -> Option<Candidate<'a, &'a WorkerId>> {
+        let entry = self.ledger.worker(index)?;
+        if !entry.free().covers(&search.stage.needs.amount) {
+            self.passes.count_examined();
+            return None;
+        }
+        self.candidate(search, &entry.description.id)
+    }
+
+    /// The worker as a candidate for the stage, when it may run it and has room for a task.
+    fn candidate<'a>(
+        &'a self,
+        search: &Search<'a>,
+        id: &WorkerId,
+    ) -> Option<Candidate<'a, &'a WorkerId>> {
+        self.passes.count_examined();
+        let (_, id, worker) = self.workers.get_full(id)?;
+        let (spec, now) = (search.spec, search.now.at);
+        if !worker.reachable || worker.record.service != search.job.queue.service {
+            return None;
+        }
+        let entry = self.ledger.worker(worker.index)?;
+        let free = entry.free();
+        if entry.status != WorkerStatus::Up || !free.covers(&search.stage.needs.amount) {
+            return None;
+        }
+        if worker.health.is_avoided(now)
+            || (worker.health.needs_probe(now) && (spec.gang || !worker.runs.is_empty()))
+        {
+            return None;
+        }
+        if let Some(label) = &spec.required_label
+            && !worker.record.has_label(label)
+        {
+            return None;
+        }
+        let tasks_of_stage = if spec.max_tasks_per_worker.is_some() {
+            let runs = worker.runs.iter();
+            runs.filter(|task| task.stage == *search.key).count() as u32
+        } else {
+            0
+        };
+        Some(Candidate {
+            worker: id,
+            free,
+            rack: worker.record.rack(),
+            tasks_of_stage,
+            slowness: worker.health.slowness(),
+        })
+    }
+}
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -8,6 +8,7 @@
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
 use super::super::state::{Job, TaskProgress, WorkflowState};
+use super::search::StageNeeds;
 use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
 use crate::ids::{Epoch, JobId};
@@ -41,6 +42,7 @@
             next_sequence: 0,
             uncommitted: VecDeque::new(),
             ledger: Ledger::default(),
+            pools: Default::default(),
             workers: IndexMap::new(),
             stages: IndexMap::new(),
             runs: IndexMap::new(),
@@ -114,6 +116,8 @@
 
     /// Makes the stages of a job schedulable whose dependencies are met and whose time has come.
     pub(super) fn activate_stages(&mut self, id: &JobId, now: Now) {
+        let service = self.state.jobs.get(id).map(|job| job.queue.service.clone());
+        let pool = service.map_or(0, |service| self.pool_of(&service));
         let Some(job) = self.state.jobs.get(id) else {
             return;
         };
@@ -142,7 +146,20 @@
             let waiting = tasks.filter(|(_, task)| task.progress == TaskProgress::Waiting);
             let waiting = waiting.map(|(index, _)| index as u32).collect();
             let age = Duration::from_millis(now.unix_ms.saturating_sub(due_unix_ms));
+            let Some(spec) = job.stage_spec(key.stage) else {
+                continue;
+            };
+            let needs = StageNeeds {
+                priority: job.queue.priority,
+                gang: spec.gang,
+                task_count: spec.task_count as usize,
+                pool,
+                amount: spec.ledger_amount(),
+            };
             let live = LiveStage {
+                needs,
+                empty_search: None,
+                look_again_at: now.at,
                 waiting,
                 permits: Default::default(),
                 asking: false,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -17,7 +17,8 @@
 use super::super::workers::WorkerRecord;
 use super::PlacerSettings;
 use super::passes::Passes;
-use crate::ids::{Epoch, HostId, WorkerId};
+use super::search::{EmptySearch, StageNeeds};
+use crate::ids::{Epoch, HostId, ServiceName, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
 /// State of a leader. It runs ahead of the log: records are applied to `state` when they are
@@ -46,6 +47,8 @@
     pub uncommitted: VecDeque<(u64, Vec<Effect>)>,
     /// Capacity and allocations.
     pub ledger: Ledger,
+    /// Services by the number of their pool in the ledger.
+    pub pools: IndexSet<ServiceName>,
     /// Workers.
     pub workers: IndexMap<WorkerId, LiveWorker>,
     /// Stages whose dependencies are met and that are not complete.
@@ -167,6 +170,12 @@
 
 /// A stage that has tasks to run.
 pub struct LiveStage {
+    /// What a search needs to know of it.
+    pub needs: StageNeeds,
+    /// The last search, when it found nothing.
+    pub empty_search: Option<EmptySearch>,
+    /// Earliest time of the next look for workers that a gang does not know.
+    pub look_again_at: Instant,
     /// Tasks that need a run.
     pub waiting: Vec<TaskIndex>,
     /// Answers of the placement policy.
@@ -186,6 +195,13 @@
     pub remaining: Duration,
 }
 
+impl LiveStage {
+    /// Whether all tasks wait; until then a gang can't be placed.
+    pub fn is_whole(&self) -> bool {
+        self.waiting.len() >= self.needs.task_count
+    }
+}
+
 /// A run that may exist on a worker.
 pub struct LiveRun {
     /// Number.
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -7,3 +7,4 @@
 mod grown_cell;
 mod passes;
 mod runs;
+mod search;
--- a/src/workflow/placer/tests/cost.rs
+++ b/src/workflow/placer/tests/cost.rs
@@ -5,6 +5,30 @@
 use super::grown_cell::GrownCell;
 use crate::workflow::state::Job;
 
+/// Workers that the placer examines for each start.
+fn examined_for_each_start(workers: usize, load: f64) -> u64 {
+    let mut cell = GrownCell::new(workers, load);
+    cell.run(Duration::from_secs(2));
+    let examined = cell.fixture.term.passes.examined_workers.get();
+    println!(
+        "workers {workers} load {load}: examined {examined} starts {}",
+        cell.starts
+    );
+    examined / cell.starts as u64
+}
+
+/// Guards against decisions whose cost for each start grows with the cell: a pass examined all
+/// workers for each waiting stage, so that four times the workers under four times the load cost
+/// sixteen times as much and more.
+#[test]
+fn workers_examined_for_each_start_do_not_grow_with_the_cell() {
+    for load in [1.0, 2.0] {
+        let small = examined_for_each_start(350, load);
+        let large = examined_for_each_start(1_400, load);
+        assert!(large <= small * 2, "{large} after {small} at load {load}");
+    }
+}
+
 /// Sizes of the cell and the virtual time for which each is measured.
 const SIZES: [(usize, u64); 3] = [(48, 8), (350, 6), (1_600, 2)];
 
@@ -14,17 +38,18 @@
 #[ignore = "prints times that differ from machine to machine"]
 fn print_cost_of_a_start() {
     for (workers, seconds) in SIZES {
-        for load in [1.0, 1.5] {
+        for load in [1.0, 3.0] {
             let mut cell = GrownCell::new(workers, load);
             cell.run(Duration::from_secs(seconds));
             let jobs = cell.fixture.term.state.jobs.values();
             let open = jobs.filter(|job| Job::is_open(job)).count();
             print!(
-                "workers {workers} load {load}: submitted {} accepted {} open {open} starts {} passes {};",
+                "workers {workers} load {load}: submitted {} accepted {} open {open} starts {} passes {} ended {:?};",
                 cell.submitted,
                 cell.fixture.term.state.jobs.len(),
                 cell.starts,
                 cell.passes,
+                cell.ended,
             );
             for (part, time) in &cell.parts.0 {
                 let each_us = time.as_secs_f64() * 1e6 / cell.starts.max(1) as f64;
--- a/src/workflow/placer/tests/gangs.rs
+++ b/src/workflow/placer/tests/gangs.rs
@@ -89,7 +89,7 @@
     for _ in 0..30 {
         fixture.pass(Duration::from_millis(100));
         let now = fixture.now;
-        let mut question = fixture.term.serve_gang(&key(), true, now);
+        let mut question = fixture.term.serve_gang(&key(), true, true, now);
         for _ in 0..5 {
             let Some(asked) = question else {
                 break;
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -58,6 +58,8 @@
     pub starts: usize,
     pub submitted: usize,
     pub passes: usize,
+    /// Jobs that ended and, of these, those within their objective, by kind.
+    pub ended: [[usize; 2]; 3],
     random: StdRng,
     rates_per_s: [f64; 3],
     due: [f64; 3],
@@ -119,6 +121,7 @@
             starts: 0,
             submitted: 0,
             passes: 0,
+            ended: [[0; 2]; 3],
             random: StdRng::seed_from_u64(17),
             rates_per_s: [GANGS * scale, STAGES * scale, SMALL_JOBS * scale],
             due: [0.0; 3],
@@ -224,8 +227,17 @@
             }
             let task = entry.remove();
             let term = &mut self.fixture.term;
+            let stage = term.stages.get(&task.stage);
+            let in_time = stage.is_some_and(|stage| now.at <= stage.due_at + stage.objective);
             let step = || term.finish_run(&task, RunOutcome::Succeeded, String::new(), now);
             self.parts.measure("end", step);
+            if let Some(job) = term.state.jobs.get(&task.stage.job)
+                && !job.is_open()
+            {
+                let ended = &mut self.ended[2 - job.queue.priority as usize];
+                ended[0] += 1;
+                ended[1] += usize::from(in_time);
+            }
         }
     }
 
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -24,6 +24,8 @@
     /// Takes note of a worker that is not known in this term.
     pub(super) fn add_worker(&mut self, record: WorkerRecord) {
         let index = self.ledger.announce(describe(&record));
+        let pool = self.pool_of(&record.service);
+        self.ledger.set_pool(index, pool);
         // It accepts runs once it has answered in this term.
         self.ledger.set_status(index, WorkerStatus::Lost);
         let worker = LiveWorker {
@@ -78,6 +80,7 @@
                 self.workers.shift_remove(&id);
             }
         }
+        let pool = self.pool_of(&record.service);
         log::info!(
             worker = id.as_str(), incarnation = record.incarnation, address = record.address.as_str(),
             draining = record.draining, capacity:% = record.capacity;
@@ -89,6 +92,7 @@
                 let reachable = known.reachable;
                 known.record = record;
                 self.ledger.announce(describe(&known.record));
+                self.ledger.set_pool(known.index, pool);
                 if !reachable {
                     self.ledger.set_status(known.index, WorkerStatus::Lost);
                 }
