bug: admission costs the same however long the backlog is

Each submission walked all waiting stages and all workers, the refused ones included, so that a flood cost more processor time the longer its backlog had become.

The term keeps the declared work of waiting tasks by priority as a running sum. A stage that a scheduling pass finds too late to count is marked and taken out of it, since it stays too late. The capacity of the workers is summed once in 100 ms. Completed stages are removed without moving all others.

backlog.rs compares the sum with a recount over the stages under an overload with cancelled jobs.

--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -62,6 +62,11 @@
     pub fn is_in_time(&self) -> bool {
         self.usefulness == Usefulness::InTime
     }
+
+    /// Whether the end of the job no longer counts.
+    pub fn is_too_late(&self) -> bool {
+        self.usefulness == Usefulness::TooLate
+    }
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -3,6 +3,7 @@
 //! Threads of callers, workers and timers lock the term, change it and leave; what they append is
 //! proposed in that order when they leave. A thread executes the effects of committed batches.
 
+mod backlog;
 mod client_calls;
 mod gangs;
 mod load;
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -7,7 +7,7 @@
 
 use super::super::calls::{Call, HostContact, Reply};
 use super::super::decisions::admission::{self, Admission, Backlog};
-use super::super::decisions::ranking::{self, LATE_FACTOR, Usefulness};
+use super::super::decisions::ranking::LATE_FACTOR;
 use super::super::instruments::instruments;
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
@@ -126,6 +126,7 @@
             return Reply::Invalid(reason);
         }
         let (queue, id) = (queue.clone(), JobId::from(id));
+        let version = configuration.version;
         if let Admission::Refuse { retry_after } = self.admit(&queue, &spec, now.at) {
             let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             log::info!(job = id.as_str(), queue = queue.name.as_str(), retry_after_ms; "job refused: the backlog is too long");
@@ -135,7 +136,7 @@
         log::info!(
             job = id.as_str(), queue = queue.name.as_str(), stages = spec.stages.len(),
             tasks = spec.stages.iter().map(|stage| stage.task_count).sum::<u32>(),
-            version = configuration.version;
+            version;
             "job accepted"
         );
         instruments().count_job("accepted");
@@ -149,7 +150,7 @@
         Reply::Accepted
     }
 
-    fn admit(&self, queue: &Queue, spec: &WorkflowSpec, now: Instant) -> Admission {
+    fn admit(&mut self, queue: &Queue, spec: &WorkflowSpec, now: Instant) -> Admission {
         if spec.repetition.is_some() || spec.stages.iter().any(|stage| stage.lasting) {
             return Admission::Accept;
         }
@@ -157,45 +158,12 @@
         let objective_ms = chain_ms * queue.slack_factor + queue.target_latency_ms as f64;
         let allowed_ms = objective_ms * f64::from(LATE_FACTOR) - chain_ms;
         let backlog = Backlog {
-            cpu_work_ms: self.waiting_cpu_work_ms(queue.priority, now),
-            capacity_millis: self.expected_capacity_millis(),
+            cpu_work_ms: self.waiting_work.before_ms(queue.priority),
+            capacity_millis: self.expected_capacity_millis(now),
         };
         admission::decide(&backlog, Duration::from_millis(allowed_ms.max(0.0) as u64))
     }
 
-    /// Processors of the workers that are not known to be gone. Right after a take-over most have
-    /// not answered yet; counting only those that have would refuse jobs for no reason.
-    fn expected_capacity_millis(&self) -> u64 {
-        let workers = self.workers.values();
-        let present = workers.filter(|worker| {
-            worker.silent_since.is_none() && !worker.leaving && !worker.record.draining
-        });
-        present
-            .map(|worker| worker.record.capacity.cpu_millis)
-            .sum()
-    }
-
-    /// Declared processor time of waiting tasks that come before a new job of the priority.
-    fn waiting_cpu_work_ms(&self, priority: u32, now: Instant) -> u64 {
-        let mut work_ms = 0;
-        for (key, stage) in &self.stages {
-            let Some(job) = self.state.jobs.get(&key.job) else {
-                continue;
-            };
-            let waiting = self.waiting(stage);
-            let too_late = ranking::usefulness(&waiting, now) == Usefulness::TooLate;
-            if stage.waiting.is_empty() || waiting.priority > priority || too_late {
-                continue;
-            }
-            let Some(spec) = job.stage_spec(key.stage) else {
-                continue;
-            };
-            let tasks = stage.waiting.len() as u64;
-            work_ms += tasks * spec.estimate_ms * spec.ledger_amount().cpu_millis / 1_000;
-        }
-        work_ms
-    }
-
     fn cancel(&mut self, target: &QueueAddress, now: Now) -> Reply {
         let Some(configuration) = &self.state.configuration else {
             return Reply::NotConfigured;
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -78,6 +78,7 @@
         {
             stage.waiting.push(task.index);
             self.passes.changed = true;
+            self.note_waiting(&task.stage, 1);
         }
         if !open && !was_open {
             return;
@@ -90,8 +91,7 @@
             return;
         }
         if complete {
-            self.release_holds(&task.stage);
-            self.stages.shift_remove(&task.stage);
+            self.remove_stage(&task.stage);
             self.activate_stages(&task.stage.job.clone(), now);
         }
     }
@@ -101,8 +101,7 @@
         let stages = self.stages.keys().filter(|key| key.job == *id);
         let stages: Vec<StageKey> = stages.cloned().collect();
         for key in stages {
-            self.release_holds(&key);
-            self.stages.shift_remove(&key);
+            self.remove_stage(&key);
         }
         let runs = self.runs.keys().filter(|task| task.stage.job == *id);
         let runs: Vec<TaskKey> = runs.cloned().collect();
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -53,6 +53,9 @@
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
         let searched_growths = self.ledger.growths();
         let order = self.order(now);
+        for entry in order.iter().filter(|entry| entry.rank.is_too_late()) {
+            self.note_too_late(entry.position);
+        }
         let gangs = order.iter().filter(|entry| entry.gang);
         self.late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
         for entry in order.iter().filter(|entry| entry.gang) {
@@ -265,14 +268,17 @@
     fn note_placed(&mut self, key: &StageKey, placements: Vec<Placement>, now: Now) {
         if let Some(stage) = self.stages.get_mut(key) {
             let placed: IndexSet<TaskIndex> = placements.iter().map(|one| one.task).collect();
+            let before = stage.waiting.len();
             stage.waiting.retain(|task| !placed.contains(task));
+            let left = stage.waiting.len();
             let waited = now.at.saturating_duration_since(stage.due_at);
             instruments().record_placement(placed.len(), waited);
             log::info!(
-                stage:% = key, tasks = placed.len(), left = stage.waiting.len(),
+                stage:% = key, tasks = placed.len(), left,
                 waited_ms = waited.as_millis() as u64;
                 "tasks placed"
             );
+            self.note_not_waiting(key, before - left);
         }
         self.record(Record::RunsPlaced {
             stage: key.clone(),
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -37,6 +37,8 @@
     pub pool: PoolIndex,
     /// What each task takes from the ledger.
     pub amount: Resources,
+    /// Declared work of a task, in milliseconds of a thousandth of a core.
+    pub task_work: u64,
 }
 
 /// A search of a stage that found neither room nor workers to ask about.
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -8,6 +8,7 @@
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
 use super::super::state::{Job, TaskProgress, WorkflowState};
+use super::backlog::task_work;
 use super::search::StageNeeds;
 use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
@@ -46,6 +47,7 @@
             workers: IndexMap::new(),
             stages: IndexMap::new(),
             runs: IndexMap::new(),
+            waiting_work: Default::default(),
             passes: Default::default(),
             late_gangs: 0,
             good_shares: IndexMap::new(),
@@ -144,7 +146,7 @@
             };
             let tasks = stage.tasks.iter().enumerate();
             let waiting = tasks.filter(|(_, task)| task.progress == TaskProgress::Waiting);
-            let waiting = waiting.map(|(index, _)| index as u32).collect();
+            let waiting: Vec<_> = waiting.map(|(index, _)| index as u32).collect();
             let age = Duration::from_millis(now.unix_ms.saturating_sub(due_unix_ms));
             let Some(spec) = job.stage_spec(key.stage) else {
                 continue;
@@ -155,9 +157,11 @@
                 task_count: spec.task_count as usize,
                 pool,
                 amount: spec.ledger_amount(),
+                task_work: task_work(spec.estimate_ms, &spec.ledger_amount()),
             };
             let live = LiveStage {
                 needs,
+                too_late: false,
                 empty_search: None,
                 look_again_at: now.at,
                 waiting,
@@ -172,7 +176,11 @@
             activated.push((key, live));
         }
         self.passes.changed |= !activated.is_empty();
-        self.stages.extend(activated);
+        for (key, stage) in activated {
+            let waiting = stage.waiting.len();
+            self.stages.insert(key.clone(), stage);
+            self.note_waiting(&key, waiting);
+        }
     }
 }
 
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -16,6 +16,7 @@
 use super::super::state::WorkflowState;
 use super::super::workers::WorkerRecord;
 use super::PlacerSettings;
+use super::backlog::WaitingWork;
 use super::passes::Passes;
 use super::search::{EmptySearch, StageNeeds};
 use crate::ids::{Epoch, HostId, ServiceName, WorkerId};
@@ -55,6 +56,8 @@
     pub stages: IndexMap<StageKey, LiveStage>,
     /// Runs that may exist on a worker.
     pub runs: IndexMap<TaskKey, LiveRun>,
+    /// Work of the waiting tasks of `stages`.
+    pub waiting_work: WaitingWork,
     /// What has changed since the last scheduling pass.
     pub passes: Passes,
     /// Waiting gangs that were late in the last scheduling pass.
@@ -172,6 +175,8 @@
 pub struct LiveStage {
     /// What a search needs to know of it.
     pub needs: StageNeeds,
+    /// Whether a scheduling pass found that its job is too late to count, which does not change.
+    pub too_late: bool,
     /// The last search, when it found nothing.
     pub empty_search: Option<EmptySearch>,
     /// Earliest time of the next look for workers that a gang does not know.
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -1,5 +1,6 @@
 //! Steps of a term, without threads, log or network.
 
+mod backlog;
 mod calls;
 mod cost;
 mod fixture;
