--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -3,17 +3,20 @@
 //! Threads of callers, workers and timers lock the term, change it and leave; what they append is
 //! proposed in that order when they leave. A thread executes the effects of committed batches.
 
+mod backlog;
 mod client_calls;
 mod figures;
 mod gangs;
 mod load;
 mod orders;
+mod passes;
 mod policy;
 mod relaying;
 mod replicas;
 mod reports;
 mod runs;
 mod scheduling;
+mod search;
 mod takeover;
 mod term;
 mod term_lock;
@@ -284,8 +287,9 @@
             self.stop_placing(&mut guard, &reason);
             return None;
         }
+        let pass_is_due = term.pass_is_due();
         drop(guard);
-        let _ = self.wake_scheduler.try_send(());
+        self.request_pass(pass_is_due);
         Some(result)
     }
 
@@ -315,7 +319,14 @@
             self.figures.note_committed(sequence, Instant::now());
             let effects = term.committed(sequence);
             self.execute(term, effects);
+            let pass_is_due = term.pass_is_due();
             drop(guard);
+            self.request_pass(pass_is_due);
+        }
+    }
+
+    fn request_pass(&self, is_due: bool) {
+        if is_due {
             let _ = self.wake_scheduler.try_send(());
         }
     }
@@ -358,13 +369,16 @@
         for () in wake_ups {
             thread::sleep(SCHEDULING_DELAY);
             let mut guard = self.lock();
-            let Some(term) = guard.as_mut().filter(|term| term.ready) else {
+            let due = guard
+                .as_mut()
+                .filter(|term| term.ready && term.pass_is_due());
+            let Some(term) = due else {
                 continue;
             };
             let began_at = Instant::now();
             let questions = term.schedule(self.now());
             self.figures
-                .note_pass(began_at.elapsed(), term.examined.take());
+                .note_pass(began_at.elapsed(), term.passes.examined_since_report());
             if let Err(reason) = self.flush(term) {
                 self.stop_placing(&mut guard, &reason);
                 continue;
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -8,7 +8,9 @@
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
 use super::super::state::{Job, TaskProgress, WorkflowState};
-use super::term::{Effect, Examined, LiveRun, LiveStage, RunPhase, Term};
+use super::backlog::task_work;
+use super::search::StageNeeds;
+use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
 use crate::ids::{Epoch, JobId};
 use crate::protocol::caller::Urgency;
@@ -41,9 +43,12 @@
             next_sequence: 0,
             uncommitted: VecDeque::new(),
             ledger: Ledger::default(),
+            pools: Default::default(),
             workers: IndexMap::new(),
             stages: IndexMap::new(),
             runs: IndexMap::new(),
+            waiting_work: Default::default(),
+            passes: Default::default(),
             late_gangs: 0,
             good_shares: IndexMap::new(),
             policy_callers: IndexMap::new(),
@@ -51,7 +56,6 @@
             stray_stops: IndexMap::new(),
             ticks: 0,
             adopted_checked: false,
-            examined: Examined::default(),
             pending_orders: Vec::new(),
             due_grants: IndexSet::new(),
         };
@@ -116,6 +120,8 @@
 
     /// Makes the stages of a job schedulable whose dependencies are met and whose time has come.
     pub(super) fn activate_stages(&mut self, id: &JobId, now: Now) {
+        let service = self.state.jobs.get(id).map(|job| job.queue.service.clone());
+        let pool = service.map_or(0, |service| self.pool_of(&service));
         let Some(job) = self.state.jobs.get(id) else {
             return;
         };
@@ -142,9 +148,24 @@
             };
             let tasks = stage.tasks.iter().enumerate();
             let waiting = tasks.filter(|(_, task)| task.progress == TaskProgress::Waiting);
-            let waiting = waiting.map(|(index, _)| index as u32).collect();
+            let waiting: Vec<_> = waiting.map(|(index, _)| index as u32).collect();
             let age = Duration::from_millis(now.unix_ms.saturating_sub(due_unix_ms));
+            let Some(spec) = job.stage_spec(key.stage) else {
+                continue;
+            };
+            let needs = StageNeeds {
+                priority: job.queue.priority,
+                gang: spec.gang,
+                task_count: spec.task_count as usize,
+                pool,
+                amount: spec.ledger_amount(),
+                task_work: task_work(spec.estimate_ms, &spec.ledger_amount()),
+            };
             let live = LiveStage {
+                needs,
+                too_late: false,
+                empty_search: None,
+                look_again_at: now.at,
                 waiting,
                 permits: Default::default(),
                 asking: false,
@@ -156,7 +177,12 @@
             };
             activated.push((key, live));
         }
-        self.stages.extend(activated);
+        self.passes.changed |= !activated.is_empty();
+        for (key, stage) in activated {
+            let waiting = stage.waiting.len();
+            self.stages.insert(key.clone(), stage);
+            self.note_waiting(&key, waiting);
+        }
     }
 }
 
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -1,7 +1,12 @@
 //! Steps of a term, without threads, log or network.
 
+mod backlog;
 mod calls;
+mod cost;
 mod fixture;
 mod gangs;
+mod grown_cell;
+mod passes;
 mod relays;
 mod runs;
+mod search;
