--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod calls;
 mod cost;
+mod figures;
 mod fixture;
 mod gangs;
 mod grown_cell;
