bug: calls that wait for a commit hold a thread each

Callers saw jobs refused or without an answer while the placer moved every second. One storage host's process held 550 to 1,370 `peer-call` threads then.

Cause: the peer server started a thread for every call that found none free, and a call of another host kept its thread until its commit. Appends and heartbeats of the log came over the same connections and were handled by the same threads, so on 0.4 of a core they got one share of the processor among a thousand.

Change: a handler gets a responder that can be sent to another thread and answers once, without blocking. A connection has one reading and one writing thread; a peer that does not read its replies is disconnected. The placer keeps the responder with the effect that answers the call, so that a waiting call is an entry in a list; when a term ends, dropping it answers all of them as unconfirmed (before, they waited up to 2.5 s). Handlers that block run on pools with a bound on threads and on waiting calls, beyond which a call is refused without having run. Messages of the workflow log have a connection of their own and are handled on its reading thread.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,12 +10,16 @@
 pub mod handshake;
 pub mod keys;
 pub mod link_conditions;
+pub mod pool;
+pub mod responder;
 pub mod server;
 
 pub use client::{CallError, PeerClient, PeerClientOptions};
 pub use keys::ClusterKeys;
 pub use link_conditions::LinkConditions;
-pub use server::{PeerHandler, PeerServer};
+pub use pool::{CallPool, CallPoolOptions};
+pub use responder::Responder;
+pub use server::{CallHandler, PeerHandler, PeerServer};
 
 use std::time::Duration;
 
--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -30,13 +30,32 @@
     /// The error of the stream, or `InvalidData` for a frame that is too large. After an error of
     /// the stream the connection must be closed, since part of the frame may have been sent.
     pub fn write(&mut self, frame: &Frame) -> io::Result<usize> {
+        let bytes = self.seal(frame)?;
+        self.stream.write_all(&bytes)?;
+        Ok(bytes.len())
+    }
+
+    /// Writes frames with one call of the operating system.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::write`].
+    pub fn write_all(&mut self, frames: &[Frame]) -> io::Result<usize> {
+        let mut bytes = Vec::new();
+        for frame in frames {
+            bytes.extend_from_slice(&self.seal(frame)?);
+        }
+        self.stream.write_all(&bytes)?;
+        Ok(bytes.len())
+    }
+
+    fn seal(&mut self, frame: &Frame) -> io::Result<Vec<u8>> {
         let mut body = encode(frame)?;
         let code = code(&self.secret, &[&self.sequence.to_be_bytes(), &body]);
         body.extend_from_slice(&code);
         let bytes = with_length(&body)?;
         self.sequence += 1;
-        self.stream.write_all(&bytes)?;
-        Ok(bytes.len())
+        Ok(bytes)
     }
 
     /// The stream, for shutting it down.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -212,6 +212,10 @@
                 RecvTimeoutError::Timeout => self.no_reply("the deadline passed"),
                 RecvTimeoutError::Disconnected => self.no_reply("the connection ended"),
             })
+            .and_then(|reply| match reply {
+                PeerReply::Unanswered => Err(self.no_reply("the call ended without a reply")),
+                reply => Ok(reply),
+            })
     }
 
     fn connection(&self) -> Result<Arc<Connection>, CallError> {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,32 +2,39 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, Sender, unbounded};
-
 use super::channel::{FrameReader, FrameWriter};
 use super::frame::Frame;
 use super::handshake;
 use super::keys::ClusterKeys;
+use super::pool::{CallPool, CallPoolOptions};
+use super::responder::{MAX_CALLS_IN_FLIGHT, Outbox, Responder};
 use super::{CONNECT_TIMEOUT, IDLE_PING_INTERVAL, SILENCE_TIMEOUT, WRITE_TIMEOUT};
 use crate::ids::HostId;
 use crate::protocol::peer::{PeerReply, PeerRequest};
 
 /// Connections accepted at once: several for each host of a large cell.
 const MAX_CONNECTIONS: usize = 256;
-/// Calls of one connection that are handled at once.
-const MAX_CALLS_IN_FLIGHT: usize = 4096;
-/// Stack of a call's thread; handlers do not recurse.
-const CALL_STACK_BYTES: usize = 256 * 1024;
-/// Time after which a thread without calls ends.
-const IDLE_THREAD_LIFETIME: Duration = Duration::from_secs(10);
+/// Stack of a writing thread, which encodes frames and does not recurse.
+const WRITER_STACK_BYTES: usize = 128 * 1024;
+/// Threads for messages of replicated logs, of which each other host has one in flight per log.
+const MAX_LOG_THREADS: usize = 64;
+/// Messages of replicated logs that wait for a thread.
+const MAX_QUEUED_LOG_MESSAGES: usize = 256;
+/// Threads for other calls to a blocking handler. A forwarded request holds one until it ends.
+const MAX_CALL_THREADS: usize = 1_024;
+/// Other calls to a blocking handler that wait for a thread.
+const MAX_QUEUED_CALLS: usize = 1_024;
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Handles a call from the named host on the reading thread of its connection. It must not block:
+/// what takes time is handed to another thread with the responder.
+pub type CallHandler = Arc<dyn Fn(HostId, PeerRequest, Responder) + Send + Sync>;
 /// Computes the reply to a call from the named host; may block.
 pub type PeerHandler = Arc<dyn Fn(HostId, PeerRequest) -> PeerReply + Send + Sync>;
 
@@ -39,24 +46,37 @@
 
 struct Shared {
     keys: ClusterKeys,
-    threads: CallThreads,
+    handler: CallHandler,
     stopping: AtomicBool,
     /// Open connections, so that stopping can end them.
     connections: Mutex<Vec<TcpStream>>,
 }
 
 impl PeerServer {
-    /// Binds the address and serves in background threads.
+    /// Serves with a handler that may block, on bounded threads; calls beyond them are refused.
     ///
     /// # Errors
     ///
-    /// The error of binding the address.
+    /// As [`Self::start_deferred`].
     pub fn start(address: SocketAddr, keys: ClusterKeys, handler: PeerHandler) -> io::Result<Self> {
+        Self::start_deferred(address, keys, on_threads(handler))
+    }
+
+    /// Binds the address and serves with two threads for each connection.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address.
+    pub fn start_deferred(
+        address: SocketAddr,
+        keys: ClusterKeys,
+        handler: CallHandler,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let local_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             keys,
-            threads: CallThreads::new(handler),
+            handler,
             stopping: AtomicBool::new(false),
             connections: Mutex::new(Vec::new()),
         });
@@ -151,129 +171,69 @@
     let session = handshake::accept(&mut stream, &shared.keys)?;
     // The opening end pings at least this often, so that a longer silence means that it is gone.
     stream.set_read_timeout(Some(IDLE_PING_INTERVAL + SILENCE_TIMEOUT))?;
-    let writer = Arc::new(Mutex::new(FrameWriter::new(
-        stream.try_clone()?,
-        session.server_secret,
-    )));
-    let mut reader = FrameReader::new(stream, session.client_secret);
-    let in_flight = Arc::new(AtomicUsize::new(0));
-    loop {
+    let writer = FrameWriter::new(stream.try_clone()?, session.server_secret);
+    let (outbox, queue) = Outbox::new(stream.try_clone()?);
+    thread::Builder::new()
+        .name("peer-writer".to_owned())
+        .stack_size(WRITER_STACK_BYTES)
+        .spawn(move || {
+            if let Err(error) = queue.write_to(writer) {
+                log::debug!("cannot send replies: {error}");
+            }
+        })?;
+    let reader = FrameReader::new(stream, session.client_secret);
+    let result = read_calls(reader, &session.client, &outbox, shared);
+    outbox.close();
+    result
+}
+
+fn read_calls(
+    mut reader: FrameReader<TcpStream>,
+    host: &HostId,
+    outbox: &Outbox,
+    shared: &Shared,
+) -> io::Result<()> {
+    while !outbox.is_closed() {
         match reader.read()? {
             Frame::Request { call_id, request } => {
-                if in_flight.fetch_add(1, Ordering::AcqRel) >= MAX_CALLS_IN_FLIGHT {
-                    in_flight.fetch_sub(1, Ordering::AcqRel);
+                if outbox.calls_in_flight() >= MAX_CALLS_IN_FLIGHT {
                     let reply = PeerReply::Refused("too many calls in flight".to_owned());
-                    writer
-                        .lock()
-                        .unwrap()
-                        .write(&Frame::Reply { call_id, reply })?;
+                    outbox.send(Frame::Reply { call_id, reply });
                     continue;
                 }
-                shared.threads.run(Call {
-                    writer: Arc::clone(&writer),
-                    in_flight: Arc::clone(&in_flight),
-                    host: session.client.clone(),
-                    call_id,
-                    request,
-                })?;
-            }
-            Frame::Ping => {
-                writer.lock().unwrap().write(&Frame::Pong)?;
+                let responder = Responder::new(call_id, outbox.clone());
+                (shared.handler)(host.clone(), request, responder);
             }
+            Frame::Ping => outbox.send(Frame::Pong),
             Frame::Pong => {}
             Frame::Reply { .. } => {
                 return Err(io::Error::other("a reply on an accepted connection"));
             }
         }
     }
+    Ok(())
 }
 
-/// Threads that handle calls. A call never waits for another one: when no thread is free, one is
-/// started, which then serves further calls. Starting a thread for each call took a third of the
-/// processor time of a follower.
-struct CallThreads {
-    handler: PeerHandler,
-    calls: Sender<Call>,
-    queue: Receiver<Call>,
-    /// Threads that wait for a call, less the calls that were handed to them.
-    free: Arc<AtomicUsize>,
-}
-
-impl CallThreads {
-    fn new(handler: PeerHandler) -> Self {
-        let (calls, queue) = unbounded();
-        Self {
-            handler,
-            calls,
-            queue,
-            free: Arc::default(),
-        }
-    }
-
-    fn run(&self, call: Call) -> io::Result<()> {
-        let taken = self
-            .free
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| {
-                free.checked_sub(1)
-            });
-        if taken.is_ok() {
-            // Cannot fail: this side holds a receiver.
-            let _ = self.calls.send(call);
-            return Ok(());
-        }
-        let (handler, queue) = (Arc::clone(&self.handler), self.queue.clone());
-        let free = Arc::clone(&self.free);
-        thread::Builder::new()
-            .name("peer-call".to_owned())
-            .stack_size(CALL_STACK_BYTES)
-            .spawn(move || {
-                let mut next = Some(call);
-                while let Some(call) = next {
-                    call.handle(&handler);
-                    next = next_call(&queue, &free);
-                }
-            })?;
-        Ok(())
-    }
-}
-
-/// Waits for a call; `None` when the thread may end.
-fn next_call(queue: &Receiver<Call>, free: &AtomicUsize) -> Option<Call> {
-    free.fetch_add(1, Ordering::AcqRel);
-    if let Ok(call) = queue.recv_timeout(IDLE_THREAD_LIFETIME) {
-        return Some(call);
-    }
-    let left = free.fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| {
-        free.checked_sub(1)
-    });
-    if left.is_ok() {
-        return None;
-    }
-    // A call was handed to this thread while it gave up.
-    queue.recv().ok()
-}
-
-/// One call that is being handled.
-struct Call {
-    writer: Arc<Mutex<FrameWriter<TcpStream>>>,
-    in_flight: Arc<AtomicUsize>,
-    host: HostId,
-    call_id: u64,
-    request: PeerRequest,
-}
-
-impl Call {
-    fn handle(self, handler: &PeerHandler) {
-        let reply = handler(self.host, self.request);
-        self.in_flight.fetch_sub(1, Ordering::AcqRel);
-        let frame = Frame::Reply {
-            call_id: self.call_id,
-            reply,
+/// Runs a blocking handler on bounded threads. Messages of replicated logs have threads of their
+/// own, so that they never wait behind other calls.
+fn on_threads(handler: PeerHandler) -> CallHandler {
+    let pool = |name: &str, max_threads, max_queued| {
+        CallPool::new(CallPoolOptions {
+            name: name.to_owned(),
+            max_threads,
+            max_queued,
+        })
+    };
+    let log = pool("peer-log", MAX_LOG_THREADS, MAX_QUEUED_LOG_MESSAGES);
+    let calls = pool("peer-call", MAX_CALL_THREADS, MAX_QUEUED_CALLS);
+    Arc::new(move |host, request, responder| {
+        let pool = match &request {
+            PeerRequest::Replication { .. } => &log,
+            _ => &calls,
         };
-        let mut writer = self.writer.lock().unwrap();
-        if let Err(error) = writer.write(&frame) {
-            log::debug!("cannot send a reply: {error}");
-            let _ = writer.stream().shutdown(Shutdown::Both);
-        }
-    }
+        let handler = Arc::clone(&handler);
+        pool.run(responder, move |responder| {
+            responder.answer(handler(host, request));
+        });
+    })
 }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -110,4 +110,6 @@
     },
     /// The receiver cannot handle the request and did nothing.
     Refused(String),
+    /// The receiver took the request and ended it without a reply; it may have taken effect.
+    Unanswered,
 }
--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -5,11 +5,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel::bounded;
 use indexmap::{IndexMap, IndexSet};
 
 use super::calls::{CALL_EXTENSION, Call, Reply};
 use super::instruments::instruments;
-use super::placer::Placer;
+use super::placer::{CallResponder, Placer};
 use crate::ids::HostId;
 use crate::peer::{CallError, ClusterKeys, PeerClient, PeerClientOptions};
 use crate::protocol::peer::{PeerReply, PeerRequest};
@@ -43,6 +44,8 @@
     peer_port: u16,
     seeds: Mutex<Vec<HostId>>,
     clients: Mutex<IndexMap<HostId, PeerClient>>,
+    /// Clients for messages of the log, which must not wait behind other calls on a connection.
+    log_clients: Mutex<IndexMap<HostId, PeerClient>>,
     /// Hosts that were named as leaders.
     named: Mutex<IndexSet<HostId>>,
     leader: Mutex<Option<HostId>>,
@@ -60,6 +63,7 @@
             peer_port,
             seeds: Mutex::new(seeds),
             clients: Mutex::default(),
+            log_clients: Mutex::default(),
             named: Mutex::default(),
             leader: Mutex::new(None),
             silent_until: Mutex::default(),
@@ -92,9 +96,22 @@
         self.leader.lock().unwrap().clone()
     }
 
-    /// The client for a host.
+    /// The client for calls to a host.
     pub fn client(&self, host: &HostId) -> PeerClient {
-        let mut clients = self.clients.lock().unwrap();
+        self.client_in(&self.clients, host)
+    }
+
+    /// The client for messages of the log to a host, with a connection of its own.
+    pub fn log_client(&self, host: &HostId) -> PeerClient {
+        self.client_in(&self.log_clients, host)
+    }
+
+    fn client_in(
+        &self,
+        clients: &Mutex<IndexMap<HostId, PeerClient>>,
+        host: &HostId,
+    ) -> PeerClient {
+        let mut clients = clients.lock().unwrap();
         if let Some(client) = clients.get(host) {
             return client.clone();
         }
@@ -150,14 +167,20 @@
 
     /// Asks the placer of this host when it leads, otherwise the next host.
     fn attempt(&self, call: &Call, message: &[u8], attempt: usize, until: Instant) -> Asked {
-        let local = self
-            .placer()
-            .and_then(|placer| placer.handle(call.clone(), until));
-        match local {
-            Some(Reply::Unconfirmed) => Asked::Unconfirmed,
-            Some(reply) => Asked::Reply(reply),
-            None => self.ask(&self.next_host(attempt), message.to_vec(), until),
+        if let Some(placer) = self.placer() {
+            let (sender, replies) = bounded(1);
+            let responder = CallResponder::new(move |reply| {
+                // The caller may have given up.
+                let _ = sender.send(reply);
+            });
+            placer.handle(call.clone(), responder);
+            match replies.recv_deadline(until) {
+                Ok(None) => {}
+                Ok(Some(Reply::Unconfirmed)) | Err(_) => return Asked::Unconfirmed,
+                Ok(Some(reply)) => return Asked::Reply(reply),
+            }
         }
+        self.ask(&self.next_host(attempt), message.to_vec(), until)
     }
 
     /// Host to ask: the one that is believed to lead, otherwise each storage host in turn.
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -13,11 +13,11 @@
     CALL_EXTENSION, Call, HostContact, OutsideCalls, POLICY_EXTENSION, PolicyQuestion, Reply,
 };
 use super::directory::{Directory, Unanswered};
-use super::placer::{Committed, Placer, PlacerSettings};
+use super::placer::{CallResponder, Committed, Placer, PlacerSettings};
 use super::settings::WorkflowSettings;
 use crate::clock::Clock;
 use crate::ids::HostId;
-use crate::peer::{ClusterKeys, PeerServer};
+use crate::peer::{CallPool, CallPoolOptions, ClusterKeys, PeerServer, Responder};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::replication::{Limits, Replica, ReplicaOptions, StorageError, StorageOptions, Timing};
 
@@ -30,8 +30,12 @@
 /// Time without an answered contact after which a host reports that it is not ready: longer than
 /// the election of another placer.
 const READY_FOR: Duration = Duration::from_millis(3_000);
-/// Time that the placer takes at most to confirm a call of another host.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Questions that are put to the placement policy at once. It serves one call of a host at a time,
+/// so further threads only cover the way there and back.
+const MAX_POLICY_THREADS: usize = 8;
+/// Questions that wait for a thread: at some 100 ms each they wait less than a second, after which
+/// the placer has given up.
+const MAX_QUEUED_QUESTIONS: usize = 64;
 /// Lease of a worker: outlasts an election and the contact with all workers after it.
 const WORKER_LEASE: Duration = Duration::from_secs(6);
 /// Time without an answer after which another storage host stands for election: four heartbeats,
@@ -234,7 +238,7 @@
                 group: LOG_GROUP.to_owned(),
                 message,
             };
-            match sending.client(host).call(request, deadline) {
+            match sending.log_client(host).call(request, deadline) {
                 Ok(PeerReply::Message(reply)) => Ok(reply),
                 Ok(other) => Err(format!("unexpected reply: {other:?}")),
                 Err(error) => Err(error.to_string()),
@@ -269,38 +273,56 @@
     outside: OutsideCalls,
 ) -> io::Result<PeerServer> {
     let directory = Arc::clone(directory);
-    let handler = move |from: HostId, request: PeerRequest| match request {
-        PeerRequest::Replication { message, .. } => match &replica {
+    let policy = CallPool::new(CallPoolOptions {
+        name: "policy-call".to_owned(),
+        max_threads: MAX_POLICY_THREADS,
+        max_queued: MAX_QUEUED_QUESTIONS,
+    });
+    let handler = move |from: HostId, request: PeerRequest, responder: Responder| match request {
+        // Blocks for disk syncs, on a connection that carries messages of the log only.
+        PeerRequest::Replication { message, .. } => responder.answer(match &replica {
             Some(replica) => PeerReply::Message(replica.handle(&from, &message)),
             None => PeerReply::Refused("this host stores no log".to_owned()),
-        },
+        }),
         PeerRequest::Extension { name, message } if name == CALL_EXTENSION => {
-            answer_call(&directory, &message)
+            answer_call(&directory, &message, responder);
         }
         PeerRequest::Extension { name, message } if name == POLICY_EXTENSION => {
-            answer_policy_question(&outside, &message)
+            let outside = outside.clone();
+            policy.run(responder, move |responder| {
+                responder.answer(answer_policy_question(&outside, &message));
+            });
         }
-        other => PeerReply::Refused(format!("unknown call {}", other.kind())),
+        other => responder.answer(PeerReply::Refused(format!("unknown call {}", other.kind()))),
     };
-    PeerServer::start(address, ClusterKeys::unauthenticated(), Arc::new(handler))
+    PeerServer::start_deferred(address, ClusterKeys::unauthenticated(), Arc::new(handler))
 }
 
-fn answer_call(directory: &Directory, message: &[u8]) -> PeerReply {
+fn answer_call(directory: &Directory, message: &[u8], responder: Responder) {
     let Some(placer) = directory.placer() else {
-        return PeerReply::NotPlacer {
+        responder.answer(PeerReply::NotPlacer {
             placer: directory.leader(),
-        };
+        });
+        return;
     };
     let call = match postcard::from_bytes::<Call>(message) {
         Ok(call) => call,
-        Err(error) => return PeerReply::Refused(format!("the call cannot be decoded: {error}")),
+        Err(error) => {
+            let reason = format!("the call cannot be decoded: {error}");
+            responder.answer(PeerReply::Refused(reason));
+            return;
+        }
     };
-    match placer.handle(call, Instant::now() + CONFIRMATION_TIMEOUT) {
-        Some(reply) => encode(&reply),
-        None => PeerReply::NotPlacer {
-            placer: placer.leader_hint(),
-        },
-    }
+    let asked = Arc::clone(placer);
+    let responder = CallResponder::new(move |reply| {
+        responder.answer(match reply {
+            Some(reply) => encode(&reply),
+            None => PeerReply::NotPlacer {
+                placer: asked.leader_hint(),
+            },
+        });
+    });
+    placer.handle(call, responder);
 }
 
 fn answer_policy_question(outside: &OutsideCalls, message: &[u8]) -> PeerReply {
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod policy;
 mod replicas;
+mod replies;
 mod reports;
 mod runs;
 mod scheduling;
@@ -22,7 +23,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
+use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 
 use super::calls::{Call, OutsideCalls, Reply};
 use super::records::Batch;
@@ -32,6 +33,7 @@
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
 
+pub use replies::CallResponder;
 use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
 
@@ -201,22 +203,26 @@
             .is_some_and(|term| term.ready && epoch == Some(term.epoch))
     }
 
-    /// Handles a call; `None` when this host does not lead, and the call had no effect.
-    pub fn handle(&self, call: Call, deadline: Instant) -> Option<Reply> {
+    /// Handles a call. Queries and refusals are answered at once; other replies follow their
+    /// commit. When the term ends before, the call may have taken effect.
+    pub fn handle(&self, call: Call, responder: CallResponder) {
         if !self.is_leading() {
-            return None;
+            responder.not_leading();
+            return;
         }
         if let Call::Query(target) = &call {
-            return Some(self.query(target));
+            responder.reply(self.query(target));
+            return;
         }
-        let (sender, receiver) = bounded(1);
-        self.with_term(None, |term, now| term.handle_call(call, &sender, now))?;
-        drop(sender);
-        match receiver.recv_deadline(deadline) {
-            Ok(reply) => Some(reply),
-            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                Some(Reply::Unconfirmed)
+        let mut waiting = Some(responder);
+        self.with_term(None, |term, now| {
+            if let Some(responder) = waiting.take() {
+                term.handle_call(call, responder, now);
             }
+        });
+        // The term ended since the leadership was checked.
+        if let Some(responder) = waiting {
+            responder.not_leading();
         }
     }
 
@@ -286,14 +292,12 @@
     fn execute(&self, term: &mut Term, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Reply(sender, reply) => {
-                    let _ = sender.send(reply);
-                }
-                Effect::ReplyQueues(sender) => {
+                Effect::Reply(responder, reply) => responder.reply(reply),
+                Effect::ReplyQueues(responder) => {
                     let state = self.committed.state.lock().unwrap();
                     let document = state.configuration.as_ref();
                     let document = document.map(|present| present.document.clone());
-                    let _ = sender.send(Reply::Queues(document));
+                    responder.reply(Reply::Queues(document));
                 }
                 Effect::Order(order) => {
                     let _ = self.orders.send(order);
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::Sender;
 use indexmap::IndexMap;
 
 use super::super::calls::{Call, HostContact, Reply};
@@ -14,7 +13,7 @@
 use super::super::spec::WorkflowSpec;
 use super::policy::INITIAL_TRIP;
 use super::term::{Effect, PolicyCaller, RunPhase, Term};
-use super::{Now, Placer};
+use super::{CallResponder, Now, Placer};
 use crate::ids::JobId;
 
 impl Placer {
@@ -53,40 +52,32 @@
 }
 
 impl Term {
-    pub(super) fn handle_call(&mut self, call: Call, sender: &Sender<Reply>, now: Now) {
-        let reply = |reply| Effect::Reply(sender.clone(), reply);
-        match call {
-            Call::Submit { target, spec } => {
-                let answer = self.submit(&target, *spec, now);
-                self.effects.push(reply(answer));
-            }
-            Call::Cancel(target) => {
-                let answer = self.cancel(&target, now);
-                self.effects.push(reply(answer));
-            }
-            Call::ReplaceQueues(configuration) => {
-                let answer = self.replace_queues(*configuration);
-                self.effects.push(reply(answer));
-            }
+    pub(super) fn handle_call(&mut self, call: Call, responder: CallResponder, now: Now) {
+        let reply = match call {
+            Call::Submit { target, spec } => self.submit(&target, *spec, now),
+            Call::Cancel(target) => self.cancel(&target, now),
+            Call::ReplaceQueues(configuration) => self.replace_queues(*configuration),
             Call::ReadQueues => {
                 self.needs_commit = true;
-                self.effects.push(Effect::ReplyQueues(sender.clone()));
+                self.effects.push(Effect::ReplyQueues(responder));
+                return;
             }
             Call::Heartbeat(heartbeat) => {
                 self.note_heartbeat(*heartbeat, now);
-                self.effects.push(reply(Reply::WorkerNoted));
+                Reply::WorkerNoted
             }
             Call::WorkerLeaves(worker) => {
                 self.note_leave(&worker);
-                self.effects.push(reply(Reply::WorkerNoted));
+                Reply::WorkerNoted
             }
             Call::Contact(contact) => {
                 self.note_contact(contact, now.at);
                 let version = self.state.version();
-                self.effects.push(reply(Reply::Contacted { version }));
+                Reply::Contacted { version }
             }
-            Call::Query(_) => self.effects.push(reply(Reply::Unconfirmed)),
-        }
+            Call::Query(_) => Reply::Unconfirmed,
+        };
+        self.effects.push(Effect::Reply(responder, reply));
     }
 
     /// Runs for each job that were placed but that their worker has not confirmed: a worker that is
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -15,7 +15,7 @@
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::super::state::WorkflowState;
 use super::super::workers::WorkerRecord;
-use super::PlacerSettings;
+use super::{CallResponder, PlacerSettings};
 use crate::ids::{Epoch, HostId, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
@@ -70,9 +70,9 @@
 /// What becomes visible to others once a batch is committed.
 pub enum Effect {
     /// Answers a call.
-    Reply(Sender<Reply>, Reply),
+    Reply(CallResponder, Reply),
     /// Answers with the committed configuration.
-    ReplyQueues(Sender<Reply>),
+    ReplyQueues(CallResponder),
     /// Sends an order to a worker.
     Order(Order),
     /// Ends up to a number are recorded; the worker's link may acknowledge them.
--- a/src/workflow/placer/tests/calls.rs
+++ b/src/workflow/placer/tests/calls.rs
@@ -1,7 +1,8 @@
 //! Calls of callers, workers and operators.
 
-use crossbeam::channel::bounded;
+use crossbeam::channel::unbounded;
 
+use super::super::CallResponder;
 use super::super::term::Effect;
 use super::fixture::*;
 use crate::workflow::calls::{Call, CallFailure, OrderOutcome, Reply};
@@ -95,7 +96,6 @@
     fixture.commit_all();
     let mut successor = Fixture::with_state(fixture.term.state);
     successor.report("a", vec![], vec![]);
-    let (sender, receiver) = bounded(1);
     let call = Call::Submit {
         target: QueueAddress {
             host: "shop.example".to_owned(),
@@ -107,12 +107,10 @@
             repetition: None,
         }),
     };
-    successor.term.handle_call(call, &sender, successor.now);
-    drop(sender);
+    successor.call(call);
     let effects = std::mem::take(&mut successor.term.effects);
     let accepted = |effect: &Effect| matches!(effect, Effect::Reply(_, Reply::Accepted));
     assert!(effects.iter().any(accepted));
-    drop((effects, receiver));
 }
 
 /// Guards against an old configuration that comes back, and an invalid one that is acknowledged.
@@ -180,3 +178,26 @@
         .note_heartbeat(heartbeat("w", 2, 1), fixture.now);
     assert!(!fixture.term.stages[&key].permits.is_known("w"));
 }
+
+/// Guards against calls that go on waiting for commits of a term that is over, while their hosts
+/// repeat them at the next placer.
+#[test]
+fn calls_are_answered_when_their_term_ends() {
+    let mut fixture = Fixture::new();
+    let (sender, replies) = unbounded();
+    for _ in 0..3 {
+        let sender = sender.clone();
+        let responder = CallResponder::new(move |reply| sender.send(reply).unwrap());
+        let call = Call::ReplaceQueues(Box::new(configuration(4)));
+        fixture.term.handle_call(call, responder, fixture.now);
+        fixture.seal();
+    }
+    let responder = CallResponder::new(move |reply| sender.send(reply).unwrap());
+    fixture
+        .term
+        .handle_call(Call::ReadQueues, responder, fixture.now);
+    assert!(replies.is_empty());
+    drop(fixture);
+    let replies: Vec<Option<Reply>> = replies.iter().collect();
+    assert_eq!(replies, vec![Some(Reply::Unconfirmed); 4]);
+}
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -2,10 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::bounded;
-
 use super::super::term::{Effect, Order, OrderKind, Sealed, Term};
-use super::super::{Now, PlacerSettings};
+use super::super::{CallResponder, Now, PlacerSettings};
 use crate::resources::Resources;
 use crate::workflow::calls::{
     Call, CallFailure, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, WorkerReport,
@@ -239,7 +237,6 @@
     }
 
     pub(super) fn submit_as(&mut self, job: &str, stages: Vec<StageSpec>) {
-        let (sender, _receiver) = bounded(1);
         let call = Call::Submit {
             target: QueueAddress {
                 host: "shop.example".to_owned(),
@@ -251,13 +248,13 @@
                 repetition: None,
             }),
         };
-        self.term.handle_call(call, &sender, self.now);
+        self.call(call);
         self.term.schedule(self.now);
     }
 
     pub(super) fn call(&mut self, call: Call) {
-        let (sender, _receiver) = bounded(1);
-        self.term.handle_call(call, &sender, self.now);
+        let responder = CallResponder::new(|_| {});
+        self.term.handle_call(call, responder, self.now);
     }
 
     pub(super) fn answer_starts(&mut self, outcome: OrderOutcome) {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-ins of the users' platform that speak its published protocol over sockets.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
