bug: an overloaded placer takes calls without bound

Callers saw calls run to their deadline while the placer was overloaded: it took every call, and the hosts repeated those that were not confirmed within 450 ms.

Change: the placer takes at most 32 calls of callers (submissions and cancellations) from one host and 180 from all. Only when an earlier attempt of the same call may have taken effect is it repeated, since a refusal would be untrue. Contacts, heartbeats and departures of workers and calls about the configuration are not limited. A place is free with the reply, also when a term ends.

Evidence: placer/tests/limits.rs and workflow_directory::a_refused_call_is_not_repeated count places and questions.

--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -45,6 +45,14 @@
     Contact(HostContact),
 }
 
+impl Call {
+    /// Whether it is refused while too many wait. Calls that keep the cell going are not: contacts,
+    /// heartbeats and departures of workers, and the configuration.
+    pub fn is_limited(&self) -> bool {
+        matches!(self, Self::Submit { .. } | Self::Cancel(_))
+    }
+}
+
 /// A host that forwards calls, as the placer knows it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostContact {
@@ -93,6 +101,11 @@
     NotConfigured,
     /// The call may have taken effect; repeat it.
     Unconfirmed,
+    /// The call had no effect: too many calls wait for the placer.
+    Busy {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
 }
 
 /// Where a worker is called.
--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -150,6 +150,8 @@
             let timeout = FIRST_ATTEMPT_TIMEOUT * 2_u32.pow(doublings);
             let until = deadline.min(Instant::now() + timeout);
             match self.attempt(call, &message, attempt, until) {
+                // An earlier attempt may have taken effect, which only another reply can tell.
+                Asked::Reply(Reply::Busy { .. }) if unanswered_attempts > 0 => {}
                 Asked::Reply(reply) => return Ok(reply),
                 Asked::Unconfirmed => unanswered_attempts += 1,
                 Asked::NotLeader => {}
@@ -173,7 +175,7 @@
                 // The caller may have given up.
                 let _ = sender.send(reply);
             });
-            placer.handle(call.clone(), responder);
+            placer.handle(&self.own, call.clone(), responder);
             match replies.recv_deadline(until) {
                 Ok(None) => {}
                 Ok(Some(Reply::Unconfirmed)) | Err(_) => return Asked::Unconfirmed,
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -285,7 +285,7 @@
             None => PeerReply::Refused("this host stores no log".to_owned()),
         }),
         PeerRequest::Extension { name, message } if name == CALL_EXTENSION => {
-            answer_call(&directory, &message, responder);
+            answer_call(&directory, &from, &message, responder);
         }
         PeerRequest::Extension { name, message } if name == POLICY_EXTENSION => {
             let outside = outside.clone();
@@ -298,7 +298,7 @@
     PeerServer::start_deferred(address, ClusterKeys::unauthenticated(), Arc::new(handler))
 }
 
-fn answer_call(directory: &Directory, message: &[u8], responder: Responder) {
+fn answer_call(directory: &Directory, from: &HostId, message: &[u8], responder: Responder) {
     let Some(placer) = directory.placer() else {
         responder.answer(PeerReply::NotPlacer {
             placer: directory.leader(),
@@ -322,7 +322,7 @@
             },
         });
     });
-    placer.handle(call, responder);
+    placer.handle(from, call, responder);
 }
 
 fn answer_policy_question(outside: &OutsideCalls, message: &[u8]) -> PeerReply {
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -3,6 +3,7 @@
 //! Threads of callers, workers and timers lock the term, change it and leave; what they append is
 //! proposed in that order when they leave. A thread executes the effects of committed batches.
 
+mod call_limits;
 mod client_calls;
 mod gangs;
 mod load;
@@ -33,6 +34,7 @@
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
 
+pub use call_limits::{BUSY_RETRY_MS, CallLimits, MAX_CALLS, MAX_CALLS_PER_HOST};
 pub use replies::CallResponder;
 use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
@@ -128,6 +130,7 @@
     outside: OutsideCalls,
     find_peer: FindPeer,
     term: Mutex<Option<Term>>,
+    call_limits: CallLimits,
     orders: Sender<Order>,
     questions: Sender<policy::Question>,
     /// Holds at most one request for a scheduling pass.
@@ -165,6 +168,7 @@
             outside,
             find_peer,
             term: Mutex::new(None),
+            call_limits: CallLimits::default(),
             orders,
             questions,
             wake_scheduler,
@@ -203,9 +207,9 @@
             .is_some_and(|term| term.ready && epoch == Some(term.epoch))
     }
 
-    /// Handles a call. Queries and refusals are answered at once; other replies follow their
-    /// commit. When the term ends before, the call may have taken effect.
-    pub fn handle(&self, call: Call, responder: CallResponder) {
+    /// Handles a call of a host. Queries and refusals are answered at once; other replies follow
+    /// their commit. When the term ends before, the call may have taken effect.
+    pub fn handle(&self, from: &HostId, call: Call, responder: CallResponder) {
         if !self.is_leading() {
             responder.not_leading();
             return;
@@ -214,6 +218,18 @@
             responder.reply(self.query(target));
             return;
         }
+        let place = call.is_limited().then(|| self.call_limits.enter(from));
+        let responder = match place {
+            None => responder,
+            Some(Some(place)) => responder.holding(place),
+            Some(None) => {
+                log::debug!(host = from.as_str(); "call refused: too many calls in flight");
+                responder.reply(Reply::Busy {
+                    retry_after_ms: BUSY_RETRY_MS,
+                });
+                return;
+            }
+        };
         let mut waiting = Some(responder);
         self.with_term(None, |term, now| {
             if let Some(responder) = waiting.take() {
--- a/src/workflow/placer/replies.rs
+++ b/src/workflow/placer/replies.rs
@@ -1,6 +1,7 @@
 //! Replies to calls that wait for a commit.
 
 use super::super::calls::Reply;
+use super::call_limits::CallPlace;
 
 /// Given the reply; `None` when this host does not lead, and the call had no effect.
 type GiveReply = Box<dyn FnOnce(Option<Reply>) + Send>;
@@ -10,6 +11,8 @@
 pub struct CallResponder {
     /// `None` once the reply was given.
     give: Option<GiveReply>,
+    /// Place among the calls in flight, held until the reply.
+    place: Option<CallPlace>,
 }
 
 impl CallResponder {
@@ -18,9 +21,16 @@
     pub fn new(give: impl FnOnce(Option<Reply>) + Send + 'static) -> Self {
         Self {
             give: Some(Box::new(give)),
+            place: None,
         }
     }
 
+    /// Holds a place among the calls in flight until the reply.
+    pub(super) fn holding(mut self, place: CallPlace) -> Self {
+        self.place = Some(place);
+        self
+    }
+
     /// Gives the reply.
     pub fn reply(mut self, reply: Reply) {
         self.give(Some(reply));
@@ -32,6 +42,8 @@
     }
 
     fn give(&mut self, reply: Option<Reply>) {
+        // Whoever has the reply may call again at once.
+        self.place = None;
         if let Some(give) = self.give.take() {
             give(reply);
         }
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -3,4 +3,5 @@
 mod calls;
 mod fixture;
 mod gangs;
+mod limits;
 mod runs;
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -167,7 +167,11 @@
         for effect in effects {
             match effect {
                 Effect::Order(order) => self.orders.push(order),
-                Effect::Reply(..) | Effect::ReplyQueues(_) => self.replies += 1,
+                Effect::Reply(responder, reply) => {
+                    self.replies += 1;
+                    responder.reply(reply);
+                }
+                Effect::ReplyQueues(_) => self.replies += 1,
                 Effect::EndsRecorded {
                     worker,
                     incarnation,
--- a/tests/workflow_directory.rs
+++ b/tests/workflow_directory.rs
@@ -6,10 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use jujubewinch::peer::{ClusterKeys, PeerServer};
+use jujubewinch::peer::{CallHandler, ClusterKeys, PeerServer, Responder};
 use jujubewinch::protocol::peer::{PeerReply, PeerRequest};
 use jujubewinch::workflow::calls::{Call, Reply};
-use jujubewinch::workflow::directory::Directory;
+use jujubewinch::workflow::directory::{Directory, Unanswered};
 use jujubewinch::workflow::queues::QueueAddress;
 
 const PORT: u16 = 17_290;
@@ -53,3 +53,60 @@
     server.stop();
     frozen.stop();
 }
+
+const BUSY: &str = "127.0.0.26";
+const UNSURE: &str = "127.0.0.27";
+
+fn submission() -> Call {
+    Call::Submit {
+        target: QueueAddress {
+            host: "shop.example".to_owned(),
+            path_prefix: "/plans/1".to_owned(),
+        },
+        spec: Box::default(),
+    }
+}
+
+/// Answers the calls of a directory with the replies in turn, `None` standing for a call that ends
+/// without one; returns the answer to the caller and the number of calls.
+fn call_through(host: &str, replies: Vec<Option<Reply>>) -> (Result<Reply, Unanswered>, usize) {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    let handler: CallHandler = Arc::new(move |_, _, responder: Responder| {
+        let position = count.fetch_add(1, Ordering::AcqRel);
+        if let Some(reply) = replies.get(position).cloned().flatten() {
+            responder.answer(PeerReply::Message(postcard::to_stdvec(&reply).unwrap()));
+        }
+    });
+    let address = SocketAddr::new(host.parse().unwrap(), PORT);
+    let keys = ClusterKeys::unauthenticated();
+    let _server = PeerServer::start_deferred(address, keys, handler).unwrap();
+    let directory = Directory::new("127.0.0.23".to_owned(), PORT, vec![host.to_owned()]);
+    let answer = directory.call(&submission(), Instant::now() + Duration::from_secs(20));
+    (answer, asked.load(Ordering::Acquire))
+}
+
+/// Guards against entry hosts that repeat a refused call until the caller's deadline, which keeps
+/// an overloaded placer from serving any.
+#[test]
+fn a_refused_call_is_not_repeated() {
+    let busy = Reply::Busy {
+        retry_after_ms: 700,
+    };
+    let (answer, asked) = call_through(BUSY, vec![Some(busy.clone()), Some(Reply::Accepted)]);
+    assert_eq!(answer, Ok(busy));
+    assert_eq!(asked, 1);
+}
+
+/// Guards against a caller that is told that its job was refused although an earlier attempt may
+/// have been accepted.
+#[test]
+fn a_call_that_may_have_taken_effect_is_not_reported_as_refused() {
+    let busy = Reply::Busy {
+        retry_after_ms: 700,
+    };
+    let replies = vec![None, Some(busy), Some(Reply::Accepted)];
+    let (answer, asked) = call_through(UNSURE, replies);
+    assert_eq!(answer, Ok(Reply::Accepted));
+    assert_eq!(asked, 3);
+}
