bug: each heartbeat of a worker is a call to the placer

On cells with 350 workers every heartbeat took the lock of the term and processor time of the leading storage host, also when it told nothing new: the answer sent all workers to the leader.

Change: a storage host that has heard of the leader within a second acknowledges a heartbeat whose record equals the committed one and whose number is higher than the last one it acknowledged. All others go to the placer as before, among them each heartbeat of a draining worker: a host that lags may hold the record of an earlier drain that was ended since, and the acknowledgement has to mean that the placer knows. The answer names the host that acknowledged, so workers stay spread over the storage hosts. The placer takes reachability from renewals and needs no heartbeat for it.

A host that lags can acknowledge a record that was in force before, such as the end of a drain that the placer has not seen; once it has caught up, the worker's next heartbeat goes to the placer.

Evidence: workflow_heartbeats::storage_hosts_acknowledge_heartbeats_while_they_hear_the_leader fails with the former address in the answer (the leader's), and checks that a host without a leader acknowledges nothing.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -1,6 +1,7 @@
 //! Decisions about workflows, as functions of their inputs alone.
 
 pub mod admission;
+pub mod heartbeats;
 pub mod leases;
 pub mod permits;
 pub mod placing;
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -141,6 +141,15 @@
         hint.or_else(|| self.directory.leader())
     }
 
+    /// Host that workers should send their heartbeats to, when known: this one where it keeps the
+    /// log, so that they do not all call the leader.
+    pub fn heartbeat_host(&self) -> Option<HostId> {
+        match &self.replica {
+            Some(_) => Some(self.settings.host_id()),
+            None => self.leader(),
+        }
+    }
+
     /// Takes over what can change while the host runs.
     pub fn reload(&self, settings: &WorkflowSettings) {
         let (before, after) = (self.directory.seeds(), settings.seed_ids());
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -6,6 +6,7 @@
 mod call_limits;
 mod client_calls;
 mod gangs;
+mod heartbeats;
 mod load;
 mod orders;
 mod policy;
@@ -25,12 +26,13 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use indexmap::IndexMap;
 
 use super::calls::{Call, OutsideCalls, Reply};
 use super::records::Batch;
 use super::state::WorkflowState;
 use crate::clock::Clock;
-use crate::ids::{Epoch, HostId};
+use crate::ids::{Epoch, HostId, Incarnation, WorkerId};
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
 
@@ -131,6 +133,8 @@
     find_peer: FindPeer,
     term: Mutex<Option<Term>>,
     call_limits: CallLimits,
+    /// Latest heartbeats that this host acknowledged from the committed state.
+    acknowledged_heartbeats: Mutex<IndexMap<WorkerId, (Incarnation, u64)>>,
     orders: Sender<Order>,
     questions: Sender<policy::Question>,
     /// Holds at most one request for a scheduling pass.
@@ -169,6 +173,7 @@
             find_peer,
             term: Mutex::new(None),
             call_limits: CallLimits::default(),
+            acknowledged_heartbeats: Mutex::default(),
             orders,
             questions,
             wake_scheduler,
@@ -210,6 +215,10 @@
     /// Handles a call of a host. Queries and refusals are answered at once; other replies follow
     /// their commit. When the term ends before, the call may have taken effect.
     pub fn handle(&self, from: &HostId, call: Call, responder: CallResponder) {
+        if matches!(&call, Call::Heartbeat(heartbeat) if self.knows(heartbeat)) {
+            responder.reply(Reply::WorkerNoted);
+            return;
+        }
         if !self.is_leading() {
             responder.not_leading();
             return;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -294,10 +294,7 @@
 
     /// Announces a runner.
     pub fn announce(&self, id: &str, runner: &Runner, sequence: u64) {
-        let beat = json!({"service": "shopdesk", "addr": runner.address().to_string(),
-            "zone": "lowell-yard", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-            "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0}, "labels": ["a", "r1"],
-            "clock_ms": 1, "seq": sequence, "born": 1});
+        let beat = heartbeat(runner, sequence);
         let answer = self.control(&Method::PUT, &format!("/api/instances/{id}"), &beat);
         assert_eq!(answer.status, 200);
     }
@@ -352,6 +349,14 @@
     )
 }
 
+/// The first heartbeat of a runner, or a later one that tells the same.
+pub fn heartbeat(runner: &Runner, sequence: u64) -> Value {
+    json!({"service": "shopdesk", "addr": runner.address().to_string(),
+        "zone": "lowell-yard", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+        "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0}, "labels": ["a", "r1"],
+        "clock_ms": 1, "seq": sequence, "born": 1})
+}
+
 /// A configuration with one queue.
 pub fn configuration(version: u64) -> Value {
     json!({"version": version, "routes": [{"name": "plans", "host": "shop.example",
--- /dev/null
+++ b/tests/workflow_heartbeats.rs
@@ -0,0 +1,145 @@
+//! Heartbeats of workers at storage hosts that do not lead.
+
+mod platform_support;
+
+use http::Method;
+use jujubewinch::resources::Resources;
+use jujubewinch::workflow::decisions::heartbeats::is_known;
+use jujubewinch::workflow::workers::{WorkerHeartbeat, WorkerRecord};
+use platform_support::{Cell, Ports, Runner, await_some, heartbeat};
+use serde_json::Value;
+
+fn record() -> WorkerRecord {
+    WorkerRecord {
+        id: "w".to_owned(),
+        incarnation: 4,
+        address: "10.0.0.9:80".to_owned(),
+        service: "shopdesk".to_owned(),
+        data_centre: "lowell-yard".to_owned(),
+        capacity: Resources {
+            cpu_millis: 4_000,
+            memory_mib: 4_000,
+            accelerators: 0,
+        },
+        labels: vec!["a".to_owned()],
+        draining: false,
+    }
+}
+
+/// Guards against heartbeats that are acknowledged although the placer does not know what they
+/// tell: a drain, another address, another life of the worker.
+#[test]
+fn only_heartbeats_without_news_are_known() {
+    let changed = |change: fn(&mut WorkerRecord)| {
+        let mut record = record();
+        change(&mut record);
+        record
+    };
+    let draining = changed(|record| record.draining = true);
+    let committed = record();
+    let cases = [
+        ("the same", Some(&committed), record(), None, true),
+        (
+            "a later one",
+            Some(&committed),
+            record(),
+            Some((4, 6)),
+            true,
+        ),
+        (
+            "after a restart",
+            Some(&committed),
+            record(),
+            Some((3, 90)),
+            true,
+        ),
+        (
+            "the same again",
+            Some(&committed),
+            record(),
+            Some((4, 7)),
+            false,
+        ),
+        (
+            "a late one",
+            Some(&committed),
+            record(),
+            Some((4, 8)),
+            false,
+        ),
+        ("unknown worker", None, record(), None, false),
+        ("draining", Some(&committed), draining.clone(), None, false),
+        (
+            "draining as recorded",
+            Some(&draining),
+            draining.clone(),
+            None,
+            false,
+        ),
+        ("drain ended", Some(&draining), record(), None, false),
+        (
+            "other address",
+            Some(&committed),
+            changed(|record| record.address = "10.0.0.8:80".to_owned()),
+            None,
+            false,
+        ),
+        (
+            "next incarnation",
+            Some(&committed),
+            changed(|record| record.incarnation = 5),
+            None,
+            false,
+        ),
+        (
+            "former incarnation",
+            Some(&committed),
+            changed(|record| record.incarnation = 3),
+            None,
+            false,
+        ),
+    ];
+    for (name, committed, record, latest, known) in cases {
+        let heartbeat = WorkerHeartbeat {
+            record,
+            sequence: 7,
+        };
+        assert_eq!(is_known(&heartbeat, committed, latest), known, "{name}");
+    }
+}
+
+/// Guards against a leader that all workers call with each heartbeat, and against a storage host
+/// without a leader that acknowledges heartbeats from what it knew before.
+#[test]
+fn storage_hosts_acknowledge_heartbeats_while_they_hear_the_leader() {
+    let folder = tempfile::tempdir().unwrap();
+    let ports = Ports {
+        peers: 17_350,
+        callers: 17_351,
+        readiness: 17_352,
+        control: 17_353,
+    };
+    let cell = Cell::start(folder.path(), ports);
+    assert_eq!(cell.configure(1).status, 200);
+    let runner = Runner::start();
+    cell.announce("i-1", &runner, 1);
+    let mut sequence = 1;
+    let mut beat = |host: usize| {
+        sequence += 1;
+        let url = format!("http://127.0.0.{host}:{}/api/instances/i-1", ports.control);
+        cell.send(Method::PUT, &url, &heartbeat(&runner, sequence))
+    };
+    for host in 1..=3 {
+        let answer = await_some(|| beat(host).filter(|answer| answer.status == 200));
+        let body: Value = serde_json::from_slice(&answer.body).unwrap();
+        let named = format!("127.0.0.{host}:{}", ports.control);
+        assert_eq!(body["heartbeat_addr"].as_str(), Some(named.as_str()));
+    }
+    let leader = await_some(|| cell.leader());
+    let (follower, left) = ((leader + 1) % 3, (leader + 2) % 3);
+    cell.hosts[leader].crash();
+    cell.hosts[follower].crash();
+    await_some(|| beat(left + 1).filter(|answer| answer.status == 503));
+    let later = beat(left + 1).unwrap();
+    assert_eq!(later.status, 503);
+}
