bug: all hosts ask every 40 ms for a lost placer

Each call that waits for a placer asked a storage host every 40 ms until its deadline. On a cell of 44 hosts the next placer met the calls of all of them at once, while it re-read its workers.

Change: the first six pauses stay at 40 ms, which covers a take-over of about 0.5 s; later ones double up to 320 ms. Each is spread over its second half, so that hosts that lost the placer at the same moment do not ask at the same moments.

Evidence: a call of 3 s to a host that knows no placer: 75 questions with the former pause, at most the test's 30 now (workflow_directory::a_lost_placer_is_looked_for_less_and_less_often).

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -9,4 +9,5 @@
 pub mod ranking;
 pub mod replicas;
 pub mod reservations;
+pub mod retries;
 pub mod worker_health;
--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -9,6 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::calls::{CALL_EXTENSION, Call, Reply};
+use super::decisions::retries;
 use super::instruments::instruments;
 use super::placer::{CallResponder, Placer};
 use crate::ids::HostId;
@@ -24,8 +25,6 @@
 /// Time for which a host that did not answer is asked only when no other is known. By then the
 /// others have noticed too, after 630 ms at most, and no longer name it as the placer.
 const SILENT_FOR: Duration = Duration::from_millis(250);
-/// Pause before the next host is asked who leads.
-const NEXT_HOST_PAUSE: Duration = Duration::from_millis(40);
 /// Storage hosts that are remembered beside the seeds.
 const MAX_KNOWN_HOSTS: usize = 32;
 
@@ -156,9 +155,10 @@
                 Asked::Unconfirmed => unanswered_attempts += 1,
                 Asked::NotLeader => {}
             }
+            let pause = retries::pause(attempt, rand::random());
             attempt += 1;
             let left = deadline.saturating_duration_since(Instant::now());
-            thread::sleep(NEXT_HOST_PAUSE.min(left));
+            thread::sleep(pause.min(left));
         }
         instruments().count_unanswered_call();
         Err(match unanswered_attempts {
@@ -168,7 +168,7 @@
     }
 
     /// Asks the placer of this host when it leads, otherwise the next host.
-    fn attempt(&self, call: &Call, message: &[u8], attempt: usize, until: Instant) -> Asked {
+    fn attempt(&self, call: &Call, message: &[u8], attempt: u32, until: Instant) -> Asked {
         if let Some(placer) = self.placer() {
             let (sender, replies) = bounded(1);
             let responder = CallResponder::new(move |reply| {
@@ -186,7 +186,7 @@
     }
 
     /// Host to ask: the one that is believed to lead, otherwise each storage host in turn.
-    fn next_host(&self, attempt: usize) -> HostId {
+    fn next_host(&self, attempt: u32) -> HostId {
         if let Some(leader) = self.leader().filter(|leader| *leader != self.own) {
             return leader;
         }
@@ -201,7 +201,7 @@
         if !answering.is_empty() {
             hosts = answering;
         }
-        let position = attempt % hosts.len().max(1);
+        let position = attempt as usize % hosts.len().max(1);
         hosts.get_index(position).cloned().unwrap_or_default()
     }
 
--- a/tests/workflow_directory.rs
+++ b/tests/workflow_directory.rs
@@ -9,6 +9,7 @@
 use jujubewinch::peer::{CallHandler, ClusterKeys, PeerServer, Responder};
 use jujubewinch::protocol::peer::{PeerReply, PeerRequest};
 use jujubewinch::workflow::calls::{Call, Reply};
+use jujubewinch::workflow::decisions::retries::pause;
 use jujubewinch::workflow::directory::{Directory, Unanswered};
 use jujubewinch::workflow::queues::QueueAddress;
 
@@ -56,6 +57,7 @@
 
 const BUSY: &str = "127.0.0.26";
 const UNSURE: &str = "127.0.0.27";
+const LEADERLESS: &str = "127.0.0.28";
 
 fn submission() -> Call {
     Call::Submit {
@@ -110,3 +112,44 @@
     assert_eq!(answer, Ok(Reply::Accepted));
     assert_eq!(asked, 3);
 }
+
+/// Guards against hosts that all look for a lost placer every 40 ms until their deadlines: the next
+/// placer of a large cell was occupied with them.
+#[test]
+fn a_lost_placer_is_looked_for_less_and_less_often() {
+    const MAX_QUESTIONS: usize = 30;
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    let handler: CallHandler = Arc::new(move |_, _, responder: Responder| {
+        count.fetch_add(1, Ordering::AcqRel);
+        responder.answer(PeerReply::NotPlacer { placer: None });
+    });
+    let address = SocketAddr::new(LEADERLESS.parse().unwrap(), PORT);
+    let keys = ClusterKeys::unauthenticated();
+    let _server = PeerServer::start_deferred(address, keys, handler).unwrap();
+    let directory = Directory::new("127.0.0.23".to_owned(), PORT, vec![LEADERLESS.to_owned()]);
+    let answer = directory.call(&submission(), Instant::now() + Duration::from_secs(3));
+    assert_eq!(answer, Err(Unanswered::NotSent));
+    let asked = asked.load(Ordering::Acquire);
+    assert!(asked <= MAX_QUESTIONS, "{asked} questions in 3 s");
+}
+
+/// Guards against hosts that ask at the same moments, and against a pause that keeps callers waiting
+/// after a take-over.
+#[test]
+fn pauses_grow_and_are_spread() {
+    let first = Duration::from_millis(40);
+    let longest = Duration::from_millis(320);
+    for retries in 0..40 {
+        let (least, most) = (pause(retries, 0.0), pause(retries, 1.0));
+        assert_eq!(least * 2, most, "retry {retries}");
+        assert!(
+            most <= longest && most >= first,
+            "retry {retries}: {most:?}"
+        );
+        assert!(pause(retries + 1, 1.0) >= most, "retry {retries}");
+    }
+    let quick: Duration = (0..6).map(|retries| pause(retries, 1.0)).sum();
+    assert_eq!(quick, first * 6);
+    assert_eq!(pause(39, 1.0), longest);
+}
