--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use super::call_load::CountedThread;
 use super::responder::Responder;
 use crate::protocol::peer::PeerReply;
 
@@ -113,7 +114,9 @@
 
 impl Shared {
     fn handle_calls(&self) {
+        let _counted = CountedThread::begin();
         while let Some((responder, work)) = self.next_call() {
+            responder.begin();
             // A panic ends its call as unanswered, and the thread stays counted.
             if catch_unwind(AssertUnwindSafe(|| work(responder))).is_err() {
                 log::error!("a handler of calls panicked");
--- a/src/peer/responder.rs
+++ b/src/peer/responder.rs
@@ -7,6 +7,7 @@
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 
+use super::call_load::CountedCall;
 use super::channel::FrameWriter;
 use super::frame::Frame;
 use crate::protocol::peer::PeerReply;
@@ -24,20 +25,27 @@
 pub struct Responder {
     call_id: u64,
     outbox: Outbox,
+    counted: CountedCall,
     answered: bool,
 }
 
 impl Responder {
     /// A responder for a call on the connection of the outbox.
-    pub(super) fn new(call_id: u64, outbox: Outbox) -> Self {
+    pub(super) fn new(call_id: u64, outbox: Outbox, counted: CountedCall) -> Self {
         outbox.calls_in_flight.fetch_add(1, Ordering::AcqRel);
         Self {
             call_id,
             outbox,
+            counted,
             answered: false,
         }
     }
 
+    /// Notes that this thread begins to handle the call.
+    pub(super) fn begin(&self) {
+        self.counted.begin();
+    }
+
     /// Sends the reply.
     pub fn answer(mut self, reply: PeerReply) {
         self.send(reply);
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use super::call_load::CountedCall;
 use super::channel::{FrameReader, FrameWriter};
 use super::frame::Frame;
 use super::handshake;
@@ -16,6 +17,7 @@
 use super::{CONNECT_TIMEOUT, IDLE_PING_INTERVAL, SILENCE_TIMEOUT, WRITE_TIMEOUT};
 use crate::ids::HostId;
 use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::telemetry::processor_time;
 
 /// Connections accepted at once: several for each host of a large cell.
 const MAX_CONNECTIONS: usize = 256;
@@ -201,8 +203,11 @@
                     outbox.send(Frame::Reply { call_id, reply });
                     continue;
                 }
-                let responder = Responder::new(call_id, outbox.clone());
+                let counted = CountedCall::arrived(&request);
+                let responder = Responder::new(call_id, outbox.clone(), counted);
+                responder.begin();
                 (shared.handler)(host.clone(), request, responder);
+                processor_time::charge();
             }
             Frame::Ping => outbox.send(Frame::Pong),
             Frame::Pong => {}
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -5,11 +5,13 @@
 
 mod call_limits;
 mod client_calls;
+mod figures;
 mod gangs;
 mod heartbeats;
 mod load;
 mod orders;
 mod policy;
+mod relaying;
 mod replicas;
 mod replies;
 mod reports;
@@ -17,11 +19,12 @@
 mod scheduling;
 mod takeover;
 mod term;
+mod term_lock;
 #[cfg(test)]
 mod tests;
 mod workers;
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -35,11 +38,16 @@
 use crate::ids::{Epoch, HostId, Incarnation, WorkerId};
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
+use crate::telemetry::processor_time::{self, Activity};
 
 pub use call_limits::{BUSY_RETRY_MS, CallLimits, MAX_CALLS, MAX_CALLS_PER_HOST};
+use figures::Figures;
+use relaying::RelaySenders;
+pub use relaying::SendInstructions;
 pub use replies::CallResponder;
 use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
+use term_lock::{TermGuard, TermLock};
 
 /// Interval of time-driven steps.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -48,8 +56,6 @@
 const LEADERSHIP_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which changes are collected before a scheduling pass.
 const SCHEDULING_DELAY: Duration = Duration::from_millis(4);
-/// Threads that send orders to workers; each waits for one answer at a time.
-const ORDER_THREADS: usize = 48;
 /// Threads that put questions to the placement policy; each waits for one answer at a time. At a
 /// round trip of 200 ms they carry 300 questions a second; with 24 threads, questions of a burst
 /// waited 1.2 s.
@@ -131,11 +137,15 @@
     committed: Committed,
     outside: OutsideCalls,
     find_peer: FindPeer,
-    term: Mutex<Option<Term>>,
     call_limits: CallLimits,
     /// Latest heartbeats that this host acknowledged from the committed state.
     acknowledged_heartbeats: Mutex<IndexMap<WorkerId, (Incarnation, u64)>>,
-    orders: Sender<Order>,
+    send: SendInstructions,
+    relay_senders: Mutex<RelaySenders>,
+    term: TermLock,
+    figures: Arc<Figures>,
+    /// Holds at most one request to send pending orders.
+    wake_dispatcher: Sender<()>,
     questions: Sender<policy::Question>,
     /// Holds at most one request for a scheduling pass.
     wake_scheduler: Sender<()>,
@@ -159,11 +169,13 @@
         committed: Committed,
         outside: OutsideCalls,
         find_peer: FindPeer,
+        send: SendInstructions,
     ) -> Arc<Self> {
-        let (orders, order_queue) = unbounded();
+        let (wake_dispatcher, orders) = bounded(1);
         let (questions, question_queue) = unbounded();
         let (wake_scheduler, wake_ups) = bounded(1);
         let notices = committed.notices.clone();
+        let figures = Arc::<Figures>::default();
         let placer = Arc::new(Self {
             settings,
             clock,
@@ -171,34 +183,45 @@
             committed,
             outside,
             find_peer,
-            term: Mutex::new(None),
             call_limits: CallLimits::default(),
             acknowledged_heartbeats: Mutex::default(),
-            orders,
+            send,
+            relay_senders: Mutex::default(),
+            term: TermLock::new(Arc::clone(&figures)),
+            figures,
+            wake_dispatcher,
             questions,
             wake_scheduler,
         });
-        placer.spawn("effects", move |placer| placer.run_effects(&notices));
-        placer.spawn("scheduler", move |placer| placer.run_scheduler(&wake_ups));
-        placer.spawn("timer", Self::run_timer);
-        placer.spawn("membership", Self::run_membership);
-        for _ in 0..ORDER_THREADS {
-            let queue = order_queue.clone();
-            placer.spawn("orders", move |placer| placer.run_orders(&queue));
-        }
+        placer.spawn(Activity::Effects, move |placer| {
+            placer.run_effects(&notices);
+        });
+        placer.spawn(Activity::Pass, move |placer| {
+            placer.run_scheduler(&wake_ups);
+        });
+        placer.spawn(Activity::Tick, Self::run_timer);
+        placer.spawn(Activity::Membership, Self::run_membership);
+        placer.spawn(Activity::Call, |placer| placer.run_reports());
+        placer.spawn(Activity::Order, move |placer| {
+            placer.run_dispatcher(&orders);
+        });
         for _ in 0..POLICY_THREADS {
             let queue = question_queue.clone();
-            placer.spawn("policy", move |placer| placer.run_questions(&queue));
+            placer.spawn(Activity::Policy, move |placer| placer.run_questions(&queue));
         }
         placer
     }
 
-    fn spawn(self: &Arc<Self>, name: &str, run: impl FnOnce(&Arc<Self>) + Send + 'static) {
+    fn spawn(self: &Arc<Self>, activity: Activity, run: impl FnOnce(&Arc<Self>) + Send + 'static) {
         let placer = Arc::clone(self);
+        let name = activity.label();
         let spawned = thread::Builder::new()
             .name(format!("placer-{name}"))
             .stack_size(STACK_BYTES)
-            .spawn(move || run(&placer));
+            .spawn(move || {
+                processor_time::begin(activity);
+                run(&placer);
+            });
         if let Err(error) = spawned {
             log::error!(thread = name; "cannot start a thread of the placer: {error}");
         }
@@ -251,8 +274,21 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Term>> {
-        self.term.lock().unwrap()
+    fn lock(&self) -> TermGuard<'_> {
+        self.term.lock()
+    }
+
+    /// Ends the term after a failure to append.
+    fn stop_placing(&self, guard: &mut TermGuard<'_>, reason: &str) {
+        let Some(term) = guard.take() else {
+            return;
+        };
+        self.figures.note_term(None);
+        self.report_loss(
+            term.epoch,
+            guard.waited,
+            &format!("stops placing: {reason}"),
+        );
     }
 
     fn now(&self) -> Now {
@@ -276,8 +312,7 @@
         }
         let result = step(term, self.now());
         if let Err(reason) = self.flush(term) {
-            log::warn!(epoch = term.epoch; "stops placing: {reason}");
-            *guard = None;
+            self.stop_placing(&mut guard, &reason);
             return None;
         }
         drop(guard);
@@ -295,6 +330,7 @@
             }
             Sealed::Batch(batch) => {
                 let command = postcard::to_stdvec(&batch).map_err(|error| error.to_string())?;
+                self.figures.note_appended(batch.sequence, Instant::now());
                 let appended = self.replica.append(command);
                 appended.map_err(|error| error.to_string())
             }
@@ -307,6 +343,7 @@
             let Some(term) = guard.as_mut().filter(|term| term.epoch == epoch) else {
                 continue;
             };
+            self.figures.note_committed(sequence, Instant::now());
             let effects = term.committed(sequence);
             self.execute(term, effects);
             drop(guard);
@@ -325,7 +362,8 @@
                     responder.reply(Reply::Queues(document));
                 }
                 Effect::Order(order) => {
-                    let _ = self.orders.send(order);
+                    term.pending_orders.push(order);
+                    let _ = self.wake_dispatcher.try_send(());
                 }
                 Effect::EndsRecorded {
                     worker,
@@ -336,7 +374,8 @@
                     term.ready = true;
                     log::info!(
                         epoch = term.epoch, jobs = term.state.jobs.len(), runs = term.runs.len(),
-                        workers = term.workers.len(), version = term.state.version();
+                        workers = term.workers.len(), version = term.state.version(),
+                        after_ms = term.began_at.elapsed().as_millis() as u64;
                         "took over as placer"
                     );
                 }
@@ -351,10 +390,12 @@
             let Some(term) = guard.as_mut().filter(|term| term.ready) else {
                 continue;
             };
+            let began_at = Instant::now();
             let questions = term.schedule(self.now());
+            self.figures
+                .note_pass(began_at.elapsed(), term.examined.take());
             if let Err(reason) = self.flush(term) {
-                log::warn!(epoch = term.epoch; "stops placing: {reason}");
-                *guard = None;
+                self.stop_placing(&mut guard, &reason);
                 continue;
             }
             drop(guard);
@@ -370,10 +411,7 @@
             self.follow_leadership();
             if self.clock.now() >= next_tick_at {
                 next_tick_at = self.clock.now() + TICK_INTERVAL;
-                let links = self.with_term(None, Term::tick);
-                for (worker, generation) in links.into_iter().flatten() {
-                    self.spawn("link", move |placer| placer.run_link(&worker, generation));
-                }
+                self.with_term(None, Term::tick);
             }
             thread::sleep(LEADERSHIP_INTERVAL);
         }
@@ -387,10 +425,11 @@
         if held == epoch {
             return;
         }
+        *guard = None;
+        self.figures.note_term(epoch);
         if let Some(held) = held {
-            log::warn!(epoch = held; "no longer leads the workflow log");
+            self.report_loss(held, guard.waited, "no longer leads the workflow log");
         }
-        *guard = None;
         let Some(epoch) = epoch else {
             return;
         };
@@ -398,7 +437,10 @@
         let mut term = Term::begin(epoch, state, self.settings.clone(), self.now());
         match self.flush(&mut term) {
             Ok(()) => *guard = Some(term),
-            Err(reason) => log::warn!(epoch; "cannot take over: {reason}"),
+            Err(reason) => {
+                self.figures.note_term(None);
+                log::warn!(epoch; "cannot take over: {reason}");
+            }
         }
     }
 
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -133,6 +133,7 @@
         if wanted == 0 || (spec.gang && wanted < spec.task_count as usize) {
             return StageDecision::Wait;
         }
+        self.examined.note(self.workers.len());
         let mut permitted = Vec::new();
         let mut unpermitted = Vec::new();
         for (id, worker) in &self.workers {
@@ -276,7 +277,8 @@
                 incarnation,
             });
             let worker = choice.worker;
-            let live = LiveRun::new(run, worker.clone(), RunPhase::Starting, now.at);
+            let mut live = LiveRun::new(run, worker.clone(), RunPhase::Starting, now.at);
+            live.permit.clone_from(&choice.permit);
             self.runs.insert(task.clone(), live);
             let kind = OrderKind::Start {
                 permit: choice.permit,
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -3,12 +3,12 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::super::records::Record;
 use super::super::spec::{StageKey, TaskKey};
 use super::super::state::{Job, TaskProgress, WorkflowState};
-use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
+use super::term::{Effect, Examined, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
 use crate::ids::{Epoch, JobId};
 use crate::protocol::caller::Urgency;
@@ -51,10 +51,13 @@
             stray_stops: IndexMap::new(),
             ticks: 0,
             adopted_checked: false,
+            examined: Examined::default(),
+            pending_orders: Vec::new(),
+            due_grants: IndexSet::new(),
         };
         let records: Vec<_> = term.state.workers.values().cloned().collect();
         for record in records {
-            term.add_worker(record);
+            term.add_worker(record, now.at);
         }
         let jobs: Vec<JobId> = term.state.jobs.keys().cloned().collect();
         for job in jobs {
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -1,9 +1,9 @@
 //! What the placer holds while it leads.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::Sender;
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::calls::{HostContact, Reply};
@@ -65,6 +65,32 @@
     pub ticks: u64,
     /// Whether runs of earlier terms were compared with the workers that are known.
     pub adopted_checked: bool,
+    /// Stages and workers that were examined for placements.
+    pub examined: Examined,
+    /// Committed orders that are not sent to a relay yet.
+    pub pending_orders: Vec<Order>,
+    /// Workers whose relay needs a new grant before the regular one.
+    pub due_grants: IndexSet<WorkerId>,
+}
+
+/// Stages and workers that were examined for placements since the last report.
+#[derive(Debug, Default)]
+pub struct Examined {
+    stages: Cell<u64>,
+    workers: Cell<u64>,
+}
+
+impl Examined {
+    /// Counts a look at a stage with so many workers.
+    pub fn note(&self, workers: usize) {
+        self.stages.set(self.stages.get() + 1);
+        self.workers.set(self.workers.get() + workers as u64);
+    }
+
+    /// The counts of stages and of workers, which begin anew.
+    pub fn take(&self) -> (u64, u64) {
+        (self.stages.take(), self.workers.take())
+    }
 }
 
 /// What becomes visible to others once a batch is committed.
@@ -137,16 +163,18 @@
     pub seen_ends: u64,
     /// Last end that is recorded in the log.
     pub recorded_ends: u64,
-    /// Wakes the link when `recorded_ends` has grown.
-    pub recorded_signal: Option<Sender<()>>,
     /// Runs that may exist on it.
     pub runs: IndexSet<TaskKey>,
     /// What the ends of its runs say about it.
     pub health: WorkerHealth,
     /// Whether it said that it leaves; it is gone once its port is closed.
     pub leaving: bool,
-    /// Number of the link thread that serves it; an older one ends itself.
-    pub link_generation: u64,
+    /// Host that relays orders to it.
+    pub relay: Option<HostId>,
+    /// When its present relay began.
+    pub relayed_since: Instant,
+    /// Former relay that could not reach it.
+    pub avoided_relay: Option<HostId>,
 }
 
 impl LiveWorker {
@@ -197,6 +225,12 @@
     pub progress: Option<Progress>,
     /// When it was placed, or adopted from an earlier leader.
     pub placed_at: Instant,
+    /// Permit with which it is started; `None` without a policy and once the start is answered.
+    pub permit: Option<String>,
+    /// When its start order was sent last.
+    pub start_sent_at: Option<Instant>,
+    /// How often its start order was sent.
+    pub starts_sent: u32,
 }
 
 impl LiveRun {
@@ -209,6 +243,9 @@
             seen: false,
             progress: None,
             placed_at: now,
+            permit: None,
+            start_sent_at: None,
+            starts_sent: 0,
         }
     }
 
@@ -250,6 +287,8 @@
     pub heard_at: Instant,
     /// When its present calls are expected to be answered.
     pub busy_until: Instant,
+    /// It relays nothing until then, since instructions did not reach it.
+    pub relays_from: Instant,
     /// Time that an answer takes beyond the decision itself.
     pub trip: Duration,
 }
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -4,4 +4,5 @@
 mod fixture;
 mod gangs;
 mod limits;
+mod relays;
 mod runs;
--- a/tests/workflow_heartbeats.rs
+++ b/tests/workflow_heartbeats.rs
@@ -114,10 +114,10 @@
 fn storage_hosts_acknowledge_heartbeats_while_they_hear_the_leader() {
     let folder = tempfile::tempdir().unwrap();
     let ports = Ports {
-        peers: 17_350,
-        callers: 17_351,
-        readiness: 17_352,
-        control: 17_353,
+        peers: 17_380,
+        callers: 17_381,
+        readiness: 17_382,
+        control: 17_383,
     };
     let cell = Cell::start(folder.path(), ports);
     assert_eq!(cell.configure(1).status, 200);
