--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -1,6 +1,7 @@
 //! Decisions about workflows, as functions of their inputs alone.
 
 pub mod admission;
+pub mod heartbeats;
 pub mod leases;
 pub mod permits;
 pub mod placing;
@@ -9,4 +10,5 @@
 pub mod relays;
 pub mod replicas;
 pub mod reservations;
+pub mod retries;
 pub mod worker_health;
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -13,13 +13,13 @@
     CALL_EXTENSION, Call, HostContact, OutsideCalls, POLICY_EXTENSION, PolicyQuestion, Reply,
 };
 use super::directory::{Directory, Unanswered};
-use super::placer::{Committed, Placer, PlacerSettings};
+use super::placer::{CallResponder, Committed, Placer, PlacerSettings};
 use super::relay::Relay;
 use super::relay::messages::{INSTRUCTIONS_EXTENSION, Instructions, REPORT_EXTENSION, RelayReport};
 use super::settings::WorkflowSettings;
 use crate::clock::Clock;
 use crate::ids::HostId;
-use crate::peer::{ClusterKeys, PeerServer};
+use crate::peer::{CallPool, CallPoolOptions, ClusterKeys, PeerServer, Responder};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::replication::{Limits, Replica, ReplicaOptions, StorageError, StorageOptions, Timing};
 
@@ -34,8 +34,12 @@
 /// Time without an answered contact after which a host reports that it is not ready: longer than
 /// the election of another placer.
 const READY_FOR: Duration = Duration::from_millis(3_000);
-/// Time that the placer takes at most to confirm a call of another host.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Questions that are put to the placement policy at once. It serves one call of a host at a time,
+/// so further threads only cover the way there and back.
+const MAX_POLICY_THREADS: usize = 8;
+/// Questions that wait for a thread: at some 100 ms each they wait less than a second, after which
+/// the placer has given up.
+const MAX_QUEUED_QUESTIONS: usize = 64;
 /// Lease of a worker: outlasts an election and the contact with all workers after it.
 const WORKER_LEASE: Duration = Duration::from_secs(6);
 /// Time without an answer after which another storage host stands for election: four heartbeats,
@@ -143,6 +147,15 @@
         hint.or_else(|| self.directory.leader())
     }
 
+    /// Host that workers should send their heartbeats to, when known: this one where it keeps the
+    /// log, so that they do not all call the leader.
+    pub fn heartbeat_host(&self) -> Option<HostId> {
+        match &self.replica {
+            Some(_) => Some(self.settings.host_id()),
+            None => self.leader(),
+        }
+    }
+
     /// Takes over what can change while the host runs.
     pub fn reload(&self, settings: &WorkflowSettings) {
         let (before, after) = (self.directory.seeds(), settings.seed_ids());
@@ -293,7 +306,7 @@
                 group: LOG_GROUP.to_owned(),
                 message,
             };
-            match sending.client(host).call(request, deadline) {
+            match sending.log_client(host).call(request, deadline) {
                 Ok(PeerReply::Message(reply)) => Ok(reply),
                 Ok(other) => Err(format!("unexpected reply: {other:?}")),
                 Err(error) => Err(error.to_string()),
@@ -344,44 +357,62 @@
     relay: Arc<Relay>,
 ) -> io::Result<PeerServer> {
     let directory = Arc::clone(directory);
-    let handler = move |from: HostId, request: PeerRequest| match request {
-        PeerRequest::Replication { message, .. } => match &replica {
+    let policy = CallPool::new(CallPoolOptions {
+        name: "peer-call-policy".to_owned(),
+        max_threads: MAX_POLICY_THREADS,
+        max_queued: MAX_QUEUED_QUESTIONS,
+    });
+    let handler = move |from: HostId, request: PeerRequest, responder: Responder| match request {
+        // Blocks for disk syncs, on a connection that carries messages of the log only.
+        PeerRequest::Replication { message, .. } => responder.answer(match &replica {
             Some(replica) => PeerReply::Message(replica.handle(&from, &message)),
             None => PeerReply::Refused("this host stores no log".to_owned()),
-        },
+        }),
         PeerRequest::Extension { name, message } if name == CALL_EXTENSION => {
-            answer_call(&directory, &message)
+            answer_call(&directory, &from, &message, responder);
         }
         PeerRequest::Extension { name, message } if name == INSTRUCTIONS_EXTENSION => {
-            take_instructions(&relay, &message)
+            responder.answer(take_instructions(&relay, &message));
         }
         PeerRequest::Extension { name, message } if name == REPORT_EXTENSION => {
-            take_relay_report(&directory, &message)
+            responder.answer(take_relay_report(&directory, &message));
         }
         PeerRequest::Extension { name, message } if name == POLICY_EXTENSION => {
-            answer_policy_question(&outside, &message)
+            let outside = outside.clone();
+            policy.run(responder, move |responder| {
+                responder.answer(answer_policy_question(&outside, &message));
+            });
         }
-        other => PeerReply::Refused(format!("unknown call {}", other.kind())),
+        other => responder.answer(PeerReply::Refused(format!("unknown call {}", other.kind()))),
     };
-    PeerServer::start(address, ClusterKeys::unauthenticated(), Arc::new(handler))
+    PeerServer::start_deferred(address, ClusterKeys::unauthenticated(), Arc::new(handler))
 }
 
-fn answer_call(directory: &Directory, message: &[u8]) -> PeerReply {
+fn answer_call(directory: &Directory, from: &HostId, message: &[u8], responder: Responder) {
     let Some(placer) = directory.placer() else {
-        return PeerReply::NotPlacer {
+        responder.answer(PeerReply::NotPlacer {
             placer: directory.leader(),
-        };
+        });
+        return;
     };
     let call = match postcard::from_bytes::<Call>(message) {
         Ok(call) => call,
-        Err(error) => return PeerReply::Refused(format!("the call cannot be decoded: {error}")),
+        Err(error) => {
+            let reason = format!("the call cannot be decoded: {error}");
+            responder.answer(PeerReply::Refused(reason));
+            return;
+        }
     };
-    match placer.handle(call, Instant::now() + CONFIRMATION_TIMEOUT) {
-        Some(reply) => encode(&reply),
-        None => PeerReply::NotPlacer {
-            placer: placer.leader_hint(),
-        },
-    }
+    let asked = Arc::clone(placer);
+    let responder = CallResponder::new(move |reply| {
+        responder.answer(match reply {
+            Some(reply) => encode(&reply),
+            None => PeerReply::NotPlacer {
+                placer: asked.leader_hint(),
+            },
+        });
+    });
+    placer.handle(from, call, responder);
 }
 
 fn take_instructions(relay: &Arc<Relay>, message: &[u8]) -> PeerReply {
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -2,11 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::bounded;
-
 use super::super::orders::OrderedRun;
 use super::super::term::{Effect, Order, OrderKind, Sealed, Term};
-use super::super::{Now, PlacerSettings};
+use super::super::{CallResponder, Now, PlacerSettings};
 use crate::resources::Resources;
 use crate::workflow::calls::{
     Call, CallFailure, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, WorkerReport,
@@ -179,7 +177,11 @@
         for effect in effects {
             match effect {
                 Effect::Order(order) => self.orders.push(order),
-                Effect::Reply(..) | Effect::ReplyQueues(_) => self.replies += 1,
+                Effect::Reply(responder, reply) => {
+                    self.replies += 1;
+                    responder.reply(reply);
+                }
+                Effect::ReplyQueues(_) => self.replies += 1,
                 Effect::EndsRecorded {
                     worker,
                     incarnation,
@@ -248,7 +250,6 @@
     }
 
     pub(super) fn submit_without_pass(&mut self, job: &str, stages: Vec<StageSpec>) {
-        let (sender, _receiver) = bounded(1);
         let call = Call::Submit {
             target: QueueAddress {
                 host: "shop.example".to_owned(),
@@ -260,12 +261,12 @@
                 repetition: None,
             }),
         };
-        self.term.handle_call(call, &sender, self.now);
+        self.call(call);
     }
 
     pub(super) fn call(&mut self, call: Call) {
-        let (sender, _receiver) = bounded(1);
-        self.term.handle_call(call, &sender, self.now);
+        let responder = CallResponder::new(|_| {});
+        self.term.handle_call(call, responder, self.now);
     }
 
     pub(super) fn answer_starts(&mut self, outcome: OrderOutcome) {
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::bounded;
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::super::CallResponder;
 use super::fixture::{Fixture, configuration, heartbeat, queue, stage};
 use crate::ids::WorkerId;
 use crate::resources::Resources;
@@ -213,9 +213,9 @@
             }),
         };
         self.submitted += 1;
-        let (sender, _receiver) = bounded(1);
+        let responder = CallResponder::new(|_| {});
         let Fixture { term, now, .. } = &mut self.fixture;
-        let step = || term.handle_call(call, &sender, *now);
+        let step = || term.handle_call(call, responder, *now);
         self.parts.measure("submit", step);
     }
 
