bug: a test shows that a lasting overload grows the backlog

Jobs that can be in time overtake late ones, which become too late to count, leave the backlog that admission looks at, and make room for further jobs.

--- a/src/workflow/placer/tests/backlog.rs
+++ b/src/workflow/placer/tests/backlog.rs
@@ -5,6 +5,7 @@
 use super::grown_cell::GrownCell;
 use crate::workflow::decisions::ranking::{self, Usefulness};
 use crate::workflow::placer::term::Term;
+use crate::workflow::spec::StageKey;
 
 /// Declared work of waiting tasks up to a priority, counted anew.
 fn recount_ms(term: &Term, priority: u32, now: std::time::Instant) -> u64 {
@@ -50,3 +51,20 @@
     }
     assert!(was_too_late, "the overload made no job too late");
 }
+
+/// Guards against an overload that grows the backlog instead of being refused.
+#[test]
+fn a_lasting_overload_is_refused_once_waiting_is_of_no_use() {
+    let mut cell = GrownCell::new(20, 8.0);
+    let mut waiting = Vec::new();
+    for _ in 0..4 {
+        cell.run(Duration::from_secs(15));
+        let stages = cell.fixture.term.stages.iter();
+        let keys = stages.filter(|(_, stage)| !stage.waiting.is_empty());
+        let keys: Vec<&StageKey> = keys.map(|(key, _)| key).collect();
+        waiting.push(keys.len());
+    }
+    let accepted = cell.fixture.term.state.jobs.len();
+    assert!(accepted < cell.submitted);
+    assert!(waiting[3] <= waiting[1] * 3 / 2, "{waiting:?} stages wait");
+}
