bug: stopping a job or a gang looks up its tasks only

The end of each job and each failure of a gang walked all runs and all stages of the cell, 38,000 runs at the target size. The runs of a stage are found by the keys of its tasks, and the stages of a job by those of the job. The tests of cancelled jobs and of gangs with a failed member cover what is stopped; none counts the lookups.

--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -4,7 +4,7 @@
 
 use super::super::instruments::instruments;
 use super::super::records::{Record, RunNumber, RunOutcome};
-use super::super::spec::{StageKey, TaskKey};
+use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::Now;
 use super::term::{Effect, Order, OrderKind, RunPhase, Term};
 use crate::ids::{Incarnation, JobId, WorkerId};
@@ -98,23 +98,28 @@
 
     /// Stops all runs of a job that has ended.
     pub(super) fn stop_job(&mut self, id: &JobId, now: Instant) {
-        let stages = self.stages.keys().filter(|key| key.job == *id);
-        let stages: Vec<StageKey> = stages.cloned().collect();
-        for key in stages {
+        let keys = self.state.jobs.get(id).map(|job| job.stage_keys(id));
+        for key in keys.unwrap_or_default() {
             self.remove_stage(&key);
-        }
-        let runs = self.runs.keys().filter(|task| task.stage.job == *id);
-        let runs: Vec<TaskKey> = runs.cloned().collect();
-        for task in runs {
-            self.stop_run(&task, now);
+            self.stop_stage(&key, now);
         }
     }
 
     /// Stops the members of a gang that are still there, since they cannot succeed any more.
     pub(super) fn stop_gang(&mut self, key: &StageKey, now: Instant) {
-        let members = self.runs.keys().filter(|task| task.stage == *key);
-        let members: Vec<TaskKey> = members.cloned().collect();
-        for task in members {
+        self.stop_stage(key, now);
+    }
+
+    /// Stops all runs of a stage. Its tasks are looked up one by one, since all runs of the cell are
+    /// many more.
+    fn stop_stage(&mut self, key: &StageKey, now: Instant) {
+        let job = self.state.jobs.get(&key.job);
+        let tasks = job.and_then(|job| Some(job.stage(key)?.tasks.len()));
+        for index in 0..tasks.unwrap_or(0) {
+            let task = TaskKey {
+                stage: key.clone(),
+                index: index as TaskIndex,
+            };
             self.stop_run(&task, now);
         }
     }
