bug: a tick looks at repeated jobs only

Ten times a second the placer walked all jobs, retained ones included, to find those with a repetition. The term keeps the ids of open repeated jobs; they are added when a job is accepted or adopted, and dropped in the first tick after their end. backlog.rs checks the set with a cancelled job and after a take-over.

--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -46,6 +46,7 @@
             pools: Default::default(),
             workers: IndexMap::new(),
             stages: IndexMap::new(),
+            repeated_jobs: Default::default(),
             runs: IndexMap::new(),
             waiting_work: Default::default(),
             passes: Default::default(),
@@ -126,6 +127,9 @@
         if !job.is_open() {
             return;
         }
+        if job.spec.repetition.is_some() {
+            self.repeated_jobs.insert(id.clone());
+        }
         let mut activated = Vec::new();
         for key in job.stage_keys(id) {
             if self.stages.contains_key(&key) || !job.dependencies_met(&key) {
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -19,7 +19,7 @@
 use super::backlog::WaitingWork;
 use super::passes::Passes;
 use super::search::{EmptySearch, StageNeeds};
-use crate::ids::{Epoch, HostId, ServiceName, WorkerId};
+use crate::ids::{Epoch, HostId, JobId, ServiceName, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
 /// State of a leader. It runs ahead of the log: records are applied to `state` when they are
@@ -54,6 +54,8 @@
     pub workers: IndexMap<WorkerId, LiveWorker>,
     /// Stages whose dependencies are met and that are not complete.
     pub stages: IndexMap<StageKey, LiveStage>,
+    /// Jobs with a repetition: all that are open, and those that ended since the last tick.
+    pub repeated_jobs: IndexSet<JobId>,
     /// Runs that may exist on a worker.
     pub runs: IndexMap<TaskKey, LiveRun>,
     /// Work of the waiting tasks of `stages`.
--- a/src/workflow/placer/tests/backlog.rs
+++ b/src/workflow/placer/tests/backlog.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use super::fixture::{Fixture, stage};
 use super::grown_cell::GrownCell;
+use crate::workflow::calls::Call;
 use crate::workflow::decisions::ranking::{self, Usefulness};
 use crate::workflow::placer::term::Term;
-use crate::workflow::spec::StageKey;
+use crate::workflow::queues::QueueAddress;
+use crate::workflow::spec::{Repetition, StageKey, WorkflowSpec};
 
 /// Declared work of waiting tasks up to a priority, counted anew.
 fn recount_ms(term: &Term, priority: u32, now: std::time::Instant) -> u64 {
@@ -52,6 +55,44 @@
     assert!(was_too_late, "the overload made no job too late");
 }
 
+/// Guards against a repeated job whose later occurrences never begin, also after a take-over, and
+/// against a look at all jobs in each tick.
+#[test]
+fn open_repeated_jobs_are_known_without_a_look_at_all_jobs() {
+    let mut fixture = Fixture::new();
+    fixture.announce("w");
+    fixture.submit(vec![stage(1)]);
+    let spec = WorkflowSpec {
+        payload: "plan".to_owned(),
+        stages: vec![stage(1)],
+        repetition: Some(Repetition {
+            count: 3,
+            first_due_unix_ms: fixture.now.unix_ms,
+            interval_ms: 1_000,
+        }),
+    };
+    let target = |job: &str| QueueAddress {
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/plans/{job}"),
+    };
+    for job in ["repeated", "cancelled"] {
+        let spec = Box::new(spec.clone());
+        let target = target(job);
+        fixture.call(Call::Submit { target, spec });
+    }
+    fixture.call(Call::Cancel(target("cancelled")));
+    fixture.commit_all();
+    fixture.term.tick(fixture.now);
+    assert!(fixture.term.repeated_jobs.iter().eq(["repeated"]));
+    let mut fixture = Fixture::with_state(fixture.term.state);
+    assert!(fixture.term.repeated_jobs.iter().eq(["repeated"]));
+    fixture.pass(Duration::from_millis(1_500));
+    fixture.term.tick(fixture.now);
+    let stages = fixture.term.stages.keys();
+    let begun = stages.filter(|key| key.job == "repeated").count();
+    assert_eq!(begun, 2);
+}
+
 /// Guards against an overload that grows the backlog instead of being refused.
 #[test]
 fn a_lasting_overload_is_refused_once_waiting_is_of_no_use() {
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -6,6 +6,7 @@
 
 use super::super::records::{Record, RunOutcome};
 use super::super::spec::{StageKey, TaskKey};
+use super::super::state::Job;
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
 use super::load::LOAD_REPORT_TICKS;
@@ -265,9 +266,10 @@
     }
 
     fn activate_due_occurrences(&mut self, now: Now) {
-        let jobs = self.state.jobs.iter();
-        let repeated = jobs.filter(|(_, job)| job.is_open() && job.spec.repetition.is_some());
-        let repeated: Vec<_> = repeated.map(|(id, _)| id.clone()).collect();
+        let jobs = &self.state.jobs;
+        self.repeated_jobs
+            .retain(|id| jobs.get(id).is_some_and(Job::is_open));
+        let repeated: Vec<_> = self.repeated_jobs.iter().cloned().collect();
         for id in repeated {
             self.activate_stages(&id, now);
         }
