--- /dev/null
+++ b/benches/cell_load/processor_time.rs
@@ -0,0 +1,91 @@
+//! Processor time of a process by kind of thread.
+
+use std::fs;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+/// Interval of the readings: threads that end lose the time since the last one.
+const READING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Processor time of the threads of one kind.
+#[derive(Default)]
+pub struct Usage {
+    /// Threads at the last reading.
+    pub threads: usize,
+    /// Processor time within the watched time, in milliseconds.
+    pub spent_ms: f64,
+}
+
+struct Thread {
+    kind: String,
+    first_ns: u64,
+    last_ns: u64,
+    present: bool,
+}
+
+/// Watches a process until a time; returns the usage by kind of thread.
+pub fn watch(process: u32, until: Instant) -> IndexMap<String, Usage> {
+    let mut threads = IndexMap::new();
+    read(process, &mut threads, true);
+    while Instant::now() < until {
+        thread::sleep(READING_INTERVAL.min(until.saturating_duration_since(Instant::now())));
+        read(process, &mut threads, false);
+    }
+    let mut usage: IndexMap<String, Usage> = IndexMap::new();
+    for thread in threads.values() {
+        let entry = usage.entry(thread.kind.clone()).or_default();
+        entry.threads += usize::from(thread.present);
+        entry.spent_ms += (thread.last_ns - thread.first_ns) as f64 / 1e6;
+    }
+    usage
+}
+
+fn read(process: u32, threads: &mut IndexMap<String, Thread>, first: bool) {
+    for thread in threads.values_mut() {
+        thread.present = false;
+    }
+    let Ok(tasks) = fs::read_dir(format!("/proc/{process}/task")) else {
+        return;
+    };
+    for task in tasks.flatten() {
+        let id = task.file_name().to_string_lossy().into_owned();
+        // The processor time in nanoseconds comes first. A thread may end between the reads.
+        let Ok(statistics) = fs::read_to_string(task.path().join("schedstat")) else {
+            continue;
+        };
+        let spent_ns = statistics
+            .split(' ')
+            .next()
+            .and_then(|text| text.parse().ok());
+        let Some(spent_ns) = spent_ns else {
+            continue;
+        };
+        if let Some(known) = threads.get_mut(&id) {
+            known.last_ns = spent_ns;
+            known.present = true;
+            continue;
+        }
+        let Ok(name) = fs::read_to_string(task.path().join("comm")) else {
+            continue;
+        };
+        let thread = Thread {
+            kind: kind_of(name.trim_end()),
+            first_ns: if first { spent_ns } else { 0 },
+            last_ns: spent_ns,
+            present: true,
+        };
+        threads.insert(id, thread);
+    }
+}
+
+/// Name without what differs between threads of a kind; the system cuts names at 15 bytes.
+fn kind_of(name: &str) -> String {
+    match name {
+        "placer-schedule" => "placer-scheduler".to_owned(),
+        "placer-membersh" => "placer-membership".to_owned(),
+        name if name.starts_with("replica-to-") => "replica-to".to_owned(),
+        name => name.to_owned(),
+    }
+}
