--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -3,4 +3,6 @@
 mod calls;
 mod fixture;
 mod gangs;
+mod relays;
 mod runs;
+mod takeover;
