--- a/benches/cell_load/hosts.rs
+++ b/benches/cell_load/hosts.rs
@@ -38,6 +38,12 @@
         Self { processes }
     }
 
+    /// Processes of the entry hosts.
+    pub fn entry_processes(&self) -> Vec<u32> {
+        let entry = self.processes.values().skip(usize::from(STORAGE_HOSTS));
+        entry.map(Child::id).collect()
+    }
+
     /// Process of the host with the IP address.
     pub fn process_id(&self, address: &str) -> u32 {
         self.processes[address].id()
--- a/benches/cell_load/processor_time.rs
+++ b/benches/cell_load/processor_time.rs
@@ -9,6 +9,9 @@
 /// Interval of the readings: threads that end lose the time since the last one.
 const READING_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Unit of the times of a whole process on Linux.
+const MS_PER_TICK: f64 = 10.0;
+
 /// Processor time of the threads of one kind.
 #[derive(Default)]
 pub struct Usage {
@@ -80,6 +83,16 @@
     }
 }
 
+/// Processor time of a whole process since its start, in milliseconds.
+pub fn total_ms(process: u32) -> f64 {
+    let statistics = fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    // The name of the program is in brackets; the times are the 12th and 13th field after it.
+    let fields = statistics.rsplit(')').next().unwrap_or_default();
+    let times = fields.split_whitespace().skip(11).take(2);
+    let ticks: f64 = times.filter_map(|text| text.parse::<f64>().ok()).sum();
+    ticks * MS_PER_TICK
+}
+
 /// Name without what differs between threads of a kind; the system cuts names at 15 bytes.
 fn kind_of(name: &str) -> String {
     match name {
--- a/benches/leader_cost.rs
+++ b/benches/leader_cost.rs
@@ -38,6 +38,8 @@
 struct Figures {
     starts: usize,
     usage: IndexMap<String, Usage>,
+    /// Processor time of each entry host.
+    entry_spent_ms: Vec<f64>,
     leaders: usize,
     answers: IndexMap<String, usize>,
 }
@@ -77,11 +79,27 @@
     let process = hosts.process_id(&leader);
     println!("measuring process {process} of {leader}");
     let starts_before = stand_ins.starts().load(Ordering::Acquire);
+    let entry_processes = hosts.entry_processes();
+    let totals = || {
+        entry_processes
+            .iter()
+            .map(|id| processor_time::total_ms(*id))
+    };
+    let entry_before: Vec<f64> = totals().collect();
     let usage = processor_time::watch(process, Instant::now() + MEASURED);
+    let entry_spent_ms = totals()
+        .zip(entry_before)
+        .map(|(after, before)| after - before);
+    let entry_spent_ms = entry_spent_ms.collect();
     let starts = stand_ins.starts().load(Ordering::Acquire) - starts_before;
+    let leader_after = heartbeats.leader();
+    if leader_after.as_ref() != Some(&leader) {
+        println!("not valid: {leader_after:?} led at the end");
+    }
     Figures {
         starts,
         usage,
+        entry_spent_ms,
         leaders: heartbeats.leaders(),
         answers: callers.finish(),
     }
@@ -99,6 +117,14 @@
         total_ms / figures.starts.max(1) as f64,
         figures.leaders,
     );
+    let entry_mean_ms =
+        figures.entry_spent_ms.iter().sum::<f64>() / figures.entry_spent_ms.len().max(1) as f64;
+    let entry_most_ms = figures.entry_spent_ms.iter().copied().fold(0.0, f64::max);
+    println!(
+        "cores of an entry host: {:.3} in the mean, {:.3} at the most",
+        entry_mean_ms / seconds / 1_000.0,
+        entry_most_ms / seconds / 1_000.0,
+    );
     println!("answers to callers: {:?}", figures.answers);
     println!("| thread | threads | ms for each start | share |\n| --- | --- | --- | --- |");
     let mut rows: Vec<_> = figures.usage.iter().collect();
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -1,6 +1,5 @@
 //! What the placer holds while it leads.
 
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -17,7 +16,10 @@
 use super::super::state::WorkflowState;
 use super::super::workers::WorkerRecord;
 use super::PlacerSettings;
-use crate::ids::{Epoch, HostId, WorkerId};
+use super::backlog::WaitingWork;
+use super::passes::Passes;
+use super::search::{EmptySearch, StageNeeds};
+use crate::ids::{Epoch, HostId, ServiceName, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
 /// State of a leader. It runs ahead of the log: records are applied to `state` when they are
@@ -46,12 +48,18 @@
     pub uncommitted: VecDeque<(u64, Vec<Effect>)>,
     /// Capacity and allocations.
     pub ledger: Ledger,
+    /// Services by the number of their pool in the ledger.
+    pub pools: IndexSet<ServiceName>,
     /// Workers.
     pub workers: IndexMap<WorkerId, LiveWorker>,
     /// Stages whose dependencies are met and that are not complete.
     pub stages: IndexMap<StageKey, LiveStage>,
     /// Runs that may exist on a worker.
     pub runs: IndexMap<TaskKey, LiveRun>,
+    /// Work of the waiting tasks of `stages`.
+    pub waiting_work: WaitingWork,
+    /// What has changed since the last scheduling pass.
+    pub passes: Passes,
     /// Waiting gangs that were late in the last scheduling pass.
     pub late_gangs: usize,
     /// Learned share of workers that the policy of a queue allows.
@@ -66,34 +74,12 @@
     pub ticks: u64,
     /// Whether runs of earlier terms were compared with the workers that are known.
     pub adopted_checked: bool,
-    /// Stages and workers that were examined for placements.
-    pub examined: Examined,
     /// Committed orders that are not sent to a relay yet.
     pub pending_orders: Vec<Order>,
     /// Workers whose relay needs a new grant before the regular one.
     pub due_grants: IndexSet<WorkerId>,
 }
 
-/// Stages and workers that were examined for placements since the last report.
-#[derive(Debug, Default)]
-pub struct Examined {
-    stages: Cell<u64>,
-    workers: Cell<u64>,
-}
-
-impl Examined {
-    /// Counts a look at a stage with so many workers.
-    pub fn note(&self, workers: usize) {
-        self.stages.set(self.stages.get() + 1);
-        self.workers.set(self.workers.get() + workers as u64);
-    }
-
-    /// The counts of stages and of workers, which begin anew.
-    pub fn take(&self) -> (u64, u64) {
-        (self.stages.take(), self.workers.take())
-    }
-}
-
 /// What becomes visible to others once a batch is committed.
 pub enum Effect {
     /// Answers a call.
@@ -193,6 +179,14 @@
 
 /// A stage that has tasks to run.
 pub struct LiveStage {
+    /// What a search needs to know of it.
+    pub needs: StageNeeds,
+    /// Whether a scheduling pass found that its job is too late to count, which does not change.
+    pub too_late: bool,
+    /// The last search, when it found nothing.
+    pub empty_search: Option<EmptySearch>,
+    /// Earliest time of the next look for workers that a gang does not know.
+    pub look_again_at: Instant,
     /// Tasks that need a run.
     pub waiting: Vec<TaskIndex>,
     /// Answers of the placement policy.
@@ -212,6 +206,13 @@
     pub remaining: Duration,
 }
 
+impl LiveStage {
+    /// Whether all tasks wait; until then a gang can't be placed.
+    pub fn is_whole(&self) -> bool {
+        self.waiting.len() >= self.needs.task_count
+    }
+}
+
 /// A run that may exist on a worker.
 pub struct LiveRun {
     /// Number.
