--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -5,11 +5,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel::bounded;
 use indexmap::{IndexMap, IndexSet};
 
 use super::calls::{CALL_EXTENSION, Call, Reply};
+use super::decisions::retries;
 use super::instruments::instruments;
-use super::placer::Placer;
+use super::placer::{CallResponder, Placer};
 use crate::ids::HostId;
 use crate::peer::{CallError, ClusterKeys, PeerClient, PeerClientOptions};
 use crate::protocol::peer::{PeerReply, PeerRequest};
@@ -23,8 +25,6 @@
 /// Time for which a host that did not answer is asked only when no other is known. By then the
 /// others have noticed too, after 630 ms at most, and no longer name it as the placer.
 const SILENT_FOR: Duration = Duration::from_millis(250);
-/// Pause before the next host is asked who leads.
-const NEXT_HOST_PAUSE: Duration = Duration::from_millis(40);
 /// Storage hosts that are remembered beside the seeds.
 const MAX_KNOWN_HOSTS: usize = 32;
 
@@ -43,6 +43,8 @@
     peer_port: u16,
     seeds: Mutex<Vec<HostId>>,
     clients: Mutex<IndexMap<HostId, PeerClient>>,
+    /// Clients for messages of the log, which must not wait behind other calls on a connection.
+    log_clients: Mutex<IndexMap<HostId, PeerClient>>,
     /// Hosts that were named as leaders.
     named: Mutex<IndexSet<HostId>>,
     leader: Mutex<Option<HostId>>,
@@ -60,6 +62,7 @@
             peer_port,
             seeds: Mutex::new(seeds),
             clients: Mutex::default(),
+            log_clients: Mutex::default(),
             named: Mutex::default(),
             leader: Mutex::new(None),
             silent_until: Mutex::default(),
@@ -92,9 +95,22 @@
         self.leader.lock().unwrap().clone()
     }
 
-    /// The client for a host.
+    /// The client for calls to a host.
     pub fn client(&self, host: &HostId) -> PeerClient {
-        let mut clients = self.clients.lock().unwrap();
+        self.client_in(&self.clients, host)
+    }
+
+    /// The client for messages of the log to a host, with a connection of its own.
+    pub fn log_client(&self, host: &HostId) -> PeerClient {
+        self.client_in(&self.log_clients, host)
+    }
+
+    fn client_in(
+        &self,
+        clients: &Mutex<IndexMap<HostId, PeerClient>>,
+        host: &HostId,
+    ) -> PeerClient {
+        let mut clients = clients.lock().unwrap();
         if let Some(client) = clients.get(host) {
             return client.clone();
         }
@@ -133,13 +149,16 @@
             let timeout = FIRST_ATTEMPT_TIMEOUT * 2_u32.pow(doublings);
             let until = deadline.min(Instant::now() + timeout);
             match self.attempt(call, &message, attempt, until) {
+                // An earlier attempt may have taken effect, which only another reply can tell.
+                Asked::Reply(Reply::Busy { .. }) if unanswered_attempts > 0 => {}
                 Asked::Reply(reply) => return Ok(reply),
                 Asked::Unconfirmed => unanswered_attempts += 1,
                 Asked::NotLeader => {}
             }
+            let pause = retries::pause(attempt, rand::random());
             attempt += 1;
             let left = deadline.saturating_duration_since(Instant::now());
-            thread::sleep(NEXT_HOST_PAUSE.min(left));
+            thread::sleep(pause.min(left));
         }
         instruments().count_unanswered_call();
         Err(match unanswered_attempts {
@@ -149,19 +168,25 @@
     }
 
     /// Asks the placer of this host when it leads, otherwise the next host.
-    fn attempt(&self, call: &Call, message: &[u8], attempt: usize, until: Instant) -> Asked {
-        let local = self
-            .placer()
-            .and_then(|placer| placer.handle(call.clone(), until));
-        match local {
-            Some(Reply::Unconfirmed) => Asked::Unconfirmed,
-            Some(reply) => Asked::Reply(reply),
-            None => self.ask(&self.next_host(attempt), message.to_vec(), until),
+    fn attempt(&self, call: &Call, message: &[u8], attempt: u32, until: Instant) -> Asked {
+        if let Some(placer) = self.placer() {
+            let (sender, replies) = bounded(1);
+            let responder = CallResponder::new(move |reply| {
+                // The caller may have given up.
+                let _ = sender.send(reply);
+            });
+            placer.handle(&self.own, call.clone(), responder);
+            match replies.recv_deadline(until) {
+                Ok(None) => {}
+                Ok(Some(Reply::Unconfirmed)) | Err(_) => return Asked::Unconfirmed,
+                Ok(Some(reply)) => return Asked::Reply(reply),
+            }
         }
+        self.ask(&self.next_host(attempt), message.to_vec(), until)
     }
 
     /// Host to ask: the one that is believed to lead, otherwise each storage host in turn.
-    fn next_host(&self, attempt: usize) -> HostId {
+    fn next_host(&self, attempt: u32) -> HostId {
         if let Some(leader) = self.leader().filter(|leader| *leader != self.own) {
             return leader;
         }
@@ -176,7 +201,7 @@
         if !answering.is_empty() {
             hosts = answering;
         }
-        let position = attempt % hosts.len().max(1);
+        let position = attempt as usize % hosts.len().max(1);
         hosts.get_index(position).cloned().unwrap_or_default()
     }
 
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -4,15 +4,18 @@
 //! proposed in that order when they leave. A thread executes the effects of committed batches.
 
 mod backlog;
+mod call_limits;
 mod client_calls;
 mod figures;
 mod gangs;
+mod heartbeats;
 mod load;
 mod orders;
 mod passes;
 mod policy;
 mod relaying;
 mod replicas;
+mod replies;
 mod reports;
 mod runs;
 mod scheduling;
@@ -28,20 +31,23 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
+use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use indexmap::IndexMap;
 
 use super::calls::{Call, OutsideCalls, Reply};
 use super::records::Batch;
 use super::state::WorkflowState;
 use crate::clock::Clock;
-use crate::ids::{Epoch, HostId};
+use crate::ids::{Epoch, HostId, Incarnation, WorkerId};
 use crate::peer::PeerClient;
 use crate::replication::{Replica, StateMachine};
 use crate::telemetry::processor_time::{self, Activity};
 
+pub use call_limits::{BUSY_RETRY_MS, CallLimits, MAX_CALLS, MAX_CALLS_PER_HOST};
 use figures::Figures;
 use relaying::RelaySenders;
 pub use relaying::SendInstructions;
+pub use replies::CallResponder;
 use term::{Effect, Sealed, Term};
 pub use term::{Order, OrderKind};
 use term_lock::{TermGuard, TermLock};
@@ -134,6 +140,9 @@
     committed: Committed,
     outside: OutsideCalls,
     find_peer: FindPeer,
+    call_limits: CallLimits,
+    /// Latest heartbeats that this host acknowledged from the committed state.
+    acknowledged_heartbeats: Mutex<IndexMap<WorkerId, (Incarnation, u64)>>,
     send: SendInstructions,
     relay_senders: Mutex<RelaySenders>,
     term: TermLock,
@@ -177,6 +186,8 @@
             committed,
             outside,
             find_peer,
+            call_limits: CallLimits::default(),
+            acknowledged_heartbeats: Mutex::default(),
             send,
             relay_senders: Mutex::default(),
             term: TermLock::new(Arc::clone(&figures)),
@@ -227,22 +238,42 @@
             .is_some_and(|term| term.ready && epoch == Some(term.epoch))
     }
 
-    /// Handles a call; `None` when this host does not lead, and the call had no effect.
-    pub fn handle(&self, call: Call, deadline: Instant) -> Option<Reply> {
+    /// Handles a call of a host. Queries and refusals are answered at once; other replies follow
+    /// their commit. When the term ends before, the call may have taken effect.
+    pub fn handle(&self, from: &HostId, call: Call, responder: CallResponder) {
+        if matches!(&call, Call::Heartbeat(heartbeat) if self.knows(heartbeat)) {
+            responder.reply(Reply::WorkerNoted);
+            return;
+        }
         if !self.is_leading() {
-            return None;
+            responder.not_leading();
+            return;
         }
         if let Call::Query(target) = &call {
-            return Some(self.query(target));
+            responder.reply(self.query(target));
+            return;
         }
-        let (sender, receiver) = bounded(1);
-        self.with_term(None, |term, now| term.handle_call(call, &sender, now))?;
-        drop(sender);
-        match receiver.recv_deadline(deadline) {
-            Ok(reply) => Some(reply),
-            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                Some(Reply::Unconfirmed)
+        let place = call.is_limited().then(|| self.call_limits.enter(from));
+        let responder = match place {
+            None => responder,
+            Some(Some(place)) => responder.holding(place),
+            Some(None) => {
+                log::debug!(host = from.as_str(); "call refused: too many calls in flight");
+                responder.reply(Reply::Busy {
+                    retry_after_ms: BUSY_RETRY_MS,
+                });
+                return;
             }
+        };
+        let mut waiting = Some(responder);
+        self.with_term(None, |term, now| {
+            if let Some(responder) = waiting.take() {
+                term.handle_call(call, responder, now);
+            }
+        });
+        // The term ended since the leadership was checked.
+        if let Some(responder) = waiting {
+            responder.not_leading();
         }
     }
 
@@ -334,14 +365,12 @@
     fn execute(&self, term: &mut Term, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Reply(sender, reply) => {
-                    let _ = sender.send(reply);
-                }
-                Effect::ReplyQueues(sender) => {
+                Effect::Reply(responder, reply) => responder.reply(reply),
+                Effect::ReplyQueues(responder) => {
                     let state = self.committed.state.lock().unwrap();
                     let document = state.configuration.as_ref();
                     let document = document.map(|present| present.document.clone());
-                    let _ = sender.send(Reply::Queues(document));
+                    responder.reply(Reply::Queues(document));
                 }
                 Effect::Order(order) => {
                     term.pending_orders.push(order);
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -3,9 +3,11 @@
 mod backlog;
 mod calls;
 mod cost;
+mod figures;
 mod fixture;
 mod gangs;
 mod grown_cell;
+mod limits;
 mod passes;
 mod relays;
 mod runs;
