--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -12,3 +12,4 @@
 mod relays;
 mod runs;
 mod search;
+mod takeover;
