bug: task starts slowed down with the number of workers that had been called

Cause: one pool kept the connections to all workers, under one lock; each exchange compared all of them with each other. It is nearly empty while renewals have their connections in use and fills with the first starts.

Change: a pool for each address, dropped once its connections are too old to be used.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,7 @@
 //! Blocking HTTP client with bounded waiting.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -124,19 +125,47 @@
 /// HTTP client with pooled connections.
 #[derive(Clone)]
 pub struct Client {
-    pooled: Agent,
+    pools: Arc<Mutex<IndexMap<String, Pool>>>,
     options: ClientOptions,
 }
 
+/// Kept connections to one host. An agent compares each exchange with all connections that it
+/// keeps, so that one agent for all hosts costs more the more hosts there are.
+struct Pool {
+    agent: Agent,
+    /// When its connections are too old to be used again.
+    expires_at: Instant,
+}
+
 impl Client {
     /// A client with its own connection pool.
     pub fn new(options: ClientOptions) -> Self {
         Self {
-            pooled: agent(&options, options.max_idle_connections_per_host),
+            pools: Arc::default(),
             options,
         }
     }
 
+    /// The agent that keeps the connections to the host of an address.
+    fn pooled(&self, url: &str) -> Agent {
+        let authority = url.split('/').nth(2).unwrap_or_default();
+        let now = Instant::now();
+        let expires_at = now + self.options.max_idle_age;
+        let mut pools = self.pools.lock().unwrap();
+        if let Some(pool) = pools.get_mut(authority) {
+            pool.expires_at = expires_at;
+            return pool.agent.clone();
+        }
+        pools.retain(|_, pool| now < pool.expires_at);
+        let agent = agent(&self.options, self.options.max_idle_connections_per_host);
+        let pool = Pool {
+            agent: agent.clone(),
+            expires_at,
+        };
+        pools.insert(authority.to_owned(), pool);
+        agent
+    }
+
     /// Sends a request and reads the whole response.
     ///
     /// # Errors
@@ -145,12 +174,10 @@
     /// [`ClientError::TooLarge`] for a body above the limit, otherwise
     /// [`ClientError::Interrupted`], also when the body was cut off.
     pub fn send(&self, request: ClientRequest) -> Result<ClientResponse, ClientError> {
-        let fresh;
         let agent = if request.fresh_connection {
-            fresh = agent(&self.options, 0);
-            &fresh
+            agent(&self.options, 0)
         } else {
-            &self.pooled
+            self.pooled(&request.url)
         };
         let url = request.url.clone();
         let remaining = request.deadline.saturating_duration_since(Instant::now());
@@ -206,7 +233,7 @@
         .proxy(None)
         .timeout_connect(Some(options.connect_timeout))
         .max_idle_age(options.max_idle_age)
-        .max_idle_connections(max_idle_connections_per_host * 256)
+        .max_idle_connections(max_idle_connections_per_host)
         .max_idle_connections_per_host(max_idle_connections_per_host)
         .build();
     Agent::with_parts(config, DefaultConnector::new(), AddressResolver)
