bug: gangs broke while one start order of theirs had no outcome

What callers saw: a gang whose relay was lost with one start order waited 4.0 to 4.2 s before it was stopped; its other members give up after 3 to 4 s.

Cause: the order was repeated after 2 s and given up after another 2 s.

Change: it is repeated after 1.6 s, and the run is stopped 2.7 s after the first order.

--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -43,11 +43,12 @@
 const ENTRY_HOST_PATIENCE: Duration = Duration::from_millis(700);
 /// Time without an answer after which another relay tries to reach a worker.
 const OTHER_RELAY_AFTER: Duration = Duration::from_millis(1_000);
-/// Time after which a start order without an outcome is sent again: a relay gives up after 1.5 s,
-/// and its report takes up to 0.5 s.
-const START_AGAIN_AFTER: Duration = Duration::from_millis(2_000);
-/// How often a start order is sent before the run is stopped.
-const MAX_STARTS_SENT: u32 = 2;
+/// Time after which a start order without an outcome is sent again: a relay gives up after 1.4 s, and
+/// its report takes up to 0.2 s.
+const START_AGAIN_AFTER: Duration = Duration::from_millis(1_600);
+/// Time after the first start order without any outcome in which the run is stopped: before the
+/// shortest time for which members of a gang wait for each other, 3 s, has passed.
+const START_LIFETIME: Duration = Duration::from_millis(2_700);
 
 /// Sends instructions to a relay; the text says why they were not taken.
 pub type SendInstructions =
@@ -211,6 +212,7 @@
             return None;
         }
         run.start_sent_at = Some(now.at);
+        run.give_up_at.get_or_insert(now.at + START_LIFETIME);
         run.starts_sent += 1;
         let lease_until_clock_ms = self.grant_lease(&order.worker, now.at)?;
         let job = self.state.jobs.get(&order.task.stage.job)?;
@@ -350,13 +352,14 @@
             let Some(sent_at) = run.start_sent_at else {
                 continue;
             };
-            if now.at >= sent_at + START_AGAIN_AFTER {
-                due.push((task.clone(), run.run, run.worker.clone(), run.starts_sent));
+            let gives_up = run.give_up_at.is_some_and(|at| now.at >= at);
+            if gives_up || now.at >= sent_at + START_AGAIN_AFTER {
+                due.push((task.clone(), run.run, run.worker.clone(), gives_up));
             }
         }
-        for (task, run, worker, starts_sent) in due {
-            log::warn!(task:% = task, run, worker = worker.as_str(), starts_sent; "a start order has no outcome");
-            if starts_sent < MAX_STARTS_SENT {
+        for (task, run, worker, gives_up) in due {
+            log::warn!(task:% = task, run, worker = worker.as_str(), gives_up; "a start order has no outcome");
+            if !gives_up {
                 self.order_start(&task);
                 continue;
             }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -232,6 +232,8 @@
     pub permit: Option<String>,
     /// When its start order was sent last.
     pub start_sent_at: Option<Instant>,
+    /// When it is stopped without an outcome of its start orders.
+    pub give_up_at: Option<Instant>,
     /// How often its start order was sent.
     pub starts_sent: u32,
 }
@@ -248,6 +250,7 @@
             placed_at: now,
             permit: None,
             start_sent_at: None,
+            give_up_at: None,
             starts_sent: 0,
         }
     }
