bug: a task could run twice when one of two relays could not reach its worker

Cause: after a start order was sent through a second relay, that relay's report that the order had not left it counted as proof that the run never started. The first relay could still carry out its copy, beside the run that replaced it.

Change: a report of one relay is no proof when the order was sent more than once; the run is stopped, as after an order that may have arrived.

Evidence: an_order_that_one_relay_could_not_send_may_be_sent_by_another failed before (the run was gone), and passes.

--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -83,10 +83,12 @@
     ) {
         let current = self.runs.get(order.task);
         let starting =
-            current.is_some_and(|run| run.run == order.run && run.phase == RunPhase::Starting);
-        if !starting {
+            current.filter(|run| run.run == order.run && run.phase == RunPhase::Starting);
+        let Some(run) = starting else {
             return;
-        }
+        };
+        // Another relay may still send its copy.
+        let may_have_arrived = may_have_arrived || run.starts_sent > 1;
         if let Some(worker) = self.workers.get_mut(order.worker) {
             worker.health.record_failure(now.at);
         }
--- a/src/workflow/placer/tests/relays.rs
+++ b/src/workflow/placer/tests/relays.rs
@@ -223,3 +223,27 @@
     fixture.term.assign_relays(fixture.now.at);
     assert_eq!(relay_of(&fixture), Some("entry-2"));
 }
+
+/// Guards against two runs of a task: one relay could not reach the worker, and the run counted as
+/// never started while the copy of its order that another relay held was carried out later.
+#[test]
+fn an_order_that_one_relay_could_not_send_may_be_sent_by_another() {
+    let mut fixture = submitted();
+    sent(&mut fixture);
+    fixture
+        .term
+        .note_relay_failure(&"entry-1".to_owned(), "gone", fixture.now.at);
+    fixture.term.tick(fixture.now);
+    assert_eq!(sent(&mut fixture).len(), 1);
+    let unanswered = RelayEventKind::StartUnanswered {
+        task: task(0),
+        run: 1,
+        may_have_arrived: false,
+    };
+    note(&mut fixture, "entry-2", unanswered);
+    let phase = fixture.term.runs.get(&task(0)).map(|run| run.phase);
+    assert!(
+        matches!(phase, Some(RunPhase::Stopping { .. })),
+        "{phase:?}"
+    );
+}
