bug: orders, leases and acknowledgements of a worker's former life reached its next one

Cause: a relay kept start orders in a queue without an age and sent them without a look at the incarnation that its grants are for; its link went on with the lease and the acknowledged ends of the former life; the placer took the clock of late answers of that life for the one of the new life. A start order then begins a run that the placer has replaced, an end is forgotten before it is recorded, or a lease never lapses. One worker without answers could also hold all threads of a relay.

Change: start orders are dropped after 1.4 s and when the relay does not serve that incarnation; a link sends neither lease nor acknowledgement before its first answer and after each silence, and ends when another incarnation answers; events of another incarnation are ignored. Stop orders have threads of their own, start orders twice as many.

Evidence: relays::answers_of_an_earlier_life_of_a_worker_say_nothing, workflow_relays::a_restarted_worker_gets_nothing_of_its_former_life and start_orders_go_to_workers_that_the_relay_serves_only. They were written together with the change and not run without it.

--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -394,11 +394,15 @@
             run,
             worker: &worker,
         };
+        let Some(live) = self.workers.get(&worker) else {
+            return;
+        };
+        // Clocks and ends of another life say nothing about this one.
+        if live.record.incarnation != incarnation {
+            return;
+        }
         // A former relay may still serve the worker, or fail to.
-        let current = self
-            .workers
-            .get(&worker)
-            .is_some_and(|live| live.relay.as_ref() == Some(relay));
+        let current = live.relay.as_ref() == Some(relay);
         match kind {
             RelayEventKind::StartAnswered { task, run, answer } => {
                 self.note_start_answer(&run_of(&task, run), answer, now);
--- a/src/workflow/placer/tests/relays.rs
+++ b/src/workflow/placer/tests/relays.rs
@@ -247,3 +247,24 @@
         "{phase:?}"
     );
 }
+
+/// Guards against a lease that never lapses: a late answer of an earlier life set the clock of the
+/// worker's new life, which begins anew, far ahead.
+#[test]
+fn answers_of_an_earlier_life_of_a_worker_say_nothing() {
+    let mut fixture = submitted();
+    sent(&mut fixture);
+    let now = fixture.now;
+    fixture.term.note_heartbeat(heartbeat("w", 2, 1), now);
+    fixture.term.assign_relays(now.at);
+    let late = RelayEventKind::StartAnswered {
+        task: task(0),
+        run: 1,
+        answer: OrderAnswer {
+            outcome: OrderOutcome::Done,
+            clock_ms: Some(480_000),
+        },
+    };
+    note(&mut fixture, "entry-1", late);
+    assert_eq!(fixture.term.workers["w"].clock, None);
+}
--- a/src/workflow/relay.rs
+++ b/src/workflow/relay.rs
@@ -20,11 +20,13 @@
 use super::calls::{OutsideCalls, WorkerTarget};
 use crate::ids::{Epoch, HostId, WorkerId};
 use link::GrantState;
-use messages::{Instructions, RelayEvent, RelayEventKind, RelayReport, RelayedOrder};
+use messages::{Instructions, RelayEvent, RelayEventKind, RelayReport, RelayedOrder, WorkerOrder};
 
-/// Threads that send orders; each waits for one answer at a time. A relay serves about ten workers,
-/// which answer within some milliseconds; the others are for workers that do not.
-const ORDER_THREADS: usize = 16;
+/// Threads that send start orders; each waits for one answer at a time. A relay serves about ten
+/// workers, which answer within some milliseconds; the others are for workers that do not.
+const START_THREADS: usize = 32;
+/// Threads that send stop orders, which never wait behind start orders.
+const STOP_THREADS: usize = 4;
 /// Reports on their way at once: one is sent while another waits for its answer.
 const REPORT_THREADS: usize = 2;
 /// Events in one report.
@@ -46,7 +48,9 @@
     outside: OutsideCalls,
     send_report: SendReport,
     served: Mutex<Served>,
-    orders: Sender<RelayedOrder>,
+    /// Orders with the time of their arrival.
+    starts: Sender<(Instant, RelayedOrder)>,
+    stops: Sender<(Instant, RelayedOrder)>,
     events: Sender<(Epoch, RelayEvent)>,
 }
 
@@ -70,19 +74,23 @@
 impl Relay {
     /// Starts the threads of a relay without workers.
     pub fn start(own: HostId, outside: OutsideCalls, send_report: SendReport) -> Arc<Self> {
-        let (orders, order_queue) = unbounded();
+        let (starts, start_queue) = unbounded();
+        let (stops, stop_queue) = unbounded();
         let (events, event_queue) = bounded(MAX_WAITING_EVENTS);
         let relay = Arc::new(Self {
             own,
             outside,
             send_report,
             served: Mutex::default(),
-            orders,
+            starts,
+            stops,
             events,
         });
-        for _ in 0..ORDER_THREADS {
-            let queue = order_queue.clone();
-            relay.spawn("orders", move |relay| relay.run_orders(&queue));
+        for (threads, queue) in [(START_THREADS, start_queue), (STOP_THREADS, stop_queue)] {
+            for _ in 0..threads {
+                let queue = queue.clone();
+                relay.spawn("orders", move |relay| relay.run_orders(&queue));
+            }
         }
         for _ in 0..REPORT_THREADS {
             let queue = event_queue.clone();
@@ -143,7 +151,11 @@
         }
         drop(served);
         for order in instructions.orders {
-            let _ = self.orders.send(order);
+            let queue = match order.order {
+                WorkerOrder::Start(_) => &self.starts,
+                WorkerOrder::Stop(_) => &self.stops,
+            };
+            let _ = queue.send((now, order));
         }
     }
 
@@ -163,6 +175,13 @@
         }
     }
 
+    /// Whether the relay serves this incarnation of a worker.
+    fn serves(&self, target: &WorkerTarget) -> bool {
+        let served = self.served.lock().unwrap();
+        let link = served.links.get(&target.worker);
+        link.is_some_and(|link| link.serves(target))
+    }
+
     fn is_current(&self, epoch: Epoch) -> bool {
         self.served.lock().unwrap().epoch == epoch
     }
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -81,11 +81,14 @@
     pub(super) fn run(self: &Arc<Self>, relay: &Relay) {
         let mut wait = Duration::ZERO;
         let mut listed_at: Option<Instant> = None;
-        while let Some((order, granted_at_ms)) = self.next_renewal(wait) {
+        // Whether the latest answer came from the incarnation that the grants are for.
+        let mut confirmed = false;
+        while let Some((order, granted_at_ms)) = self.next_renewal(wait, confirmed) {
             let deadline = Instant::now() + wait + RENEWAL_GRACE;
             let report = match (relay.outside.renew)(&self.target, &order, deadline) {
                 Ok(report) => report,
                 Err(failure) => {
+                    confirmed = false;
                     listed_at = None;
                     wait = Duration::ZERO;
                     relay.note(self.epoch, &self.target, RelayEventKind::Silent { failure });
@@ -93,6 +96,15 @@
                     continue;
                 }
             };
+            if report.incarnation != self.target.incarnation {
+                log::info!(
+                    worker = self.target.worker.as_str(), incarnation = self.target.incarnation,
+                    answered = report.incarnation;
+                    "another incarnation answered; the link ends"
+                );
+                break;
+            }
+            confirmed = true;
             wait = RENEWAL_WAIT;
             let now = Instant::now();
             let last_end = report.ends.last().map_or(0, |end| end.number);
@@ -115,16 +127,18 @@
         self.end();
     }
 
-    /// The next renewal and when its grant was made; `None` when the link has to end.
-    fn next_renewal(&self, wait: Duration) -> Option<(RenewOrder, u64)> {
+    /// The next renewal and when its grant was made; `None` when the link has to end. A worker that
+    /// may have restarted gets neither a lease nor an acknowledgement: both would hold for its new
+    /// life, whose clock and ends begin anew.
+    fn next_renewal(&self, wait: Duration, confirmed: bool) -> Option<(RenewOrder, u64)> {
         let state = self.state.lock().unwrap();
         if state.ended || Instant::now() >= state.expires_at {
             return None;
         }
         let order = RenewOrder {
             fence: self.epoch,
-            lease_until_clock_ms: state.lease_until_clock_ms,
-            recorded_ends: state.recorded_ends,
+            lease_until_clock_ms: state.lease_until_clock_ms.filter(|_| confirmed),
+            recorded_ends: if confirmed { state.recorded_ends } else { 0 },
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
         };
         Some((order, state.granted_at_ms))
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -16,15 +16,28 @@
 /// Attempts to deliver an order. A start that stays unanswered is then stopped, well within the
 /// time that the members of a gang wait for each other.
 const ORDER_ATTEMPTS: u32 = 3;
+/// Time after which a start order that still waits is dropped: the placer sends it again after
+/// 1.6 s.
+const START_VALIDITY: Duration = Duration::from_millis(1_400);
 /// Pause after an order that could not be sent.
 const ORDER_PAUSE: Duration = Duration::from_millis(60);
 
 impl Relay {
-    pub(super) fn run_orders(self: &Arc<Self>, queue: &Receiver<RelayedOrder>) {
-        for RelayedOrder { target, order } in queue {
+    pub(super) fn run_orders(self: &Arc<Self>, queue: &Receiver<(Instant, RelayedOrder)>) {
+        for (received_at, RelayedOrder { target, order }) in queue {
             if !self.is_current(order.fence()) {
                 continue;
             }
+            let is_start = matches!(order, WorkerOrder::Start(_));
+            let late = received_at.elapsed() >= START_VALIDITY;
+            if is_start && (late || !self.serves(&target)) {
+                let (task, run) = order.run();
+                log::warn!(
+                    task:% = task, run, worker = target.worker.as_str(), late;
+                    "start order dropped; the placer repeats it"
+                );
+                continue;
+            }
             match order {
                 WorkerOrder::Start(order) => self.send_start(&target, order),
                 WorkerOrder::Stop(order) => self.send_stop(&target, order),
@@ -67,6 +80,10 @@
             if !self.is_current(order.fence) {
                 return;
             }
+            // The worker may have restarted; its new life would start the run.
+            if !self.serves(target) {
+                break;
+            }
             if !sent {
                 thread::sleep(ORDER_PAUSE);
             }
--- a/tests/workflow_relays.rs
+++ b/tests/workflow_relays.rs
@@ -80,6 +80,11 @@
 }
 
 fn scene(outcomes: Vec<Result<OrderOutcome, CallFailure>>) -> Scene {
+    scene_with(outcomes, 1)
+}
+
+/// A scene whose worker answers as the given incarnation; 1 is the one that is meant.
+fn scene_with(outcomes: Vec<Result<OrderOutcome, CallFailure>>, incarnation: u64) -> Scene {
     let renewals: Arc<Mutex<Vec<RenewOrder>>> = Arc::default();
     let starts = Arc::new(AtomicUsize::new(0));
     let (renewing, starting) = (Arc::clone(&renewals), Arc::clone(&starts));
@@ -109,7 +114,7 @@
                 outcome: RunOutcome::Succeeded,
             };
             Ok(WorkerReport {
-                incarnation: 1,
+                incarnation,
                 clock_ms: 1,
                 running: Vec::new(),
                 ends: if order.recorded_ends < 1 {
@@ -293,3 +298,41 @@
     assert_eq!(assign(&hosts, &[unreached]), [(0, 1)]);
     assert_eq!(assign(&[], &[worker("erdenet", None)]), []);
 }
+
+/// Guards against ends that are lost and leases that are too long: a link went on after its worker
+/// had restarted under the same id, and acknowledged ends and set a deadline of the former life.
+#[test]
+fn a_restarted_worker_gets_nothing_of_its_former_life() {
+    let scene = scene_with(Vec::new(), 2);
+    scene.relay.accept(instructions(7, 1));
+    let until = Instant::now() + PATIENCE;
+    while scene.relay.workers() > 0 {
+        assert!(Instant::now() < until, "the link did not end");
+        thread::sleep(ANSWER_TIME);
+    }
+    let renewals = scene.renewals.lock().unwrap();
+    assert_eq!(renewals.len(), 1);
+    assert_eq!(
+        (renewals[0].recorded_ends, renewals[0].lease_until_clock_ms),
+        (0, None)
+    );
+}
+
+/// Guards against a start order that reaches the next life of a worker, which knows neither the run
+/// nor the fencing token.
+#[test]
+fn start_orders_go_to_workers_that_the_relay_serves_only() {
+    let scene = scene(Vec::new());
+    let mut other_life = instructions(7, 0);
+    let mut order = start(7);
+    order.target.incarnation = 0;
+    other_life.orders = vec![order, start(7)];
+    scene.relay.accept(other_life);
+    let until = Instant::now() + PATIENCE;
+    while scene.starts.load(Ordering::Acquire) == 0 {
+        assert!(Instant::now() < until, "no order was sent");
+        thread::sleep(ANSWER_TIME);
+    }
+    scene.await_event(|_, event| has_end(event));
+    assert_eq!(scene.starts.load(Ordering::Acquire), 1);
+}
