bug: hosts took a storage host that acknowledged a heartbeat for the placer

Each such answer logged another placer and led to a contact with a host that does not lead. The answer to a heartbeat says nothing about the leader any more. Not covered by a test of its own.

--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -221,6 +221,8 @@
         match result {
             Ok(PeerReply::Message(reply)) => match postcard::from_bytes(&reply) {
                 Ok(Reply::Unconfirmed) => Asked::Unconfirmed,
+                // Any storage host acknowledges heartbeats.
+                Ok(Reply::WorkerNoted) => Asked::Reply(Reply::WorkerNoted),
                 Ok(reply) => {
                     self.note_leader(host);
                     Asked::Reply(reply)
