bug: after a change of the placer one host could be given all workers

Change: a host gets 16 workers in a step of 100 ms at most, and storage hosts relay only after no entry host has made contact for 3 s.

Evidence: relays::the_first_entry_host_does_not_get_all_workers_at_once and a_short_silence_of_all_entry_hosts_moves_no_worker_to_storage_hosts were written with the change and not run without it.

--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -41,6 +41,12 @@
 /// Time after the beginning of a term in which only entry hosts relay: all of them make contact
 /// meanwhile.
 const ENTRY_HOST_PATIENCE: Duration = Duration::from_millis(700);
+/// Time without contact of any entry host after which storage hosts relay: longer than a stall of the
+/// placer in which no contact is handled.
+const ENTRY_HOST_ABSENCE: Duration = Duration::from_millis(3_000);
+/// Workers that a host gets in one step of 100 ms: their first renewals take about half a
+/// millisecond of its processor each.
+const MAX_NEW_WORKERS: usize = 16;
 /// Time without an answer after which another relay tries to reach a worker.
 const OTHER_RELAY_AFTER: Duration = Duration::from_millis(1_000);
 /// Time after which a start order without an outcome is sent again: a relay gives up after 1.4 s, and
@@ -245,7 +251,11 @@
     /// Gives each worker a relay: those of hosts that are gone, and those of hosts with more than
     /// their share, get another one.
     pub(super) fn assign_relays(&mut self, now: Instant) {
-        let waits_for_entry_hosts = now < self.began_at + ENTRY_HOST_PATIENCE;
+        let entry_host_is_near = self
+            .policy_callers
+            .values()
+            .any(|caller| !caller.contact.stores && now < caller.heard_at + ENTRY_HOST_ABSENCE);
+        let waits_for_entry_hosts = entry_host_is_near || now < self.began_at + ENTRY_HOST_PATIENCE;
         let mut names = Vec::new();
         let mut hosts = Vec::new();
         for (id, caller) in &self.policy_callers {
@@ -285,9 +295,13 @@
             });
         }
         let moves = relays::assign(&hosts, &workers);
+        let mut new_workers = vec![0; names.len()];
         for (worker, host) in moves {
-            let host = names[host].clone();
-            self.move_to_relay(worker, host, now);
+            new_workers[host] += 1;
+            if new_workers[host] > MAX_NEW_WORKERS {
+                continue;
+            }
+            self.move_to_relay(worker, names[host].clone(), now);
         }
     }
 
--- a/src/workflow/placer/tests/relays.rs
+++ b/src/workflow/placer/tests/relays.rs
@@ -268,3 +268,39 @@
     note(&mut fixture, "entry-1", late);
     assert_eq!(fixture.term.workers["w"].clock, None);
 }
+
+/// Guards against a host that is given all workers at once since it makes contact first: their first
+/// renewals take its processor for longer than it may be silent.
+#[test]
+fn the_first_entry_host_does_not_get_all_workers_at_once() {
+    let mut fixture = Fixture::new();
+    for number in 0..100 {
+        fixture.announce(&format!("w{number}"));
+    }
+    make_contact(&mut fixture, "entry-1", false);
+    fixture.term.assign_relays(fixture.now.at);
+    let relayed = |fixture: &Fixture| {
+        let workers = fixture.term.workers.values();
+        workers.filter(|worker| worker.relay.is_some()).count()
+    };
+    assert!(relayed(&fixture) <= 20, "{}", relayed(&fixture));
+    for _ in 0..10 {
+        fixture.term.assign_relays(fixture.now.at);
+    }
+    assert_eq!(relayed(&fixture), 100);
+}
+
+/// Guards against workers that all move to the placer's own host after a stall of the placer, in
+/// which it handled no contact.
+#[test]
+fn a_short_silence_of_all_entry_hosts_moves_no_worker_to_storage_hosts() {
+    let mut fixture = with_relays();
+    fixture.pass(Duration::from_millis(1_500));
+    make_contact(&mut fixture, "10.0.0.1", true);
+    fixture.term.assign_relays(fixture.now.at);
+    assert_eq!(relay_of(&fixture), Some("entry-1"));
+    fixture.pass(Duration::from_millis(2_000));
+    make_contact(&mut fixture, "10.0.0.1", true);
+    fixture.term.assign_relays(fixture.now.at);
+    assert_eq!(relay_of(&fixture), Some("10.0.0.1"));
+}
