--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -9,14 +9,9 @@
 use super::super::spec::StageSpec;
 use super::placing::{Candidate, room};
 
-/// Fewest gangs of one priority that may gather room at the same time. Each leaves up to its own
-/// size idle meanwhile: with 8 of them on 48 workers, four of four days at high load were worth less
-/// than with 3.
-const MIN_GATHERING_GANGS: usize = 3;
-/// Workers for each gang that gathers room: 3 gangs on 48 workers. A gang gathers for the time of a
-/// question to the policy or longer, so that 3 on 350 workers left gangs waiting in a half empty
-/// cell.
-const WORKERS_PER_GATHERING_GANG: usize = 16;
+/// Gangs of one priority that gather room at the same time: each leaves up to its own size idle
+/// meanwhile. With 8, four of four days at high load were worth less than with 3.
+const MAX_GATHERING_GANGS: usize = 3;
 /// Part of its room that a gang has when its permits are renewed, in percent, so that they are
 /// there when the rest is.
 const RENEW_PERMITS_AT_PERCENT: usize = 60;
@@ -26,34 +21,18 @@
 
 /// Which gangs of a scheduling pass may gather room. Each priority has its own slots: many small
 /// urgent gangs wait for an instant only, and would take those of the large ones.
-#[derive(Clone, Debug)]
-pub struct GatheringSlots {
-    taken: IndexMap<u32, usize>,
-    limit: usize,
-}
+#[derive(Clone, Debug, Default)]
+pub struct GatheringSlots(IndexMap<u32, usize>);
 
 impl GatheringSlots {
-    /// Free slots for a cell with so many workers.
-    pub fn new(workers: usize) -> Self {
-        Self {
-            taken: IndexMap::new(),
-            limit: gathering_gangs(workers),
-        }
-    }
-
     /// Claims a slot for the next gang of a priority, in the order of their ranks.
     pub fn claim(&mut self, priority: u32) -> bool {
-        let taken = self.taken.entry(priority).or_default();
+        let taken = self.0.entry(priority).or_default();
         *taken += 1;
-        *taken <= self.limit
+        *taken <= MAX_GATHERING_GANGS
     }
 }
 
-/// Gangs of one priority that may gather room at the same time in a cell with so many workers.
-pub fn gathering_gangs(workers: usize) -> usize {
-    MIN_GATHERING_GANGS.max(workers / WORKERS_PER_GATHERING_GANG)
-}
-
 /// Number of further tasks to keep room for on each candidate, in their order. Together they do
 /// not exceed `missing`.
 pub fn gather<T>(spec: &StageSpec, missing: usize, candidates: &[Candidate<'_, T>]) -> Vec<usize> {
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -5,7 +5,7 @@
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
-use super::super::decisions::reservations::{GatheringSlots, gathering_gangs};
+use super::super::decisions::reservations::GatheringSlots;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
@@ -18,6 +18,9 @@
 use crate::protocol::caller::Urgency;
 use crate::scheduling::ledger::{Allocation, Purpose};
 
+/// Late gangs from which on gangs are served newest first: as many as gather room at a time.
+const MANY_LATE_GANGS: usize = 3;
+
 /// A stage in the order of a scheduling pass.
 struct Ranked {
     rank: Rank,
@@ -62,7 +65,7 @@
         }
         let grown = self.begin_pass();
         let mut without_room = AmountsWithoutRoom::default();
-        let mut slots = GatheringSlots::new(self.workers.len());
+        let mut slots = GatheringSlots::default();
         let mut questions = Vec::new();
         for Ranked { rank, position, .. } in order {
             let Some((key, stage)) = self.stages.get_index(position) else {
@@ -113,11 +116,6 @@
         order
     }
 
-    /// Whether more gangs are late than gather room at a time; gangs are then served newest first.
-    fn many_gangs_are_late(&self) -> bool {
-        self.late_gangs >= gathering_gangs(self.workers.len())
-    }
-
     /// What decides the rank of a stage.
     pub(super) fn waiting(&self, stage: &LiveStage) -> Waiting {
         Waiting {
@@ -125,7 +123,7 @@
             due_at: stage.due_at,
             objective: stage.objective,
             remaining: stage.remaining,
-            newest_first: stage.needs.gang && self.many_gangs_are_late(),
+            newest_first: self.late_gangs >= MANY_LATE_GANGS && stage.needs.gang,
         }
     }
 
