--- a/src/workflow/placer/tests/relays.rs
+++ b/src/workflow/placer/tests/relays.rs
@@ -67,6 +67,29 @@
     }
 }
 
+/// Takes the workers of the first relay away and gives them another one.
+fn lose_first_relay(fixture: &mut Fixture) {
+    let relay = "entry-1".to_owned();
+    fixture
+        .term
+        .note_relay_failure(&relay, "gone", fixture.now.at);
+    fixture.term.tick(fixture.now);
+}
+
+/// An answer of the worker that lists nothing, to a renewal under a grant of that time.
+fn empty_list(fixture: &Fixture, granted_at_ms: u64) -> RelayEventKind {
+    RelayEventKind::Listed {
+        granted_at_ms,
+        report: WorkerReport {
+            incarnation: 1,
+            clock_ms: fixture.clock_ms(),
+            running: Vec::new(),
+            ends: Vec::new(),
+            complete: true,
+        },
+    }
+}
+
 fn submitted() -> Fixture {
     let mut fixture = with_relays();
     fixture.submit(vec![stage(1)]);
@@ -81,10 +104,7 @@
     let mut fixture = submitted();
     assert_eq!(relay_of(&fixture), Some("entry-1"));
     assert_eq!(sent(&mut fixture).len(), 1);
-    fixture
-        .term
-        .note_relay_failure(&"entry-1".to_owned(), "gone", fixture.now.at);
-    fixture.term.tick(fixture.now);
+    lose_first_relay(&mut fixture);
     assert_eq!(relay_of(&fixture), Some("entry-2"));
     let again = sent(&mut fixture);
     assert!(
@@ -125,10 +145,7 @@
 fn a_refused_copy_does_not_show_that_the_run_never_started() {
     let mut fixture = submitted();
     sent(&mut fixture);
-    fixture
-        .term
-        .note_relay_failure(&"entry-1".to_owned(), "gone", fixture.now.at);
-    fixture.term.tick(fixture.now);
+    lose_first_relay(&mut fixture);
     assert_eq!(sent(&mut fixture).len(), 1);
     note(
         &mut fixture,
@@ -150,17 +167,7 @@
     let failure = CallFailure::NoAnswer("cut off".to_owned());
     note(&mut fixture, "entry-2", RelayEventKind::Silent { failure });
     assert!(fixture.term.workers["w"].reachable);
-    let report = WorkerReport {
-        incarnation: 1,
-        clock_ms: fixture.clock_ms(),
-        running: Vec::new(),
-        ends: Vec::new(),
-        complete: true,
-    };
-    let empty = RelayEventKind::Listed {
-        granted_at_ms: 60_000,
-        report,
-    };
+    let empty = empty_list(&fixture, 60_000);
     note(&mut fixture, "entry-2", empty.clone());
     assert!(fixture.term.runs.contains_key(&task(0)));
     note(&mut fixture, "entry-1", empty);
@@ -174,17 +181,7 @@
     sent(&mut fixture);
     fixture.pass(Duration::from_millis(500));
     note(&mut fixture, "entry-1", start_answered(OrderOutcome::Done));
-    let report = WorkerReport {
-        incarnation: 1,
-        clock_ms: fixture.clock_ms(),
-        running: Vec::new(),
-        ends: Vec::new(),
-        complete: true,
-    };
-    let listed = RelayEventKind::Listed {
-        granted_at_ms: 100,
-        report,
-    };
+    let listed = empty_list(&fixture, 100);
     note(&mut fixture, "entry-1", listed);
     assert!(fixture.term.runs.contains_key(&task(0)));
 }
@@ -230,10 +227,7 @@
 fn an_order_that_one_relay_could_not_send_may_be_sent_by_another() {
     let mut fixture = submitted();
     sent(&mut fixture);
-    fixture
-        .term
-        .note_relay_failure(&"entry-1".to_owned(), "gone", fixture.now.at);
-    fixture.term.tick(fixture.now);
+    lose_first_relay(&mut fixture);
     assert_eq!(sent(&mut fixture).len(), 1);
     let unanswered = RelayEventKind::StartUnanswered {
         task: task(0),
