--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -47,6 +47,20 @@
 }
 
 impl Call {
+    /// Value of the metric label for the kind of the call.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit { .. } => "submit",
+            Self::Cancel(_) => "cancel",
+            Self::Query(_) => "query",
+            Self::ReplaceQueues(_) => "replace_queues",
+            Self::ReadQueues => "read_queues",
+            Self::Heartbeat(_) => "heartbeat",
+            Self::WorkerLeaves(_) => "worker_leaves",
+            Self::Contact(_) => "contact",
+        }
+    }
+
     /// Whether the call is refused while too many calls wait. Calls that the operation of the cell
     /// depends on are never refused: contacts, heartbeats and departures of workers, and the
     /// configuration.
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -14,6 +14,7 @@
     CALL_EXTENSION, Call, HostContact, OutsideCalls, POLICY_EXTENSION, PolicyQuestion, Reply,
 };
 use super::directory::{Directory, Unanswered};
+use super::instruments::instruments;
 use super::placer::{CallResponder, Committed, Placer, PlacerSettings};
 use super::relay::Relay;
 use super::relay::messages::{INSTRUCTIONS_EXTENSION, Instructions, REPORT_EXTENSION, RelayReport};
@@ -130,7 +131,10 @@
     ///
     /// Returns [`Unanswered`] if no placer answers before the deadline.
     pub fn call(&self, call: &Call, deadline: Instant) -> Result<Reply, Unanswered> {
-        self.directory.call(call, deadline)
+        let begun_at = Instant::now();
+        let result = self.directory.call(call, deadline);
+        instruments().record_call(call.kind(), begun_at.elapsed());
+        result
     }
 
     /// Whether the host is ready for new connections: the placer answered recently, and the host is
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -31,7 +31,9 @@
     pass: Histogram<f64>,
     stages_examined: Counter<u64>,
     workers_examined: Counter<u64>,
+    commit: Histogram<f64>,
     commit_gap: Histogram<f64>,
+    call: Histogram<f64>,
     uncommitted_age: Gauge<f64>,
     queued: Gauge<u64>,
     peer_calls: Gauge<u64>,
@@ -69,7 +71,9 @@
             pass: histogram("jujubewinch_workflow_pass_seconds"),
             stages_examined: counter("jujubewinch_workflow_stages_examined"),
             workers_examined: counter("jujubewinch_workflow_workers_examined"),
+            commit: histogram("jujubewinch_workflow_commit_seconds"),
             commit_gap: histogram("jujubewinch_workflow_commit_gap_seconds"),
+            call: histogram("jujubewinch_workflow_call_seconds"),
             uncommitted_age: meter
                 .f64_gauge("jujubewinch_workflow_oldest_uncommitted_seconds")
                 .build(),
@@ -136,6 +140,17 @@
         self.workers_examined.add(workers, &[]);
     }
 
+    /// Records the time from the append of a batch to its commit.
+    pub fn record_commit(&self, took: Duration) {
+        self.commit.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Records the time from a call on this host to the reply of the placer, or to its deadline.
+    pub fn record_call(&self, kind: &'static str, took: Duration) {
+        let label = [KeyValue::new("kind", kind)];
+        self.call.record(took.as_secs_f64(), &label);
+    }
+
     /// Records the time between two commits of the placer, or from the append to the commit of a
     /// batch that had no commit before it.
     pub fn record_commit_gap(&self, gap: Duration) {
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -418,7 +418,7 @@
             let began_at = Instant::now();
             let questions = term.schedule(self.now());
             self.statistics
-                .record_pass(began_at.elapsed(), term.passes.examined_since_report());
+                .record_pass(began_at.elapsed(), &term.passes.examined_since_report());
             if let Err(reason) = self.flush(term) {
                 self.stop_placing(&mut guard, &reason);
                 continue;
--- a/src/workflow/placer/figures.rs
+++ b/src/workflow/placer/figures.rs
@@ -8,6 +8,7 @@
 
 use super::super::instruments::instruments;
 use super::Placer;
+use super::passes::Examined;
 use crate::ids::Epoch;
 use crate::peer::call_load::{self, CallLoad};
 use crate::replication::MemberProgress;
@@ -37,9 +38,20 @@
     pass_time: Duration,
     longest_pass: Duration,
     stages: u64,
+    fruitless: u64,
     workers: u64,
     commits: u64,
     longest_commit_gap: Duration,
+    /// Sum and maximum of the times from the append of a batch to its commit.
+    commit_time: Duration,
+    longest_commit: Duration,
+}
+
+impl Counts {
+    fn mean_commit(&self) -> Duration {
+        let commits = u32::try_from(self.commits).unwrap_or(u32::MAX);
+        self.commit_time.checked_div(commits).unwrap_or_default()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -95,13 +107,15 @@
         holds.processor_time += processor_time;
     }
 
-    pub(super) fn record_pass(&self, took: Duration, (stages, workers): (u64, u64)) {
+    pub(super) fn record_pass(&self, took: Duration, examined: &Examined) {
+        let (stages, workers) = (examined.searches, examined.workers);
         instruments().record_pass(took, stages, workers);
         let counts = &mut self.inner.lock().unwrap().counts;
         counts.passes += 1;
         counts.pass_time += took;
         counts.longest_pass = counts.longest_pass.max(took);
         counts.stages += stages;
+        counts.fruitless += examined.fruitless;
         counts.workers += workers;
     }
 
@@ -115,21 +129,31 @@
 
     pub(super) fn record_committed(&self, sequence: u64, now: Instant) {
         let mut inner = self.inner.lock().unwrap();
-        while inner
-            .uncommitted
-            .front()
-            .is_some_and(|(first, _)| *first <= sequence)
+        while let Some((first, appended_at)) = inner.uncommitted.front().copied()
+            && first <= sequence
         {
             inner.uncommitted.pop_front();
+            let took = now.saturating_duration_since(appended_at);
+            instruments().record_commit(took);
+            inner.counts.commits += 1;
+            inner.counts.commit_time += took;
+            inner.counts.longest_commit = inner.counts.longest_commit.max(took);
         }
         let since = inner.commits_since.replace(now);
         let gap = since.map(|since| now.saturating_duration_since(since));
         let gap = gap.unwrap_or_default();
         instruments().record_commit_gap(gap);
-        inner.counts.commits += 1;
         inner.counts.longest_commit_gap = inner.counts.longest_commit_gap.max(gap);
     }
 
+    /// Returns the mean and the longest time from the append of a batch to its commit since the last
+    /// report.
+    #[cfg(test)]
+    pub(super) fn commit_times(&self) -> (Duration, Duration) {
+        let counts = &self.inner.lock().unwrap().counts;
+        (counts.mean_commit(), counts.longest_commit)
+    }
+
     /// Describes the longest hold of the term since the last report, and the current one, with the
     /// activity and the duration in milliseconds of each.
     pub(super) fn describe_holds(&self, now: Instant) -> String {
@@ -196,11 +220,13 @@
             held_now_ms:? = holder, longest_term_wait_ms = ms(counts.longest_wait),
             passes = counts.passes, pass_ms = ms(counts.pass_time),
             longest_pass_ms = ms(counts.longest_pass), stages_examined = counts.stages,
-            workers_examined = counts.workers, instructions_queued = instructions,
+            fruitless_searches = counts.fruitless, workers_examined = counts.workers, instructions_queued = instructions,
             questions_queued = questions, calls_in_flight = in_flight, call_threads = threads,
             longest_call_wait_ms = ms(calls.longest_wait),
             longest_replication_wait_ms = ms(calls.longest_replication_wait),
-            commits = counts.commits, longest_commit_gap_ms = ms(counts.longest_commit_gap),
+            commits = counts.commits, mean_commit_ms = ms(counts.mean_commit()),
+            longest_commit_ms = ms(counts.longest_commit),
+            longest_commit_gap_ms = ms(counts.longest_commit_gap),
             uncommitted, oldest_uncommitted_ms = ms(oldest.unwrap_or_default());
             "load of the placer"
         );
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -24,23 +24,44 @@
     pub searches: Cell<u64>,
     /// Number of workers examined for a stage in this term; a worker counts each time.
     pub examined_workers: Cell<u64>,
-    /// Values of `searches` and `examined_workers` at the last report.
-    pub reported: (u64, u64),
+    /// Number of searches in this term that found neither room nor workers to ask about.
+    pub fruitless_searches: u64,
+    /// Counts at the last report.
+    pub reported: Examined,
     /// Whether all hosts that call the policy were busy in this pass, for quick and slow decisions.
     pub busy_callers: [bool; 2],
 }
 
+/// What the placer examined to place waiting stages.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Examined {
+    /// Searches for workers.
+    pub searches: u64,
+    /// Searches that found neither room nor workers to ask about.
+    pub fruitless: u64,
+    /// Workers that were examined; a worker counts each time.
+    pub workers: u64,
+}
+
 impl Passes {
     /// Counts a search for workers.
     pub fn count_search(&self) {
         self.searches.set(self.searches.get() + 1);
     }
 
-    /// Returns the searches and the examined workers since the last call.
-    pub fn examined_since_report(&mut self) -> (u64, u64) {
-        let now = (self.searches.get(), self.examined_workers.get());
+    /// Returns what was examined since the last call.
+    pub fn examined_since_report(&mut self) -> Examined {
+        let now = Examined {
+            searches: self.searches.get(),
+            fruitless: self.fruitless_searches,
+            workers: self.examined_workers.get(),
+        };
         let before = std::mem::replace(&mut self.reported, now);
-        (now.0 - before.0, now.1 - before.1)
+        Examined {
+            searches: now.searches - before.searches,
+            fruitless: now.fruitless - before.fruitless,
+            workers: now.workers - before.workers,
+        }
     }
 
     /// Counts a worker that is examined for a stage.
@@ -59,7 +80,8 @@
             count: 0,
             searches: Cell::new(0),
             examined_workers: Cell::new(0),
-            reported: (0, 0),
+            fruitless_searches: 0,
+            reported: Examined::default(),
             busy_callers: [false; 2],
         }
     }
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -29,7 +29,8 @@
         }
         log::info!(
             task:% = task, run = run.run, worker = run.worker.as_str(), outcome:% = outcome,
-            placed_ms_ago = now.at.saturating_duration_since(run.placed_at).as_millis() as u64;
+            placed_ms_ago = now.at.saturating_duration_since(run.placed_at).as_millis() as u64,
+            started_ms_ago:? = run.confirmed_at().map(|at| now.at.saturating_duration_since(at).as_millis());
             "run ended"
         );
         instruments().count_run(&outcome.to_string());
@@ -68,6 +69,7 @@
             .is_some_and(super::super::state::Stage::is_complete);
         let open = job.is_open();
         let phase = job.phase;
+        let accepted_ms_ago = now.unix_ms.saturating_sub(job.accepted_unix_ms);
         let waits = self
             .state
             .task(task)
@@ -84,7 +86,7 @@
             return;
         }
         if !open {
-            log::info!(job = task.stage.job.as_str(), phase:% = phase; "job ended");
+            log::info!(job = task.stage.job.as_str(), phase:% = phase, accepted_ms_ago; "job ended");
             instruments().count_job(&phase.to_string());
             let job = task.stage.job.clone();
             self.stop_job(&job, now.at);
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -153,6 +153,7 @@
     /// Records that a search for a stage found nothing.
     pub(super) fn record_empty_search(&mut self, key: &StageKey, now: Now) {
         let growths = self.ledger.growths();
+        self.passes.fruitless_searches += 1;
         if let Some(stage) = self.stages.get_mut(key) {
             stage.empty_search = Some(EmptySearch {
                 growths,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -267,6 +267,15 @@
         }
     }
 
+    /// Returns when the worker first listed the run or confirmed its start in this term; `None` before
+    /// and once the run is being stopped.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        match self.phase {
+            RunPhase::Running { confirmed_at } => Some(confirmed_at),
+            _ => None,
+        }
+    }
+
     /// Records that the worker listed the run or confirmed its start.
     pub fn confirm(&mut self, now: Instant) {
         self.confirmed = true;
