--- a/src/workflow/placer/tests/search.rs
+++ b/src/workflow/placer/tests/search.rs
@@ -5,11 +5,15 @@
 use super::fixture::*;
 use super::grown_cell::SimulatedCell;
 use crate::ids::WorkerId;
-use crate::scheduling::ledger::{WorkerIndex, WorkerStatus};
+use crate::protocol::caller::Urgency;
+use crate::resources::Resources;
+use crate::scheduling::ledger::{Allocation, Purpose, WorkerIndex, WorkerStatus};
 use crate::workflow::decisions::placing::{self, Candidate};
 use crate::workflow::placer::scheduling::StageDecision;
 use crate::workflow::placer::term::Term;
-use crate::workflow::spec::StageKey;
+use crate::workflow::queues::PlacementPolicy;
+use crate::workflow::spec::{StageKey, StageSpec};
+use crate::workflow::state::WorkflowState;
 
 fn key(job: &str) -> StageKey {
     StageKey {
@@ -126,3 +130,97 @@
     // The workers are avoided for 1.5 s.
     assert_eq!(passes, 15);
 }
+
+const POLICY_JOB: &str = "00c0ffee00000009";
+
+/// Creates a term with three workers, of which the placement policy has denied all but the first to
+/// the only waiting job. The first is full.
+fn waiting_for_a_granted_worker(spec: StageSpec) -> Fixture {
+    let mut configuration = configuration(3);
+    configuration.queues[0].placement_policy = Some(PlacementPolicy {
+        decision_ms: 10.0,
+        per_worker_ms: 1.0,
+        validity_ms: 2_000,
+    });
+    let mut fixture = Fixture::with_state(WorkflowState {
+        configuration: Some(configuration),
+        ..WorkflowState::default()
+    });
+    for worker in ["u", "v", "w"] {
+        fixture.announce(worker);
+    }
+    fixture.submit_without_pass(POLICY_JOB, vec![spec]);
+    let stage = &mut fixture.term.stages[&key(POLICY_JOB)];
+    let workers = ["u", "v", "w"].map(str::to_owned);
+    let granted = [("u".to_owned(), "permit".to_owned())];
+    let expires_at = fixture.now.at + Duration::from_secs(60);
+    stage.permits.record(&workers, &granted, expires_at);
+    let granted = fixture.term.workers["u"].index;
+    occupy(&mut fixture, granted, "other");
+    fixture.term.schedule(fixture.now);
+    fixture.commit_all();
+    assert_eq!(fixture.starts(), 0);
+    fixture
+}
+
+/// Allocates all free processors of a worker.
+fn occupy(fixture: &mut Fixture, worker: WorkerIndex, name: &str) {
+    let allocation = Allocation {
+        amount: Resources {
+            cpu_millis: fixture.term.ledger.free(worker).cpu_millis,
+            memory_mib: 0,
+            accelerators: 0,
+        },
+        purpose: Purpose::Task,
+        urgency: Urgency::Normal,
+    };
+    let allocated = fixture.term.ledger.allocate(worker, name, allocation);
+    allocated.expect("the amount is free");
+}
+
+/// Runs a tick and a pass each 100 ms, and returns the searches of the passes.
+fn searches_in(fixture: &mut Fixture, ticks: u32, before_pass: impl Fn(&mut Fixture)) -> u64 {
+    let before = fixture.term.passes.searches.get();
+    for _ in 0..ticks {
+        fixture.advance(Duration::from_millis(100));
+        for worker in ["u", "v", "w"] {
+            fixture.report(worker, Vec::new(), Vec::new());
+        }
+        fixture.term.tick(fixture.now);
+        before_pass(fixture);
+        fixture.term.schedule(fixture.now);
+        fixture.commit_all();
+    }
+    fixture.term.passes.searches.get() - before
+}
+
+/// Guards against passes that search again for a stage although nothing has changed: under overload
+/// they took a fifth of the leader's processor time, and short jobs ended late (SHORT).
+#[test]
+fn a_search_is_not_repeated_while_nothing_changes() {
+    for gang in [false, true] {
+        let mut fixture = waiting_for_a_granted_worker(StageSpec { gang, ..stage(1) });
+        let searches = searches_in(&mut fixture, 10, |_| {});
+        assert!(searches <= 2, "{searches} searches, gang {gang}");
+    }
+}
+
+/// Guards against a search for each stage whenever room is freed on a worker that the placement
+/// policy has denied to it.
+#[test]
+fn room_on_a_denied_worker_causes_no_search() {
+    for gang in [false, true] {
+        let mut fixture = waiting_for_a_granted_worker(StageSpec { gang, ..stage(1) });
+        let searches = searches_in(&mut fixture, 10, |fixture| {
+            let denied = fixture.term.workers["w"].index;
+            occupy(fixture, denied, "other");
+            fixture.term.ledger.release(denied, "other");
+        });
+        assert!(searches <= 2, "{searches} searches, gang {gang}");
+        let granted = fixture.term.workers["u"].index;
+        fixture.term.ledger.release(granted, "other");
+        fixture.term.schedule(fixture.now);
+        fixture.commit_all();
+        assert_eq!(fixture.starts(), 1, "gang {gang}");
+    }
+}
