--- a/src/scheduling/ledger.rs
+++ b/src/scheduling/ledger.rs
@@ -260,11 +260,7 @@
         let (after, current) = (worker.free(), (worker.pool, worker.free_cpu_millis()));
         self.free_total = add(&subtract(&self.free_total, &before), &after);
         if !before.covers(&after) {
-            self.growths += 1;
-            self.grown.push_back(index);
-            if self.grown.len() > MAX_RECORDED_GROWTHS {
-                self.grown.pop_front();
-            }
+            self.note_growth(index);
         }
         if former == current {
             return;
@@ -280,6 +276,16 @@
         }
     }
 
+    /// Counts the room of a worker as grown, also when it can be used again for a reason that the
+    /// ledger does not know.
+    pub fn note_growth(&mut self, index: WorkerIndex) {
+        self.growths += 1;
+        self.grown.push_back(index);
+        if self.grown.len() > MAX_RECORDED_GROWTHS {
+            self.grown.pop_front();
+        }
+    }
+
     /// Adds a worker that is named in committed records but has not announced itself yet; returns
     /// its index. It is lost and has no capacity until it announces itself.
     pub fn expect_worker(&mut self, id: &str, incarnation: Incarnation) -> WorkerIndex {
--- a/src/workflow/decisions/placing.rs
+++ b/src/workflow/decisions/placing.rs
@@ -26,18 +26,18 @@
 
 /// Number of further tasks that a candidate can hold, at most `limit`.
 pub fn room<T>(spec: &StageSpec, candidate: &Candidate<'_, T>, limit: usize) -> usize {
-    let need = spec.ledger_amount();
     let by_count = spec.max_tasks_per_worker.map_or(limit, |max| {
         max.saturating_sub(candidate.tasks_of_stage) as usize
     });
-    let by_cpu = quotient(candidate.free.cpu_millis, need.cpu_millis, limit);
-    let by_memory = quotient(candidate.free.memory_mib, need.memory_mib, limit);
-    let by_accelerators = quotient(candidate.free.accelerators, need.accelerators, limit);
-    limit
-        .min(by_count)
-        .min(by_cpu)
-        .min(by_memory)
-        .min(by_accelerators)
+    tasks_that_fit(&spec.ledger_amount(), &candidate.free, limit.min(by_count))
+}
+
+/// Number of tasks that fit into the free resources, at most `limit`.
+pub fn tasks_that_fit(need: &Resources, free: &Resources, limit: usize) -> usize {
+    let by_cpu = quotient(free.cpu_millis, need.cpu_millis, limit);
+    let by_memory = quotient(free.memory_mib, need.memory_mib, limit);
+    let by_accelerators = quotient(free.accelerators, need.accelerators, limit);
+    limit.min(by_cpu).min(by_memory).min(by_accelerators)
 }
 
 /// Whether no candidate is preferred to this one for a reason other than its free room.
--- a/src/workflow/decisions/worker_health.rs
+++ b/src/workflow/decisions/worker_health.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// Restriction of new runs on a worker, from none to all of them.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Restriction {
+    /// No restriction.
+    #[default]
+    None,
+    /// The worker receives a single run as a probe.
+    Probe,
+    /// The worker is avoided.
+    Avoided,
+}
+
 impl WorkerHealth {
     /// Records a successful run. A zero `expected` run time leaves the slowness as it is.
     pub fn record_success(&mut self, run_time: Duration, expected: Duration) {
@@ -81,6 +93,15 @@
         until.is_some_and(|until| now < until)
     }
 
+    /// Restriction of new runs.
+    pub fn restriction(&self, now: Instant) -> Restriction {
+        match (self.is_avoided(now), self.needs_probe(now)) {
+            (true, _) => Restriction::Avoided,
+            (false, true) => Restriction::Probe,
+            (false, false) => Restriction::None,
+        }
+    }
+
     /// Whether the next run is a probe after failures.
     pub fn needs_probe(&self, now: Instant) -> bool {
         self.avoided_until
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -9,6 +9,7 @@
 };
 use super::super::spec::{StageKey, StageSpec};
 use super::Now;
+use super::isolation::StartLimit;
 use super::policy::Question;
 use super::scheduling::{Choice, StageDecision};
 use super::search::MAX_UNKNOWN_WORKERS;
@@ -46,7 +47,7 @@
                     return None;
                 }
                 StageDecision::Ask(_) | StageDecision::Wait => {}
-                StageDecision::NothingFound => self.record_empty_search(key, now),
+                StageDecision::NothingFound => self.record_empty_gang_search(key, &spec, now),
             }
         }
         let stage = self.stages.get(key)?;
@@ -83,6 +84,25 @@
         (!stage.question_pending && !stage.reservations.is_empty()).then(|| key.clone())
     }
 
+    /// Records that a search found no room for all members of a gang.
+    fn record_empty_gang_search(&mut self, key: &StageKey, spec: &StageSpec, now: Now) {
+        let Some(search) = self.search(key, now) else {
+            return;
+        };
+        let tasks = spec.task_count as usize;
+        let candidates = self.reservation_candidates(&search, tasks);
+        let rooms = candidates
+            .iter()
+            .map(|candidate| placing::room(spec, candidate, tasks));
+        let lacking = tasks.saturating_sub(rooms.sum());
+        let policy = search.job.queue.placement_policy.as_ref();
+        let may_ask = policy.is_none_or(|policy| {
+            now.at >= search.stage.next_question_at && !self.are_callers_busy(policy)
+        });
+        let blocked = lacking == 0 || !may_ask || search.limit != StartLimit::None;
+        self.record_empty_search(key, lacking, blocked, now);
+    }
+
     /// Asks the policy to renew the permits of a gang whose members all have room now on workers that
     /// it has granted, and keeps the room until the answer. Any gang may do so: it does not gather
     /// room, and without renewed permits it would wait although it could start.
--- a/src/workflow/placer/isolation.rs
+++ b/src/workflow/placer/isolation.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// Whether starts on a worker may be held back for a suspect that has to be isolated.
+    pub(super) fn holds_back_starts(&self) -> bool {
+        !self.crash_watch.holds.is_empty() || !self.crash_watch.isolated_runs.is_empty()
+    }
+
     /// Whether another isolated suspect may be started.
     fn may_isolate(&self, history: &[WorkerCrash]) -> bool {
         let is_blamed = history.iter().any(|crash| crash.blamed);
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -83,21 +83,17 @@
                 }
                 let key = key.clone();
                 let may_reserve = slots.claim(rank.priority());
-                let may_fit = !self.search_would_be_empty(stage, grown.as_ref(), now);
-                if !may_fit {
-                    self.extend_empty_search(position);
-                }
+                let may_fit = !self.search_would_be_empty(position, grown.as_ref(), now);
                 questions.extend(self.schedule_gang(&key, may_reserve, may_fit, now));
                 continue;
             }
             if !self.has_room(&stage.needs, &mut without_room) {
                 continue;
             }
-            if self.search_would_be_empty(stage, grown.as_ref(), now) {
-                self.extend_empty_search(position);
+            let key = key.clone();
+            if self.search_would_be_empty(position, grown.as_ref(), now) {
                 continue;
             }
-            let key = key.clone();
             questions.extend(self.schedule_stage(&key, now));
         }
         self.passes.searched_growths = searched_growths;
@@ -156,7 +152,8 @@
                 self.question(key, workers, now)
             }
             StageDecision::NothingFound => {
-                self.record_empty_search(key, now);
+                let blocked = self.start_limit(key, now) != StartLimit::None;
+                self.record_empty_search(key, 1, blocked, now);
                 None
             }
             StageDecision::Wait | StageDecision::Place(_) => None,
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -20,9 +20,12 @@
 /// chosen. More than fit in a call: the index orders workers by free processors alone, and those
 /// with the most room should be among them.
 pub(super) const MAX_UNKNOWN_WORKERS: usize = 2 * MAX_WORKERS_PER_CALL;
-/// Time after which a search without a result is repeated although no room has been freed: permits
-/// expire and avoided workers become usable again with time. One tick.
-const EMPTY_SEARCH_VALIDITY: Duration = Duration::from_millis(100);
+/// Time after which a search without a result is repeated in any case. Everything that may give it a
+/// result is noticed, so that this bounds the effect of an oversight.
+const EMPTY_SEARCH_VALIDITY: Duration = Duration::from_millis(2_000);
+/// Time after which a search is repeated that was held back by the isolation of suspects or by the
+/// callers of the placement policy. One tick.
+const BLOCKED_SEARCH_VALIDITY: Duration = Duration::from_millis(100);
 /// Number of amounts without room that a pass keeps; each further stage is compared with all of
 /// them.
 const MAX_AMOUNTS_WITHOUT_ROOM: usize = 32;
@@ -47,8 +50,11 @@
 /// A search for a stage that found neither room nor workers to ask about.
 #[derive(Clone, Copy, Debug)]
 pub struct EmptySearch {
-    /// `Ledger::growths` at the time of the search.
+    /// `Ledger::growths` at the time of the search, or of a later pass that found it still valid.
     pub growths: u64,
+    /// Number of tasks for which room has to be freed before the stage can be placed: for a gang, all
+    /// that do not fit at the same time, otherwise one.
+    pub lacking: usize,
     /// Time from which on the search is repeated in any case.
     pub repeat_at: Instant,
 }
@@ -127,51 +133,84 @@
 
     /// Whether the last search for a stage found nothing and another one would find nothing either.
     /// `grown` holds all workers whose room has grown since the last pass began, or `None` when
-    /// they are not known.
+    /// they are not known. If so, the room that has grown is taken into account for later passes.
     pub(super) fn search_would_be_empty(
-        &self,
-        stage: &LiveStage,
+        &mut self,
+        position: usize,
         grown: Option<&IndexSet<WorkerIndex>>,
         now: Now,
     ) -> bool {
+        let Some((_, stage)) = self.stages.get_index(position) else {
+            return false;
+        };
         let (Some(empty), Some(grown)) = (stage.empty_search, grown) else {
             return false;
         };
         if now.at >= empty.repeat_at || empty.growths < self.passes.searched_growths {
             return false;
         }
-        let amount = &stage.needs.amount;
+        let mut gained = 0;
         for &index in grown {
             self.passes.count_examined();
-            if self.ledger.free(index).covers(amount) {
+            gained += self.usable_growth(stage, index);
+            if gained >= empty.lacking {
                 return false;
             }
         }
+        let growths = self.ledger.growths();
+        if let Some((_, stage)) = self.stages.get_index_mut(position)
+            && let Some(empty) = &mut stage.empty_search
+        {
+            empty.growths = growths;
+            empty.lacking -= gained;
+        }
         true
     }
 
-    /// Records that a search for a stage found nothing.
-    pub(super) fn record_empty_search(&mut self, key: &StageKey, now: Now) {
+    /// Returns the largest number of tasks of a stage that the room of a worker may be of use to.
+    fn usable_growth(&self, stage: &LiveStage, index: WorkerIndex) -> usize {
+        let amount = &stage.needs.amount;
+        let free = self.ledger.free(index);
+        if !free.covers(amount) {
+            return 0;
+        }
+        let Some(worker) = self.ledger.worker(index) else {
+            return 0;
+        };
+        let id = &worker.description.id;
+        let permits = &stage.permits;
+        // Only an answer of the policy makes other workers usable, and it ends the validity.
+        let needs_grant = stage.question_pending || (stage.needs.gang && permits.known_count() > 0);
+        if permits.is_denied(id) || (needs_grant && !permits.was_granted(id)) {
+            return 0;
+        }
+        placing::tasks_that_fit(amount, &free, stage.waiting.len())
+    }
+
+    /// Records that a search for a stage found nothing. A `blocked` search is repeated soon.
+    pub(super) fn record_empty_search(
+        &mut self,
+        key: &StageKey,
+        lacking: usize,
+        blocked: bool,
+        now: Now,
+    ) {
         let growths = self.ledger.growths();
         self.passes.fruitless_searches += 1;
+        let validity = if blocked || self.holds_back_starts() {
+            BLOCKED_SEARCH_VALIDITY
+        } else {
+            EMPTY_SEARCH_VALIDITY
+        };
         if let Some(stage) = self.stages.get_mut(key) {
             stage.empty_search = Some(EmptySearch {
                 growths,
-                repeat_at: now.at + EMPTY_SEARCH_VALIDITY,
+                lacking: lacking.max(1),
+                repeat_at: now.at + validity,
             });
         }
     }
 
-    /// Records that another search would still find nothing.
-    pub(super) fn extend_empty_search(&mut self, position: usize) {
-        let growths = self.ledger.growths();
-        if let Some((_, stage)) = self.stages.get_index_mut(position)
-            && let Some(empty) = &mut stage.empty_search
-        {
-            empty.growths = growths;
-        }
-    }
-
     /// Returns workers with room that the stage may use now: enough for `wanted` tasks, or all.
     pub(super) fn usable_candidates<'a>(
         &'a self,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -9,7 +9,7 @@
 use super::super::decisions::leases::{ClockReading, expires_without_reading};
 use super::super::decisions::permits::{GrantedShare, PermitCache};
 use super::super::decisions::progress::Progress;
-use super::super::decisions::worker_health::WorkerHealth;
+use super::super::decisions::worker_health::{Restriction, WorkerHealth};
 use super::super::records::{Batch, Record, RunNumber};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::super::state::WorkflowState;
@@ -159,6 +159,8 @@
     pub runs: IndexSet<TaskKey>,
     /// Health of the worker, derived from the ends and the progress of its runs.
     pub health: WorkerHealth,
+    /// Restriction of new runs by the health of the worker at the last tick.
+    pub restriction: Restriction,
     /// Time until which the worker is expected to leave, since a call announced its departure; it is
     /// removed once its port is closed. `None` if no departure was announced.
     pub leaving_until: Option<Instant>,
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -45,6 +45,7 @@
             recorded_ends: 0,
             runs: IndexSet::new(),
             health: Default::default(),
+            restriction: Default::default(),
             leaving_until: None,
             relay: None,
             relayed_since: now,
@@ -196,6 +197,7 @@
             self.report_load(now.at);
             self.report_waiting_gangs(now);
         }
+        self.note_usable_workers(now.at);
         // The ranks of stages, the validity of permits and the avoided workers change with time.
         self.passes.changed = true;
         if tick.is_multiple_of(GRANT_TICKS) {
@@ -204,6 +206,17 @@
         self.activate_due_occurrences(now);
     }
 
+    /// Counts the room of workers as grown that may receive more runs than at the last tick.
+    fn note_usable_workers(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            let restriction = worker.health.restriction(now);
+            let before = std::mem::replace(&mut worker.restriction, restriction);
+            if restriction < before {
+                self.ledger.note_growth(worker.index);
+            }
+        }
+    }
+
     fn next_tick(&mut self) -> u64 {
         self.ticks += 1;
         self.ticks
