--- a/src/workflow/decisions/crash_suspects.rs
+++ b/src/workflow/decisions/crash_suspects.rs
@@ -89,6 +89,9 @@
 
 /// How the next run of a suspect is isolated.
 pub fn isolation(history: &[WorkerCrash]) -> Isolation {
+    if history.len() < LOST_RUNS_TO_ISOLATE && !history.iter().any(|crash| crash.blamed) {
+        return Isolation::FromSuspects;
+    }
     // After a change of the placer, the age of a run is not known, and all runs of the worker count.
     let probation_ms = PROBATION.as_millis() as u64;
     let counted = history.iter().filter(|crash| crash.run_ms < probation_ms);
--- a/src/workflow/placer/crashes.rs
+++ b/src/workflow/placer/crashes.rs
@@ -44,6 +44,9 @@
     expired: IndexMap<WorkerId, Vec<ExposedRun>>,
     /// Isolated suspects whose run is on probation, or lost with its worker that is not back yet.
     pub(super) isolated_runs: IndexSet<TaskKey>,
+    /// Workers with a run on probation of an isolated suspect, as of the latest pass or start of one:
+    /// a worker that no longer belongs to them is usable from the next pass on.
+    pub(super) isolated_workers: IndexSet<WorkerId>,
     /// Workers that receive only the suspects of one stage, and until when.
     pub(super) holds: IndexMap<WorkerId, (StageKey, Instant)>,
 }
@@ -322,12 +325,13 @@
         key: &'a StageKey,
     ) -> impl Iterator<Item = &'a LiveRun> {
         let job = self.state.jobs.get(&key.job);
-        let tasks = job.and_then(|job| Some(job.stage(key)?.tasks.len()));
-        let tasks = 0..tasks.unwrap_or(0) as TaskIndex;
-        tasks.filter_map(move |index| {
+        let tasks = job.and_then(|job| Some(&job.stage(key)?.tasks));
+        let tasks = tasks.into_iter().flatten().enumerate();
+        let placed = tasks.filter(|(_, task)| matches!(task.progress, TaskProgress::Placed { .. }));
+        placed.filter_map(move |(index, _)| {
             self.runs.get(&TaskKey {
                 stage: key.clone(),
-                index,
+                index: index as TaskIndex,
             })
         })
     }
--- a/src/workflow/placer/isolation.rs
+++ b/src/workflow/placer/isolation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::super::crashes::{CrashHistory, WorkerCrash};
 use super::super::decisions::crash_suspects::{self, Isolation, RECENT_START};
@@ -167,27 +167,48 @@
         {
             return false;
         }
-        let Some(worker) = self.workers.get(id) else {
+        if self.crash_watch.isolated_workers.contains(id) {
             return false;
+        }
+        let needs_isolation = matches!(
+            search.limit,
+            StartLimit::Isolated(_, Isolation::FromAll) | StartLimit::Waits
+        );
+        !needs_isolation || !self.has_recent_run(search, id)
+    }
+
+    /// Whether a worker has a run of another stage that was started recently.
+    fn has_recent_run(&self, search: &Search, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return true;
         };
-        for task in &worker.runs {
-            if task.stage == *search.key && search.spec.gang {
-                continue;
-            }
-            if self.runs.get(task).is_none_or(|run| run.harmless) {
-                continue;
-            }
-            let conflicts = match search.limit {
-                StartLimit::Isolated(_, Isolation::FromAll) | StartLimit::Waits => {
-                    self.is_recent(task, search.now) || self.is_isolated(task)
+        worker.runs.iter().any(|task| {
+            self.passes.count_examined_run();
+            let is_member = task.stage == *search.key && search.spec.gang;
+            let run = self.runs.get(task).filter(|run| !run.harmless);
+            !is_member && run.is_some() && self.is_recent(task, search.now)
+        })
+    }
+
+    /// Returns the workers with a run on probation of a suspect that has to be isolated.
+    pub(super) fn isolated_workers(&self) -> IndexSet<WorkerId> {
+        let mut isolated = IndexSet::new();
+        for suspects in self.state.crashes.suspects.values() {
+            for (task, history) in suspects {
+                if crash_suspects::isolation(history) != Isolation::FromAll {
+                    continue;
+                }
+                let on_probation = |run: &&LiveRun| !run.harmless;
+                if self.is_gang(&task.stage) {
+                    let runs = self.runs_of_stage(&task.stage).filter(on_probation);
+                    isolated.extend(runs.map(|run| run.worker.clone()));
+                } else {
+                    let run = self.runs.get(task).filter(on_probation);
+                    isolated.extend(run.map(|run| run.worker.clone()));
                 }
-                _ => self.is_isolated(task),
-            };
-            if conflicts {
-                return false;
             }
         }
-        true
+        isolated
     }
 
     /// Whether a run was started so recently that a crash of its worker might be attributed to it.
@@ -201,15 +222,6 @@
         }
     }
 
-    /// Whether a task is a suspect that has to run alone.
-    fn is_isolated(&self, task: &TaskKey) -> bool {
-        let Some(suspects) = self.state.crashes.suspects.get(&task.stage.job) else {
-            return false;
-        };
-        let history = suspects.get(&self.suspect_key(task));
-        history.is_some_and(|history| crash_suspects::isolation(history) == Isolation::FromAll)
-    }
-
     /// Returns the worker on which a suspect may start: one without other suspects on probation where
     /// possible, and with the fewest runs.
     pub(super) fn least_used_candidate<'a>(
@@ -290,6 +302,7 @@
                 self.crash_watch.isolated_runs.insert(task.clone());
             }
         }
+        self.crash_watch.isolated_workers = self.isolated_workers();
     }
 
     /// Forgets isolated runs that have ended or did not crash their worker.
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -24,6 +24,8 @@
     pub searches: Cell<u64>,
     /// Number of workers examined for a stage in this term; a worker counts each time.
     pub examined_workers: Cell<u64>,
+    /// Number of runs examined in this term for the isolation of suspects.
+    pub examined_runs: Cell<u64>,
     /// Number of searches in this term that found neither room nor workers to ask about.
     pub fruitless_searches: u64,
     /// Counts at the last report.
@@ -64,6 +66,11 @@
         }
     }
 
+    /// Counts a run that is examined for the isolation of suspects.
+    pub fn count_examined_run(&self) {
+        self.examined_runs.set(self.examined_runs.get() + 1);
+    }
+
     /// Counts a worker that is examined for a stage.
     pub fn count_examined(&self) {
         self.examined_workers.set(self.examined_workers.get() + 1);
@@ -80,6 +87,7 @@
             count: 0,
             searches: Cell::new(0),
             examined_workers: Cell::new(0),
+            examined_runs: Cell::new(0),
             fruitless_searches: 0,
             reported: Examined::default(),
             busy_callers: [false; 2],
@@ -99,6 +107,7 @@
     /// when they are not known.
     pub(super) fn begin_pass(&mut self) -> Option<IndexSet<WorkerIndex>> {
         self.passes.busy_callers = [false; 2];
+        self.crash_watch.isolated_workers = self.isolated_workers();
         let grown = self.ledger.grown_since(self.passes.searched_growths);
         grown.map(Iterator::collect)
     }
--- a/src/workflow/placer/tests/crashing_tasks.rs
+++ b/src/workflow/placer/tests/crashing_tasks.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
+use super::super::term::Term;
 use super::crashing_cell::*;
 use super::fixture::*;
 use crate::ids::WorkerId;
 use crate::workflow::calls::CallFailure;
-use crate::workflow::spec::TaskKey;
+use crate::workflow::decisions::crash_suspects::{Isolation, isolation};
+use crate::workflow::records::{CrashSuspect, Record};
+use crate::workflow::spec::{StageKey, StageSpec, TaskKey};
 use crate::workflow::state::JobPhase;
 
 /// Guards against a task that crashes one worker after the other: on a day with such tasks one of
@@ -244,3 +249,81 @@
     cell.run_for(Duration::from_secs(20));
     assert_eq!(cell.phase(BAD_JOB), JobPhase::Failed);
 }
+
+/// Returns the workers with a run on probation of an isolated suspect, from all runs.
+fn isolated_by_runs(term: &Term) -> IndexSet<WorkerId> {
+    let mut isolated = IndexSet::new();
+    for (task, run) in &term.runs {
+        let suspect = term.suspect_key(task);
+        let history = term.state.crashes.history(&suspect);
+        if !run.harmless && isolation(history) == Isolation::FromAll {
+            isolated.insert(run.worker.clone());
+        }
+    }
+    isolated
+}
+
+/// Guards against a set of isolated workers that differs from the runs on them.
+#[test]
+fn workers_are_isolated_by_the_runs_on_them() {
+    let mut cell = CrashingCell::new(12, of_bad_job);
+    let mut seen = 0;
+    for (index, gang) in [(0, false), (1, true), (2, false)] {
+        cell.submit(&job_name(index), vec![stage(20)]);
+        let bad = StageSpec { gang, ..stage(4) };
+        let name = if index == 0 {
+            BAD_JOB.to_owned()
+        } else {
+            job_name(100 + index)
+        };
+        cell.submit(&name, vec![bad]);
+        for _ in 0..80 {
+            cell.run_for(STEP);
+            cell.fixture.term.schedule(cell.fixture.now);
+            cell.fixture.commit_all();
+            let term = &cell.fixture.term;
+            let isolated: IndexSet<WorkerId> = isolated_by_runs(term);
+            assert_eq!(term.isolated_workers(), isolated);
+            assert_eq!(term.crash_watch.isolated_workers, isolated);
+            seen += isolated.len();
+        }
+    }
+    assert!(seen > 0, "no suspect was isolated");
+}
+
+/// Guards against a look at all runs of each worker that a stage might use while any task is
+/// suspected: suspects of late jobs wait for minutes, and the leader lacked that time (SHORT).
+#[test]
+fn a_waiting_suspect_does_not_make_other_searches_look_at_runs() {
+    let mut cell = CrashingCell::new(8, of_bad_job);
+    cell.submit("00c0ffee00000001", vec![stage(14)]);
+    let mut suspected = stage(1);
+    suspected.required_label = Some("missing".to_owned());
+    cell.submit(BAD_JOB, vec![suspected]);
+    cell.run_for(STEP);
+    let suspected = TaskKey {
+        stage: StageKey {
+            job: BAD_JOB.to_owned(),
+            ..task(0).stage
+        },
+        index: 0,
+    };
+    let suspect = CrashSuspect {
+        task: suspected.clone(),
+        run: 1,
+        blamed: false,
+        run_ms: 10,
+    };
+    cell.fixture.term.record(Record::WorkerCrashed {
+        worker: "gone".to_owned(),
+        incarnation: 1,
+        at_unix_ms: cell.fixture.now.unix_ms,
+        suspects: vec![suspect],
+    });
+    let before = cell.fixture.term.passes.examined_runs.get();
+    cell.submit("00c0ffee00000002", vec![stage(8)]);
+    cell.run_for(STEP);
+    assert!(cell.fixture.term.state.crashes.is_suspect(&suspected));
+    assert_eq!(cell.phase("00c0ffee00000002"), JobPhase::Running);
+    assert_eq!(cell.fixture.term.passes.examined_runs.get(), before);
+}
