--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -30,6 +30,7 @@
 mod term_lock;
 #[cfg(test)]
 mod tests;
+mod waiting_counts;
 mod waiting_gangs;
 mod workers;
 
@@ -57,6 +58,7 @@
 use term::{Effect, StepOutput, Term};
 pub use term::{Order, OrderKind};
 use term_lock::{TermGuard, TermLock};
+use waiting_counts::WaitingCounts;
 
 /// Interval of the time-driven steps of a term.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -106,6 +108,7 @@
     /// Epoch of the last term that this host began.
     last_epoch: Mutex<Option<Epoch>>,
     statistics: Arc<PlacerStatistics>,
+    waiting_counts: WaitingCounts,
     /// Wakes the dispatcher to send pending orders; holds at most one request.
     wake_dispatcher: Sender<()>,
     questions: Sender<policy::Question>,
@@ -177,6 +180,7 @@
             term: TermLock::new(Arc::clone(&statistics)),
             last_epoch: Mutex::default(),
             statistics,
+            waiting_counts: WaitingCounts::default(),
             wake_dispatcher,
             questions,
             wake_scheduler,
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -13,6 +13,7 @@
 use super::super::spec::WorkflowSpec;
 use super::policy::{CONTACT_TIMEOUT, INITIAL_ROUND_TRIP};
 use super::term::{Effect, PolicyCaller, RunPhase, Term};
+use super::waiting_counts::WaitingJobs;
 use super::{CallResponder, Now, Placer};
 use crate::ids::JobId;
 
@@ -39,15 +40,26 @@
     }
 
     fn count_waiting_jobs(&self, queue: &QueueAddress) -> Reply {
+        let now = self.clock.now();
+        let counts = &self.waiting_counts;
+        Reply::WaitingJobs(counts.of_queue(queue, now, || self.waiting_jobs()))
+    }
+
+    /// Counts the accepted jobs that have not begun, of all queues.
+    fn waiting_jobs(&self) -> WaitingJobs {
         let unconfirmed = self.lock().as_ref().map(Term::unconfirmed_runs);
         let unconfirmed = unconfirmed.unwrap_or_default();
         let state = self.committed.state.lock().unwrap();
-        let jobs = state.jobs.iter();
-        let open = jobs.filter(|(_, job)| job.is_open() && job.queue.address == *queue);
-        let waiting = open.filter(|(id, job)| {
-            job.begun_tasks() <= unconfirmed.get(id.as_str()).copied().unwrap_or_default()
-        });
-        Reply::WaitingJobs(waiting.count() as u64)
+        let mut waiting = WaitingJobs::new();
+        for (id, job) in &state.jobs {
+            if !job.is_open() {
+                continue;
+            }
+            if job.begun_tasks() <= unconfirmed.get(id.as_str()).copied().unwrap_or_default() {
+                *waiting.entry(job.queue.address.clone()).or_default() += 1;
+            }
+        }
+        waiting
     }
 }
 
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -20,3 +20,4 @@
 mod runs;
 mod search;
 mod takeover;
+mod waiting_counts;
