--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -12,7 +12,7 @@
 use super::isolation::StartLimit;
 use super::policy::Question;
 use super::scheduling::{Choice, StageDecision};
-use super::search::MAX_UNKNOWN_WORKERS;
+use super::search::{EmptyResult, MAX_UNKNOWN_WORKERS};
 use super::term::{LiveWorker, Term};
 use crate::ids::WorkerId;
 use crate::resources::Resources;
@@ -46,7 +46,7 @@
                     self.place(key, choices, now);
                     return None;
                 }
-                StageDecision::Ask(_) | StageDecision::Wait => {}
+                StageDecision::Ask(_) | StageDecision::AwaitCaller | StageDecision::Wait => {}
                 StageDecision::NothingFound => self.record_empty_gang_search(key, &spec, now),
             }
         }
@@ -95,12 +95,12 @@
             .iter()
             .map(|candidate| placing::room(spec, candidate, tasks));
         let lacking = tasks.saturating_sub(rooms.sum());
-        let policy = search.job.queue.placement_policy.as_ref();
-        let may_ask = policy.is_none_or(|policy| {
-            now.at >= search.stage.next_question_at && !self.are_callers_busy(policy)
-        });
-        let blocked = lacking == 0 || !may_ask || search.limit != StartLimit::None;
-        self.record_empty_search(key, lacking, blocked, now);
+        let result = EmptyResult {
+            lacking,
+            awaits_caller: !self.may_ask(search.stage, now),
+            isolated: lacking == 0 || search.limit != StartLimit::None,
+        };
+        self.record_empty_search(key, result, now);
     }
 
     /// Asks the policy to renew the permits of a gang whose members all have room now on workers that
@@ -113,17 +113,7 @@
         now: Now,
     ) -> Option<Question> {
         let stage = self.stages.get(key)?;
-        let policy = self
-            .state
-            .jobs
-            .get(&key.job)?
-            .queue
-            .placement_policy
-            .as_ref()?;
-        if now.at < stage.next_question_at
-            || self.are_callers_busy(policy)
-            || !stage.permits.has_expired(now.at)
-        {
+        if !self.may_ask(stage, now) || !stage.permits.has_expired(now.at) {
             return None;
         }
         let search = self.search(key, now)?;
@@ -254,11 +244,11 @@
     /// or not: the answer about a worker does not change.
     fn ask_for_gang(&mut self, key: &StageKey, spec: &StageSpec, now: Now) -> Option<Question> {
         let job = self.state.jobs.get(&key.job)?;
-        let policy = job.queue.placement_policy.as_ref()?;
         let stage = self.stages.get(key)?;
-        if stage.question_pending
-            || now.at < stage.next_question_at.max(stage.next_worker_search_at)
-            || self.are_callers_busy(policy)
+        if stage.needs.slow_policy.is_none()
+            || stage.question_pending
+            || now.at < stage.next_worker_search_at
+            || !self.may_ask(stage, now)
         {
             return None;
         }
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -4,8 +4,6 @@
 
 use indexmap::IndexSet;
 
-use super::super::queues::PlacementPolicy;
-use super::policy::is_slow;
 use super::term::Term;
 use crate::scheduling::ledger::WorkerIndex;
 
@@ -112,9 +110,9 @@
         grown.map(Iterator::collect)
     }
 
-    /// Whether the policy cannot be asked now because all hosts that call it are busy.
-    pub(super) fn are_callers_busy(&self, policy: &PlacementPolicy) -> bool {
-        self.passes.busy_callers[usize::from(is_slow(policy))]
+    /// Whether a slow or a quick policy cannot be asked now because all hosts that call it are busy.
+    pub(super) fn are_callers_busy(&self, slow: bool) -> bool {
+        self.passes.busy_callers[usize::from(slow)]
     }
 
     /// Ends a pass, which has taken all changes into account.
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -12,7 +12,7 @@
 use super::Now;
 use super::isolation::StartLimit;
 use super::policy::{Question, is_slow};
-use super::search::{AmountsWithoutRoom, Search};
+use super::search::{AmountsWithoutRoom, EmptyResult, Search};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
@@ -44,6 +44,8 @@
     Wait,
     /// No worker that the stage may use or ask about has room.
     NothingFound,
+    /// No worker that the stage may use has room, and the policy cannot be asked about others now.
+    AwaitCaller,
     /// Tasks to place.
     Place(Vec<Choice>),
     /// Workers with room about which to ask the placement policy.
@@ -152,14 +154,26 @@
                 self.question(key, workers, now)
             }
             StageDecision::NothingFound => {
-                let blocked = self.start_limit(key, now) != StartLimit::None;
-                self.record_empty_search(key, 1, blocked, now);
+                self.record_empty_stage_search(key, false, now);
+                None
+            }
+            StageDecision::AwaitCaller => {
+                self.record_empty_stage_search(key, true, now);
                 None
             }
             StageDecision::Wait | StageDecision::Place(_) => None,
         }
     }
 
+    fn record_empty_stage_search(&mut self, key: &StageKey, awaits_caller: bool, now: Now) {
+        let result = EmptyResult {
+            lacking: 1,
+            awaits_caller,
+            isolated: self.start_limit(key, now) != StartLimit::None,
+        };
+        self.record_empty_search(key, result, now);
+    }
+
     pub(super) fn decide_stage(&self, key: &StageKey, now: Now) -> StageDecision {
         let Some(search) = self.search(key, now) else {
             return StageDecision::Wait;
@@ -212,14 +226,11 @@
         if spec.gang {
             return StageDecision::NothingFound;
         }
-        let Some(policy) = &job.queue.placement_policy else {
-            return StageDecision::NothingFound;
-        };
-        if stage.question_pending {
+        if job.queue.placement_policy.is_none() || stage.question_pending {
             return StageDecision::NothingFound;
         }
-        if search.now.at < stage.next_question_at || self.are_callers_busy(policy) {
-            return StageDecision::Wait;
+        if !self.may_ask(stage, search.now) {
+            return StageDecision::AwaitCaller;
         }
         let wanted = stage.waiting.len();
         let rooms = permitted
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -23,8 +23,7 @@
 /// Time after which a search without a result is repeated in any case. Everything that may give it a
 /// result is noticed, so that this bounds the effect of an oversight.
 const EMPTY_SEARCH_VALIDITY: Duration = Duration::from_millis(2_000);
-/// Time after which a search is repeated that was held back by the isolation of suspects or by the
-/// callers of the placement policy. One tick.
+/// Time after which a search is repeated that was held back by the isolation of suspects. One tick.
 const BLOCKED_SEARCH_VALIDITY: Duration = Duration::from_millis(100);
 /// Number of amounts without room that a pass keeps; each further stage is compared with all of
 /// them.
@@ -45,6 +44,8 @@
     pub amount: Resources,
     /// Declared work of one task, in milliseconds of a thousandth of a core.
     pub task_work: u64,
+    /// Whether the placement policy of the queue is slow; `None` for a queue without a policy.
+    pub slow_policy: Option<bool>,
 }
 
 /// A search for a stage that found neither room nor workers to ask about.
@@ -55,10 +56,23 @@
     /// Number of tasks for which room has to be freed before the stage can be placed: for a gang, all
     /// that do not fit at the same time, otherwise one.
     pub lacking: usize,
+    /// Whether the stage would have asked the placement policy if a host could have called it.
+    pub awaits_caller: bool,
     /// Time from which on the search is repeated in any case.
     pub repeat_at: Instant,
 }
 
+/// Why a search found nothing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EmptyResult {
+    /// Number of tasks for which room has to be freed; at least one counts.
+    pub lacking: usize,
+    /// Whether the stage would have asked the placement policy if a host could have called it.
+    pub awaits_caller: bool,
+    /// Whether the stage has suspects, or room that it may not use yet.
+    pub isolated: bool,
+}
+
 /// A stage and the job that it belongs to, as input of a search.
 pub(super) struct Search<'a> {
     pub key: &'a StageKey,
@@ -146,7 +160,8 @@
         let (Some(empty), Some(grown)) = (stage.empty_search, grown) else {
             return false;
         };
-        if now.at >= empty.repeat_at || empty.growths < self.passes.searched_growths {
+        let may_ask = empty.awaits_caller && self.may_ask(stage, now);
+        if may_ask || now.at >= empty.repeat_at || empty.growths < self.passes.searched_growths {
             return false;
         }
         let mut gained = 0;
@@ -167,6 +182,12 @@
         true
     }
 
+    /// Whether a stage may ask the placement policy now.
+    pub(super) fn may_ask(&self, stage: &LiveStage, now: Now) -> bool {
+        let slow = stage.needs.slow_policy;
+        now.at >= stage.next_question_at && !slow.is_some_and(|slow| self.are_callers_busy(slow))
+    }
+
     /// Returns the largest number of tasks of a stage that the room of a worker may be of use to.
     fn usable_growth(&self, stage: &LiveStage, index: WorkerIndex) -> usize {
         let amount = &stage.needs.amount;
@@ -180,24 +201,20 @@
         let id = &worker.description.id;
         let permits = &stage.permits;
         // Only an answer of the policy makes other workers usable, and it ends the validity.
-        let needs_grant = stage.question_pending || (stage.needs.gang && permits.known_count() > 0);
+        let waits_for_policy =
+            stage.question_pending || stage.empty_search.is_some_and(|empty| empty.awaits_caller);
+        let needs_grant = waits_for_policy || (stage.needs.gang && permits.known_count() > 0);
         if permits.is_denied(id) || (needs_grant && !permits.was_granted(id)) {
             return 0;
         }
         placing::tasks_that_fit(amount, &free, stage.waiting.len())
     }
 
-    /// Records that a search for a stage found nothing. A `blocked` search is repeated soon.
-    pub(super) fn record_empty_search(
-        &mut self,
-        key: &StageKey,
-        lacking: usize,
-        blocked: bool,
-        now: Now,
-    ) {
+    /// Records that a search for a stage found nothing.
+    pub(super) fn record_empty_search(&mut self, key: &StageKey, result: EmptyResult, now: Now) {
         let growths = self.ledger.growths();
         self.passes.fruitless_searches += 1;
-        let validity = if blocked || self.holds_back_starts() {
+        let validity = if result.isolated || self.holds_back_starts() {
             BLOCKED_SEARCH_VALIDITY
         } else {
             EMPTY_SEARCH_VALIDITY
@@ -205,7 +222,8 @@
         if let Some(stage) = self.stages.get_mut(key) {
             stage.empty_search = Some(EmptySearch {
                 growths,
-                lacking: lacking.max(1),
+                lacking: result.lacking.max(1),
+                awaits_caller: result.awaits_caller,
                 repeat_at: now.at + validity,
             });
         }
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -9,6 +9,7 @@
 use super::super::spec::{StageKey, TaskKey};
 use super::super::state::{Job, TaskProgress, WorkflowState};
 use super::backlog::task_work;
+use super::policy::is_slow;
 use super::search::StageNeeds;
 use super::term::{Effect, LiveRun, LiveStage, RunPhase, Term};
 use super::{Now, PlacerSettings};
@@ -167,6 +168,7 @@
                 pool,
                 amount: spec.ledger_amount(),
                 task_work: task_work(spec.estimate_ms, &spec.ledger_amount()),
+                slow_policy: job.queue.placement_policy.as_ref().map(is_slow),
             };
             let live = LiveStage {
                 needs,
--- a/src/workflow/placer/tests/search.rs
+++ b/src/workflow/placer/tests/search.rs
@@ -133,19 +133,24 @@
 
 const POLICY_JOB: &str = "00c0ffee00000009";
 
-/// Creates a term with three workers, of which the placement policy has denied all but the first to
-/// the only waiting job. The first is full.
-fn waiting_for_a_granted_worker(spec: StageSpec) -> Fixture {
+/// Creates a term with a quick placement policy.
+fn with_policy() -> Fixture {
     let mut configuration = configuration(3);
     configuration.queues[0].placement_policy = Some(PlacementPolicy {
         decision_ms: 10.0,
         per_worker_ms: 1.0,
         validity_ms: 2_000,
     });
-    let mut fixture = Fixture::with_state(WorkflowState {
+    Fixture::with_state(WorkflowState {
         configuration: Some(configuration),
         ..WorkflowState::default()
-    });
+    })
+}
+
+/// Creates a term with three workers, of which the placement policy has denied all but the first to
+/// the only waiting job. The first is full.
+fn waiting_for_a_granted_worker(spec: StageSpec) -> Fixture {
+    let mut fixture = with_policy();
     for worker in ["u", "v", "w"] {
         fixture.announce(worker);
     }
@@ -224,3 +229,26 @@
         assert_eq!(fixture.starts(), 1, "gang {gang}");
     }
 }
+
+/// Guards against passes that search for each stage that waits for a host to call the placement
+/// policy: under overload these are most of the waiting stages, after a take-over all of them.
+#[test]
+fn stages_that_wait_for_the_policy_are_not_searched_in_each_pass() {
+    const STAGES: u64 = 20;
+    const PASSES: u64 = 10;
+    let mut fixture = with_policy();
+    for worker in ["u", "v", "w"] {
+        fixture.announce(worker);
+    }
+    for position in 0..STAGES {
+        fixture.submit_without_pass(&format!("{position:016x}"), vec![stage(1)]);
+    }
+    // No host has made contact that could call the policy.
+    let before = fixture.term.passes.searches.get();
+    for _ in 0..PASSES {
+        fixture.term.passes.changed = true;
+        fixture.term.schedule(fixture.now);
+    }
+    let searches = fixture.term.passes.searches.get() - before;
+    assert!(searches <= STAGES + 2 * PASSES, "{searches} searches");
+}
