--- a/src/workflow/placer/isolation.rs
+++ b/src/workflow/placer/isolation.rs
@@ -264,7 +264,7 @@
     /// Chooses a worker on which no further run starts until the suspect of the stage can be started
     /// there alone.
     pub(super) fn hold_worker_for(&mut self, key: &StageKey, now: Now) {
-        if self.state.crashes.suspects.is_empty() {
+        if !self.state.crashes.suspects.contains_key(&key.job) {
             return;
         }
         let Some(mut search) = self.search(key, now) else {
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -2,10 +2,8 @@
 
 use std::cell::Cell;
 
-use indexmap::IndexSet;
-
+use super::search::GrownRoom;
 use super::term::Term;
-use crate::scheduling::ledger::WorkerIndex;
 
 /// Changes since the last scheduling pass, and counters of the passes of this term.
 pub struct Passes {
@@ -103,11 +101,13 @@
 
     /// Begins a pass. Returns the workers whose room has grown since the last pass began, or `None`
     /// when they are not known.
-    pub(super) fn begin_pass(&mut self) -> Option<IndexSet<WorkerIndex>> {
+    pub(super) fn begin_pass(&mut self) -> Option<GrownRoom> {
         self.passes.busy_callers = [false; 2];
         self.crash_watch.isolated_workers = self.isolated_workers();
-        let grown = self.ledger.grown_since(self.passes.searched_growths);
-        grown.map(Iterator::collect)
+        let grown = self.ledger.grown_since(self.passes.searched_growths)?;
+        let ledger = &self.ledger;
+        let by_free_cpu = grown.map(|index| (ledger.free(index).cpu_millis, index));
+        Some(GrownRoom::new(by_free_cpu))
     }
 
     /// Whether a slow or a quick policy cannot be asked now because all hosts that call it are busy.
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -3,8 +3,6 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexSet;
-
 use super::super::decisions::permits::{MAX_WORKERS_PER_CALL, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::spec::{StageKey, StageSpec};
@@ -104,6 +102,25 @@
     }
 }
 
+/// Workers whose room has grown since the last pass began, by their free processors at the beginning
+/// of this pass, in which room only shrinks.
+pub(super) struct GrownRoom(Vec<(u64, WorkerIndex)>);
+
+impl GrownRoom {
+    pub(super) fn new(workers: impl Iterator<Item = (u64, WorkerIndex)>) -> Self {
+        let mut workers: Vec<_> = workers.collect();
+        workers.sort_unstable();
+        workers.dedup();
+        Self(workers)
+    }
+
+    /// Returns the workers that may have at least `cpu_millis` of free processor time.
+    fn with_free_cpu(&self, cpu_millis: u64) -> impl Iterator<Item = WorkerIndex> {
+        let first = self.0.partition_point(|(free, _)| *free < cpu_millis);
+        self.0[first..].iter().map(|&(_, index)| index)
+    }
+}
+
 impl Term {
     /// Returns the pool of the workers of a service, which is created on first use.
     pub(super) fn pool_of(&mut self, service: &ServiceName) -> PoolIndex {
@@ -151,7 +168,7 @@
     pub(super) fn search_would_be_empty(
         &mut self,
         position: usize,
-        grown: Option<&IndexSet<WorkerIndex>>,
+        grown: Option<&GrownRoom>,
         now: Now,
     ) -> bool {
         let Some((_, stage)) = self.stages.get_index(position) else {
@@ -165,7 +182,7 @@
             return false;
         }
         let mut gained = 0;
-        for &index in grown {
+        for index in grown.with_free_cpu(stage.needs.amount.cpu_millis) {
             self.passes.count_examined();
             gained += self.usable_growth(stage, index);
             if gained >= empty.lacking {
