--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -253,10 +253,14 @@
         _config: &Config,
         _timeout: NextTimeout,
     ) -> Result<ResolvedSocketAddrs, ureq::Error> {
-        let address = uri.host().and_then(|host| {
-            let literal = host.trim_start_matches('[').trim_end_matches(']');
+        let address = uri.authority().and_then(|authority| {
+            let literal = authority.host().trim_matches(['[', ']']);
             let ip: IpAddr = literal.parse().ok()?;
-            Some(SocketAddr::new(ip, uri.port_u16().unwrap_or(80)))
+            if authority.as_str() == authority.host() {
+                return Some(SocketAddr::new(ip, 80));
+            }
+            // The port of the library is absent if it is out of range.
+            Some(SocketAddr::new(ip, authority.port_u16()?))
         });
         let mut addresses = self.empty();
         addresses.push(address.ok_or(ureq::Error::HostNotFound)?);
