--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -30,8 +30,8 @@
 mod term_lock;
 #[cfg(test)]
 mod tests;
-mod waiting_counts;
 mod waiting_gangs;
+mod waiting_jobs;
 mod workers;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -58,7 +58,7 @@
 use term::{Effect, StepOutput, Term};
 pub use term::{Order, OrderKind};
 use term_lock::{TermGuard, TermLock};
-use waiting_counts::WaitingCounts;
+use waiting_jobs::JobCounts;
 
 /// Interval of the time-driven steps of a term.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -108,7 +108,7 @@
     /// Epoch of the last term that this host began.
     last_epoch: Mutex<Option<Epoch>>,
     statistics: Arc<PlacerStatistics>,
-    waiting_counts: WaitingCounts,
+    job_counts: JobCounts,
     /// Wakes the dispatcher to send pending orders; holds at most one request.
     wake_dispatcher: Sender<()>,
     questions: Sender<policy::Question>,
@@ -180,7 +180,7 @@
             term: TermLock::new(Arc::clone(&statistics)),
             last_epoch: Mutex::default(),
             statistics,
-            waiting_counts: WaitingCounts::default(),
+            job_counts: JobCounts::default(),
             wake_dispatcher,
             questions,
             wake_scheduler,
@@ -322,8 +322,9 @@
         if epoch.is_some_and(|epoch| epoch != term.epoch) {
             return None;
         }
-        let result = step(term, self.now());
-        if let Err(reason) = self.flush(term) {
+        let now = self.now();
+        let result = step(term, now);
+        if let Err(reason) = self.flush(term, now) {
             self.stop_placing(&mut guard, &reason);
             return None;
         }
@@ -335,7 +336,7 @@
 
     /// Appends the pending records to the log, or executes the pending effects immediately when
     /// nothing has to be committed before them.
-    fn flush(&self, term: &mut Term) -> Result<(), String> {
+    fn flush(&self, term: &mut Term, now: Now) -> Result<(), String> {
         match term.finish_step() {
             StepOutput::Effects(effects) => {
                 self.execute(term, effects);
@@ -343,8 +344,7 @@
             }
             StepOutput::Batch(batch) => {
                 let command = postcard::to_stdvec(&batch).map_err(|error| error.to_string())?;
-                self.statistics
-                    .record_appended(batch.sequence, Instant::now());
+                self.statistics.record_appended(batch.sequence, now.at);
                 let appended = self.replica.append(term.epoch, command);
                 appended.map_err(|error| error.to_string())
             }
@@ -363,7 +363,7 @@
         let Some(term) = guard.as_mut().filter(|term| term.epoch == epoch) else {
             return;
         };
-        self.statistics.record_committed(sequence, Instant::now());
+        self.statistics.record_committed(sequence, self.clock.now());
         let effects = term.take_committed_effects(sequence);
         self.execute(term, effects);
         let is_pass_due = term.is_pass_due();
@@ -419,11 +419,12 @@
             let Some(term) = due else {
                 continue;
             };
-            let began_at = Instant::now();
-            let questions = term.schedule(self.now());
-            self.statistics
-                .record_pass(began_at.elapsed(), &term.passes.examined_since_report());
-            if let Err(reason) = self.flush(term) {
+            let now = self.now();
+            let questions = term.schedule(now);
+            let took = self.clock.now().saturating_duration_since(now.at);
+            let examined = term.passes.examined_since_report();
+            self.statistics.record_pass(took, &examined);
+            if let Err(reason) = self.flush(term, now) {
                 self.stop_placing(&mut guard, &reason);
                 continue;
             }
@@ -472,9 +473,10 @@
             return;
         }
         let state = self.committed.state.lock().unwrap().clone();
-        let mut term = Term::begin(epoch, state, self.settings.clone(), self.now());
-        term.expect_heartbeats(self.recorded_leader_contact(), self.now());
-        match self.flush(&mut term) {
+        let now = self.now();
+        let mut term = Term::begin(epoch, state, self.settings.clone(), now);
+        term.expect_heartbeats(self.recorded_leader_contact(), now);
+        match self.flush(&mut term, now) {
             Ok(()) => {
                 *guard = Some(term);
                 *last_epoch = Some(epoch);
@@ -485,20 +487,4 @@
             }
         }
     }
-
-    /// Transfers the leadership to another storage host before a planned stop.
-    pub fn hand_over(&self, deadline: Instant) {
-        if self.replica.leadership().is_none() {
-            return;
-        }
-        match self.replica.transfer_leadership(None, deadline) {
-            Ok(()) => log::info!("transferred the workflow leadership"),
-            Err(error) => log::warn!("failed to transfer the workflow leadership: {error}"),
-        }
-    }
-
-    /// Returns the host that leads the workflow log, if known.
-    pub fn leader_hint(&self) -> Option<HostId> {
-        self.replica.leader_hint()
-    }
 }
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -13,7 +13,7 @@
 use super::super::spec::WorkflowSpec;
 use super::policy::{CONTACT_TIMEOUT, INITIAL_ROUND_TRIP};
 use super::term::{Effect, PolicyCaller, RunPhase, Term};
-use super::waiting_counts::WaitingJobs;
+use super::waiting_jobs::WaitingJobs;
 use super::{CallResponder, Now, Placer};
 use crate::ids::JobId;
 
@@ -41,7 +41,7 @@
 
     fn count_waiting_jobs(&self, queue: &QueueAddress) -> Reply {
         let now = self.clock.now();
-        let counts = &self.waiting_counts;
+        let counts = &self.job_counts;
         Reply::WaitingJobs(counts.of_queue(queue, now, || self.waiting_jobs()))
     }
 
--- a/src/workflow/placer/replicas.rs
+++ b/src/workflow/placer/replicas.rs
@@ -1,4 +1,5 @@
-//! Adapts the members of the workflow log to the storage hosts that are in contact.
+//! Adapts the members of the workflow log to the storage hosts that are in contact, and hands over
+//! the leadership.
 
 use std::sync::Arc;
 use std::thread;
@@ -16,6 +17,22 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl Placer {
+    /// Transfers the leadership to another storage host before a planned stop.
+    pub fn hand_over(&self, deadline: Instant) {
+        if self.replica.leadership().is_none() {
+            return;
+        }
+        match self.replica.transfer_leadership(None, deadline) {
+            Ok(()) => log::info!("transferred the workflow leadership"),
+            Err(error) => log::warn!("failed to transfer the workflow leadership: {error}"),
+        }
+    }
+
+    /// Returns the host that leads the workflow log, if known.
+    pub fn leader_hint(&self) -> Option<HostId> {
+        self.replica.leader_hint()
+    }
+
     pub(super) fn run_membership(self: &Arc<Self>) {
         let mut leads_since: Option<(Epoch, Instant)> = None;
         loop {
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -20,4 +20,4 @@
 mod runs;
 mod search;
 mod takeover;
-mod waiting_counts;
+mod waiting_jobs;
--- a/src/workflow/placer/tests/waiting_counts.rs
+++ b/src/workflow/placer/tests/waiting_jobs.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use super::super::waiting_counts::{WaitingCounts, WaitingJobs};
+use super::super::waiting_jobs::{JobCounts, WaitingJobs};
 use crate::workflow::queues::QueueAddress;
 
 fn queue(name: &str) -> QueueAddress {
@@ -17,7 +17,7 @@
 /// took a tenth of the leader's processor time (SHORT).
 #[test]
 fn queries_for_waiting_jobs_share_a_count() {
-    let counts = WaitingCounts::default();
+    let counts = JobCounts::default();
     let scans = Cell::new(0);
     let scan = || {
         scans.set(scans.get() + 1);
--- a/src/workflow/placer/waiting_counts.rs
+++ b/src/workflow/placer/waiting_jobs.rs
@@ -16,9 +16,9 @@
 
 /// The latest count and the time until which it is returned.
 #[derive(Default)]
-pub(super) struct WaitingCounts(Mutex<Option<(Instant, WaitingJobs)>>);
+pub(super) struct JobCounts(Mutex<Option<(Instant, WaitingJobs)>>);
 
-impl WaitingCounts {
+impl JobCounts {
     /// Returns the number of waiting jobs of a queue, at most [`COUNT_VALIDITY`] old. Counts all
     /// queues together if the latest count is older.
     pub(super) fn of_queue(
