--- a/src/workflow/placer/tests/leadership.rs
+++ b/src/workflow/placer/tests/leadership.rs
@@ -133,7 +133,8 @@
     let term = guard.as_mut().expect("the term has not ended");
     assert_eq!(term.epoch, first);
     term.needs_commit = true;
-    assert!(placer.flush(term).is_err());
+    let now = placer.now();
+    assert!(placer.flush(term, now).is_err());
 }
 
 /// Guards against a host that leads without placing anything: after a panic in one step, each
