--- a/src/workflow/placer/tests/search.rs
+++ b/src/workflow/placer/tests/search.rs
@@ -168,9 +168,9 @@
     fixture
 }
 
-/// Allocates all free processors of a worker.
-fn occupy(fixture: &mut Fixture, worker: WorkerIndex, name: &str) {
-    let allocation = Allocation {
+/// Returns an allocation of all free processors of a worker.
+fn all_processors(fixture: &Fixture, worker: WorkerIndex) -> Allocation {
+    Allocation {
         amount: Resources {
             cpu_millis: fixture.term.ledger.free(worker).cpu_millis,
             memory_mib: 0,
@@ -178,7 +178,11 @@
         },
         purpose: Purpose::Task,
         urgency: Urgency::Normal,
-    };
+    }
+}
+
+fn occupy(fixture: &mut Fixture, worker: WorkerIndex, name: &str) {
+    let allocation = all_processors(fixture, worker);
     let allocated = fixture.term.ledger.allocate(worker, name, allocation);
     allocated.expect("the amount is free");
 }
@@ -252,3 +256,32 @@
     let searches = fixture.term.passes.searches.get() - before;
     assert!(searches <= STAGES + 2 * PASSES, "{searches} searches");
 }
+
+/// Guards against a look at each worker whose room has grown for each waiting stage: gangs release
+/// and reserve theirs in each pass, and most of it is too little for others.
+#[test]
+fn freed_workers_with_too_little_room_are_not_examined() {
+    let mut spec = stage(1);
+    spec.resources.cpu_millis = 3_000;
+    let mut fixture = waiting_for_a_granted_worker(spec);
+    let freed = ["u", "v"].map(|worker| fixture.term.workers[worker].index);
+    fixture.term.ledger.release(freed[0], "other");
+    let mut examined = Vec::new();
+    for _ in 0..5 {
+        for worker in freed {
+            let mut allocation = all_processors(&fixture, worker);
+            allocation.amount.cpu_millis -= 1_000;
+            let ledger = &mut fixture.term.ledger;
+            ledger.allocate(worker, "large", allocation).unwrap();
+            ledger.note_growth(worker);
+        }
+        let before = fixture.term.passes.examined_workers.get();
+        fixture.term.schedule(fixture.now);
+        examined.push(fixture.term.passes.examined_workers.get() - before);
+        for worker in freed {
+            fixture.term.ledger.release(worker, "large");
+        }
+    }
+    // Only the denied worker, which has room for any stage.
+    assert_eq!(examined, [1; 5]);
+}
