--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -19,9 +19,9 @@
 /// Longest wait for the acknowledgement of ends before they are reported again: a report, a commit
 /// among three regions and the next grant, with one of these lost.
 const REPORT_RETRY: Duration = Duration::from_millis(700);
-/// Interval in which a worker is asked for further ends while one waits for its acknowledgement,
-/// which takes 170 to 250 ms. Each look costs a call, since the worker answers at once meanwhile.
-const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval in which a worker is asked for further ends while one waits for its acknowledgement, of
+/// 170 to 250 ms. The worker does not delay its answer meanwhile, so that each costs a call.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval in which the list of running runs is reported to the placer; ends are reported at once.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a new grant after which the link ends: three intervals of the placer's grants.
