--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -16,12 +16,9 @@
 const RENEWAL_GRACE: Duration = Duration::from_millis(600);
 /// Pause after a renewal without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Longest wait for the acknowledgement of ends before they are reported again: a report, a commit
-/// among three regions and the next grant, with one of these lost.
-const REPORT_RETRY: Duration = Duration::from_millis(700);
-/// Interval in which a worker is asked for further ends while one waits for its acknowledgement, of
-/// 170 to 250 ms. The worker does not delay its answer meanwhile, so that each costs a call.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for the acknowledgement of ends before the lease is renewed without it: a report, a
+/// commit among three regions and the next grant, with one of these lost.
+const RECORD_WAIT: Duration = Duration::from_millis(700);
 /// Interval in which the list of running runs is reported to the placer; ends are reported at once.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a new grant after which the link ends: three intervals of the placer's grants.
@@ -115,8 +112,6 @@
     pub(super) fn run(self: &Arc<Self>, relay: &Relay) {
         let mut wait = Duration::ZERO;
         let mut listed_at: Option<Instant> = None;
-        // Last end in the latest report of ends, and the time of that report.
-        let mut reported: Option<(u64, Instant)> = None;
         // Whether the latest answer came from the incarnation that the grants are for.
         let mut confirmed = false;
         while let Some((order, granted_at_ms)) = self.next_renewal(wait, confirmed) {
@@ -150,13 +145,7 @@
             if includes_running {
                 listed_at = Some(now);
             }
-            let is_reported =
-                reported.is_some_and(|(end, at)| last_end <= end && now < at + REPORT_RETRY);
-            let includes_ends = last_end > 0 && !is_reported;
-            if includes_ends {
-                reported = Some((last_end, now));
-            }
-            if includes_running || includes_ends {
+            if includes_running || last_end > 0 {
                 let report = if includes_running {
                     report
                 } else {
@@ -193,14 +182,14 @@
         Some((order, state.granted_at_ms))
     }
 
-    /// Waits until the placer has recorded an end, at most for [`LOOK_INTERVAL`]: a worker with an
+    /// Waits until the placer has recorded an end, at most for [`RECORD_WAIT`]: a worker with an
     /// unacknowledged end answers each renewal at once.
     fn await_record(&self, end: u64) {
         let state = self.state.lock().unwrap();
         let is_unrecorded = |state: &mut GrantState| !state.ended && state.recorded_ends < end;
         let waited = self
             .changed
-            .wait_timeout_while(state, LOOK_INTERVAL, is_unrecorded);
+            .wait_timeout_while(state, RECORD_WAIT, is_unrecorded);
         drop(waited);
     }
 }
--- a/tests/workflow_relays.rs
+++ b/tests/workflow_relays.rs
@@ -205,27 +205,6 @@
     }
 }
 
-/// Guards against an end that is noticed only after another one is recorded: at two ends a second on
-/// each worker, every second job of a few short tasks ended later for this reason (SHORT).
-#[test]
-fn further_ends_are_looked_for_while_one_is_being_recorded() {
-    const LOOKS: usize = 6;
-    let test = start_relay(Vec::new());
-    test.relay.accept(instructions(7, 0));
-    test.await_event(|_, event| has_end(event));
-    let begun_at = Instant::now();
-    let deadline = begun_at + WAIT_TIMEOUT;
-    while test.renewals.lock().unwrap().len() < LOOKS {
-        assert!(Instant::now() < deadline, "the worker is not asked again");
-        thread::sleep(ANSWER_TIME);
-    }
-    // Far above the interval of the looks, and below that of a look for each repeated report.
-    assert!(begun_at.elapsed() < Duration::from_millis(2_000));
-    let with_end = test.reports.try_iter();
-    let with_end = with_end.filter(|(_, report)| report.events.iter().any(has_end));
-    assert!(with_end.count() < LOOKS, "each look repeats the report");
-}
-
 /// Guards against a relay that obeys a former placer after its successor has become leader.
 #[test]
 fn instructions_of_an_earlier_placer_have_no_effect() {
