--- a/src/workflow/placer/tests/capacity.rs
+++ b/src/workflow/placer/tests/capacity.rs
@@ -6,11 +6,10 @@
 use super::fixture::*;
 use crate::resources::Resources;
 use crate::workflow::calls::{CallFailure, HostContact, OrderOutcome, PolicyAnswer};
-use crate::workflow::queues::PlacementPolicy;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::relay::messages::WorkerOrder;
 use crate::workflow::spec::StageSpec;
-use crate::workflow::state::{Job, WorkflowState};
+use crate::workflow::state::Job;
 use crate::workflow::workers::WorkerHeartbeat;
 
 const PLACER_HOST: &str = "10.0.0.1";
@@ -45,16 +44,7 @@
 }
 
 fn with_policy() -> Fixture {
-    let mut configuration = configuration(3);
-    configuration.queues[0].placement_policy = Some(PlacementPolicy {
-        decision_ms: 400.0,
-        per_worker_ms: 6.0,
-        validity_ms: 2_000,
-    });
-    let mut fixture = Fixture::with_state(WorkflowState {
-        configuration: Some(configuration),
-        ..WorkflowState::default()
-    });
+    let mut fixture = Fixture::with_policy(400.0, 6.0);
     contact(&mut fixture, PLACER_HOST, true);
     fixture
 }
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -10,7 +10,7 @@
 use crate::workflow::calls::{
     Call, CallFailure, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, OutsideCalls, WorkerReport,
 };
-use crate::workflow::queues::{Queue, QueueAddress, QueueConfiguration, Service};
+use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress, QueueConfiguration, Service};
 use crate::workflow::records::RunOutcome;
 use crate::workflow::spec::{StageKey, StageSpec, TaskKey, WorkflowSpec};
 use crate::workflow::state::{JobPhase, WorkflowState};
@@ -158,6 +158,21 @@
         })
     }
 
+    /// Like [`Self::new`], with a placement policy whose answers have the given cost and are valid for
+    /// 2 s.
+    pub(super) fn with_policy(decision_ms: f64, per_worker_ms: f64) -> Self {
+        let mut configuration = configuration(3);
+        configuration.queues[0].placement_policy = Some(PlacementPolicy {
+            decision_ms,
+            per_worker_ms,
+            validity_ms: 2_000,
+        });
+        Self::with_state(WorkflowState {
+            configuration: Some(configuration),
+            ..WorkflowState::default()
+        })
+    }
+
     pub(super) fn with_state(state: WorkflowState) -> Self {
         let now = Now {
             at: Instant::now() + Duration::from_secs(1_000),
--- a/src/workflow/placer/tests/gangs.rs
+++ b/src/workflow/placer/tests/gangs.rs
@@ -2,15 +2,13 @@
 
 use std::time::Duration;
 
-use super::fixture::{Fixture, JOB, configuration, stage, task};
+use super::fixture::{Fixture, JOB, stage, task};
 use crate::resources::Resources;
 use crate::workflow::calls::{HostContact, PolicyAnswer};
 use crate::workflow::decisions::permits::MAX_WORKERS_PER_CALL;
 use crate::workflow::placer::policy::Question;
-use crate::workflow::queues::PlacementPolicy;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::spec::{StageKey, StageSpec, TaskKey};
-use crate::workflow::state::WorkflowState;
 
 /// Time from a question to its answer as seen by the placer.
 const ANSWER_TIME: Duration = Duration::from_millis(550);
@@ -30,16 +28,7 @@
 
 /// Creates a term with a slow placement policy.
 fn with_policy() -> Fixture {
-    let mut configuration = configuration(3);
-    configuration.queues[0].placement_policy = Some(PlacementPolicy {
-        decision_ms: 400.0,
-        per_worker_ms: 6.0,
-        validity_ms: 2_000,
-    });
-    Fixture::with_state(WorkflowState {
-        configuration: Some(configuration),
-        ..WorkflowState::default()
-    })
+    Fixture::with_policy(400.0, 6.0)
 }
 
 /// Lets hosts make contact, which can call the policy then.
--- a/src/workflow/placer/tests/search.rs
+++ b/src/workflow/placer/tests/search.rs
@@ -11,9 +11,7 @@
 use crate::workflow::decisions::placing::{self, Candidate};
 use crate::workflow::placer::scheduling::StageDecision;
 use crate::workflow::placer::term::Term;
-use crate::workflow::queues::PlacementPolicy;
 use crate::workflow::spec::{StageKey, StageSpec};
-use crate::workflow::state::WorkflowState;
 
 fn key(job: &str) -> StageKey {
     StageKey {
@@ -135,16 +133,7 @@
 
 /// Creates a term with a quick placement policy.
 fn with_policy() -> Fixture {
-    let mut configuration = configuration(3);
-    configuration.queues[0].placement_policy = Some(PlacementPolicy {
-        decision_ms: 10.0,
-        per_worker_ms: 1.0,
-        validity_ms: 2_000,
-    });
-    Fixture::with_state(WorkflowState {
-        configuration: Some(configuration),
-        ..WorkflowState::default()
-    })
+    Fixture::with_policy(10.0, 1.0)
 }
 
 /// Creates a term with three workers, of which the placement policy has denied all but the first to
