bug: an entry host closed connections whose calls it was still answering

Callers saw the calls of a connection fail with "the connection ended" although the other host was handling them: the runs were reported as may_have_run, or a call of the workflow log was repeated. It happened to a host that had sent several long calls and then nothing for 13 s, while replies to the earlier ones arrived more often than once a second.

Cause: the accepting end closes a connection on which it receives no frame for 13 s (IDLE_PING_INTERVAL and SILENCE_TIMEOUT), and relies on pings of the opening end. The opening end sent a ping only when it had received nothing for an interval, so that a steady stream of replies kept it from sending any.

Evidence: a_connection_stays_open_while_only_replies_are_sent answers one of 40 calls every 400 ms. Before the change it failed after 16.35 s with NoReply "the connection ended" instead of the reply; with it, it passes in 16.02 s.

The opening end now also sends a ping when it has sent nothing for IDLE_PING_INTERVAL (10 s), 3 s before the other end gives up. Connections with traffic in both directions, and idle ones, send as many pings as before.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -97,6 +97,8 @@
 /// Times that decide when the connection is pinged or considered dead.
 struct Activity {
     last_received_at: Instant,
+    /// Time of the last frame that was sent, which the accepting end waits for a limited time.
+    last_sent_at: Instant,
     /// Time of the ping since the last received frame; `None` when none was sent.
     unanswered_ping_at: Option<Instant>,
 }
@@ -146,7 +148,10 @@
             .unwrap()
             .write(&Frame::Request { call_id, request });
         match written {
-            Ok(bytes) => self.count_bytes(kind, bytes),
+            Ok(bytes) => {
+                connection.activity.lock().unwrap().last_sent_at = Instant::now();
+                self.count_bytes(kind, bytes);
+            }
             Err(error) if error.kind() == io::ErrorKind::InvalidData => {
                 connection.remove_call(call_id);
                 return Err(self.not_sent(&error.to_string()));
@@ -258,6 +263,7 @@
             pending_calls: Mutex::new(Some(IndexMap::new())),
             activity: Mutex::new(Activity {
                 last_received_at: Instant::now(),
+                last_sent_at: Instant::now(),
                 unanswered_ping_at: None,
             }),
         });
@@ -281,8 +287,8 @@
         Ok(connection)
     }
 
-    /// Sends a ping when no frame was received for an interval. Returns whether the connection is
-    /// still usable.
+    /// Sends a ping when no frame was received or sent for an interval. Returns whether the
+    /// connection is still usable.
     fn keep_alive(&self, connection: &Connection) -> bool {
         let interval = match connection.pending_calls.lock().unwrap().as_ref() {
             None => return false,
@@ -295,10 +301,15 @@
             if let Some(pinged_at) = activity.unanswered_ping_at {
                 return now.duration_since(pinged_at) < SILENCE_TIMEOUT;
             }
-            if now.duration_since(activity.last_received_at) < interval {
+            // The accepting end closes a connection on which it receives nothing, also while it is
+            // sending replies.
+            let has_received = now.duration_since(activity.last_received_at) < interval;
+            let has_sent = now.duration_since(activity.last_sent_at) < IDLE_PING_INTERVAL;
+            if has_received && has_sent {
                 return true;
             }
             activity.unanswered_ping_at = Some(now);
+            activity.last_sent_at = now;
         }
         match connection.writer.lock().unwrap().write(&Frame::Ping) {
             Ok(bytes) => {
