bug: a call between hosts was sent after its deadline

Callers would see work run of which they had been told that it may have run: a submission whose deadline had passed left the entry host later, while the caller had given up or had sent it to another host. It happened when the other host was paused or slow to accept the connection, when earlier writes blocked, and when the calling process was paused before it wrote the call.

Cause: PeerClient::call looked at the deadline only while it waited for the reply. Opening a connection may take several seconds and a blocked write 2 s, while an attempt to reach the placer lasts 450 ms.

Evidence: in a_call_is_not_sent_after_its_deadline, the other end answers the handshake 300 ms after it accepts the connection, and the deadline passes after 100 ms. Before the change the call failed with NoReply "the deadline passed" (expected NotSent).

The deadline is now checked under the lock of the writer, immediately before the write. The call fails as NotSent, which is certain, so that the caller may repeat it. A pause between the check and the write remains possible.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -141,31 +141,44 @@
             }
         }
         drop(sender);
+        let sent = self.send(&connection, call_id, request, deadline);
+        let reply = sent.and_then(|()| self.wait_for_reply(&receiver, deadline));
+        connection.remove_call(call_id);
+        self.simulate_reply(reply, deadline)
+    }
+
+    /// Writes a request, unless its deadline has passed while the connection was opened or earlier
+    /// writes blocked: the caller no longer waits, and may have sent the request elsewhere.
+    fn send(
+        &self,
+        connection: &Arc<Connection>,
+        call_id: u64,
+        request: PeerRequest,
+        deadline: Instant,
+    ) -> Result<(), CallError> {
         let kind = request.kind();
-        let written = connection
-            .writer
-            .lock()
-            .unwrap()
-            .write(&Frame::Request { call_id, request });
+        let mut writer = connection.writer.lock().unwrap();
+        if Instant::now() >= deadline {
+            return Err(self.not_sent("the deadline passed before the call was sent"));
+        }
+        let written = writer.write(&Frame::Request { call_id, request });
+        drop(writer);
         match written {
             Ok(bytes) => {
                 connection.activity.lock().unwrap().last_sent_at = Instant::now();
                 self.count_bytes(kind, bytes);
+                Ok(())
             }
             Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-                connection.remove_call(call_id);
-                return Err(self.not_sent(&error.to_string()));
+                Err(self.not_sent(&error.to_string()))
             }
             Err(error) => {
-                self.discard(&connection);
+                self.discard(connection);
                 // The write may time out after the system has accepted all bytes, so that the
                 // request may arrive.
-                return Err(self.no_reply(&error.to_string()));
+                Err(self.no_reply(&error.to_string()))
             }
         }
-        let reply = self.wait_for_reply(&receiver, deadline);
-        connection.remove_call(call_id);
-        self.simulate_reply(reply, deadline)
     }
 
     /// Simulates the link to the remote host: delays the request, or fails it while the link is
--- a/tests/peer_connections.rs
+++ b/tests/peer_connections.rs
@@ -1,12 +1,16 @@
 //! Tests of the life of a connection between hosts: which calls are sent on it, and what ends it.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::unbounded;
-use jujubewinch::peer::{CallHandler, ClusterKeys, PeerClient, PeerClientOptions, PeerServer};
+use jujubewinch::peer::channel::{FrameReader, FrameWriter};
+use jujubewinch::peer::frame::Frame;
+use jujubewinch::peer::{
+    CallError, CallHandler, ClusterKeys, PeerClient, PeerClientOptions, PeerServer, handshake,
+};
 use jujubewinch::protocol::peer::{PeerReply, PeerRequest};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
@@ -62,3 +66,32 @@
         }
     });
 }
+
+/// Guards against a call that is sent after its caller has given up, and runs although nobody waits
+/// for it: the handshake with a paused host ended after the deadline of the call.
+#[test]
+fn a_call_is_not_sent_after_its_deadline() {
+    const PAUSE: Duration = Duration::from_millis(300);
+    let listener = TcpListener::bind(ANY_PORT).unwrap();
+    let client = client(listener.local_addr().unwrap());
+    let paused = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        thread::sleep(PAUSE);
+        let session = handshake::accept(&mut stream, &ClusterKeys::unauthenticated()).unwrap();
+        let mut reader = FrameReader::new(stream.try_clone().unwrap(), session.client_secret);
+        let mut writer = FrameWriter::new(stream, session.server_secret);
+        loop {
+            let Frame::Request { call_id, request } = reader.read().unwrap() else {
+                continue;
+            };
+            let reply = done();
+            writer.write(&Frame::Reply { call_id, reply }).unwrap();
+            return request;
+        }
+    });
+    let late = client.call(message("late"), Instant::now() + PAUSE / 3);
+    assert!(matches!(late, Err(CallError::NotSent { .. })), "{late:?}");
+    let next = client.call(message("next"), Instant::now() + TEST_TIMEOUT);
+    assert_eq!(next, Ok(done()));
+    assert_eq!(paused.join().unwrap(), message("next"));
+}
