bug: a panic in a handler left a connection open without a reader

A message whose handling panics on the thread that reads the connection ended that thread only. The connection stayed open: all other calls of the same host failed with "the connection ended" after 4 s of silence. It also stayed counted: after 256 of them, the listener refused all hosts until the process was restarted.

Cause: read_calls ran the handler of a server started by start_deferred without catching a panic, so that neither the outbox was closed nor the connection removed from the list. The pools of blocking handlers did catch it.

Evidence, before the change: in a_panic_of_a_handler_leaves_the_connection_in_use, the call after the panic failed with NoReply "the connection ended"; in connections_of_panicked_handlers_are_not_counted_for_ever, one of 300 connections ended in its handshake (UnexpectedEof), since too many counted as open.

A panic of the handler is now caught and logged as in the pools. It drops the responder, so that the caller learns that its call may have taken effect, and the reader goes on.

--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -214,7 +215,12 @@
                 let counted = CountedCall::arrived(&request);
                 let responder = Responder::new(call_id, outbox.clone(), counted);
                 responder.begin();
-                (shared.handler)(host.clone(), request, responder);
+                // A panic drops the responder, which ends the call as unanswered. Without its
+                // reader, the connection would stay open and fail all other calls of the host.
+                let handle = || (shared.handler)(host.clone(), request, responder);
+                if catch_unwind(AssertUnwindSafe(handle)).is_err() {
+                    log::error!(host = host.as_str(); "the handler of a peer call panicked");
+                }
                 processor_time::charge();
             }
             Frame::Ping => outbox.send(Frame::Pong),
--- a/tests/peer_connections.rs
+++ b/tests/peer_connections.rs
@@ -1,6 +1,6 @@
 //! Tests of the life of a connection between hosts: which calls are sent on it, and what ends it.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -95,3 +95,51 @@
     assert_eq!(next, Ok(done()));
     assert_eq!(paused.join().unwrap(), message("next"));
 }
+
+/// Returns a server whose handler panics on the thread that reads the connection, for the name
+/// `bad`.
+fn serve_with_panics() -> PeerServer {
+    serve(Arc::new(|_, request, responder| {
+        assert!(request != message("bad"), "expected in this test");
+        responder.answer(done());
+    }))
+}
+
+/// Guards against a message whose handler panics and leaves the connection open without a reader:
+/// all other calls of that host failed after 4 s of silence.
+#[test]
+fn a_panic_of_a_handler_leaves_the_connection_in_use() {
+    let server = serve_with_panics();
+    let client = client(server.local_address());
+    let failed = client.call(message("bad"), Instant::now() + TEST_TIMEOUT);
+    assert!(
+        matches!(failed, Err(CallError::NoReply { .. })),
+        "{failed:?}"
+    );
+    let next = client.call(message("good"), Instant::now() + TEST_TIMEOUT);
+    assert_eq!(next, Ok(done()));
+}
+
+/// Guards against a server that accepts no more connections, since those of panicked handlers still
+/// count as open.
+#[test]
+fn connections_of_panicked_handlers_are_not_counted_for_ever() {
+    /// More than the server keeps open at the same time.
+    const CONNECTIONS: usize = 300;
+    let server = serve_with_panics();
+    let address = server.local_address();
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(address).unwrap();
+        let keys = ClusterKeys::unauthenticated();
+        let session = handshake::open(&mut stream, "a", &keys).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        let mut reader = FrameReader::new(stream.try_clone().unwrap(), session.server_secret);
+        let mut writer = FrameWriter::new(stream, session.client_secret);
+        let (call_id, request) = (1, message("bad"));
+        writer.write(&Frame::Request { call_id, request }).unwrap();
+        let reply = PeerReply::Unanswered;
+        assert_eq!(reader.read().unwrap(), Frame::Reply { call_id, reply });
+    }
+    let next = client(address).call(message("good"), Instant::now() + TEST_TIMEOUT);
+    assert_eq!(next, Ok(done()));
+}
