bug: failure detection believed hosts that were withdrawn from the settings

An operator who removed an entry host from the settings and restarted the others, while the removed host still ran with a valid key, would see running hosts reported as dead in the list of hosts.

Cause: an agent applied the updates of every datagram with a valid key. It answers only hosts in its settings, so that a removed host declares all others dead and spreads that. The replay filter also kept an entry for every sender name.

Evidence: a_host_outside_the_settings_declares_no_host_dead sends such an update. Before the change the view of the other host was Dead (expected Alive).

Datagrams of hosts outside the settings are now ignored before the replay filter sees them. A host that is being added is known to the others once their settings name it; until then its probes received no answers either.

--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -185,11 +185,23 @@
         let Ok((length, _)) = shared.socket.recv_from(&mut buffer) else {
             continue;
         };
-        match open(&buffer[..length], &shared.options.keys) {
-            Ok(datagram) if replays.accept(&datagram) => shared.handle(datagram),
-            Ok(_) => log::debug!("ignoring a replayed membership datagram"),
-            Err(error) => log::debug!("ignoring an invalid membership datagram: {error}"),
+        let datagram = match open(&buffer[..length], &shared.options.keys) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::debug!("ignoring an invalid membership datagram: {error}");
+                continue;
+            }
+        };
+        // A withdrawn host that still runs receives no answers and declares all others dead.
+        if !shared.peers.contains_key(&datagram.from) {
+            log::debug!(host = datagram.from.as_str(); "ignoring a membership datagram of a host outside the settings");
+            continue;
+        }
+        if !replays.accept(&datagram) {
+            log::debug!("ignoring a replayed membership datagram");
+            continue;
         }
+        shared.handle(datagram);
     }
 }
 
--- /dev/null
+++ b/tests/membership_datagrams.rs
@@ -0,0 +1,115 @@
+//! Tests of the datagrams that an agent of failure detection accepts.
+
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use jujubewinch::membership::agent::MembershipPeer;
+use jujubewinch::membership::datagram::{Datagram, MAX_DATAGRAM_BYTES, Message, open, seal};
+use jujubewinch::membership::{
+    HostState, HostView, MembershipAgent, MembershipOptions, ProbeTiming, Update,
+};
+use jujubewinch::peer::ClusterKeys;
+
+const THIS: &str = "host-0";
+const OTHER: &str = "host-1";
+const WITHDRAWN: &str = "host-2";
+/// Longer than the tests, so that the agent sends no probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(600);
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// An agent whose settings name one other host, with the socket of that host.
+struct Cell {
+    agent: MembershipAgent,
+    other: UdpSocket,
+    sequence: u64,
+}
+
+impl Cell {
+    fn start() -> Self {
+        let other = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        other
+            .set_read_timeout(Some(Duration::from_millis(500)))
+            .unwrap();
+        let agent = MembershipAgent::start(MembershipOptions {
+            links: None,
+            host: THIS.to_owned(),
+            incarnation: 1,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            peers: vec![MembershipPeer {
+                host: OTHER.to_owned(),
+                address: other.local_addr().unwrap(),
+                scope: "data_centre".to_owned(),
+            }],
+            keys: ClusterKeys::unauthenticated(),
+            timing: ProbeTiming {
+                interval: PROBE_INTERVAL,
+                ..ProbeTiming::default()
+            },
+            seed: 1,
+        })
+        .unwrap();
+        Self {
+            agent,
+            other,
+            sequence: 0,
+        }
+    }
+
+    /// Sends a ping with an update in the name of a host.
+    fn send(&mut self, from: &str, incarnation: u64, updates: Vec<Update>) {
+        self.sequence += 1;
+        let datagram = Datagram {
+            from: from.to_owned(),
+            incarnation,
+            sequence: self.sequence,
+            key_id: 0,
+            message: Message::Ping { probe: 1 },
+            updates,
+        };
+        let bytes = seal(&datagram, &ClusterKeys::unauthenticated()).unwrap();
+        let address = self.agent.local_address();
+        self.other.send_to(&bytes, address).unwrap();
+    }
+
+    /// Whether the agent answers the other host; it has then handled all earlier datagrams.
+    fn answers_the_other_host(&mut self) -> bool {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        while self.other.recv(&mut buffer).is_ok() {}
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while Instant::now() < deadline {
+            self.send(OTHER, 5, Vec::new());
+            let Ok(length) = self.other.recv(&mut buffer) else {
+                continue;
+            };
+            let answer = open(&buffer[..length], &ClusterKeys::unauthenticated()).unwrap();
+            if answer.message == (Message::Ack { probe: 1 }) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn view_of(&self, host: &str) -> HostView {
+        let mut views = self.agent.views().into_iter();
+        views.find(|view| view.host == host).unwrap()
+    }
+}
+
+fn update(host: &str, incarnation: u64, state: HostState) -> Update {
+    Update {
+        host: host.to_owned(),
+        incarnation,
+        state,
+    }
+}
+
+/// Guards against a withdrawn host that still runs with a valid key: no host answers it, so that it
+/// declares all of them dead, and those in the settings believed it.
+#[test]
+fn a_host_outside_the_settings_declares_no_host_dead() {
+    let mut cell = Cell::start();
+    assert!(cell.answers_the_other_host());
+    cell.send(WITHDRAWN, 9, vec![update(OTHER, 5, HostState::Dead)]);
+    assert!(cell.answers_the_other_host());
+    assert_eq!(cell.view_of(OTHER).state, HostState::Alive);
+}
