bug: one datagram could end failure detection on an entry host

An update about the receiving host with the largest incarnation ended its receiving thread; as the table was locked, each later read of it panicked too, the list of hosts included. In a release build the incarnation wraps to 0 instead, and the host can never refute its death. A datagram with the largest incarnation of its sender made the receiver ignore that sender for ever. In a cell without cluster keys any sender can do this; with keys it takes a faulty host.

Cause: a host refutes an update with the next incarnation, which was computed without a limit, and incarnations were compared without checking that they can be exceeded.

Evidence, before the change: an_update_with_the_largest_incarnation_ends_no_thread failed with "attempt to add with overflow" in membership-receive and without an answer for 20 s; a_datagram_with_the_largest_incarnation_silences_no_host failed with "the host is not heard".

Datagrams with an incarnation above half of the range are now refused as invalid when they are opened. Incarnations begin with a time in milliseconds and grow by one, so that no sound host reaches the limit.

--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -12,6 +12,9 @@
 
 /// Largest datagram; below the usual path MTU, so that datagrams are not fragmented.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
+/// Largest incarnation in a datagram. Incarnations begin with a time in milliseconds and grow by
+/// one with each refutation; a host can only refute an update that leaves room for a larger one.
+pub const MAX_INCARNATION: Incarnation = Incarnation::MAX / 2;
 /// Sequence numbers, counted back from the highest received, that are still accepted out of order.
 const REORDER_WINDOW: u64 = 64;
 
@@ -81,7 +84,8 @@
 ///
 /// # Errors
 ///
-/// `InvalidData` for a malformed datagram, `PermissionDenied` for one that is not authentic.
+/// `InvalidData` for a malformed datagram or an incarnation above [`MAX_INCARNATION`],
+/// `PermissionDenied` for one that is not authentic.
 pub fn open(bytes: &[u8], keys: &ClusterKeys) -> io::Result<Datagram> {
     let Some((content, received)) = bytes.split_last_chunk::<CODE_BYTES>() else {
         return Err(io::Error::new(
@@ -98,6 +102,14 @@
             "the datagram is not authentic",
         ));
     }
+    let updated = datagram.updates.iter().map(|update| update.incarnation);
+    let mut incarnations = updated.chain([datagram.incarnation]);
+    if incarnations.any(|incarnation| incarnation > MAX_INCARNATION) {
+        return Err(io::Error::new(
+            ErrorKind::InvalidData,
+            "an incarnation is too large",
+        ));
+    }
     Ok(datagram)
 }
 
--- a/tests/membership_datagrams.rs
+++ b/tests/membership_datagrams.rs
@@ -113,3 +113,26 @@
     assert!(cell.answers_the_other_host());
     assert_eq!(cell.view_of(OTHER).state, HostState::Alive);
 }
+
+/// Guards against one datagram that ends failure detection on its receiver: a host refutes an update
+/// about itself with the next incarnation, which the largest one does not have.
+#[test]
+fn an_update_with_the_largest_incarnation_ends_no_thread() {
+    let mut cell = Cell::start();
+    cell.send(OTHER, 5, vec![update(THIS, u64::MAX, HostState::Suspect)]);
+    assert!(cell.answers_the_other_host(), "the receiving thread ended");
+    assert_eq!(cell.view_of(THIS).incarnation, 1);
+}
+
+/// Guards against one datagram after which a host can neither be heard nor refute its death, since
+/// no later incarnation is larger than the one in the datagram.
+#[test]
+fn a_datagram_with_the_largest_incarnation_silences_no_host() {
+    let mut cell = Cell::start();
+    cell.send(OTHER, u64::MAX, Vec::new());
+    assert!(cell.answers_the_other_host(), "the host is not heard");
+    cell.send(OTHER, 5, vec![update(OTHER, u64::MAX, HostState::Dead)]);
+    cell.send(OTHER, 5, vec![update(OTHER, 6, HostState::Alive)]);
+    assert!(cell.answers_the_other_host());
+    assert_eq!(cell.view_of(OTHER).state, HostState::Alive);
+}
