bug: a job that may be accepted was reported as one of an unknown queue

A caller would be told 404, no such queue, about a job that runs: the answer to the first copy of the submission was lost after the job was committed, the queue was removed from the configuration, and the repeated copy found no queue. Jobs keep the settings of their queue and run without it.

Cause: after an attempt without an answer, the directory did not report Busy and NotAccepted as the result, since they say nothing about the earlier attempt, but did report NoSuchQueue.

Evidence: a_submission_that_may_be_accepted_is_not_reported_as_unknown leaves the first copy without an answer and replies NoSuchQueue to the second. Before the change the caller received NoSuchQueue (expected MayHaveTakenEffect).

The directory now ends such a submission as it does after NotAccepted: not confirmed (504). A submission whose first attempt is answered, and all other calls, still return NoSuchQueue.

--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -145,6 +145,7 @@
                 return Err(Unanswered::NotSent);
             }
         };
+        let is_submission = matches!(call, Call::Submit { .. });
         let mut attempt = 0;
         let mut unanswered_attempts = 0;
         while Instant::now() < deadline {
@@ -155,8 +156,13 @@
                 // An earlier attempt may have taken effect; only a reply other than a refusal shows
                 // that.
                 AttemptResult::Reply(Reply::Busy { .. }) if unanswered_attempts > 0 => {}
-                // The backlog is not shorter at the next attempt, so that none follows.
-                AttemptResult::Reply(Reply::NotAccepted { .. }) if unanswered_attempts > 0 => break,
+                // The backlog is not shorter at the next attempt, and a queue that was removed after
+                // an earlier one does not return, so that none follows.
+                AttemptResult::Reply(Reply::NotAccepted { .. } | Reply::NoSuchQueue)
+                    if unanswered_attempts > 0 && is_submission =>
+                {
+                    break;
+                }
                 AttemptResult::Reply(reply) => return Ok(reply),
                 AttemptResult::Unconfirmed => unanswered_attempts += 1,
                 AttemptResult::NotLeader => {}
--- a/tests/workflow_directory.rs
+++ b/tests/workflow_directory.rs
@@ -59,6 +59,8 @@
 const NO_REPLY: &str = "127.0.0.27";
 const LEADERLESS: &str = "127.0.0.28";
 const LATE: &str = "127.0.0.29";
+const REMOVED: &str = "127.0.0.30";
+const UNKNOWN: &str = "127.0.0.31";
 
 fn submission() -> Call {
     Call::Submit {
@@ -127,6 +129,18 @@
     assert_eq!(received, 2, "an overloaded placer is not asked again");
 }
 
+/// Guards against a caller who is told that there is no such queue although an earlier attempt may
+/// have been accepted: the queue was removed before the call was repeated.
+#[test]
+fn a_submission_that_may_be_accepted_is_not_reported_as_unknown() {
+    let replies = vec![None, Some(Reply::NoSuchQueue), Some(Reply::NoSuchQueue)];
+    let (answer, received) = submit_to(REMOVED, replies);
+    assert_eq!(answer, Err(Unanswered::MayHaveTakenEffect));
+    assert_eq!(received, 2, "a removed queue does not return");
+    let (answer, _) = submit_to(UNKNOWN, vec![Some(Reply::NoSuchQueue)]);
+    assert_eq!(answer, Ok(Reply::NoSuchQueue));
+}
+
 /// Guards against hosts that all search for a lost placer every 40 ms until their deadlines: these
 /// calls kept the next placer of a large cell busy.
 #[test]
