bug: a call that cannot be decoded ended all other calls of its host

While hosts are upgraded one after the other, callers would see requests reported as may_have_run although they run to their end: a call with an operation or field that the receiver does not know closed the connection, and with it all other calls between the two hosts, those of replicated logs on the same connection included. The sender took the lost connection for a lost answer, repeated the call, and closed the next connection too.

Cause: the reader of an accepted connection treated a request that it cannot decode like a broken stream. Frames are delimited and authenticated before they are decoded, so that the next one can be read.

Evidence: a_call_that_cannot_be_decoded_ends_only_itself sends such a call while another one waits for its reply. Before the change reading the reply failed with UnexpectedEof.

The call identifier precedes the operation, so that the receiver now refuses the call, which had no effect, and goes on. Damaged, reordered and replayed frames, and malformed frames other than requests, still end the connection. An entry host reports such a refusal of a forwarded request as may_have_run, as any other unexpected reply.

--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -3,7 +3,8 @@
 use std::io::{self, ErrorKind, Read, Write};
 
 use super::frame::{
-    Frame, LENGTH_BYTES, MAX_FRAME_BYTES, decode, encode, length_prefixed, read_body,
+    Frame, LENGTH_BYTES, MAX_FRAME_BYTES, call_id_of_request, decode, encode, length_prefixed,
+    read_body,
 };
 use super::keys::{CODE_BYTES, code, codes_match};
 
@@ -67,6 +68,18 @@
     }
 }
 
+/// An authentic frame on an accepted connection.
+#[allow(clippy::large_enum_variant)] // Frames live only on the stack of one call.
+pub enum ReceivedCall {
+    /// A frame that was decoded.
+    Frame(Frame),
+    /// A request whose operation cannot be decoded.
+    Undecodable {
+        /// Identifier of the call, unique on the connection.
+        call_id: u64,
+    },
+}
+
 /// Receives frames in one direction of a connection.
 pub struct FrameReader<R> {
     stream: R,
@@ -99,7 +112,26 @@
     /// The error of the stream, `InvalidData` for a malformed frame, or `PermissionDenied` for a
     /// frame that was changed, reordered or replayed.
     pub fn read(&mut self) -> io::Result<Frame> {
-        let body = read_body(&mut self.stream, MAX_FRAME_BYTES)?;
+        decode(&self.read_content()?)
+    }
+
+    /// Reads and verifies one frame on an accepted connection.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`Self::read`], except that a request whose operation cannot be decoded is
+    /// returned as [`ReceivedCall::Undecodable`].
+    pub fn read_call(&mut self) -> io::Result<ReceivedCall> {
+        let content = self.read_content()?;
+        decode(&content).map(ReceivedCall::Frame).or_else(|error| {
+            let call_id = call_id_of_request(&content).ok_or(error)?;
+            Ok(ReceivedCall::Undecodable { call_id })
+        })
+    }
+
+    /// Reads the content of one frame and verifies its message authentication code.
+    fn read_content(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = read_body(&mut self.stream, MAX_FRAME_BYTES)?;
         self.last_frame_bytes = LENGTH_BYTES + body.len();
         let Some((content, received)) = body.split_last_chunk::<CODE_BYTES>() else {
             return Err(io::Error::new(
@@ -115,6 +147,8 @@
             ));
         }
         self.sequence += 1;
-        decode(content)
+        let content_bytes = content.len();
+        body.truncate(content_bytes);
+        Ok(body)
     }
 }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -14,6 +14,8 @@
 pub const MAX_HANDSHAKE_BYTES: usize = 1024;
 /// Random bytes that each end contributes to a handshake.
 pub const NONCE_BYTES: usize = 16;
+/// Position of [`Frame::Request`] among the variants, which precedes its fields on the wire.
+const REQUEST_VARIANT: u32 = 0;
 /// Size of the length field, a big-endian integer before the body.
 pub const LENGTH_BYTES: usize = 4;
 
@@ -91,6 +93,17 @@
     }
 }
 
+/// Returns the call identifier of a request whose operation cannot be decoded, such as one of a
+/// later version; `None` if the bytes do not begin like a request.
+pub fn call_id_of_request(bytes: &[u8]) -> Option<u64> {
+    let (variant, rest) = postcard::take_from_bytes::<u32>(bytes).ok()?;
+    if variant != REQUEST_VARIANT {
+        return None;
+    }
+    let (call_id, _) = postcard::take_from_bytes(rest).ok()?;
+    Some(call_id)
+}
+
 /// Returns the length field followed by the body of a frame.
 ///
 /// # Errors
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::call_load::CountedCall;
-use super::channel::{FrameReader, FrameWriter};
+use super::channel::{FrameReader, FrameWriter, ReceivedCall};
 use super::frame::Frame;
 use super::handshake;
 use super::keys::ClusterKeys;
@@ -205,7 +205,17 @@
     shared: &Shared,
 ) -> io::Result<()> {
     while !outbox.is_closed() {
-        match reader.read()? {
+        let frame = match reader.read_call()? {
+            ReceivedCall::Frame(frame) => frame,
+            ReceivedCall::Undecodable { call_id } => {
+                // Closing the connection would leave all other calls of the host without a reply.
+                log::warn!(host = host.as_str(); "refusing a peer call that cannot be decoded");
+                let reply = PeerReply::Refused("the call cannot be decoded".to_owned());
+                outbox.send(Frame::Reply { call_id, reply });
+                continue;
+            }
+        };
+        match frame {
             Frame::Request { call_id, request } => {
                 if outbox.calls_in_flight() >= MAX_CALLS_IN_FLIGHT {
                     let reply = PeerReply::Refused("too many calls in flight".to_owned());
--- a/tests/peer_connections.rs
+++ b/tests/peer_connections.rs
@@ -1,5 +1,6 @@
 //! Tests of the life of a connection between hosts: which calls are sent on it, and what ends it.
 
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -7,7 +8,8 @@
 
 use crossbeam::channel::unbounded;
 use jujubewinch::peer::channel::{FrameReader, FrameWriter};
-use jujubewinch::peer::frame::Frame;
+use jujubewinch::peer::frame::{Frame, length_prefixed};
+use jujubewinch::peer::keys::code;
 use jujubewinch::peer::{
     CallError, CallHandler, ClusterKeys, PeerClient, PeerClientOptions, PeerServer, handshake,
 };
@@ -143,3 +145,43 @@
     let next = client(address).call(message("good"), Instant::now() + TEST_TIMEOUT);
     assert_eq!(next, Ok(done()));
 }
+
+/// Guards against a call of a later version that ends the connection, and with it all other calls
+/// of that host that are being handled.
+#[test]
+fn a_call_that_cannot_be_decoded_ends_only_itself() {
+    /// A request with call identifier 2 and an operation that does not exist.
+    const UNKNOWN_OPERATION: [u8; 3] = [0, 2, 99];
+    let (sender, waiting) = unbounded();
+    let server = serve(Arc::new(move |_, _, responder| {
+        sender.send(responder).unwrap();
+    }));
+    let mut stream = TcpStream::connect(server.local_address()).unwrap();
+    let session = handshake::open(&mut stream, "a", &ClusterKeys::unauthenticated()).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let mut reader = FrameReader::new(stream.try_clone().unwrap(), session.server_secret);
+    let first = Frame::Request {
+        call_id: 1,
+        request: message("x"),
+    };
+    let mut writer = FrameWriter::new(stream.try_clone().unwrap(), session.client_secret);
+    writer.write(&first).unwrap();
+    let sequence = 1_u64.to_be_bytes();
+    let code = code(&session.client_secret, &[&sequence, &UNKNOWN_OPERATION]);
+    let second = length_prefixed(&[&UNKNOWN_OPERATION[..], &code].concat()).unwrap();
+    stream.write_all(&second).unwrap();
+    let reply = reader.read().unwrap();
+    assert!(
+        matches!(
+            &reply,
+            Frame::Reply {
+                call_id: 2,
+                reply: PeerReply::Refused(_)
+            }
+        ),
+        "{reply:?}"
+    );
+    waiting.recv().unwrap().answer(done());
+    let (call_id, reply) = (1, done());
+    assert_eq!(reader.read().unwrap(), Frame::Reply { call_id, reply });
+}
