--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,13 +2,14 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use super::call_load::CountedCall;
-use super::channel::{FrameReader, FrameWriter};
+use super::channel::{FrameReader, FrameWriter, ReceivedCall};
 use super::frame::Frame;
 use super::handshake;
 use super::keys::ClusterKeys;
@@ -204,7 +205,17 @@
     shared: &Shared,
 ) -> io::Result<()> {
     while !outbox.is_closed() {
-        match reader.read()? {
+        let frame = match reader.read_call()? {
+            ReceivedCall::Frame(frame) => frame,
+            ReceivedCall::Undecodable { call_id } => {
+                // Closing the connection would leave all other calls of the host without a reply.
+                log::warn!(host = host.as_str(); "refusing a peer call that cannot be decoded");
+                let reply = PeerReply::Refused("the call cannot be decoded".to_owned());
+                outbox.send(Frame::Reply { call_id, reply });
+                continue;
+            }
+        };
+        match frame {
             Frame::Request { call_id, request } => {
                 if outbox.calls_in_flight() >= MAX_CALLS_IN_FLIGHT {
                     let reply = PeerReply::Refused("too many calls in flight".to_owned());
@@ -214,7 +225,12 @@
                 let counted = CountedCall::arrived(&request);
                 let responder = Responder::new(call_id, outbox.clone(), counted);
                 responder.begin();
-                (shared.handler)(host.clone(), request, responder);
+                // A panic drops the responder, which ends the call as unanswered. Without its
+                // reader, the connection would stay open and fail all other calls of the host.
+                let handle = || (shared.handler)(host.clone(), request, responder);
+                if catch_unwind(AssertUnwindSafe(handle)).is_err() {
+                    log::error!(host = host.as_str(); "the handler of a peer call panicked");
+                }
                 processor_time::charge();
             }
             Frame::Ping => outbox.send(Frame::Pong),
