refactor: the cost test prints the searches and a hash of all decisions

Two versions of the code that decide alike print the same hash, so that a change that only saves work can be told from one that places differently. Cells of 1,100 and 1,600 workers run for 6 s, until gangs have ended.

--- a/src/workflow/placer/tests/cost.rs
+++ b/src/workflow/placer/tests/cost.rs
@@ -1,5 +1,6 @@
 //! Tests of the cost of the placer's decisions.
 
+use std::hash::Hasher;
 use std::time::Duration;
 
 use super::grown_cell::SimulatedCell;
@@ -30,10 +31,11 @@
 }
 
 /// Numbers of workers, each with the simulated time for which the cell runs, in seconds.
-const SIZES: [(usize, u64); 3] = [(48, 8), (350, 6), (1_600, 2)];
+const SIZES: [(usize, u64); 4] = [(48, 8), (350, 6), (1_100, 6), (1_600, 6)];
 
-/// Prints the time that each step of the placer takes for each start, for cells of three sizes
-/// under two loads. Serves to compare two versions of the code on the same machine.
+/// Prints the time that each step of the placer takes for each start, for cells of four sizes
+/// under two loads, and a hash of all decisions. Serves to compare two versions of the code on the
+/// same machine.
 #[test]
 #[ignore = "prints times that differ from machine to machine"]
 fn print_cost_of_a_start() {
@@ -51,11 +53,21 @@
                 cell.passes,
                 cell.ended,
             );
+            let passes = &cell.fixture.term.passes;
+            print!(
+                " searches {} fruitless {} examined {};",
+                passes.searches.get(),
+                passes.fruitless_searches,
+                passes.examined_workers.get(),
+            );
             for (step, time) in &cell.step_times.0 {
                 let each_us = time.as_secs_f64() * 1e6 / cell.starts.max(1) as f64;
                 print!(" {step} {each_us:.1}");
             }
-            println!(" us for each start");
+            println!(
+                " us for each start; decisions {:016x}",
+                cell.decisions.finish()
+            );
         }
     }
 }
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -2,6 +2,7 @@
 //! are proportional to the number of workers.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -60,6 +61,9 @@
     pub passes: usize,
     /// Jobs that ended and, of these, those within their objective, by kind.
     pub ended: [[usize; 2]; 3],
+    /// Hash of all questions and start orders in their order, which is equal for two versions of
+    /// the code that decide alike.
+    pub decisions: DefaultHasher,
     random: StdRng,
     rates_per_s: [f64; 3],
     due: [f64; 3],
@@ -122,6 +126,7 @@
             submitted: 0,
             passes: 0,
             ended: [[0; 2]; 3],
+            decisions: DefaultHasher::new(),
             random: StdRng::seed_from_u64(17),
             rates_per_s: [
                 GANGS_PER_S * scale,
@@ -289,6 +294,7 @@
 
     fn add_questions(&mut self, questions: impl IntoIterator<Item = Question>) {
         for question in questions {
+            (&question.stage, &question.workers, &question.host).hash(&mut self.decisions);
             let answered_at = self.fixture.now.at + question.expected + Duration::from_millis(60);
             self.sequence += 1;
             self.answers.insert((answered_at, self.sequence), question);
@@ -313,6 +319,7 @@
             let Some(spec) = spec else {
                 continue;
             };
+            (&order.task, order.run, &order.worker).hash(&mut self.decisions);
             let work = Duration::from_millis(spec.estimate_ms);
             self.starts += 1;
             self.sequence += 1;
