refactor: a pass reads stages in the order of memory, and sorts them by an integer

A pass visited each waiting stage in the order of the ranks, and read its needs, its key (which it cloned before it knew whether there was anything to search) and its last search from scattered memory: half of the pass in a profile of the simulated cell with 1,600 workers. Sorting by the fields of the ranks took a tenth. Now the needs are copied while the stages are ranked in the order of memory, a stage without room is skipped before it is read, the key is cloned for a search only, and ranks are sorted by an integer of the same order.

--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -53,6 +53,19 @@
 }
 
 impl Rank {
+    /// Returns an integer with the order of the rank among ranks of the same `now`. Sorting hundreds
+    /// of ranks in each pass by their fields took a tenth of the pass.
+    pub fn sort_key(&self, now: Instant) -> u128 {
+        let (reversed, at) = match self.tie_break {
+            TieBreak::LatestStart(at) => (false, nanos_from(now, at)),
+            TieBreak::NewestFirst(Reverse(at)) => (true, !nanos_from(now, at)),
+        };
+        let class = u128::from(self.group as u8) << 34
+            | u128::from(self.priority) << 2
+            | u128::from(self.usefulness as u8);
+        class << 65 | u128::from(reversed) << 64 | u128::from(at)
+    }
+
     /// Priority of the queue.
     pub fn priority(&self) -> u32 {
         self.priority
@@ -79,6 +92,17 @@
     TooLate,
 }
 
+/// Returns the nanoseconds from `now` to a time, in the order of the times: times before `now` are in
+/// the lower half of the range.
+fn nanos_from(now: Instant, at: Instant) -> u64 {
+    const MIDDLE: u64 = 1 << 63;
+    let nanos = |duration: Duration| u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
+    match at.checked_duration_since(now) {
+        Some(after) => MIDDLE.saturating_add(nanos(after)),
+        None => MIDDLE.saturating_sub(nanos(now.saturating_duration_since(at))),
+    }
+}
+
 /// Classifies a waiting job by the time at which it can end if it starts now.
 pub fn usefulness(waiting: &Waiting, now: Instant) -> Usefulness {
     let ends_at = now + waiting.remaining;
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -12,7 +12,7 @@
 use super::Now;
 use super::isolation::StartLimit;
 use super::policy::{Question, is_slow};
-use super::search::{AmountsWithoutRoom, EmptyResult, Search};
+use super::search::{AmountsWithoutRoom, EmptyResult, Search, StageNeeds};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
@@ -24,11 +24,12 @@
 const NEWEST_FIRST_THRESHOLD: usize = 3;
 
 /// A stage in the order of a scheduling pass.
+#[derive(Clone, Copy)]
 struct Ranked {
     rank: Rank,
     /// Index among the stages of the term; stays valid, since no stage is removed during a pass.
     position: usize,
-    gang: bool,
+    needs: StageNeeds,
 }
 
 /// A worker chosen for a task, with the permit of the placement policy.
@@ -61,9 +62,9 @@
         for entry in order.iter().filter(|entry| entry.rank.is_too_late()) {
             self.mark_too_late(entry.position);
         }
-        let gangs = order.iter().filter(|entry| entry.gang);
+        let gangs = order.iter().filter(|entry| entry.needs.gang);
         self.late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
-        for entry in order.iter().filter(|entry| entry.gang) {
+        for entry in order.iter().filter(|entry| entry.needs.gang) {
             if let Some(key) = self.reserving_gang(entry.position) {
                 self.release_reservations(&key);
             }
@@ -72,14 +73,24 @@
         let mut without_room = AmountsWithoutRoom::default();
         let mut slots = ReservationSlots::default();
         let mut questions = Vec::new();
-        for Ranked { rank, position, .. } in order {
+        for Ranked {
+            rank,
+            position,
+            needs,
+        } in order
+        {
+            // Comes first, as it reads nothing of the stage: in the order of their ranks, stages are
+            // spread over the memory.
+            if !needs.gang && !self.has_room(&needs, &mut without_room) {
+                continue;
+            }
             let Some((key, stage)) = self.stages.get_index(position) else {
                 continue;
             };
             if self.start_limit(key, now) == StartLimit::Waits {
                 continue;
             }
-            if stage.needs.gang {
+            if needs.gang {
                 if !stage.all_tasks_wait() {
                     continue;
                 }
@@ -89,13 +100,12 @@
                 questions.extend(self.schedule_gang(&key, may_reserve, may_fit, now));
                 continue;
             }
-            if !self.has_room(&stage.needs, &mut without_room) {
-                continue;
-            }
-            let key = key.clone();
             if self.search_would_be_empty(position, grown.as_ref(), now) {
                 continue;
             }
+            let Some(key) = self.stages.get_index(position).map(|(key, _)| key.clone()) else {
+                continue;
+            };
             questions.extend(self.schedule_stage(&key, now));
         }
         self.passes.searched_growths = searched_growths;
@@ -105,19 +115,22 @@
 
     /// Returns the stages with waiting tasks in the order in which they are scheduled.
     fn ranked_stages(&self, now: Now) -> Vec<Ranked> {
+        let mut entries = Vec::new();
         let mut order = Vec::new();
         for (position, stage) in self.stages.values().enumerate() {
             if stage.waiting.is_empty() {
                 continue;
             }
-            order.push(Ranked {
-                rank: ranking::rank(&self.waiting(stage), now.at),
+            let rank = ranking::rank(&self.waiting(stage), now.at);
+            order.push((rank.sort_key(now.at), entries.len()));
+            entries.push(Ranked {
+                rank,
                 position,
-                gang: stage.needs.gang,
+                needs: stage.needs,
             });
         }
-        order.sort_by_key(|entry| entry.rank);
-        order
+        order.sort_unstable();
+        order.into_iter().map(|(_, index)| entries[index]).collect()
     }
 
     /// Returns the positions of the stages with waiting tasks in the order in which they are
--- a/src/workflow/placer/tests/passes.rs
+++ b/src/workflow/placer/tests/passes.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
 use super::fixture::*;
 use crate::workflow::calls::{Call, CallFailure, HostContact};
+use crate::workflow::decisions::ranking::{Waiting, rank};
 use crate::workflow::records::RunOutcome;
 
 /// Creates a term with one running task, in which no scheduling pass is due since the latest pass
@@ -97,3 +101,31 @@
         assert!(!fixture.term.is_pass_due(), "a second pass after: {name}");
     }
 }
+
+/// Guards against a pass that serves stages in another order than that of their ranks, since it sorts
+/// them by an integer.
+#[test]
+fn sort_keys_have_the_order_of_the_ranks() {
+    let fixture = Fixture::new();
+    let now = fixture.now.at;
+    let mut random = StdRng::seed_from_u64(5);
+    let ranks: Vec<_> = (0..300)
+        .map(|_| {
+            let mut duration = |most_ms| Duration::from_millis(random.random_range(0..most_ms));
+            let waiting = Waiting {
+                due_at: now + duration(200) - duration(8_000),
+                objective: duration(4) * 1_000,
+                remaining: duration(3) * 1_000,
+                priority: [0, 1, 2, u32::MAX][random.random_range(0..4)],
+                newest_first: random.random_bool(0.5),
+            };
+            rank(&waiting, now)
+        })
+        .collect();
+    for left in &ranks {
+        for right in &ranks {
+            let keys = left.sort_key(now).cmp(&right.sort_key(now));
+            assert_eq!(keys, left.cmp(right), "{left:?} and {right:?}");
+        }
+    }
+}
