bug: a search looked each worker up by its identifier and copied the identifiers of 200 of them

A search for workers to ask about copied up to 200 identifiers, of which the question kept a few. Now the positions of the workers are derived once, checked at each use and derived again after one was wrong, and identifiers are copied for the workers of a question only.

--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -147,15 +147,26 @@
 
 /// A worker with room that has no usable permit.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Unpermitted {
+pub struct Unpermitted<W = WorkerId> {
     /// Worker that the policy has not denied.
-    pub worker: WorkerId,
+    pub worker: W,
     /// Number of tasks of the stage that the worker can hold now.
     pub room: usize,
     /// Whether the policy has granted the worker before, so that only its permit has to be renewed.
     pub previously_granted: bool,
 }
 
+impl Unpermitted<&WorkerId> {
+    /// Copies the identifier of the worker; only the workers that are asked about need it.
+    pub fn cloned(self) -> Unpermitted {
+        Unpermitted {
+            worker: self.worker.clone(),
+            room: self.room,
+            previously_granted: self.previously_granted,
+        }
+    }
+}
+
 /// Time that a question to the policy costs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuestionCost {
@@ -196,13 +207,13 @@
 /// Chooses the workers to ask about for `missing` tasks: first those that the policy granted
 /// before, until they have enough room, then unknown ones; those with the most room first. With
 /// `whole`, returns no workers if the tasks do not all fit.
-pub fn choose_workers(
-    mut unpermitted: Vec<Unpermitted>,
+pub fn choose_workers<W>(
+    mut unpermitted: Vec<Unpermitted<W>>,
     missing: usize,
     whole: bool,
     share: GrantedShare,
     cost: QuestionCost,
-) -> Vec<Unpermitted> {
+) -> Vec<Unpermitted<W>> {
     unpermitted.sort_by_key(|worker| (!worker.previously_granted, std::cmp::Reverse(worker.room)));
     let rooms: usize = unpermitted.iter().map(|worker| worker.room).sum();
     if whole && rooms < missing {
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -257,8 +257,7 @@
         // Workers with the most free processors come first.
         for index in self.ledger.with_free_cpu(stage.needs.pool, 0).rev() {
             self.passes.count_examined();
-            let id = self.ledger.worker(index).map(|entry| &entry.description.id);
-            let Some((id, worker)) = id.and_then(|id| Some((id, self.workers.get(id)?))) else {
+            let Some((id, worker)) = self.worker_at(index) else {
                 continue;
             };
             if stage.permits.is_known(id)
@@ -272,7 +271,7 @@
                 continue;
             }
             unknown.push(Unpermitted {
-                worker: id.clone(),
+                worker: id,
                 room,
                 previously_granted: false,
             });
@@ -297,8 +296,12 @@
         // known.
         let workers = workers
             .into_iter()
-            .map(|worker| Unpermitted { room: 0, ..worker });
-        self.question(key, workers.collect(), now)
+            .map(|worker| Unpermitted {
+                room: 0,
+                ..worker.cloned()
+            })
+            .collect();
+        self.question(key, workers, now)
     }
 }
 
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -22,6 +22,14 @@
     pub examined_workers: Cell<u64>,
     /// Number of runs examined in this term for the isolation of suspects.
     pub examined_runs: Cell<u64>,
+    /// Number of workers that were looked up by their identifiers, since `worker_positions` did not
+    /// name them.
+    pub worker_lookups: Cell<u64>,
+    /// Positions in `Term::workers` by the index in the ledger. They are checked when they are used,
+    /// and derived again in the next pass once one was wrong.
+    pub worker_positions: Vec<usize>,
+    /// Value of `worker_lookups` when the positions were derived.
+    pub positioned_lookups: u64,
     /// Number of searches in this term that found neither room nor workers to ask about.
     pub fruitless_searches: u64,
     /// Counts at the last report.
@@ -67,6 +75,11 @@
         self.examined_runs.set(self.examined_runs.get() + 1);
     }
 
+    /// Counts a worker that is looked up by its identifier.
+    pub fn count_worker_lookup(&self) {
+        self.worker_lookups.set(self.worker_lookups.get() + 1);
+    }
+
     /// Counts a worker that is examined for a stage.
     pub fn count_examined(&self) {
         self.examined_workers.set(self.examined_workers.get() + 1);
@@ -84,6 +97,9 @@
             searches: Cell::new(0),
             examined_workers: Cell::new(0),
             examined_runs: Cell::new(0),
+            worker_lookups: Cell::new(0),
+            worker_positions: Vec::new(),
+            positioned_lookups: 0,
             fruitless_searches: 0,
             reported: Examined::default(),
             busy_callers: [false; 2],
@@ -104,12 +120,29 @@
     pub(super) fn begin_pass(&mut self) -> Option<GrownRoom> {
         self.passes.busy_callers = [false; 2];
         self.crash_watch.isolated_workers = self.isolated_workers();
+        self.update_worker_positions();
         let grown = self.ledger.grown_since(self.passes.searched_growths)?;
         let ledger = &self.ledger;
         let by_free_cpu = grown.map(|index| (ledger.free(index).cpu_millis, index));
         Some(GrownRoom::new(by_free_cpu))
     }
 
+    fn update_worker_positions(&mut self) {
+        let lookups = self.passes.worker_lookups.get();
+        if lookups == self.passes.positioned_lookups {
+            return;
+        }
+        self.passes.positioned_lookups = lookups;
+        let positions = &mut self.passes.worker_positions;
+        positions.clear();
+        positions.resize(self.ledger.index_bound(), usize::MAX);
+        for (position, worker) in self.workers.values().enumerate() {
+            if let Some(entry) = positions.get_mut(worker.index) {
+                *entry = position;
+            }
+        }
+    }
+
     /// Whether a slow or a quick policy cannot be asked now because all hosts that call it are busy.
     pub(super) fn are_callers_busy(&self, slow: bool) -> bool {
         self.passes.busy_callers[usize::from(slow)]
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -227,9 +227,9 @@
     }
 
     /// Chooses the workers to ask about for a stage that found no room on the workers it may use.
-    fn decide_question(
-        &self,
-        search: &Search,
+    fn decide_question<'a>(
+        &'a self,
+        search: &Search<'a>,
         permitted: &[Candidate<'_, &WorkerId>],
     ) -> StageDecision {
         let Search {
@@ -260,7 +260,7 @@
         if workers.is_empty() {
             StageDecision::NothingFound
         } else {
-            StageDecision::Ask(workers)
+            StageDecision::Ask(workers.into_iter().map(Unpermitted::cloned).collect())
         }
     }
 
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -9,7 +9,7 @@
 use super::super::state::Job;
 use super::Now;
 use super::isolation::StartLimit;
-use super::term::{LiveStage, Term};
+use super::term::{LiveStage, LiveWorker, Term};
 use crate::ids::{ServiceName, WorkerId};
 use crate::resources::Resources;
 use crate::scheduling::ledger::{PoolIndex, WorkerIndex, WorkerStatus};
@@ -143,6 +143,22 @@
         })
     }
 
+    /// Returns the worker at an index of the ledger. Looking each worker up by its identifier took a
+    /// tenth of the time of a pass.
+    pub(super) fn worker_at(&self, index: WorkerIndex) -> Option<(&WorkerId, &LiveWorker)> {
+        let position = self.passes.worker_positions.get(index);
+        let found = position.and_then(|&position| self.workers.get_index(position));
+        if let Some((id, worker)) = found
+            && worker.index == index
+        {
+            return Some((id, worker));
+        }
+        self.passes.count_worker_lookup();
+        let id = &self.ledger.worker(index)?.description.id;
+        let (_, id, worker) = self.workers.get_full(id)?;
+        Some((id, worker))
+    }
+
     /// Whether any worker of the pool has room for one task, including workers that the stage may
     /// not use.
     pub(super) fn has_room(&self, needs: &StageNeeds, without: &mut AmountsWithoutRoom) -> bool {
@@ -308,14 +324,19 @@
     }
 
     /// Returns workers with room about which the policy can be asked, and whether there are more.
-    pub(super) fn unpermitted(&self, search: &Search, wanted: usize) -> (Vec<Unpermitted>, bool) {
+    pub(super) fn unpermitted<'a>(
+        &'a self,
+        search: &Search<'a>,
+        wanted: usize,
+    ) -> (Vec<Unpermitted<&'a WorkerId>>, bool) {
         let permits = &search.stage.permits;
         let mut found = Vec::new();
-        let unpermitted = |candidate: &Candidate<'_, &WorkerId>, previously_granted| Unpermitted {
-            room: placing::room(search.spec, candidate, wanted),
-            previously_granted,
-            worker: candidate.worker.clone(),
-        };
+        let unpermitted =
+            |candidate: &Candidate<'a, &'a WorkerId>, previously_granted| Unpermitted {
+                room: placing::room(search.spec, candidate, wanted),
+                previously_granted,
+                worker: candidate.worker,
+            };
         for id in permits.granted_workers() {
             if permits.usable(id, search.now.at).is_none()
                 && let Some(candidate) = self.able_candidate(search, id)
@@ -325,10 +346,7 @@
         }
         let mut unknown = 0;
         for index in self.with_room_for(search).rev() {
-            let Some(entry) = self.ledger.worker(index) else {
-                continue;
-            };
-            let Some(candidate) = self.able_candidate(search, &entry.description.id) else {
+            let Some(candidate) = self.able_candidate_at(search, index) else {
                 continue;
             };
             if permits.is_known(candidate.worker) {
@@ -360,7 +378,9 @@
             self.passes.count_examined();
             return None;
         }
-        self.candidate(search, &entry.description.id)
+        let candidate = self.able_candidate_at(search, index)?;
+        self.isolation_allows(search, candidate.worker)
+            .then_some(candidate)
     }
 
     /// Returns the worker as a candidate if it may run tasks of the stage now and has room for one.
@@ -379,9 +399,27 @@
         &'a self,
         search: &Search<'a>,
         id: &WorkerId,
+    ) -> Option<Candidate<'a, &'a WorkerId>> {
+        let found = self.workers.get_full(id);
+        self.to_able_candidate(search, found.map(|(_, id, worker)| (id, worker)))
+    }
+
+    /// Like [`Self::able_candidate`] for the worker at an index of the ledger.
+    fn able_candidate_at<'a>(
+        &'a self,
+        search: &Search<'a>,
+        index: WorkerIndex,
+    ) -> Option<Candidate<'a, &'a WorkerId>> {
+        self.to_able_candidate(search, self.worker_at(index))
+    }
+
+    fn to_able_candidate<'a>(
+        &'a self,
+        search: &Search<'a>,
+        worker: Option<(&'a WorkerId, &'a LiveWorker)>,
     ) -> Option<Candidate<'a, &'a WorkerId>> {
         self.passes.count_examined();
-        let (_, id, worker) = self.workers.get_full(id)?;
+        let (id, worker) = worker?;
         let (spec, now) = (search.spec, search.now.at);
         if !worker.reachable || worker.record.service != search.job.queue.service {
             return None;
--- a/src/workflow/placer/tests/cost.rs
+++ b/src/workflow/placer/tests/cost.rs
@@ -30,6 +30,20 @@
     }
 }
 
+/// Guards against a look-up by identifier for each worker that a pass examines: a position that is
+/// wrong after a worker was removed has to be derived again.
+#[test]
+fn few_examined_workers_are_looked_up_by_identifier() {
+    let mut cell = SimulatedCell::new(350, 1.0);
+    cell.run(Duration::from_secs(1));
+    let removed = cell.fixture.term.workers.get_index(100).unwrap().0.clone();
+    cell.fixture.term.remove_worker(&removed, cell.fixture.now);
+    cell.run(Duration::from_secs(1));
+    let passes = &cell.fixture.term.passes;
+    let (lookups, examined) = (passes.worker_lookups.get(), passes.examined_workers.get());
+    assert!(lookups * 50 < examined, "{lookups} of {examined}");
+}
+
 /// Numbers of workers, each with the simulated time for which the cell runs, in seconds.
 const SIZES: [(usize, u64); 4] = [(48, 8), (350, 6), (1_100, 6), (1_600, 6)];
 
