bug: stages that wait for the policy examined each worker whose room had grown

A stage whose search found nothing is searched again once a worker that it may use has more room. For a stage that waits for its first answer of the policy no worker is usable, yet each pass examined all grown workers for it: 23,500 workers in each pass at 1,600 workers and three times the load. Now such a stage examines none, and others look a worker up in their answers once instead of twice. Whether any worker has room is answered from the last worker that had, where that suffices.

--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -12,7 +12,7 @@
 use super::Now;
 use super::isolation::StartLimit;
 use super::policy::{Question, is_slow};
-use super::search::{AmountsWithoutRoom, EmptyResult, Search, StageNeeds};
+use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
@@ -70,7 +70,7 @@
             }
         }
         let grown = self.begin_pass();
-        let mut without_room = AmountsWithoutRoom::default();
+        let mut known_room = KnownRoom::default();
         let mut slots = ReservationSlots::default();
         let mut questions = Vec::new();
         for Ranked {
@@ -81,7 +81,7 @@
         {
             // Comes first, as it reads nothing of the stage: in the order of their ranks, stages are
             // spread over the memory.
-            if !needs.gang && !self.has_room(&needs, &mut without_room) {
+            if !needs.gang && !self.has_room(&needs, &mut known_room) {
                 continue;
             }
             let Some((key, stage)) = self.stages.get_index(position) else {
@@ -115,8 +115,8 @@
 
     /// Returns the stages with waiting tasks in the order in which they are scheduled.
     fn ranked_stages(&self, now: Now) -> Vec<Ranked> {
-        let mut entries = Vec::new();
-        let mut order = Vec::new();
+        let mut entries = Vec::with_capacity(self.stages.len());
+        let mut order = Vec::with_capacity(self.stages.len());
         for (position, stage) in self.stages.values().enumerate() {
             if stage.waiting.is_empty() {
                 continue;
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -81,23 +81,29 @@
     pub now: Now,
 }
 
-/// Amounts for which no worker of a pool has room. Valid within one pass, in which room only
+/// What a pass found out about the room of the cell. Valid within one pass, in which room only
 /// shrinks.
 #[derive(Default)]
-pub(super) struct AmountsWithoutRoom(Vec<(PoolIndex, Resources)>);
+pub(super) struct KnownRoom {
+    /// Amounts for which no worker of a pool has room.
+    without: Vec<(PoolIndex, Resources)>,
+    /// Worker of a pool that had room for the latest amount that was searched for; most further
+    /// amounts fit there too.
+    roomy: Option<(PoolIndex, WorkerIndex)>,
+}
 
-impl AmountsWithoutRoom {
+impl KnownRoom {
     /// Whether there is no room for the amount because there is none for a smaller one.
-    fn contains(&self, needs: &StageNeeds) -> bool {
-        let mut known = self.0.iter();
+    fn lacks(&self, needs: &StageNeeds) -> bool {
+        let mut known = self.without.iter();
         known.any(|(pool, amount)| *pool == needs.pool && needs.amount.covers(amount))
     }
 
-    fn insert(&mut self, needs: &StageNeeds) {
-        self.0
+    fn insert_lacking(&mut self, needs: &StageNeeds) {
+        self.without
             .retain(|(pool, amount)| *pool != needs.pool || !amount.covers(&needs.amount));
-        if self.0.len() < MAX_AMOUNTS_WITHOUT_ROOM {
-            self.0.push((needs.pool, needs.amount));
+        if self.without.len() < MAX_AMOUNTS_WITHOUT_ROOM {
+            self.without.push((needs.pool, needs.amount));
         }
     }
 }
@@ -161,20 +167,27 @@
 
     /// Whether any worker of the pool has room for one task, including workers that the stage may
     /// not use.
-    pub(super) fn has_room(&self, needs: &StageNeeds, without: &mut AmountsWithoutRoom) -> bool {
-        if without.contains(needs) {
+    pub(super) fn has_room(&self, needs: &StageNeeds, known: &mut KnownRoom) -> bool {
+        if known.lacks(needs) {
             return false;
         }
+        if let Some((pool, index)) = known.roomy
+            && pool == needs.pool
+            && self.ledger.free(index).covers(&needs.amount)
+        {
+            return true;
+        }
         let workers = self
             .ledger
             .with_free_cpu(needs.pool, needs.amount.cpu_millis);
         for index in workers {
             self.passes.count_examined();
             if self.ledger.free(index).covers(&needs.amount) {
+                known.roomy = Some((needs.pool, index));
                 return true;
             }
         }
-        without.insert(needs);
+        known.insert_lacking(needs);
         false
     }
 
@@ -197,12 +210,18 @@
         if may_ask || now.at >= empty.repeat_at || empty.growths < self.passes.searched_growths {
             return false;
         }
+        // Only an answer of the policy makes other workers usable, and it ends the validity.
+        let waits_for_policy = stage.question_pending || empty.awaits_caller;
+        let has_answers = stage.permits.known_count() > 0;
+        let needs_grant = waits_for_policy || (stage.needs.gang && has_answers);
         let mut gained = 0;
-        for index in grown.with_free_cpu(stage.needs.amount.cpu_millis) {
-            self.passes.count_examined();
-            gained += self.usable_growth(stage, index);
-            if gained >= empty.lacking {
-                return false;
+        if has_answers || !needs_grant {
+            for index in grown.with_free_cpu(stage.needs.amount.cpu_millis) {
+                self.passes.count_examined();
+                gained += self.usable_growth(stage, needs_grant, index);
+                if gained >= empty.lacking {
+                    return false;
+                }
             }
         }
         let growths = self.ledger.growths();
@@ -222,7 +241,8 @@
     }
 
     /// Returns the largest number of tasks of a stage that the room of a worker may be of use to.
-    fn usable_growth(&self, stage: &LiveStage, index: WorkerIndex) -> usize {
+    /// With `needs_grant`, that is none unless the policy has granted the worker.
+    fn usable_growth(&self, stage: &LiveStage, needs_grant: bool, index: WorkerIndex) -> usize {
         let amount = &stage.needs.amount;
         let free = self.ledger.free(index);
         if !free.covers(amount) {
@@ -232,12 +252,12 @@
             return 0;
         };
         let id = &worker.description.id;
-        let permits = &stage.permits;
-        // Only an answer of the policy makes other workers usable, and it ends the validity.
-        let waits_for_policy =
-            stage.question_pending || stage.empty_search.is_some_and(|empty| empty.awaits_caller);
-        let needs_grant = waits_for_policy || (stage.needs.gang && permits.known_count() > 0);
-        if permits.is_denied(id) || (needs_grant && !permits.was_granted(id)) {
+        let usable = if needs_grant {
+            stage.permits.was_granted(id)
+        } else {
+            !stage.permits.is_denied(id)
+        };
+        if !usable {
             return 0;
         }
         placing::tasks_that_fit(amount, &free, stage.waiting.len())
--- a/src/workflow/placer/tests/cost.rs
+++ b/src/workflow/placer/tests/cost.rs
@@ -3,7 +3,9 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
+use super::fixture::{Fixture, stage};
 use super::grown_cell::SimulatedCell;
+use crate::workflow::calls::HostContact;
 use crate::workflow::state::Job;
 
 /// Returns the number of workers that the placer examines for each started run.
@@ -44,6 +46,41 @@
     assert!(lookups * 50 < examined, "{lookups} of {examined}");
 }
 
+/// Guards against a look at each worker whose room has grown for each stage that waits for the first
+/// answer of the policy, which alone makes a worker usable for it. In a pass under three times the
+/// load, 1,600 workers were examined 23,500 times.
+#[test]
+fn stages_without_an_answer_examine_no_grown_workers() {
+    const STAGES: u64 = 4;
+    let mut fixture = Fixture::with_policy(10.0, 1.0);
+    for worker in 0..10 {
+        fixture.announce(&format!("worker-{worker}"));
+    }
+    let contact = HostContact {
+        host: "10.0.0.9".to_owned(),
+        data_centre: "lowell-yard".to_owned(),
+        stores: false,
+    };
+    fixture.term.record_contact(contact, fixture.now.at);
+    for job in 0..STAGES {
+        fixture.submit_as(&format!("00c0ffee0000000{job}"), vec![stage(2)]);
+    }
+    fixture.term.schedule(fixture.now);
+    let stages = fixture.term.stages.values();
+    assert!(
+        stages
+            .clone()
+            .all(|stage| stage.empty_search.is_some() && stage.question_pending)
+    );
+    for index in 0..10 {
+        fixture.term.ledger.note_growth(index);
+    }
+    let before = fixture.term.passes.examined_workers.get();
+    fixture.term.schedule(fixture.now);
+    let examined = fixture.term.passes.examined_workers.get() - before;
+    assert!(examined <= STAGES, "{examined}");
+}
+
 /// Numbers of workers, each with the simulated time for which the cell runs, in seconds.
 const SIZES: [(usize, u64); 4] = [(48, 8), (350, 6), (1_100, 6), (1_600, 6)];
 
