refactor: a pass leaves out gangs that can neither ask nor reserve

Most waiting gangs have no room for their members, are not among the first of their priority, which reserve room, and wait for an answer or for a host to ask. A pass looked up the job and the stage of each and copied its specification before it found that. Now the stage alone shows it (may_ask_or_reserve, beside schedule_gang; the two have to agree).

--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -13,7 +13,7 @@
 use super::policy::Question;
 use super::scheduling::{Choice, StageDecision};
 use super::search::{EmptyResult, MAX_UNKNOWN_WORKERS};
-use super::term::{LiveWorker, Term};
+use super::term::{LiveStage, LiveWorker, Term};
 use crate::ids::WorkerId;
 use crate::resources::Resources;
 
@@ -240,16 +240,29 @@
         potential
     }
 
+    /// Whether [`Self::schedule_gang`] may do anything for a gang whose members do not fit now. Most
+    /// waiting gangs are neither among those that reserve room nor may ask.
+    pub(super) fn may_ask_or_reserve(&self, position: usize, may_reserve: bool, now: Now) -> bool {
+        let Some((_, stage)) = self.stages.get_index(position) else {
+            return false;
+        };
+        let acts = may_reserve || !stage.reservations.is_empty();
+        !stage.question_pending && (acts || self.may_ask_about_unknown(stage, now))
+    }
+
+    fn may_ask_about_unknown(&self, stage: &LiveStage, now: Now) -> bool {
+        stage.needs.slow_policy.is_some()
+            && !stage.question_pending
+            && now.at >= stage.next_worker_search_at
+            && self.may_ask(stage, now)
+    }
+
     /// Asks the policy about workers for which it has not answered yet, whether they have room now
     /// or not: the answer about a worker does not change.
     fn ask_for_gang(&mut self, key: &StageKey, spec: &StageSpec, now: Now) -> Option<Question> {
         let job = self.state.jobs.get(&key.job)?;
         let stage = self.stages.get(key)?;
-        if stage.needs.slow_policy.is_none()
-            || stage.question_pending
-            || now.at < stage.next_worker_search_at
-            || !self.may_ask(stage, now)
-        {
+        if !self.may_ask_about_unknown(stage, now) {
             return None;
         }
         let label = spec.required_label.as_ref();
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -94,9 +94,14 @@
                 if !stage.all_tasks_wait() {
                     continue;
                 }
-                let key = key.clone();
                 let may_reserve = slots.claim(rank.priority());
                 let may_fit = !self.search_would_be_empty(position, grown.as_ref(), now);
+                if !may_fit && !self.may_ask_or_reserve(position, may_reserve, now) {
+                    continue;
+                }
+                let Some(key) = self.stages.get_index(position).map(|(key, _)| key.clone()) else {
+                    continue;
+                };
                 questions.extend(self.schedule_gang(&key, may_reserve, may_fit, now));
                 continue;
             }
