bug: each tick compared all hosts for each worker to assign relays

Now a relay is looked up, and compared with the smallest load in its data centre, which is computed again after a move only.

--- a/src/workflow/decisions/relays.rs
+++ b/src/workflow/decisions/relays.rs
@@ -64,9 +64,29 @@
             loads[relay] += 1;
         }
     }
+    // Smallest load of the hosts in each data centre, and of all; none after a move. Most workers keep
+    // their relay, and comparing all hosts for each of them took most of the time of a tick.
+    let mut least_loads: Vec<Option<usize>> = vec![None; by_data_centre.len() + 1];
     let mut moves = Vec::new();
     for (position, worker) in workers.iter().enumerate() {
-        let candidates = by_data_centre.get(worker.data_centre).unwrap_or(&suited);
+        let in_data_centre = by_data_centre.get_full(worker.data_centre);
+        let (group, candidates) = match in_data_centre {
+            Some((group, _, candidates)) => (group, candidates),
+            None => (by_data_centre.len(), &suited),
+        };
+        if let Some(relay) = worker.relay
+            && worker.avoided.is_empty()
+        {
+            let host = &hosts[relay];
+            let is_near = in_data_centre.is_none() || host.data_centre == worker.data_centre;
+            let least = *least_loads[group].get_or_insert_with(|| {
+                let loads = candidates.iter().map(|&host| loads[host]);
+                loads.min().unwrap_or(0)
+            });
+            if host.class == class && is_near && loads[relay] <= least + LOAD_SLACK {
+                continue;
+            }
+        }
         let best = candidates
             .iter()
             .copied()
@@ -83,6 +103,7 @@
             loads[relay] -= 1;
         }
         loads[best] += 1;
+        least_loads.fill(None);
         moves.push((position, best));
     }
     moves
--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::super::calls::{StartOrder, StopOrder};
 use super::super::decisions::relays::{self, HostClass, RelayHost, ServedWorker};
@@ -285,7 +285,7 @@
             !caller.contact.stores && now < caller.last_contact_at + ENTRY_HOST_TIMEOUT
         });
         let waits_for_entry_hosts = entry_host_in_contact || now < self.began_at + ENTRY_HOST_WAIT;
-        let mut names = Vec::new();
+        let mut names = IndexSet::new();
         let mut hosts = Vec::new();
         for (id, caller) in &self.policy_callers {
             let class = match (id == &self.settings.host, caller.contact.stores) {
@@ -298,13 +298,13 @@
             if unavailable || (waits_for_entry_hosts && class != HostClass::Entry) {
                 continue;
             }
-            names.push(id.clone());
+            names.insert(id.clone());
             hosts.push(RelayHost {
                 data_centre: &caller.contact.data_centre,
                 class,
             });
         }
-        let position = |host: &HostId| names.iter().position(|name| name == host);
+        let position = |host: &HostId| names.get_index_of(host);
         let mut workers = Vec::new();
         for worker in self.workers.values() {
             let unreachable = self.needs_another_relay(worker, now);
