feature: report the room that is free while waiting tasks could use it

The allocated share of the cell does not tell a cell without work from one whose work is not placed, and nothing tells whether stages wait for a question to the placement policy, for its answer or for room.

Change: once a second the waiting tasks are placed by rank on a copy of the free room. The line and the metric give the room that they would take, by what the stages wait for, with the questions in flight and the hosts that could ask.

--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -137,6 +137,11 @@
         self.0 += (share - self.0) * GRANTED_SHARE_WEIGHT;
     }
 
+    /// Average share of the workers in a question that the policy grants, from 0 to 1.
+    pub fn value(&self) -> f64 {
+        self.0
+    }
+
     /// Number of workers to ask about so that `needed` of them are probably granted.
     pub fn workers_to_ask(&self, needed: usize) -> usize {
         let expected = needed as f64 / self.0.max(0.05);
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -27,6 +27,7 @@
     unanswered_calls: Counter<u64>,
     cell_cpu: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
+    idle_room: Gauge<u64>,
     term_hold: Histogram<f64>,
     pass: Histogram<f64>,
     stages_examined: Counter<u64>,
@@ -67,6 +68,7 @@
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
             cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
             waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
+            idle_room: gauge("jujubewinch_workflow_idle_millicores"),
             term_hold: histogram("jujubewinch_workflow_term_hold_seconds"),
             pass: histogram("jujubewinch_workflow_pass_seconds"),
             stages_examined: counter("jujubewinch_workflow_stages_examined"),
@@ -126,6 +128,16 @@
         self.waiting_tasks.record(tasks, &[]);
     }
 
+    /// Records the processors that are free while tasks wait that could use them, in thousandths of a
+    /// core: by whether these tasks wait for their first question to the placement policy, for its
+    /// answer, or for anything else.
+    pub fn record_idle_room(&self, unasked: u64, asked: u64, other: u64) {
+        let label = |awaited| [KeyValue::new("awaited", awaited)];
+        self.idle_room.record(unasked, &label("question"));
+        self.idle_room.record(asked, &label("answer"));
+        self.idle_room.record(other, &label("placement"));
+    }
+
     /// Records for how long an activity held the lock on the term of the placer.
     pub fn record_term_hold(&self, activity: &'static str, held: Duration) {
         let labels = [KeyValue::new("activity", activity)];
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -13,6 +13,7 @@
 mod figures;
 mod gangs;
 mod heartbeats;
+mod idle_room;
 mod isolation;
 mod load;
 mod orders;
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -12,6 +12,7 @@
 mod fixture;
 mod gangs;
 mod grown_cell;
+mod idle_room;
 mod leadership;
 mod limits;
 mod passes;
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -195,6 +195,7 @@
         }
         if tick.is_multiple_of(LOAD_REPORT_TICKS) {
             self.report_load(now.at);
+            self.report_idle_room(now);
             self.report_waiting_gangs(now);
         }
         self.note_usable_workers(now.at);
