bug: failing test of room that stays free while accepted work fits it

Change: a simulated cell with the traffic of a wide site: gangs of 8 to 56 tasks about which the policy needs 507 ms and 7.28 ms a worker, 147 hosts, nine tenths of the processors declared. Rates and hosts follow the number of workers.

--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -18,22 +18,84 @@
 use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress};
 use crate::workflow::records::RunOutcome;
 use crate::workflow::spec::{StageSpec, TaskKey, WorkflowSpec};
-use crate::workflow::state::WorkflowState;
+use crate::workflow::state::{Job, WorkflowState};
 
 /// Step of the simulated time, the delay between a change and its scheduling pass.
 pub const STEP: Duration = Duration::from_millis(4);
-/// Number of workers to which the rates below refer.
-const REFERENCE_WORKERS: f64 = 350.0;
-/// Jobs with one gang that arrive each second.
-const GANGS_PER_S: f64 = 5.0;
-/// Jobs with one wide stage that arrive each second.
-const STAGES_PER_S: f64 = 10.0;
-/// Small urgent jobs that arrive each second.
-const SMALL_JOBS_PER_S: f64 = 115.0;
-/// Hosts that can call the placement policy.
-const HOSTS: usize = 40;
-/// Share of workers that the policy grants to gangs, stages and small jobs, in percent.
-const GRANTED_PERCENT: [u64; 3] = [33, 50, 70];
+/// Kinds of jobs of a simulated cell: with one gang, with one wide stage, and small urgent ones.
+pub const KINDS: usize = 3;
+const QUEUE_NAMES: [&str; KINDS] = ["gangs", "stages", "small"];
+
+/// Jobs that a cell receives, and its placement policy. Arrays have an entry for each kind of job.
+#[derive(Clone, Copy)]
+pub struct Traffic {
+    /// Number of workers to which the rates and the hosts refer.
+    reference_workers: f64,
+    /// Jobs that arrive each second.
+    rates_per_s: [f64; KINDS],
+    /// Priority of the queues.
+    priorities: [u32; KINDS],
+    /// Factor from the expected work of a job to its objective.
+    slack_factors: [f64; KINDS],
+    /// Further time of the objective.
+    target_latency_ms: [u64; KINDS],
+    /// Least and greatest number of tasks of a job.
+    tasks: [(u32, u32); KINDS],
+    /// Least and greatest processors of a task.
+    cpu_millis: [(u64, u64); KINDS],
+    /// Memory of a task for each thousandth of a core, in thousandths of a MiB.
+    memory_per_cpu: [u64; KINDS],
+    /// Least and greatest run time of a task.
+    estimate_ms: [(u64, u64); KINDS],
+    /// Time of a decision of the policy, and additional time for each worker.
+    decision_ms: [(f64, f64); KINDS],
+    /// Share of workers that the policy grants, in percent.
+    granted_percent: [u64; KINDS],
+    /// Time for which a permit is valid.
+    validity_ms: u64,
+    /// Processors of every second worker; the others have 16.
+    cores: u64,
+    /// Hosts that can call the placement policy.
+    hosts: usize,
+}
+
+/// Traffic of a cell of 350 workers with 40 hosts.
+const GROWN: Traffic = Traffic {
+    reference_workers: 350.0,
+    rates_per_s: [5.0, 10.0, 115.0],
+    priorities: [2, 1, 0],
+    slack_factors: [2.0; KINDS],
+    target_latency_ms: [1_000; KINDS],
+    tasks: [(16, 20), (25, 25), (3, 3)],
+    cpu_millis: [(4_500, 9_000), (1_700, 3_500), (2_500, 5_000)],
+    memory_per_cpu: [1_000; KINDS],
+    estimate_ms: [(5_000, 6_000), (2_700, 2_700), (640, 1_000)],
+    decision_ms: [(400.0, 2.0), (100.0, 1.0), (10.0, 0.2)],
+    granted_percent: [33, 50, 70],
+    validity_ms: 5_000,
+    cores: 32,
+    hosts: 40,
+};
+
+/// Traffic of a cell of 1,100 workers with 147 hosts whose policy takes most of a second for a gang;
+/// it declares nine tenths of the processors at a load of 1.
+pub const WIDE: Traffic = Traffic {
+    reference_workers: 1_100.0,
+    rates_per_s: [10.9, 18.5, 125.0],
+    priorities: [1, 2, 0],
+    slack_factors: [2.2, 4.0, 1.5],
+    target_latency_ms: [1_200, 3_000, 600],
+    tasks: [(8, 56), (10, 70), (1, 8)],
+    cpu_millis: [(2_700, 6_300), (1_500, 3_900), (2_200, 5_600)],
+    memory_per_cpu: [3_800, 3_700, 2_050],
+    estimate_ms: [(2_500, 7_500), (1_400, 4_000), (500, 1_500)],
+    decision_ms: [(507.0, 7.28), (182.0, 2.6), (18.2, 0.26)],
+    granted_percent: [35, 45, 70],
+    validity_ms: 2_500,
+    cores: 16,
+    hosts: 147,
+};
+
 /// Time from a placement to the recorded end of the run, beyond its work.
 const RUN_OVERHEAD: Duration = Duration::from_millis(300);
 /// Interval of the time-driven steps of the term.
@@ -59,54 +121,72 @@
     pub starts: usize,
     pub submitted: usize,
     pub passes: usize,
+    /// Questions to the placement policy.
+    pub questions: usize,
     /// Jobs that ended and, of these, those within their objective, by kind.
-    pub ended: [[usize; 2]; 3],
+    pub ended: [[usize; 2]; KINDS],
     /// Hash of all questions and start orders in their order, which is equal for two versions of
     /// the code that decide alike.
     pub decisions: DefaultHasher,
     random: StdRng,
-    rates_per_s: [f64; 3],
-    due: [f64; 3],
+    traffic: Traffic,
+    hosts: usize,
+    rates_per_s: [f64; KINDS],
+    due: [f64; KINDS],
     ends: BTreeMap<(Instant, u64), TaskKey>,
     answers: BTreeMap<(Instant, u64), Question>,
     sequence: u64,
     next_tick_at: Instant,
 }
 
-fn queues() -> Vec<Queue> {
-    let names = ["gangs", "stages", "small"];
-    let costs = [(400.0, 2.0), (100.0, 1.0), (10.0, 0.2)];
-    let queues = names.into_iter().zip(costs).enumerate();
-    let queues = queues.map(|(position, (name, (decision_ms, per_worker_ms)))| Queue {
+fn queues(traffic: &Traffic) -> Vec<Queue> {
+    let queues = QUEUE_NAMES.into_iter().enumerate();
+    let queues = queues.map(|(kind, name)| Queue {
         name: name.to_owned(),
         address: QueueAddress {
             host: "shop.example".to_owned(),
             path_prefix: format!("/{name}/"),
         },
-        priority: 2 - position as u32,
+        priority: traffic.priorities[kind],
+        slack_factor: traffic.slack_factors[kind],
+        target_latency_ms: traffic.target_latency_ms[kind],
         placement_policy: Some(PlacementPolicy {
-            decision_ms,
-            per_worker_ms,
-            validity_ms: 5_000,
+            decision_ms: traffic.decision_ms[kind].0,
+            per_worker_ms: traffic.decision_ms[kind].1,
+            validity_ms: traffic.validity_ms,
         }),
         ..queue()
     });
     queues.collect()
 }
 
+/// Returns the kind of the jobs of a queue.
+fn kind_of(queue: &Queue) -> usize {
+    let mut names = QUEUE_NAMES.iter();
+    names.position(|name| *name == queue.name).unwrap()
+}
+
 impl SimulatedCell {
-    /// Creates a cell with reachable workers of 16 and 32 cores; `load` multiplies the rates at
-    /// which jobs arrive.
+    /// Creates a cell of any size with 40 hosts and with reachable workers of 16 and 32 cores;
+    /// `load` multiplies the rates at which jobs arrive.
     pub fn new(workers: usize, load: f64) -> Self {
+        let mut cell = Self::with_traffic(&GROWN, workers, load);
+        cell.hosts = GROWN.hosts;
+        cell
+    }
+
+    /// Creates a cell with reachable workers, in which the rates and the number of hosts follow the
+    /// number of workers.
+    pub fn with_traffic(traffic: &Traffic, workers: usize, load: f64) -> Self {
         let mut configuration = configuration(3);
-        configuration.queues = queues();
+        configuration.queues = queues(traffic);
         let mut fixture = Fixture::with_state(WorkflowState {
             configuration: Some(configuration),
             ..WorkflowState::default()
         });
         for position in 0..workers {
             let mut heartbeat = heartbeat(&format!("worker-{position}"), 1, 1);
-            let cores = if position % 2 == 0 { 16 } else { 32 };
+            let cores = if position % 2 == 0 { 16 } else { traffic.cores };
             heartbeat.record.capacity = Resources {
                 cpu_millis: cores * 1_000,
                 memory_mib: cores * 4_000,
@@ -117,7 +197,7 @@
             fixture.report(&id, Vec::new(), Vec::new());
             fixture.commit_all();
         }
-        let scale = workers as f64 / REFERENCE_WORKERS * load;
+        let scale = workers as f64 / traffic.reference_workers;
         let next_tick_at = fixture.now.at;
         Self {
             fixture,
@@ -125,15 +205,14 @@
             starts: 0,
             submitted: 0,
             passes: 0,
-            ended: [[0; 2]; 3],
+            questions: 0,
+            ended: [[0; 2]; KINDS],
             decisions: DefaultHasher::new(),
             random: StdRng::seed_from_u64(17),
-            rates_per_s: [
-                GANGS_PER_S * scale,
-                STAGES_PER_S * scale,
-                SMALL_JOBS_PER_S * scale,
-            ],
-            due: [0.0; 3],
+            traffic: *traffic,
+            hosts: (traffic.hosts as f64 * scale).round() as usize,
+            rates_per_s: traffic.rates_per_s.map(|rate| rate * scale * load),
+            due: [0.0; KINDS],
             ends: BTreeMap::new(),
             answers: BTreeMap::new(),
             sequence: 0,
@@ -143,7 +222,7 @@
 
     /// Ends the arrival of jobs.
     pub fn end_arrivals(&mut self) {
-        self.rates_per_s = [0.0; 3];
+        self.rates_per_s = [0.0; KINDS];
     }
 
     /// Simulates the cell for a duration.
@@ -166,7 +245,7 @@
             return;
         }
         self.next_tick_at = now.at + TICK;
-        for host in 0..HOSTS {
+        for host in 0..self.hosts {
             let contact = HostContact {
                 host: format!("10.0.0.{host}"),
                 data_centre: "lowell-yard".to_owned(),
@@ -190,35 +269,29 @@
 
     /// Submits a job of a kind: 0 for a gang, 1 for a wide stage, 2 for a small job.
     fn submit(&mut self, kind: usize) {
-        let random = &mut self.random;
-        let (tasks, cpu_millis, estimate_ms) = match kind {
-            0 => (
-                random.random_range(16..=20),
-                random.random_range(4_500..=9_000),
-                random.random_range(5_000..=6_000),
-            ),
-            1 => (25, random.random_range(1_700..=3_500), 2_700),
-            _ => (
-                3,
-                random.random_range(2_500..=5_000),
-                random.random_range(640..=1_000),
-            ),
+        let traffic = self.traffic;
+        let (least, greatest) = traffic.tasks[kind];
+        let tasks = if least == greatest {
+            least
+        } else {
+            self.random.random_range(least..=greatest)
         };
+        let cpu_millis = self.draw(traffic.cpu_millis[kind]);
+        let estimate_ms = self.draw(traffic.estimate_ms[kind]);
         let spec = StageSpec {
             gang: kind == 0,
             estimate_ms,
             resources: Resources {
                 cpu_millis,
-                memory_mib: cpu_millis,
+                memory_mib: cpu_millis * traffic.memory_per_cpu[kind] / 1_000,
                 accelerators: 0,
             },
             ..stage(tasks)
         };
-        let names = ["gangs", "stages", "small"];
         let call = Call::Submit {
             target: QueueAddress {
                 host: "shop.example".to_owned(),
-                path_prefix: format!("/{}/{:016x}", names[kind], self.submitted),
+                path_prefix: format!("/{}/{:016x}", QUEUE_NAMES[kind], self.submitted),
             },
             spec: Box::new(WorkflowSpec {
                 payload: "plan".to_owned(),
@@ -233,6 +306,14 @@
         self.step_times.measure("submit", step);
     }
 
+    /// Returns a random number between the bounds, both included.
+    fn draw(&mut self, (least, greatest): (u64, u64)) -> u64 {
+        if least == greatest {
+            return least;
+        }
+        self.random.random_range(least..=greatest)
+    }
+
     fn end_due_runs(&mut self) {
         let now = self.fixture.now;
         while let Some(entry) = self.ends.first_entry() {
@@ -241,14 +322,20 @@
             }
             let task = entry.remove();
             let term = &mut self.fixture.term;
+            let was_open = term
+                .state
+                .jobs
+                .get(&task.stage.job)
+                .is_some_and(Job::is_open);
             let stage = term.stages.get(&task.stage);
             let in_time = stage.is_some_and(|stage| now.at <= stage.due_at + stage.objective);
             let step = || term.finish_run(&task, RunOutcome::Succeeded, String::new(), now);
             self.step_times.measure("end", step);
             if let Some(job) = term.state.jobs.get(&task.stage.job)
+                && was_open
                 && !job.is_open()
             {
-                let ended = &mut self.ended[2 - job.queue.priority as usize];
+                let ended = &mut self.ended[kind_of(&job.queue)];
                 ended[0] += 1;
                 ended[1] += usize::from(in_time);
             }
@@ -265,7 +352,7 @@
             let granted = self.granted(&question);
             let answer = PolicyAnswer {
                 granted,
-                validity_ms: Some(5_000),
+                validity_ms: Some(self.traffic.validity_ms),
             };
             let term = &mut self.fixture.term;
             let step =
@@ -277,14 +364,14 @@
 
     fn granted(&self, question: &Question) -> Vec<(WorkerId, String)> {
         let job = &self.fixture.term.state.jobs.get(&question.stage.job);
-        let kind = job.map_or(0, |job| 2 - job.queue.priority as usize);
+        let kind = job.map_or(0, |job| kind_of(&job.queue));
         let seed = question.stage.job.bytes().map(u64::from);
         let seed = seed.fold(7, |sum: u64, byte| sum.wrapping_mul(31).wrapping_add(byte));
         let is_granted = |worker: &&WorkerId| {
             let hash = worker.bytes().fold(seed, |sum, byte| {
                 (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
             });
-            (hash >> 20) % 100 < GRANTED_PERCENT[kind]
+            (hash >> 20) % 100 < self.traffic.granted_percent[kind]
         };
         let allowed = question.workers.iter().filter(is_granted);
         allowed
@@ -297,6 +384,7 @@
             (&question.stage, &question.workers, &question.host).hash(&mut self.decisions);
             let answered_at = self.fixture.now.at + question.expected + Duration::from_millis(60);
             self.sequence += 1;
+            self.questions += 1;
             self.answers.insert((answered_at, self.sequence), question);
         }
     }
