bug: an answer of the placement policy was used for the next incarnation of a worker

What callers would see: a start that the worker refuses, as its permit was issued for the incarnation before, and a gang that is stopped for it; or a stage that never uses a worker again that was denied before its restart.

Cause: the answers of a stage about a worker are dropped when it restarts or leaves, but not those of a question that is in flight at that time.

Change: the workers that restart while a question is in flight are left out of its answer.

Evidence: an_answer_that_was_in_flight_at_a_restart_says_nothing_about_the_worker asserts that the worker is not known after the answer. The code before records each worker of the question, so that the assertion cannot hold there; it was not run on that code.

--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -203,6 +203,7 @@
         };
         stage.question_pending = false;
         stage.empty_search = None;
+        let restarted = std::mem::take(&mut stage.restarted_workers);
         let Some(job) = self.state.jobs.get(&question.stage.job) else {
             return;
         };
@@ -228,6 +229,9 @@
         stage
             .permits
             .record(&question.workers, &answer.granted, expires_at);
+        for worker in &restarted {
+            stage.permits.remove(worker);
+        }
         let queue = job.queue.name.clone();
         let share = self.good_shares.entry(queue).or_default();
         share.update(question.workers.len(), answer.granted.len());
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -178,6 +178,7 @@
                 waiting,
                 permits: Default::default(),
                 question_pending: false,
+                restarted_workers: IndexSet::new(),
                 reservations: IndexMap::new(),
                 next_question_at: now.at,
                 due_at: now.at.checked_sub(age).unwrap_or(now.at),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -204,6 +204,8 @@
     pub permits: PermitCache,
     /// Whether a question to the placement policy is in flight.
     pub question_pending: bool,
+    /// Workers that restarted while a question was in flight; its answer says nothing about them.
+    pub restarted_workers: IndexSet<WorkerId>,
     /// Number of tasks for which room is reserved, by worker: until the policy answers, or until a
     /// gang has room for all members.
     pub reservations: IndexMap<WorkerId, usize>,
--- a/src/workflow/placer/tests/calls.rs
+++ b/src/workflow/placer/tests/calls.rs
@@ -7,7 +7,7 @@
 use super::super::CallResponder;
 use super::super::term::Effect;
 use super::fixture::*;
-use crate::workflow::calls::{Call, CallFailure, OrderOutcome, Reply};
+use crate::workflow::calls::{Call, CallFailure, HostContact, OrderOutcome, PolicyAnswer, Reply};
 use crate::workflow::queues::QueueAddress;
 use crate::workflow::records::Record;
 use crate::workflow::spec::WorkflowSpec;
@@ -203,6 +203,39 @@
     assert!(!fixture.term.stages[&key].permits.is_known("w"));
 }
 
+/// Guards against an answer of the placement policy about an incarnation that ended while the question
+/// was in flight: its permit is used for the next one, or its refusal excludes the next one for ever.
+#[test]
+fn an_answer_that_was_in_flight_at_a_restart_says_nothing_about_the_worker() {
+    let mut fixture = Fixture::with_policy(400.0, 6.0);
+    let contact = HostContact {
+        host: "10.0.0.1".to_owned(),
+        data_centre: "lowell-yard".to_owned(),
+        stores: true,
+    };
+    fixture.term.record_contact(contact, fixture.now.at);
+    fixture.announce("v");
+    fixture.announce("w");
+    fixture.submit_without_pass(JOB, vec![stage(8)]);
+    let questions = fixture.term.schedule(fixture.now);
+    assert_eq!(questions[0].workers.len(), 2);
+    fixture
+        .term
+        .handle_heartbeat(heartbeat("w", 2, 1), fixture.now);
+    let granted = ["v", "w"].map(|id| (id.to_owned(), "permit".to_owned()));
+    let answer = PolicyAnswer {
+        granted: granted.to_vec(),
+        validity_ms: Some(2_000),
+    };
+    let (now, sent_at) = (fixture.now, questions[0].decided_at);
+    fixture
+        .term
+        .handle_policy_answer(&questions[0], sent_at, Ok(answer), now);
+    let permits = &fixture.term.stages[&task(0).stage].permits;
+    assert!(permits.was_granted("v"));
+    assert!(!permits.is_known("w"));
+}
+
 /// Guards against calls that still wait for commits of a term that has ended, while their hosts
 /// could already repeat them at the next placer.
 #[test]
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -160,6 +160,9 @@
             self.release_reservation(&key, id);
             if let Some(stage) = self.stages.get_mut(&key) {
                 stage.permits.remove(id);
+                if stage.question_pending {
+                    stage.restarted_workers.insert(id.clone());
+                }
             }
         }
     }
