bug: the lowest priority was never asked about while others waited

Cause: at most 64 questions are in flight, and each place that becomes free goes to the stage that ranks first among all that wait. In an overload that is never one of the lowest priority, although a third to two thirds of the processors are free.

Change: a quarter of the places is guaranteed, in equal parts, to the priorities that wait; the rest goes by rank as before. A refusal counts for the priority that asked, not for all of them. Whether a host takes a question is known before workers are searched for it.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -7,6 +7,7 @@
 pub mod permits;
 pub mod placing;
 pub mod progress;
+pub mod question_shares;
 pub mod ranking;
 pub mod relays;
 pub mod replicas;
--- a/src/workflow/placer/idle_room.rs
+++ b/src/workflow/placer/idle_room.rs
@@ -197,7 +197,7 @@
             unasked_millis = idle.unasked_millis, asked_millis = idle.asked_millis,
             other_millis = idle.other_millis, gang_millis = idle.gang_millis,
             stages_unasked = unasked, stages_asked = asked,
-            questions_in_flight = self.open_questions, policy_callers = self.policy_callers.len();
+            questions_in_flight = self.questions.open_questions(), policy_callers = self.policy_callers.len();
             "room is free that waiting tasks could use"
         );
         instruments().record_idle_room(idle.unasked_millis, idle.asked_millis, idle.other_millis);
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -34,8 +34,6 @@
     pub fruitless_searches: u64,
     /// Counts at the last report.
     pub reported: Examined,
-    /// Whether all hosts that call the policy were busy in this pass, for quick and slow decisions.
-    pub busy_callers: [bool; 2],
 }
 
 /// What the placer examined to place waiting stages.
@@ -102,7 +100,6 @@
             positioned_lookups: 0,
             fruitless_searches: 0,
             reported: Examined::default(),
-            busy_callers: [false; 2],
         }
     }
 }
@@ -118,7 +115,7 @@
     /// Begins a pass. Returns the workers whose room has grown since the last pass began, or `None`
     /// when they are not known.
     pub(super) fn begin_pass(&mut self) -> Option<GrownRoom> {
-        self.passes.busy_callers = [false; 2];
+        self.questions.clear_refusals();
         self.crash_watch.isolated_workers = self.isolated_workers();
         self.update_worker_positions();
         let grown = self.ledger.grown_since(self.passes.searched_growths)?;
@@ -143,13 +140,9 @@
         }
     }
 
-    /// Whether a slow or a quick policy cannot be asked now because all hosts that call it are busy.
-    pub(super) fn are_callers_busy(&self, slow: bool) -> bool {
-        self.passes.busy_callers[usize::from(slow)]
-    }
-
     /// Ends a pass, which has taken all changes into account.
     pub(super) fn finish_pass(&mut self) {
+        self.questions.finish_pass();
         self.passes.changed = false;
         self.passes.seen_growths = self.ledger.growths();
         self.passes.count += 1;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -8,10 +8,10 @@
 use super::super::calls::{CallFailure, POLICY_EXTENSION, PolicyAnswer, PolicyQuestion};
 use super::super::decisions::permits::{MAX_QUEUE, QuestionCost};
 use super::super::instruments::instruments;
-use super::super::queues::PlacementPolicy;
+use super::super::queues::{PlacementPolicy, Queue};
 use super::super::spec::StageKey;
 use super::super::state::Job;
-use super::term::{PolicyCaller, Term};
+use super::term::Term;
 use super::{Now, POLICY_THREADS, Placer};
 use crate::ids::{Epoch, HostId, WorkerId};
 use crate::protocol::peer::{PeerReply, PeerRequest};
@@ -44,6 +44,8 @@
     pub expected: Duration,
     /// Time at which the question was decided on.
     pub decided_at: Instant,
+    /// Priority of the queue of the stage.
+    pub priority: u32,
 }
 
 impl Placer {
@@ -102,51 +104,94 @@
         QuestionCost {
             decision_ms: policy.map_or(0.0, |policy| policy.decision_ms),
             per_worker_ms: policy.map_or(0.0, |policy| policy.per_worker_ms),
-            // Quick questions use only the nearer half of the hosts.
-            callers_are_free: self.open_questions * 2 < self.policy_callers.len(),
+            callers_are_free: self.questions.open_questions() * 2 < POLICY_THREADS,
         }
     }
 
     /// Chooses the host whose answer is expected first and adds the question to its queue. Returns
     /// the host, `None` for this one, and the expected time of the decision, or `None` while the
-    /// queues of all hosts are too long or [`POLICY_THREADS`] questions are in flight.
+    /// queues of all hosts are too long or the free ones are owed to other priorities.
     pub(super) fn choose_policy_caller(
         &mut self,
-        policy: &PlacementPolicy,
+        queue: &Queue,
         workers: usize,
         now: Instant,
     ) -> Option<(Option<HostId>, Duration)> {
+        let policy = queue.placement_policy.as_ref()?;
         let cost_ms = policy.decision_ms + policy.per_worker_ms * workers as f64;
         let cost = Duration::from_millis(cost_ms.ceil() as u64);
-        let slow = is_slow(policy);
-        let fresh = |caller: &PolicyCaller| now < caller.last_contact_at + CONTACT_TIMEOUT;
-        if self.open_questions >= POLICY_THREADS {
+        let Some(position) = self.free_policy_caller(queue, now) else {
+            self.refuse_question(queue);
             return None;
+        };
+        self.questions.open(queue.priority);
+        let (host, caller) = self.policy_callers.get_index_mut(position)?;
+        caller.busy_until = caller.busy_until.max(now) + cost;
+        let expected = caller.busy_until.saturating_duration_since(now);
+        let this_host = *host == self.settings.host;
+        Some(((!this_host).then(|| host.clone()), expected))
+    }
+
+    /// Returns the position of the host whose answer to a question of a queue is expected first, or
+    /// `None` while none takes one.
+    pub(super) fn free_policy_caller(&self, queue: &Queue, now: Instant) -> Option<usize> {
+        let slow = is_slow(queue.placement_policy.as_ref()?);
+        let hosts = self.hosts_for_questions(slow, now);
+        let mut first = None;
+        for &position in &hosts {
+            let (_, caller) = self.policy_callers.get_index(position)?;
+            if caller.busy_until > now + MAX_QUEUE {
+                continue;
+            }
+            let free_at = caller.busy_until.max(now) + caller.round_trip;
+            if first.is_none_or(|(earliest, _)| free_at < earliest) {
+                first = Some((free_at, position));
+            }
         }
-        let callers = self.policy_callers.iter();
-        let mut usable: Vec<_> = callers.filter(|(_, caller)| fresh(caller)).collect();
-        // The nearer half receives quick questions, for which the round trip matters most.
-        usable.sort_by_key(|(_, caller)| caller.round_trip);
-        let half = usable.len().div_ceil(2);
-        let (for_quick, for_slow) = usable.split_at(half);
-        let preferred = if slow && !for_slow.is_empty() {
-            for_slow
-        } else {
-            for_quick
+        let is_allowed = self.questions.allows(queue.priority, POLICY_THREADS);
+        let first = first.filter(|_| is_allowed);
+        first.map(|(_, position)| position)
+    }
+
+    /// Whether there are hosts that call the policy of a queue, and none takes a question of it now.
+    pub(super) fn are_policy_callers_busy(&self, queue: &Queue, now: Instant) -> bool {
+        !self.policy_callers.is_empty() && self.free_policy_caller(queue, now).is_none()
+    }
+
+    /// Records for the rest of a pass that no host takes a question of the queue of a stage, if so.
+    pub(super) fn note_busy_callers(&mut self, key: &StageKey, now: Now) {
+        let (Some(job), Some(stage)) = (self.state.jobs.get(&key.job), self.stages.get(key)) else {
+            return;
         };
-        let free_at = |caller: &PolicyCaller| caller.busy_until.max(now) + caller.round_trip;
-        let first = preferred.iter().min_by_key(|(_, caller)| free_at(caller));
-        let host = first.map(|(host, _)| (*host).clone())?;
-        let caller = self.policy_callers.get_mut(&host)?;
-        let begins_at = caller.busy_until.max(now);
-        if begins_at > now + MAX_QUEUE {
-            return None;
+        if self.may_ask(stage, now) && self.are_policy_callers_busy(&job.queue, now.at) {
+            let queue = job.queue.clone();
+            self.refuse_question(&queue);
         }
-        caller.busy_until = begins_at + cost;
-        self.open_questions += 1;
-        let expected = caller.busy_until.saturating_duration_since(now);
-        let this_host = host == self.settings.host;
-        Some(((!this_host).then_some(host), expected))
+    }
+
+    /// Records that no host takes a question of a queue now.
+    fn refuse_question(&mut self, queue: &Queue) {
+        self.questions.refuse(queue.priority);
+    }
+
+    /// Returns the positions of the hosts for slow or for quick questions. The nearer half receives
+    /// the quick ones, for which the round trip matters most.
+    fn hosts_for_questions(&self, slow: bool, now: Instant) -> Vec<usize> {
+        let callers = self.policy_callers.values().enumerate();
+        let fresh = callers.filter(|(_, caller)| now < caller.last_contact_at + CONTACT_TIMEOUT);
+        let mut hosts: Vec<(Duration, usize)> = fresh
+            .map(|(position, caller)| (caller.round_trip, position))
+            .collect();
+        let half = hosts.len().div_ceil(2);
+        if half < hosts.len() {
+            hosts.select_nth_unstable(half);
+            if slow {
+                hosts.drain(..half);
+            } else {
+                hosts.truncate(half);
+            }
+        }
+        hosts.into_iter().map(|(_, position)| position).collect()
     }
 
     /// Handles the result of a question and schedules its stage again. Returns a further question.
@@ -157,10 +202,10 @@
         result: Result<PolicyAnswer, CallFailure>,
         now: Now,
     ) -> Option<Question> {
-        self.open_questions = self.open_questions.saturating_sub(1);
         // Other stages can use the host again, and this stage its permits.
         self.passes.changed = true;
-        self.passes.busy_callers = [false; 2];
+        self.questions.close(question.priority);
+        self.questions.clear_refusals();
         let took = now.at.saturating_duration_since(sent_at);
         if result.is_ok() {
             let host = question.host.as_ref().unwrap_or(&self.settings.host);
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -11,7 +11,7 @@
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
 use super::isolation::StartLimit;
-use super::policy::{Question, is_slow};
+use super::policy::Question;
 use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
@@ -176,6 +176,7 @@
                 None
             }
             StageDecision::AwaitCaller => {
+                self.note_busy_callers(key, now);
                 self.record_empty_stage_search(key, true, now);
                 None
             }
@@ -247,7 +248,9 @@
         if job.queue.placement_policy.is_none() || stage.question_pending {
             return StageDecision::NothingFound;
         }
-        if !self.may_ask(stage, search.now) {
+        if !self.may_ask(stage, search.now)
+            || self.are_policy_callers_busy(&job.queue, search.now.at)
+        {
             return StageDecision::AwaitCaller;
         }
         let wanted = stage.waiting.len();
@@ -378,12 +381,8 @@
         now: Now,
     ) -> Option<Question> {
         let job = self.state.jobs.get(&key.job)?;
-        let policy = job.queue.placement_policy.clone()?;
-        let Some((host, expected)) = self.choose_policy_caller(&policy, workers.len(), now.at)
-        else {
-            self.passes.busy_callers[usize::from(is_slow(&policy))] = true;
-            return None;
-        };
+        let queue = job.queue.clone();
+        let (host, expected) = self.choose_policy_caller(&queue, workers.len(), now.at)?;
         self.reserve_room(key, &workers);
         self.stages.get_mut(key)?.question_pending = true;
         Some(Question {
@@ -393,6 +392,7 @@
             host,
             expected,
             decided_at: now.at,
+            priority: queue.priority,
         })
     }
 
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -236,8 +236,8 @@
 
     /// Whether a stage may ask the placement policy now.
     pub(super) fn may_ask(&self, stage: &LiveStage, now: Now) -> bool {
-        let slow = stage.needs.slow_policy;
-        now.at >= stage.next_question_at && !slow.is_some_and(|slow| self.are_callers_busy(slow))
+        let refused = self.questions.is_refused(stage.needs.priority);
+        now.at >= stage.next_question_at && (stage.needs.slow_policy.is_none() || !refused)
     }
 
     /// Returns the largest number of tasks of a stage that the room of a worker may be of use to.
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -55,7 +55,7 @@
             late_gangs: 0,
             good_shares: IndexMap::new(),
             policy_callers: IndexMap::new(),
-            open_questions: 0,
+            questions: Default::default(),
             unexpected_run_stops: IndexMap::new(),
             ticks: 0,
             adopted_runs_checked: false,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -9,6 +9,7 @@
 use super::super::decisions::leases::{ClockReading, expires_without_reading};
 use super::super::decisions::permits::{GrantedShare, PermitCache};
 use super::super::decisions::progress::Progress;
+use super::super::decisions::question_shares::QuestionShares;
 use super::super::decisions::worker_health::{Restriction, WorkerHealth};
 use super::super::records::{Batch, Record, RunNumber};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
@@ -69,7 +70,7 @@
     /// Hosts in contact with the placer, which can call the placement policy and relay orders.
     pub policy_callers: IndexMap<HostId, PolicyCaller>,
     /// Questions to the placement policy in flight; at most `POLICY_THREADS`.
-    pub open_questions: usize,
+    pub questions: QuestionShares,
     /// Runs that a worker lists although the state has no such run, with the time of the last order
     /// to stop them.
     pub unexpected_run_stops: IndexMap<(TaskKey, RunNumber), Instant>,
