bug: three gangs of a priority gathered room in a cell of any size

Cause: three gangs of a priority may gather room at the same time. That is more than a third of 48 workers and a fortieth of 1,100. From three late gangs on, gangs were served newest first, which on 1,100 workers is always.

Change: the gangs that gather room may need a tenth of the processors together, three of each priority at least; newest first begins when the late ones need more than that. Gathered room is assigned again each 100 ms instead of in each pass, and stages that are too late to count are visited each 300 ms unless they get something, so that more gathering gangs do not cost the leader more.

Evidence: the_gangs_that_gather_room_follow_the_size_of_the_cell (3, 12, 24 gangs of 144 cores on 768, 17,600 and 35,200 cores). The two tests of slots pass the size of the cell now; their claims are as before.

--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -1,6 +1,7 @@
 //! Decides when a scheduling pass is due, and counts the work of the passes.
 
 use std::cell::Cell;
+use std::time::Instant;
 
 use super::search::GrownRoom;
 use super::term::Term;
@@ -14,6 +15,10 @@
     pub seen_growths: u64,
     /// Value of `Ledger::growths` when the last pass began.
     pub searched_growths: u64,
+    /// Time from which on a pass assigns the room that gangs have gathered again.
+    pub reassign_at: Instant,
+    /// Time from which on a pass includes stages that are too late to count.
+    pub too_late_at: Instant,
     /// Number of passes of this term.
     pub count: u64,
     /// Number of searches for workers in this term.
@@ -84,10 +89,12 @@
     }
 }
 
-impl Default for Passes {
+impl Passes {
     /// Makes the first pass due immediately.
-    fn default() -> Self {
+    pub fn new(now: Instant) -> Self {
         Self {
+            reassign_at: now,
+            too_late_at: now,
             changed: true,
             seen_growths: 0,
             searched_growths: 0,
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -1,27 +1,30 @@
 //! The scheduling pass, which assigns waiting tasks to workers.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
-use super::super::decisions::reservations::ReservationSlots;
+use super::super::decisions::reservations::{ReservationSlots, too_many_late_gangs};
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
 use super::isolation::StartLimit;
 use super::policy::Question;
-use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
+use super::search::{EmptyResult, KnownRoom, Search, StageNeeds, UsableGrowth};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
-use crate::protocol::caller::Urgency;
 use crate::scheduling::ledger::{Allocation, Purpose};
 
-/// Number of late gangs from which on gangs are served newest first: as many as reserve room at a
-/// time.
-const NEWEST_FIRST_THRESHOLD: usize = 3;
+/// Interval at which the room that gangs have gathered is assigned again by rank. One tick.
+const REASSIGNMENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which stages that are too late to count are scheduled, unless the last time gave one of
+/// them room or a question.
+const TOO_LATE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// A stage in the order of a scheduling pass.
 #[derive(Clone, Copy)]
@@ -58,20 +61,32 @@
     /// placement policy.
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
         let searched_growths = self.ledger.growths();
-        let order = self.ranked_stages(now);
+        let mut includes_too_late = now.at >= self.passes.too_late_at;
+        let mut order = self.ranked_stages(now, includes_too_late);
+        if order.is_empty() && !includes_too_late {
+            includes_too_late = true;
+            order = self.ranked_stages(now, true);
+        }
         for entry in order.iter().filter(|entry| entry.rank.is_too_late()) {
             self.mark_too_late(entry.position);
         }
-        let gangs = order.iter().filter(|entry| entry.needs.gang);
-        self.late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
-        for entry in order.iter().filter(|entry| entry.needs.gang) {
-            if let Some(key) = self.reserving_gang(entry.position) {
-                self.release_reservations(&key);
+        let capacity_millis = self.available_capacity_millis(now.at);
+        if includes_too_late {
+            self.note_late_gangs(&order, capacity_millis);
+        }
+        let reassigns = now.at >= self.passes.reassign_at;
+        if reassigns {
+            self.passes.reassign_at = now.at + REASSIGNMENT_INTERVAL;
+            for entry in order.iter().filter(|entry| entry.needs.gang) {
+                if let Some(key) = self.reserving_gang(entry.position) {
+                    self.release_reservations(&key);
+                }
             }
         }
         let grown = self.begin_pass();
         let mut known_room = KnownRoom::default();
-        let mut slots = ReservationSlots::default();
+        let mut slots = ReservationSlots::new(capacity_millis);
+        let mut serves_too_late = false;
         let mut questions = Vec::new();
         for Ranked {
             rank,
@@ -90,12 +105,18 @@
             if self.start_limit(key, now) == StartLimit::Waits {
                 continue;
             }
+            let (waiting, asked) = (stage.waiting.len(), questions.len());
             if needs.gang {
                 if !stage.all_tasks_wait() {
                     continue;
                 }
-                let may_reserve = slots.claim(rank.priority());
-                let may_fit = !self.search_would_be_empty(position, grown.as_ref(), now);
+                let task_millis = stage.needs.amount.cpu_millis;
+                let needed_millis = task_millis.saturating_mul(stage.needs.task_count as u64);
+                let waits_for_policy = stage.open_questions > 0;
+                let has_slot = slots.claim(rank.priority(), needed_millis, waits_for_policy);
+                let growth = self.growth_since_search(position, grown.as_ref(), now);
+                let may_reserve = has_slot && (reassigns || growth != UsableGrowth::None);
+                let may_fit = growth == UsableGrowth::Enough;
                 if !may_fit && !self.may_ask_or_reserve(position, may_reserve, now) {
                     continue;
                 }
@@ -103,27 +124,56 @@
                     continue;
                 };
                 questions.extend(self.schedule_gang(&key, may_reserve, may_fit, now));
-                continue;
+            } else {
+                let growth = self.growth_since_search(position, grown.as_ref(), now);
+                if growth != UsableGrowth::Enough {
+                    continue;
+                }
+                let Some(key) = self.stages.get_index(position).map(|(key, _)| key.clone()) else {
+                    continue;
+                };
+                questions.extend(self.schedule_stage(&key, now));
             }
-            if self.search_would_be_empty(position, grown.as_ref(), now) {
-                continue;
+            if rank.is_too_late() {
+                let stage = self.stages.get_index(position);
+                let left = stage.map_or(0, |(_, stage)| stage.waiting.len());
+                serves_too_late |= left < waiting || questions.len() > asked;
             }
-            let Some(key) = self.stages.get_index(position).map(|(key, _)| key.clone()) else {
-                continue;
-            };
-            questions.extend(self.schedule_stage(&key, now));
+        }
+        if includes_too_late && !serves_too_late {
+            self.passes.too_late_at = now.at + TOO_LATE_INTERVAL;
         }
         self.passes.searched_growths = searched_growths;
         self.finish_pass();
         questions
     }
 
-    /// Returns the stages with waiting tasks in the order in which they are scheduled.
-    fn ranked_stages(&self, now: Now) -> Vec<Ranked> {
+    /// Decides whether gangs are served newest first, since too many are late.
+    fn note_late_gangs(&mut self, order: &[Ranked], capacity_millis: u64) {
+        let mut late_gangs = 0;
+        let mut needed_millis: u64 = 0;
+        for entry in order {
+            let Some((_, stage)) = self.stages.get_index(entry.position) else {
+                continue;
+            };
+            if !entry.needs.gang || entry.rank.is_in_time() {
+                continue;
+            }
+            late_gangs += 1;
+            let amount = stage.needs.amount.cpu_millis;
+            let gang_millis = amount.saturating_mul(stage.needs.task_count as u64);
+            needed_millis = needed_millis.saturating_add(gang_millis);
+        }
+        self.newest_gangs_first = too_many_late_gangs(late_gangs, needed_millis, capacity_millis);
+    }
+
+    /// Returns the stages with waiting tasks in the order in which they are scheduled, with or without
+    /// those that were too late in an earlier pass.
+    fn ranked_stages(&self, now: Now, includes_too_late: bool) -> Vec<Ranked> {
         let mut entries = Vec::with_capacity(self.stages.len());
         let mut order = Vec::with_capacity(self.stages.len());
         for (position, stage) in self.stages.values().enumerate() {
-            if stage.waiting.is_empty() {
+            if stage.waiting.is_empty() || (stage.too_late && !includes_too_late) {
                 continue;
             }
             let rank = ranking::rank(&self.waiting(stage), now.at);
@@ -141,7 +191,7 @@
     /// Returns the positions of the stages with waiting tasks in the order in which they are
     /// scheduled.
     pub(super) fn ranked_positions(&self, now: Now) -> Vec<usize> {
-        let order = self.ranked_stages(now).into_iter();
+        let order = self.ranked_stages(now, true).into_iter();
         order.map(|entry| entry.position).collect()
     }
 
@@ -152,7 +202,7 @@
             due_at: stage.due_at,
             objective: stage.objective,
             remaining: stage.remaining,
-            newest_first: self.late_gangs >= NEWEST_FIRST_THRESHOLD && stage.needs.gang,
+            newest_first: self.newest_gangs_first && stage.needs.gang,
         }
     }
 
@@ -245,7 +295,7 @@
         if spec.gang {
             return StageDecision::NothingFound;
         }
-        if job.queue.placement_policy.is_none() || stage.question_pending {
+        if job.queue.placement_policy.is_none() || stage.open_questions > 0 {
             return StageDecision::NothingFound;
         }
         if !self.may_ask(stage, search.now)
@@ -384,7 +434,7 @@
         let queue = job.queue.clone();
         let (host, expected) = self.choose_policy_caller(&queue, workers.len(), now.at)?;
         self.reserve_room(key, &workers);
-        self.stages.get_mut(key)?.question_pending = true;
+        self.stages.get_mut(key)?.open_questions += 1;
         Some(Question {
             epoch: self.epoch,
             stage: key.clone(),
@@ -395,104 +445,4 @@
             priority: queue.priority,
         })
     }
-
-    /// Reserves room for the waiting tasks of a stage, so that stages of a lower rank cannot use it
-    /// while the policy decides.
-    fn reserve_room(&mut self, key: &StageKey, workers: &[Unpermitted]) {
-        let Some(stage) = self.stages.get(key) else {
-            return;
-        };
-        let Some(job) = self.state.jobs.get(&key.job) else {
-            return;
-        };
-        let Some(spec) = job.stage_spec(key.stage) else {
-            return;
-        };
-        let reserved: usize = stage.reservations.values().sum();
-        let mut missing = stage.waiting.len().saturating_sub(reserved);
-        let spec = spec.clone();
-        for entry in workers {
-            let count = entry.room.min(missing);
-            if count > 0 && self.reserve(key, &spec, &entry.worker, count) {
-                missing -= count;
-            }
-        }
-    }
-
-    /// Reserves room for further tasks of a stage on a worker. Returns whether there was room.
-    pub(super) fn reserve(
-        &mut self,
-        key: &StageKey,
-        spec: &StageSpec,
-        worker: &WorkerId,
-        count: usize,
-    ) -> bool {
-        let (Some(stage), Some(live)) = (self.stages.get_mut(key), self.workers.get(worker)) else {
-            return false;
-        };
-        let name = reservation_name(key);
-        let before = stage.reservations.get(worker).copied().unwrap_or(0);
-        let amount = |count: usize| spec.ledger_amount().checked_mul(count as u64);
-        let (Some(all), Some(former)) = (amount(before + count), amount(before)) else {
-            return false;
-        };
-        let urgency = self
-            .state
-            .jobs
-            .get(&key.job)
-            .map_or(Urgency::Normal, |job| urgency(job.queue.priority));
-        let allocation = |amount| Allocation {
-            amount,
-            purpose: Purpose::Gang,
-            urgency,
-        };
-        self.ledger.release(live.index, &name);
-        if self
-            .ledger
-            .allocate(live.index, &name, allocation(all))
-            .is_ok()
-        {
-            stage.reservations.insert(worker.clone(), before + count);
-            return true;
-        }
-        let restored = before > 0
-            && self
-                .ledger
-                .allocate(live.index, &name, allocation(former))
-                .is_ok();
-        if before > 0 && !restored {
-            stage.reservations.shift_remove(worker);
-        }
-        false
-    }
-
-    /// Releases the room reserved for a stage on one worker.
-    pub(super) fn release_reservation(&mut self, key: &StageKey, worker: &WorkerId) {
-        let Some(stage) = self.stages.get_mut(key) else {
-            return;
-        };
-        if stage.reservations.shift_remove(worker).is_none() {
-            return;
-        }
-        if let Some(worker) = self.workers.get(worker) {
-            self.ledger.release(worker.index, &reservation_name(key));
-        }
-    }
-
-    /// Releases the room reserved for a stage on all workers.
-    pub(super) fn release_reservations(&mut self, key: &StageKey) {
-        let Some(stage) = self.stages.get_mut(key) else {
-            return;
-        };
-        for (worker, _) in std::mem::take(&mut stage.reservations) {
-            if let Some(worker) = self.workers.get(&worker) {
-                self.ledger.release(worker.index, &reservation_name(key));
-            }
-        }
-    }
-}
-
-/// Returns the name of a stage's reservation in the ledger.
-fn reservation_name(key: &StageKey) -> String {
-    format!("{key} held")
 }
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -338,22 +338,35 @@
 /// slots shared by all priorities, large gangs waited until the burst was over.
 #[test]
 fn urgent_gangs_do_not_use_the_slots_of_other_priorities() {
-    let mut slots = ReservationSlots::default();
+    let mut slots = ReservationSlots::new(1_000_000);
     for _ in 0..20 {
-        slots.claim(0);
+        slots.claim(0, 60_000, false);
     }
-    assert!(slots.claim(1));
+    assert!(slots.claim(1, 200_000, false));
 }
 
 /// Guards against gangs that reserve room at the same time and together keep most of a full cell
 /// idle.
 #[test]
 fn only_the_first_gangs_of_a_priority_reserve_room() {
-    let mut slots = ReservationSlots::default();
-    let claims: Vec<bool> = (0..5).map(|_| slots.claim(1)).collect();
+    let mut slots = ReservationSlots::new(1_000_000);
+    let claims: Vec<bool> = (0..5).map(|_| slots.claim(1, 200_000, false)).collect();
     assert_eq!(claims, [true, true, true, false, false]);
 }
 
+/// Guards against three gangs at a time that gather room in a cell of any size: of 1,100 workers
+/// they hold a fortieth, and large gangs wait while small tasks take each piece of room.
+#[test]
+fn the_gangs_that_gather_room_follow_the_size_of_the_cell() {
+    let claims = |capacity_millis| {
+        let mut slots = ReservationSlots::new(capacity_millis);
+        (0..100).filter(|_| slots.claim(1, 144_000, false)).count()
+    };
+    assert_eq!(claims(768_000), 3);
+    assert_eq!(claims(17_600_000), 12);
+    assert_eq!(claims(35_200_000), 24);
+}
+
 /// Guards against gangs that need two or three consecutive questions of 600 ms each to be granted
 /// enough workers, where a single question about all workers takes 750 ms.
 #[test]
