--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod figures;
 mod gangs;
+mod growth;
 mod heartbeats;
 mod idle_room;
 mod isolation;
--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::Instant;
 
-use super::search::GrownRoom;
+use super::growth::GrownRoom;
 use super::term::Term;
 
 /// Changes since the last scheduling pass, and counters of the passes of this term.
