--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -23,7 +23,7 @@
 const GANG_ASK_FACTOR: f64 = 2.0;
 /// Members that have to fit on the granted workers of a gang when these are empty, as a multiple of
 /// all members: with less choice, the gang would hold room and wait for particular workers.
-const GANG_CAPACITY_FACTOR: usize = 4;
+const GANG_CAPACITY_FACTOR: usize = 2;
 /// Factor by which the number of workers in a call exceeds the expected need.
 const ASK_FACTOR: f64 = 1.4;
 /// Longest time that questions may queue at one caller: a later question may be more urgent, and
@@ -33,7 +33,7 @@
 const SECOND_ROUND_TRIP_MS: f64 = 60.0;
 /// Largest multiple of the workers that are probably enough which are asked about to save a second
 /// question: the leader records each answer.
-const MAX_ASK_MULTIPLE: usize = 2;
+const MAX_ASK_MULTIPLE: usize = 4;
 /// Smallest number of workers without an earlier answer in one call.
 const MIN_WORKERS_PER_CALL: usize = 3;
 /// Validity that must remain when a run is placed: the commit and the start order use part of it.
@@ -293,7 +293,11 @@
         return Vec::new();
     }
     // As many as would do if only one member fitted on each.
-    let most = (tasks as f64 / share * GANG_CAPACITY_FACTOR as f64).ceil() as usize;
+    let mut most = (tasks as f64 / share * GANG_CAPACITY_FACTOR as f64).ceil() as usize;
+    if !cost.callers_are_free {
+        // One question, as other gangs wait for theirs.
+        most = most.min(MAX_WORKERS_PER_CALL);
+    }
     let least = (cost.balanced_workers().min(MAX_WORKERS_PER_CALL) / 2).min(most);
     let mut chosen = Vec::new();
     let mut expected = 0.0;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -104,7 +104,8 @@
         QuestionCost {
             decision_ms: policy.map_or(0.0, |policy| policy.decision_ms),
             per_worker_ms: policy.map_or(0.0, |policy| policy.per_worker_ms),
-            callers_are_free: self.questions.open_questions() * 2 < POLICY_THREADS,
+            callers_are_free: self.questions.open_questions() * 2
+                < POLICY_THREADS.min(self.policy_callers.len()),
         }
     }
 
