--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -18,8 +18,7 @@
 const GRANTED_SHARE_WEIGHT: f64 = 0.1;
 /// Smallest granted share that is assumed, which limits the length of questions.
 const MIN_GRANTED_SHARE: f64 = 0.05;
-/// Like [`ASK_FACTOR`] for a gang, which cannot start with a part of its members: with 1.4, one gang in
-/// eight of 20 tasks asks again.
+/// Like [`ASK_FACTOR`] for a gang, which cannot start with a part of its members.
 const GANG_ASK_FACTOR: f64 = 2.0;
 /// Members that have to fit on the granted workers of a gang when these are empty, as a multiple of
 /// all members: with less choice, the gang would hold room and wait for particular workers.
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -10,54 +10,26 @@
 use super::placing::{Candidate, room};
 use crate::resources::Resources;
 
-/// Gangs of one priority that may always gather room at the same time. On a cell of 48 workers, with
-/// 8 instead of 3, four of four days at high load scored lower.
-const MIN_GATHERING_GANGS: usize = 3;
-/// Part of the processors of the cell that the gangs which gather room may need together, in percent.
-/// What they hold is idle meanwhile: with 10, a third of 1,100 workers was held after a day.
-const GATHERING_PERCENT: u64 = 0;
+/// Gangs of one priority that reserve room at the same time: each keeps room up to its own size
+/// idle meanwhile. With 8, four of four days at high load scored lower than with 3.
+const MAX_RESERVING_GANGS: usize = 3;
 /// Part of its room that a gang holds when its permits are renewed, in percent, so that the permits
 /// are valid by the time the rest of the room is free.
 const RENEW_PERMITS_AT_PERCENT: usize = 60;
 
-/// Limits the gangs that gather room in a scheduling pass, by number and by the processors that they
-/// need. Each priority has a number of its own: small urgent gangs are many and wait only briefly,
-/// and would occupy the slots of the large ones.
+/// Limits the gangs that reserve room in a scheduling pass. Each priority has its own slots: small
+/// urgent gangs are many and wait only briefly, and would occupy the slots of the large ones.
 #[derive(Clone, Debug, Default)]
-pub struct ReservationSlots {
-    gangs: IndexMap<u32, usize>,
-    /// Processors that may still be claimed beyond the number, in thousandths of a core.
-    left_millis: u64,
-}
+pub struct ReservationSlots(IndexMap<u32, usize>);
 
 impl ReservationSlots {
-    /// Creates the slots of a pass in a cell with so many processors, in thousandths of a core.
-    pub fn new(capacity_millis: u64) -> Self {
-        Self {
-            gangs: IndexMap::new(),
-            left_millis: capacity_millis / 100 * GATHERING_PERCENT,
-        }
+    /// Claims a slot for the next gang of a priority and returns whether one was free. Gangs are
+    /// passed in the order of their ranks.
+    pub fn claim(&mut self, priority: u32) -> bool {
+        let claimed = self.0.entry(priority).or_default();
+        *claimed += 1;
+        *claimed <= MAX_RESERVING_GANGS
     }
-
-    /// Claims a slot for the next gang of a priority and returns whether it may gather room. Gangs
-    /// are passed in the order of their ranks with the processors that they need. One that waits for
-    /// the placement policy holds no room.
-    pub fn claim(&mut self, priority: u32, needed_millis: u64, waits_for_policy: bool) -> bool {
-        let gangs = self.gangs.entry(priority).or_default();
-        *gangs += 1;
-        if waits_for_policy {
-            return false;
-        }
-        let fits = needed_millis <= self.left_millis;
-        self.left_millis = self.left_millis.saturating_sub(needed_millis);
-        fits || *gangs <= MIN_GATHERING_GANGS
-    }
-}
-
-/// Whether so many gangs are late, given the processors that they need, that gangs are served newest
-/// first: more than may gather room at a time.
-pub fn too_many_late_gangs(late_gangs: usize, needed_millis: u64, capacity_millis: u64) -> bool {
-    late_gangs >= MIN_GATHERING_GANGS && needed_millis > capacity_millis / 100 * GATHERING_PERCENT
 }
 
 /// Returns, for each candidate in order, the number of further tasks to reserve room for. The sum
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -86,9 +86,9 @@
         question.into_iter().collect()
     }
 
-    /// Returns the stage at a position if it has reservations and no question in flight. Each
-    /// scheduling pass releases these reservations and grants room again in the order of the ranks:
-    /// otherwise a late gang would keep room that a gang in time needs.
+    /// Returns the stage at a position if it has reservations and no question in flight. These
+    /// are released at intervals and granted again in the order of the ranks: otherwise a late gang
+    /// would keep room that a gang in time needs.
     pub(super) fn reserving_gang(&self, position: usize) -> Option<StageKey> {
         let (key, stage) = self.stages.get_index(position)?;
         (stage.open_questions == 0 && !stage.reservations.is_empty()).then(|| key.clone())
--- a/src/workflow/placer/idle_room.rs
+++ b/src/workflow/placer/idle_room.rs
@@ -119,15 +119,12 @@
     /// workers that were examined.
     fn take_room(&self, key: &StageKey, stage: &LiveStage, rooms: &mut [Room]) -> (usize, usize) {
         let needs = &stage.needs;
-        let queue = self.state.jobs.get(&key.job).map(|job| &job.queue.name);
-        let share = match needs.slow_policy {
-            Some(_) => queue.and_then(|queue| self.good_shares.get(queue)),
-            None => None,
-        };
-        let share = match (needs.slow_policy, share) {
-            (None, _) => 1.0,
-            (Some(_), share) => share.copied().unwrap_or_default().value(),
-        };
+        let mut share = 1.0;
+        if needs.slow_policy.is_some() {
+            let job = self.state.jobs.get(&key.job);
+            let granted = job.and_then(|job| self.good_shares.get(&job.queue.name));
+            share = granted.copied().unwrap_or_default().value();
+        }
         let large_enough =
             rooms.partition_point(|room| room.free_cpu_millis >= needs.amount.cpu_millis);
         // What is reserved for the stage itself is not free.
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -7,7 +7,7 @@
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
-use super::super::decisions::reservations::{ReservationSlots, too_many_late_gangs};
+use super::super::decisions::reservations::ReservationSlots;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
@@ -21,6 +21,9 @@
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::{Allocation, Purpose};
 
+/// Number of late gangs from which on gangs are served newest first: as many as reserve room at a
+/// time.
+const NEWEST_FIRST_THRESHOLD: usize = 3;
 /// Interval at which the room that gangs have gathered is assigned again by rank. One tick.
 const REASSIGNMENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which stages that are too late to count are scheduled, unless the last time gave one of
@@ -71,9 +74,10 @@
         for entry in order.iter().filter(|entry| entry.rank.is_too_late()) {
             self.mark_too_late(entry.position);
         }
-        let capacity_millis = self.available_capacity_millis(now.at);
         if includes_too_late {
-            self.note_late_gangs(&order, capacity_millis);
+            let gangs = order.iter().filter(|entry| entry.needs.gang);
+            let late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
+            self.newest_gangs_first = late_gangs >= NEWEST_FIRST_THRESHOLD;
         }
         let reassigns = now.at >= self.passes.reassign_at;
         if reassigns {
@@ -86,7 +90,7 @@
         }
         let grown = self.begin_pass();
         let mut known_room = KnownRoom::default();
-        let mut slots = ReservationSlots::new(capacity_millis);
+        let mut slots = ReservationSlots::default();
         let mut serves_too_late = false;
         let mut questions = Vec::new();
         for Ranked {
@@ -111,10 +115,7 @@
                 if !stage.all_tasks_wait() {
                     continue;
                 }
-                let task_millis = stage.needs.amount.cpu_millis;
-                let needed_millis = task_millis.saturating_mul(stage.needs.task_count as u64);
-                let waits_for_policy = stage.open_questions > 0;
-                let has_slot = slots.claim(rank.priority(), needed_millis, waits_for_policy);
+                let has_slot = slots.claim(rank.priority());
                 let growth = self.growth_since_search(position, grown.as_ref(), now);
                 let may_reserve = has_slot && (reassigns || growth != UsableGrowth::None);
                 let may_fit = growth == UsableGrowth::Enough;
@@ -149,25 +150,6 @@
         questions
     }
 
-    /// Decides whether gangs are served newest first, since too many are late.
-    fn note_late_gangs(&mut self, order: &[Ranked], capacity_millis: u64) {
-        let mut late_gangs = 0;
-        let mut needed_millis: u64 = 0;
-        for entry in order {
-            let Some((_, stage)) = self.stages.get_index(entry.position) else {
-                continue;
-            };
-            if !entry.needs.gang || entry.rank.is_in_time() {
-                continue;
-            }
-            late_gangs += 1;
-            let amount = stage.needs.amount.cpu_millis;
-            let gang_millis = amount.saturating_mul(stage.needs.task_count as u64);
-            needed_millis = needed_millis.saturating_add(gang_millis);
-        }
-        self.newest_gangs_first = too_many_late_gangs(late_gangs, needed_millis, capacity_millis);
-    }
-
     /// Returns the stages with waiting tasks in the order in which they are scheduled, with or without
     /// those that were too late in an earlier pass.
     fn ranked_stages(&self, now: Now, includes_too_late: bool) -> Vec<Ranked> {
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -338,19 +338,19 @@
 /// slots shared by all priorities, large gangs waited until the burst was over.
 #[test]
 fn urgent_gangs_do_not_use_the_slots_of_other_priorities() {
-    let mut slots = ReservationSlots::new(1_000_000);
+    let mut slots = ReservationSlots::default();
     for _ in 0..20 {
-        slots.claim(0, 60_000, false);
+        slots.claim(0);
     }
-    assert!(slots.claim(1, 200_000, false));
+    assert!(slots.claim(1));
 }
 
 /// Guards against gangs that reserve room at the same time and together keep most of a full cell
 /// idle.
 #[test]
 fn only_the_first_gangs_of_a_priority_reserve_room() {
-    let mut slots = ReservationSlots::new(1_000_000);
-    let claims: Vec<bool> = (0..5).map(|_| slots.claim(1, 200_000, false)).collect();
+    let mut slots = ReservationSlots::default();
+    let claims: Vec<bool> = (0..5).map(|_| slots.claim(1)).collect();
     assert_eq!(claims, [true, true, true, false, false]);
 }
 
