--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -13,4 +13,5 @@
 pub mod replicas;
 pub mod reservations;
 pub mod retries;
+pub mod size_shares;
 pub mod worker_health;
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -11,6 +11,7 @@
 mod committed;
 mod crashes;
 mod figures;
+mod gang_sizes;
 mod gangs;
 mod growth;
 mod heartbeats;
--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::super::spec::StageKey;
+use super::gang_sizes::band;
 use super::search::StageNeeds;
 use super::term::Term;
 use crate::resources::Resources;
@@ -78,6 +79,9 @@
             self.waiting_work
                 .subtract(&stage.needs, stage.waiting.len());
             stage.too_late = true;
+            if stage.needs.gang && stage.all_tasks_wait() {
+                self.size_shares.record_given_up(band(&stage.needs));
+            }
         }
     }
 
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -12,6 +12,7 @@
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
+use super::gang_sizes::band;
 use super::growth::UsableGrowth;
 use super::isolation::StartLimit;
 use super::policy::Question;
@@ -390,6 +391,9 @@
             let before = stage.waiting.len();
             stage.waiting.retain(|task| !placed.contains(task));
             let left = stage.waiting.len();
+            if stage.needs.gang && !stage.too_late {
+                self.size_shares.record_placed(band(&stage.needs));
+            }
             let waited = now.at.saturating_duration_since(stage.due_at);
             instruments().record_placement(placed.len(), waited);
             log::info!(
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -46,6 +46,14 @@
     pub slow_policy: Option<bool>,
 }
 
+impl StageNeeds {
+    /// Processors that all tasks of the stage need, in thousandths of a core.
+    pub fn room_millis(&self) -> u64 {
+        let tasks = self.task_count as u64;
+        self.amount.cpu_millis.saturating_mul(tasks)
+    }
+}
+
 /// A search for a stage that found neither room nor workers to ask about.
 #[derive(Clone, Copy, Debug)]
 pub struct EmptySearch {
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -54,6 +54,7 @@
             waiting_work: Default::default(),
             passes: Passes::new(now.at),
             newest_gangs_first: false,
+            size_shares: Default::default(),
             good_shares: IndexMap::new(),
             policy_callers: IndexMap::new(),
             questions: Default::default(),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -10,6 +10,7 @@
 use super::super::decisions::permits::{GrantedShare, PermitCache};
 use super::super::decisions::progress::Progress;
 use super::super::decisions::question_shares::QuestionShares;
+use super::super::decisions::size_shares::SizeShares;
 use super::super::decisions::worker_health::{Restriction, WorkerHealth};
 use super::super::records::{Batch, Record, RunNumber};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
@@ -66,6 +67,8 @@
     pub passes: Passes,
     /// Whether gangs are served newest first, since too many of them are late.
     pub newest_gangs_first: bool,
+    /// Outcomes of gangs by size.
+    pub size_shares: SizeShares,
     /// Observed share of workers that the placement policy grants, by queue.
     pub good_shares: IndexMap<String, GrantedShare>,
     /// Hosts in contact with the placer, which can call the placement policy and relay orders.
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -200,6 +200,7 @@
             self.report_load(now.at);
             self.report_idle_room(now);
             self.report_waiting_gangs(now);
+            self.report_gang_sizes();
         }
         self.note_usable_workers(now.at);
         // The ranks of stages, the validity of permits and the avoided workers change with time.
