--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -10,6 +10,7 @@
 mod extremes;
 mod figures;
 mod fixture;
+mod gang_sizes;
 mod gangs;
 mod grown_cell;
 mod idle_room;
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -11,9 +11,10 @@
 
 use super::super::CallResponder;
 use super::fixture::{Fixture, configuration, heartbeat, queue, stage};
-use crate::ids::WorkerId;
+use crate::ids::{JobId, WorkerId};
 use crate::resources::Resources;
 use crate::workflow::calls::{Call, HostContact, PolicyAnswer};
+use crate::workflow::decisions::ranking::LATE_FACTOR;
 use crate::workflow::placer::policy::Question;
 use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress};
 use crate::workflow::records::RunOutcome;
@@ -57,6 +58,8 @@
     cores: u64,
     /// Hosts that can call the placement policy.
     hosts: usize,
+    /// Whether the logarithms of the numbers of tasks are distributed evenly, and not the numbers.
+    skewed: bool,
 }
 
 /// Traffic of a cell of 350 workers with 40 hosts.
@@ -75,6 +78,7 @@
     validity_ms: 5_000,
     cores: 32,
     hosts: 40,
+    skewed: false,
 };
 
 /// Traffic of a cell of 1,100 workers with 147 hosts whose policy takes most of a second for a gang;
@@ -94,6 +98,14 @@
     validity_ms: 2_500,
     cores: 16,
     hosts: 147,
+    skewed: false,
+};
+
+/// Traffic like [`WIDE`] in which some gangs and stages are several times as wide as most.
+pub const SKEWED: Traffic = Traffic {
+    tasks: [(6, 120), (6, 150), (1, 20)],
+    skewed: true,
+    ..WIDE
 };
 
 /// Time from a placement to the recorded end of the run, beyond its work.
@@ -137,6 +149,19 @@
     answers: BTreeMap<(Instant, u64), Question>,
     sequence: u64,
     next_tick_at: Instant,
+    /// Accepted jobs.
+    pub jobs: IndexMap<JobId, SimulatedJob>,
+}
+
+/// An accepted job of a simulated cell.
+pub struct SimulatedJob {
+    pub kind: usize,
+    /// Declared work of all tasks, in milliseconds of a thousandth of a core.
+    pub work: u64,
+    /// Time after which the end of the job no longer counts.
+    pub counts_until: Instant,
+    /// Whether the job ended while its end counted.
+    pub served: bool,
 }
 
 fn queues(traffic: &Traffic) -> Vec<Queue> {
@@ -217,6 +242,7 @@
             answers: BTreeMap::new(),
             sequence: 0,
             next_tick_at,
+            jobs: IndexMap::new(),
         }
     }
 
@@ -271,7 +297,11 @@
     fn submit(&mut self, kind: usize) {
         let traffic = self.traffic;
         let (least, greatest) = traffic.tasks[kind];
-        let tasks = if least == greatest {
+        let tasks = if traffic.skewed {
+            let ratio = f64::from(greatest) / f64::from(least);
+            let exponent: f64 = self.random.random();
+            (f64::from(least) * ratio.powf(exponent)).round() as u32
+        } else if least == greatest {
             least
         } else {
             self.random.random_range(least..=greatest)
@@ -302,8 +332,29 @@
         self.submitted += 1;
         let responder = CallResponder::new(|_| {});
         let Fixture { term, now, .. } = &mut self.fixture;
+        let known = term.state.jobs.len();
         let step = || term.handle_call(call, responder, *now);
         self.step_times.measure("submit", step);
+        if self.fixture.term.state.jobs.len() > known {
+            self.note_accepted(kind, u64::from(tasks) * cpu_millis * estimate_ms);
+        }
+    }
+
+    fn note_accepted(&mut self, kind: usize, work: u64) {
+        let term = &self.fixture.term;
+        let Some(id) = term.state.jobs.keys().last() else {
+            return;
+        };
+        let Some(stage) = term.stages.iter().rfind(|(key, _)| key.job == *id) else {
+            return;
+        };
+        let job = SimulatedJob {
+            kind,
+            work,
+            counts_until: stage.1.due_at + stage.1.objective * LATE_FACTOR,
+            served: false,
+        };
+        self.jobs.insert(id.clone(), job);
     }
 
     /// Returns a random number between the bounds, both included.
@@ -335,6 +386,9 @@
                 && was_open
                 && !job.is_open()
             {
+                if let Some(job) = self.jobs.get_mut(&task.stage.job) {
+                    job.served = now.at <= job.counts_until;
+                }
                 let ended = &mut self.ended[kind_of(&job.queue)];
                 ended[0] += 1;
                 ended[1] += usize::from(in_time);
