bug: wide gangs lost their place before they had gathered their room

Cause: what a gang needs to start outlasts its claim on it. Three gangs of a priority gathered room, in a cell of any size, newest first from three late ones on, so that newer gangs took the place of a gang within a third of a second, while one question to the placement policy takes 1.2 s. No room was reserved while a question was in flight. All other gangs asked as well: about the same free room, with permits that expired before they had it. Only narrow gangs, which fit into what is free, started.

- A gang that has begun to gather goes on while it can be in time; the gang that has gathered longest is served first each time the reserved room is assigned again, so that gangs do not wait for the room of each other.
- The slots follow the cell: the gangs of a priority may lack 30% of it beyond the room that is free.
The next slot goes to the size of which the smallest share is placed.
- Only gangs with a slot ask about further workers, for four times their members in place of twice, and they reserve room while the answer is under way.

The tests of the slots are unchanged but for the new argument. That of the questions of a gang states "enough workers" as a multiple of its members, which is four now: its bounds are twice as high.

--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -21,8 +21,9 @@
 /// Like [`ASK_FACTOR`] for a gang, which cannot start with a part of its members.
 const GANG_ASK_FACTOR: f64 = 2.0;
 /// Members that have to fit on the granted workers of a gang when these are empty, as a multiple of
-/// all members: with less choice, the gang would hold room and wait for particular workers.
-const GANG_CAPACITY_FACTOR: usize = 2;
+/// all members: with less choice, the gang would hold room and wait for particular workers. In a
+/// simulated overload, gangs held room longer and fewer were served with 2 and with 3.
+const GANG_CAPACITY_FACTOR: usize = 4;
 /// Factor by which the number of workers in a call exceeds the expected need.
 const ASK_FACTOR: f64 = 1.4;
 /// Longest time that questions may queue at one caller: a later question may be more urgent, and
--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -34,6 +34,8 @@
     pub remaining: Duration,
     /// Whether jobs of this kind are placed newest first, since too many of them are already late.
     pub newest_first: bool,
+    /// Time since which the stage, a gang, gathers room; `None` if it does not.
+    pub gathers_since: Option<Instant>,
 }
 
 /// Sort key of a waiting stage; the smallest is placed first.
@@ -48,6 +50,9 @@
 /// Order among jobs that are equal in group, priority and usefulness.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum TieBreak {
+    /// Gangs that gather room come first and keep their order: newer ones would take the room that
+    /// they have gathered.
+    Gathering(Instant),
     LatestStart(Instant),
     NewestFirst(Reverse<Instant>),
 }
@@ -56,14 +61,15 @@
     /// Returns an integer with the order of the rank among ranks of the same `now`. Sorting hundreds
     /// of ranks in each pass by their fields took a tenth of the pass.
     pub fn sort_key(&self, now: Instant) -> u128 {
-        let (reversed, at) = match self.tie_break {
-            TieBreak::LatestStart(at) => (false, nanos_from(now, at)),
-            TieBreak::NewestFirst(Reverse(at)) => (true, !nanos_from(now, at)),
+        let (kind, at) = match self.tie_break {
+            TieBreak::Gathering(at) => (0_u8, nanos_from(now, at)),
+            TieBreak::LatestStart(at) => (1, nanos_from(now, at)),
+            TieBreak::NewestFirst(Reverse(at)) => (2, !nanos_from(now, at)),
         };
         let class = u128::from(self.group as u8) << 34
             | u128::from(self.priority) << 2
             | u128::from(self.usefulness as u8);
-        class << 65 | u128::from(reversed) << 64 | u128::from(at)
+        class << 66 | u128::from(kind) << 64 | u128::from(at)
     }
 
     /// Priority of the queue.
@@ -131,14 +137,17 @@
     let latest_start = latest_end
         .checked_sub(waiting.remaining)
         .unwrap_or(waiting.due_at);
+    let tie_break = match (usefulness, waiting.gathers_since) {
+        (Usefulness::InTime, Some(since)) => TieBreak::Gathering(since),
+        (Usefulness::InTime, None) if waiting.newest_first => {
+            TieBreak::NewestFirst(Reverse(waiting.due_at))
+        }
+        _ => TieBreak::LatestStart(latest_start),
+    };
     Rank {
         group,
         priority: waiting.priority,
         usefulness,
-        tie_break: if waiting.newest_first && usefulness == Usefulness::InTime {
-            TieBreak::NewestFirst(Reverse(waiting.due_at))
-        } else {
-            TieBreak::LatestStart(latest_start)
-        },
+        tie_break,
     }
 }
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -1,35 +1,168 @@
-//! Reserves room for gangs while it becomes free piece by piece.
+//! Chooses the gangs that gather room, and reserves it while it becomes free piece by piece.
 //!
 //! Load pattern: in a busy cell the workers that a gang may use are never free at the same time,
-//! since small tasks occupy each piece of room at once. The gangs with the highest ranks reserve
-//! what becomes free on their workers until all members have room; other stages use the rest.
+//! since small tasks occupy each piece of room at once. Some gangs reserve what becomes free on
+//! their workers until all members have room; other stages use the rest. Gathering takes several
+//! questions to the placement policy and several run times, so that a gang that begins goes on.
+
+use std::collections::VecDeque;
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::spec::StageSpec;
 use super::placing::{Candidate, room};
+use super::size_shares::{SizeBand, SizeShares};
 use crate::resources::Resources;
 
-/// Gangs of one priority that reserve room at the same time: each keeps room up to its own size
-/// idle meanwhile. With 8, four of four days at high load scored lower than with 3.
-const MAX_RESERVING_GANGS: usize = 3;
+/// Gangs of one priority that may gather room at the same time in a cell of any size.
+const MIN_GATHERING_GANGS: usize = 3;
+/// Part of the cell that the gangs of one priority that gather room may lack in addition to what
+/// is free, in percent. In a simulated overload, 10% served the largest tenth of the gangs less than
+/// half as often as all; 50% served fewer gangs in all.
+const GATHERING_PERCENT: u64 = 30;
 /// Part of its room that a gang holds when its permits are renewed, in percent, so that the permits
 /// are valid by the time the rest of the room is free.
 const RENEW_PERMITS_AT_PERCENT: usize = 60;
 
-/// Limits the gangs that reserve room in a scheduling pass. Each priority has its own slots: small
+/// A gang of which all members wait, as far as the choice of those that gather room depends on it.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitingGang {
+    /// Priority and size.
+    pub band: SizeBand,
+    /// Processors of the members without reserved room, in thousandths of a core.
+    pub missing_millis: u64,
+    /// Whether the gang can still end within its objective.
+    pub in_time: bool,
+    /// Whether the gang has begun to gather room.
+    pub gathers: bool,
+}
+
+/// Limits the gangs that gather room at the same time. Each priority has its own slots: small
 /// urgent gangs are many and wait only briefly, and would occupy the slots of the large ones.
 #[derive(Clone, Debug, Default)]
-pub struct ReservationSlots(IndexMap<u32, usize>);
+pub struct ReservationSlots {
+    /// Room that the gangs of one priority may lack together, in thousandths of a core.
+    room_millis: u64,
+    claimed: IndexMap<u32, Claimed>,
+}
+
+/// Gangs of one priority that gather room.
+#[derive(Clone, Copy, Debug, Default)]
+struct Claimed {
+    gangs: usize,
+    missing_millis: u64,
+}
 
 impl ReservationSlots {
-    /// Claims a slot for the next gang of a priority and returns whether one was free. Gangs are
-    /// passed in the order of their ranks.
-    pub fn claim(&mut self, priority: u32) -> bool {
-        let claimed = self.0.entry(priority).or_default();
-        *claimed += 1;
-        *claimed <= MAX_RESERVING_GANGS
+    /// Creates the slots of a cell, given its processors and those that are free, in thousandths of
+    /// a core.
+    pub fn new(capacity_millis: u64, free_millis: u64) -> Self {
+        let gathered_millis = capacity_millis / 100 * GATHERING_PERCENT;
+        Self {
+            room_millis: gathered_millis.saturating_add(free_millis),
+            claimed: IndexMap::new(),
+        }
+    }
+
+    /// Whether there is a slot for a gang that lacks `missing_millis`.
+    pub fn is_free(&self, priority: u32, missing_millis: u64) -> bool {
+        let claimed = self.claimed.get(&priority).copied().unwrap_or_default();
+        claimed.gangs < MIN_GATHERING_GANGS
+            || claimed.missing_millis.saturating_add(missing_millis) <= self.room_millis
+    }
+
+    /// Claims a slot for a gang that lacks `missing_millis` and returns whether one was free.
+    pub fn claim(&mut self, priority: u32, missing_millis: u64) -> bool {
+        let is_free = self.is_free(priority, missing_millis);
+        if is_free {
+            self.keep(priority, missing_millis);
+        }
+        is_free
+    }
+
+    /// Counts a gang that lacks `missing_millis` and has a slot already.
+    pub fn keep(&mut self, priority: u32, missing_millis: u64) {
+        let claimed = self.claimed.entry(priority).or_default();
+        claimed.gangs += 1;
+        claimed.missing_millis = claimed.missing_millis.saturating_add(missing_millis);
+    }
+}
+
+/// Gangs of one size in the choice of those that gather room.
+#[derive(Default)]
+struct Band {
+    waiting: usize,
+    gathering: usize,
+    /// Positions of the gangs in time that do not gather room yet, by rank.
+    candidates: VecDeque<usize>,
+}
+
+/// Returns, for each waiting gang in the order of their ranks, whether it gathers room. A gang that
+/// has begun goes on while it can be in time. The other slots go to the size of which the smallest
+/// share is placed, and what is left to late gangs.
+pub fn choose_gathering(
+    gangs: &[WaitingGang],
+    mut slots: ReservationSlots,
+    shares: &SizeShares,
+) -> Vec<bool> {
+    let mut chosen = vec![false; gangs.len()];
+    let mut bands: IndexMap<SizeBand, Band> = IndexMap::new();
+    for (position, gang) in gangs.iter().enumerate() {
+        let band = bands.entry(gang.band).or_default();
+        band.waiting += 1;
+        if !gang.in_time {
+            continue;
+        }
+        if gang.gathers {
+            slots.keep(gang.band.priority, gang.missing_millis);
+            chosen[position] = true;
+            band.gathering += 1;
+            continue;
+        }
+        band.candidates.push_back(position);
+    }
+    while let Some((key, position)) = next_by_size(&bands, gangs, &slots, shares) {
+        slots.keep(key.priority, gangs[position].missing_millis);
+        chosen[position] = true;
+        if let Some(band) = bands.get_mut(&key) {
+            band.candidates.pop_front();
+            band.gathering += 1;
+        }
+    }
+    for (position, gang) in gangs.iter().enumerate() {
+        if !chosen[position] {
+            chosen[position] = slots.claim(gang.band.priority, gang.missing_millis);
+        }
+    }
+    chosen
+}
+
+/// Returns the next gang of the size of which the smallest share is placed, among those for which
+/// there is a slot.
+fn next_by_size(
+    bands: &IndexMap<SizeBand, Band>,
+    gangs: &[WaitingGang],
+    slots: &ReservationSlots,
+    shares: &SizeShares,
+) -> Option<(SizeBand, usize)> {
+    let mut next = None;
+    let mut smallest = f64::INFINITY;
+    for (key, band) in bands {
+        let Some(&position) = band.candidates.front() else {
+            continue;
+        };
+        if !slots.is_free(key.priority, gangs[position].missing_millis) {
+            continue;
+        }
+        let share = shares
+            .outcomes(*key)
+            .placed_share(band.waiting, band.gathering);
+        if share < smallest {
+            smallest = share;
+            next = Some((*key, position));
+        }
     }
+    next
 }
 
 /// Returns, for each candidate in order, the number of further tasks to reserve room for. The sum
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -13,6 +13,7 @@
 mod figures;
 mod gang_sizes;
 mod gangs;
+mod gathering;
 mod growth;
 mod heartbeats;
 mod idle_room;
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -23,8 +23,8 @@
 const WORKER_SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Term {
-    /// Places a gang that has room, or reserves room for it if `may_reserve` is set. Returns
-    /// questions about workers for the gang. `may_fit` is false if the last search found no room for
+    /// Places a gang that has room, or reserves room for it if `may_reserve` is set, also while the
+    /// policy is asked about further workers. Returns questions about workers for the gang. `may_fit` is false if the last search found no room for
     /// all members and no room that a member could use has been freed since.
     pub(super) fn schedule_gang(
         &mut self,
@@ -59,39 +59,37 @@
         let Some(stage) = self.stages.get(key) else {
             return Vec::new();
         };
-        if stage.open_questions > 0 {
+        let is_asked_about = stage.open_questions > 0;
+        if is_asked_about && !may_reserve {
             return Vec::new();
         }
         if stage.reservations.values().sum::<usize>() >= stage.waiting.len() {
             let question = self.start_reserved_gang(key, &spec, has_policy, now);
             return question.into_iter().collect();
         }
-        if has_policy && may_fit && stage.reservations.is_empty() {
+        if has_policy && may_fit && !is_asked_about && stage.reservations.is_empty() {
             let question = self.renew_permits_for_free_room(key, &spec, now);
             if question.is_some() {
                 return question.into_iter().collect();
             }
         }
-        if !may_reserve || spec.prefers_one_rack {
-            return self.ask_for_gang(key, &spec, now);
-        }
-        if has_policy {
-            let questions = self.ask_for_gang(key, &spec, now);
-            if !questions.is_empty() {
-                return questions;
+        if may_reserve && !spec.prefers_one_rack {
+            self.reserve_room_for_gang(key, &spec, now);
+            let question = self.start_reserved_gang(key, &spec, has_policy, now);
+            if question.is_some() {
+                return question.into_iter().collect();
             }
         }
-        self.reserve_room_for_gang(key, &spec, now);
-        let question = self.start_reserved_gang(key, &spec, has_policy, now);
-        question.into_iter().collect()
+        self.ask_for_gang(key, &spec, now)
     }
 
-    /// Returns the stage at a position if it has reservations and no question in flight. These
-    /// are released at intervals and granted again in the order of the ranks: otherwise a late gang
-    /// would keep room that a gang in time needs.
+    /// Returns the stage at a position if it has reservations and does not renew the permits for
+    /// them. These are released at intervals and granted again in the order of the ranks: otherwise
+    /// a late gang would keep room that a gang in time needs, and gangs that hold room on the
+    /// workers of each other would wait for ever.
     pub(super) fn reserving_gang(&self, position: usize) -> Option<StageKey> {
         let (key, stage) = self.stages.get_index(position)?;
-        (stage.open_questions == 0 && !stage.reservations.is_empty()).then(|| key.clone())
+        (!stage.renews_permits && !stage.reservations.is_empty()).then(|| key.clone())
     }
 
     /// Records that a search found no room for all members of a gang.
@@ -140,7 +138,7 @@
             }
         }
         let (workers, rest) = permits::split_renewals(workers, &search.stage.permits, now.at);
-        let question = self.question(key, workers, now)?;
+        let question = self.renewal(key, workers, now)?;
         for entry in rest {
             self.reserve(key, spec, &entry.worker, entry.room);
         }
@@ -186,7 +184,7 @@
         }
         let expires = |worker: &WorkerId| stage.permits.usable(worker, now.at).is_none();
         if has_policy && stage.reservations.keys().any(expires) {
-            if now.at < stage.next_question_at {
+            if now.at < stage.next_question_at || stage.open_questions > 0 {
                 return None;
             }
             let workers = stage.reservations.keys().map(|worker| Unpermitted {
@@ -196,7 +194,7 @@
             });
             let workers = workers.collect();
             let (workers, _) = permits::split_renewals(workers, &stage.permits, now.at);
-            return self.question(key, workers, now);
+            return self.renewal(key, workers, now);
         }
         if reserved < tasks {
             return None;
@@ -217,6 +215,14 @@
         None
     }
 
+    /// Prepares a question about workers on which a gang has room, and keeps the room until the
+    /// answer.
+    fn renewal(&mut self, key: &StageKey, workers: Vec<Unpermitted>, now: Now) -> Option<Question> {
+        let question = self.question(key, workers, now)?;
+        self.stages.get_mut(key)?.renews_permits = true;
+        Some(question)
+    }
+
     /// Releases reservations on workers that are unreachable or draining.
     fn release_unusable_reservations(&mut self, key: &StageKey) {
         let Some(stage) = self.stages.get(key) else {
@@ -274,12 +280,16 @@
         let Some((_, stage)) = self.stages.get_index(position) else {
             return false;
         };
-        let acts = may_reserve || !stage.reservations.is_empty();
-        stage.open_questions == 0 && (acts || self.may_ask_about_unknown(stage, now))
+        let holds_room = stage.open_questions == 0 && !stage.reservations.is_empty();
+        may_reserve || holds_room || self.may_ask_about_unknown(stage, now)
     }
 
+    /// Whether a gang may ask about further workers. Only those that gather room do: the room that is
+    /// free suffices for few of the others, and their permits would expire before they start.
     fn may_ask_about_unknown(&self, stage: &LiveStage, now: Now) -> bool {
         stage.needs.slow_policy.is_some()
+            && stage.gathers_since.is_some()
+            && stage.all_tasks_wait()
             && stage.open_questions == 0
             && now.at >= stage.next_worker_search_at
             && self.may_ask(stage, now)
@@ -302,7 +312,8 @@
             self.note_busy_callers(key, now);
             return Vec::new();
         }
-        let known = self.granted_room(key, spec, now);
+        let mut known = self.granted_room(key, spec, now);
+        known.room += stage.reservations.values().sum::<usize>();
         if known.has_enough_workers(spec.task_count as usize) {
             // Only room that is free now is a reason to ask about further workers.
             let missing = (spec.task_count as usize).saturating_sub(known.room) as u64;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -231,7 +231,9 @@
         self.apply_policy_answer(question, sent_at, result, now);
         // The stage is scheduled before others can use the room that was reserved for it.
         if self.is_gang(&question.stage) {
-            return self.schedule_gang(&question.stage, true, true, now);
+            let stage = self.stages.get(&question.stage);
+            let gathers = stage.is_some_and(|stage| stage.gathers_since.is_some());
+            return self.schedule_gang(&question.stage, gathers, true, now);
         }
         self.release_reservations(&question.stage);
         let next = self.schedule_stage(&question.stage, now);
@@ -252,6 +254,7 @@
         stage.empty_search = None;
         let restarted = stage.restarted_workers.clone();
         if stage.open_questions == 0 {
+            stage.renews_permits = false;
             stage.restarted_workers.clear();
         }
         let Some(job) = self.state.jobs.get(&question.stage.job) else {
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -7,7 +7,6 @@
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
-use super::super::decisions::reservations::ReservationSlots;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
@@ -22,8 +21,8 @@
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::{Allocation, Purpose};
 
-/// Number of late gangs from which on gangs are served newest first: as many as reserve room at a
-/// time.
+/// Number of late gangs from which on gangs are served newest first: as many as gather room at a
+/// time in a small cell.
 const NEWEST_FIRST_THRESHOLD: usize = 3;
 /// Interval at which the room that gangs have gathered is assigned again by rank. One tick.
 const REASSIGNMENT_INTERVAL: Duration = Duration::from_millis(100);
@@ -33,11 +32,11 @@
 
 /// A stage in the order of a scheduling pass.
 #[derive(Clone, Copy)]
-struct Ranked {
-    rank: Rank,
+pub(super) struct Ranked {
+    pub rank: Rank,
     /// Index among the stages of the term; stays valid, since no stage is removed during a pass.
-    position: usize,
-    needs: StageNeeds,
+    pub position: usize,
+    pub needs: StageNeeds,
 }
 
 /// A worker chosen for a task, with the permit of the placement policy.
@@ -66,6 +65,7 @@
     /// placement policy.
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
         let searched_growths = self.ledger.growths();
+        self.free_unused_slots();
         let mut includes_too_late = now.at >= self.passes.too_late_at;
         let mut order = self.ranked_stages(now, includes_too_late);
         if order.is_empty() && !includes_too_late {
@@ -80,6 +80,7 @@
             let late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
             self.newest_gangs_first = late_gangs >= NEWEST_FIRST_THRESHOLD;
         }
+        self.choose_gathering_gangs(&order, now);
         let reassigns = now.at >= self.passes.reassign_at;
         if reassigns {
             self.passes.reassign_at = now.at + REASSIGNMENT_INTERVAL;
@@ -91,7 +92,6 @@
         }
         let grown = self.begin_pass();
         let mut known_room = KnownRoom::default();
-        let mut slots = ReservationSlots::default();
         let mut serves_too_late = false;
         let mut questions = Vec::new();
         for Ranked {
@@ -116,9 +116,9 @@
                 if !stage.all_tasks_wait() {
                     continue;
                 }
-                let has_slot = slots.claim(rank.priority());
+                let gathers = stage.gathers_since.is_some();
                 let growth = self.growth_since_search(position, grown.as_ref(), now);
-                let may_reserve = has_slot && (reassigns || growth != UsableGrowth::None);
+                let may_reserve = gathers && (reassigns || growth != UsableGrowth::None);
                 let may_fit = growth == UsableGrowth::Enough;
                 if !may_fit && !self.may_ask_or_reserve(position, may_reserve, now) {
                     continue;
@@ -187,6 +187,7 @@
             objective: stage.objective,
             remaining: stage.remaining,
             newest_first: self.newest_gangs_first && stage.needs.gang,
+            gathers_since: stage.gathers_since,
         }
     }
 
@@ -394,11 +395,14 @@
             if stage.needs.gang && !stage.too_late {
                 self.size_shares.record_placed(band(&stage.needs));
             }
+            let gathered_since = stage.gathers_since.take();
+            let gathered = gathered_since.map(|since| now.at.saturating_duration_since(since));
             let waited = now.at.saturating_duration_since(stage.due_at);
             instruments().record_placement(placed.len(), waited);
             log::info!(
                 stage:% = key, tasks = placed.len(), left,
-                waited_ms = waited.as_millis() as u64;
+                waited_ms = waited.as_millis() as u64,
+                gathered_ms = gathered.map_or(0, |gathered| gathered.as_millis() as u64);
                 "tasks placed"
             );
             self.subtract_waiting_tasks(key, before - left);
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -183,6 +183,8 @@
                 open_questions: 0,
                 restarted_workers: IndexSet::new(),
                 reservations: IndexMap::new(),
+                gathers_since: None,
+                renews_permits: false,
                 next_question_at: now.at,
                 due_at: now.at.checked_sub(age).unwrap_or(now.at),
                 objective: objective(job),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -216,6 +216,11 @@
     /// Number of tasks for which room is reserved, by worker: until the policy answers, or until a
     /// gang has room for all members.
     pub reservations: IndexMap<WorkerId, usize>,
+    /// Time since which the stage, a gang, gathers room; `None` if it does not.
+    pub gathers_since: Option<Instant>,
+    /// Whether the question in flight renews permits for reserved room, which is kept until the
+    /// answer.
+    pub renews_permits: bool,
     /// Earliest time of the next question after one without an answer.
     pub next_question_at: Instant,
     /// Time at which the job was accepted, or at which this occurrence of a repeated job was due.
--- a/src/workflow/placer/tests/passes.rs
+++ b/src/workflow/placer/tests/passes.rs
@@ -111,13 +111,16 @@
     let mut random = StdRng::seed_from_u64(5);
     let ranks: Vec<_> = (0..300)
         .map(|_| {
+            let (newest_first, gathers) = (random.random_bool(0.5), random.random_bool(0.3));
+            let priority = [0, 1, 2, u32::MAX][random.random_range(0..4)];
             let mut duration = |most_ms| Duration::from_millis(random.random_range(0..most_ms));
             let waiting = Waiting {
                 due_at: now + duration(200) - duration(8_000),
                 objective: duration(4) * 1_000,
                 remaining: duration(3) * 1_000,
-                priority: [0, 1, 2, u32::MAX][random.random_range(0..4)],
-                newest_first: random.random_bool(0.5),
+                priority,
+                newest_first,
+                gathers_since: gathers.then(|| now - duration(8_000)),
             };
             rank(&waiting, now)
         })
--- a/tests/workflow_decisions.rs
+++ b/tests/workflow_decisions.rs
@@ -31,6 +31,7 @@
         objective: 3 * SECOND,
         remaining: SECOND,
         newest_first: false,
+        gathers_since: None,
     }
 }
 
@@ -340,9 +341,9 @@
 fn urgent_gangs_do_not_use_the_slots_of_other_priorities() {
     let mut slots = ReservationSlots::default();
     for _ in 0..20 {
-        slots.claim(0);
+        slots.claim(0, 1_000);
     }
-    assert!(slots.claim(1));
+    assert!(slots.claim(1, 1_000));
 }
 
 /// Guards against gangs that reserve room at the same time and together keep most of a full cell
@@ -350,7 +351,7 @@
 #[test]
 fn only_the_first_gangs_of_a_priority_reserve_room() {
     let mut slots = ReservationSlots::default();
-    let claims: Vec<bool> = (0..5).map(|_| slots.claim(1)).collect();
+    let claims: Vec<bool> = (0..5).map(|_| slots.claim(1, 1_000)).collect();
     assert_eq!(claims, [true, true, true, false, false]);
 }
 
--- a/tests/workflow_questions.rs
+++ b/tests/workflow_questions.rs
@@ -94,10 +94,10 @@
     let granted = |capacity| GangRoom { room: 0, capacity };
     let asked = choose_workers_for_gang(unknown(400, 0), 30, granted(0), share, COST).len();
     assert!(
-        asked as f64 * 3.0 * share.value() >= 60.0,
+        asked as f64 * 3.0 * share.value() >= 120.0,
         "{asked} workers"
     );
-    let asked = choose_workers_for_gang(unknown(400, 0), 30, granted(60), share, COST);
+    let asked = choose_workers_for_gang(unknown(400, 0), 30, granted(120), share, COST);
     assert!(asked.is_empty());
 }
 
