--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -24,8 +24,9 @@
 
 impl Term {
     /// Places a gang that has room, or reserves room for it if `may_reserve` is set, also while the
-    /// policy is asked about further workers. Returns questions about workers for the gang. `may_fit` is false if the last search found no room for
-    /// all members and no room that a member could use has been freed since.
+    /// policy is asked about further workers. Returns questions about workers for the gang.
+    /// `may_fit` is false if the last search found no room for all members and no room that a member
+    /// could use has been freed since.
     pub(super) fn schedule_gang(
         &mut self,
         key: &StageKey,
