review: a heartbeat of another writer makes a running task start again

Case 2 shows that a heartbeat that names a service which is not configured, and the address of a sound runner, removes that runner: its runs are ended as lost and started elsewhere while they go on.

--- /dev/null
+++ b/review/stand/cases.rs
@@ -0,0 +1,118 @@
+//! The cases. Each returns whether the rule held, or `None` if the case could not run.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::cell::{Cell, Event, Record};
+use crate::http;
+use crate::runner::unix_ms;
+
+/// Returns two runs of one task that were at work at the same time.
+fn twice(events: &[Event], until_ms: u64) -> Option<String> {
+    let mut spans: Vec<(String, u64, String, u64, u64)> = Vec::new();
+    for start in events.iter().filter(|event| event.what == "start") {
+        let ended = events.iter().find(|event| {
+            let same = event.task == start.task && event.run == start.run && event.what == "end";
+            event.runner == start.runner && event.at_ms >= start.at_ms && (same || event.what == "down")
+        });
+        let end_ms = ended.map_or(until_ms, |event| event.at_ms);
+        spans.push((start.task.clone(), start.run, start.runner.clone(), start.at_ms, end_ms));
+    }
+    for (position, one) in spans.iter().enumerate() {
+        for other in &spans[position + 1..] {
+            let both_ms = one.4.min(other.4).saturating_sub(one.3.max(other.3));
+            if one.0 == other.0 && both_ms > 0 {
+                return Some(format!(
+                    "task {}: run {} on {} and run {} on {} were at work at the same time for {both_ms} ms",
+                    one.0, one.1, one.2, other.1, other.2
+                ));
+            }
+        }
+    }
+    None
+}
+
+/// A heartbeat of another writer names a service that is not configured, and the address of a runner.
+pub fn foreign(record: &mut Record, trouble: bool) -> Option<bool> {
+    let mut cell = Cell::start(record, "")?;
+    for position in 0..3 {
+        cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
+    }
+    let job = "00000000000000a1";
+    let body = r#"{"task_spec":"work=12000","steps":[{"count":1,"cpu":4000,"mem_mb":1024,"estimate_ms":12000}]}"#;
+    if !cell.submit(record, job, body) {
+        return None;
+    }
+    let start = cell.await_start(0, Duration::from_secs(15))?;
+    record.line(&format!("runner {} has started {} run {}", start.runner, start.task, start.run));
+    thread::sleep(Duration::from_secs(2));
+    if trouble {
+        let beat = format!(
+            "{{\"service\":\"telemetry\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v9\",\"slots\":8,\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}},\
+             \"labels\":[\"a\",\"r1-1\"],\"clock_ms\":5000,\"seq\":1,\"born\":{}}}",
+            cell.runner_address(&start.runner), cell.runner_zone(&start.runner), unix_ms()
+        );
+        let answer = http::call(cell.control()[0], "PUT", "/api/instances/agent-7", &[], &beat, Duration::from_secs(1));
+        record.line(&format!("heartbeat of another writer, PUT /api/instances/agent-7 {beat}: {answer:?}"));
+    }
+    let mut state = String::new();
+    for _ in 0..25 {
+        thread::sleep(Duration::from_secs(1));
+        state = cell.state(job);
+        if state == "completed" {
+            break;
+        }
+    }
+    record.line(&format!("state of the job: {state:?}"));
+    cell.record_events(record);
+    let found = twice(&cell.events(), unix_ms());
+    if let Some(found) = &found {
+        record.line(found);
+    }
+    if found.is_none() && state != "completed" {
+        return None;
+    }
+    Some(found.is_none())
+}
+
+/// The one runner that can run a lasting task crashes a few times soon after it has begun it.
+pub fn crash_loop(record: &mut Record, trouble: bool) -> Option<bool> {
+    let mut cell = Cell::start(record, "")?;
+    for position in 0..7 {
+        cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
+    }
+    cell.add_runner("i-7", 7, "b,r1-2")?;
+    let job = "00000000000000b1";
+    let body = r#"{"task_spec":"lasting","steps":[{"count":1,"cpu":2000,"mem_mb":512,"estimate_ms":1000,"long_running":true,"required_label":"b"}]}"#;
+    if !cell.submit(record, job, body) {
+        return None;
+    }
+    let mut starts = 0;
+    for _ in 0..if trouble { 4 } else { 0 } {
+        let Some(start) = cell.await_start(starts, Duration::from_secs(15)) else {
+            break;
+        };
+        starts += 1;
+        thread::sleep(Duration::from_millis(500));
+        cell.kill_runner("i-7");
+        record.line(&format!("runner i-7 crashed 0.5 s after it started {} run {}", start.task, start.run));
+        thread::sleep(Duration::from_secs(4));
+        cell.start_runner("i-7")?;
+        record.line("runner i-7 is up again");
+    }
+    let mut state = String::new();
+    for _ in 0..12 {
+        thread::sleep(Duration::from_secs(1));
+        state = cell.state(job);
+    }
+    record.line(&format!("12 s later, GET of the job: {state:?}"));
+    cell.record_events(record);
+    let failed = cell.events().iter().filter(|event| event.how == "failed").count();
+    record.line(&format!("ends `failed` that the runners have listed: {failed}"));
+    match state.as_str() {
+        "running" => Some(true),
+        "failed" => Some(failed > 0),
+        _ => None,
+    }
+}
