review: a job that was cancelled runs when a frozen host hands it in late

Case 4 shows that a job which was handed in at a frozen entry host and cancelled at another one is accepted when the first host wakes, and that its tasks are started 5 s after the cancelling was acknowledged.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -34,7 +34,7 @@
 
 /// A heartbeat of another writer names a service that is not configured, and the address of a runner.
 pub fn foreign(record: &mut Record, trouble: bool) -> Option<bool> {
-    let mut cell = Cell::start(record, "")?;
+    let mut cell = Cell::start(record, 2)?;
     for position in 0..3 {
         cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
     }
@@ -78,7 +78,7 @@
 
 /// The one runner that can run a lasting task crashes a few times soon after it has begun it.
 pub fn crash_loop(record: &mut Record, trouble: bool) -> Option<bool> {
-    let mut cell = Cell::start(record, "")?;
+    let mut cell = Cell::start(record, 2)?;
     for position in 0..7 {
         cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
     }
@@ -116,3 +116,39 @@
         _ => None,
     }
 }
+
+/// A client hands a job in at a frozen entry host, gets no answer, and cancels it at another one.
+pub fn late_submission(record: &mut Record, trouble: bool) -> Option<bool> {
+    let mut cell = Cell::start(record, 7)?;
+    for position in 0..3 {
+        cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let job = "00000000000000c1";
+    let body = r#"{"task_spec":"work=5000","steps":[{"count":1,"cpu":4000,"mem_mb":1024,"estimate_ms":5000},{"count":2,"cpu":2000,"mem_mb":512,"estimate_ms":5000,"depends_on":[0]}]}"#;
+    if trouble {
+        cell.signal_host("front-3", "STOP");
+        record.line("entry host 0 is frozen (SIGSTOP)");
+    }
+    let answer = cell.job(0, "POST", job, body);
+    record.line(&format!("POST {job} at entry host 0, waited 3 s at most: {answer:?}"));
+    let answer = cell.job(1, "DELETE", job, "");
+    record.line(&format!("DELETE {job} at entry host 1: {answer:?}"));
+    if !matches!(answer, Some((200 | 410, _))) {
+        return None;
+    }
+    let cancelled_ms = unix_ms();
+    thread::sleep(Duration::from_millis(100));
+    if trouble {
+        cell.signal_host("front-3", "CONT");
+        record.line("entry host 0 goes on (SIGCONT)");
+    }
+    thread::sleep(Duration::from_secs(16));
+    record.line(&format!("GET of the job: {:?}", cell.state(job)));
+    cell.record_events(record);
+    let events = cell.events();
+    let starts = events.iter().filter(|event| event.what == "start");
+    let late = starts.filter(|event| event.at_ms > cancelled_ms + 3_000).count();
+    record.line(&format!("starts later than cancel_ms (3 s) after the answer to DELETE: {late}"));
+    Some(late == 0)
+}
--- a/review/stand/cell.rs
+++ b/review/stand/cell.rs
@@ -67,15 +67,15 @@
 }
 
 impl Cell {
-    /// Starts three storage hosts and two entry hosts, and sends the configuration.
-    pub fn start(record: &mut Record, extra_settings: &str) -> Option<Self> {
+    /// Starts three storage hosts and some entry hosts, and sends the configuration.
+    pub fn start(record: &mut Record, entry_hosts: usize) -> Option<Self> {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         let folder = folder.to_str()?.to_owned();
         fs::create_dir_all(&folder).ok()?;
         let ip = |text: String| text.parse::<IpAddr>().ok();
         let net = 10 + std::process::id() % 200;
         let core: Vec<IpAddr> = (1..=3).filter_map(|n| ip(format!("127.{net}.0.{n}"))).collect();
-        let fronts: Vec<IpAddr> = (1..=2).filter_map(|n| ip(format!("127.{net}.1.{n}"))).collect();
+        let fronts: Vec<IpAddr> = (1..=entry_hosts).filter_map(|n| ip(format!("127.{net}.1.{n}"))).collect();
         let all: Vec<IpAddr> = core.iter().chain(&fronts).copied().collect();
         let ports = Ports {
             peers: free_port(&all)?,
@@ -93,7 +93,7 @@
             runner_options: BTreeMap::new(),
         };
         for (position, ip) in all.iter().enumerate() {
-            cell.start_host(*ip, position < 3, position, extra_settings)?;
+            cell.start_host(*ip, position < 3, position)?;
         }
         let config = format!(
             "{{\"version\":1,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{ROUTE_HOST}\",\"path_prefix\":\"{PREFIX}\",\
@@ -118,7 +118,7 @@
         None
     }
 
-    fn start_host(&mut self, ip: IpAddr, stores: bool, position: usize, extra: &str) -> Option<()> {
+    fn start_host(&mut self, ip: IpAddr, stores: bool, position: usize) -> Option<()> {
         let name = format!("{}-{}", if stores { "core" } else { "front" }, position);
         let Ports { peers, control, callers, ready } = self.ports.clone();
         let mut text = format!(
@@ -137,8 +137,7 @@
         let seeds: Vec<String> = self.core.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
         text += &format!(
             "[cell]\nseeds = [{}]\nforms_new_cell = true\ntolerated_losses = 1\n\
-             [timing]\nmax_worker_lease_ms = {MAX_HOLD_MS}\nstop_grace_ms = 6000\njob_retention_ms = 120000\n\
-             [placement_policy]\n{extra}",
+             [timing]\nmax_worker_lease_ms = {MAX_HOLD_MS}\nstop_grace_ms = 6000\njob_retention_ms = 120000\n",
             seeds.join(", ")
         );
         let path = format!("{}/{name}.toml", self.folder);
--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: String,
@@ -51,9 +50,9 @@
         return None;
     }
     let mut words = line.split_whitespace();
-    let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let path = words.nth(1)?.to_owned();
     let (headers, body) = read_rest(reader)?;
-    Some(Request { method, path, headers, body })
+    Some(Request { path, headers, body })
 }
 
 fn read_rest(reader: &mut BufReader<TcpStream>) -> Option<(Vec<(String, String)>, String)> {
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -27,6 +27,7 @@
     let held = match word(1) {
         "foreign" => cases::foreign(&mut record, trouble),
         "crash-loop" => cases::crash_loop(&mut record, trouble),
+        "late-submission" => cases::late_submission(&mut record, trouble),
         other => {
             eprintln!("no case {other}");
             None
