review: a runner whose clock was set back is never used again

Case 5 shows that a runner that starts again with an earlier born, since the time of day of its machine jumped back in between, is ignored for good, and that an accepted job that needs it stays queued.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -98,7 +98,7 @@
         cell.kill_runner("i-7");
         record.line(&format!("runner i-7 crashed 0.5 s after it started {} run {}", start.task, start.run));
         thread::sleep(Duration::from_secs(4));
-        cell.start_runner("i-7")?;
+        cell.start_runner("i-7", 0)?;
         record.line("runner i-7 is up again");
     }
     let mut state = String::new();
@@ -152,3 +152,45 @@
     record.line(&format!("starts later than cancel_ms (3 s) after the answer to DELETE: {late}"));
     Some(late == 0)
 }
+
+/// The time of day of a runner's machine jumps back between two starts of the runner.
+pub fn clock(record: &mut Record, trouble: bool) -> Option<bool> {
+    let mut cell = Cell::start(record, 2)?;
+    for position in 0..7 {
+        cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
+    }
+    cell.add_runner("i-7", 7, "b,r1-2")?;
+    thread::sleep(Duration::from_secs(3));
+    cell.kill_runner("i-7");
+    thread::sleep(Duration::from_secs(4));
+    cell.start_runner("i-7", if trouble { 2_400 } else { 0 })?;
+    record.line("runner i-7 is up again after a crash; with trouble, the clock of its machine is 2.4 s ahead");
+    thread::sleep(Duration::from_millis(900));
+    cell.kill_runner("i-7");
+    thread::sleep(Duration::from_millis(600));
+    cell.start_runner("i-7", 0)?;
+    record.line("it crashed and is up again, and its clock is right");
+    thread::sleep(Duration::from_secs(4));
+    let job = "00000000000000d1";
+    let body = r#"{"task_spec":"work=2000","steps":[{"count":1,"cpu":2000,"mem_mb":512,"estimate_ms":2000,"required_label":"b"}]}"#;
+    if !cell.submit(record, job, body) {
+        return None;
+    }
+    let mut state = String::new();
+    for _ in 0..20 {
+        thread::sleep(Duration::from_secs(1));
+        state = cell.state(job);
+        if state == "completed" {
+            break;
+        }
+    }
+    record.line(&format!("at most 20 s later, GET of the job: {state:?}"));
+    cell.record_events(record);
+    let starts = cell.events().iter().filter(|event| event.what == "start").count();
+    record.line(&format!("starts on the runner, which is up and empty: {starts}"));
+    match state.as_str() {
+        "completed" => Some(true),
+        "queued" | "running" => Some(false),
+        _ => None,
+    }
+}
--- a/review/stand/cell.rs
+++ b/review/stand/cell.rs
@@ -163,17 +163,18 @@
         SocketAddr::new(self.fronts[position], self.ports.callers)
     }
 
-    /// Registers a runner in a zone and starts it.
+    /// Registers a runner in a zone and starts it, with the time of day of its machine right.
     pub fn add_runner(&mut self, id: &str, zone: usize, label: &str) -> Option<()> {
         let ip = self.core[zone % 3];
         let ip: IpAddr = ip.to_string().replacen(".0.", ".2.", 1).parse().ok()?;
         let address = SocketAddr::new(ip, free_port(&[ip])?);
         self.runner_options.insert(id.to_owned(), (address, ZONES[zone % 3].to_owned(), label.to_owned()));
-        self.start_runner(id)
+        self.start_runner(id, 0)
     }
 
-    /// Starts a process for a runner, also after a crash, at the same address.
-    pub fn start_runner(&mut self, id: &str) -> Option<()> {
+    /// Starts a process for a runner, also after a crash, at the same address. The time of day of
+    /// its machine is ahead by so much.
+    pub fn start_runner(&mut self, id: &str, ahead_ms: u64) -> Option<()> {
         let (address, zone, label) = self.runner_options.get(id)?;
         let control: Vec<String> = self.control().iter().map(ToString::to_string).collect();
         let program = std::env::current_exe().ok()?;
@@ -181,6 +182,7 @@
             .args(["runner", id, &address.to_string(), zone, SERVICE, label])
             .args([&control.join(","), &MAX_HOLD_MS.to_string()])
             .arg(format!("{}/runner-{id}.log", self.folder))
+            .arg(ahead_ms.to_string())
             .stdin(Stdio::null())
             .spawn()
             .ok()?;
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -19,6 +19,7 @@
             control: word(7).split(',').map(|addr| addr.parse().expect("address")).collect(),
             max_hold_ms: word(8).parse().expect("time"),
             log: word(9).to_owned(),
+            ahead_ms: word(10).parse().expect("time"),
         });
         return;
     }
@@ -28,6 +29,7 @@
         "foreign" => cases::foreign(&mut record, trouble),
         "crash-loop" => cases::crash_loop(&mut record, trouble),
         "late-submission" => cases::late_submission(&mut record, trouble),
+        "clock" => cases::clock(&mut record, trouble),
         other => {
             eprintln!("no case {other}");
             None
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -21,6 +21,8 @@
     pub control: Vec<SocketAddr>,
     pub max_hold_ms: u64,
     pub log: String,
+    /// By how much the time of day of the runner's machine is ahead.
+    pub ahead_ms: u64,
 }
 
 struct Run {
@@ -63,7 +65,7 @@
 }
 
 pub fn main(options: Options) {
-    let born = unix_ms();
+    let born = unix_ms() + options.ahead_ms;
     let began = Instant::now();
     let clock = move || 1_000 + began.elapsed().as_millis() as u64;
     let log = OpenOptions::new().create(true).append(true).open(&options.log).expect("log");
