--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -7,6 +7,9 @@
 use crate::http;
 use crate::runner::unix_ms;
 
+/// Steps of the large job: its body stays below the `max_body_bytes` of the configuration.
+const STEPS: usize = 4_000;
+
 /// Returns two runs of one task that were at work at the same time.
 fn twice(events: &[Event], until_ms: u64) -> Option<String> {
     let mut spans: Vec<(String, u64, String, u64, u64)> = Vec::new();
@@ -194,3 +197,45 @@
         _ => None,
     }
 }
+
+/// A client submits one large job, of many steps; then the accepted job of another client is asked
+/// for `finish_s` after the end of the traffic.
+pub fn many_steps(record: &mut Record, trouble: bool) -> Option<bool> {
+    let mut cell = Cell::start(record, 2)?;
+    for position in 0..8 {
+        cell.add_runner(&format!("i-{position}"), position, "a,r1-1")?;
+    }
+    thread::sleep(Duration::from_secs(3));
+    let small = r#"{"task_spec":"work=9000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":9000}]}"#;
+    let first = "00000000000000e1";
+    if !cell.submit(record, first, small) {
+        return None;
+    }
+    cell.await_start(0, Duration::from_secs(10))?;
+    thread::sleep(Duration::from_secs(1));
+    record.line(&format!("GET {first}: {:?}", cell.state(first)));
+    let step = r#"{"count":1,"cpu":100,"mem_mb":16,"estimate_ms":50}"#;
+    let count = if trouble { STEPS } else { 20 };
+    let body = format!("{{\"task_spec\":\"work=50\",\"steps\":[{}]}}", vec![step; count].join(","));
+    let second = "00000000000000e2";
+    let answer = cell.job(0, "POST", second, &body);
+    record.line(&format!("POST {second} of {count} steps, {} bytes: {answer:?}", body.len()));
+    record.line("end of the traffic");
+    thread::sleep(Duration::from_secs(14));
+    let mut state = String::new();
+    for _ in 0..4 {
+        for front in [0, 1] {
+            let answer = cell.job(front, "GET", first, "");
+            record.line(&format!("GET {first} at entry host {front}: {answer:?}"));
+            if matches!(answer, Some((200, _))) {
+                state = cell.state(first);
+            }
+        }
+        if !state.is_empty() {
+            break;
+        }
+    }
+    cell.record_events(record);
+    record.line(&format!("the accepted job {first} is shown as {state:?}"));
+    Some(state == "completed")
+}
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -30,6 +30,7 @@
         "crash-loop" => cases::crash_loop(&mut record, trouble),
         "late-submission" => cases::late_submission(&mut record, trouble),
         "clock" => cases::clock(&mut record, trouble),
+        "many-steps" => cases::many_steps(&mut record, trouble),
         other => {
             eprintln!("no case {other}");
             None
