--- a/review/stand/cell.rs
+++ b/review/stand/cell.rs
@@ -16,6 +16,8 @@
 const ARGUMENTS: [&str; 2] = ["--log-json", "cell"];
 pub const ROUTE_HOST: &str = "orders.example";
 pub const PREFIX: &str = "/q/";
+/// Queue of the least urgent jobs, on the same service.
+pub const BULK_PREFIX: &str = "/bulk/";
 pub const SERVICE: &str = "desk";
 const ZONES: [&str; 3] = ["east", "west", "south"];
 const MAX_HOLD_MS: u64 = 10_000;
@@ -28,7 +30,10 @@
 impl Record {
     pub fn new(folder: &str) -> Self {
         let file = File::create(format!("{folder}/record.txt")).expect("record.txt");
-        Self { file, began: Instant::now() }
+        Self {
+            file,
+            began: Instant::now(),
+        }
     }
     pub fn line(&mut self, text: &str) {
         let at = self.began.elapsed().as_secs_f64();
@@ -74,8 +79,12 @@
         fs::create_dir_all(&folder).ok()?;
         let ip = |text: String| text.parse::<IpAddr>().ok();
         let net = 10 + std::process::id() % 200;
-        let core: Vec<IpAddr> = (1..=3).filter_map(|n| ip(format!("127.{net}.0.{n}"))).collect();
-        let fronts: Vec<IpAddr> = (1..=entry_hosts).filter_map(|n| ip(format!("127.{net}.1.{n}"))).collect();
+        let core: Vec<IpAddr> = (1..=3)
+            .filter_map(|n| ip(format!("127.{net}.0.{n}")))
+            .collect();
+        let fronts: Vec<IpAddr> = (1..=entry_hosts)
+            .filter_map(|n| ip(format!("127.{net}.1.{n}")))
+            .collect();
         let all: Vec<IpAddr> = core.iter().chain(&fronts).copied().collect();
         let ports = Ports {
             peers: free_port(&all)?,
@@ -96,17 +105,24 @@
             cell.start_host(*ip, position < 3, position)?;
         }
         let config = format!(
-            "{{\"version\":1,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{ROUTE_HOST}\",\"path_prefix\":\"{PREFIX}\",\
-             \"route_type\":\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":1200,\"priority\":1,\
-             \"service\":\"{SERVICE}\",\"max_attempts\":4,\"slack_factor\":2.2}}],\
+            "{{\"version\":1,\"routes\":[{},{}],\
              \"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/health\",\"max_conns\":64,\"protocol\":\"h1\",\
              \"tls\":false,\"enforce_capacity\":false,\"standby\":false}}],\
-             \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
+             \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+            route("r-0", PREFIX, 0),
+            route("r-2", BULK_PREFIX, 2)
         );
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(20) {
             for address in cell.control() {
-                let answer = http::call(address, "PUT", "/api/config", &[], &config, Duration::from_secs(1));
+                let answer = http::call(
+                    address,
+                    "PUT",
+                    "/api/config",
+                    &[],
+                    &config,
+                    Duration::from_secs(1),
+                );
                 if let Some((200, _)) = answer {
                     record.line("configuration 1 acknowledged");
                     return Some(cell);
@@ -120,7 +136,12 @@
 
     fn start_host(&mut self, ip: IpAddr, stores: bool, position: usize) -> Option<()> {
         let name = format!("{}-{}", if stores { "core" } else { "front" }, position);
-        let Ports { peers, control, callers, ready } = self.ports.clone();
+        let Ports {
+            peers,
+            control,
+            callers,
+            ready,
+        } = self.ports.clone();
         let mut text = format!(
             "[host]\naddress = \"{ip}\"\nname = \"{name}\"\ndata_centre = \"{}\"\n",
             ZONES[position % 3]
@@ -134,7 +155,11 @@
         } else {
             format!("callers = \"{ip}:{callers}\"\nreadiness = \"{ip}:{ready}\"\n")
         };
-        let seeds: Vec<String> = self.core.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
+        let seeds: Vec<String> = self
+            .core
+            .iter()
+            .map(|ip| format!("\"{ip}:{control}\""))
+            .collect();
         text += &format!(
             "[cell]\nseeds = [{}]\nforms_new_cell = true\ntolerated_losses = 1\n\
              [timing]\nmax_worker_lease_ms = {MAX_HOLD_MS}\nstop_grace_ms = 6000\njob_retention_ms = 120000\n",
@@ -156,7 +181,10 @@
     }
 
     pub fn control(&self) -> Vec<SocketAddr> {
-        self.core.iter().map(|ip| SocketAddr::new(*ip, self.ports.control)).collect()
+        self.core
+            .iter()
+            .map(|ip| SocketAddr::new(*ip, self.ports.control))
+            .collect()
     }
 
     pub fn front(&self, position: usize) -> SocketAddr {
@@ -168,7 +196,10 @@
         let ip = self.core[zone % 3];
         let ip: IpAddr = ip.to_string().replacen(".0.", ".2.", 1).parse().ok()?;
         let address = SocketAddr::new(ip, free_port(&[ip])?);
-        self.runner_options.insert(id.to_owned(), (address, ZONES[zone % 3].to_owned(), label.to_owned()));
+        self.runner_options.insert(
+            id.to_owned(),
+            (address, ZONES[zone % 3].to_owned(), label.to_owned()),
+        );
         self.start_runner(id, 0)
     }
 
@@ -210,10 +241,12 @@
         }
     }
 
-    /// Sends a signal to a host by its name.
-    pub fn signal_host(&self, name: &str, signal: &str) {
-        if let Some(child) = self.hosts.get(name) {
-            let _ = Command::new("kill").args([&format!("-{signal}"), &child.id().to_string()]).status();
+    /// Sends a signal to a host or a runner by its name.
+    pub fn signal(&self, name: &str, signal: &str) {
+        if let Some(child) = self.hosts.get(name).or_else(|| self.runners.get(name)) {
+            let _ = Command::new("kill")
+                .args([&format!("-{signal}"), &child.id().to_string()])
+                .status();
         }
     }
 
@@ -244,7 +277,10 @@
         let began = Instant::now();
         while began.elapsed() < limit {
             let events = self.events();
-            let starts: Vec<&Event> = events.iter().filter(|event| event.what == "start").collect();
+            let starts: Vec<&Event> = events
+                .iter()
+                .filter(|event| event.what == "start")
+                .collect();
             if starts.len() > before {
                 return starts.last().map(|event| (*event).clone());
             }
@@ -257,7 +293,14 @@
     pub fn job(&self, front: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let headers = [("host", ROUTE_HOST), ("request-deadline", "3000")];
         let path = format!("{PREFIX}{id}");
-        http::call(self.front(front), method, &path, &headers, body, Duration::from_secs(3))
+        http::call(
+            self.front(front),
+            method,
+            &path,
+            &headers,
+            body,
+            Duration::from_secs(3),
+        )
     }
 
     /// Submits a job, again while there is no clear answer, and returns whether it was accepted.
@@ -289,8 +332,17 @@
     pub fn record_events(&self, record: &mut Record) {
         record.line("what the runners ran (Unix milliseconds):");
         for event in self.events() {
-            let Event { at_ms, runner, what, task, run, how } = event;
-            record.line(&format!("  {at_ms} runner {runner}: {what} {task} run {run} {how}"));
+            let Event {
+                at_ms,
+                runner,
+                what,
+                task,
+                run,
+                how,
+            } = event;
+            record.line(&format!(
+                "  {at_ms} runner {runner}: {what} {task} run {run} {how}"
+            ));
         }
     }
 }
@@ -307,13 +359,24 @@
     }
 }
 
+fn route(name: &str, prefix: &str, priority: u32) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"host\":\"{ROUTE_HOST}\",\"path_prefix\":\"{prefix}\",\"route_type\":\"unsafe\",\
+         \"timeout_ms\":3000,\"target_latency_ms\":1200,\"priority\":{priority},\"service\":\"{SERVICE}\",\
+         \"max_attempts\":4,\"slack_factor\":2.2}}"
+    )
+}
+
 /// A port that is free on all of the addresses.
 fn free_port(ips: &[IpAddr]) -> Option<u16> {
     for _ in 0..50 {
         let first = TcpListener::bind(SocketAddr::new(*ips.first()?, 0)).ok()?;
         let port = first.local_addr().ok()?.port();
         let others = ips.iter().skip(1);
-        if others.map(|ip| TcpListener::bind(SocketAddr::new(*ip, port))).all(|bound| bound.is_ok()) {
+        if others
+            .map(|ip| TcpListener::bind(SocketAddr::new(*ip, port)))
+            .all(|bound| bound.is_ok())
+        {
             return Some(port);
         }
     }
--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -52,7 +52,11 @@
     let mut words = line.split_whitespace();
     let path = words.nth(1)?.to_owned();
     let (headers, body) = read_rest(reader)?;
-    Some(Request { path, headers, body })
+    Some(Request {
+        path,
+        headers,
+        body,
+    })
 }
 
 fn read_rest(reader: &mut BufReader<TcpStream>) -> Option<(Vec<(String, String)>, String)> {
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Request};
-use crate::json::{self, Value, quote};
+use crate::json::{self, quote, Value};
 
 pub struct Options {
     pub id: String,
@@ -45,16 +45,23 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 impl State {
     fn note(&mut self, what: &str) {
-        let _ = self.log.write_all(format!("{} {what}\n", unix_ms()).as_bytes());
+        let _ = self
+            .log
+            .write_all(format!("{} {what}\n", unix_ms()).as_bytes());
     }
 
     fn end(&mut self, task: &str, how: &'static str) {
-        let Some(run) = self.running.remove(task) else { return };
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
         let number = self.next_end;
         self.next_end += 1;
         self.ends.push((number, task.to_owned(), run.run, how));
@@ -68,7 +75,11 @@
     let born = unix_ms() + options.ahead_ms;
     let began = Instant::now();
     let clock = move || 1_000 + began.elapsed().as_millis() as u64;
-    let log = OpenOptions::new().create(true).append(true).open(&options.log).expect("log");
+    let log = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&options.log)
+        .expect("log");
     let mut first = State {
         fence: 0,
         lease_until_ms: 0,
@@ -84,28 +95,26 @@
     let listener = TcpListener::bind(options.addr).expect("bind");
 
     let working = Arc::clone(&shared);
-    thread::spawn(move || {
-        loop {
-            thread::sleep(Duration::from_millis(10));
-            let mut state = working.0.lock().unwrap();
-            let lapsed = clock() >= state.lease_until_ms;
-            let mut due = Vec::new();
-            for (task, run) in &state.running {
-                let is_done = run.work.is_some_and(|work| run.began.elapsed() >= work);
-                if is_done {
-                    due.push((task.clone(), "done"));
-                } else if lapsed {
-                    due.push((task.clone(), "lapsed"));
-                }
-            }
-            for (task, how) in &due {
-                state.end(task, how);
-            }
-            drop(state);
-            if !due.is_empty() {
-                working.1.notify_all();
+    thread::spawn(move || loop {
+        thread::sleep(Duration::from_millis(10));
+        let mut state = working.0.lock().unwrap();
+        let lapsed = clock() >= state.lease_until_ms;
+        let mut due = Vec::new();
+        for (task, run) in &state.running {
+            let is_done = run.work.is_some_and(|work| run.began.elapsed() >= work);
+            if is_done {
+                due.push((task.clone(), "done"));
+            } else if lapsed {
+                due.push((task.clone(), "lapsed"));
             }
         }
+        for (task, how) in &due {
+            state.end(task, how);
+        }
+        drop(state);
+        if !due.is_empty() {
+            working.1.notify_all();
+        }
     });
 
     let beating = Arc::clone(&options);
@@ -120,7 +129,9 @@
                 let answer = http::call(target, "PUT", &path, &[], &body, Duration::from_secs(1));
                 if let Some((200, text)) = answer {
                     let text = json::parse(&text).unwrap_or(Value::Null);
-                    let addr = text.text("heartbeat_addr").and_then(|addr| addr.parse().ok());
+                    let addr = text
+                        .text("heartbeat_addr")
+                        .and_then(|addr| addr.parse().ok());
                     named = addr.or(named);
                     break;
                 }
@@ -131,7 +142,8 @@
         }
     });
 
-    let handler = move |request: Request| answer(&options, &shared, clock(), born, &request, &clock);
+    let handler =
+        move |request: Request| answer(&options, &shared, clock(), born, &request, &clock);
     http::serve(listener, Arc::new(handler));
 }
 
@@ -153,13 +165,21 @@
     request: &Request,
     clock: &dyn Fn() -> u64,
 ) -> (u16, String) {
-    if request.header("expected-instance").is_some_and(|id| id != options.id) {
+    if request
+        .header("expected-instance")
+        .is_some_and(|id| id != options.id)
+    {
         return (421, "{}".to_owned());
     }
     let Some(body) = json::parse(&request.body) else {
         return (400, "{}".to_owned());
     };
-    let conflict = |reason: &str| (409, format!("{{\"clock_ms\":{clock_ms},\"born\":{born},\"reason\":\"{reason}\"}}"));
+    let conflict = |reason: &str| {
+        (
+            409,
+            format!("{{\"clock_ms\":{clock_ms},\"born\":{born},\"reason\":\"{reason}\"}}"),
+        )
+    };
     let done = (200, format!("{{\"clock_ms\":{clock_ms},\"born\":{born}}}"));
     let mut state = shared.0.lock().unwrap();
     let fence = body.number("fence_token").unwrap_or(0);
@@ -167,12 +187,19 @@
         return conflict("fence");
     }
     state.fence = fence;
-    let deadline = body.number("deadline_ms").unwrap_or(0).min(clock_ms + options.max_hold_ms);
+    let deadline = body
+        .number("deadline_ms")
+        .unwrap_or(0)
+        .min(clock_ms + options.max_hold_ms);
     let task = body.text("task").unwrap_or_default().to_owned();
     let run = body.number("run_id").unwrap_or(0);
     match request.path.as_str() {
         "/api/run-start" => {
-            if state.running.get(&task).is_some_and(|present| present.run == run) {
+            if state
+                .running
+                .get(&task)
+                .is_some_and(|present| present.run == run)
+            {
                 return done;
             }
             if body.number("deadline_ms").unwrap_or(0) <= clock_ms {
@@ -180,24 +207,34 @@
             }
             state.lease_until_ms = state.lease_until_ms.max(deadline);
             let is_old = state.closed.get(&task).is_some_and(|closed| run <= *closed)
-                || state.running.get(&task).is_some_and(|present| run < present.run);
+                || state
+                    .running
+                    .get(&task)
+                    .is_some_and(|present| run < present.run);
             if is_old {
                 return conflict("old");
             }
             let spec = body.text("task_spec").unwrap_or_default();
             let work = spec.strip_prefix("work=").and_then(|ms| ms.parse().ok());
-            state.running.insert(task.clone(), Run {
-                run,
-                began: Instant::now(),
-                work: work.map(Duration::from_millis),
-            });
+            state.running.insert(
+                task.clone(),
+                Run {
+                    run,
+                    began: Instant::now(),
+                    work: work.map(Duration::from_millis),
+                },
+            );
             state.note(&format!("start {task} {run}"));
             done
         }
         "/api/run-stop" => {
             let closed = state.closed.entry(task.clone()).or_default();
             *closed = run.max(*closed);
-            if state.running.get(&task).is_some_and(|present| present.run <= run) {
+            if state
+                .running
+                .get(&task)
+                .is_some_and(|present| present.run <= run)
+            {
                 state.end(&task, "stopped");
                 shared.1.notify_all();
             }
@@ -208,22 +245,38 @@
             let cursor = body.number("ack_cursor").unwrap_or(0);
             state.ends.retain(|end| end.0 > cursor);
             let wait = Duration::from_millis(body.number("wait_ms").unwrap_or(0).min(2_000));
-            let mut state = shared.1.wait_timeout_while(state, wait, |state| state.ends.is_empty()).unwrap().0;
-            let running: Vec<String> = state.running.iter().map(|(task, run)| {
-                let percent = run.work.map_or(100, |work| {
-                    (run.began.elapsed().as_millis() * 100 / work.as_millis().max(1)).min(99)
-                });
-                format!("[{},{},\"\",{percent},100]", quote(task), run.run)
-            }).collect();
-            let ends: Vec<String> = state.ends.iter().take(500).map(|(number, task, run, how)| {
-                format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
-            }).collect();
+            let mut state = shared
+                .1
+                .wait_timeout_while(state, wait, |state| state.ends.is_empty())
+                .unwrap()
+                .0;
+            let running: Vec<String> = state
+                .running
+                .iter()
+                .map(|(task, run)| {
+                    let percent = run.work.map_or(100, |work| {
+                        (run.began.elapsed().as_millis() * 100 / work.as_millis().max(1)).min(99)
+                    });
+                    format!("[{},{},\"\",{percent},100]", quote(task), run.run)
+                })
+                .collect();
+            let ends: Vec<String> = state
+                .ends
+                .iter()
+                .take(500)
+                .map(|(number, task, run, how)| {
+                    format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+                })
+                .collect();
             state.fence = state.fence.max(fence);
             let clock_ms = clock();
-            (200, format!(
+            (
+                200,
+                format!(
                 "{{\"clock_ms\":{clock_ms},\"born\":{born},\"running\":[{}],\"ended_runs\":[{}]}}",
                 running.join(","), ends.join(",")
-            ))
+            ),
+            )
         }
         _ => (404, "{}".to_owned()),
     }
