feature: report storage failures of replicas

Counts failures by group and cause, shows as a gauge whether the storage is unusable, and adds cause, role, term and log positions to the line. No change of behaviour.

--- a/src/replication.rs
+++ b/src/replication.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod image;
 mod inbound;
+mod instruments;
 mod leader;
 mod log;
 mod membership;
--- a/src/replication/state.rs
+++ b/src/replication/state.rs
@@ -13,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::ReplicaOptions;
+use super::instruments::{count_storage_failure, record_storage_unusable};
 use super::log::{Entry, Index, Log, Payload, Term};
 use super::message::VotePhase;
 use super::peer::Peer;
@@ -161,7 +162,11 @@
 
     /// Records a storage failure: the replica stops voting and acknowledging.
     pub(super) fn fail(&mut self, error: &StorageError) {
+        count_storage_failure(&self.options.group, error);
+        record_storage_unusable(&self.options.group, true);
         log::error!(
+            cause = error.cause(), role:? = self.role, term = self.hard_state.term,
+            last_index = self.log.last_index(), durable = self.durable, commit = self.commit;
             "replica {} of {} stops voting: {error}",
             self.options.host,
             self.options.group
--- a/src/replication/storage.rs
+++ b/src/replication/storage.rs
@@ -52,6 +52,17 @@
     InUse(String),
 }
 
+impl StorageError {
+    /// Returns the failed operation, `damaged` or `in use`, for metrics and log fields.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Io { operation, .. } => operation,
+            Self::Damaged { .. } => "damaged",
+            Self::InUse(_) => "in use",
+        }
+    }
+}
+
 /// Identity, term and vote; saved before the replica acts on a change of them.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct HardState {
