bug: a disk that was full for seconds kept its host out of the log for good

Callers got 503 and 504 for good after the disks of two storage hosts had refused writes for 5 s each, one after the other.

Cause: the first failed write, sync or rename set a fault of the replica that nothing cleared.

A replica with a failed storage closes it, opens it again from its files as at the start of a process, compares what it finds with what it acknowledged, and writes all files anew before it votes. This is as safe as a restart, and covers torn appends, replacements that may have taken place, and pages that a failed sync dropped. A process that starts on such a disk waits for it in the same way instead of ending. The admission of learners no longer ends with the first fault.

--- a/src/entry_host/configuration_log.rs
+++ b/src/entry_host/configuration_log.rs
@@ -322,13 +322,13 @@
 }
 
 /// Checks whether the replica has caught up, then adds missing hosts at intervals. Returns once the
-/// replica is faulty or dropped.
+/// replica is dropped.
 fn run_admission(replica: &Weak<ConfigurationReplica>) {
     while let Some(strong) = replica.upgrade() {
-        if matches!(strong.replica.status().phase, ReplicaPhase::Faulty(_)) {
-            return;
-        }
-        let pause = if strong.is_caught_up() {
+        let faulty = matches!(strong.replica.status().phase, ReplicaPhase::Faulty(_));
+        let pause = if faulty {
+            ADMISSION_INTERVAL
+        } else if strong.is_caught_up() {
             strong.add_missing_learners();
             ADMISSION_INTERVAL
         } else {
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -8,6 +8,7 @@
 
 mod disk;
 mod election;
+mod faults;
 mod formation;
 #[cfg(test)]
 mod image;
--- a/src/replication/disk.rs
+++ b/src/replication/disk.rs
@@ -218,6 +218,18 @@
         self.replace_log(entries)
     }
 
+    /// Writes all files anew. After a failed sync, another sync of the same file may succeed without
+    /// writing the pages that the first one dropped.
+    pub(super) fn rewrite(&mut self, recovered: &Recovered) -> Result<(), StorageError> {
+        if let Some(hard_state) = &recovered.hard_state {
+            self.save_hard_state(hard_state)?;
+        }
+        match &recovered.snapshot {
+            Some(snapshot) => self.save_snapshot(snapshot, &recovered.entries),
+            None => self.replace_log(&recovered.entries),
+        }
+    }
+
     fn replace_log(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
         let bytes = if entries.is_empty() {
             Vec::new()
@@ -371,6 +383,7 @@
         operation,
         file: path.display().to_string(),
         reason: error.to_string(),
+        kind: error.kind(),
     }
 }
 
--- a/src/replication/formation.rs
+++ b/src/replication/formation.rs
@@ -21,10 +21,17 @@
 impl<T> State<T> {
     /// Returns whether this host coordinates the formation of the group.
     pub(super) fn coordinates_formation(&self) -> bool {
-        self.hard_state.group == 0
+        self.may_join_new_group()
             && self.options.initial_voters.iter().min() == Some(&self.options.host)
     }
 
+    /// Returns whether this host has no group and its state machine is empty. The state machine holds
+    /// the state of a group that this host has not joined when the storage failed before it had
+    /// saved the snapshot of that group.
+    fn may_join_new_group(&self) -> bool {
+        self.hard_state.group == 0 && self.applied <= FORMATION_INDEX
+    }
+
     /// Returns the wall clock in Unix milliseconds.
     pub(super) fn wall_ms(&self) -> u64 {
         let wall = self.options.clock.wall();
@@ -98,7 +105,7 @@
         self.log = Log::new(FORMATION_INDEX, term, self.snapshot.membership.clone());
         self.commit = FORMATION_INDEX;
         self.applied = FORMATION_INDEX;
-        self.durable = FORMATION_INDEX;
+        self.mark_durable(FORMATION_INDEX);
         self.sync_generation += 1;
         self.hard_state.group = group;
         self.hard_state.term = self.hard_state.term.max(term);
@@ -118,7 +125,7 @@
         now: Instant,
     ) -> Reply {
         let is_voter = membership.is_voter(&self.options.host, self.hard_state.incarnation);
-        if self.hard_state.group != 0 || group == 0 || !is_voter {
+        if !self.may_join_new_group() || group == 0 || !is_voter {
             return Reply::Rejected;
         }
         if !self.join_new_group(group, term, membership) {
@@ -147,7 +154,7 @@
         self.log = Log::new(0, 0, Membership::default());
         self.commit = 0;
         self.applied = 0;
-        self.durable = 0;
+        self.durable = (0, 0);
         if self.save_hard_state() {
             self.update_peers();
         }
--- a/src/replication/inbound.rs
+++ b/src/replication/inbound.rs
@@ -10,6 +10,10 @@
 impl<T> State<T> {
     /// Returns the encoded reply to a call.
     pub(super) fn handle(&mut self, from: &str, bytes: &[u8], now: Instant) -> Vec<u8> {
+        if !self.was_opened() {
+            // Without its storage, this host does not know its identity; the caller gets no reply.
+            return Vec::new();
+        }
         let body = match decode::<RequestEnvelope>(bytes) {
             Some(envelope) => self.dispatch(from, envelope, now),
             None => Reply::Rejected,
--- a/src/replication/leader.rs
+++ b/src/replication/leader.rs
@@ -116,7 +116,7 @@
 
     /// Returns whether entries are not durable yet.
     pub(super) fn has_unsynced(&self) -> bool {
-        self.fault.is_none() && self.durable < self.log.last_index()
+        self.fault.is_none() && self.durable.1 < self.log.last_index()
     }
 
     /// Writes the entries that are not written yet; the caller runs the sync itself.
@@ -140,7 +140,7 @@
         if self.ok_or_fail(result).is_none() || sync.generation != self.sync_generation {
             return;
         }
-        self.durable = self.durable.max(sync.last_index);
+        self.mark_durable(self.durable.1.max(sync.last_index));
         if self.role == Role::Leader {
             self.advance_commit(now);
         }
--- a/src/replication/outbound.rs
+++ b/src/replication/outbound.rs
@@ -291,7 +291,7 @@
         }
         let stored = self.log.membership().majority_value(|member| {
             if member.host == self.options.host {
-                return self.durable;
+                return self.durable.1;
             }
             let peer = self.peers.get(&member.host);
             peer.map_or(0, |peer| peer.match_index)
--- a/src/replication/propose.rs
+++ b/src/replication/propose.rs
@@ -112,7 +112,7 @@
         self.storage.append(std::slice::from_ref(&entry));
         self.log.truncate_and_append(entry);
         if !self.storage.needs_sync() {
-            self.durable = self.log.last_index();
+            self.mark_durable(self.log.last_index());
             self.advance_commit(now);
         }
     }
@@ -137,6 +137,7 @@
             && self.role == Role::Leader
             && self.transfer.is_none()
             && self.fault.is_none()
+            && self.commit >= self.term_start
             && self.applied >= self.term_start;
         if !leads {
             return None;
--- a/src/replication/replica.rs
+++ b/src/replication/replica.rs
@@ -51,8 +51,8 @@
     pub fn start(options: ReplicaOptions<T>) -> Result<Self, StorageError> {
         let (send, clock) = (Arc::clone(&options.send), options.clock.clone());
         let tick = options.timing.heartbeat_interval / TICKS_PER_HEARTBEAT;
+        let is_durable = options.storage.is_durable();
         let state = State::open(options, clock.now())?;
-        let needs_sync = state.storage.needs_sync();
         let shared = Arc::new(Shared {
             state: Mutex::new(state),
             work: Condvar::new(),
@@ -64,7 +64,7 @@
         });
         shared.step(State::tick);
         shared.spawn("timer", move |shared| shared.run_timer(tick));
-        if needs_sync {
+        if is_durable {
             shared.spawn("sync", |shared| shared.run_sync());
             shared.spawn("snapshot", |shared| shared.run_snapshots());
         }
@@ -165,7 +165,7 @@
     pub fn status(&self) -> ReplicaStatus {
         let state = self.shared.lock();
         let phase = match (&state.fault, state.role) {
-            (Some(reason), _) => ReplicaPhase::Faulty(reason.clone()),
+            (Some(fault), _) => ReplicaPhase::Faulty(fault.reason.clone()),
             (None, _) if state.hard_state.group == 0 => ReplicaPhase::Joining,
             (None, Role::Follower) => ReplicaPhase::Follower,
             (None, Role::Candidate(_)) => ReplicaPhase::Candidate,
@@ -452,10 +452,26 @@
     }
 
     /// Syncs the entries that this host appends as leader. Entries that arrive during a sync are
-    /// covered together by the next sync.
+    /// covered together by the next sync. Opens the storage again after a failure.
     fn run_sync(&self) {
         let mut state = self.lock();
         while !self.stopping.load(Ordering::Acquire) {
+            let now = self.clock.now();
+            if let Some(reopen_at) = state.reopen_at(now) {
+                self.publish_lease(&mut state);
+                let pause = reopen_at.saturating_duration_since(now);
+                if !pause.is_zero() {
+                    state = self.work.wait_timeout(state, pause).unwrap().0;
+                    continue;
+                }
+                let job = state.begin_reopen();
+                drop(state);
+                let result = job.run();
+                self.step(|state, now| state.finish_reopen(result, now));
+                processor_time::charge();
+                state = self.lock();
+                continue;
+            }
             let sync = if state.has_unsynced() {
                 state.begin_sync()
             } else {
--- a/src/replication/snapshots.rs
+++ b/src/replication/snapshots.rs
@@ -46,7 +46,8 @@
     /// Takes a snapshot once the log exceeds its limits.
     pub(super) fn compact_if_large(&mut self) {
         let limits = &self.options.limits;
-        if self.unsaved_snapshot.is_some() {
+        // An applied entry above the commit index is missing in the log.
+        if self.unsaved_snapshot.is_some() || self.applied > self.commit {
             return;
         }
         let entries = self.applied - self.snapshot.index;
@@ -82,16 +83,18 @@
             .then_some(PendingSnapshot { snapshot, job })
     }
 
-    /// Adopts a snapshot that was written, unless a newer one from the leader was installed in the
-    /// meantime.
+    /// Adopts a snapshot that was written, unless a newer one from the leader was installed or the
+    /// storage was opened again in the meantime.
     pub(super) fn finish_snapshot(
         &mut self,
         pending: PendingSnapshot,
         result: Result<(), StorageError>,
         now: Instant,
     ) {
-        self.unsaved_snapshot = None;
-        if self.fault.is_some()
+        let current = self
+            .unsaved_snapshot
+            .take_if(|unsaved| Arc::ptr_eq(unsaved, &pending.snapshot));
+        if current.is_none()
             || self.ok_or_fail(result).is_none()
             || pending.snapshot.index <= self.snapshot.index
         {
@@ -114,7 +117,7 @@
 
     fn set_snapshot(&mut self, snapshot: Snapshot) {
         self.snapshot = snapshot;
-        self.durable = self.log.last_index();
+        self.mark_durable(self.log.last_index());
         self.sync_generation += 1;
     }
 
@@ -261,11 +264,11 @@
         if let Some(bytes) = &snapshot.state {
             (self.options.machine.restore)(bytes);
         }
+        self.commit = index;
+        self.applied = index;
         if !self.save_snapshot(snapshot) {
             return false;
         }
-        self.commit = index;
-        self.applied = index;
         if self.hard_state.group != group {
             self.hard_state.group = group;
             if !self.save_hard_state() {
--- a/src/replication/state.rs
+++ b/src/replication/state.rs
@@ -13,8 +13,9 @@
 use rand::{RngExt, SeedableRng};
 
 use super::ReplicaOptions;
-use super::instruments::{count_storage_failure, record_storage_unusable};
+use super::faults::{Fault, ReopenAttempts};
 use super::log::{Entry, Index, Log, Payload, Term};
+use super::membership::Membership;
 use super::message::VotePhase;
 use super::peer::Peer;
 use super::propose::{Committed, ProposeError};
@@ -48,9 +49,12 @@
     pub options: ReplicaOptions<T>,
     pub rng: StdRng,
     pub storage: Storage,
+    /// Identity, term and vote; without incarnation until the storage has been opened.
     pub hard_state: HardState,
+    /// The hard state that was saved last, which is the one that others may have seen.
+    pub saved_hard_state: HardState,
     pub log: Log,
-    /// Latest snapshot; its index is at most `applied`.
+    /// Latest snapshot; its index is at most `applied` and at most the last index of `log`.
     pub snapshot: Snapshot,
     /// Index of the latest snapshot that was sent and the CRC-32 of its state, which is computed
     /// once for all chunks.
@@ -68,10 +72,14 @@
     pub witness_campaign_until: Option<Instant>,
     /// Index of the first entry that this replica appended as leader of its latest term.
     pub term_start: Index,
+    /// At most the last index of `log`.
     pub commit: Index,
+    /// Index of the last applied entry. Above `commit` only after the storage was opened again
+    /// without entries that were committed by other hosts and not synced here.
     pub applied: Index,
-    /// Index of the last entry that is durable here; serves as this host's own match index.
-    pub durable: Index,
+    /// Term and index of the last entry that is durable here. The index serves as this host's own
+    /// match index.
+    pub durable: (Term, Index),
     /// Incremented whenever entries from another leader, a snapshot or the formation change the log.
     /// The result of a sync that began under an earlier generation does not show what is durable.
     pub sync_generation: u64,
@@ -82,68 +90,61 @@
     pub transfer: Option<Transfer>,
     /// First storage failure, or the reason why the replica was stopped. While set, the replica
     /// neither votes nor acknowledges nor leads.
-    pub fault: Option<String>,
+    pub fault: Option<Fault>,
+    pub reopen_attempts: ReopenAttempts,
 }
 
 impl<T> State<T> {
-    /// Opens the storage and restores the state found there.
+    /// Opens the storage and restores the state found there. If that fails for a reason that may
+    /// pass, the replica has a fault until its storage can be opened.
     ///
     /// # Errors
     ///
-    /// [`StorageError`] when the storage is damaged, in use or fails.
+    /// [`StorageError`] when the storage is damaged, in use or not accessible.
     pub(super) fn open(options: ReplicaOptions<T>, now: Instant) -> Result<Self, StorageError> {
-        let (mut storage, recovered) = Storage::open(&options.storage)?;
-        let mut rng = StdRng::seed_from_u64(options.seed);
-        let hard_state = match &recovered.hard_state {
-            Some(hard_state) => hard_state.clone(),
-            None => {
-                let hard_state = HardState {
-                    incarnation: rng.random_range(1..=Incarnation::MAX),
-                    ..HardState::default()
-                };
-                storage.save_hard_state(&hard_state)?;
-                hard_state
-            }
-        };
-        let snapshot = recover_snapshot(&hard_state, &recovered)?;
-        let log = recover_log(&snapshot, recovered.entries)?;
-        let mut state = Self {
-            rng,
-            storage,
+        let mut state = Self::closed(options, now);
+        let opened = Storage::open(&state.options.storage).and_then(|(mut storage, recovered)| {
+            let restored = state.restore(&mut storage, recovered)?;
+            Ok((storage, restored))
+        });
+        match opened {
+            Ok((storage, restored)) => state.adopt_storage(storage, restored, now),
+            Err(error) if error.may_pass() => state.fail(&error),
+            Err(error) => return Err(error),
+        }
+        Ok(state)
+    }
+
+    /// Returns the state of a replica whose storage has not been opened.
+    fn closed(options: ReplicaOptions<T>, now: Instant) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(options.seed),
+            storage: Storage::Memory,
+            hard_state: HardState::default(),
+            saved_hard_state: HardState::default(),
+            log: Log::new(0, 0, Membership::default()),
+            snapshot: Snapshot::default(),
             sent_checksum: None,
             unsaved_snapshot: None,
             incoming: None,
             role: Role::Follower,
             leader: None,
-            // A replica that was restarted may have acknowledged a leader's lease a moment before.
-            heard_leader_at: (hard_state.group != 0).then_some(now),
+            heard_leader_at: None,
             election_deadline: now,
             witness_campaign_until: None,
             term_start: 0,
-            commit: snapshot.index,
-            applied: snapshot.index,
-            durable: log.last_index(),
+            commit: 0,
+            applied: 0,
+            durable: (0, 0),
             sync_generation: 0,
             peers: IndexMap::new(),
             requested_learners: IndexSet::new(),
             pending_proposals: BTreeMap::new(),
             transfer: None,
             fault: None,
+            reopen_attempts: ReopenAttempts::default(),
             options,
-            hard_state,
-            log,
-            snapshot,
-        };
-        if let Some(bytes) = &state.snapshot.state {
-            (state.options.machine.restore)(bytes);
-        }
-        state.update_peers();
-        state.mark_unformed_peers();
-        state.reset_election_deadline(now);
-        if state.log.membership().voters().count() == 1 {
-            state.election_deadline = now;
         }
-        Ok(state)
     }
 
     /// Whether this replica votes: it is a voter of the membership in effect, by incarnation.
@@ -160,40 +161,14 @@
         self.election_deadline = now + timeout + extra;
     }
 
-    /// Records a storage failure: the replica stops voting and acknowledging.
-    pub(super) fn fail(&mut self, error: &StorageError) {
-        count_storage_failure(&self.options.group, error);
-        record_storage_unusable(&self.options.group, true);
-        log::error!(
-            cause = error.cause(), role:? = self.role, term = self.hard_state.term,
-            last_index = self.log.last_index(), durable = self.durable, commit = self.commit;
-            "replica {} of {} stops voting: {error}",
-            self.options.host,
-            self.options.group
-        );
-        self.stop(&error.to_string());
-    }
-
-    /// Stops voting, acknowledging and leading permanently.
-    pub(super) fn stop(&mut self, reason: &str) {
-        self.fault.get_or_insert_with(|| reason.to_owned());
-        self.role = Role::Follower;
-        self.leader = None;
-        self.transfer = None;
-        for (_, sender) in std::mem::take(&mut self.pending_proposals) {
-            let _ = sender.send(Err(ProposeError::Unknown(reason.to_owned())));
-        }
-    }
-
-    /// Returns the value of a success; records a failure with [`Self::fail`].
-    pub(super) fn ok_or_fail<R>(&mut self, result: Result<R, StorageError>) -> Option<R> {
-        result.map_err(|error| self.fail(&error)).ok()
-    }
-
     /// Saves group, incarnation, term and vote. Returns whether they are durable.
     pub(super) fn save_hard_state(&mut self) -> bool {
         let saved = self.storage.save_hard_state(&self.hard_state);
-        self.ok_or_fail(saved).is_some()
+        if self.ok_or_fail(saved).is_none() {
+            return false;
+        }
+        self.saved_hard_state = self.hard_state.clone();
+        true
     }
 
     /// Adopts the term if it is later than the present one, and becomes a follower. Returns
@@ -284,7 +259,7 @@
         if self.ok_or_fail(synced).is_none() {
             return false;
         }
-        self.durable = self.log.last_index();
+        self.mark_durable(self.log.last_index());
         true
     }
 
@@ -344,7 +319,8 @@
     }
 }
 
-fn recover_snapshot(
+/// Returns the snapshot that belongs to the group of the replica.
+pub(super) fn recover_snapshot(
     hard_state: &HardState,
     recovered: &Recovered,
 ) -> Result<Snapshot, StorageError> {
@@ -364,7 +340,7 @@
 
 /// Restores the log after the snapshot. When the entry at the index of the snapshot has another
 /// term, a snapshot from the leader superseded the log, and none of its entries is committed.
-fn recover_log(snapshot: &Snapshot, written: Vec<Entry>) -> Result<Log, StorageError> {
+pub(super) fn recover_log(snapshot: &Snapshot, written: Vec<Entry>) -> Result<Log, StorageError> {
     let mut log = Log::new(snapshot.index, snapshot.term, snapshot.membership.clone());
     let mut entries: Vec<Entry> = Vec::new();
     for entry in written {
--- a/src/replication/status.rs
+++ b/src/replication/status.rs
@@ -18,7 +18,7 @@
     Candidate,
     /// Won an election; [`Replica::leadership`] says whether the leadership is confirmed.
     Leader,
-    /// Stopped voting after a storage failure, or was shut down; holds the reason.
+    /// Takes no part until its storage works again, or was shut down; holds the reason.
     Faulty(String),
 }
 
--- a/src/replication/storage.rs
+++ b/src/replication/storage.rs
@@ -1,11 +1,14 @@
 //! Durable state of a replica: hard state (identity, term and vote), snapshot and entries.
 
+use std::io::ErrorKind;
 use std::path::PathBuf;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+#[cfg(test)]
+use super::disk::DiskHook;
 use super::disk::{Disk, SnapshotJob, SyncJob};
 #[cfg(test)]
 use super::image::SharedImage;
@@ -24,9 +27,36 @@
     /// On a simulated disk that a test keeps over restarts.
     #[cfg(test)]
     Image(SharedImage),
+    /// In the files of a folder, with operations that a test can make fail.
+    #[cfg(test)]
+    Hooked(HookedFolder),
+}
+
+impl StorageOptions {
+    /// Returns whether state outlives the process, so that entries need a sync.
+    pub fn is_durable(&self) -> bool {
+        !matches!(self, Self::Memory)
+    }
+}
+
+/// A folder whose disk operations a test can make fail.
+#[cfg(test)]
+#[derive(Clone)]
+pub struct HookedFolder {
+    /// Folder of the files.
+    pub folder: PathBuf,
+    /// Called before each operation.
+    pub hook: DiskHook,
+}
+
+#[cfg(test)]
+impl std::fmt::Debug for HookedFolder {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.folder.fmt(formatter)
+    }
 }
 
-/// A storage failure, after which the replica stops voting.
+/// A storage failure, after which the replica stops voting until the storage works again.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum StorageError {
     /// The operating system reported an error.
@@ -38,6 +68,8 @@
         file: String,
         /// Error text of the operating system.
         reason: String,
+        /// Kind of that error.
+        kind: ErrorKind,
     },
     /// A file is missing, or damaged other than by an incomplete last record.
     #[error("{file} is damaged: {reason}")]
@@ -53,6 +85,22 @@
 }
 
 impl StorageError {
+    /// Returns whether the failure may pass without an operator, as on a full disk. Wrong paths and
+    /// permissions, damage and folders in use do not.
+    pub fn may_pass(&self) -> bool {
+        let Self::Io { kind, .. } = self else {
+            return false;
+        };
+        !matches!(
+            kind,
+            ErrorKind::NotFound
+                | ErrorKind::PermissionDenied
+                | ErrorKind::AlreadyExists
+                | ErrorKind::NotADirectory
+                | ErrorKind::IsADirectory
+        )
+    }
+
     /// Returns the failed operation, `damaged` or `in use`, for metrics and log fields.
     pub fn cause(&self) -> &'static str {
         match self {
@@ -138,8 +186,13 @@
                 Ok((Self::Disk(Box::new(disk)), recovered))
             }
             #[cfg(test)]
+            StorageOptions::Hooked(HookedFolder { folder, hook }) => {
+                let (disk, recovered) = Disk::open(folder, Arc::clone(hook))?;
+                Ok((Self::Disk(Box::new(disk)), recovered))
+            }
+            #[cfg(test)]
             StorageOptions::Image(image) => {
-                let recovered = image.lock().unwrap().recover();
+                let recovered = image.lock().unwrap().recover()?;
                 Ok((Self::Image(Arc::clone(image)), recovered))
             }
         }
@@ -155,10 +208,7 @@
             Self::Memory => Ok(()),
             Self::Disk(disk) => disk.save_hard_state(hard_state),
             #[cfg(test)]
-            Self::Image(image) => {
-                image.lock().unwrap().hard_state = Some(hard_state.clone());
-                Ok(())
-            }
+            Self::Image(image) => image.lock().unwrap().save_hard_state(hard_state),
         }
     }
 
@@ -184,7 +234,7 @@
             Self::Disk(disk) => disk.begin_sync().map(Some),
             #[cfg(test)]
             Self::Image(image) => {
-                image.lock().unwrap().sync();
+                image.lock().unwrap().sync()?;
                 Ok(None)
             }
         }
@@ -217,6 +267,20 @@
         }
     }
 
+    /// Writes all that was recovered again; durable on return.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`].
+    pub fn rewrite(&mut self, recovered: &Recovered) -> Result<(), StorageError> {
+        match self {
+            Self::Memory => Ok(()),
+            Self::Disk(disk) => disk.rewrite(recovered),
+            #[cfg(test)]
+            Self::Image(image) => image.lock().unwrap().check(),
+        }
+    }
+
     /// Replaces the snapshot and all entries; durable on return.
     ///
     /// # Errors
@@ -231,10 +295,7 @@
             Self::Memory => Ok(()),
             Self::Disk(disk) => disk.save_snapshot(snapshot, entries),
             #[cfg(test)]
-            Self::Image(image) => {
-                image.lock().unwrap().save_snapshot(snapshot, entries);
-                Ok(())
-            }
+            Self::Image(image) => image.lock().unwrap().save_snapshot(snapshot, entries),
         }
     }
 }
--- a/src/replication/tests/harness.rs
+++ b/src/replication/tests/harness.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::ids::HostId;
-use crate::replication::image::SharedImage;
+use crate::replication::image::{Failure, SharedImage};
 use crate::replication::log::{Index, Term};
 use crate::replication::membership::MemberRole;
 use crate::replication::message::{decode, encode};
@@ -52,6 +52,9 @@
     }
 }
 
+/// Longest time from the recovery of a disk until its host takes part again: the longest pause
+/// between attempts and a step.
+const LONGEST_REOPEN: Duration = Duration::from_millis(1_050);
 /// Share of the steps in which a host runs its timer: each 50 ms on average, as a real one does.
 const TICK_SHARE: f64 = 0.2;
 
@@ -67,6 +70,8 @@
     /// Number of applied commands that were compared with `committed_commands`, and the applied index, both
     /// as of the latest check.
     checked: (usize, Index),
+    /// Until this time the host may have a fault, since its disk failed a moment ago.
+    fault_allowed_until: Option<Instant>,
 }
 
 enum Packet {
@@ -127,6 +132,7 @@
             paused_until: None,
             calls: BTreeMap::new(),
             checked: (0, 0),
+            fault_allowed_until: None,
         });
         let mut cluster = Self {
             now,
@@ -214,6 +220,18 @@
         }
     }
 
+    /// Makes all operations of a host's disk fail, or succeed again.
+    pub fn set_disk_failure(&mut self, position: usize, failure: Option<Failure>) {
+        let node = &mut self.nodes[position];
+        let Some(image) = &node.image else {
+            return;
+        };
+        let before = std::mem::replace(&mut image.lock().unwrap().failure, failure);
+        if before.is_some() || failure.is_some() {
+            node.fault_allowed_until = Some(self.now + LONGEST_REOPEN);
+        }
+    }
+
     pub fn has_disk(&self, position: usize) -> bool {
         self.nodes[position].image.is_some()
     }
@@ -234,7 +252,11 @@
         }
     }
 
+    /// Removes all faults of the network and the disks.
     pub fn heal(&mut self) {
+        for position in 0..self.nodes.len() {
+            self.set_disk_failure(position, None);
+        }
         self.cuts.clear();
         self.loss_percent = 0;
     }
@@ -309,6 +331,7 @@
                 continue;
             }
             self.expire_calls(position);
+            self.reopen_if_due(position);
             let now = self.now;
             let sync = self.rng.random_bool(0.3);
             // Calls are answered between the ticks, also after the end of a lease.
@@ -331,6 +354,22 @@
         node.state.is_some() && node.paused_until.is_none_or(|until| self.now >= until)
     }
 
+    /// Opens the disk again after a failure; what was not synced is kept or lost at random.
+    fn reopen_if_due(&mut self, position: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[position];
+        let state = node.state.as_mut().unwrap();
+        if state.reopen_at(now).is_none_or(|at| now < at) {
+            return;
+        }
+        let keep_unsynced = self.rng.random();
+        if let Some(image) = &node.image {
+            image.lock().unwrap().crash(keep_unsynced);
+        }
+        let result = state.begin_reopen().run();
+        state.finish_reopen(result, now);
+    }
+
     fn expire_calls(&mut self, position: usize) {
         let now = self.now;
         let node = &mut self.nodes[position];
--- a/src/replication/tests/harness/checks.rs
+++ b/src/replication/tests/harness/checks.rs
@@ -4,7 +4,7 @@
 
 use crossbeam::channel::TryRecvError;
 
-use super::Cluster;
+use super::{Cluster, LONGEST_REOPEN};
 use crate::replication::propose::ProposeError;
 use crate::replication::state::Role;
 
@@ -36,7 +36,19 @@
     fn check_commands(&mut self, position: usize) {
         let node = &mut self.nodes[position];
         let state = node.state.as_ref().unwrap();
-        assert_eq!(state.fault, None, "{} has failed", node.host);
+        let image = node.image.as_ref();
+        let disk_fails = image.is_some_and(|image| image.lock().unwrap().failure.is_some());
+        // A paused host does not open its disk again before it resumes.
+        let paused = node.paused_until.is_some_and(|until| self.now <= until);
+        if disk_fails || (paused && node.fault_allowed_until.is_some()) {
+            node.fault_allowed_until = Some(self.now + LONGEST_REOPEN);
+        }
+        if node
+            .fault_allowed_until
+            .is_none_or(|until| self.now > until)
+        {
+            assert_eq!(state.fault, None, "{} has failed", node.host);
+        }
         assert!(
             state.applied >= node.checked.1,
             "an applied index decreased"
--- a/src/replication/tests/protocol.rs
+++ b/src/replication/tests/protocol.rs
@@ -5,6 +5,7 @@
 
 use super::harness::{Cluster, host_name};
 use crate::replication::disk::{Disk, DiskHook, DiskOperation};
+use crate::replication::image::Failure;
 use crate::replication::membership::MemberRole;
 use crate::replication::peer::NextAction;
 use crate::replication::state::{Role, State};
@@ -344,3 +345,45 @@
         );
     }
 }
+
+/// Guards against a group that ends for good once the disks of a majority of its hosts have refused
+/// writes for some seconds, one after the other: each of these hosts stayed out of the log.
+#[test]
+fn hosts_vote_again_after_their_disks_failed_in_turn() {
+    for failure in [Failure::Refused, Failure::Unreported] {
+        let mut cluster = formed_cluster(13, &[true; 3], false);
+        for round in 0..6 {
+            // Each host in turn, then three times the leader.
+            let leader = cluster.leader().unwrap_or(0);
+            let failing = if round < 3 { round } else { leader };
+            cluster.set_disk_failure(failing, Some(failure));
+            let wanted = cluster.confirmed.len() + 20;
+            while cluster.confirmed.len() < wanted {
+                cluster.run_until("a leader", |cluster| cluster.leader().is_some());
+                let leader = cluster.leader().unwrap();
+                cluster.propose(leader);
+                cluster.run(Duration::from_millis(50));
+            }
+            cluster.run(5 * SECOND);
+            cluster.set_disk_failure(failing, None);
+            cluster.run(2 * SECOND);
+            assert!(state(&mut cluster, failing).fault.is_none());
+        }
+        cluster.finish();
+    }
+}
+
+/// Guards against a host that leads until its lease ends although its disk refuses writes.
+#[test]
+fn a_leader_gives_up_its_leadership_when_its_disk_fails() {
+    let mut cluster = formed_cluster(14, &[true; 3], false);
+    cluster.run_until("a leader", |cluster| cluster.leader().is_some());
+    let leader = cluster.leader().unwrap();
+    cluster.set_disk_failure(leader, Some(Failure::Refused));
+    cluster.propose(leader);
+    let now = cluster.now;
+    assert!(!state(&mut cluster, leader).sync_now());
+    assert_eq!(state(&mut cluster, leader).leadership(now), None);
+    cluster.run_until("another leader", |cluster| cluster.leader().is_some());
+    assert_ne!(cluster.leader(), Some(leader));
+}
--- a/src/replication/tests/schedules.rs
+++ b/src/replication/tests/schedules.rs
@@ -6,6 +6,7 @@
 use proptest::test_runner::RngSeed;
 
 use super::harness::Cluster;
+use crate::replication::image::Failure;
 
 #[derive(Clone, Debug)]
 enum Action {
@@ -21,6 +22,8 @@
     Loss(u32),
     Heal,
     Transfer,
+    FailDisk(usize, Failure),
+    MendDisk(usize),
 }
 
 fn action(hosts: usize) -> impl Strategy<Value = Action> {
@@ -39,6 +42,9 @@
         1 => (0_u32..30).prop_map(Action::Loss),
         2 => Just(Action::Heal),
         1 => Just(Action::Transfer),
+        1 => (0..hosts).prop_map(|host| Action::FailDisk(host, Failure::Refused)),
+        1 => (0..hosts).prop_map(|host| Action::FailDisk(host, Failure::Unreported)),
+        3 => (0..hosts).prop_map(Action::MendDisk),
     ]
 }
 
@@ -71,6 +77,8 @@
         Action::Isolate(host) => cluster.isolate(host),
         Action::Loss(percent) => cluster.loss_percent = percent,
         Action::Heal => cluster.heal(),
+        Action::FailDisk(host, failure) => cluster.set_disk_failure(host, Some(failure)),
+        Action::MendDisk(host) => cluster.set_disk_failure(host, None),
         Action::Transfer => {
             let Some(leader) = cluster.leader() else {
                 return;
--- a/src/replication/tests/storage.rs
+++ b/src/replication/tests/storage.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::os::unix::fs::MetadataExt;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -216,3 +217,44 @@
         "only {failures} operations were made to fail"
     );
 }
+
+/// Guards against entries that count as durable after a failed sync because a later sync of the
+/// same file succeeds, and against a loss when an operation fails while the files are written anew.
+#[test]
+fn files_are_written_anew_without_loss() {
+    for failing in 0.. {
+        let folder = TempDir::new().unwrap();
+        write_log(folder.path());
+        let (mut disk, _) = open(folder.path()).unwrap();
+        let snapshot = Snapshot {
+            index: 3,
+            ..Snapshot::default()
+        };
+        disk.save_snapshot(&snapshot, &[entry(4), entry(5)])
+            .unwrap();
+        let (mut disk, before) = {
+            drop(disk);
+            open(folder.path()).unwrap()
+        };
+        let files = ["state", "snapshot", "log"].map(|name| folder.path().join(name));
+        let inodes = || files.clone().map(|path| fs::metadata(path).unwrap().ino());
+        let (old, count) = (inodes(), AtomicUsize::new(0));
+        disk.set_hook(Arc::new(move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) == failing {
+                return Err(io::Error::other("injected"));
+            }
+            Ok(())
+        }));
+        let result = disk.rewrite(&before);
+        drop(disk);
+        let (_, after) = open(folder.path()).unwrap();
+        assert_eq!(after.hard_state, before.hard_state, "operation {failing}");
+        assert_eq!(after.snapshot, before.snapshot, "operation {failing}");
+        assert_eq!(after.entries, before.entries, "operation {failing}");
+        if result.is_ok() {
+            let renewed = inodes().iter().zip(&old).all(|(new, old)| new != old);
+            assert!(renewed, "a file was not written anew");
+            break;
+        }
+    }
+}
--- a/src/replication/tests/threads.rs
+++ b/src/replication/tests/threads.rs
@@ -1,6 +1,8 @@
 //! Groups of replicas with their threads, in one process.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::fs;
+use std::io::{self, ErrorKind};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -9,6 +11,8 @@
 
 use super::harness::{Applied, host_name, recorder, small_limits};
 use crate::clock::Clock;
+use crate::replication::disk::DiskOperation;
+use crate::replication::storage::HookedFolder;
 use crate::replication::{
     ProposeError, Replica, ReplicaOptions, ReplicaPhase, SendMessage, StorageOptions, Timing,
 };
@@ -22,6 +26,8 @@
     applied: Vec<Applied>,
     directory: Directory,
     folder: Option<TempDir>,
+    /// For each host, whether its disk refuses writes.
+    disks_full: Vec<Arc<AtomicBool>>,
 }
 
 impl Group {
@@ -31,6 +37,7 @@
             applied: (0..count).map(|_| Applied::default()).collect(),
             directory: Arc::new(Mutex::new((0..count).map(|_| Weak::new()).collect())),
             folder: on_disk.then(|| TempDir::new().unwrap()),
+            disks_full: (0..count).map(|_| Arc::default()).collect(),
         };
         for position in 0..count {
             let replica = group.replica(position);
@@ -49,14 +56,22 @@
             let target = target.ok_or("the host is down")?;
             Ok(target.handle(&from, &bytes))
         });
-        let folder = |folder: &TempDir| folder.path().join(host_name(position));
-        let storage = self.folder.as_ref().map(folder);
+        let disk_full = Arc::clone(&self.disks_full[position]);
+        let storage = self.folder.as_ref().map(|folder| HookedFolder {
+            folder: folder.path().join(host_name(position)),
+            hook: Arc::new(move |operation| {
+                if operation == DiskOperation::Write && disk_full.load(Ordering::SeqCst) {
+                    return Err(io::Error::from(ErrorKind::StorageFull));
+                }
+                Ok(())
+            }),
+        });
         ReplicaOptions {
             group: "test".to_owned(),
             host: host_name(position),
             initial_voters: (0..count).map(host_name).collect(),
             may_lead: true,
-            storage: storage.map_or(StorageOptions::Memory, StorageOptions::Folder),
+            storage: storage.map_or(StorageOptions::Memory, StorageOptions::Hooked),
             clock: Clock::system(),
             timing: Timing::default(),
             limits: small_limits(),
@@ -84,6 +99,31 @@
         self.replicas[position].shutdown();
     }
 
+    fn set_disk_full(&self, position: usize, full: bool) {
+        self.disks_full[position].store(full, Ordering::SeqCst);
+    }
+
+    /// Waits until the host takes part in the group, or until it does not.
+    fn wait_for_fault(&self, position: usize, faulty: bool) {
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        loop {
+            let phase = self.replicas[position].status().phase;
+            if matches!(phase, ReplicaPhase::Faulty(_)) == faulty {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{phase:?}, faulty: {faulty}");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn wait_for_last(&self, position: usize, text: &str) {
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while commands(&self.applied[position]).last().map(String::as_str) != Some(text) {
+            assert!(Instant::now() < deadline, "the host does not catch up");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     fn leader(&self) -> usize {
         let deadline = Instant::now() + TEST_TIMEOUT;
         loop {
@@ -155,14 +195,7 @@
     assert!(group.replicas[group.leader()].leadership() > epoch);
     group.restart(first);
     group.commit("after");
-    let deadline = Instant::now() + TEST_TIMEOUT;
-    while commands(&group.applied[first]).last().map(String::as_str) != Some("after") {
-        assert!(
-            Instant::now() < deadline,
-            "the old leader does not catch up"
-        );
-        thread::sleep(Duration::from_millis(5));
-    }
+    group.wait_for_last(first, "after");
     assert_eq!(commands(&group.applied[first])[0], "before");
 }
 
@@ -255,6 +288,7 @@
         applied: (0..3).map(|_| Applied::default()).collect(),
         directory: Arc::new(Mutex::new((0..3).map(|_| Weak::new()).collect())),
         folder: None,
+        disks_full: (0..3).map(|_| Arc::default()).collect(),
     };
     for position in 0..3 {
         let mut options = group.options(position);
@@ -313,8 +347,95 @@
     group.stop(0);
     let folder = group.folder.as_ref().unwrap().path();
     let log = folder.join(host_name(0)).join("log");
-    let mut bytes = std::fs::read(&log).unwrap();
+    let mut bytes = fs::read(&log).unwrap();
     bytes[0] ^= 1;
-    std::fs::write(&log, bytes).unwrap();
+    fs::write(&log, bytes).unwrap();
     assert!(Replica::start(group.options(0)).is_err());
 }
+
+/// Guards against a host that takes no part in the log any more after its disk was full for a
+/// while, so that the next full disk ends the group.
+#[test]
+fn hosts_return_after_their_disks_were_full_in_turn() {
+    let group = Group::start(3, true);
+    group.commit("before");
+    for failing in 0..3 {
+        group.set_disk_full(failing, true);
+        while !matches!(
+            group.replicas[failing].status().phase,
+            ReplicaPhase::Faulty(_)
+        ) {
+            group.commit("while a disk is full");
+        }
+        group.commit("before the disk has room");
+        group.set_disk_full(failing, false);
+        group.wait_for_fault(failing, false);
+        let last = format!("after {failing}");
+        group.commit(&last);
+        (0..3).for_each(|position| group.wait_for_last(position, &last));
+    }
+    let expected = commands(&group.applied[0]);
+    for applied in &group.applied {
+        assert_eq!(commands(applied), expected);
+    }
+}
+
+/// Guards against a process that ends because its disk is full when it starts.
+#[test]
+fn a_host_that_starts_on_a_full_disk_joins_later() {
+    let mut group = Group::start(3, true);
+    group.commit("before");
+    for new_disk in [false, true] {
+        group.stop(2);
+        if new_disk {
+            let folder = group.folder.as_ref().unwrap().path();
+            fs::remove_dir_all(folder.join(host_name(2))).unwrap();
+        }
+        group.set_disk_full(2, true);
+        // A storage that exists is opened without a write.
+        group.restart(2);
+        group.commit("while the disk is full");
+        group.wait_for_fault(2, true);
+        group.set_disk_full(2, false);
+        group.wait_for_fault(2, false);
+        group.commit("after");
+        group.wait_for_last(2, "after");
+    }
+    assert_eq!(
+        commands(&group.applied[2]),
+        commands(&group.applied[group.leader()])
+    );
+}
+
+/// Guards against a host that votes again although entries that it acknowledged are missing on the
+/// disk after a failure.
+#[test]
+fn a_host_that_lost_acknowledged_entries_does_not_vote_again() {
+    let group = Group::start(3, true);
+    group.commit("acknowledged");
+    let failing = (group.leader() + 1) % 3;
+    group.wait_for_last(failing, "acknowledged");
+    let folder = group.folder.as_ref().unwrap().path();
+    let log = folder.join(host_name(failing)).join("log");
+    let bytes = fs::read(&log).unwrap();
+    group.set_disk_full(failing, true);
+    group.commit("while the disk is full");
+    group.wait_for_fault(failing, true);
+    fs::write(&log, []).unwrap();
+    group.set_disk_full(failing, false);
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    loop {
+        let ReplicaPhase::Faulty(reason) = group.replicas[failing].status().phase else {
+            panic!("the host votes without the entries");
+        };
+        if reason.contains("acknowledged entries") {
+            break;
+        }
+        assert!(Instant::now() < deadline, "{reason}");
+        thread::sleep(Duration::from_millis(5));
+    }
+    fs::write(&log, bytes).unwrap();
+    group.wait_for_fault(failing, false);
+    group.commit("after");
+    group.wait_for_last(failing, "after");
+}
