--- a/src/replication/snapshots.rs
+++ b/src/replication/snapshots.rs
@@ -1,10 +1,11 @@
 //! Snapshots: log compaction, and catch-up of hosts whose next entry was compacted.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::disk::SnapshotJob;
 use super::formation::FORMATION_INDEX;
+use super::instruments::count_storage_failure;
 use super::log::{Entry, Index, Log, Term};
 use super::membership::Membership;
 use super::message::{GroupId, Reply, Request};
@@ -17,6 +18,9 @@
 /// so that followers that are slightly behind need no snapshot.
 const RETAINED_ENTRIES_DIVISOR: u64 = 8;
 
+/// Pause after a snapshot that could not be written.
+const SNAPSHOT_RETRY_PAUSE: Duration = Duration::from_secs(5);
+
 /// A snapshot that is being received in chunks.
 #[derive(Debug)]
 pub(super) struct IncomingSnapshot {
@@ -44,12 +48,15 @@
 
 impl<T> State<T> {
     /// Takes a snapshot once the log exceeds its limits.
-    pub(super) fn compact_if_large(&mut self) {
+    pub(super) fn compact_if_large(&mut self, now: Instant) {
         let limits = &self.options.limits;
         // An applied entry above the commit index is missing in the log.
         if self.unsaved_snapshot.is_some() || self.applied > self.commit {
             return;
         }
+        if self.next_snapshot_at.is_some_and(|at| now < at) {
+            return;
+        }
         let entries = self.applied - self.snapshot.index;
         let large = self.log.size_bytes() >= limits.max_log_bytes && entries > 0;
         if entries >= limits.max_log_entries || large {
@@ -94,10 +101,14 @@
         let current = self
             .unsaved_snapshot
             .take_if(|unsaved| Arc::ptr_eq(unsaved, &pending.snapshot));
-        if current.is_none()
-            || self.ok_or_fail(result).is_none()
-            || pending.snapshot.index <= self.snapshot.index
-        {
+        if current.is_none() {
+            return;
+        }
+        if let Err(error) = result {
+            self.postpone_snapshot(&error, now);
+            return;
+        }
+        if pending.snapshot.index <= self.snapshot.index {
             return;
         }
         let adopted = self
@@ -110,6 +121,20 @@
         }
     }
 
+    /// Keeps the log as it is after a snapshot could not be written, and tries again later. Nothing
+    /// that was acknowledged depends on the file, so this is no storage failure.
+    fn postpone_snapshot(&mut self, error: &StorageError, now: Instant) {
+        count_storage_failure(&self.options.group, error);
+        log::warn!(
+            cause = error.cause(), log_entries = self.log.last_index() - self.log.base_index(),
+            log_bytes = self.log.size_bytes();
+            "replica {} of {} keeps its whole log: {error}",
+            self.options.host,
+            self.options.group
+        );
+        self.next_snapshot_at = Some(now + SNAPSHOT_RETRY_PAUSE);
+    }
+
     fn entries_after(&self, index: Index) -> Vec<Entry> {
         let after = self.log.entries().filter(|entry| entry.index > index);
         after.cloned().collect()
--- a/src/replication/state.rs
+++ b/src/replication/state.rs
@@ -61,6 +61,8 @@
     pub sent_checksum: Option<(Index, u32)>,
     /// A newer snapshot that replaces `snapshot` once it is written.
     pub unsaved_snapshot: Option<Arc<Snapshot>>,
+    /// No snapshot is taken before this time, since writing the latest one failed.
+    pub next_snapshot_at: Option<Instant>,
     pub incoming: Option<IncomingSnapshot>,
     pub role: Role,
     pub leader: Option<HostId>,
@@ -126,6 +128,7 @@
             snapshot: Snapshot::default(),
             sent_checksum: None,
             unsaved_snapshot: None,
+            next_snapshot_at: None,
             incoming: None,
             role: Role::Follower,
             leader: None,
@@ -284,7 +287,7 @@
         {
             self.step_down(now);
         }
-        self.compact_if_large();
+        self.compact_if_large(now);
     }
 
     fn notify_proposers(&mut self, index: Index, term: Term, output: Option<T>) {
--- a/src/replication/tests/protocol.rs
+++ b/src/replication/tests/protocol.rs
@@ -387,3 +387,31 @@
     cluster.run_until("another leader", |cluster| cluster.leader().is_some());
     assert_ne!(cluster.leader(), Some(leader));
 }
+
+/// Guards against a host that stops voting because a snapshot finds no room, although its log can
+/// still be written, and against attempts to write one after each entry.
+#[test]
+fn a_snapshot_that_cannot_be_written_is_postponed() {
+    let mut cluster = formed_cluster(15, &[true; 3], false);
+    commit_some(&mut cluster, 5);
+    let folder = tempfile::TempDir::new().unwrap();
+    let (mut disk, _) = Disk::open(folder.path(), Arc::new(|_| Ok(()))).unwrap();
+    let hook: DiskHook = Arc::new(|_| Err(std::io::ErrorKind::StorageFull.into()));
+    disk.set_hook(hook);
+    let now = cluster.now;
+    let leader = cluster.leader().unwrap();
+    let replica = state(&mut cluster, leader);
+    replica.storage = Storage::Disk(Box::new(disk));
+    replica.options.limits.max_log_entries = 1;
+    replica.compact_if_large(now);
+    let pending = replica.begin_snapshot().unwrap();
+    let result = pending.run();
+    assert!(result.is_err());
+    replica.finish_snapshot(pending, result, now);
+    assert_eq!(replica.fault, None);
+    assert!(replica.leadership(now).is_some());
+    replica.compact_if_large(now + SECOND);
+    assert!(replica.begin_snapshot().is_none());
+    replica.compact_if_large(now + 10 * SECOND);
+    assert!(replica.begin_snapshot().is_some());
+}
