bug: a heartbeat of another writer started running tasks again

A heartbeat with the address of a sound worker made its task run on a second worker as well, for 5.3 s.

Cause: a heartbeat counted as proof that an earlier incarnation had ended, under the same address as well as under the same identifier.

Such a heartbeat is now a claim. Runs end once another process answers at the address, which relays report now, once the claiming worker answers there itself, or once the lease has expired; until then the worker gets no start orders. The known incarnation's next answer refutes the claim. A heartbeat that moves an incarnation to another address or data centre is ignored.

Failed before: five tests of placer/tests/claims.rs. Four earlier tests that restarted a worker with runs let its relay see the restart as well, since a heartbeat alone proves nothing.

--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod call_limits;
 mod capacity;
+mod claims;
 mod client_calls;
 mod committed;
 mod crashes;
--- a/src/workflow/placer/crashes.rs
+++ b/src/workflow/placer/crashes.rs
@@ -198,8 +198,7 @@
             let Some(run) = self.runs.get(task) else {
                 continue;
             };
-            let never_sent = run.phase == RunPhase::Starting && run.start_sent_at.is_none();
-            if run.harmless || never_sent {
+            if run.harmless || run.was_never_sent() {
                 continue;
             }
             let suspect = self.suspect_key(task);
--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -171,15 +171,16 @@
 }
 
 impl Term {
-    /// Returns the orders and grants that are due, by relay. Orders to workers without a relay stay
-    /// pending.
+    /// Returns the orders and grants that are due, by relay; others stay pending.
     pub(super) fn next_instructions(&mut self, now: Now) -> IndexMap<HostId, Instructions> {
         let mut orders: IndexMap<HostId, Vec<RelayedOrder>> = IndexMap::new();
         for order in std::mem::take(&mut self.pending_orders) {
             let Some(worker) = self.workers.get(&order.worker) else {
                 continue;
             };
-            let Some(relay) = worker.relay.clone() else {
+            // After a restart, the next incarnation would carry out a start order for the former one.
+            let held = worker.claim.is_some() && order.kind != OrderKind::Stop;
+            let Some(relay) = worker.relay.clone().filter(|_| !held) else {
                 self.pending_orders.push(order);
                 continue;
             };
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -66,8 +66,10 @@
         let (index, leaving) = (live.index, live.leaving_until.is_some());
         self.ledger.set_status(index, WorkerStatus::Lost);
         self.note_silence(worker, failure, now.at);
-        if leaving && *failure == CallFailure::PortClosed {
-            self.remove_worker(worker, now);
+        match failure {
+            CallFailure::PortClosed if leaving => self.remove_worker(worker, now),
+            CallFailure::OtherIncarnation => self.handle_ended_incarnation(worker, now),
+            _ => {}
         }
     }
 
@@ -91,6 +93,9 @@
             log::info!(worker = worker.as_str(), incarnation, running = report.running.len(); "worker is reachable");
         }
         live.steps_without_report = 0;
+        live.ended = false;
+        let first_answer = live.clock.is_none();
+        let record = first_answer.then(|| live.record.clone());
         live.reachable = true;
         let was_silent = live.unresponsive_since.take().is_some();
         live.failed_relays.clear();
@@ -114,6 +119,10 @@
             self.note_return(worker);
         }
         self.record_clock(worker, Some(report.clock_ms), now.at);
+        self.refute_claim(worker, asked_at);
+        if let Some(record) = record {
+            self.remove_predecessors(&record, now);
+        }
         self.handle_ends(worker, &report.ends, now);
         self.confirm_running(worker, &report.running, now.at);
         self.handle_stalled_runs(worker, now.at);
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -17,6 +17,7 @@
 use super::super::state::WorkflowState;
 use super::super::workers::WorkerRecord;
 use super::backlog::WaitingWork;
+use super::claims::Claim;
 use super::crashes::CrashWatch;
 use super::growth::GrantedWorkers;
 use super::passes::Passes;
@@ -169,6 +170,10 @@
     /// Time until which the worker is expected to leave, since a call announced its departure; it is
     /// removed once its port is closed. `None` if no departure was announced.
     pub leaving_until: Option<Instant>,
+    /// Whether another process has answered at the address since the last answer of the worker.
+    pub ended: bool,
+    /// Heartbeat of another incarnation, until it is known which one runs.
+    pub claim: Option<Claim>,
     /// Host that relays orders to the worker; `None` until one is assigned.
     pub relay: Option<HostId>,
     /// Time at which the current relay was assigned.
@@ -292,6 +297,11 @@
         }
     }
 
+    /// Whether no start order for the run has left this host.
+    pub fn was_never_sent(&self) -> bool {
+        self.phase == RunPhase::Starting && self.start_sent_at.is_none()
+    }
+
     /// Records that the worker listed the run or confirmed its start.
     pub fn confirm(&mut self, now: Instant) {
         self.confirmed = true;
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod capacity;
 mod capacity_random;
+mod claims;
 mod cost;
 mod crashing_cell;
 mod crashing_tasks;
--- a/src/workflow/placer/tests/capacity.rs
+++ b/src/workflow/placer/tests/capacity.rs
@@ -111,7 +111,7 @@
 
 /// Sends the committed orders to the relays and returns the tasks and run numbers of those that
 /// start a run.
-fn send_starts(fixture: &mut Fixture) -> Vec<(u32, u32)> {
+pub(super) fn send_starts(fixture: &mut Fixture) -> Vec<(u32, u32)> {
     let orders = std::mem::take(&mut fixture.orders);
     fixture.term.pending_orders.extend(orders);
     let now = fixture.now;
--- a/src/workflow/placer/tests/crashing_cell.rs
+++ b/src/workflow/placer/tests/crashing_cell.rs
@@ -97,6 +97,9 @@
                 continue;
             }
             worker.up_at = None;
+            let failure = CallFailure::OtherIncarnation;
+            let term = &mut self.fixture.term;
+            term.handle_no_answer(id, worker.incarnation, &failure, now);
             worker.incarnation += 1;
             let mut heartbeat = heartbeat(id, worker.incarnation, 1);
             heartbeat.record.labels = vec!["a".to_owned(), worker.rack.clone()];
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -277,6 +277,13 @@
         self.commit_all();
     }
 
+    /// Restarts a worker as incarnation 2, which is seen by its answer and by its heartbeat.
+    pub(super) fn restart(&mut self, worker: &str) {
+        self.fail_to_answer(worker, &CallFailure::OtherIncarnation);
+        self.term
+            .handle_heartbeat(heartbeat(worker, 2, 1), self.now);
+    }
+
     pub(super) fn submit(&mut self, stages: Vec<StageSpec>) {
         self.submit_as(JOB, stages);
     }
--- a/src/workflow/placer/tests/relays.rs
+++ b/src/workflow/placer/tests/relays.rs
@@ -316,7 +316,7 @@
     let mut fixture = with_submitted_job();
     take_due_orders(&mut fixture);
     let now = fixture.now;
-    fixture.term.handle_heartbeat(heartbeat("w", 2, 1), now);
+    fixture.restart("w");
     fixture.term.assign_relays(now.at);
     let late = RelayEventKind::StartAnswered {
         task: task(0),
--- a/src/workflow/placer/tests/runs.rs
+++ b/src/workflow/placer/tests/runs.rs
@@ -115,7 +115,7 @@
     );
 
     let mut gone = Fixture::with_state(state());
-    gone.term.handle_heartbeat(heartbeat("w", 2, 1), gone.now);
+    gone.restart("w");
     gone.term.tick(gone.now);
     assert!(!gone.term.runs.contains_key(&task(0)));
 }
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -47,6 +47,8 @@
             health: Default::default(),
             restriction: Default::default(),
             leaving_until: None,
+            ended: false,
+            claim: None,
             relay: None,
             relayed_since: now,
             steps_without_report: 0,
@@ -57,39 +59,18 @@
     }
 
     pub(super) fn handle_heartbeat(&mut self, heartbeat: WorkerHeartbeat, now: Now) {
+        if self.is_from_former_worker(&heartbeat.record) || !self.admits_heartbeat(&heartbeat, now)
+        {
+            return;
+        }
         let WorkerHeartbeat { record, sequence } = heartbeat;
         let id = record.id.clone();
-        let at_same_address = self
-            .workers
-            .values()
-            .find(|other| other.record.address == record.address && other.record.id != id);
-        if let Some(other) = at_same_address {
-            if other.record.incarnation >= record.incarnation {
-                log::info!(worker = id.as_str(), successor = other.record.id.as_str(); "late heartbeat of a former worker ignored");
-                return;
-            }
-            let former = other.record.id.clone();
-            self.judge_crash(&former, now);
-            self.remove_worker(&former, now);
-        }
+        self.remove_predecessors(&record, now);
         if let Some(known) = self.workers.get_mut(&id) {
-            let stale = record.incarnation < known.record.incarnation
-                || (record.incarnation == known.record.incarnation
-                    && sequence < known.heartbeat_sequence);
-            if stale {
-                log::info!(worker = id.as_str(), incarnation = record.incarnation, sequence; "late heartbeat ignored");
-                return;
-            }
             known.heartbeat_sequence = sequence;
             if self.state.current_worker(&id) == Some(&record) {
                 return;
             }
-            if known.record.incarnation < record.incarnation {
-                self.judge_crash(&id, now);
-                self.end_runs_on(&id, RunOutcome::Lost, "the worker restarted", now);
-                self.remove_permits(&id);
-                self.workers.shift_remove(&id);
-            }
         }
         let pool = self.pool_of(&record.service);
         log::info!(
@@ -154,7 +135,7 @@
 
     /// Drops the permits and reservations of all stages on a worker: its next incarnation may
     /// differ in labels or capacity.
-    fn remove_permits(&mut self, id: &WorkerId) {
+    pub(super) fn remove_permits(&mut self, id: &WorkerId) {
         let keys: Vec<StageKey> = self.stages.keys().cloned().collect();
         for key in keys {
             self.release_reservation(&key, id);
@@ -167,7 +148,13 @@
         }
     }
 
-    fn end_runs_on(&mut self, id: &WorkerId, outcome: RunOutcome, reason: &str, now: Now) {
+    pub(super) fn end_runs_on(
+        &mut self,
+        id: &WorkerId,
+        outcome: RunOutcome,
+        reason: &str,
+        now: Now,
+    ) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::super::calls::{RenewOrder, WorkerReport, WorkerTarget};
+use super::super::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
 use super::messages::{Grant, RelayEventKind};
 use super::{Link, Relay};
 use crate::ids::Epoch;
@@ -134,6 +134,8 @@
                     answered = report.incarnation;
                     "another incarnation of the worker answered; closing the link"
                 );
+                let failure = CallFailure::OtherIncarnation;
+                relay.queue_event(self.epoch, &self.target, RelayEventKind::Silent { failure });
                 break;
             }
             confirmed = true;
--- a/tests/workflow_relays.rs
+++ b/tests/workflow_relays.rs
@@ -275,6 +275,25 @@
     );
 }
 
+/// Guards against a placer that learns of a restart from nobody, or has to believe a heartbeat: the
+/// link to the former incarnation ended without a report.
+#[test]
+fn the_answer_of_another_incarnation_is_reported() {
+    let test = start_relay_with(Vec::new(), 2);
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    // The first report is lost; the next grant opens the link again.
+    let report = loop {
+        test.relay.accept(instructions(7, 1));
+        if let Ok((_, report)) = test.reports.recv_timeout(ANSWER_TIME) {
+            break report;
+        }
+        assert!(Instant::now() < deadline, "the answer was not reported");
+    };
+    let failure = CallFailure::OtherIncarnation;
+    assert_eq!(report.events[0].kind, RelayEventKind::Silent { failure });
+    assert_eq!(report.events[0].incarnation, 1);
+}
+
 /// Guards against a start order that reaches the next incarnation of a worker, which knows neither
 /// the run nor the fencing token.
 #[test]
