bug: test of real processes whose disks refuse writes in turn

Failed before, on: a_cell_survives_disks_that_refuse_writes_in_turn, whose storage hosts run as processes with a size limit for files. The log's own tests cover disks on which only syncs or only renames fail.

--- a/src/replication/tests/threads.rs
+++ b/src/replication/tests/threads.rs
@@ -26,17 +26,25 @@
     applied: Vec<Applied>,
     directory: Directory,
     folder: Option<TempDir>,
-    /// For each host, whether its disk refuses writes.
+    /// Operation that fails on a full disk.
+    failing: DiskOperation,
+    /// For each host, whether its disk is full.
     disks_full: Vec<Arc<AtomicBool>>,
 }
 
 impl Group {
     fn start(count: usize, on_disk: bool) -> Self {
+        Self::start_failing(count, on_disk, DiskOperation::Write)
+    }
+
+    /// Starts a group in which the given operation fails on full disks.
+    fn start_failing(count: usize, on_disk: bool, failing: DiskOperation) -> Self {
         let mut group = Self {
             replicas: Vec::new(),
             applied: (0..count).map(|_| Applied::default()).collect(),
             directory: Arc::new(Mutex::new((0..count).map(|_| Weak::new()).collect())),
             folder: on_disk.then(|| TempDir::new().unwrap()),
+            failing,
             disks_full: (0..count).map(|_| Arc::default()).collect(),
         };
         for position in 0..count {
@@ -56,11 +64,11 @@
             let target = target.ok_or("the host is down")?;
             Ok(target.handle(&from, &bytes))
         });
-        let disk_full = Arc::clone(&self.disks_full[position]);
+        let (failing, disk_full) = (self.failing, Arc::clone(&self.disks_full[position]));
         let storage = self.folder.as_ref().map(|folder| HookedFolder {
             folder: folder.path().join(host_name(position)),
             hook: Arc::new(move |operation| {
-                if operation == DiskOperation::Write && disk_full.load(Ordering::SeqCst) {
+                if operation == failing && disk_full.load(Ordering::SeqCst) {
                     return Err(io::Error::from(ErrorKind::StorageFull));
                 }
                 Ok(())
@@ -288,6 +296,7 @@
         applied: (0..3).map(|_| Applied::default()).collect(),
         directory: Arc::new(Mutex::new((0..3).map(|_| Weak::new()).collect())),
         folder: None,
+        failing: DiskOperation::Write,
         disks_full: (0..3).map(|_| Arc::default()).collect(),
     };
     for position in 0..3 {
@@ -357,7 +366,23 @@
 /// while, so that the next full disk ends the group.
 #[test]
 fn hosts_return_after_their_disks_were_full_in_turn() {
-    let group = Group::start(3, true);
+    hosts_return_after_failures(DiskOperation::Write);
+}
+
+/// Guards against the same with disks on which only syncs fail.
+#[test]
+fn hosts_return_after_syncs_failed_in_turn() {
+    hosts_return_after_failures(DiskOperation::Sync);
+}
+
+/// Guards against the same with disks on which only renames fail, as for a new snapshot.
+#[test]
+fn hosts_return_after_renames_failed_in_turn() {
+    hosts_return_after_failures(DiskOperation::Rename);
+}
+
+fn hosts_return_after_failures(operation: DiskOperation) {
+    let group = Group::start_failing(3, true, operation);
     group.commit("before");
     for failing in 0..3 {
         group.set_disk_full(failing, true);
--- /dev/null
+++ b/tests/cell_faults.rs
@@ -0,0 +1,207 @@
+//! Runs a cell of real processes whose disks refuse writes and which are stopped, paused and
+//! killed, while callers and an operator go on.
+
+mod platform_support;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use platform_support::processes::HostProcesses;
+use platform_support::{Cell, Ports, Runner, WAIT_TIMEOUT, await_some, configuration};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Storage hosts are numbered from 1.
+const STORAGE_HOSTS: usize = 3;
+/// Environment variable with a range of seeds for [`accepted_work_survives_seeded_faults`], such as
+/// `100..150`.
+const SEEDS_VARIABLE: &str = "JUJUBEWINCH_FAULT_SEEDS";
+
+/// A cell of processes with one runner, and what it has acknowledged.
+struct TestCell {
+    cell: Cell,
+    processes: HostProcesses,
+    runner: Arc<Runner>,
+    heartbeats: u64,
+    /// Latest version of the configuration that was acknowledged.
+    version: u64,
+    jobs: Vec<String>,
+    _folder: TempDir,
+}
+
+impl TestCell {
+    fn start(first_port: u16) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let ports = Ports {
+            peers: first_port,
+            callers: first_port + 1,
+            readiness: first_port + 2,
+            control: first_port + 3,
+        };
+        let processes = HostProcesses::start(folder.path(), ports);
+        let mut test = Self {
+            cell: Cell::of_processes(ports),
+            processes,
+            runner: Runner::start(),
+            heartbeats: 0,
+            version: 0,
+            jobs: Vec::new(),
+            _folder: folder,
+        };
+        test.work();
+        test
+    }
+
+    /// Sends a heartbeat, a change of the configuration and a job, each until it is acknowledged.
+    fn work(&mut self) {
+        self.heartbeats += 1;
+        self.cell.announce("i-1", &self.runner, self.heartbeats);
+        self.version += 1;
+        let answer = self.cell.configure(self.version);
+        assert_eq!(answer.status, 200, "version {}", self.version);
+        let job = format!("00c0ffee{:08x}", self.jobs.len());
+        let body = json!({"task_spec": "plan", "steps": [
+            {"count": 2, "cpu": 100, "mem_mb": 10, "estimate_ms": 150}]});
+        await_some(|| {
+            let answer = self
+                .cell
+                .caller(Method::POST, &format!("/plans/{job}"), &body)?;
+            (answer.status == 200).then_some(())
+        });
+        self.jobs.push(job);
+    }
+
+    fn work_for(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.work();
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    /// Checks that all jobs that were accepted complete, that no task ran twice at a time, and that
+    /// each storage host has the latest configuration.
+    fn check(&mut self) {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        for job in &self.jobs {
+            while self.cell.state(job).as_deref() != Some("completed") {
+                assert!(Instant::now() < deadline, "job {job} does not complete");
+                // The runner is used only while it sends heartbeats.
+                self.heartbeats += 1;
+                self.cell.announce("i-1", &self.runner, self.heartbeats);
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+        assert_eq!(self.runner.overlaps(), 0);
+        let expected = configuration(self.version);
+        for host in 1..=STORAGE_HOSTS {
+            let url = format!(
+                "http://127.0.0.{host}:{}/api/config",
+                self.cell.ports.control
+            );
+            let read = await_some(|| {
+                let answer = self.cell.send(Method::GET, &url, &Value::Null)?;
+                (answer.status == 200).then_some(answer.body)
+            });
+            let read: Value = serde_json::from_slice(&read).unwrap();
+            assert_eq!(read["version"], expected["version"], "at host {host}");
+        }
+    }
+}
+
+/// Guards against a cell that ends for good once the disks of a majority of its storage hosts have
+/// refused writes for a while, one after the other.
+#[test]
+fn a_cell_survives_disks_that_refuse_writes_in_turn() {
+    let mut test = TestCell::start(17_410);
+    for round in 0..2 * STORAGE_HOSTS {
+        let host = round % STORAGE_HOSTS + 1;
+        test.processes.set_disk_full(host, true);
+        test.work_for(Duration::from_millis(1_500));
+        test.processes.set_disk_full(host, false);
+        test.work_for(Duration::from_millis(1_500));
+    }
+    test.check();
+}
+
+/// A fault of one storage host that ends by itself.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    DiskFull,
+    Pause,
+    Kill,
+    Stop,
+}
+
+fn begin(processes: &mut HostProcesses, host: usize, fault: Fault) {
+    match fault {
+        Fault::DiskFull => processes.set_disk_full(host, true),
+        Fault::Pause => processes.signal(host, Signal::STOP),
+        Fault::Kill => processes.kill(host),
+        Fault::Stop => processes.signal(host, Signal::TERM),
+    }
+}
+
+fn end(processes: &mut HostProcesses, host: usize, fault: Fault) {
+    match fault {
+        Fault::DiskFull => processes.set_disk_full(host, false),
+        Fault::Pause => processes.signal(host, Signal::CONT),
+        Fault::Kill => processes.start_host(host),
+        Fault::Stop => {
+            processes.kill(host);
+            processes.start_host(host);
+        }
+    }
+}
+
+/// Begins and ends faults of one or two storage hosts at a time, which overlap at random.
+fn run_faults(test: &mut TestCell, rng: &mut StdRng, rounds: usize) {
+    let mut present: Vec<(usize, Fault, Instant)> = Vec::new();
+    for _ in 0..rounds {
+        let host = rng.random_range(1..=STORAGE_HOSTS);
+        let fault = match rng.random_range(0..6) {
+            0..3 => Fault::DiskFull,
+            3 => Fault::Pause,
+            4 => Fault::Kill,
+            _ => Fault::Stop,
+        };
+        let until = Instant::now() + Duration::from_millis(rng.random_range(200..3_000));
+        if present.len() < 2 && present.iter().all(|(other, ..)| *other != host) {
+            begin(&mut test.processes, host, fault);
+            present.push((host, fault, until));
+        }
+        if present.len() < 2 {
+            test.work();
+        }
+        thread::sleep(Duration::from_millis(rng.random_range(50..500)));
+        let now = Instant::now();
+        let over = present.extract_if(.., |(_, _, until)| *until <= now);
+        for (host, fault, _) in over {
+            end(&mut test.processes, host, fault);
+        }
+    }
+    for (host, fault, _) in present {
+        end(&mut test.processes, host, fault);
+    }
+}
+
+/// Guards against lost or repeated work and lost changes after faults that come in series and
+/// overlap. Without the variable, runs one seed.
+#[test]
+fn accepted_work_survives_seeded_faults() {
+    let seeds = std::env::var(SEEDS_VARIABLE).unwrap_or_else(|_| "1..2".to_owned());
+    let (first, last) = seeds.split_once("..").expect("a range of seeds");
+    for seed in first.parse::<u64>().unwrap()..last.parse::<u64>().unwrap() {
+        println!("seed {seed}");
+        let mut test = TestCell::start(17_420);
+        let mut rng = StdRng::seed_from_u64(seed);
+        run_faults(&mut test, &mut rng, 40);
+        test.work();
+        test.check();
+    }
+}
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod processes;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -275,6 +277,16 @@
         }
     }
 
+    /// Returns access to a cell whose hosts are processes of their own.
+    pub fn of_processes(ports: Ports) -> Self {
+        Self {
+            hosts: Vec::new(),
+            ports,
+            _listeners: Vec::new(),
+            client: Client::new(ClientOptions::default()),
+        }
+    }
+
     pub fn send(&self, method: Method, url: &str, body: &Value) -> Option<ClientResponse> {
         let deadline = Instant::now() + Duration::from_secs(4);
         let mut request = ClientRequest::new(method, url, deadline).header("host", "shop.example");
