--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -37,12 +37,7 @@
 impl TestCell {
     fn start(first_port: u16) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let ports = Ports {
-            peers: first_port,
-            callers: first_port + 1,
-            readiness: first_port + 2,
-            control: first_port + 3,
-        };
+        let ports = Ports::starting_at(first_port);
         let processes = HostProcesses::start(folder.path(), ports);
         let mut test = Self {
             cell: Cell::of_processes(ports),
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -14,13 +14,7 @@
 /// the temporary folder with its logs.
 fn start_cell(first_port: u16) -> (Cell, TempDir) {
     let folder = tempfile::tempdir().unwrap();
-    let ports = Ports {
-        peers: first_port,
-        callers: first_port + 1,
-        readiness: first_port + 2,
-        control: first_port + 3,
-    };
-    let cell = Cell::start(folder.path(), ports);
+    let cell = Cell::start(folder.path(), Ports::starting_at(first_port));
     assert_eq!(cell.configure(1).status, 200);
     (cell, folder)
 }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -248,6 +248,18 @@
     pub control: u16,
 }
 
+impl Ports {
+    /// Returns four consecutive ports.
+    pub fn starting_at(first: u16) -> Self {
+        Self {
+            peers: first,
+            callers: first + 1,
+            readiness: first + 2,
+            control: first + 3,
+        }
+    }
+}
+
 /// Storage hosts 127.0.0.1 to 127.0.0.3 and an entry host 127.0.0.4, in one process.
 pub struct Cell {
     pub hosts: Vec<Arc<WorkflowHost>>,
--- a/tests/workflow_calls.rs
+++ b/tests/workflow_calls.rs
@@ -33,12 +33,7 @@
     const CALLS: u64 = 400;
     const MAX_THREADS: usize = 64;
     let folder = tempfile::tempdir().unwrap();
-    let ports = Ports {
-        peers: 17_340,
-        callers: 17_341,
-        readiness: 17_342,
-        control: 17_343,
-    };
+    let ports = Ports::starting_at(17_340);
     let cell = Cell::start(folder.path(), ports);
     assert_eq!(cell.configure(1).status, 200);
     let leader = await_some(|| cell.leader()) + 1;
--- a/tests/workflow_heartbeats.rs
+++ b/tests/workflow_heartbeats.rs
@@ -176,12 +176,7 @@
 #[test]
 fn storage_hosts_acknowledge_heartbeats_only_while_they_have_a_leader() {
     let folder = tempfile::tempdir().unwrap();
-    let ports = Ports {
-        peers: 17_380,
-        callers: 17_381,
-        readiness: 17_382,
-        control: 17_383,
-    };
+    let ports = Ports::starting_at(17_380);
     let cell = Cell::start(folder.path(), ports);
     assert_eq!(cell.configure(1).status, 200);
     let runner = Runner::start();
--- a/tests/workflow_seeds.rs
+++ b/tests/workflow_seeds.rs
@@ -30,12 +30,7 @@
 #[test]
 fn a_restarted_replica_finds_the_placer_without_its_seeds() {
     let folder = tempfile::tempdir().unwrap();
-    let ports = Ports {
-        peers: 17_390,
-        callers: 17_391,
-        readiness: 17_392,
-        control: 17_393,
-    };
+    let ports = Ports::starting_at(17_390);
     let cell = Cell::start(folder.path(), ports);
     assert_eq!(cell.configure(1).status, 200);
     let leader = await_some(|| cell.leader());
