bug: a test of processes talked to the hosts of an earlier run

Cause: the process of an earlier soak had been killed, so that its hosts lived on. Evidence: three hosts with parent 1 whose settings name the ports of the test. The new hosts could not listen there.

The test panics if one of its ports is in use, and checks at the end that its hosts still run. No change of the product.

--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -82,6 +82,7 @@
     /// Checks that all jobs that were accepted complete, that no task ran twice at a time, and that
     /// each storage host has the latest configuration.
     fn check(&mut self) {
+        self.processes.assert_running();
         let deadline = Instant::now() + WAIT_TIMEOUT;
         for job in &self.jobs {
             while self.cell.state(job).as_deref() != Some("completed") {
--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -2,6 +2,7 @@
 //! be made to refuse writes.
 
 use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -29,10 +30,16 @@
 }
 
 impl HostProcesses {
-    /// Starts three storage hosts and an entry host.
+    /// Starts three storage hosts and an entry host. Their ports must be free: hosts that outlived
+    /// another run of the test would answer in their place.
     pub fn start(folder: &Path, ports: Ports) -> Self {
         let mut hosts = Vec::new();
         for number in 1..=4 {
+            for port in [ports.peers, ports.callers, ports.readiness, ports.control] {
+                let address = format!("127.0.0.{number}:{port}");
+                TcpListener::bind(&address)
+                    .unwrap_or_else(|error| panic!("{address} is not free: {error}"));
+            }
             let text = settings(number, folder, ports, number < 4);
             std::fs::write(folder.join(format!("{number}.toml")), text).unwrap();
             hosts.push(HostProcess {
@@ -77,8 +84,13 @@
         host.child = Some(child);
     }
 
-    pub fn is_running(&self, number: usize) -> bool {
-        self.hosts[number - 1].child.is_some()
+    /// Panics if a host has ended by itself.
+    pub fn assert_running(&mut self) {
+        for (position, host) in self.hosts.iter_mut().enumerate() {
+            let child = host.child.as_mut().expect("the host was started");
+            let status = child.try_wait().unwrap();
+            assert_eq!(status, None, "host {} has ended", position + 1);
+        }
     }
 
     fn pid(&self, number: usize) -> Option<Pid> {
