feature: report the renewal of the permits of gangs

Adds the line "permits of a gang are renewed", the fields `whole_ms` and `renewals` of "tasks placed" and `renewed` of "placement policy answered", and two counters.

--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -103,6 +103,16 @@
         }
     }
 
+    /// Time until which the worker's permit is usable, if it is now.
+    pub fn usable_until(&self, worker: &str, now: Instant) -> Option<Instant> {
+        match self.answers.get(worker)? {
+            Permit::Granted { expires_at, .. } => expires_at
+                .checked_sub(PERMIT_MARGIN)
+                .filter(|until| now < *until),
+            Permit::Denied => None,
+        }
+    }
+
     /// Whether the policy has denied the worker.
     pub fn is_denied(&self, worker: &str) -> bool {
         self.answers.get(worker) == Some(&Permit::Denied)
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -24,6 +24,8 @@
     placement_wait: Histogram<f64>,
     order_latency: Histogram<f64>,
     policy_latency: Histogram<f64>,
+    permit_renewals: Counter<u64>,
+    gang_starts: Counter<u64>,
     unanswered_calls: Counter<u64>,
     cell_cpu: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
@@ -65,6 +67,8 @@
             placement_wait: histogram("jujubewinch_workflow_placement_wait_seconds"),
             order_latency: histogram("jujubewinch_workflow_order_seconds"),
             policy_latency: histogram("jujubewinch_workflow_policy_seconds"),
+            permit_renewals: counter("jujubewinch_workflow_permit_renewals"),
+            gang_starts: counter("jujubewinch_workflow_gang_starts"),
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
             cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
             waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
@@ -118,6 +122,21 @@
         self.policy_latency.record(latency.as_secs_f64(), &[]);
     }
 
+    /// Counts a question that renews permits for the reserved room of a gang.
+    pub fn count_permit_renewal(&self) {
+        self.permit_renewals.add(1, &[]);
+    }
+
+    /// Counts a gang that starts after a number of questions that renewed its permits.
+    pub fn count_gang_start(&self, renewals: u32) {
+        let label = match renewals {
+            0 => "none",
+            1 => "one",
+            _ => "more",
+        };
+        self.gang_starts.add(1, &[KeyValue::new("renewals", label)]);
+    }
+
     /// Records the processors of the cell, in thousandths of a core, and the number of waiting
     /// tasks. `held` is the part of `allocated` that is reserved for stages without a run.
     pub fn record_load(&self, capacity: u64, allocated: u64, held: u64, tasks: u64) {
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -1,12 +1,13 @@
 //! Placement of gangs: room is reserved for all members before any of them starts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::super::decisions::permits::{
     self, GangRoom, MAX_WORKERS_PER_CALL, UnknownWorker, Unpermitted,
 };
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::reservations::{needs_permits, reserve_room, reserve_whole_gang};
+use super::super::instruments::instruments;
 use super::super::spec::{StageKey, StageSpec};
 use super::Now;
 use super::isolation::StartLimit;
@@ -177,6 +178,7 @@
         now: Now,
     ) -> Option<Question> {
         self.release_unusable_reservations(key);
+        self.note_whole_room(key, now);
         let stage = self.stages.get(key)?;
         let reserved: usize = stage.reservations.values().sum();
         let tasks = spec.task_count as usize;
@@ -220,10 +222,37 @@
     /// answer.
     fn renewal(&mut self, key: &StageKey, workers: Vec<Unpermitted>, now: Now) -> Option<Question> {
         let question = self.question(key, workers, now)?;
-        self.stages.get_mut(key)?.renews_permits = true;
+        let stage = self.stages.get_mut(key)?;
+        stage.renews_permits = true;
+        stage.renewals += 1;
+        instruments().count_permit_renewal();
+        let usable = stage.reservations.keys();
+        let usable = usable.filter_map(|worker| stage.permits.usable_until(worker, now.at));
+        let whole_ms = stage
+            .room_whole_since
+            .map(|since| millis_since(since, now.at));
+        log::info!(
+            stage:% = key, tasks = stage.needs.task_count,
+            reserved = stage.reservations.values().sum::<usize>(),
+            workers = stage.reservations.len(), usable = usable.clone().count(),
+            asked = question.workers.len(), host:? = question.host,
+            renewals = stage.renewals, whole_ms:?,
+            earliest_expiry_ms:? = usable.min().map(|at| millis_since(now.at, at));
+            "permits of a gang are renewed"
+        );
         Some(question)
     }
 
+    /// Records whether there is reserved room for all members of a gang.
+    fn note_whole_room(&mut self, key: &StageKey, now: Now) {
+        let Some(stage) = self.stages.get_mut(key) else {
+            return;
+        };
+        let is_whole = stage.reservations.values().sum::<usize>() >= stage.waiting.len();
+        let since = stage.room_whole_since.unwrap_or(now.at);
+        stage.room_whole_since = is_whole.then_some(since);
+    }
+
     /// Releases reservations on workers that are unreachable or draining.
     fn release_unusable_reservations(&mut self, key: &StageKey) {
         let Some(stage) = self.stages.get(key) else {
@@ -391,6 +420,11 @@
     }
 }
 
+/// Returns the milliseconds between two times, zero if the second is not later.
+fn millis_since(earlier: Instant, later: Instant) -> u64 {
+    later.saturating_duration_since(earlier).as_millis() as u64
+}
+
 /// Returns the number of tasks of a stage that fit on an empty worker of the capacity.
 fn capacity_for(spec: &StageSpec, capacity: Resources) -> usize {
     let empty = Candidate {
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -222,9 +222,16 @@
             .saturating_duration_since(question.decided_at)
             .as_millis() as u64;
         let expected_ms = question.expected.as_millis() as u64;
+        let stage = self.stages.get(&question.stage);
+        let renewed = stage.map_or(0, |stage| {
+            let workers = question.workers.iter();
+            workers
+                .filter(|worker| stage.permits.was_granted(worker))
+                .count()
+        });
         log::info!(
             stage:% = question.stage, host:? = question.host, asked = question.workers.len(),
-            granted:? = result.as_ref().ok().map(|answer| answer.granted.len()), queued_ms,
+            renewed, granted:? = result.as_ref().ok().map(|answer| answer.granted.len()), queued_ms,
             took_ms, expected_ms;
             "placement policy answered"
         );
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -1,6 +1,6 @@
 //! The scheduling pass, which assigns waiting tasks to workers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -395,14 +395,23 @@
             if stage.needs.gang && !stage.too_late {
                 self.size_shares.record_placed(band(&stage.needs));
             }
-            let gathered_since = stage.gathers_since.take();
-            let gathered = gathered_since.map(|since| now.at.saturating_duration_since(since));
+            let millis_since = |since: Option<Instant>| {
+                since.map_or(0, |since| {
+                    now.at.saturating_duration_since(since).as_millis() as u64
+                })
+            };
+            let gathered_ms = millis_since(stage.gathers_since.take());
+            let whole_ms = millis_since(stage.room_whole_since.take());
+            let renewals = std::mem::take(&mut stage.renewals);
+            if stage.needs.gang {
+                instruments().count_gang_start(renewals);
+            }
             let waited = now.at.saturating_duration_since(stage.due_at);
             instruments().record_placement(placed.len(), waited);
             log::info!(
                 stage:% = key, tasks = placed.len(), left,
                 waited_ms = waited.as_millis() as u64,
-                gathered_ms = gathered.map_or(0, |gathered| gathered.as_millis() as u64);
+                gathered_ms, whole_ms, renewals;
                 "tasks placed"
             );
             self.subtract_waiting_tasks(key, before - left);
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -185,6 +185,8 @@
                 reservations: IndexMap::new(),
                 gathers_since: None,
                 renews_permits: false,
+                room_whole_since: None,
+                renewals: 0,
                 next_question_at: now.at,
                 due_at: now.at.checked_sub(age).unwrap_or(now.at),
                 objective: objective(job),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -226,6 +226,10 @@
     /// Whether the question in flight renews permits for reserved room, which is kept until the
     /// answer.
     pub renews_permits: bool,
+    /// Time since which a gang has had reserved room for all members; `None` while it has not.
+    pub room_whole_since: Option<Instant>,
+    /// Questions that renewed permits for reserved room since the stage, a gang, last started to wait.
+    pub renewals: u32,
     /// Earliest time of the next question after one without an answer.
     pub next_question_at: Instant,
     /// Time at which the job was accepted, or at which this occurrence of a repeated job was due.
