--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -20,6 +20,7 @@
 mod passes;
 mod pauses;
 mod relays;
+mod renewals;
 mod runs;
 mod search;
 mod takeover;
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -161,11 +161,20 @@
     /// Like [`Self::new`], with a placement policy whose answers have the given cost and are valid for
     /// 2 s.
     pub(super) fn with_policy(decision_ms: f64, per_worker_ms: f64) -> Self {
+        Self::with_policy_valid_for(decision_ms, per_worker_ms, 2_000)
+    }
+
+    /// Like [`Self::with_policy`], with permits that are valid for `validity_ms`.
+    pub(super) fn with_policy_valid_for(
+        decision_ms: f64,
+        per_worker_ms: f64,
+        validity_ms: u64,
+    ) -> Self {
         let mut configuration = configuration(3);
         configuration.queues[0].placement_policy = Some(PlacementPolicy {
             decision_ms,
             per_worker_ms,
-            validity_ms: 2_000,
+            validity_ms,
         });
         Self::with_state(WorkflowState {
             configuration: Some(configuration),
