bug: gangs on more workers than a question names held their room and never started

Cause: the permits of such a gang were renewed one question at a time, each filled up to 100 workers in the order of the reservations, from 60% of the room on. An answer takes 1.4 s and a permit is of use for 1.9 s after it, so that the permits of the first question lapsed before the second was answered, and nothing made the series end. All room stayed reserved meanwhile.

Change: once the room is whole, all workers whose permits lapse before the last answer are asked about together, in as many questions to different hosts as that takes (decisions/renewals). Questions that cannot lead to a start are not asked; after the time of four answers the gang gives its room back for as long and says so. Permits are no longer renewed before the room is whole: the renewals of a room that still grows are what did not converge.

Evidence: gangs_of_any_width_start_within_one_answer_of_having_room failed for seven of nine rooms (five gangs had not started after 30 s and 21 or 22 questions about 2,100 or 2,200 workers); now all start within one answer, 152 members after 3 questions about 152 workers. planned_questions_end_with_all_permits_usable carries plans out with few hosts.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -10,6 +10,7 @@
 pub mod question_shares;
 pub mod ranking;
 pub mod relays;
+pub mod renewals;
 pub mod replicas;
 pub mod reservations;
 pub mod retries;
--- a/src/workflow/decisions/permits.rs
+++ b/src/workflow/decisions/permits.rs
@@ -95,22 +95,22 @@
 
     /// Token of the worker's permit if it stays valid for at least [`PERMIT_MARGIN`].
     pub fn usable(&self, worker: &str, now: Instant) -> Option<&str> {
-        match self.answers.get(worker)? {
-            Permit::Granted { token, expires_at } if now + PERMIT_MARGIN < *expires_at => {
-                Some(token)
-            }
-            _ => None,
-        }
+        let (token, _) = self.usable_permit(worker, now)?;
+        Some(token)
     }
 
     /// Time until which the worker's permit is usable, if it is now.
     pub fn usable_until(&self, worker: &str, now: Instant) -> Option<Instant> {
-        match self.answers.get(worker)? {
-            Permit::Granted { expires_at, .. } => expires_at
-                .checked_sub(PERMIT_MARGIN)
-                .filter(|until| now < *until),
-            Permit::Denied => None,
-        }
+        let (_, until) = self.usable_permit(worker, now)?;
+        Some(until)
+    }
+
+    fn usable_permit(&self, worker: &str, now: Instant) -> Option<(&str, Instant)> {
+        let Permit::Granted { token, expires_at } = self.answers.get(worker)? else {
+            return None;
+        };
+        let until = expires_at.checked_sub(PERMIT_MARGIN)?;
+        (now < until).then_some((token, until))
     }
 
     /// Whether the policy has denied the worker.
@@ -222,6 +222,22 @@
         (self.decision_ms / self.per_worker_ms).ceil() as usize
     }
 
+    /// Time of the decision about a number of workers.
+    pub fn decision(&self, workers: usize) -> Duration {
+        let millis = self.decision_ms + self.per_worker_ms * workers as f64;
+        Duration::from_millis(millis.ceil() as u64)
+    }
+
+    /// Largest number of workers in one of several questions that are asked at the same time: while
+    /// callers are free, none of them decides on workers for longer than the fixed time of an answer.
+    pub fn balanced_size(&self) -> usize {
+        if !self.callers_are_free {
+            return MAX_WORKERS_PER_CALL;
+        }
+        let balanced = self.balanced_workers().max(MIN_WORKERS_PER_CALL);
+        balanced.min(MAX_WORKERS_PER_CALL)
+    }
+
     /// Number of workers to ask about when `needed` of the `available` ones are probably enough.
     /// Returns all of them if that costs less time than the second question after a wrong estimate.
     fn workers_to_ask(&self, needed: usize, available: usize) -> usize {
@@ -238,19 +254,6 @@
     }
 }
 
-/// Splits workers whose permits are renewed together into those that the next question names, and
-/// the rest if they are too many for one. Those without a valid permit come first, so that a second
-/// question names the rest.
-pub fn split_renewals(
-    mut workers: Vec<Unpermitted>,
-    permits: &PermitCache,
-    now: Instant,
-) -> (Vec<Unpermitted>, Vec<Unpermitted>) {
-    workers.sort_by_key(|entry| permits.usable(&entry.worker, now).is_some());
-    let rest = workers.split_off(workers.len().min(MAX_WORKERS_PER_CALL));
-    (workers, rest)
-}
-
 /// A worker about which the policy has not answered for a gang.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UnknownWorker {
@@ -330,14 +333,9 @@
     chosen
 }
 
-/// Splits the workers about which a gang asks among several hosts. While hosts are free, none of
-/// them decides on workers for longer than the fixed time of an answer.
+/// Splits the workers about which a gang asks among several hosts.
 pub fn split_question(workers: Vec<WorkerId>, cost: QuestionCost) -> Vec<Vec<WorkerId>> {
-    let mut most = MAX_WORKERS_PER_CALL;
-    if cost.callers_are_free {
-        most = most.min(cost.balanced_workers().max(MIN_WORKERS_PER_CALL));
-    }
-    let parts = workers.len().div_ceil(most).max(1);
+    let parts = workers.len().div_ceil(cost.balanced_size()).max(1);
     let size = workers.len().div_ceil(parts).max(1);
     workers.chunks(size).map(<[WorkerId]>::to_vec).collect()
 }
--- a/src/workflow/decisions/question_shares.rs
+++ b/src/workflow/decisions/question_shares.rs
@@ -28,22 +28,29 @@
 pub struct QuestionShares(IndexMap<u32, Demand>);
 
 impl QuestionShares {
-    /// Whether a question of a priority may be asked when at most `limit` are in flight. The places that
-    /// other priorities are owed and wait for remain free.
+    /// Whether a question of a priority may be asked when at most `limit` are in flight.
     pub fn allows(&self, priority: u32, limit: usize) -> bool {
+        self.places(priority, limit) > 0
+    }
+
+    /// Number of questions of a priority that may be asked when at most `limit` are in flight. The
+    /// places that other priorities are owed and wait for remain free.
+    pub fn places(&self, priority: u32, limit: usize) -> usize {
         let free = limit.saturating_sub(self.open_questions());
         let others = self.0.iter().filter(|(other, _)| **other != priority);
         let others = others.map(|(_, demand)| demand);
         let active = others.filter(|demand| demand.open > 0 || demand.waits);
         let active: Vec<&Demand> = active.collect();
         let guaranteed = limit * GUARANTEED_PERCENT / 100 / (active.len() + 1);
-        let open = self.0.get(&priority).map_or(0, |demand| demand.open);
-        if open < guaranteed {
-            return free > 0;
-        }
+        let own = guaranteed.saturating_sub(self.open_of(priority));
         let waiting = active.iter().filter(|demand| demand.waits);
         let owed = waiting.map(|demand| guaranteed.saturating_sub(demand.open));
-        free > owed.sum()
+        own.min(free).max(free.saturating_sub(owed.sum()))
+    }
+
+    /// Number of questions of a priority in flight.
+    pub fn open_of(&self, priority: u32) -> usize {
+        self.0.get(&priority).map_or(0, |demand| demand.open)
     }
 
     /// Records that a question of a priority was asked.
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -20,10 +20,6 @@
 /// is free, in percent. In a simulated overload, 10% served the largest tenth of the gangs less than
 /// half as often as all; 50% served fewer gangs in all.
 const GATHERING_PERCENT: u64 = 30;
-/// Part of its room that a gang holds when its permits are renewed, in percent, so that the permits
-/// are valid by the time the rest of the room is free.
-const RENEW_PERMITS_AT_PERCENT: usize = 60;
-
 /// A gang of which all members wait, as far as the choice of those that gather room depends on it.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingGang {
@@ -211,8 +207,3 @@
     }
     Some(reserve_room(spec, tasks, candidates)).filter(covers)
 }
-
-/// Whether a gang with reserved room for `held` of its `tasks` should have valid permits now.
-pub fn needs_permits(held: usize, tasks: usize) -> bool {
-    held * 100 >= tasks * RENEW_PERMITS_AT_PERCENT
-}
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -26,6 +26,7 @@
     policy_latency: Histogram<f64>,
     permit_renewals: Counter<u64>,
     gang_starts: Counter<u64>,
+    abandoned_rooms: Counter<u64>,
     unanswered_calls: Counter<u64>,
     cell_cpu: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
@@ -69,6 +70,7 @@
             policy_latency: histogram("jujubewinch_workflow_policy_seconds"),
             permit_renewals: counter("jujubewinch_workflow_permit_renewals"),
             gang_starts: counter("jujubewinch_workflow_gang_starts"),
+            abandoned_rooms: counter("jujubewinch_workflow_abandoned_rooms"),
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
             cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
             waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
@@ -127,6 +129,11 @@
         self.permit_renewals.add(1, &[]);
     }
 
+    /// Counts a gang that gave its room back because its permits were not valid at the same time.
+    pub fn count_abandoned_room(&self) {
+        self.abandoned_rooms.add(1, &[]);
+    }
+
     /// Counts a gang that starts after a number of questions that renewed its permits.
     pub fn count_gang_start(&self, renewals: u32) {
         let label = match renewals {
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -24,6 +24,7 @@
 mod passes;
 mod policy;
 mod relaying;
+mod renewals;
 mod replicas;
 mod replies;
 mod reports;
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -1,20 +1,19 @@
 //! Placement of gangs: room is reserved for all members before any of them starts.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::super::decisions::permits::{
     self, GangRoom, MAX_WORKERS_PER_CALL, UnknownWorker, Unpermitted,
 };
 use super::super::decisions::placing::{self, Candidate};
-use super::super::decisions::reservations::{needs_permits, reserve_room, reserve_whole_gang};
-use super::super::instruments::instruments;
+use super::super::decisions::reservations::reserve_room;
 use super::super::spec::{StageKey, StageSpec};
 use super::Now;
 use super::isolation::StartLimit;
 use super::policy::Question;
-use super::scheduling::{Choice, StageDecision};
+use super::scheduling::StageDecision;
 use super::search::EmptyResult;
-use super::term::{LiveStage, LiveWorker, Term};
+use super::term::{LiveStage, Term};
 use crate::ids::WorkerId;
 use crate::resources::Resources;
 
@@ -62,24 +61,23 @@
             return Vec::new();
         };
         let is_asked_about = stage.open_questions > 0;
-        if is_asked_about && !may_reserve {
+        if is_asked_about && !may_reserve && stage.renewing.is_empty() {
             return Vec::new();
         }
-        if stage.reservations.values().sum::<usize>() >= stage.waiting.len() {
-            let question = self.start_reserved_gang(key, &spec, has_policy, now);
-            return question.into_iter().collect();
+        if stage.reserved_tasks() >= stage.waiting.len() {
+            return self.start_reserved_gang(key, now);
         }
         if has_policy && may_fit && !is_asked_about && stage.reservations.is_empty() {
-            let question = self.renew_permits_for_free_room(key, &spec, now);
-            if question.is_some() {
-                return question.into_iter().collect();
+            let questions = self.renew_permits_for_free_room(key, &spec, now);
+            if !questions.is_empty() {
+                return questions;
             }
         }
         if may_reserve && !spec.prefers_one_rack {
             self.reserve_room_for_gang(key, &spec, now);
-            let question = self.start_reserved_gang(key, &spec, has_policy, now);
-            if question.is_some() {
-                return question.into_iter().collect();
+            let questions = self.start_reserved_gang(key, now);
+            if !questions.is_empty() {
+                return questions;
             }
         }
         self.ask_for_gang(key, &spec, now)
@@ -91,7 +89,7 @@
     /// workers of each other would wait for ever.
     pub(super) fn reserving_gang(&self, position: usize) -> Option<StageKey> {
         let (key, stage) = self.stages.get_index(position)?;
-        (!stage.renews_permits && !stage.reservations.is_empty()).then(|| key.clone())
+        (stage.renewing.is_empty() && !stage.reservations.is_empty()).then(|| key.clone())
     }
 
     /// Records that a search found no room for all members of a gang.
@@ -113,46 +111,12 @@
         self.record_empty_search(key, result, now);
     }
 
-    /// Asks the policy to renew the permits of a gang whose members all have room now on workers that
-    /// it has granted, and keeps the room until the answer. Any gang may do so: it does not gather
-    /// room, and without renewed permits it would wait although it could start.
-    fn renew_permits_for_free_room(
-        &mut self,
-        key: &StageKey,
-        spec: &StageSpec,
-        now: Now,
-    ) -> Option<Question> {
-        let stage = self.stages.get(key)?;
-        if !self.may_ask(stage, now) || !stage.permits.has_expired(now.at) {
-            return None;
-        }
-        let search = self.search(key, now)?;
-        let candidates = self.reservation_candidates(&search, spec.task_count as usize);
-        let counts = reserve_whole_gang(spec, &candidates)?;
-        let mut workers = Vec::new();
-        for (candidate, room) in candidates.iter().zip(counts) {
-            if room > 0 {
-                workers.push(Unpermitted {
-                    worker: candidate.worker.clone(),
-                    room,
-                    previously_granted: true,
-                });
-            }
-        }
-        let (workers, rest) = permits::split_renewals(workers, &search.stage.permits, now.at);
-        let question = self.renewal(key, workers, now)?;
-        for entry in rest {
-            self.reserve(key, spec, &entry.worker, entry.room);
-        }
-        Some(question)
-    }
-
     /// Reserves free room on suitable workers for the members that have none yet.
     fn reserve_room_for_gang(&mut self, key: &StageKey, spec: &StageSpec, now: Now) {
         let Some(search) = self.search(key, now) else {
             return;
         };
-        let reserved: usize = search.stage.reservations.values().sum();
+        let reserved = search.stage.reserved_tasks();
         let missing = search.stage.waiting.len().saturating_sub(reserved);
         let candidates = self.reservation_candidates(&search, missing);
         let counts = reserve_room(spec, missing, &candidates);
@@ -167,106 +131,6 @@
         }
     }
 
-    /// Starts a gang whose members all have room and permits. Once most members have room and a
-    /// permit has expired, all permits are renewed together: if they were renewed one after the
-    /// other, the first would expire again before the last is granted.
-    fn start_reserved_gang(
-        &mut self,
-        key: &StageKey,
-        spec: &StageSpec,
-        has_policy: bool,
-        now: Now,
-    ) -> Option<Question> {
-        self.release_unusable_reservations(key);
-        self.note_whole_room(key, now);
-        let stage = self.stages.get(key)?;
-        let reserved: usize = stage.reservations.values().sum();
-        let tasks = spec.task_count as usize;
-        if !needs_permits(reserved, tasks) {
-            return None;
-        }
-        let expires = |worker: &WorkerId| stage.permits.usable(worker, now.at).is_none();
-        if has_policy && stage.reservations.keys().any(expires) {
-            if now.at < stage.next_question_at || stage.open_questions > 0 {
-                return None;
-            }
-            let workers = stage.reservations.keys().map(|worker| Unpermitted {
-                worker: worker.clone(),
-                room: 0,
-                previously_granted: true,
-            });
-            let workers = workers.collect();
-            let (workers, _) = permits::split_renewals(workers, &stage.permits, now.at);
-            return self.renewal(key, workers, now);
-        }
-        if reserved < tasks {
-            return None;
-        }
-        let mut tasks = stage.waiting.iter().copied();
-        let mut choices = Vec::new();
-        for (worker, count) in &stage.reservations {
-            for task in tasks.by_ref().take(*count) {
-                choices.push(Choice {
-                    task,
-                    worker: worker.clone(),
-                    permit: stage.permits.usable(worker, now.at).map(str::to_owned),
-                });
-            }
-        }
-        self.release_reservations(key);
-        self.place(key, choices, now);
-        None
-    }
-
-    /// Prepares a question about workers on which a gang has room, and keeps the room until the
-    /// answer.
-    fn renewal(&mut self, key: &StageKey, workers: Vec<Unpermitted>, now: Now) -> Option<Question> {
-        let question = self.question(key, workers, now)?;
-        let stage = self.stages.get_mut(key)?;
-        stage.renews_permits = true;
-        stage.renewals += 1;
-        instruments().count_permit_renewal();
-        let usable = stage.reservations.keys();
-        let usable = usable.filter_map(|worker| stage.permits.usable_until(worker, now.at));
-        let whole_ms = stage
-            .room_whole_since
-            .map(|since| millis_since(since, now.at));
-        log::info!(
-            stage:% = key, tasks = stage.needs.task_count,
-            reserved = stage.reservations.values().sum::<usize>(),
-            workers = stage.reservations.len(), usable = usable.clone().count(),
-            asked = question.workers.len(), host:? = question.host,
-            renewals = stage.renewals, whole_ms:?,
-            earliest_expiry_ms:? = usable.min().map(|at| millis_since(now.at, at));
-            "permits of a gang are renewed"
-        );
-        Some(question)
-    }
-
-    /// Records whether there is reserved room for all members of a gang.
-    fn note_whole_room(&mut self, key: &StageKey, now: Now) {
-        let Some(stage) = self.stages.get_mut(key) else {
-            return;
-        };
-        let is_whole = stage.reservations.values().sum::<usize>() >= stage.waiting.len();
-        let since = stage.room_whole_since.unwrap_or(now.at);
-        stage.room_whole_since = is_whole.then_some(since);
-    }
-
-    /// Releases reservations on workers that are unreachable or draining.
-    fn release_unusable_reservations(&mut self, key: &StageKey) {
-        let Some(stage) = self.stages.get(key) else {
-            return;
-        };
-        let usable = |worker: &LiveWorker| worker.reachable && !worker.record.draining;
-        let reserved = stage.reservations.keys();
-        let unusable = reserved.filter(|id| !self.workers.get(*id).is_some_and(usable));
-        let unusable: Vec<WorkerId> = unusable.cloned().collect();
-        for worker in unusable {
-            self.release_reservation(key, &worker);
-        }
-    }
-
     /// Returns the tasks of a gang that fit on the workers granted by the policy, now and if they
     /// were empty.
     fn granted_room(&self, key: &StageKey, spec: &StageSpec, now: Now) -> GangRoom {
@@ -310,7 +174,8 @@
         let Some((_, stage)) = self.stages.get_index(position) else {
             return false;
         };
-        let holds_room = stage.open_questions == 0 && !stage.reservations.is_empty();
+        let may_ask = stage.open_questions == 0 || stage.renewal_is_incomplete;
+        let holds_room = may_ask && !stage.reservations.is_empty();
         may_reserve || holds_room || self.may_ask_about_unknown(stage, now)
     }
 
@@ -343,7 +208,7 @@
             return Vec::new();
         }
         let mut known = self.granted_room(key, spec, now);
-        known.room += stage.reservations.values().sum::<usize>();
+        known.room += stage.reserved_tasks();
         if known.has_enough_workers(spec.task_count as usize) {
             // Only room that is free now is a reason to ask about further workers.
             let missing = (spec.task_count as usize).saturating_sub(known.room) as u64;
@@ -420,11 +285,6 @@
     }
 }
 
-/// Returns the milliseconds between two times, zero if the second is not later.
-fn millis_since(earlier: Instant, later: Instant) -> u64 {
-    later.saturating_duration_since(earlier).as_millis() as u64
-}
-
 /// Returns the number of tasks of a stage that fit on an empty worker of the capacity.
 fn capacity_for(spec: &StageSpec, capacity: Resources) -> usize {
     let empty = Candidate {
--- a/src/workflow/placer/gathering.rs
+++ b/src/workflow/placer/gathering.rs
@@ -14,8 +14,7 @@
 
     /// Processors of the tasks without reserved room, in thousandths of a core.
     fn missing_millis(&self) -> u64 {
-        let reserved: usize = self.reservations.values().sum();
-        let missing = self.needs.task_count.saturating_sub(reserved) as u64;
+        let missing = self.needs.task_count.saturating_sub(self.reserved_tasks()) as u64;
         self.needs.amount.cpu_millis.saturating_mul(missing)
     }
 }
@@ -42,7 +41,7 @@
             let Some((_, stage)) = self.stages.get_index(entry.position) else {
                 continue;
             };
-            if !stage.all_tasks_wait() {
+            if !stage.all_tasks_wait() || now.at < stage.next_gathering_at {
                 continue;
             }
             positions.push(entry.position);
--- a/src/workflow/placer/idle_room.rs
+++ b/src/workflow/placer/idle_room.rs
@@ -128,7 +128,7 @@
         let large_enough =
             rooms.partition_point(|room| room.free_cpu_millis >= needs.amount.cpu_millis);
         // What is reserved for the stage itself is not free.
-        let reserved: usize = stage.reservations.values().sum();
+        let reserved = stage.reserved_tasks();
         let mut missing = stage.waiting.len().saturating_sub(reserved);
         let mut expected_grants = 0.0;
         let mut taken = Vec::new();
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -7,6 +7,7 @@
 
 use super::super::calls::{CallFailure, POLICY_EXTENSION, PolicyAnswer, PolicyQuestion};
 use super::super::decisions::permits::{MAX_QUEUE, QuestionCost};
+use super::super::decisions::renewals::Callers;
 use super::super::instruments::instruments;
 use super::super::queues::{PlacementPolicy, Queue};
 use super::super::spec::StageKey;
@@ -154,6 +155,30 @@
         first.map(|(_, position)| position)
     }
 
+    /// Returns how many questions of a queue can be asked now and in all, and how long their answers
+    /// take beyond the decision on average.
+    pub(super) fn callers(&self, queue: &Queue, now: Instant) -> Callers {
+        let slow = queue.placement_policy.as_ref().is_some_and(is_slow);
+        let hosts = self.hosts_for_questions(slow, now);
+        let mut free = 0;
+        let mut round_trips = Duration::ZERO;
+        for position in &hosts {
+            let Some((_, caller)) = self.policy_callers.get_index(*position) else {
+                continue;
+            };
+            round_trips += caller.round_trip;
+            free += usize::from(caller.busy_until <= now + MAX_QUEUE);
+        }
+        let allowed = self.questions.places(queue.priority, POLICY_THREADS);
+        Callers {
+            free: free.min(allowed),
+            places: hosts
+                .len()
+                .min(self.questions.open_of(queue.priority) + allowed),
+            round_trip: round_trips / hosts.len().max(1) as u32,
+        }
+    }
+
     /// Whether there are hosts that call the policy of a queue, and none takes a question of it now.
     pub(super) fn are_policy_callers_busy(&self, queue: &Queue, now: Instant) -> bool {
         !self.policy_callers.is_empty() && self.free_policy_caller(queue, now).is_none()
@@ -260,8 +285,10 @@
         stage.open_questions = stage.open_questions.saturating_sub(1);
         stage.empty_search = None;
         let restarted = stage.restarted_workers.clone();
+        for worker in &question.workers {
+            stage.renewing.swap_remove(worker);
+        }
         if stage.open_questions == 0 {
-            stage.renews_permits = false;
             stage.restarted_workers.clear();
         }
         let Some(job) = self.state.jobs.get(&question.stage.job) else {
--- a/src/workflow/placer/reserved_room.rs
+++ b/src/workflow/placer/reserved_room.rs
@@ -21,7 +21,7 @@
         let Some(spec) = job.stage_spec(key.stage) else {
             return;
         };
-        let reserved: usize = stage.reservations.values().sum();
+        let reserved = stage.reserved_tasks();
         let mut missing = stage.waiting.len().saturating_sub(reserved);
         let spec = spec.clone();
         for entry in workers {
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -223,9 +223,13 @@
     pub reservations: IndexMap<WorkerId, usize>,
     /// Time since which the stage, a gang, gathers room; `None` if it does not.
     pub gathers_since: Option<Instant>,
-    /// Whether the question in flight renews permits for reserved room, which is kept until the
-    /// answer.
-    pub renews_permits: bool,
+    /// Workers with reserved room whose permits are being renewed, with the expected time of the
+    /// answer. The room is kept until then.
+    pub renewing: IndexMap<WorkerId, Instant>,
+    /// Whether there are further permits to renew for which no host was free.
+    pub renewal_is_incomplete: bool,
+    /// Earliest time at which a gang that gave its room back gathers room again.
+    pub next_gathering_at: Instant,
     /// Time since which a gang has had reserved room for all members; `None` while it has not.
     pub room_whole_since: Option<Instant>,
     /// Questions that renewed permits for reserved room since the stage, a gang, last started to wait.
--- a/src/workflow/placer/tests/renewals.rs
+++ b/src/workflow/placer/tests/renewals.rs
@@ -8,8 +8,9 @@
 use crate::protocol::caller::Urgency;
 use crate::resources::Resources;
 use crate::scheduling::ledger::{Allocation, Purpose};
-use crate::workflow::calls::{HostContact, PolicyAnswer};
+use crate::workflow::calls::{CallFailure, HostContact, PolicyAnswer};
 use crate::workflow::placer::policy::Question;
+use crate::workflow::placer::term::LiveStage;
 use crate::workflow::spec::StageSpec;
 
 /// Decision of the policy, and additional time for each worker, in milliseconds.
@@ -59,6 +60,8 @@
     answers: BTreeMap<(Instant, usize), Question>,
     questions: usize,
     asked_workers: usize,
+    /// Number of the question that gets no answer.
+    lost_question: Option<usize>,
     next_tick_at: Instant,
 }
 
@@ -101,6 +104,7 @@
             answers: BTreeMap::new(),
             questions: 0,
             asked_workers: 0,
+            lost_question: None,
             next_tick_at: fixture.now.at,
             fixture,
         }
@@ -168,19 +172,28 @@
             if entry.key().0 > self.fixture.now.at {
                 break;
             }
-            let question = entry.remove();
+            let ((_, number), question) = entry.remove_entry();
             let granted = question.workers.iter().cloned();
             let granted = granted.map(|worker| (worker, "permit".to_owned()));
             let answer = PolicyAnswer {
                 granted: granted.collect(),
                 validity_ms: Some(VALIDITY_MS),
             };
+            let answer = if self.lost_question == Some(number) {
+                Err(CallFailure::NoAnswer("lost".to_owned()))
+            } else {
+                Ok(answer)
+            };
             let (now, sent_at) = (self.fixture.now, question.decided_at);
             let term = &mut self.fixture.term;
-            let next = term.handle_policy_answer(&question, sent_at, Ok(answer), now);
+            let next = term.handle_policy_answer(&question, sent_at, answer, now);
             self.add_questions(next);
         }
     }
+
+    fn gang(&self) -> &LiveStage {
+        &self.fixture.term.stages[&task(0).stage]
+    }
 }
 
 fn room(workers: usize, members: usize, occupied: usize, free_interval_ms: u64) -> Room {
@@ -226,3 +239,68 @@
     }
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Guards against a gang that starts late or never when too few hosts are free for all of its
+/// questions at the same time: the permits of the first question lapse before the last answer.
+#[test]
+fn a_gang_starts_after_two_answers_of_the_only_caller() {
+    // Slow questions are asked by half of the hosts.
+    let room = Room {
+        hosts: 2,
+        ..room(160, 152, 60, 100)
+    };
+    let mut cell = Cell::new(&room);
+    let started = cell.run(Duration::from_secs(30));
+    let latest = room.whole_after() + 2 * LONGEST_ANSWER + PASS_DELAY;
+    assert!(
+        started.is_some_and(|started| started <= latest),
+        "{started:?}"
+    );
+    assert_eq!((cell.questions, cell.asked_workers), (2, 152));
+}
+
+/// Guards against a gang that never starts once an answer is lost: the permits of the other answers
+/// lapse before the question is repeated.
+#[test]
+fn a_gang_starts_although_an_answer_is_lost() {
+    let room = room(160, 152, 60, 100);
+    let mut cell = Cell::new(&room);
+    cell.lost_question = Some(2);
+    let started = cell.run(Duration::from_secs(30));
+    let latest = room.whole_after() + 4 * LONGEST_ANSWER + PASS_DELAY;
+    assert!(
+        started.is_some_and(|started| started <= latest),
+        "{started:?}"
+    );
+}
+
+/// Guards against a gang that holds the room of half a cell for ever, since the hosts that can call
+/// the policy are too few for all of its permits to be valid at the same time.
+#[test]
+fn a_gang_that_cannot_start_gives_its_room_back_until_it_can() {
+    let few_hosts = Room {
+        hosts: 2,
+        ..room(320, 300, 0, 0)
+    };
+    let mut cell = Cell::new(&few_hosts);
+    let started = cell.run(4 * LONGEST_ANSWER + 2 * PASS_DELAY);
+    assert_eq!((started, cell.gang().reserved_tasks()), (None, 0));
+    // Questions that cannot succeed are not asked.
+    assert_eq!(cell.questions, 0);
+    cell.hosts = few_hosts.hosts + 10;
+    let started = cell.run(5 * LONGEST_ANSWER + 2 * PASS_DELAY);
+    assert!(started.is_some());
+}
+
+/// Guards against a gang that spends questions for ever on permits that lapse before they can be used.
+#[test]
+fn a_gang_whose_permits_are_too_short_gives_its_room_back() {
+    let mut cell = Cell::new(&room(160, 152, 0, 0));
+    let configuration = cell.fixture.term.state.jobs.values_mut();
+    for job in configuration {
+        let policy = job.queue.placement_policy.as_mut();
+        policy.expect("the queue has a policy").validity_ms = 500;
+    }
+    assert_eq!(cell.run(4 * LONGEST_ANSWER + 2 * PASS_DELAY), None);
+    assert_eq!((cell.gang().reserved_tasks(), cell.questions), (0, 0));
+}
--- a/src/workflow/placer/waiting_gangs.rs
+++ b/src/workflow/placer/waiting_gangs.rs
@@ -67,7 +67,7 @@
             tasks: stage.waiting.len(),
             gangs_before,
             known_workers: stage.permits.known_count(),
-            reserved: stage.reservations.values().sum(),
+            reserved: stage.reserved_tasks(),
             question_pending: stage.open_questions > 0,
             ..GangNeeds::default()
         };
