bug: gangs that are too late to count kept room on the workers of each other

Cause: the room that gangs have gathered is released and assigned again every 100 ms, but only for the gangs of that pass. Those that are too late to count are part of a pass each 300 ms. A pass had to be due for both reasons to release their room; with passes at other times one period is a multiple of the other and that never happens.

Change: gangs that are too late have an interval of their own, which begins with a pass that includes them.

Evidence: both tests failed before.

--- a/src/workflow/placer/passes.rs
+++ b/src/workflow/placer/passes.rs
@@ -17,6 +17,8 @@
     pub searched_growths: u64,
     /// Time from which on a pass assigns the room that gangs have gathered again.
     pub reassign_at: Instant,
+    /// Like `reassign_at`, for gangs that are too late to count.
+    pub reassign_too_late_at: Instant,
     /// Time from which on a pass includes stages that are too late to count.
     pub too_late_at: Instant,
     /// Number of passes of this term.
@@ -94,6 +96,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             reassign_at: now,
+            reassign_too_late_at: now,
             too_late_at: now,
             changed: true,
             seen_growths: 0,
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -39,6 +39,24 @@
     pub needs: StageNeeds,
 }
 
+/// Gangs whose room a pass assigns again. Those that are too late to count have an interval of their
+/// own, as not all passes include them: the passes of a common one need not.
+#[derive(Clone, Copy)]
+struct Reassignment {
+    counting: bool,
+    too_late: bool,
+}
+
+impl Reassignment {
+    fn includes(self, rank: Rank) -> bool {
+        if rank.is_too_late() {
+            self.too_late
+        } else {
+            self.counting
+        }
+    }
+}
+
 /// A worker chosen for a task, with the permit of the placement policy.
 pub(super) struct Choice {
     pub task: TaskIndex,
@@ -81,13 +99,12 @@
             self.newest_gangs_first = late_gangs >= NEWEST_FIRST_THRESHOLD;
         }
         self.choose_gathering_gangs(&order, now);
-        let reassigns = now.at >= self.passes.reassign_at;
-        if reassigns {
-            self.passes.reassign_at = now.at + REASSIGNMENT_INTERVAL;
-            for entry in order.iter().filter(|entry| entry.needs.gang) {
-                if let Some(key) = self.reserving_gang(entry.position) {
-                    self.release_reservations(&key);
-                }
+        let reassigns = self.reassignment(includes_too_late, now);
+        for entry in order.iter().filter(|entry| entry.needs.gang) {
+            if reassigns.includes(entry.rank)
+                && let Some(key) = self.reserving_gang(entry.position)
+            {
+                self.release_reservations(&key);
             }
         }
         let grown = self.begin_pass();
@@ -118,7 +135,8 @@
                 }
                 let gathers = stage.gathers_since.is_some();
                 let growth = self.growth_since_search(position, grown.as_ref(), now);
-                let may_reserve = gathers && (reassigns || growth != UsableGrowth::None);
+                let may_reserve =
+                    gathers && (reassigns.includes(rank) || growth != UsableGrowth::None);
                 let may_fit = growth == UsableGrowth::Enough;
                 if !may_fit && !self.may_ask_or_reserve(position, may_reserve, now) {
                     continue;
@@ -151,6 +169,22 @@
         questions
     }
 
+    /// Decides for which gangs a pass assigns gathered room again.
+    fn reassignment(&mut self, includes_too_late: bool, now: Now) -> Reassignment {
+        let passes = &mut self.passes;
+        let is_due = |at: &mut Instant| {
+            let is_due = now.at >= *at;
+            if is_due {
+                *at = now.at + REASSIGNMENT_INTERVAL;
+            }
+            is_due
+        };
+        Reassignment {
+            counting: is_due(&mut passes.reassign_at),
+            too_late: includes_too_late && is_due(&mut passes.reassign_too_late_at),
+        }
+    }
+
     /// Returns the stages with waiting tasks in the order in which they are scheduled, with or without
     /// those that were too late in an earlier pass.
     fn ranked_stages(&self, now: Now, includes_too_late: bool) -> Vec<Ranked> {
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -23,5 +23,6 @@
 mod renewals;
 mod runs;
 mod search;
+mod stalled_work;
 mod takeover;
 mod waiting_jobs;
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -416,17 +416,20 @@
         }
     }
 
-    fn granted(&self, question: &Question) -> Vec<(WorkerId, String)> {
-        let job = &self.fixture.term.state.jobs.get(&question.stage.job);
+    /// Whether the placement policy grants a worker to a job.
+    pub fn is_granted(&self, id: &JobId, worker: &WorkerId) -> bool {
+        let job = self.fixture.term.state.jobs.get(id);
         let kind = job.map_or(0, |job| kind_of(&job.queue));
-        let seed = question.stage.job.bytes().map(u64::from);
+        let seed = id.bytes().map(u64::from);
         let seed = seed.fold(7, |sum: u64, byte| sum.wrapping_mul(31).wrapping_add(byte));
-        let is_granted = |worker: &&WorkerId| {
-            let hash = worker.bytes().fold(seed, |sum, byte| {
-                (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-            });
-            (hash >> 20) % 100 < self.traffic.granted_percent[kind]
-        };
+        let hash = worker.bytes().fold(seed, |sum, byte| {
+            (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        (hash >> 20) % 100 < self.traffic.granted_percent[kind]
+    }
+
+    fn granted(&self, question: &Question) -> Vec<(WorkerId, String)> {
+        let is_granted = |worker: &&WorkerId| self.is_granted(&question.stage.job, worker);
         let allowed = question.workers.iter().filter(is_granted);
         allowed
             .map(|worker| (worker.clone(), "permit".to_owned()))
