bug: a gang that its workers cannot hold kept room that others needed

Change: a gang gathers room only while the workers that it may use, those without an answer of the policy included, can hold all members when they are empty. It looks again each second, as workers join.

Evidence: a_gang_that_cannot_become_whole_holds_no_room failed before.

--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -1,6 +1,6 @@
 //! Placement of gangs: room is reserved for all members before any of them starts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::super::decisions::permits::{
     self, GangRoom, MAX_WORKERS_PER_CALL, UnknownWorker, Unpermitted,
@@ -13,7 +13,7 @@
 use super::policy::Question;
 use super::scheduling::StageDecision;
 use super::search::EmptyResult;
-use super::term::{LiveStage, Term};
+use super::term::{LiveStage, LiveWorker, Term};
 use crate::ids::WorkerId;
 use crate::resources::Resources;
 
@@ -21,6 +21,8 @@
 const MAX_WORKERS_FOR_GANG: usize = 4 * MAX_WORKERS_PER_CALL;
 /// Interval at which a gang that has asked about all workers searches for new ones. One tick.
 const WORKER_SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a gang that the workers it may use cannot hold looks for others that joined.
+const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
 impl Term {
     /// Places a gang that has room, or reserves room for it if `may_reserve` is set, also while the
@@ -111,8 +113,24 @@
         self.record_empty_search(key, result, now);
     }
 
-    /// Reserves free room on suitable workers for the members that have none yet.
+    /// Reserves free room on suitable workers for the members that have none yet. A gang that these
+    /// workers could not hold if they were empty gathers no room for a time.
     fn reserve_room_for_gang(&mut self, key: &StageKey, spec: &StageSpec, now: Now) {
+        let is_held = self.may_become_whole(key, spec);
+        if let Some(stage) = self.stages.get_mut(key)
+            && stage.lacks_capacity == is_held
+        {
+            stage.lacks_capacity = !is_held;
+            log::info!(
+                stage:% = key, tasks = spec.task_count, known_workers = stage.permits.known_count(),
+                can_hold = is_held;
+                "whether the workers that a gang may use can hold all members"
+            );
+        }
+        if !is_held {
+            self.stop_gathering(key, now.at + CAPACITY_CHECK_INTERVAL);
+            return;
+        }
         let Some(search) = self.search(key, now) else {
             return;
         };
@@ -131,6 +149,40 @@
         }
     }
 
+    /// Whether the workers that a gang may use can hold all members when they are empty. Workers about
+    /// which the policy has not answered count.
+    fn may_become_whole(&self, key: &StageKey, spec: &StageSpec) -> bool {
+        let Some(stage) = self.stages.get(key) else {
+            return false;
+        };
+        let tasks = spec.task_count as usize;
+        let mut capacity = 0;
+        for index in self.ledger.with_free_cpu(stage.needs.pool, 0).rev() {
+            self.passes.count_examined();
+            let Some((id, worker)) = self.worker_at(index) else {
+                continue;
+            };
+            let is_usable = worker.reachable && !worker.record.draining;
+            if is_usable && has_required_label(spec, worker) && !stage.permits.is_denied(id) {
+                capacity += capacity_for(spec, worker.record.capacity);
+            }
+            if capacity >= tasks {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Releases the room of a gang, which gathers again from a time on.
+    pub(super) fn stop_gathering(&mut self, key: &StageKey, until: Instant) {
+        self.release_reservations(key);
+        if let Some(stage) = self.stages.get_mut(key) {
+            stage.room_whole_since = None;
+            stage.gathers_since = None;
+            stage.next_gathering_at = until;
+        }
+    }
+
     /// Returns the tasks of a gang that fit on the workers granted by the policy, now and if they
     /// were empty.
     fn granted_room(&self, key: &StageKey, spec: &StageSpec, now: Now) -> GangRoom {
@@ -253,7 +305,6 @@
     /// Returns the workers about which the policy has not answered for a gang, those with the most
     /// free processors first.
     fn unknown_workers(&self, stage: &LiveStage, spec: &StageSpec) -> Vec<UnknownWorker> {
-        let label = spec.required_label.as_ref();
         let tasks = spec.task_count as usize;
         let mut unknown = Vec::new();
         for index in self.ledger.with_free_cpu(stage.needs.pool, 0).rev() {
@@ -261,9 +312,7 @@
             let Some((id, worker)) = self.worker_at(index) else {
                 continue;
             };
-            if stage.permits.is_known(id)
-                || !worker.reachable
-                || !label.is_none_or(|label| worker.record.has_label(label))
+            if stage.permits.is_known(id) || !worker.reachable || !has_required_label(spec, worker)
             {
                 continue;
             }
@@ -285,6 +334,12 @@
     }
 }
 
+/// Whether a worker has the label that a stage requires, if it requires one.
+fn has_required_label(spec: &StageSpec, worker: &LiveWorker) -> bool {
+    let label = spec.required_label.as_ref();
+    label.is_none_or(|label| worker.record.has_label(label))
+}
+
 /// Returns the number of tasks of a stage that fit on an empty worker of the capacity.
 fn capacity_for(spec: &StageSpec, capacity: Resources) -> usize {
     let empty = Candidate {
--- a/src/workflow/placer/renewals.rs
+++ b/src/workflow/placer/renewals.rs
@@ -207,12 +207,7 @@
             "a gang gives its room back: its permits are not valid at the same time"
         );
         instruments().count_abandoned_room();
-        self.release_reservations(key);
-        if let Some(stage) = self.stages.get_mut(key) {
-            stage.room_whole_since = None;
-            stage.gathers_since = None;
-            stage.next_gathering_at = now.at + hold;
-        }
+        self.stop_gathering(key, now.at + hold);
     }
 
     /// Records whether there is reserved room for all members of a gang.
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -186,6 +186,7 @@
                 gathers_since: None,
                 renewing: IndexMap::new(),
                 renewal_is_incomplete: false,
+                lacks_capacity: false,
                 next_gathering_at: now.at,
                 room_whole_since: None,
                 renewals: 0,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -228,6 +228,8 @@
     pub renewing: IndexMap<WorkerId, Instant>,
     /// Whether there are further permits to renew for which no host was free.
     pub renewal_is_incomplete: bool,
+    /// Whether the workers that a gang may use could not hold all members at the last check.
+    pub lacks_capacity: bool,
     /// Earliest time at which a gang that gave its room back gathers room again.
     pub next_gathering_at: Instant,
     /// Time since which a gang has had reserved room for all members; `None` while it has not.
--- a/src/workflow/placer/tests/gangs.rs
+++ b/src/workflow/placer/tests/gangs.rs
@@ -205,10 +205,15 @@
 fn gangs_in_time_use_the_room_that_late_ones_reserved() {
     let mut fixture = Fixture::new();
     fixture.announce("a");
+    fixture.announce("b");
     let gang = |members| StageSpec {
         gang: true,
         ..stage(members)
     };
+    fixture.submit_as("00c0ffee00000001", vec![stage(4)]);
+    fixture.commit_all();
+    assert_eq!(fixture.starts(), 4);
+    fixture.orders.clear();
     fixture.submit(vec![gang(5)]);
     assert_eq!(fixture.term.load(fixture.now.at).held_millis, 4_000);
     fixture.advance(Duration::from_secs(5));
--- a/src/workflow/placer/tests/stalled_work.rs
+++ b/src/workflow/placer/tests/stalled_work.rs
@@ -110,6 +110,33 @@
     }
 }
 
+/// Guards against a gang that holds room for ever although the workers that it may use cannot hold all
+/// members: others that could start wait for this room.
+#[test]
+fn a_gang_that_cannot_become_whole_holds_no_room() {
+    let mut fixture = Fixture::new();
+    fixture.announce("a");
+    let gang = |members| StageSpec {
+        gang: true,
+        ..stage(members)
+    };
+    fixture.submit_as("00000000000000a1", vec![gang(5)]);
+    assert_eq!(fixture.term.load(fixture.now.at).held_millis, 0);
+    fixture.submit_as("00000000000000a2", vec![gang(4)]);
+    fixture.commit_all();
+    assert_eq!(fixture.starts(), 4);
+    fixture.orders.clear();
+    // The next worker lets it start within the interval of the checks.
+    fixture.announce("b");
+    fixture.announce("c");
+    for _ in 0..12 {
+        fixture.advance(CHECK_INTERVAL);
+        fixture.term.schedule(fixture.now);
+    }
+    fixture.commit_all();
+    assert_eq!(fixture.starts(), 5);
+}
+
 /// Guards against two gangs that are too late to count, each with room for half of its members, which
 /// wait for each other for ever: their room was assigned again only in passes that had two intervals
 /// of 100 and 300 ms expire at the same time.
