--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -8,7 +8,8 @@
 use super::super::{CallResponder, Now, PlacerSettings};
 use crate::resources::Resources;
 use crate::workflow::calls::{
-    Call, CallFailure, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, OutsideCalls, WorkerReport,
+    Call, CallFailure, HostContact, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, OutsideCalls,
+    WorkerReport,
 };
 use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress, QueueConfiguration, Service};
 use crate::workflow::records::RunOutcome;
@@ -286,6 +287,18 @@
         self.commit_all();
     }
 
+    /// Lets hosts make contact that can call the policy and store no log.
+    pub(super) fn contact_entry_hosts(&mut self, hosts: usize) {
+        for host in 0..hosts {
+            let contact = HostContact {
+                host: format!("10.0.0.{host}"),
+                data_centre: "lowell-yard".to_owned(),
+                stores: false,
+            };
+            self.term.record_contact(contact, self.now.at);
+        }
+    }
+
     /// Restarts a worker as incarnation 2, which is seen by its answer and by its heartbeat.
     pub(super) fn restart(&mut self, worker: &str) {
         self.fail_to_answer(worker, &CallFailure::OtherIncarnation);
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -13,7 +13,7 @@
 use super::fixture::{Fixture, configuration, heartbeat, queue, stage};
 use crate::ids::{JobId, WorkerId};
 use crate::resources::Resources;
-use crate::workflow::calls::{Call, HostContact, PolicyAnswer};
+use crate::workflow::calls::{Call, PolicyAnswer};
 use crate::workflow::decisions::ranking::LATE_FACTOR;
 use crate::workflow::placer::policy::Question;
 use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress};
@@ -271,14 +271,7 @@
             return;
         }
         self.next_tick_at = now.at + TICK;
-        for host in 0..self.hosts {
-            let contact = HostContact {
-                host: format!("10.0.0.{host}"),
-                data_centre: "lowell-yard".to_owned(),
-                stores: false,
-            };
-            self.fixture.term.record_contact(contact, now.at);
-        }
+        self.fixture.contact_entry_hosts(self.hosts);
         let term = &mut self.fixture.term;
         self.step_times.measure("tick", || term.tick(now));
     }
--- a/src/workflow/placer/tests/renewals.rs
+++ b/src/workflow/placer/tests/renewals.rs
@@ -8,7 +8,7 @@
 use crate::protocol::caller::Urgency;
 use crate::resources::Resources;
 use crate::scheduling::ledger::{Allocation, Purpose};
-use crate::workflow::calls::{CallFailure, HostContact, PolicyAnswer};
+use crate::workflow::calls::{CallFailure, PolicyAnswer};
 use crate::workflow::placer::policy::Question;
 use crate::workflow::placer::term::LiveStage;
 use crate::workflow::spec::StageSpec;
@@ -136,14 +136,7 @@
             return;
         }
         self.next_tick_at = now.at + TICK;
-        for host in 0..self.hosts {
-            let contact = HostContact {
-                host: format!("10.0.0.{host}"),
-                data_centre: "lowell-yard".to_owned(),
-                stores: false,
-            };
-            self.fixture.term.record_contact(contact, now.at);
-        }
+        self.fixture.contact_entry_hosts(self.hosts);
         self.fixture.term.passes.changed = true;
     }
 
