bug: a gang could give its room back for the time of an earlier room

A renewal of which a question could not be asked did not look for a host again before its other answers.

The time ends with the slot and with each attempt of a gang without one. A gang with a slot reserves its room in one way instead of two. Two lines in place of one tell whether the workers of a gang can hold it.

--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -69,18 +69,17 @@
         if stage.reserved_tasks() >= stage.waiting.len() {
             return self.start_reserved_gang(key, now);
         }
-        if has_policy && may_fit && !is_asked_about && stage.reservations.is_empty() {
-            let questions = self.renew_permits_for_free_room(key, &spec, now);
-            if !questions.is_empty() {
-                return questions;
-            }
-        }
-        if may_reserve && !spec.prefers_one_rack {
+        let holds_nothing = !is_asked_about && stage.reservations.is_empty();
+        let questions = if may_reserve && !spec.prefers_one_rack {
             self.reserve_room_for_gang(key, &spec, now);
-            let questions = self.start_reserved_gang(key, now);
-            if !questions.is_empty() {
-                return questions;
-            }
+            self.start_reserved_gang(key, now)
+        } else if has_policy && may_fit && holds_nothing {
+            self.renew_permits_for_free_room(key, &spec, now)
+        } else {
+            Vec::new()
+        };
+        if !questions.is_empty() {
+            return questions;
         }
         self.ask_for_gang(key, &spec, now)
     }
@@ -116,18 +115,9 @@
     /// Reserves free room on suitable workers for the members that have none yet. A gang that these
     /// workers could not hold if they were empty gathers no room for a time.
     fn reserve_room_for_gang(&mut self, key: &StageKey, spec: &StageSpec, now: Now) {
-        let is_held = self.may_become_whole(key, spec);
-        if let Some(stage) = self.stages.get_mut(key)
-            && stage.lacks_capacity == is_held
-        {
-            stage.lacks_capacity = !is_held;
-            log::info!(
-                stage:% = key, tasks = spec.task_count, known_workers = stage.permits.known_count(),
-                can_hold = is_held;
-                "whether the workers that a gang may use can hold all members"
-            );
-        }
-        if !is_held {
+        let lacks_capacity = !self.may_become_whole(key, spec);
+        self.note_capacity(key, lacks_capacity);
+        if lacks_capacity {
             self.stop_gathering(key, now.at + CAPACITY_CHECK_INTERVAL);
             return;
         }
@@ -149,6 +139,28 @@
         }
     }
 
+    fn note_capacity(&mut self, key: &StageKey, lacks_capacity: bool) {
+        let Some(stage) = self.stages.get_mut(key) else {
+            return;
+        };
+        if stage.lacks_capacity == lacks_capacity {
+            return;
+        }
+        stage.lacks_capacity = lacks_capacity;
+        let (tasks, known_workers) = (stage.needs.task_count, stage.permits.known_count());
+        if lacks_capacity {
+            log::warn!(
+                stage:% = key, tasks, known_workers;
+                "a gang gathers no room: the workers that it may use cannot hold all members"
+            );
+        } else {
+            log::info!(
+                stage:% = key, tasks, known_workers;
+                "a gang gathers room again: the workers that it may use can hold all members"
+            );
+        }
+    }
+
     /// Whether the workers that a gang may use can hold all members when they are empty. Workers about
     /// which the policy has not answered count.
     fn may_become_whole(&self, key: &StageKey, spec: &StageSpec) -> bool {
--- a/src/workflow/placer/gathering.rs
+++ b/src/workflow/placer/gathering.rs
@@ -58,6 +58,9 @@
             if let Some((_, stage)) = self.stages.get_index_mut(position) {
                 let since = stage.gathers_since.unwrap_or(now.at);
                 stage.gathers_since = gathers.then_some(since);
+                if !gathers && stage.renewing.is_empty() {
+                    stage.room_whole_since = None;
+                }
             }
         }
     }
--- a/src/workflow/placer/renewals.rs
+++ b/src/workflow/placer/renewals.rs
@@ -107,6 +107,9 @@
         let questions = self.start_reserved_gang(key, now);
         if questions.is_empty() {
             self.release_reservations(key);
+            if let Some(stage) = self.stages.get_mut(key) {
+                stage.room_whole_since = None;
+            }
         }
         questions
     }
@@ -146,6 +149,9 @@
         let mut questions = Vec::new();
         for workers in plan.questions {
             let Some(question) = self.renewal(key, workers, now) else {
+                if let Some(stage) = self.stages.get_mut(key) {
+                    stage.renewal_is_incomplete = true;
+                }
                 break;
             };
             questions.push(question);
@@ -192,12 +198,15 @@
         let (Some(job), Some(stage)) = (self.state.jobs.get(&key.job), self.stages.get(key)) else {
             return;
         };
-        let callers = self.callers(&job.queue, now.at);
-        let hold = longest_hold(self.question_cost(job), callers);
         let Some(since) = stage.room_whole_since else {
             return;
         };
-        if !stage.renewing.is_empty() || now.at < since + hold {
+        if !stage.renewing.is_empty() {
+            return;
+        }
+        let callers = self.callers(&job.queue, now.at);
+        let hold = longest_hold(self.question_cost(job), callers);
+        if now.at < since + hold {
             return;
         }
         log::warn!(
@@ -236,6 +245,6 @@
 }
 
 /// Returns the milliseconds between two times, zero if the second is not later.
-fn millis_since(earlier: Instant, later: Instant) -> u64 {
+pub(super) fn millis_since(earlier: Instant, later: Instant) -> u64 {
     later.saturating_duration_since(earlier).as_millis() as u64
 }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -15,6 +15,7 @@
 use super::growth::UsableGrowth;
 use super::isolation::StartLimit;
 use super::policy::Question;
+use super::renewals::millis_since;
 use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
@@ -429,13 +430,9 @@
             if stage.needs.gang && !stage.too_late {
                 self.size_shares.record_placed(band(&stage.needs));
             }
-            let millis_since = |since: Option<Instant>| {
-                since.map_or(0, |since| {
-                    now.at.saturating_duration_since(since).as_millis() as u64
-                })
-            };
-            let gathered_ms = millis_since(stage.gathers_since.take());
-            let whole_ms = millis_since(stage.room_whole_since.take());
+            let millis = |since: Option<Instant>| since.map_or(0, |at| millis_since(at, now.at));
+            let gathered_ms = millis(stage.gathers_since.take());
+            let whole_ms = millis(stage.room_whole_since.take());
             let renewals = std::mem::take(&mut stage.renewals);
             if stage.needs.gang {
                 instruments().count_gang_start(renewals);
