--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -125,6 +125,20 @@
     test.check();
 }
 
+/// Guards against acknowledged work or changes that are missing, or shown older, after one storage host
+/// has lost its disk at the moment in which all hosts lose power.
+#[test]
+fn acknowledged_work_survives_a_lost_disk_and_a_power_loss_of_all_hosts() {
+    let mut test = TestCell::start(17_430);
+    for empty in 1..=STORAGE_HOSTS {
+        test.work_for(Duration::from_millis(500));
+        test.processes.kill_all();
+        test.processes.empty_disk(empty);
+        (1..=STORAGE_HOSTS + 1).for_each(|host| test.processes.start_host(host));
+        test.check();
+    }
+}
+
 /// A fault of one storage host that ends by itself.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Kills all hosts at the same moment, as when a site loses power, and waits for their end.
+    pub fn kill_all(&mut self) {
+        for number in 1..=self.hosts.len() {
+            self.signal(number, Signal::KILL);
+        }
+        (1..=self.hosts.len()).for_each(|number| self.kill(number));
+    }
+
+    /// Removes all files of a storage host that does not run.
+    pub fn empty_disk(&self, number: usize) {
+        std::fs::remove_dir_all(self.folder.join(number.to_string())).unwrap();
+    }
+
     /// Returns the warnings and errors of all hosts.
     pub fn warnings(&self) -> String {
         let mut text = String::new();
