bug: a gang gave its room back after one lost answer of a quick policy

Found in the review of: four answers of a policy that decides in 18 ms take less time than the 0.85 s after which a question without an answer is repeated. The room is kept for 2 s at least.

--- a/src/workflow/decisions/renewals.rs
+++ b/src/workflow/decisions/renewals.rs
@@ -15,6 +15,9 @@
 /// Answers to the longest questions for which a gang keeps room for all members without usable
 /// permits for all of them. Two suffice unless an answer is lost or too few callers are free.
 const MAX_ANSWERS_WITH_ROOM: u32 = 4;
+/// Least time for which a gang keeps room for all members. Covers a question that gets no answer, and
+/// its repetition, however quick the decisions of the policy are.
+const MIN_HOLD: Duration = Duration::from_millis(2_000);
 
 /// A worker on which a gang has room.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -112,7 +115,8 @@
 
 /// Returns the time for which a gang keeps room for all members without usable permits.
 pub fn longest_hold(cost: QuestionCost, callers: Callers) -> Duration {
-    (cost.decision(MAX_WORKERS_PER_CALL) + callers.round_trip) * MAX_ANSWERS_WITH_ROOM
+    let answer = cost.decision(MAX_WORKERS_PER_CALL) + callers.round_trip;
+    (answer * MAX_ANSWERS_WITH_ROOM).max(MIN_HOLD)
 }
 
 /// Questions about a number of workers, which begin as soon as callers are free.
--- a/tests/workflow_renewals.rs
+++ b/tests/workflow_renewals.rs
@@ -7,7 +7,7 @@
     MAX_WORKERS_PER_CALL, PERMIT_MARGIN, QuestionCost,
 };
 use jujubewinch::workflow::decisions::renewals::{
-    Callers, RenewalsInFlight, WorkerWithRoom, plan_renewal,
+    Callers, RenewalsInFlight, WorkerWithRoom, longest_hold, plan_renewal,
 };
 use proptest::prelude::*;
 
@@ -77,6 +77,19 @@
     assert!(plan.is_incomplete, "the others follow as hosts become free");
 }
 
+/// Guards against a gang that gives its room back because of one lost answer: a quick policy answers
+/// four times before the loss of an answer is noticed, 0.7 s after its time.
+#[test]
+fn a_lost_answer_of_a_quick_policy_does_not_cost_the_room() {
+    let quick = QuestionCost {
+        decision_ms: 18.0,
+        per_worker_ms: 0.26,
+        callers_are_free: true,
+    };
+    let noticed = quick.decision(MAX_WORKERS_PER_CALL) + Duration::from_millis(700 + 150);
+    assert!(longest_hold(quick, callers(1, 1)) > noticed + callers(1, 1).round_trip);
+}
+
 /// Asks as planned until no question is left, with hosts that answer one question at a time in the
 /// expected time, and returns whether all permits are usable at the last answer; `None` if nothing was
 /// asked.
