refactor: one place each for the time of a decision, a free caller and a worker in service

The time of a policy's decision was worked out in choose_policy_caller and in QuestionCost::decision, the test of a caller's queue stood in two loops, and the test of a reachable worker that does not leave in three. Whether a renewal is incomplete was written twice. The count of renewed workers for a log line looked up each worker of each answer on the leader; it is now taken with the question, which knows it.

--- a/src/workflow/decisions/renewals.rs
+++ b/src/workflow/decisions/renewals.rs
@@ -7,11 +7,11 @@
 
 use std::time::{Duration, Instant};
 
-use super::permits::{MAX_WORKERS_PER_CALL, PERMIT_MARGIN, QuestionCost};
+use super::permits::{MAX_QUEUE, MAX_WORKERS_PER_CALL, PERMIT_MARGIN, QuestionCost};
 use crate::ids::WorkerId;
 
 /// Time by which answers may be later than expected: that of the longest queue at a caller.
-const ANSWER_DELAY: Duration = super::permits::MAX_QUEUE;
+const ANSWER_DELAY: Duration = MAX_QUEUE;
 /// Answers to the longest questions for which a gang keeps room for all members without usable
 /// permits for all of them. Two suffice unless an answer is lost or too few callers are free.
 const MAX_ANSWERS_WITH_ROOM: u32 = 4;
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -20,6 +20,7 @@
 /// is free, in percent. In a simulated overload, 10% served the largest tenth of the gangs less than
 /// half as often as all; 50% served fewer gangs in all.
 const GATHERING_PERCENT: u64 = 30;
+
 /// A gang of which all members wait, as far as the choice of those that gather room depends on it.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingGang {
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -174,8 +174,10 @@
             let Some((id, worker)) = self.worker_at(index) else {
                 continue;
             };
-            let is_usable = worker.reachable && !worker.record.draining;
-            if is_usable && has_required_label(spec, worker) && !stage.permits.is_denied(id) {
+            if worker.is_in_service()
+                && has_required_label(spec, worker)
+                && !stage.permits.is_denied(id)
+            {
                 capacity += capacity_for(spec, worker.record.capacity);
             }
             if capacity >= tasks {
@@ -225,7 +227,7 @@
             let Some(worker) = self.workers.get(id) else {
                 continue;
             };
-            if worker.reachable && !worker.record.draining {
+            if worker.is_in_service() {
                 potential += capacity_for(spec, worker.record.capacity);
             }
         }
@@ -266,7 +268,7 @@
         }
         let share = self.good_shares.get(&job.queue.name).copied();
         let share = share.unwrap_or_default();
-        let cost = self.question_cost(job);
+        let cost = self.question_cost(&job.queue);
         if self.are_policy_callers_busy(&job.queue, now.at) {
             self.note_busy_callers(key, now);
             return Vec::new();
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -11,8 +11,7 @@
 use super::super::instruments::instruments;
 use super::super::queues::{PlacementPolicy, Queue};
 use super::super::spec::StageKey;
-use super::super::state::Job;
-use super::term::Term;
+use super::term::{PolicyCaller, Term};
 use super::{Now, POLICY_THREADS, Placer};
 use crate::ids::{Epoch, HostId, WorkerId};
 use crate::protocol::peer::{PeerReply, PeerRequest};
@@ -39,6 +38,8 @@
     pub epoch: Epoch,
     pub stage: StageKey,
     pub workers: Vec<WorkerId>,
+    /// Number of these workers that the policy had granted before.
+    pub renewed: usize,
     /// Host that calls the policy; `None` for this host.
     pub host: Option<HostId>,
     /// Expected time from `decided_at` to the decision, without the round trip to the policy.
@@ -49,6 +50,13 @@
     pub priority: u32,
 }
 
+impl PolicyCaller {
+    /// Whether the queue of the host is short enough for another question.
+    fn takes_question(&self, now: Instant) -> bool {
+        self.busy_until <= now + MAX_QUEUE
+    }
+}
+
 impl Placer {
     pub(super) fn run_questions(self: &Arc<Self>, queue: &Receiver<Question>) {
         for question in queue {
@@ -98,10 +106,9 @@
 }
 
 impl Term {
-    /// Returns the cost of a question for a job, of zero decision time when its queue has no
-    /// policy.
-    pub(super) fn question_cost(&self, job: &Job) -> QuestionCost {
-        let policy = job.queue.placement_policy.as_ref();
+    /// Returns the cost of a question for a queue, of zero decision time when it has no policy.
+    pub(super) fn question_cost(&self, queue: &Queue) -> QuestionCost {
+        let policy = queue.placement_policy.as_ref();
         QuestionCost {
             decision_ms: policy.map_or(0.0, |policy| policy.decision_ms),
             per_worker_ms: policy.map_or(0.0, |policy| policy.per_worker_ms),
@@ -119,16 +126,15 @@
         workers: usize,
         now: Instant,
     ) -> Option<(Option<HostId>, Duration)> {
-        let policy = queue.placement_policy.as_ref()?;
-        let cost_ms = policy.decision_ms + policy.per_worker_ms * workers as f64;
-        let cost = Duration::from_millis(cost_ms.ceil() as u64);
+        queue.placement_policy.as_ref()?;
+        let decision = self.question_cost(queue).decision(workers);
         let Some(position) = self.free_policy_caller(queue, now) else {
             self.refuse_question(queue);
             return None;
         };
         self.questions.open(queue.priority);
         let (host, caller) = self.policy_callers.get_index_mut(position)?;
-        caller.busy_until = caller.busy_until.max(now) + cost;
+        caller.busy_until = caller.busy_until.max(now) + decision;
         let expected = caller.busy_until.saturating_duration_since(now);
         let this_host = *host == self.settings.host;
         Some(((!this_host).then(|| host.clone()), expected))
@@ -142,7 +148,7 @@
         let mut first = None;
         for &position in &hosts {
             let (_, caller) = self.policy_callers.get_index(position)?;
-            if caller.busy_until > now + MAX_QUEUE {
+            if !caller.takes_question(now) {
                 continue;
             }
             let free_at = caller.busy_until.max(now) + caller.round_trip;
@@ -167,7 +173,7 @@
                 continue;
             };
             round_trips += caller.round_trip;
-            free += usize::from(caller.busy_until <= now + MAX_QUEUE);
+            free += usize::from(caller.takes_question(now));
         }
         let allowed = self.questions.places(queue.priority, POLICY_THREADS);
         Callers {
@@ -247,16 +253,9 @@
             .saturating_duration_since(question.decided_at)
             .as_millis() as u64;
         let expected_ms = question.expected.as_millis() as u64;
-        let stage = self.stages.get(&question.stage);
-        let renewed = stage.map_or(0, |stage| {
-            let workers = question.workers.iter();
-            workers
-                .filter(|worker| stage.permits.was_granted(worker))
-                .count()
-        });
         log::info!(
             stage:% = question.stage, host:? = question.host, asked = question.workers.len(),
-            renewed, granted:? = result.as_ref().ok().map(|answer| answer.granted.len()), queued_ms,
+            renewed = question.renewed, granted:? = result.as_ref().ok().map(|answer| answer.granted.len()), queued_ms,
             took_ms, expected_ms;
             "placement policy answered"
         );
--- a/src/workflow/placer/renewals.rs
+++ b/src/workflow/placer/renewals.rs
@@ -135,7 +135,7 @@
         let plan = plan_renewal(
             workers.collect(),
             stage.renewals_in_flight(),
-            self.question_cost(job),
+            self.question_cost(&job.queue),
             self.callers(&job.queue, now.at),
             Duration::from_millis(policy.validity_ms),
             now.at,
@@ -143,19 +143,18 @@
         if plan.questions.is_empty() {
             self.note_busy_callers(key, now);
         }
-        if let Some(stage) = self.stages.get_mut(key) {
-            stage.renewal_is_incomplete = plan.is_incomplete;
-        }
+        let mut is_incomplete = plan.is_incomplete;
         let mut questions = Vec::new();
         for workers in plan.questions {
             let Some(question) = self.renewal(key, workers, now) else {
-                if let Some(stage) = self.stages.get_mut(key) {
-                    stage.renewal_is_incomplete = true;
-                }
+                is_incomplete = true;
                 break;
             };
             questions.push(question);
         }
+        if let Some(stage) = self.stages.get_mut(key) {
+            stage.renewal_is_incomplete = is_incomplete;
+        }
         questions
     }
 
@@ -205,7 +204,7 @@
             return;
         }
         let callers = self.callers(&job.queue, now.at);
-        let hold = longest_hold(self.question_cost(job), callers);
+        let hold = longest_hold(self.question_cost(&job.queue), callers);
         if now.at < since + hold {
             return;
         }
@@ -234,9 +233,9 @@
         let Some(stage) = self.stages.get(key) else {
             return;
         };
-        let usable = |worker: &LiveWorker| worker.reachable && !worker.record.draining;
         let reserved = stage.reservations.keys();
-        let unusable = reserved.filter(|id| !self.workers.get(*id).is_some_and(usable));
+        let unusable =
+            reserved.filter(|id| !self.workers.get(*id).is_some_and(LiveWorker::is_in_service));
         let unusable: Vec<WorkerId> = unusable.cloned().collect();
         for worker in unusable {
             self.release_reservation(key, &worker);
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -330,7 +330,7 @@
         let missing = wanted.saturating_sub(rooms.sum()).max(1);
         let (unpermitted, has_more) = self.unpermitted(search, wanted);
         let share = self.good_shares.get(&job.queue.name).copied();
-        let mut cost = self.question_cost(job);
+        let mut cost = self.question_cost(&job.queue);
         // When the search stopped early, there are too many workers to ask about all of them.
         cost.callers_are_free &= !has_more;
         let share = share.unwrap_or_default();
@@ -465,11 +465,14 @@
         let queue = job.queue.clone();
         let (host, expected) = self.choose_policy_caller(&queue, workers.len(), now.at)?;
         self.reserve_room(key, &workers);
+        let renewed = workers.iter().filter(|entry| entry.previously_granted);
+        let renewed = renewed.count();
         self.stages.get_mut(key)?.open_questions += 1;
         Some(Question {
             epoch: self.epoch,
             stage: key.clone(),
             workers: workers.into_iter().map(|entry| entry.worker).collect(),
+            renewed,
             host,
             expected,
             decided_at: now.at,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -186,6 +186,11 @@
 }
 
 impl LiveWorker {
+    /// Whether the worker can be reached and is not about to leave.
+    pub fn is_in_service(&self) -> bool {
+        self.reachable && !self.record.draining
+    }
+
     /// Returns the time at which the lease of the worker expires unless it is renewed. From then
     /// on, no run that was started before is still running on the worker.
     pub fn lease_expires_at(&self, term_began_at: Instant, max_lease: Duration) -> Instant {
