feature: report what the end of a worker's lease rests on

The logs did not tell until when a lost worker may run what it has, nor which call may have renewed its lease.

--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -19,6 +19,7 @@
 mod heartbeats;
 mod idle_room;
 mod isolation;
+mod leases;
 mod load;
 mod orders;
 mod passes;
--- a/src/workflow/placer/claims.rs
+++ b/src/workflow/placer/claims.rs
@@ -101,7 +101,7 @@
     /// have restarted at its address; if it has not, its next answer shows that.
     fn has_no_runs_left(&self, known: &LiveWorker, successor: &WorkerRecord, now: Instant) -> bool {
         let silent = known.unresponsive_since.is_some();
-        let expires_at = known.lease_expires_at(self.began_at, self.settings.max_lease);
+        let expires_at = self.lease_end(known).expires_at;
         let idle = known.runs.iter().all(|task| {
             let run = self.runs.get(task);
             run.is_none_or(LiveRun::was_never_sent)
--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -336,7 +336,7 @@
         if worker.unresponsive_since.is_none() {
             return worker.steps_without_report >= MAX_STEPS_WITHOUT_REPORT;
         }
-        let lease_expires_at = worker.lease_expires_at(self.began_at, self.settings.max_lease);
+        let lease_expires_at = self.lease_end(worker).expires_at;
         let delay = if worker.failed_relays.is_empty() || now < lease_expires_at {
             RELAY_CHANGE_DELAY
         } else {
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use super::super::calls::{CallFailure, ListedEnd, ListedRun, WorkerReport, WorkerTarget};
-use super::super::decisions::leases::ClockReading;
 use super::super::decisions::progress::{Progress, RESTARTED_RUN_TIME};
 use super::super::records::{RunNumber, RunOutcome};
 use super::super::spec::TaskKey;
@@ -13,33 +12,6 @@
 use crate::scheduling::ledger::WorkerStatus;
 
 impl Term {
-    /// Grants a lease that begins now and returns its end on the worker's clock. The lease of a
-    /// worker that does not answer is not extended, so that it expires. Returns `None` while the
-    /// clock of the worker is not known.
-    pub(super) fn grant_lease(&mut self, worker: &WorkerId, now: Instant) -> Option<u64> {
-        let lease_ms = u64::try_from(self.settings.lease.as_millis()).unwrap_or(0);
-        let live = self.workers.get_mut(worker)?;
-        let until = live
-            .clock
-            .as_ref()?
-            .at_least_ms(now)
-            .saturating_add(lease_ms);
-        if live.unresponsive_since.is_none() {
-            live.granted_until_clock_ms = live.granted_until_clock_ms.max(until);
-        }
-        Some(live.granted_until_clock_ms)
-    }
-
-    pub(super) fn record_clock(&mut self, worker: &WorkerId, clock_ms: Option<u64>, now: Instant) {
-        let (Some(clock_ms), Some(live)) = (clock_ms, self.workers.get_mut(worker)) else {
-            return;
-        };
-        live.clock = Some(ClockReading {
-            clock_ms,
-            received_at: now,
-        });
-    }
-
     pub(super) fn handle_no_answer(
         &mut self,
         worker: &WorkerId,
@@ -54,9 +26,12 @@
             return;
         }
         if live.reachable || live.unresponsive_since.is_none() {
+            let lease = live.lease_end(self.began_at, self.settings.max_lease);
             log::warn!(
                 worker = worker.as_str(), incarnation = live.record.incarnation,
-                runs = live.runs.len();
+                runs = live.runs.len(),
+                lease_ends_in_ms = -ms_ago(lease.expires_at, now.at), lease_basis:% = lease.basis,
+                clock_read_ms_ago:? = live.clock_age_ms(now.at);
                 "worker lost: {failure}; it receives no new runs"
             );
         }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::calls::{HostContact, Reply};
-use super::super::decisions::leases::{ClockReading, expires_without_reading};
+use super::super::decisions::leases::ClockReading;
 use super::super::decisions::permits::{GrantedShare, PermitCache};
 use super::super::decisions::progress::Progress;
 use super::super::decisions::question_shares::QuestionShares;
@@ -191,15 +191,10 @@
         self.reachable && !self.record.draining
     }
 
-    /// Returns the time at which the lease of the worker expires unless it is renewed. From then
-    /// on, no run that was started before is still running on the worker.
-    pub fn lease_expires_at(&self, term_began_at: Instant, max_lease: Duration) -> Instant {
-        // An earlier leader may have granted a longer lease than this one.
-        let earlier = expires_without_reading(term_began_at, max_lease);
-        match &self.clock {
-            Some(reading) => reading.expires_at(self.granted_until_clock_ms).max(earlier),
-            None => earlier,
-        }
+    /// Returns how many milliseconds ago the clock of the worker was read; `None` if it is not known.
+    pub fn clock_age_ms(&self, now: Instant) -> Option<u64> {
+        let read_at = self.clock?.received_at;
+        Some(now.saturating_duration_since(read_at).as_millis() as u64)
     }
 }
 
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -17,9 +17,6 @@
 
 /// Time after which a stop order is repeated while its run has not ended.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(700);
-/// Time without an answer after which a worker is removed whose lease has expired, so that it has
-/// no runs.
-const UNRESPONSIVE_WORKER_RETENTION: Duration = Duration::from_secs(60);
 /// Time within which a worker that announced its departure has ended.
 const DEPARTURE_TIME: Duration = Duration::from_secs(5);
 /// Interval at which jobs are removed whose retention time is over, in ticks of 100 ms.
@@ -214,31 +211,6 @@
         self.ticks
     }
 
-    fn end_runs_with_expired_lease(&mut self, now: Now) {
-        let max_lease = self.settings.max_lease;
-        let mut expired = Vec::new();
-        let mut removed = Vec::new();
-        for (id, worker) in &self.workers {
-            let Some(unresponsive_since) = worker.unresponsive_since else {
-                continue;
-            };
-            if now.at < worker.lease_expires_at(self.began_at, max_lease) {
-                continue;
-            }
-            expired.push(id.clone());
-            if now.at > unresponsive_since + UNRESPONSIVE_WORKER_RETENTION {
-                removed.push(id.clone());
-            }
-        }
-        for id in expired {
-            self.note_expired_lease(&id, now);
-            self.end_runs_on(&id, RunOutcome::Lost, "the lease expired", now);
-        }
-        for id in removed {
-            self.remove_worker(&id, now);
-        }
-    }
-
     /// Ends runs of earlier terms whose worker has left or restarted; done once in a term.
     fn end_runs_without_worker(&mut self, now: Now) {
         if self.adopted_runs_checked {
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -115,10 +115,21 @@
         // Whether the latest answer came from the incarnation that the grants are for.
         let mut confirmed = false;
         while let Some((order, granted_at_ms)) = self.next_renewal(wait, confirmed) {
-            let deadline = Instant::now() + wait + RENEWAL_GRACE;
+            let sent_at = Instant::now();
+            let deadline = sent_at + wait + RENEWAL_GRACE;
             let report = match (relay.outside.renew)(&self.target, &order, deadline) {
                 Ok(report) => report,
                 Err(failure) => {
+                    if confirmed {
+                        log::info!(
+                            worker = self.target.worker.as_str(), epoch = self.epoch,
+                            incarnation = self.target.incarnation,
+                            lease_until_clock_ms:? = order.lease_until_clock_ms,
+                            recorded_ends = order.recorded_ends,
+                            sent_ms_ago = sent_at.elapsed().as_millis() as u64;
+                            "renewal without an answer, which may be carried out later: {failure}"
+                        );
+                    }
                     confirmed = false;
                     self.set_confirmed_until(None);
                     listed_at = None;
