bug: test that a lease of a former incarnation starts no task twice (fails)

The run is placed again 7 s after the first answer of the next incarnation, while a renewal for the former one may have given it a lease of 10 s.

--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -21,6 +21,7 @@
 mod pauses;
 mod relays;
 mod renewals;
+mod restarts;
 mod runs;
 mod search;
 mod stalled_work;
