bug: calls for a former incarnation of a worker were carried out by the next one

Cause: all calls of a term carry the same fencing token, its epoch, and Expected-Instance names only the identifier. An acknowledgement for the former incarnation was carried out by the next one, whose numbers of ends start at 1: ends that nobody had read were forgotten. The same holds for renewals and orders.

The token now has the epoch and, below it, the generation: the number of earlier incarnations of the worker that this term has seen. The first call of the new incarnation makes all calls for former ones ineffective, however late they arrive. The generation grows only with the record of an incarnation in this term and never falls, also when a heartbeat of another writer is found out, so that a sound worker cannot be left with a token above that of its calls. A later term has a higher epoch and may start at zero.

a_call_for_a_former_incarnation_has_a_lower_fencing_token: before, both tokens were equal. a_late_grant_does_not_replace_the_link_to_a_later_incarnation names the generation of the later incarnation now, as a placer does; what it asserts is unchanged.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -26,5 +26,7 @@
 pub type ConfigVersion = u64;
 /// Start number of a process. A restarted process has a larger number.
 pub type Incarnation = u64;
+/// Number of the earlier incarnations of a worker that a placer has seen in its term.
+pub type Generation = u32;
 /// Fencing token of a placer. Each new placer of a data centre has a larger epoch.
 pub type Epoch = u64;
--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -11,7 +11,7 @@
 use super::spec::{StageKey, TaskKey, WorkflowSpec};
 use super::state::JobPhase;
 use super::workers::WorkerHeartbeat;
-use crate::ids::{ConfigVersion, DataCentreName, Epoch, HostId, Incarnation, WorkerId};
+use crate::ids::{ConfigVersion, DataCentreName, Epoch, Generation, HostId, Incarnation, WorkerId};
 
 /// Name of the messages of this module in the peer transport.
 pub const CALL_EXTENSION: &str = "workflow";
@@ -133,6 +133,8 @@
     pub incarnation: Incarnation,
     /// IP address and port of the worker's listener.
     pub address: String,
+    /// Generation of the incarnation in the term of the placer; part of the fencing token.
+    pub generation: Generation,
 }
 
 /// Order to start a run.
@@ -144,7 +146,7 @@
     pub run: RunNumber,
     /// Opaque text of the job.
     pub payload: String,
-    /// Fencing token: the epoch of the placer that gave the order.
+    /// Epoch of the placer that gave the order; part of the fencing token.
     pub fence: Epoch,
     /// End of the worker's lease on its own clock.
     pub lease_until_clock_ms: u64,
@@ -161,14 +163,14 @@
     pub task: TaskKey,
     /// Number of the run to stop.
     pub run: RunNumber,
-    /// Fencing token: the epoch of the placer that gave the order.
+    /// Epoch of the placer that gave the order; part of the fencing token.
     pub fence: Epoch,
 }
 
 /// Renews the lease of a worker, acknowledges ends of runs and requests the worker's lists.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RenewOrder {
-    /// Fencing token: the epoch of the placer that gave the order.
+    /// Epoch of the placer that gave the order; part of the fencing token.
     pub fence: Epoch,
     /// End of the lease on the worker's clock; `None` while that clock is not known.
     pub lease_until_clock_ms: Option<u64>,
--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod crash_suspects;
+pub mod fencing;
 pub mod heartbeats;
 pub mod leases;
 pub mod permits;
--- a/src/workflow/placer/claims.rs
+++ b/src/workflow/placer/claims.rs
@@ -48,7 +48,7 @@
                 self.judge_crash(&id, now);
                 self.end_runs_on(&id, RunOutcome::Lost, "the worker restarted", now);
                 self.remove_permits(&id);
-                self.workers.shift_remove(&id);
+                self.drop_incarnation(&id);
                 true
             }
             Meaning::Claim => {
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -375,5 +375,6 @@
         worker: live.record.id.clone(),
         incarnation: live.record.incarnation,
         address: live.record.address.clone(),
+        generation: live.generation,
     }
 }
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -48,6 +48,7 @@
             ledger: Ledger::default(),
             pools: Default::default(),
             workers: IndexMap::new(),
+            next_generations: IndexMap::new(),
             stages: IndexMap::new(),
             repeated_jobs: Default::default(),
             runs: IndexMap::new(),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -23,7 +23,7 @@
 use super::passes::Passes;
 use super::search::{EmptySearch, StageNeeds};
 use super::{CallResponder, PlacerSettings};
-use crate::ids::{Epoch, HostId, JobId, ServiceName, WorkerId};
+use crate::ids::{Epoch, Generation, HostId, JobId, ServiceName, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
 /// State of the placer while it leads. It is ahead of the committed log: records are applied to
@@ -56,6 +56,8 @@
     pub pools: IndexSet<ServiceName>,
     /// Workers that are registered, whether they are reachable or not.
     pub workers: IndexMap<WorkerId, LiveWorker>,
+    /// Generation of the next incarnation of each worker that restarted or was removed in this term.
+    pub next_generations: IndexMap<WorkerId, Generation>,
     /// Stages whose dependencies are met and that are not complete.
     pub stages: IndexMap<StageKey, LiveStage>,
     /// Repeated jobs that are open, and those that ended since the last tick.
@@ -147,6 +149,8 @@
     pub index: WorkerIndex,
     /// Latest record that the worker announced.
     pub record: WorkerRecord,
+    /// Number of the earlier incarnations that were known in this term; grows with each one.
+    pub generation: Generation,
     /// Highest sequence number of a heartbeat of this incarnation.
     pub heartbeat_sequence: u64,
     /// Latest reading of the clock of the worker; `None` until its first answer in this term.
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -3,8 +3,10 @@
 
 use std::time::{Duration, Instant};
 
+use super::super::reports::target;
 use super::fixture::*;
 use crate::workflow::calls::{CallFailure, OrderOutcome};
+use crate::workflow::decisions::fencing::fencing_token;
 
 const STEP: Duration = Duration::from_millis(100);
 const MAX_LEASE: Duration = Duration::from_secs(10);
@@ -31,6 +33,12 @@
     fixture.commit_all();
 }
 
+/// Returns the fencing token of the next call to the worker `w`.
+fn token(fixture: &Fixture) -> u64 {
+    let target = target(&fixture.term.workers["w"]);
+    fencing_token(fixture.term.epoch, target.generation)
+}
+
 /// Lets a worker be silent until a time and checks that its run stays as it is.
 fn expect_run_until(fixture: &mut Fixture, worker: &str, run: u32, until: Instant) {
     while fixture.now.at < until {
@@ -49,6 +57,42 @@
     assert_eq!(run_number(fixture), Some(run + 1));
 }
 
+/// Guards against finished work that runs again: the next incarnation of a worker carried out an
+/// acknowledgement for the former one and forgot ends that nobody had read.
+#[test]
+fn a_call_for_a_former_incarnation_has_a_lower_fencing_token() {
+    let mut fixture = Fixture::running_on_w();
+    let first = token(&fixture);
+    fixture.restart("w");
+    let second = token(&fixture);
+    assert!(second > first);
+    fixture.report("w", vec![], vec![]);
+    let (id, now) = ("w".to_owned(), fixture.now);
+    fixture.term.handle_departure(&id, now.at);
+    fixture.fail_to_answer("w", &CallFailure::PortClosed);
+    assert!(!fixture.term.workers.contains_key("w"));
+    fixture.term.handle_heartbeat(heartbeat("w", 3, 1), now);
+    let third = token(&fixture);
+    assert!(third > second);
+    assert!(fencing_token(fixture.term.epoch + 1, 0) > third);
+}
+
+/// Guards against a sound worker that refuses all calls after a heartbeat of another writer: its
+/// token must not fall when its own heartbeats count again.
+#[test]
+fn the_fencing_token_of_a_worker_never_falls() {
+    let mut fixture = Fixture::new();
+    fixture.announce("w");
+    let own = token(&fixture);
+    let now = fixture.now;
+    fixture.term.handle_heartbeat(heartbeat("w", 5, 1), now);
+    let foreign = token(&fixture);
+    fixture.fail_to_answer("w", &CallFailure::OtherIncarnation);
+    fixture.term.handle_heartbeat(heartbeat("w", 1, 2), now);
+    assert_eq!(fixture.term.workers["w"].record.incarnation, 1);
+    assert!(own < foreign && foreign < token(&fixture));
+}
+
 /// Guards against two runs of a task at once: the next incarnation of a worker carried out a renewal
 /// for the former one, and was cut off after a run had started there.
 #[test]
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -31,8 +31,10 @@
         let heartbeat_sequence = self.state.heartbeat_sequences.get(&record.id);
         // The worker accepts runs once it has answered in this term.
         self.ledger.set_status(index, WorkerStatus::Lost);
+        let generation = self.next_generations.get(&record.id);
         let worker = LiveWorker {
             index,
+            generation: generation.copied().unwrap_or(0),
             heartbeat_sequence: heartbeat_sequence.copied().unwrap_or(0),
             clock: None,
             granted_until_clock_ms: 0,
@@ -122,7 +124,7 @@
         self.end_runs_on(id, RunOutcome::Lost, "the worker left", now);
         self.remove_permits(id);
         self.crash_watch.forget(id);
-        self.workers.shift_remove(id);
+        self.drop_incarnation(id);
         self.ledger.remove_worker(index);
         self.record(Record::WorkerLeft {
             worker: id.clone(),
@@ -130,6 +132,14 @@
         });
     }
 
+    /// Drops the known incarnation of a worker; a later one receives a higher fencing token.
+    pub(super) fn drop_incarnation(&mut self, id: &WorkerId) -> Option<LiveWorker> {
+        let worker = self.workers.shift_remove(id)?;
+        let next = worker.generation.saturating_add(1);
+        self.next_generations.insert(id.clone(), next);
+        Some(worker)
+    }
+
     /// Drops the permits and reservations of all stages on a worker: its next incarnation may
     /// differ in labels or capacity.
     pub(super) fn remove_permits(&mut self, id: &WorkerId) {
--- a/src/workflow/relay.rs
+++ b/src/workflow/relay.rs
@@ -159,7 +159,7 @@
                     continue;
                 }
                 // Instructions in flight may overtake each other.
-                if link.target.incarnation > grant.target.incarnation {
+                if link.target.generation > grant.target.generation {
                     continue;
                 }
                 link.end();
--- a/tests/workflow_relays.rs
+++ b/tests/workflow_relays.rs
@@ -42,6 +42,7 @@
         worker: "w".to_owned(),
         incarnation: 1,
         address: "w:80".to_owned(),
+        generation: 0,
     }
 }
 
@@ -382,6 +383,7 @@
     let relay = Relay::start("entry-1".to_owned(), outside, Arc::new(|_, _, _| Ok(())));
     let mut present = instructions(7, 0);
     present.grants[0].target.incarnation = 2;
+    present.grants[0].target.generation = 1;
     relay.accept(present);
     relay.accept(instructions(7, 0));
     let deadline = Instant::now() + WAIT_TIMEOUT;
