--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -13,6 +13,9 @@
 /// Time without an answer after which a worker is removed whose lease has expired, so that it has
 /// no runs.
 const UNRESPONSIVE_WORKER_RETENTION: Duration = Duration::from_secs(60);
+/// Largest difference between readings of answers that overtook each other, in milliseconds: the
+/// longest time for which a renewal waits for its answer.
+const MAX_OVERTAKING_MS: u64 = 1_700;
 
 /// Time from which on no run that was started before is still running on a worker, unless its lease
 /// is renewed.
@@ -83,7 +86,7 @@
             return;
         };
         let known = live.clock.map(|reading| reading.at_least_ms(now));
-        if known.is_some_and(|known| clock_ms < known) {
+        if known.is_some_and(|known| clock_ms.saturating_add(MAX_OVERTAKING_MS) < known) {
             log::info!(
                 worker = worker.as_str(), incarnation = live.record.incarnation, clock_ms, known;
                 "the reading of a worker's clock is earlier than a former one"
