bug: a lease of a former incarnation let two runs of a task work at once

Cause: a renewal that was sent to the former incarnation was carried out by the next one. Its end is on the former clock, far ahead of the new one, and is shortened to the longest lease, 10 s. The placer counted what it had granted itself, 6 s, and started the runs again up to 4 s too early.

Until the first answer of an incarnation in a term its lease counts as unknown: it may last as long as the longest one from that answer on. The answer comes from a call with a higher fencing token, so that no call for a former incarnation and none of an earlier placer can renew the lease afterwards. The bound rests on the worker's memory and not on how late a call may arrive. The same rule replaces the one for leases of earlier placers.

--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -31,29 +31,37 @@
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[display(rename_all = "snake_case")]
 pub enum LeaseBasis {
-    /// The latest grant of this placer and a reading of the worker's clock.
+    /// The latest grant of this placer.
     Grant,
-    /// The longest lease that an earlier placer may have granted.
-    EarlierPlacer,
+    /// The longest lease by a call before the first answer in this term.
+    BeforeFirstAnswer,
+    /// The longest lease, since the worker has not answered in this term.
+    NoAnswer,
 }
 
 impl LiveWorker {
     /// Returns the end of the lease of the worker unless it is renewed.
-    pub fn lease_end(&self, term_began_at: Instant, max_lease: Duration) -> LeaseEnd {
-        // An earlier leader may have granted a longer lease than this one.
-        let earlier = expires_without_reading(term_began_at, max_lease);
-        let granted = self
-            .clock
-            .map(|reading| reading.expires_at(self.granted_until_clock_ms));
-        match granted.filter(|granted| *granted > earlier) {
-            Some(expires_at) => LeaseEnd {
-                expires_at,
-                basis: LeaseBasis::Grant,
-            },
-            None => LeaseEnd {
-                expires_at: earlier,
-                basis: LeaseBasis::EarlierPlacer,
-            },
+    ///
+    /// The first answer in a term comes from a call with a higher fencing token than all calls of
+    /// earlier placers and for former incarnations, which have no effect from then on. Before it,
+    /// each of them may have renewed the lease up to the longest one, whatever end it names: that is
+    /// a time on the clock of the former incarnation.
+    pub fn lease_end(&self, max_lease: Duration) -> LeaseEnd {
+        let Some(reading) = self.clock else {
+            return LeaseEnd {
+                expires_at: expires_without_reading(self.unknown_calls_until, max_lease),
+                basis: LeaseBasis::NoAnswer,
+            };
+        };
+        let (until_clock_ms, basis) = if self.granted_until_clock_ms >= self.unknown_until_clock_ms
+        {
+            (self.granted_until_clock_ms, LeaseBasis::Grant)
+        } else {
+            (self.unknown_until_clock_ms, LeaseBasis::BeforeFirstAnswer)
+        };
+        LeaseEnd {
+            expires_at: reading.expires_at(until_clock_ms),
+            basis,
         }
     }
 }
@@ -61,7 +69,7 @@
 impl Term {
     /// Returns the end of the lease of a worker.
     pub(super) fn lease_end(&self, worker: &LiveWorker) -> LeaseEnd {
-        worker.lease_end(self.began_at, self.settings.max_lease)
+        worker.lease_end(self.settings.max_lease)
     }
 
     /// Grants a lease that begins now and returns its end on the worker's clock. The lease of a
@@ -85,6 +93,10 @@
         let (Some(clock_ms), Some(live)) = (clock_ms, self.workers.get_mut(worker)) else {
             return;
         };
+        if live.clock.is_none() {
+            let max_lease_ms = u64::try_from(self.settings.max_lease.as_millis());
+            live.unknown_until_clock_ms = clock_ms.saturating_add(max_lease_ms.unwrap_or(u64::MAX));
+        }
         let known = live.clock.map(|reading| reading.at_least_ms(now));
         if known.is_some_and(|known| clock_ms.saturating_add(MAX_OVERTAKING_MS) < known) {
             log::info!(
@@ -139,6 +151,7 @@
             worker = id.as_str(), incarnation = worker.record.incarnation,
             runs = worker.runs.len(), silent_ms, basis:% = self.lease_end(worker).basis,
             granted_until_clock_ms = worker.granted_until_clock_ms,
+            unknown_until_clock_ms = worker.unknown_until_clock_ms,
             clock_ms:? = worker.clock.map(|reading| reading.clock_ms),
             read_ms_ago:? = worker.clock_age_ms(now);
             "lease of a worker expired"
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -26,7 +26,7 @@
             return;
         }
         if live.reachable || live.unresponsive_since.is_none() {
-            let lease = live.lease_end(self.began_at, self.settings.max_lease);
+            let lease = live.lease_end(self.settings.max_lease);
             log::warn!(
                 worker = worker.as_str(), incarnation = live.record.incarnation,
                 runs = live.runs.len(),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -155,8 +155,13 @@
     pub heartbeat_sequence: u64,
     /// Latest reading of the clock of the worker; `None` until its first answer in this term.
     pub clock: Option<ClockReading>,
-    /// Latest end of a lease that may have reached the worker, on the clock of the worker.
+    /// Latest end of a lease that this placer granted to the incarnation, on the clock of the worker.
     pub granted_until_clock_ms: u64,
+    /// Latest end of a lease that the worker may have received before its first answer in this term,
+    /// by calls of an earlier placer or for a former incarnation; zero until then.
+    pub unknown_until_clock_ms: u64,
+    /// Latest time at which such a call is carried out if the worker does not answer.
+    pub unknown_calls_until: Instant,
     /// Whether the worker answered the latest renewal of its lease.
     pub reachable: bool,
     /// Time of the first renewal without an answer since the last answer; `None` while it answers.
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -38,6 +38,8 @@
             heartbeat_sequence: heartbeat_sequence.copied().unwrap_or(0),
             clock: None,
             granted_until_clock_ms: 0,
+            unknown_until_clock_ms: 0,
+            unknown_calls_until: now,
             reachable: false,
             unresponsive_since: None,
             seen_ends: 0,
