bug: a start order for a former incarnation let a task run twice

A worker that starts again under its identifier carries out start orders that were sent to its former incarnation. Callers would see two runs of a task, or finished work that runs again: the placer ended all runs as lost as soon as the restart was proven, and placed them again at once, while one of them could begin on the next incarnation or had ended there.

Runs whose start order was sent now stay with the worker, with their room, until the first list of the next incarnation: listed as running they are adopted, listed as ended they are recorded, otherwise they are lost. The list answers a call with a higher fencing token, so that no order for the former incarnation can start them afterwards. Without an answer they end with the longest lease, counted from 2 s after the restart was announced; later orders than that are not covered. A later placer does the same, since the run names the former incarnation.

A run that the next incarnation has not listed is not suspected of its crash.

--- a/src/workflow/placer/claims.rs
+++ b/src/workflow/placer/claims.rs
@@ -3,16 +3,26 @@
 //! A heartbeat proves nothing about its sender: one of another writer may name the identifier or
 //! the address of a sound worker. One that names another incarnation ends runs only once it is
 //! certain that these have ended: another process answers at the address, or the lease has expired.
+//! The next incarnation of a worker may carry out start orders that were sent to the former one, so
+//! that the runs stay with the worker until it has listed what it runs.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
 
 use super::super::records::RunOutcome;
+use super::super::spec::TaskKey;
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
-use super::term::{LiveRun, LiveWorker, Term};
+use super::term::{LiveRun, LiveWorker, RunPhase, Term};
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::WorkerStatus;
 
+/// Time for which calls for a former incarnation may be carried out after its successor was
+/// announced, as long as that one has not answered. The contract with the workers states no bound:
+/// a relay sends for up to 0.5 s more, and TCP repeats a lost packet after 1 s.
+pub(super) const LATE_CALL_ALLOWANCE: Duration = Duration::from_secs(2);
+
 /// A heartbeat of another incarnation of a worker, while it is not known which one runs.
 pub struct Claim {
     heartbeat: WorkerHeartbeat,
@@ -34,30 +44,34 @@
 }
 
 impl Term {
-    /// Decides whether a heartbeat under a known identifier is to be registered. Ends the runs of
-    /// the known incarnation if the heartbeat belongs to its successor.
-    pub(super) fn admits_heartbeat(&mut self, heartbeat: &WorkerHeartbeat, now: Now) -> bool {
+    /// Decides whether a heartbeat is to be registered. Returns the runs that the known incarnation
+    /// leaves to its successor, and `None` if the heartbeat is not to be registered.
+    pub(super) fn admit_heartbeat(
+        &mut self,
+        heartbeat: &WorkerHeartbeat,
+        now: Now,
+    ) -> Option<IndexSet<TaskKey>> {
         let (record, sequence) = (&heartbeat.record, heartbeat.sequence);
         let id = record.id.clone();
         let Some(known) = self.workers.get(&id) else {
-            return true;
+            return Some(IndexSet::new());
         };
         match self.meaning(known, heartbeat, now.at) {
-            Meaning::Present => true,
+            Meaning::Present => Some(IndexSet::new()),
             Meaning::Successor => {
                 self.judge_crash(&id, now);
-                self.end_runs_on(&id, RunOutcome::Lost, "the worker restarted", now);
+                self.end_unsent_runs(&id, now);
                 self.remove_permits(&id);
-                self.drop_incarnation(&id);
-                true
+                let former = self.drop_incarnation(&id);
+                Some(former.map(|former| former.runs).unwrap_or_default())
             }
             Meaning::Claim => {
                 self.hold_claim(heartbeat, now.at);
-                false
+                None
             }
             Meaning::Late => {
                 log::info!(worker = id.as_str(), incarnation = record.incarnation, sequence; "late heartbeat ignored");
-                false
+                None
             }
             Meaning::Contradiction => {
                 log::warn!(
@@ -66,11 +80,54 @@
                     data_centre = record.data_centre.as_str();
                     "heartbeat ignored: the worker cannot have moved without a restart"
                 );
-                false
+                None
             }
         }
     }
 
+    /// Ends the runs on a worker whose start orders were not sent, so that no incarnation of it can
+    /// start them.
+    fn end_unsent_runs(&mut self, id: &WorkerId, now: Now) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let runs = worker.runs.iter();
+        let unsent = runs.filter(|task| self.runs.get(*task).is_some_and(LiveRun::was_never_sent));
+        let unsent: Vec<TaskKey> = unsent.cloned().collect();
+        for task in unsent {
+            self.finish_run(&task, RunOutcome::NeverStarted, String::new(), now);
+        }
+    }
+
+    /// Keeps the runs of the former incarnation on a worker until its first list in this term shows
+    /// which of them it runs, or until its longest lease is over.
+    pub(super) fn inherit_runs(&mut self, id: &WorkerId, runs: IndexSet<TaskKey>, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id).filter(|_| !runs.is_empty()) else {
+            return;
+        };
+        log::info!(
+            worker = id.as_str(), incarnation = worker.record.incarnation, runs = runs.len();
+            "worker restarted; the runs of its former incarnation wait for its first list"
+        );
+        worker.unknown_calls_until = now + LATE_CALL_ALLOWANCE;
+        for task in &runs {
+            let Some(run) = self.runs.get_mut(task) else {
+                continue;
+            };
+            run.phase = match run.phase {
+                RunPhase::Stopping { .. } => RunPhase::Stopping {
+                    confirmed_at: Some(now),
+                    ordered_at: now,
+                },
+                _ => RunPhase::Unresolved,
+            };
+            run.confirmed = false;
+            run.harmless = false;
+            run.progress = None;
+        }
+        worker.runs = runs;
+    }
+
     fn meaning(&self, known: &LiveWorker, heartbeat: &WorkerHeartbeat, now: Instant) -> Meaning {
         let (record, former) = (&heartbeat.record, &known.record);
         if record.incarnation > former.incarnation {
--- a/src/workflow/placer/crashes.rs
+++ b/src/workflow/placer/crashes.rs
@@ -198,7 +198,9 @@
             let Some(run) = self.runs.get(task) else {
                 continue;
             };
-            if run.harmless || run.was_never_sent() {
+            // A run of a former incarnation has not begun on this one as far as it is known.
+            let is_former = run.incarnation != worker.record.incarnation;
+            if run.harmless || run.was_never_sent() || is_former {
                 continue;
             }
             let suspect = self.suspect_key(task);
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -202,6 +202,9 @@
     }
 
     fn confirm_running(&mut self, worker: &WorkerId, running: &[ListedRun], now: Instant) {
+        let Some(incarnation) = self.workers.get(worker).map(|live| live.record.incarnation) else {
+            return;
+        };
         let mut unexpected = Vec::new();
         let mut on_probation = Vec::new();
         for listed in running {
@@ -212,6 +215,7 @@
                 continue;
             };
             run.confirm(now);
+            run.incarnation = incarnation;
             if !run.harmless {
                 on_probation.push(listed.task.clone());
             }
@@ -332,8 +336,11 @@
                 continue;
             }
             let outcome = match run.phase {
-                // The fencing token of this term reached the worker before it answered.
-                RunPhase::Unresolved => RunOutcome::NeverStarted,
+                // The fencing token of the incarnation in this term reached it before it answered.
+                RunPhase::Unresolved if run.incarnation == live.record.incarnation => {
+                    RunOutcome::NeverStarted
+                }
+                RunPhase::Unresolved => RunOutcome::Lost,
                 RunPhase::Running { confirmed_at } if confirmed_at < sent_at => RunOutcome::Lost,
                 RunPhase::Stopping {
                     confirmed_at: Some(confirmed_at),
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -392,7 +392,8 @@
                 incarnation,
             });
             let worker = choice.worker;
-            let mut live = LiveRun::new(run, worker.clone(), RunPhase::Starting, now.at);
+            let target = (worker.clone(), incarnation);
+            let mut live = LiveRun::new(run, target, RunPhase::Starting, now.at);
             live.permit.clone_from(&choice.permit);
             self.runs.insert(task.clone(), live);
             let kind = OrderKind::Start {
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -112,11 +112,11 @@
             adopted.push((task_key, task.run, worker.clone(), *incarnation));
         }
         for (task, run, worker, incarnation) in adopted {
-            let live = LiveRun::new(run, worker.clone(), RunPhase::Unresolved, now);
+            let target = (worker.clone(), incarnation);
+            let live = LiveRun::new(run, target, RunPhase::Unresolved, now);
             self.runs.insert(task.clone(), live);
-            let known = self.workers.get_mut(&worker);
-            // A worker that left or restarted no longer has the run; the first tick ends it.
-            let Some(known) = known.filter(|known| known.record.incarnation == incarnation) else {
+            // A worker that left no longer has the run; the first tick ends it.
+            let Some(known) = self.workers.get_mut(&worker) else {
                 continue;
             };
             known.runs.insert(task.clone());
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -23,7 +23,7 @@
 use super::passes::Passes;
 use super::search::{EmptySearch, StageNeeds};
 use super::{CallResponder, PlacerSettings};
-use crate::ids::{Epoch, Generation, HostId, JobId, ServiceName, WorkerId};
+use crate::ids::{Epoch, Generation, HostId, Incarnation, JobId, ServiceName, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
 /// State of the placer while it leads. It is ahead of the committed log: records are applied to
@@ -268,6 +268,8 @@
     pub run: RunNumber,
     /// Worker on which the run was placed.
     pub worker: WorkerId,
+    /// Incarnation of the worker on which the run was placed, or that has listed it.
+    pub incarnation: Incarnation,
     /// Phase as known to the placer.
     pub phase: RunPhase,
     /// Whether the worker has listed it or confirmed its start in this term.
@@ -291,10 +293,16 @@
 
 impl LiveRun {
     /// Creates a run that the worker has not listed yet.
-    pub fn new(run: RunNumber, worker: WorkerId, phase: RunPhase, now: Instant) -> Self {
+    pub fn new(
+        run: RunNumber,
+        (worker, incarnation): (WorkerId, Incarnation),
+        phase: RunPhase,
+        now: Instant,
+    ) -> Self {
         Self {
             run,
             worker,
+            incarnation,
             phase,
             confirmed: false,
             harmless: false,
@@ -333,7 +341,8 @@
 /// Phase of a run as known to the placer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RunPhase {
-    /// Placed by an earlier leader; the next report of the worker shows whether it runs.
+    /// Placed by an earlier leader or on a former incarnation of the worker; the next report of the
+    /// worker shows whether it runs.
     Unresolved,
     /// The start order is pending or has no outcome yet.
     Starting,
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -4,9 +4,13 @@
 use std::time::{Duration, Instant};
 
 use super::super::reports::target;
+use super::super::term::RunPhase;
+use super::capacity::{send_starts, with_relay};
 use super::fixture::*;
 use crate::workflow::calls::{CallFailure, OrderOutcome};
 use crate::workflow::decisions::fencing::fencing_token;
+use crate::workflow::records::RunOutcome;
+use crate::workflow::state::JobPhase;
 
 const STEP: Duration = Duration::from_millis(100);
 const MAX_LEASE: Duration = Duration::from_secs(10);
@@ -110,3 +114,101 @@
     expect_run_until(&mut fixture, "w", 2, first_answer_at + MAX_LEASE);
     expect_next_run(&mut fixture, "w", 2);
 }
+
+/// Creates a term with a job whose start order was sent to the worker `w`, which then restarted.
+fn restarted_with_start_in_flight() -> Fixture {
+    let mut fixture = with_relay();
+    fixture.advance(3 * MAX_LEASE);
+    fixture.report("w", vec![], vec![]);
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    fixture.restart("w");
+    fixture.commit_all();
+    fixture
+}
+
+/// Guards against two runs of a task at once: the next incarnation of a worker carried out the start
+/// order for the former one, while the run counted as lost and was placed again.
+#[test]
+fn a_run_that_the_next_incarnation_starts_late_is_not_placed_again() {
+    let mut fixture = restarted_with_start_in_flight();
+    step(&mut fixture);
+    assert_eq!(run_number(&fixture), Some(1));
+    fixture.report("w", vec![listed(0, 1)], vec![]);
+    step(&mut fixture);
+    let run = &fixture.term.runs[&task(0)];
+    assert!(matches!(run.phase, RunPhase::Running { .. }));
+    assert_eq!((run.run, run.incarnation), (1, 2));
+    assert!(fixture.orders.is_empty());
+    fixture.report(
+        "w",
+        vec![],
+        vec![listed_end(1, 0, 1, RunOutcome::Succeeded)],
+    );
+    assert_eq!(fixture.phase(), JobPhase::Completed);
+}
+
+/// Guards against finished work that runs again: the late run ended before the first list.
+#[test]
+fn the_end_of_a_run_that_the_next_incarnation_started_late_counts() {
+    let mut fixture = restarted_with_start_in_flight();
+    fixture.report(
+        "w",
+        vec![],
+        vec![listed_end(1, 0, 1, RunOutcome::Succeeded)],
+    );
+    assert_eq!(fixture.phase(), JobPhase::Completed);
+}
+
+/// Guards against work that waits for a worker that does not answer after its restart, and against a
+/// second run while the first may have been started there late.
+#[test]
+fn runs_of_a_worker_that_restarts_and_is_silent_end_with_the_longest_lease() {
+    let mut fixture = restarted_with_start_in_flight();
+    let restarted_at = fixture.now.at;
+    fixture.announce("v");
+    expect_run_until(&mut fixture, "w", 1, restarted_at + MAX_LEASE);
+    expect_next_run(&mut fixture, "w", 1);
+}
+
+/// Guards against a job that is given up for crashes of workers on which its task never began: a run
+/// of the former incarnation was suspected of the crash of the next one.
+#[test]
+fn a_run_of_a_former_incarnation_is_not_suspected_of_the_crash_of_the_next_one() {
+    let mut fixture = Fixture::running_on_w();
+    let crash = |fixture: &mut Fixture| {
+        for _ in 0..6 {
+            fixture.fail_to_answer("w", &CallFailure::PortClosed);
+            step(fixture);
+        }
+    };
+    crash(&mut fixture);
+    let crashes = |fixture: &Fixture| fixture.term.state.crashes.history(&task(0)).len();
+    assert_eq!(crashes(&fixture), 1);
+    for incarnation in 2..6 {
+        fixture.fail_to_answer("w", &CallFailure::OtherIncarnation);
+        let now = fixture.now;
+        let next = heartbeat("w", incarnation, 1);
+        fixture.term.handle_heartbeat(next, now);
+        assert_eq!(fixture.term.workers["w"].record.incarnation, incarnation);
+        crash(&mut fixture);
+    }
+    assert_eq!(crashes(&fixture), 1);
+}
+
+/// Guards against two runs of a task at once after a change of the placer between the restart of a
+/// worker and its first answer.
+#[test]
+fn a_new_placer_waits_for_the_first_list_of_a_restarted_worker() {
+    let former = restarted_with_start_in_flight();
+    let mut fixture = Fixture::with_state(former.term.state);
+    for _ in 0..5 {
+        step(&mut fixture);
+    }
+    assert_eq!(run_number(&fixture), Some(1));
+    fixture.report("w", vec![listed(0, 1)], vec![]);
+    step(&mut fixture);
+    assert_eq!(fixture.term.runs[&task(0)].run, 1);
+    assert!(fixture.orders.is_empty());
+}
--- a/src/workflow/placer/tests/runs.rs
+++ b/src/workflow/placer/tests/runs.rs
@@ -117,6 +117,8 @@
     let mut gone = Fixture::with_state(state());
     gone.restart("w");
     gone.term.tick(gone.now);
+    assert!(gone.term.runs.contains_key(&task(0)));
+    gone.report("w", vec![], vec![]);
     assert!(!gone.term.runs.contains_key(&task(0)));
 }
 
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -60,10 +60,12 @@
     }
 
     pub(super) fn handle_heartbeat(&mut self, heartbeat: WorkerHeartbeat, now: Now) {
-        if self.is_from_former_worker(&heartbeat.record) || !self.admits_heartbeat(&heartbeat, now)
-        {
+        if self.is_from_former_worker(&heartbeat.record) {
             return;
         }
+        let Some(inherited) = self.admit_heartbeat(&heartbeat, now) else {
+            return;
+        };
         let WorkerHeartbeat { record, sequence } = heartbeat;
         let id = record.id.clone();
         self.remove_predecessors(&record, now);
@@ -99,7 +101,10 @@
                     self.handle_capacity_change(&id, former.capacity, now);
                 }
             }
-            None => self.add_worker(record, now.at),
+            None => {
+                self.add_worker(record, now.at);
+                self.inherit_runs(&id, inherited, now.at);
+            }
         }
     }
 
@@ -223,7 +228,7 @@
         self.ticks
     }
 
-    /// Ends runs of earlier terms whose worker has left or restarted; done once in a term.
+    /// Ends runs of earlier terms whose worker has left; done once in a term.
     fn end_runs_without_worker(&mut self, now: Now) {
         if self.adopted_runs_checked {
             return;
@@ -237,7 +242,7 @@
             }
         }
         for task in orphans {
-            log::warn!(task:% = task; "run ended as lost: its worker left or restarted");
+            log::warn!(task:% = task; "run ended as lost: its worker left");
             self.finish_run(&task, RunOutcome::Lost, String::new(), now);
         }
     }
