bug: a start order without an answer let a task run twice after a silent restart

A worker that restarts and is never heard of again carries out a start order that was sent to its former incarnation: the lease in the order ends on the former clock and is shortened to the longest one. The placer ended the run with the lease that it had granted to the former incarnation, 6 s, and placed it again beside it.

A run whose start order has no outcome, or of which several copies were sent, now ends on a silent worker only when the longest lease is over, counted from 2 s after the latest order. Orders that name a permit are not concerned, since a permit is valid for one incarnation. All other runs of the worker end with its lease as before, so that a cut costs no more than it did.

a_start_without_an_answer_on_a_silent_worker_counts_for_the_longest_lease fails without the rule (run 2 is placed 6 s after the order).

--- a/src/workflow/decisions/crash_suspects.rs
+++ b/src/workflow/decisions/crash_suspects.rs
@@ -45,6 +45,13 @@
     pub listed_for: Duration,
 }
 
+impl ExposedRun {
+    /// Whether both are the same run, or members of the same run of a gang.
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.suspect == other.suspect && self.run == other.run
+    }
+}
+
 /// Returns the runs that are the likeliest causes of a crash: those that were started last, if any
 /// was started shortly before the worker was lost.
 pub fn likeliest(mut runs: Vec<ExposedRun>) -> Vec<ExposedRun> {
--- a/src/workflow/placer/crashes.rs
+++ b/src/workflow/placer/crashes.rs
@@ -108,10 +108,14 @@
         }
         let worker = self.workers.get(id);
         let silent_since = worker.and_then(|worker| worker.unresponsive_since);
-        let exposed = self.exposed_runs(id, silent_since.unwrap_or(now.at));
-        if !exposed.is_empty() {
-            self.crash_watch.expired.insert(id.clone(), exposed);
+        let mut exposed = self.exposed_runs(id, silent_since.unwrap_or(now.at));
+        if exposed.is_empty() {
+            return;
         }
+        // Runs whose start order has no outcome end later than the others.
+        let known = self.crash_watch.expired.entry(id.clone()).or_default();
+        exposed.retain(|run| !known.iter().any(|known| known.is_same_run(run)));
+        known.extend(exposed);
     }
 
     /// Judges the crashes whose delay is over.
@@ -152,8 +156,11 @@
         }
         let lost_at = noticed_at.unwrap_or(now.at);
         let mut expired = watch.expired.shift_remove(id).unwrap_or_default();
-        expired.retain(|run| !self.is_harmless(&run.suspect));
         let mut exposed = self.exposed_runs(id, lost_at);
+        expired.retain(|run| {
+            let is_exposed = exposed.iter().any(|other| other.is_same_run(run));
+            !is_exposed && !self.is_harmless(&run.suspect)
+        });
         exposed.extend(expired);
         let exposed = crash_suspects::likeliest(exposed);
         if exposed.is_empty() {
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -5,9 +5,10 @@
 use derive_more::Display;
 
 use super::super::decisions::leases::{ClockReading, expires_without_reading};
-use super::super::records::RunOutcome;
+use super::super::spec::TaskKey;
 use super::Now;
-use super::term::{LiveWorker, Term};
+use super::claims::LATE_CALL_ALLOWANCE;
+use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::WorkerId;
 
 /// Time without an answer after which a worker is removed whose lease has expired, so that it has
@@ -66,6 +67,23 @@
     }
 }
 
+impl LiveRun {
+    /// Returns until when a run may be at work on a silent worker by a start order whose outcome is
+    /// not known: the worker may have restarted, and its next incarnation carries out the order,
+    /// whose lease ends on the clock of the former one. `None` if all orders have an outcome, or name a
+    /// permit, which is valid for one incarnation.
+    fn late_start_ends_at(&self, max_lease: Duration) -> Option<Instant> {
+        let is_open = !self.confirmed || self.starts_sent > 1;
+        let sent_at = self
+            .start_sent_at
+            .filter(|_| is_open && self.permit.is_none())?;
+        Some(expires_without_reading(
+            sent_at + LATE_CALL_ALLOWANCE,
+            max_lease,
+        ))
+    }
+}
+
 impl Term {
     /// Returns the end of the lease of a worker.
     pub(super) fn lease_end(&self, worker: &LiveWorker) -> LeaseEnd {
@@ -128,28 +146,42 @@
             }
         }
         for id in expired {
-            self.report_expired_lease(&id, now.at);
+            let ended = self.runs_without_late_start(&id, now.at);
+            self.report_expired_lease(&id, ended.len(), now.at);
             self.note_expired_lease(&id, now);
-            self.end_runs_on(&id, RunOutcome::Lost, "the lease expired", now);
+            self.end_runs_as_lost(&id, ended, "the lease expired", now);
         }
         for id in removed {
             self.remove_worker(&id, now);
         }
     }
 
-    fn report_expired_lease(&self, id: &WorkerId, now: Instant) {
-        let Some(worker) = self
-            .workers
-            .get(id)
-            .filter(|worker| !worker.runs.is_empty())
-        else {
+    /// Returns the runs on a worker with an expired lease that no incarnation of it can still begin.
+    fn runs_without_late_start(&self, id: &WorkerId, now: Instant) -> Vec<TaskKey> {
+        let Some(worker) = self.workers.get(id) else {
+            return Vec::new();
+        };
+        let max_lease = self.settings.max_lease;
+        let mut ended = Vec::new();
+        for task in &worker.runs {
+            let run = self.runs.get(task);
+            let late_until = run.and_then(|run| run.late_start_ends_at(max_lease));
+            if late_until.is_none_or(|until| now >= until) {
+                ended.push(task.clone());
+            }
+        }
+        ended
+    }
+
+    fn report_expired_lease(&self, id: &WorkerId, ended: usize, now: Instant) {
+        let Some(worker) = self.workers.get(id).filter(|_| ended > 0) else {
             return;
         };
         let silent_since = worker.unresponsive_since.unwrap_or(now);
         let silent_ms = now.saturating_duration_since(silent_since).as_millis() as u64;
         log::warn!(
             worker = id.as_str(), incarnation = worker.record.incarnation,
-            runs = worker.runs.len(), silent_ms, basis:% = self.lease_end(worker).basis,
+            runs = worker.runs.len(), ended, silent_ms, basis:% = self.lease_end(worker).basis,
             granted_until_clock_ms = worker.granted_until_clock_ms,
             unknown_until_clock_ms = worker.unknown_until_clock_ms,
             clock_ms:? = worker.clock.map(|reading| reading.clock_ms),
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -212,3 +212,19 @@
     assert_eq!(fixture.term.runs[&task(0)].run, 1);
     assert!(fixture.orders.is_empty());
 }
+
+/// Guards against two runs of a task at once: a start order without an answer was carried out by the
+/// next incarnation of a worker from which nothing was heard any more.
+#[test]
+fn a_start_without_an_answer_on_a_silent_worker_counts_for_the_longest_lease() {
+    let mut fixture = with_relay();
+    fixture.advance(3 * MAX_LEASE);
+    fixture.report("w", vec![], vec![]);
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let sent_at = fixture.now.at;
+    fixture.announce("v");
+    expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
+    expect_next_run(&mut fixture, "w", 1);
+}
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -127,8 +127,9 @@
             return;
         };
         let (incarnation, index) = (worker.record.incarnation, worker.index);
+        let runs: Vec<TaskKey> = worker.runs.iter().cloned().collect();
         log::info!(worker = id.as_str(), incarnation; "worker left");
-        self.end_runs_on(id, RunOutcome::Lost, "the worker left", now);
+        self.end_runs_as_lost(id, runs, "the worker left", now);
         self.remove_permits(id);
         self.crash_watch.forget(id);
         self.drop_incarnation(id);
@@ -162,23 +163,20 @@
         }
     }
 
-    pub(super) fn end_runs_on(
+    /// Ends runs on a worker that can no longer be at work there.
+    pub(super) fn end_runs_as_lost(
         &mut self,
         id: &WorkerId,
-        outcome: RunOutcome,
+        runs: Vec<TaskKey>,
         reason: &str,
         now: Now,
     ) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
-        let runs: Vec<TaskKey> = worker.runs.iter().cloned().collect();
         if runs.is_empty() {
             return;
         }
-        log::warn!(worker = id.as_str(), runs = runs.len(); "runs ended as {outcome}: {reason}");
+        log::warn!(worker = id.as_str(), runs = runs.len(); "runs ended as lost: {reason}");
         for task in runs {
-            self.finish_run(&task, outcome, String::new(), now);
+            self.finish_run(&task, RunOutcome::Lost, String::new(), now);
         }
     }
 
