bug: answers of the next incarnation were taken for those of the former one

Orders are answered without the incarnation. With a lower reading the lease seemed to last for hours, so that the runs of a worker that never came back would not start again; with any reading a start was confirmed that the next incarnation had carried out, and the run ended with the lease of the former one while it was at work.

An answer whose clock cannot be that of the known incarnation now confirms nothing and sets no clock; the first list of the next incarnation shows what it runs. Readings within 2.5 s do not tell incarnations apart. An answer that another one overtook no longer replaces the later reading.

With the former handling both new tests of placer/tests/restarts.rs fail.

--- a/src/workflow/decisions/leases.rs
+++ b/src/workflow/decisions/leases.rs
@@ -11,6 +11,11 @@
 /// Allowance for a grant in flight and for the worker to end its runs.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 
+/// Longest time between a reading of the clock and its arrival, in milliseconds: a relay waits 1.6 s
+/// for an answer, and its report takes up to 0.45 s. Readings within it do not tell incarnations
+/// apart.
+const MAX_ANSWER_AGE_MS: u64 = 2_500;
+
 /// A reading of a worker's monotonic clock.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClockReading {
@@ -29,6 +34,15 @@
         self.clock_ms.saturating_add(slowest_ms)
     }
 
+    /// Whether a reading that arrives at `now` can be one of the same clock.
+    pub fn agrees_with(&self, clock_ms: u64, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.received_at);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        let latest_ms = self.clock_ms.saturating_add(elapsed_ms);
+        let is_behind = clock_ms.saturating_add(MAX_ANSWER_AGE_MS) < self.at_least_ms(now);
+        !is_behind && clock_ms <= latest_ms.saturating_add(MAX_ANSWER_AGE_MS)
+    }
+
     /// Local time at which a lease that ends at `until_ms` of the worker's clock has expired.
     pub fn expires_at(&self, until_ms: u64) -> Instant {
         let remaining = Duration::from_millis(until_ms.saturating_sub(self.clock_ms));
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -14,9 +14,6 @@
 /// Time without an answer after which a worker is removed whose lease has expired, so that it has
 /// no runs.
 const UNRESPONSIVE_WORKER_RETENTION: Duration = Duration::from_secs(60);
-/// Largest difference between readings of answers that overtook each other, in milliseconds: the
-/// longest time for which a renewal waits for its answer.
-const MAX_OVERTAKING_MS: u64 = 1_700;
 
 /// Time from which on no run that was started before is still running on a worker, unless its lease
 /// is renewed.
@@ -107,25 +104,38 @@
         Some(live.granted_until_clock_ms)
     }
 
-    pub(super) fn record_clock(&mut self, worker: &WorkerId, clock_ms: Option<u64>, now: Instant) {
-        let (Some(clock_ms), Some(live)) = (clock_ms, self.workers.get_mut(worker)) else {
-            return;
+    /// Records a reading of a worker's clock, and returns whether it can be one of the known
+    /// incarnation. The next incarnation also answers orders for the known one, and its clock starts
+    /// anew.
+    pub(super) fn record_clock(&mut self, worker: &WorkerId, clock_ms: u64, now: Instant) -> bool {
+        let Some(live) = self.workers.get_mut(worker) else {
+            return false;
         };
-        if live.clock.is_none() {
+        let Some(known) = live.clock else {
             let max_lease_ms = u64::try_from(self.settings.max_lease.as_millis());
             live.unknown_until_clock_ms = clock_ms.saturating_add(max_lease_ms.unwrap_or(u64::MAX));
-        }
-        let known = live.clock.map(|reading| reading.at_least_ms(now));
-        if known.is_some_and(|known| clock_ms.saturating_add(MAX_OVERTAKING_MS) < known) {
-            log::info!(
-                worker = worker.as_str(), incarnation = live.record.incarnation, clock_ms, known;
-                "the reading of a worker's clock is earlier than a former one"
+            live.clock = Some(ClockReading {
+                clock_ms,
+                received_at: now,
+            });
+            return true;
+        };
+        if !known.agrees_with(clock_ms, now) {
+            log::warn!(
+                worker = worker.as_str(), incarnation = live.record.incarnation, clock_ms,
+                known_ms = known.at_least_ms(now);
+                "an answer has the clock of another incarnation"
             );
+            return false;
+        }
+        // An answer that was overtaken says less than the former reading.
+        if clock_ms >= known.at_least_ms(now) {
+            live.clock = Some(ClockReading {
+                clock_ms,
+                received_at: now,
+            });
         }
-        live.clock = Some(ClockReading {
-            clock_ms,
-            received_at: now,
-        });
+        true
     }
 
     /// Ends the runs of workers whose lease has expired, and removes those that have been silent for
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -24,7 +24,9 @@
         answer: OrderAnswer,
         now: Now,
     ) {
-        self.record_clock(order.worker, answer.clock_ms, now.at);
+        if !self.is_answer_of_known_incarnation(order, answer, now) {
+            return;
+        }
         let Some(run) = self.runs.get_mut(order.task) else {
             return;
         };
@@ -75,6 +77,20 @@
         }
     }
 
+    /// Records the clock in an answer and returns whether it can be one of the known incarnation.
+    /// What another incarnation did says nothing about the run; its first list shows it.
+    fn is_answer_of_known_incarnation(
+        &mut self,
+        order: &OrderedRun<'_>,
+        answer: OrderAnswer,
+        now: Now,
+    ) -> bool {
+        let Some(clock_ms) = answer.clock_ms else {
+            return true;
+        };
+        self.record_clock(order.worker, clock_ms, now.at)
+    }
+
     /// Handles a start order without an answer. If the order may have arrived, the run is stopped
     /// so that it cannot start later; otherwise the run has never started.
     pub(super) fn handle_unanswered_start(
@@ -110,7 +126,9 @@
         answer: OrderAnswer,
         now: Now,
     ) {
-        self.record_clock(order.worker, answer.clock_ms, now.at);
+        if !self.is_answer_of_known_incarnation(order, answer, now) {
+            return;
+        }
         if !matches!(
             answer.outcome,
             OrderOutcome::Done | OrderOutcome::Superseded
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -93,7 +93,7 @@
         if was_silent {
             self.note_return(worker);
         }
-        self.record_clock(worker, Some(report.clock_ms), now.at);
+        self.record_clock(worker, report.clock_ms, now.at);
         self.refute_claim(worker, asked_at);
         if let Some(record) = record {
             self.remove_predecessors(&record, now);
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -7,7 +7,7 @@
 use super::super::term::RunPhase;
 use super::capacity::{send_starts, with_relay};
 use super::fixture::*;
-use crate::workflow::calls::{CallFailure, OrderOutcome};
+use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::state::JobPhase;
@@ -228,3 +228,41 @@
     expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
     expect_next_run(&mut fixture, "w", 1);
 }
+
+/// Guards against two runs of a task at once: the answer of the next incarnation to a start order for
+/// the former one confirmed the run, which then ended with the lease of the former one.
+#[test]
+fn an_answer_with_the_clock_of_another_incarnation_confirms_no_run() {
+    for clock_ms in [10, 90_000_000] {
+        let mut fixture = with_relay();
+        fixture.advance(3 * MAX_LEASE);
+        fixture.report("w", vec![], vec![]);
+        fixture.submit(vec![stage(1)]);
+        fixture.commit_all();
+        let order = fixture.orders[0].clone();
+        send_starts(&mut fixture);
+        let (sent_at, now) = (fixture.now.at, fixture.now);
+        let answer = OrderAnswer {
+            outcome: OrderOutcome::Done,
+            clock_ms: Some(clock_ms),
+        };
+        let term = &mut fixture.term;
+        term.handle_start_answer(&ordered(&order), answer, now);
+        fixture.announce("v");
+        expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
+        expect_next_run(&mut fixture, "w", 1);
+    }
+}
+
+/// Guards against runs that wait much longer than the lease of a silent worker: the answer of the next
+/// incarnation to an order for the former one was taken for a reading of the former one's clock.
+#[test]
+fn a_reading_of_the_next_incarnation_does_not_lengthen_the_lease() {
+    let mut fixture = Fixture::running_on_w();
+    pass_leases_of_earlier_placers(&mut fixture);
+    let (id, now) = ("w".to_owned(), fixture.now);
+    fixture.term.record_clock(&id, 10, now.at);
+    fixture.announce("v");
+    expect_run_until(&mut fixture, "w", 1, now.at + LEASE);
+    expect_next_run(&mut fixture, "w", 1);
+}
