bug: a stand-in runner noticed the end of its lease only between two announcements

A runner whose entry hosts receive its announcements and do not answer runs its tasks on after its lease, while the placer takes them for ended and starts them elsewhere.

Cause: a task waits for the end of its work and relies on the announcer to wake it when the lease ends. The announcer checks between two announcements. An announcement without an answer takes longer (2 s) than the pause after a failed one (0.2 s), so that there is no time between them.

Evidence: a_task_ends_with_its_lease_while_no_entry_host_answers with the former code: "running" 10 s after a lease of 0.4 s, with the fix "stopped".

Fix: a task waits for the end of its work or of the lease, whichever comes first, so that no other thread is needed. A lease that becomes shorter wakes the tasks, which wait for the later end.

--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -244,11 +244,15 @@
             if lease_expired || table.tasks.get(id).is_none_or(|task| task.stop_requested) {
                 return true;
             }
-            let remaining = ends_at.saturating_duration_since(now);
-            if remaining.is_zero() {
+            if ends_at <= now {
                 return false;
             }
-            table = self.changed.wait_timeout(table, remaining).unwrap().0;
+            // The announcer cannot wake this thread at the end of the lease while it waits for an
+            // entry host that does not answer.
+            let wake_at = table
+                .lease_ends_at
+                .map_or(ends_at, |lease_ends_at| lease_ends_at.min(ends_at));
+            table = self.changed.wait_timeout(table, wake_at - now).unwrap().0;
         }
     }
 
@@ -346,9 +350,17 @@
     /// Renews the lease of all tasks. A reply of an epoch below the highest one is ignored.
     pub fn renew_lease(&self, epoch: Epoch, lease_ends_at: Instant) {
         let mut table = self.table.lock().unwrap();
-        if epoch >= table.highest_epoch {
-            table.highest_epoch = epoch;
-            table.lease_ends_at = Some(lease_ends_at);
+        if epoch < table.highest_epoch {
+            return;
+        }
+        table.highest_epoch = epoch;
+        let waits_longer = table
+            .lease_ends_at
+            .is_none_or(|ends_at| lease_ends_at < ends_at);
+        table.lease_ends_at = Some(lease_ends_at);
+        if waits_longer {
+            // The running tasks wait until a later time.
+            self.changed.notify_all();
         }
     }
 
