bug: a job that must run at most once ran again after a restart of its worker

A worker starts a task, the reply is lost, and the worker restarts under its identifier and address. Its next incarnation refuses the repeated start, and the placer recorded that the task never started, so that also a task that must run at most once was started again.

Cause: a refused start counted as proof that the task never started. It proves that for its own copy only. Requests have this rule already (a_refusal_by_a_new_incarnation_proves_nothing_about_the_former_one).

Evidence: a_start_refused_by_the_next_incarnation_does_not_prove_that_the_task_never_started with the former code: two started tasks instead of one.

Fix: a refusal ends the task only when the placer has prepared exactly one copy of the start. Otherwise it cancels the task: the same incarnation answers by its tombstone, and another one gives no answer, so that its announcement or the end of the lease decides. A placer that recovered the task has prepared none and cancels as well, since a copy of its former term may have arrived.

--- a/src/placer/jobs/live.rs
+++ b/src/placer/jobs/live.rs
@@ -15,6 +15,8 @@
     pub(super) attempt: TaskAttempt,
     /// Consecutive announcements of its worker that did not list the task.
     pub(super) missed_announcements: u32,
+    /// Copies of the start call that were prepared since this placer recovered the task or decided it.
+    pub(super) prepared_starts: u32,
     next_call: Option<(Instant, WorkerRequest)>,
 }
 
@@ -34,6 +36,7 @@
             job,
             attempt,
             missed_announcements: 0,
+            prepared_starts: 0,
             next_call: None,
         };
         self.tasks.insert(task, live);
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -349,7 +349,7 @@
     }
 
     fn call(&mut self, task: &str, request: WorkerRequest) {
-        let Some(live) = self.tasks.get(task) else {
+        let Some(live) = self.tasks.get_mut(task) else {
             return;
         };
         let Some(lease) = self.leases.workers.get(&live.attempt.worker) else {
@@ -358,6 +358,7 @@
         if lease.expired || lease.address.is_empty() {
             return;
         }
+        live.prepared_starts += u32::from(matches!(request, WorkerRequest::Start { .. }));
         self.calls.push(WorkerCall {
             job: live.job.clone(),
             task: task.to_owned(),
@@ -386,6 +387,14 @@
             WorkerReply::Refused if !matches!(call.request, WorkerRequest::Start { .. }) => return,
             WorkerReply::Refused => TaskState::NeverStarted,
         };
+        // The next incarnation of the worker refuses a start for the former one, which may have
+        // carried out another copy. The tombstone of a cancellation settles whether it did.
+        let is_start = matches!(call.request, WorkerRequest::Start { .. });
+        let only_copy = self.tasks.get(&call.task).map(|live| live.prepared_starts) == Some(1);
+        if state == TaskState::NeverStarted && is_start && !only_copy {
+            self.tasks.set_call(&call.task, now, WorkerRequest::Cancel);
+            return;
+        }
         if let Some(end) = task_end(state) {
             self.end_task(&call.task, end, now);
             return;
--- a/tests/job_life.rs
+++ b/tests/job_life.rs
@@ -140,6 +140,26 @@
     }
 }
 
+/// Guards against a second run of a task that must run at most once: its worker started it and
+/// restarted before the reply arrived, and the next incarnation refused the repeated start.
+#[test]
+fn a_start_refused_by_the_next_incarnation_does_not_prove_that_the_task_never_started() {
+    let cell = Cell::new(&["worker-1"]);
+    cell.placer.submit(job("render", "batch", 1, true)).unwrap();
+    cell.environment.lock().unwrap().lose_replies = true;
+    cell.run(1, &[]);
+    assert_eq!(cell.start_counts("render").len(), 1);
+    {
+        let mut environment = cell.environment.lock().unwrap();
+        environment.lose_replies = false;
+        environment.restart("worker-1");
+    }
+    cell.run(3, &[]);
+    cell.run(3, &["worker-1"]);
+    assert_eq!(cell.start_counts("render").len(), 1);
+    assert!(matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.failed == 1));
+}
+
 /// Guards against a second start after a change of the placer: of tasks that are running, of a task
 /// whose intent was committed but whose start was not sent, and by a start that a paused former
 /// placer sends after the change.
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use jujubewinch::clock::Clock;
-use jujubewinch::ids::{Epoch, TaskId};
+use jujubewinch::ids::{Epoch, Incarnation, TaskId};
 use jujubewinch::placer::job_records::{JobRecord, JobState};
 use jujubewinch::placer::jobs::{
     JobJournal, JobPlacer, JobPlacerOptions, WorkerCall, WorkerCallError, WorkerClient,
@@ -31,6 +31,8 @@
 pub struct Environment {
     /// States of the tasks on each worker.
     pub workers: IndexMap<String, IndexMap<TaskId, TaskState>>,
+    /// Incarnations of workers that have restarted; that of the others is 1.
+    pub restarted: IndexMap<String, Incarnation>,
     /// Number of times that each task was started.
     pub start_counts: IndexMap<TaskId, u32>,
     /// Whether replies are lost after the worker carried out the call.
@@ -51,6 +53,19 @@
     pub teams: Vec<(String, TeamShare)>,
 }
 
+impl Environment {
+    /// Ends the process of a worker with its tasks and begins the next incarnation.
+    pub fn restart(&mut self, worker: &str) {
+        let incarnation = self.incarnation(worker) + 1;
+        self.restarted.insert(worker.into(), incarnation);
+        self.workers[worker].clear();
+    }
+
+    fn incarnation(&self, worker: &str) -> Incarnation {
+        self.restarted.get(worker).copied().unwrap_or(1)
+    }
+}
+
 /// The current placer with its environment, committed records, epoch and clock.
 pub struct Cell {
     pub environment: Arc<Mutex<Environment>>,
@@ -128,16 +143,19 @@
     }
 
     pub fn announcement(&self, worker: &str) -> Announcement {
+        let environment = self.environment.lock().unwrap();
+        let incarnation = environment.incarnation(worker);
+        let tasks = environment.workers[worker].clone();
         Announcement {
             worker: worker.into(),
-            incarnation: 1,
+            incarnation,
             data_centre: "erdenet".into(),
             rack: "rack-1".into(),
             address: "127.0.0.1:17900".into(),
             resources: resources(16_000, 32_768),
             runner: None,
             phase: WorkerPhase::Up,
-            tasks: self.environment.lock().unwrap().workers[worker].clone(),
+            tasks,
             usage: IndexMap::new(),
             highest_epoch: 0,
         }
@@ -289,6 +307,12 @@
     intent_committed: bool,
 ) -> Result<WorkerReply, WorkerCallError> {
     environment.calls.push(call.clone());
+    if call.incarnation != environment.incarnation(&call.worker) {
+        return match call.request {
+            WorkerRequest::Start { .. } => Ok(WorkerReply::State(TaskState::NeverStarted)),
+            _ => Err(WorkerCallError::NoAnswer("another incarnation".into())),
+        };
+    }
     let tasks = environment
         .workers
         .get_mut(&call.worker)
