bug: tasks of a restarted runner had no lease until the first reply to an announcement

A runner restarts, its first announcement arrives and the reply is lost. The placer sends it tasks. When the runner is then cut off, the placer takes them for ended after the lease and starts them elsewhere, while they run on without an end.

Cause: the lease of an incarnation began with the first reply that it received; without one, tasks had no lease. The header of the create call with its duration was ignored.

Evidence: a_restarted_runner_has_the_lease_that_its_first_announcement_began with the former code: "running" 10 s after a create call with a lease of 0.4 s, with the fix "stopped".

Fix: without a reply, the lease begins when the first announcement of the incarnation was about to be sent and lasts as long as the create call says. The placer sends tasks only after such an announcement, so the lease that it granted ends no earlier, however long the create call was under way. The checks of headers move to a file of their own.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,6 +2,7 @@
 //! in slots and of job tasks within its resources.
 
 pub mod announcer;
+mod checks;
 pub mod executions;
 pub mod faults;
 pub mod payload;
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -76,7 +76,9 @@
         if self.leaving.load(Ordering::Acquire) {
             self.announcement.phase = WorkerPhase::Leaving;
         }
-        self.announcement.incarnation = self.tasks.incarnation();
+        let incarnation = self.tasks.incarnation();
+        self.tasks.announcing(incarnation, Instant::now());
+        self.announcement.incarnation = incarnation;
         self.announcement.tasks = self.tasks.announced_tasks();
         self.announcement.usage = self.tasks.usage();
         self.announcement.highest_epoch = self.tasks.highest_epoch();
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -5,6 +5,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::checks::{check_epoch, check_incarnation, task_resources};
 use super::executions::{Execution, ExecutionLog};
 use super::faults::Faults;
 use super::payload::StandInPayload;
@@ -65,6 +66,8 @@
     started: usize,
     highest_epoch: Epoch,
     lease_ends_at: Option<Instant>,
+    /// When the first announcement of this incarnation was about to be sent.
+    announced_at: Option<Instant>,
 }
 
 /// Task records of one runner, and the execution of its tasks.
@@ -121,9 +124,18 @@
         table.busy_slots = 0;
         table.highest_epoch = 0;
         table.lease_ends_at = None;
+        table.announced_at = None;
         self.changed.notify_all();
     }
 
+    /// Records that an announcement of the incarnation is about to be sent.
+    pub fn announcing(&self, incarnation: Incarnation, now: Instant) {
+        let mut table = self.table.lock().unwrap();
+        if table.incarnation == incarnation {
+            table.announced_at.get_or_insert(now);
+        }
+    }
+
     /// Makes the runner refuse all further tasks.
     pub fn leave(&self) {
         self.table.lock().unwrap().leaving = true;
@@ -139,15 +151,24 @@
     pub fn create(self: &Arc<Self>, id: &str, request: &Request) -> Result<(), RequestError> {
         let refuse = |message: &str| RequestError::did_not_run(ErrorCode::Unavailable, message);
         let resources = task_resources(request)?;
+        let lease_ms = request.parse_header::<u64>(headers::LEASE_MS)?;
         let mut table = self.table.lock().unwrap();
-        check_epoch(&mut table, request)?;
-        check_incarnation(&table, request)?;
+        check_epoch(&mut table.highest_epoch, request)?;
+        check_incarnation(table.incarnation, request)?;
         if table.tasks.contains_key(id) {
             return Ok(());
         }
         if table.dropped.contains(id) {
             return Err(refuse("the task ended and its record was dropped"));
         }
+        if table.lease_ends_at.is_none()
+            && let (Some(announced_at), Some(lease_ms)) = (table.announced_at, lease_ms)
+        {
+            // The placer sends tasks only after an announcement of this incarnation, so the lease
+            // that it granted ends no earlier than this, although its reply has not arrived.
+            table.lease_ends_at = announced_at.checked_add(Duration::from_millis(lease_ms));
+            self.changed.notify_all();
+        }
         let now = Instant::now();
         let refusal = if table.lease_ends_at.is_some_and(|ends_at| ends_at <= now) {
             Some("the lease of the runner has lapsed")
@@ -270,7 +291,7 @@
         let deadline = Instant::now() + wait.min(MAX_WAIT);
         let mut table = self.table.lock().unwrap();
         loop {
-            check_incarnation(&table, request)?;
+            check_incarnation(table.incarnation, request)?;
             let Some(task) = table.tasks.get(id) else {
                 return Ok(TaskView::new(TaskState::Unknown, b"unknown task"));
             };
@@ -289,8 +310,8 @@
     /// `did_not_run` when the epoch or incarnation is stale, or the record was dropped.
     pub fn cancel(&self, id: &str, request: &Request) -> Result<(), RequestError> {
         let mut table = self.table.lock().unwrap();
-        check_epoch(&mut table, request)?;
-        check_incarnation(&table, request)?;
+        check_epoch(&mut table.highest_epoch, request)?;
+        check_incarnation(table.incarnation, request)?;
         if table.dropped.contains(id) {
             let message = "the task ended and its record was dropped";
             return Err(RequestError::did_not_run(ErrorCode::NotFound, message));
@@ -442,44 +463,6 @@
     }
 }
 
-/// Parses the allocation from the header of a task of a job; `None` for a task of a request.
-fn task_resources(request: &Request) -> Result<Option<Resources>, RequestError> {
-    let Some(text) = request.header(headers::RESOURCES) else {
-        return Ok(None);
-    };
-    serde_json::from_str(text).map(Some).map_err(|error| {
-        let message = format!("header jujubewinch-resources is not valid: {error}");
-        RequestError::did_not_run(ErrorCode::BadRequest, message)
-    })
-}
-
-fn check_epoch(table: &mut Table, request: &Request) -> Result<(), RequestError> {
-    let epoch = request
-        .parse_header::<Epoch>(headers::EPOCH)?
-        .ok_or_else(|| {
-            RequestError::did_not_run(
-                ErrorCode::BadRequest,
-                "header jujubewinch-epoch is required",
-            )
-        })?;
-    if epoch < table.highest_epoch {
-        let message = format!("epoch {epoch} is stale; {} was seen", table.highest_epoch);
-        return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
-    }
-    table.highest_epoch = epoch;
-    Ok(())
-}
-
-/// Refuses calls for another incarnation, whose tasks this one does not know.
-fn check_incarnation(table: &Table, request: &Request) -> Result<(), RequestError> {
-    let incarnation = request.parse_header::<Incarnation>(headers::INCARNATION)?;
-    if incarnation.is_none_or(|incarnation| incarnation == table.incarnation) {
-        return Ok(());
-    }
-    let message = "the call is for another incarnation of this runner";
-    Err(RequestError::did_not_run(ErrorCode::Unavailable, message))
-}
-
 fn drop_oldest(table: &mut Table) {
     while table.tasks.len() > MAX_FINISHED_TASKS {
         let oldest = table
--- a/tests/agent_leases.rs
+++ b/tests/agent_leases.rs
@@ -93,3 +93,15 @@
         "{state}"
     );
 }
+
+/// Guards against a restarted runner whose tasks have no lease: the placer has received its first
+/// announcement and sends it a task, and the reply that grants the lease is lost.
+#[test]
+fn a_restarted_runner_has_the_lease_that_its_first_announcement_began() {
+    let cell = Cell::start();
+    let state = cell.create("task-1");
+    assert!(
+        ["stopped", "never_started"].contains(&state.as_str()),
+        "{state}"
+    );
+}
