bug: an answer to a probe of a former process counted for a probe of the next one

After a quick restart of a host, a late answer to a probe of its former process lets another host that does not answer seem alive for one round.

Cause: probe numbers identify a probe within one process and began at 1 in each.

Evidence: an_answer_to_a_probe_of_a_former_process_is_ignored with the former code: Alive after five probes without an answer of their own; suspected with the fix.

Fix: the numbers begin at a random one in each process.

--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -107,7 +107,8 @@
             socket,
             table: Mutex::new(table),
             pending: Mutex::default(),
-            next_probe: AtomicU64::new(1),
+            // Answers to probes of a former process of this host may still arrive.
+            next_probe: AtomicU64::new(rand::random()),
             next_sequence: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
         });
--- a/tests/membership_datagrams.rs
+++ b/tests/membership_datagrams.rs
@@ -1,6 +1,7 @@
 //! Tests of the datagrams that an agent of failure detection accepts.
 
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use jujubewinch::membership::agent::MembershipPeer;
@@ -136,3 +137,91 @@
     assert!(cell.answers_the_other_host());
     assert_eq!(cell.view_of(OTHER).state, HostState::Alive);
 }
+
+/// Starts an agent that probes often. Retries while the socket of a former agent is open.
+fn start_probing(
+    host: &str,
+    incarnation: u64,
+    seed: u64,
+    address: SocketAddr,
+    other: (&str, SocketAddr),
+) -> MembershipAgent {
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    loop {
+        let started = MembershipAgent::start(MembershipOptions {
+            links: None,
+            host: host.to_owned(),
+            incarnation,
+            address,
+            peers: vec![MembershipPeer {
+                host: other.0.to_owned(),
+                address: other.1,
+                scope: "data_centre".to_owned(),
+            }],
+            keys: ClusterKeys::unauthenticated(),
+            timing: ProbeTiming {
+                interval: Duration::from_millis(50),
+                ..ProbeTiming::default()
+            },
+            seed,
+        });
+        match started {
+            Ok(agent) => return agent,
+            Err(error) => assert!(Instant::now() < deadline, "{error}"),
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn view(agent: &MembershipAgent, host: &str) -> HostView {
+    let mut views = agent.views().into_iter();
+    views.find(|view| view.host == host).unwrap()
+}
+
+/// Guards against an answer to a probe of a former process that counts for a probe of the next one:
+/// probe numbers that start again let a host that does not answer seem alive.
+#[test]
+fn an_answer_to_a_probe_of_a_former_process_is_ignored() {
+    const PROBES: usize = 5;
+    let silent = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    silent.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let there = silent.local_addr().unwrap();
+    let receive_probe = || {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        loop {
+            let length = silent.recv(&mut buffer).unwrap();
+            let datagram = open(&buffer[..length], &ClusterKeys::unauthenticated()).unwrap();
+            if let Message::Ping { probe } = datagram.message {
+                return (datagram.incarnation, probe);
+            }
+        }
+    };
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let former = start_probing(THIS, 1, 1, any, (OTHER, there));
+    let here = former.local_address();
+    let former_probes: Vec<u64> = (0..PROBES).map(|_| receive_probe().1).collect();
+    drop(former);
+    let next = start_probing(THIS, 1_000, 2, here, (OTHER, there));
+    let mut sequence = 0;
+    let mut probes = 0;
+    while probes < PROBES {
+        if receive_probe().0 < 1_000 {
+            continue;
+        }
+        probes += 1;
+        for probe in &former_probes {
+            sequence += 1;
+            let answer = Datagram {
+                from: OTHER.to_owned(),
+                incarnation: 5,
+                sequence,
+                key_id: 0,
+                message: Message::Ack { probe: *probe },
+                updates: Vec::new(),
+            };
+            let bytes = seal(&answer, &ClusterKeys::unauthenticated()).unwrap();
+            silent.send_to(&bytes, here).unwrap();
+        }
+    }
+    assert_ne!(view(&next, OTHER).state, HostState::Alive);
+}
