bug: a host that restarted with its clock set back counted as dead for good

After a restart with an earlier wall clock a host is shown as dead by all hosts that knew its former process, until the clock has caught up or they restart. The state is shown by the administration interface; routing and replication do not use it.

Cause: the incarnation of a process is its start time. Receivers drop datagrams with an earlier incarnation than the latest as old ones, and the sender kept the start time in its datagrams although it raises its incarnation when it refutes its death.

Evidence: a_host_that_restarts_with_an_earlier_incarnation_is_heard_again with the former code: "not reached: the next process is seen" after 20 s. With the fix it passes, with the 13 other tests of both files.

Fix: datagrams carry the present incarnation, and a receiver takes the incarnation of a datagram for a known one, so that its suspicion names it. The next process refutes that with a higher one and is heard again.

--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -15,7 +15,7 @@
 
 use super::datagram::{Datagram, MAX_DATAGRAM_BYTES, Message, ReplayFilter, open, seal};
 use super::prober::{Exchanges, ProbeTiming, RelayAnswer, UPDATES_PER_MESSAGE, probe_next};
-use super::table::{HostState, HostView, MembershipTable};
+use super::table::{HostState, HostView, MembershipTable, Update};
 use crate::ids::{HostId, Incarnation};
 use crate::peer::{ClusterKeys, LinkConditions};
 use crate::telemetry::metrics::metrics;
@@ -208,10 +208,18 @@
 
 impl Shared {
     fn handle(self: &Arc<Self>, datagram: Datagram) {
-        self.table
-            .lock()
-            .unwrap()
-            .merge(&datagram.updates, Instant::now());
+        {
+            // The next process of the sender may begin with an earlier incarnation, when its clock was
+            // set back. It is heard again once it has refuted the one that is remembered here.
+            let sender = Update {
+                host: datagram.from.clone(),
+                incarnation: datagram.incarnation,
+                state: HostState::Alive,
+            };
+            let (mut table, now) = (self.table.lock().unwrap(), Instant::now());
+            table.merge(&[sender], now);
+            table.merge(&datagram.updates, now);
+        }
         match datagram.message {
             Message::Ping { probe } => self.send(&datagram.from, Message::Ack { probe }),
             Message::PingThrough { probe, target } => {
@@ -322,17 +330,18 @@
         let Some(peer) = self.peers.get(to) else {
             return;
         };
+        let (incarnation, updates) = {
+            let mut table = self.table.lock().unwrap();
+            let updates = table.take_updates(to, UPDATES_PER_MESSAGE);
+            (table.incarnation(), updates)
+        };
         let datagram = Datagram {
             from: self.options.host.clone(),
-            incarnation: self.options.incarnation,
+            incarnation,
             sequence: self.next_sequence.fetch_add(1, Ordering::Relaxed),
             key_id: self.options.keys.current().id,
             message,
-            updates: self
-                .table
-                .lock()
-                .unwrap()
-                .take_updates(to, UPDATES_PER_MESSAGE),
+            updates,
         };
         let sent = seal(&datagram, &self.options.keys)
             .and_then(|bytes| self.transmit(to, bytes, peer.address));
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -50,7 +50,7 @@
 pub struct Datagram {
     /// Identifier of the sending host.
     pub from: HostId,
-    /// Start number of the sender's process.
+    /// Incarnation of the sender, which grows with each refutation; never decreases within a process.
     pub incarnation: Incarnation,
     /// Sequence number; increases with each datagram of the process.
     pub sequence: u64,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -112,6 +112,11 @@
         &self.host
     }
 
+    /// Incarnation of this host, which grows with each refutation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Factor by which this host scales its timeouts: one plus its health score.
     pub fn timeout_factor(&self) -> u32 {
         1 + self.health_score
--- a/tests/membership_datagrams.rs
+++ b/tests/membership_datagrams.rs
@@ -173,11 +173,41 @@
     }
 }
 
+fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "not reached: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 fn view(agent: &MembershipAgent, host: &str) -> HostView {
     let mut views = agent.views().into_iter();
     views.find(|view| view.host == host).unwrap()
 }
 
+/// Guards against a host that counts as dead for good after a restart with its clock set back: its
+/// datagrams were taken for old ones of the process before.
+#[test]
+fn a_host_that_restarts_with_an_earlier_incarnation_is_heard_again() {
+    let free = || UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let (first, second) = (free(), free());
+    let (here, there) = (first.local_addr().unwrap(), second.local_addr().unwrap());
+    drop((first, second));
+    let observer = start_probing(THIS, 1, 1, here, (OTHER, there));
+    let former = start_probing(OTHER, 1_000, 2, there, (THIS, here));
+    wait_for("the first process is seen", || {
+        view(&observer, OTHER).incarnation >= 1_000
+    });
+    let former_incarnation = view(&observer, OTHER).incarnation;
+    drop(former);
+    let _next = start_probing(OTHER, 500, 3, there, (THIS, here));
+    wait_for("the next process is seen", || {
+        let seen = view(&observer, OTHER);
+        seen.incarnation > former_incarnation && seen.state == HostState::Alive
+    });
+}
+
 /// Guards against an answer to a probe of a former process that counts for a probe of the next one:
 /// probe numbers that start again let a host that does not answer seem alive.
 #[test]
