bug: a late first answer of a worker shortened all of its later leases

When the first answer of a worker was handled late, as after a pause of the placer, the lower bound of its clock fell behind by the delay. All later readings then looked like those of another incarnation and were refused for good, lists included: each lease was shorter by the delay, and refusals of start orders were ignored.

A list names its incarnation, so that its reading needs no check; only the answers to orders, which do not, are compared with the known clock.

--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -104,23 +104,41 @@
         Some(live.granted_until_clock_ms)
     }
 
-    /// Records a reading of a worker's clock, and returns whether it can be one of the known
-    /// incarnation. The next incarnation also answers orders for the known one, and its clock starts
-    /// anew.
-    pub(super) fn record_clock(&mut self, worker: &WorkerId, clock_ms: u64, now: Instant) -> bool {
+    /// Records a reading of the clock of the known incarnation. One that another answer overtook says
+    /// less than the former reading and is ignored.
+    pub(super) fn record_clock(&mut self, worker: &WorkerId, clock_ms: u64, now: Instant) {
         let Some(live) = self.workers.get_mut(worker) else {
-            return false;
+            return;
         };
-        let Some(known) = live.clock else {
-            let max_lease_ms = u64::try_from(self.settings.max_lease.as_millis());
-            live.unknown_until_clock_ms = clock_ms.saturating_add(max_lease_ms.unwrap_or(u64::MAX));
-            live.clock = Some(ClockReading {
-                clock_ms,
-                received_at: now,
-            });
-            return true;
+        match live.clock {
+            None => {
+                let max_lease_ms = u64::try_from(self.settings.max_lease.as_millis());
+                let max_lease_ms = max_lease_ms.unwrap_or(u64::MAX);
+                live.unknown_until_clock_ms = clock_ms.saturating_add(max_lease_ms);
+            }
+            Some(known) if clock_ms < known.at_least_ms(now) => return,
+            Some(_) => {}
+        }
+        live.clock = Some(ClockReading {
+            clock_ms,
+            received_at: now,
+        });
+    }
+
+    /// Returns whether the clock in the answer to an order can be that of the known incarnation, and
+    /// records it then. The next incarnation also answers orders for the known one, and its clock
+    /// starts anew.
+    pub(super) fn is_clock_of_known_incarnation(
+        &mut self,
+        worker: &WorkerId,
+        clock_ms: u64,
+        now: Instant,
+    ) -> bool {
+        let Some(live) = self.workers.get(worker) else {
+            return false;
         };
-        if !known.agrees_with(clock_ms, now) {
+        let contradicted = live.clock.filter(|known| !known.agrees_with(clock_ms, now));
+        if let Some(known) = contradicted {
             log::warn!(
                 worker = worker.as_str(), incarnation = live.record.incarnation, clock_ms,
                 known_ms = known.at_least_ms(now);
@@ -128,13 +146,7 @@
             );
             return false;
         }
-        // An answer that was overtaken says less than the former reading.
-        if clock_ms >= known.at_least_ms(now) {
-            live.clock = Some(ClockReading {
-                clock_ms,
-                received_at: now,
-            });
-        }
+        self.record_clock(worker, clock_ms, now);
         true
     }
 
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -88,7 +88,7 @@
         let Some(clock_ms) = answer.clock_ms else {
             return true;
         };
-        self.record_clock(order.worker, clock_ms, now.at)
+        self.is_clock_of_known_incarnation(order.worker, clock_ms, now.at)
     }
 
     /// Handles a start order without an answer. If the order may have arrived, the run is stopped
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -7,7 +7,7 @@
 use super::super::term::RunPhase;
 use super::capacity::{send_starts, with_relay};
 use super::fixture::*;
-use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome};
+use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::state::JobPhase;
@@ -261,8 +261,68 @@
     let mut fixture = Fixture::running_on_w();
     pass_leases_of_earlier_placers(&mut fixture);
     let (id, now) = ("w".to_owned(), fixture.now);
-    fixture.term.record_clock(&id, 10, now.at);
+    let term = &mut fixture.term;
+    assert!(!term.is_clock_of_known_incarnation(&id, 10, now.at));
     fixture.announce("v");
     expect_run_until(&mut fixture, "w", 1, now.at + LEASE);
     expect_next_run(&mut fixture, "w", 1);
 }
+
+/// Handles a report of the worker `w` whose clock was read some time ago.
+fn report_late(fixture: &mut Fixture, delay: Duration) {
+    let id = "w".to_owned();
+    let asked_at = fixture.now.at;
+    fixture.term.grant(&id, asked_at);
+    let clock_ms = fixture.clock_ms();
+    fixture.advance(delay);
+    let report = WorkerReport {
+        incarnation: 1,
+        clock_ms,
+        running: vec![],
+        ends: vec![],
+        complete: true,
+    };
+    fixture
+        .term
+        .handle_report(&id, asked_at, &report, fixture.now);
+}
+
+/// Guards against leases that stay too short: the first answer of a worker was handled late, as after
+/// a pause of the placer or of a relay, and all later readings of its clock were refused.
+#[test]
+fn a_late_first_answer_does_not_shorten_all_later_leases() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    fixture.term.handle_heartbeat(heartbeat("w", 1, 1), now);
+    report_late(&mut fixture, Duration::from_secs(5));
+    for _ in 0..50 {
+        fixture.advance(Duration::from_millis(500));
+        fixture.report("w", vec![], vec![]);
+    }
+    let granted = fixture.term.grant_lease(&"w".to_owned(), fixture.now.at);
+    let left_ms = granted.unwrap().saturating_sub(fixture.clock_ms());
+    assert!(left_ms > 5_000, "the lease lasts for {left_ms} ms");
+}
+
+/// Guards against start orders that wait for their time-out: with a clock that was read late once, the
+/// refusals of the worker were ignored as those of another incarnation.
+#[test]
+fn a_refusal_counts_after_a_late_first_answer() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    fixture.term.handle_heartbeat(heartbeat("w", 1, 1), now);
+    report_late(&mut fixture, Duration::from_secs(5));
+    fixture.report("w", vec![], vec![]);
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    let order = fixture.orders[0].clone();
+    let answer = OrderAnswer {
+        outcome: OrderOutcome::NoRoom,
+        clock_ms: Some(fixture.clock_ms()),
+    };
+    let now = fixture.now;
+    fixture
+        .term
+        .handle_start_answer(&ordered(&order), answer, now);
+    assert_eq!(run_number(&fixture), None);
+}
