bug: a start order in flight at a departure or a change of the placer let a task run twice

Two paths of the same cause: a worker that announced its departure lost its runs as soon as its port was closed, also one whose start order could still be carried out by a next incarnation; and a new placer counted the longest lease of a worker that does not answer from its own start, although relays may deliver orders of the former one for some time after it.

A departed worker stays until the longest lease of such a run is over, and a worker that has not answered in the term has 2 s more, as after a restart.

Both tests, by the reviewer, failed before: run 2 was placed at once, and 2 s too early.

--- a/src/workflow/placer/claims.rs
+++ b/src/workflow/placer/claims.rs
@@ -18,9 +18,9 @@
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::WorkerStatus;
 
-/// Time for which calls for a former incarnation may be carried out after its successor was
-/// announced, as long as that one has not answered. The contract with the workers states no bound:
-/// a relay sends for up to 0.5 s more, and TCP repeats a lost packet after 1 s.
+/// Time for which calls for a former incarnation, or of an earlier placer, may be carried out as long
+/// as the worker has not answered. The contract with the workers states no bound: a relay sends for up
+/// to 0.5 s more, and TCP repeats a lost packet after 1 s.
 pub(super) const LATE_CALL_ALLOWANCE: Duration = Duration::from_secs(2);
 
 /// A heartbeat of another incarnation of a worker, while it is not known which one runs.
@@ -109,7 +109,6 @@
             worker = id.as_str(), incarnation = worker.record.incarnation, runs = runs.len();
             "worker restarted; the runs of its former incarnation wait for its first list"
         );
-        worker.unknown_calls_until = now + LATE_CALL_ALLOWANCE;
         for task in &runs {
             let Some(run) = self.runs.get_mut(task) else {
                 continue;
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -178,8 +178,8 @@
         }
     }
 
-    /// Returns the runs on a worker with an expired lease that no incarnation of it can still begin.
-    fn runs_without_late_start(&self, id: &WorkerId, now: Instant) -> Vec<TaskKey> {
+    /// Returns the runs on a worker that no incarnation of it can still begin.
+    pub(super) fn runs_without_late_start(&self, id: &WorkerId, now: Instant) -> Vec<TaskKey> {
         let Some(worker) = self.workers.get(id) else {
             return Vec::new();
         };
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -42,7 +42,7 @@
         self.ledger.set_status(index, WorkerStatus::Lost);
         self.note_silence(worker, failure, now.at);
         match failure {
-            CallFailure::PortClosed if leaving => self.remove_worker(worker, now),
+            CallFailure::PortClosed if leaving => self.remove_departed_worker(worker, now),
             CallFailure::OtherIncarnation => self.handle_ended_incarnation(worker, now),
             _ => {}
         }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -160,7 +160,7 @@
     /// Latest end of a lease that the worker may have received before its first answer in this term,
     /// by calls of an earlier placer or for a former incarnation; zero until then.
     pub unknown_until_clock_ms: u64,
-    /// Latest time at which such a call is carried out if the worker does not answer.
+    /// Latest time at which such a call counts as possible if the worker does not answer.
     pub unknown_calls_until: Instant,
     /// Whether the worker answered the latest renewal of its lease.
     pub reachable: bool,
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::super::claims::LATE_CALL_ALLOWANCE;
 use super::super::reports::target;
 use super::super::term::RunPhase;
 use super::capacity::{send_starts, with_relay};
@@ -326,3 +327,47 @@
         .handle_start_answer(&ordered(&order), answer, now);
     assert_eq!(run_number(&fixture), None);
 }
+
+/// Guards against two runs of a task at once: a worker with a start order in flight left and started
+/// again under its identifier, where the order was carried out late.
+#[test]
+fn a_start_in_flight_to_a_worker_that_left_is_not_placed_again_at_once() {
+    let mut fixture = with_relay();
+    fixture.advance(3 * MAX_LEASE);
+    fixture.report("w", vec![], vec![]);
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let sent_at = fixture.now.at;
+    fixture.announce("v");
+    let now = fixture.now;
+    fixture.term.handle_departure(&"w".to_owned(), now.at);
+    fixture.fail_to_answer("w", &CallFailure::PortClosed);
+    expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
+    for _ in 0..30 {
+        step(&mut fixture);
+    }
+    assert_eq!(run_number(&fixture), Some(2));
+}
+
+/// Guards against two runs of a task at once: a start order of the former placer was carried out after
+/// the takeover by the next incarnation of a worker that is then cut off.
+#[test]
+fn a_new_placer_allows_for_late_start_orders_of_the_former_one() {
+    let mut former = with_relay();
+    former.advance(3 * MAX_LEASE);
+    former.report("w", vec![], vec![]);
+    former.submit(vec![stage(1)]);
+    former.commit_all();
+    assert_eq!(send_starts(&mut former), [(0, 1)]);
+    let mut fixture = Fixture::with_state(former.term.state);
+    let began_at = fixture.now.at;
+    fixture.announce("v");
+    expect_run_until(
+        &mut fixture,
+        "w",
+        1,
+        began_at + LATE_CALL_ALLOWANCE + MAX_LEASE,
+    );
+    expect_next_run(&mut fixture, "w", 1);
+}
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -9,6 +9,7 @@
 use super::super::state::Job;
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
+use super::claims::LATE_CALL_ALLOWANCE;
 use super::load::LOAD_REPORT_TICKS;
 use super::relaying::GRANT_TICKS;
 use super::term::{LiveWorker, RunPhase, Term};
@@ -39,7 +40,7 @@
             clock: None,
             granted_until_clock_ms: 0,
             unknown_until_clock_ms: 0,
-            unknown_calls_until: now,
+            unknown_calls_until: now + LATE_CALL_ALLOWANCE,
             reachable: false,
             unresponsive_since: None,
             seen_ends: 0,
@@ -121,6 +122,17 @@
         self.ledger.set_status(index, WorkerStatus::Leaving);
     }
 
+    /// Removes a worker that announced its departure and whose port is closed. While a later
+    /// incarnation may carry out one of its start orders, the worker and that run stay.
+    pub(super) fn remove_departed_worker(&mut self, id: &WorkerId, now: Now) {
+        let ended = self.runs_without_late_start(id, now.at);
+        self.end_runs_as_lost(id, ended, "the worker left", now);
+        let worker = self.workers.get(id);
+        if worker.is_some_and(|worker| worker.runs.is_empty()) {
+            self.remove_worker(id, now);
+        }
+    }
+
     /// Removes a worker that will not return, and ends its runs as lost.
     pub(super) fn remove_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else {
