bug: a further copy of a start order let a task run twice after a silent restart

A run counted as settled as soon as it was confirmed. A relay makes up to three attempts, and the answer to the second one says nothing about the first, which the next incarnation of the worker may carry out; a list can confirm a run while a further attempt is in flight.

A start is settled when its only copy was answered: relays report whether an earlier attempt is open. All other runs on a silent worker end with the longest lease after their latest order. Reports of relays are handled in one file.

--- a/src/workflow/decisions/fencing.rs
+++ b/src/workflow/decisions/fencing.rs
@@ -6,7 +6,8 @@
 
 use crate::ids::{Epoch, Generation};
 
-/// Bits of a token that hold the generation. The epochs of the log are Unix milliseconds, so that
+/// Bits of a token that hold the generation. The epochs of the log begin with the Unix
+/// milliseconds of its formation, so that
 /// tokens stay below 2^53 until the year 2039; all decoders of JSON represent such numbers exactly.
 const GENERATION_BITS: u32 = 12;
 const MAX_GENERATION: u64 = (1 << GENERATION_BITS) - 1;
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -70,10 +70,8 @@
     /// whose lease ends on the clock of the former one. `None` if all orders have an outcome, or name a
     /// permit, which is valid for one incarnation.
     fn late_start_ends_at(&self, max_lease: Duration) -> Option<Instant> {
-        let is_open = !self.confirmed || self.starts_sent > 1;
-        let sent_at = self
-            .start_sent_at
-            .filter(|_| is_open && self.permit.is_none())?;
+        let is_open = !self.start_is_settled && self.permit.is_none();
+        let sent_at = self.start_sent_at.filter(|_| is_open)?;
         Some(expires_without_reading(
             sent_at + LATE_CALL_ALLOWANCE,
             max_lease,
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -18,15 +18,22 @@
 }
 
 impl Term {
+    /// Handles the answer to a start order, and returns whether the known incarnation can have given
+    /// it.
     pub(super) fn handle_start_answer(
         &mut self,
         order: &OrderedRun<'_>,
         answer: OrderAnswer,
         now: Now,
-    ) {
-        if !self.is_answer_of_known_incarnation(order, answer, now) {
-            return;
+    ) -> bool {
+        let is_known = self.is_answer_of_known_incarnation(order, answer, now);
+        if is_known {
+            self.apply_start_answer(order, answer, now);
         }
+        is_known
+    }
+
+    fn apply_start_answer(&mut self, order: &OrderedRun<'_>, answer: OrderAnswer, now: Now) {
         let Some(run) = self.runs.get_mut(order.task) else {
             return;
         };
@@ -77,6 +84,14 @@
         }
     }
 
+    /// Notes that a start order was answered of which no other attempt is open.
+    pub(super) fn settle_start(&mut self, task: &TaskKey, run: RunNumber) {
+        let current = self.runs.get_mut(task);
+        if let Some(current) = current.filter(|current| current.run == run) {
+            current.start_is_settled = current.starts_sent == 1;
+        }
+    }
+
     /// Records the clock in an answer and returns whether it can be one of the known incarnation.
     /// What another incarnation did says nothing about the run; its first list shows it.
     fn is_answer_of_known_incarnation(
--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -8,9 +8,7 @@
 
 use super::super::calls::{StartOrder, StopOrder};
 use super::super::decisions::relays::{self, HostClass, RelayHost, ServedWorker};
-use super::super::relay::messages::{
-    Grant, Instructions, RelayEvent, RelayEventKind, RelayReport, RelayedOrder, WorkerOrder,
-};
+use super::super::relay::messages::{Grant, Instructions, RelayReport, RelayedOrder, WorkerOrder};
 use super::super::spec::TaskKey;
 use super::orders::OrderedRun;
 use super::reports::target;
@@ -451,50 +449,4 @@
         }
         caller.relaying_paused_until = now + RELAY_PAUSE;
     }
-
-    pub(super) fn handle_relay_event(&mut self, relay: &HostId, event: RelayEvent, now: Now) {
-        let RelayEvent {
-            worker,
-            incarnation,
-            kind,
-        } = event;
-        let run_of = |task, run| OrderedRun {
-            task,
-            run,
-            worker: &worker,
-        };
-        let Some(live) = self.workers.get(&worker) else {
-            return;
-        };
-        // The clock and the numbers of ends start anew with each incarnation.
-        if live.record.incarnation != incarnation {
-            return;
-        }
-        // A former relay may still report on the worker.
-        let current = live.relay.as_ref() == Some(relay);
-        match kind {
-            RelayEventKind::StartAnswered { task, run, answer } => {
-                self.handle_start_answer(&run_of(&task, run), answer, now);
-            }
-            RelayEventKind::StartUnanswered {
-                task,
-                run,
-                may_have_arrived,
-            } => self.handle_unanswered_start(&run_of(&task, run), may_have_arrived, now),
-            RelayEventKind::StopAnswered { task, run, answer } => {
-                self.handle_stop_answer(&run_of(&task, run), answer, now);
-            }
-            RelayEventKind::Listed {
-                granted_at_ms,
-                report,
-            } if current => {
-                let asked_at = self.began_at + Duration::from_millis(granted_at_ms);
-                self.handle_report(&worker, asked_at, &report, now);
-            }
-            RelayEventKind::Silent { failure } if current => {
-                self.handle_no_answer(&worker, incarnation, &failure, now);
-            }
-            RelayEventKind::Listed { .. } | RelayEventKind::Silent { .. } => {}
-        }
-    }
 }
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -1,17 +1,74 @@
-//! Handles the answers of workers to renewals: their lists of running and ended runs.
+//! Handles the reports of relays: the lists of running and ended runs with which workers answer
+//! renewals, and the outcomes of orders.
 
 use std::time::{Duration, Instant};
 
 use super::super::calls::{CallFailure, ListedEnd, ListedRun, WorkerReport, WorkerTarget};
 use super::super::decisions::progress::{Progress, RESTARTED_RUN_TIME};
 use super::super::records::{RunNumber, RunOutcome};
+use super::super::relay::messages::{RelayEvent, RelayEventKind};
 use super::super::spec::TaskKey;
 use super::Now;
+use super::orders::OrderedRun;
 use super::term::{Effect, OrderKind, RunPhase, Term};
-use crate::ids::{Incarnation, WorkerId};
+use crate::ids::{HostId, Incarnation, WorkerId};
 use crate::scheduling::ledger::WorkerStatus;
 
 impl Term {
+    pub(super) fn handle_relay_event(&mut self, relay: &HostId, event: RelayEvent, now: Now) {
+        let RelayEvent {
+            worker,
+            incarnation,
+            kind,
+        } = event;
+        let run_of = |task, run| OrderedRun {
+            task,
+            run,
+            worker: &worker,
+        };
+        let Some(live) = self.workers.get(&worker) else {
+            return;
+        };
+        // The clock and the numbers of ends start anew with each incarnation.
+        if live.record.incarnation != incarnation {
+            return;
+        }
+        // A former relay may still report on the worker.
+        let current = live.relay.as_ref() == Some(relay);
+        match kind {
+            RelayEventKind::StartAnswered {
+                task,
+                run,
+                answer,
+                earlier_attempt_open,
+            } => {
+                let is_known = self.handle_start_answer(&run_of(&task, run), answer, now);
+                if is_known && answer.clock_ms.is_some() && !earlier_attempt_open {
+                    self.settle_start(&task, run);
+                }
+            }
+            RelayEventKind::StartUnanswered {
+                task,
+                run,
+                may_have_arrived,
+            } => self.handle_unanswered_start(&run_of(&task, run), may_have_arrived, now),
+            RelayEventKind::StopAnswered { task, run, answer } => {
+                self.handle_stop_answer(&run_of(&task, run), answer, now);
+            }
+            RelayEventKind::Listed {
+                granted_at_ms,
+                report,
+            } if current => {
+                let asked_at = self.began_at + Duration::from_millis(granted_at_ms);
+                self.handle_report(&worker, asked_at, &report, now);
+            }
+            RelayEventKind::Silent { failure } if current => {
+                self.handle_no_answer(&worker, incarnation, &failure, now);
+            }
+            RelayEventKind::Listed { .. } | RelayEventKind::Silent { .. } => {}
+        }
+    }
+
     pub(super) fn handle_no_answer(
         &mut self,
         worker: &WorkerId,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -289,6 +289,8 @@
     pub give_up_at: Option<Instant>,
     /// Number of times the start order was sent.
     pub starts_sent: u32,
+    /// Whether the only copy of the start order was answered, so that it cannot be carried out later.
+    pub start_is_settled: bool,
 }
 
 impl LiveRun {
@@ -312,6 +314,7 @@
             start_sent_at: None,
             give_up_at: None,
             starts_sent: 0,
+            start_is_settled: false,
         }
     }
 
--- a/src/workflow/placer/tests/extremes.rs
+++ b/src/workflow/placer/tests/extremes.rs
@@ -175,7 +175,12 @@
         clock_ms: random.random_bool(0.7).then(|| number(random)),
     };
     match random.random_range(0..6) {
-        0 => RelayEventKind::StartAnswered { task, run, answer },
+        0 => RelayEventKind::StartAnswered {
+            task,
+            run,
+            answer,
+            earlier_attempt_open: false,
+        },
         1 => RelayEventKind::StopAnswered { task, run, answer },
         2 => RelayEventKind::StartUnanswered {
             task,
--- a/src/workflow/placer/tests/relays.rs
+++ b/src/workflow/placer/tests/relays.rs
@@ -68,6 +68,7 @@
             outcome,
             clock_ms: None,
         },
+        earlier_attempt_open: false,
     }
 }
 
@@ -325,6 +326,7 @@
             outcome: OrderOutcome::Done,
             clock_ms: Some(480_000),
         },
+        earlier_attempt_open: false,
     };
     report_event(&mut fixture, "entry-1", late);
     assert_eq!(fixture.term.workers["w"].clock, None);
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -11,6 +11,7 @@
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
+use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
 use crate::workflow::state::JobPhase;
 
 const STEP: Duration = Duration::from_millis(100);
@@ -129,6 +130,19 @@
     fixture
 }
 
+/// Guards against work that waits for a restarted worker although no order for it was sent there.
+#[test]
+fn a_run_without_a_start_order_is_placed_again_at_once() {
+    let mut fixture = with_relay();
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    fixture.announce("v");
+    fixture.restart("w");
+    step(&mut fixture);
+    let run = &fixture.term.runs[&task(0)];
+    assert_eq!((run.run, run.worker.as_str()), (2, "v"));
+}
+
 /// Guards against two runs of a task at once: the next incarnation of a worker carried out the start
 /// order for the former one, while the run counted as lost and was placed again.
 #[test]
@@ -169,7 +183,12 @@
     let mut fixture = restarted_with_start_in_flight();
     let restarted_at = fixture.now.at;
     fixture.announce("v");
-    expect_run_until(&mut fixture, "w", 1, restarted_at + MAX_LEASE);
+    expect_run_until(
+        &mut fixture,
+        "w",
+        1,
+        restarted_at + LATE_CALL_ALLOWANCE + MAX_LEASE,
+    );
     expect_next_run(&mut fixture, "w", 1);
 }
 
@@ -214,20 +233,73 @@
     assert!(fixture.orders.is_empty());
 }
 
-/// Guards against two runs of a task at once: a start order without an answer was carried out by the
-/// next incarnation of a worker from which nothing was heard any more.
+/// Lets the relay report the answer of the worker `w` to the start order of its run.
+fn report_start_answer(fixture: &mut Fixture, earlier_attempt_open: bool) {
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StartAnswered {
+            task: task(0),
+            run: 1,
+            answer: OrderAnswer {
+                outcome: OrderOutcome::Done,
+                clock_ms: Some(fixture.clock_ms()),
+            },
+            earlier_attempt_open,
+        },
+    };
+    let now = fixture.now;
+    let relay = fixture.term.workers["w"].relay.clone().unwrap();
+    fixture.term.handle_relay_event(&relay, event, now);
+}
+
+/// Guards against two runs of a task at once: a copy of a start order without an answer was carried
+/// out by the next incarnation of a worker from which nothing was heard any more. Without such a copy
+/// the run must not wait longer than the lease.
 #[test]
 fn a_start_without_an_answer_on_a_silent_worker_counts_for_the_longest_lease() {
-    let mut fixture = with_relay();
-    fixture.advance(3 * MAX_LEASE);
-    fixture.report("w", vec![], vec![]);
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
-    let sent_at = fixture.now.at;
-    fixture.announce("v");
-    expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
-    expect_next_run(&mut fixture, "w", 1);
+    let unanswered = |_: &mut Fixture| {};
+    let listed_only = |fixture: &mut Fixture| fixture.report("w", vec![listed(0, 1)], vec![]);
+    let second_attempt = |fixture: &mut Fixture| report_start_answer(fixture, true);
+    let second_order = |fixture: &mut Fixture| {
+        fixture.term.runs[&task(0)].starts_sent = 2;
+        report_start_answer(fixture, false);
+    };
+    let settled = |fixture: &mut Fixture| report_start_answer(fixture, false);
+    let permitted = |fixture: &mut Fixture| {
+        fixture.term.runs[&task(0)].permit = Some("permit".to_owned());
+    };
+    type Answer = fn(&mut Fixture);
+    let cases: [(Answer, bool); 6] = [
+        (unanswered, true),
+        (listed_only, true),
+        (second_attempt, true),
+        (second_order, true),
+        (settled, false),
+        (permitted, false),
+    ];
+    for (number, (answer, is_open)) in cases.into_iter().enumerate() {
+        let mut fixture = with_relay();
+        fixture.advance(3 * MAX_LEASE);
+        fixture.report("w", vec![], vec![]);
+        fixture.submit(vec![stage(1)]);
+        fixture.commit_all();
+        assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+        let sent_at = fixture.now.at;
+        answer(&mut fixture);
+        fixture.announce("v");
+        if is_open {
+            let until = sent_at + LATE_CALL_ALLOWANCE + MAX_LEASE;
+            expect_run_until(&mut fixture, "w", 1, until);
+        } else {
+            expect_run_until(&mut fixture, "w", 1, sent_at + LEASE);
+        }
+        expect_next_run(&mut fixture, "w", 1);
+        assert!(
+            is_open || fixture.now.at < sent_at + MAX_LEASE,
+            "case {number}"
+        );
+    }
 }
 
 /// Guards against two runs of a task at once: the answer of the next incarnation to a start order for
--- a/src/workflow/relay/messages.rs
+++ b/src/workflow/relay/messages.rs
@@ -120,6 +120,8 @@
         run: RunNumber,
         /// Answer of the worker.
         answer: OrderAnswer,
+        /// Whether an earlier attempt has no answer, so that the worker may carry it out later.
+        earlier_attempt_open: bool,
     },
     /// A start order was abandoned without an answer.
     StartUnanswered {
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -81,6 +81,7 @@
                         task: order.task,
                         run: order.run,
                         answer,
+                        earlier_attempt_open: may_have_arrived,
                     };
                     self.queue_event(order.fence, target, event);
                     return;
