feature: two lost disks of six and a power loss of all hosts, on real processes

The case was covered with one empty disk of three only, without requests in flight and with all hosts starting together. A cell of six storage hosts and two entry hosts now loses two disks at the moment in which all hosts are killed, three times for each seed. The seed chooses the disks (half of the time with that of the leader) and the order of the three starts: together, empty disks before the others, empty disks after them. It also chooses the moment: idle; requests in flight; requests in flight with two followers behind; the hosts that lose their disks go on for 200 ms without the others.

Checked: each acknowledged job and cancellation is shown, none in an earlier state; each storage host shows the configuration that was acknowledged last or a later one; two full and two empty disks refuse all requests for 3 s; a new job completes; the empty disks take part as new incarnations. The test of one disk of three runs through the same body, with cancellations and a new job in addition. What a cell has acknowledged and its checks move to platform_support/recorded.rs; they also read the configuration before the jobs, and fail at once when a job is missing or its state goes back. All lines of the hosts are kept in a file after a failure.

--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -3,139 +3,316 @@
 
 mod platform_support;
 
-use std::sync::Arc;
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use http::Method;
 use platform_support::processes::HostProcesses;
-use platform_support::{Cell, Ports, Runner, WAIT_TIMEOUT, await_some, configuration};
+use platform_support::recorded::{
+    TestCell, body_text, lacks_configuration, path, send_requests, short_job,
+};
+use platform_support::{CellSize, WAIT_TIMEOUT, configuration};
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
-use serde_json::{Value, json};
-use tempfile::TempDir;
+use serde_json::Value;
 
-/// Storage hosts are numbered from 1.
-const STORAGE_HOSTS: usize = 3;
-/// Environment variable with a range of seeds for [`accepted_work_survives_seeded_faults`], such as
-/// `100..150`.
+/// Storage hosts of a small cell; they are numbered from 1.
+const STORAGE_HOSTS: usize = CellSize::SMALL.storage_hosts;
+/// A cell that survives the loss of two disks.
+const LARGE: CellSize = CellSize {
+    storage_hosts: 6,
+    entry_hosts: 2,
+};
+/// Environment variable with a range of seeds for the seeded tests, such as `100..150`.
 const SEEDS_VARIABLE: &str = "JUJUBEWINCH_FAULT_SEEDS";
+/// Seed that takes the leader's disk in each round: with requests in flight, while it goes on for a
+/// moment, and while others are behind.
+const LARGE_CELL_SEED: u64 = 45;
+/// Time for which a minority must not serve: several election timeouts.
+const REFUSAL_TIME: Duration = Duration::from_secs(3);
+/// Time between two parts of a power loss. A leader without a majority leads for 420 ms at most.
+const STAGGER_TIME: Duration = Duration::from_millis(200);
+/// Callers at the moment of a power loss.
+const BUSY_CALLERS: usize = 4;
+/// Jobs that they have had acknowledged before it.
+const BUSY_JOBS: usize = 32;
+/// Delay after which all lines that were logged before have arrived; hosts write them every 50 ms.
+const LOG_DELAY: Duration = Duration::from_millis(300);
 
-/// A cell of processes with one runner, and what it has acknowledged.
-struct TestCell {
-    cell: Cell,
-    processes: HostProcesses,
-    runner: Arc<Runner>,
-    heartbeats: u64,
-    /// Latest version of the configuration that was acknowledged.
-    version: u64,
-    jobs: Vec<String>,
-    _folder: TempDir,
+/// Guards against a cell that ends for good once the disks of a majority of its storage hosts have
+/// refused writes for a while, one after the other.
+#[test]
+fn a_cell_survives_disks_that_refuse_writes_in_turn() {
+    let mut test = TestCell::start(17_410, CellSize::SMALL);
+    for round in 0..2 * STORAGE_HOSTS {
+        let host = round % STORAGE_HOSTS + 1;
+        test.processes.set_disk_full(host, true);
+        test.work_for(Duration::from_millis(1_500));
+        test.processes.set_disk_full(host, false);
+        test.work_for(Duration::from_millis(1_500));
+    }
+    test.check();
+}
+
+/// Order in which hosts start after a power loss.
+#[derive(Clone, Copy, Debug)]
+enum StartOrder {
+    Together,
+    /// Hosts with empty disks and a minority with full ones start before the others.
+    EmptyFirst,
+    /// Hosts with empty disks start once the others serve.
+    EmptyLast,
+}
+
+/// What happens while hosts lose power.
+#[derive(Clone, Copy, Debug)]
+enum LossMoment {
+    /// No request is in flight.
+    Idle,
+    /// Callers and operators send requests.
+    Busy,
+    /// As `Busy`, while as many storage hosts as lose their disks are behind with the log. The latest
+    /// entries may be on a single full disk.
+    Lagging,
+    /// As `Busy`, but the hosts that lose their disks go on for a moment without the others. What they
+    /// acknowledge by themselves is lost.
+    Staggered,
+}
+
+/// Loss of disks at the moment in which all hosts lose power.
+#[derive(Debug)]
+struct PowerLoss {
+    /// Storage hosts that start again with an empty disk.
+    empty: Vec<usize>,
+    moment: LossMoment,
+    order: StartOrder,
+}
+
+impl PowerLoss {
+    /// Draws the same numbers whichever host leads, so that a seed stands for one loss.
+    fn random(rng: &mut StdRng, order: StartOrder, leader: usize, size: CellSize) -> Self {
+        let moments = [
+            LossMoment::Idle,
+            LossMoment::Busy,
+            LossMoment::Lagging,
+            LossMoment::Staggered,
+        ];
+        let moment = moments[rng.random_range(0..moments.len())];
+        let with_leader = rng.random_bool(0.5);
+        let mut empty: Vec<usize> = (1..=size.storage_hosts).collect();
+        empty.shuffle(rng);
+        if with_leader {
+            empty.retain(|host| *host != leader);
+            empty.insert(0, leader);
+        }
+        empty.truncate(size.tolerated_losses());
+        Self {
+            empty,
+            moment,
+            order,
+        }
+    }
 }
 
 impl TestCell {
-    fn start(first_port: u16) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let ports = Ports::starting_at(first_port);
-        let processes = HostProcesses::start(folder.path(), ports);
-        let mut test = Self {
-            cell: Cell::of_processes(ports),
-            processes,
-            runner: Runner::start(),
-            heartbeats: 0,
-            version: 0,
-            jobs: Vec::new(),
-            _folder: folder,
-        };
-        test.work();
-        test
+    /// Takes power and disks from the hosts, starts them again, and checks that nothing that was
+    /// acknowledged is missing or shown older, and that the cell serves.
+    fn lose_power(&mut self, loss: &PowerLoss) {
+        self.work_for(Duration::from_millis(500));
+        self.cancel();
+        let mut others = self.storage_hosts();
+        others.retain(|host| !loss.empty.contains(host));
+        match loss.moment {
+            LossMoment::Idle => self.processes.kill_all(),
+            _ => self.kill_all_while_busy(loss, &others),
+        }
+        for host in &loss.empty {
+            self.processes.empty_disk(*host);
+        }
+        let entries = self.cell.size.entries();
+        match loss.order {
+            StartOrder::Together => {
+                (1..=self.cell.size.hosts()).for_each(|host| self.processes.start_host(host));
+            }
+            StartOrder::EmptyFirst => {
+                let later = others.split_off(self.cell.size.tolerated_losses());
+                let first: Vec<usize> = loss.empty.iter().chain(&others).copied().collect();
+                let started = first.iter().copied().chain(entries);
+                started.for_each(|host| self.processes.start_host(host));
+                self.check_refusals(&first);
+                later
+                    .iter()
+                    .for_each(|host| self.processes.start_host(*host));
+            }
+            StartOrder::EmptyLast => {
+                let started = others.iter().copied().chain(entries);
+                started.for_each(|host| self.processes.start_host(host));
+                self.check_work(&others);
+                self.work();
+                self.check_work(&others);
+                loss.empty
+                    .iter()
+                    .for_each(|host| self.processes.start_host(*host));
+            }
+        }
+        self.check();
+        self.work();
+        self.check();
     }
 
-    /// Sends a heartbeat, a change of the configuration and a job, each until it is acknowledged.
-    fn work(&mut self) {
-        self.heartbeats += 1;
-        self.cell.announce("i-1", &self.runner, self.heartbeats);
-        self.version += 1;
-        let answer = self.cell.configure(self.version);
-        assert_eq!(answer.status, 200, "version {}", self.version);
-        let job = format!("00c0ffee{:08x}", self.jobs.len());
-        let body = json!({"task_spec": "plan", "steps": [
-            {"count": 2, "cpu": 100, "mem_mb": 10, "estimate_ms": 150}]});
-        await_some(|| {
-            let answer = self
-                .cell
-                .caller(Method::POST, &format!("/plans/{job}"), &body)?;
-            (answer.status == 200).then_some(())
+    /// Kills all hosts while several callers send requests; `others` are the storage hosts that keep
+    /// their disks.
+    fn kill_all_while_busy(&mut self, loss: &PowerLoss, others: &[usize]) {
+        let leader = self.processes.leader().map(|(_, host)| host);
+        let followers = others.iter().filter(|host| Some(**host) != leader);
+        let behind: Vec<usize> = match loss.moment {
+            LossMoment::Lagging => followers.take(loss.empty.len()).copied().collect(),
+            _ => Vec::new(),
+        };
+        let mut asked = self.storage_hosts();
+        asked.retain(|host| !behind.contains(host));
+        for host in &behind {
+            self.processes.signal(*host, Signal::STOP);
+        }
+        let (cell, record, stopped) = (&self.cell, &self.record, &AtomicBool::new(false));
+        let (wanted, asked) = (record.lock().unwrap().jobs.len() + BUSY_JOBS, &asked);
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        thread::scope(|scope| {
+            for caller in 0..BUSY_CALLERS {
+                let entry = cell.size.entries().start() + caller % cell.size.entry_hosts;
+                scope.spawn(move || send_requests(cell, record, entry, asked, stopped));
+            }
+            // A panic here would wait for the callers, which nobody stops.
+            while record.lock().unwrap().jobs.len() < wanted && Instant::now() < deadline {
+                thread::sleep(Duration::from_millis(10));
+            }
+            if let LossMoment::Staggered = loss.moment {
+                for host in others {
+                    self.processes.signal(*host, Signal::KILL);
+                }
+                thread::sleep(STAGGER_TIME);
+            }
+            self.processes.kill_all();
+            stopped.store(true, Ordering::Release);
         });
-        self.jobs.push(job);
+        let jobs = record.lock().unwrap().jobs.len();
+        assert!(jobs >= wanted, "{jobs} of {wanted} jobs were accepted");
     }
 
-    fn work_for(&mut self, time: Duration) {
-        let until = Instant::now() + time;
-        while Instant::now() < until {
-            self.work();
-            thread::sleep(Duration::from_millis(100));
+    /// Checks that a minority of the hosts with full disks, with the hosts that have empty ones,
+    /// refuses all requests for a while.
+    fn check_refusals(&self, storage_hosts: &[usize]) {
+        let mut record = self.record.lock().unwrap();
+        let (document, new) = (configuration(record.next_version()), record.next_job());
+        let known = &record.jobs[0].name;
+        let (control, callers) = (self.cell.ports.control, self.cell.ports.callers);
+        let mut requests = Vec::new();
+        for host in storage_hosts {
+            let url = format!("http://127.0.0.{host}:{control}/api/config");
+            requests.push((Method::GET, url.clone(), Value::Null));
+            requests.push((Method::PUT, url, document.clone()));
+        }
+        for entry in self.cell.size.entries() {
+            let url = format!("http://127.0.0.{entry}:{callers}");
+            requests.push((Method::GET, url.clone() + &path(known), Value::Null));
+            requests.push((Method::POST, url + &path(&new), short_job()));
         }
+        let until = Instant::now() + REFUSAL_TIME;
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        let await_refusals = |method: &Method, url: &str, body: &Value| {
+            let mut refused = false;
+            while Instant::now() < until || !refused {
+                assert!(Instant::now() < deadline, "{method} {url}: no answer");
+                if let Some(answer) = self.cell.send(method.clone(), url, body) {
+                    refused = answer.status >= 500 && !lacks_configuration(&answer);
+                    let (status, body) = (answer.status, body_text(&answer));
+                    assert!(refused, "{method} {url}: {status} {body}");
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        };
+        let await_refusals = &await_refusals;
+        thread::scope(|scope| {
+            for (method, url, body) in &requests {
+                scope.spawn(move || await_refusals(method, url, body));
+            }
+        });
     }
 
-    /// Checks that all jobs that were accepted complete, that no task ran twice at a time, and that
-    /// each storage host has the latest configuration.
-    fn check(&mut self) {
-        self.processes.assert_running();
+    /// Waits until the cell tolerates the loss of disks again: enough members vote, no former voter
+    /// is still to be re-admitted, and hosts that have lost a disk take part as new incarnations.
+    /// Returns the leader.
+    fn await_members(&mut self) -> usize {
+        let size = self.cell.size;
         let deadline = Instant::now() + WAIT_TIMEOUT;
-        for job in &self.jobs {
-            while self.cell.state(job).as_deref() != Some("completed") {
-                assert!(Instant::now() < deadline, "job {job} does not complete");
-                // The runner is used only while it sends heartbeats.
-                self.heartbeats += 1;
-                self.cell.announce("i-1", &self.runner, self.heartbeats);
-                thread::sleep(Duration::from_millis(50));
+        loop {
+            let seen = (self.processes.leader(), self.processes.members());
+            assert!(Instant::now() < deadline, "members are missing: {seen:?}");
+            // The change may not be committed. A later one of the same leader shows that it is.
+            self.work();
+            thread::sleep(LOG_DELAY);
+            let (Some((_, leader)), members) = &seen else {
+                continue;
+            };
+            if seen != (self.processes.leader(), self.processes.members()) {
+                continue;
             }
-        }
-        assert_eq!(self.runner.overlaps(), 0);
-        let expected = configuration(self.version);
-        for host in 1..=STORAGE_HOSTS {
-            let url = format!(
-                "http://127.0.0.{host}:{}/api/config",
-                self.cell.ports.control
-            );
-            let read = await_some(|| {
-                let answer = self.cell.send(Method::GET, &url, &Value::Null)?;
-                (answer.status == 200).then_some(answer.body)
+            let voters = members.iter().filter(|member| member.role == "Voter");
+            let present = members.iter().filter(|member| {
+                member.role != "Returning"
+                    && !self.emptied.contains(&(member.host, member.incarnation))
             });
-            let read: Value = serde_json::from_slice(&read).unwrap();
-            assert_eq!(read["version"], expected["version"], "at host {host}");
+            if voters.count() > 2 * size.tolerated_losses() && present.count() == size.storage_hosts
+            {
+                return *leader;
+            }
         }
     }
 }
 
-/// Guards against a cell that ends for good once the disks of a majority of its storage hosts have
-/// refused writes for a while, one after the other.
-#[test]
-fn a_cell_survives_disks_that_refuse_writes_in_turn() {
-    let mut test = TestCell::start(17_410);
-    for round in 0..2 * STORAGE_HOSTS {
-        let host = round % STORAGE_HOSTS + 1;
-        test.processes.set_disk_full(host, true);
-        test.work_for(Duration::from_millis(1_500));
-        test.processes.set_disk_full(host, false);
-        test.work_for(Duration::from_millis(1_500));
-    }
-    test.check();
-}
-
 /// Guards against acknowledged work or changes that are missing, or shown older, after one storage host
 /// has lost its disk at the moment in which all hosts lose power.
 #[test]
 fn acknowledged_work_survives_a_lost_disk_and_a_power_loss_of_all_hosts() {
-    let mut test = TestCell::start(17_430);
+    let mut test = TestCell::start(17_430, CellSize::SMALL);
     for empty in 1..=STORAGE_HOSTS {
-        test.work_for(Duration::from_millis(500));
-        test.processes.kill_all();
-        test.processes.empty_disk(empty);
-        (1..=STORAGE_HOSTS + 1).for_each(|host| test.processes.start_host(host));
-        test.check();
+        test.lose_power(&PowerLoss {
+            empty: vec![empty],
+            moment: LossMoment::Idle,
+            order: StartOrder::Together,
+        });
+    }
+}
+
+/// Guards against the same after two of six storage hosts have lost their disks, and against hosts with
+/// empty disks that count before they are re-admitted. Without the variable, runs one seed.
+#[test]
+fn acknowledged_work_survives_two_lost_disks_of_six_and_a_power_loss_of_all_hosts() {
+    for seed in seeds(LARGE_CELL_SEED) {
+        let mut test = TestCell::start(17_440, LARGE);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut leader = test.await_members();
+        let mut orders = [
+            StartOrder::Together,
+            StartOrder::EmptyFirst,
+            StartOrder::EmptyLast,
+        ];
+        orders.shuffle(&mut rng);
+        for order in orders {
+            let loss = PowerLoss::random(&mut rng, order, leader, LARGE);
+            println!("seed {seed}, leader {leader}: {loss:?}");
+            for member in test.processes.members() {
+                if loss.empty.contains(&member.host) {
+                    test.emptied.push((member.host, member.incarnation));
+                }
+            }
+            test.lose_power(&loss);
+            leader = test.await_members();
+        }
     }
 }
 
@@ -200,15 +377,22 @@
     }
 }
 
+/// Returns the seeds that the environment names, otherwise the default.
+fn seeds(default: u64) -> Range<u64> {
+    let Ok(seeds) = std::env::var(SEEDS_VARIABLE) else {
+        return default..default + 1;
+    };
+    let (first, last) = seeds.split_once("..").expect("a range of seeds");
+    first.parse().unwrap()..last.parse().unwrap()
+}
+
 /// Guards against lost or repeated work and lost changes after faults that come in series and
 /// overlap. Without the variable, runs one seed.
 #[test]
 fn accepted_work_survives_seeded_faults() {
-    let seeds = std::env::var(SEEDS_VARIABLE).unwrap_or_else(|_| "1..2".to_owned());
-    let (first, last) = seeds.split_once("..").expect("a range of seeds");
-    for seed in first.parse::<u64>().unwrap()..last.parse::<u64>().unwrap() {
+    for seed in seeds(1) {
         println!("seed {seed}");
-        let mut test = TestCell::start(17_420);
+        let mut test = TestCell::start(17_420, CellSize::SMALL);
         let mut rng = StdRng::seed_from_u64(seed);
         run_faults(&mut test, &mut rng, 40);
         test.work();
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -4,8 +4,10 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod processes;
+pub mod recorded;
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -260,22 +262,52 @@
     }
 }
 
-/// Storage hosts 127.0.0.1 to 127.0.0.3 and an entry host 127.0.0.4, in one process.
+/// Number of hosts of a cell. Storage hosts have the first addresses, entry hosts the next ones.
+#[derive(Clone, Copy)]
+pub struct CellSize {
+    pub storage_hosts: usize,
+    pub entry_hosts: usize,
+}
+
+impl CellSize {
+    /// Three storage hosts and an entry host.
+    pub const SMALL: Self = Self {
+        storage_hosts: 3,
+        entry_hosts: 1,
+    };
+
+    pub fn hosts(self) -> usize {
+        self.storage_hosts + self.entry_hosts
+    }
+
+    /// Numbers of the entry hosts.
+    pub fn entries(self) -> RangeInclusive<usize> {
+        self.storage_hosts + 1..=self.hosts()
+    }
+
+    /// Number of storage hosts that may be lost at once.
+    pub fn tolerated_losses(self) -> usize {
+        (self.storage_hosts - 1) / 2
+    }
+}
+
+/// Hosts 127.0.0.1 and so on, in this process or in processes of their own.
 pub struct Cell {
     pub hosts: Vec<Arc<WorkflowHost>>,
     pub ports: Ports,
+    pub size: CellSize,
     _listeners: Vec<Listeners>,
     client: Client,
 }
 
 impl Cell {
-    /// Starts the hosts; storage hosts keep their logs in subfolders of `folder`.
+    /// Starts the hosts of a small cell; storage hosts keep their logs in subfolders of `folder`.
     pub fn start(folder: &Path, ports: Ports) -> Self {
+        let size = CellSize::SMALL;
         let mut hosts = Vec::new();
         let mut listeners = Vec::new();
-        for number in 1..=4 {
-            let has_storage = number < 4;
-            let text = settings(number, folder, ports, has_storage);
+        for number in 1..=size.hosts() {
+            let text = settings(number, folder, ports, size);
             let settings = WorkflowSettings::parse(&text, "test").unwrap();
             let host = WorkflowHost::start(settings, outside_calls(None)).unwrap();
             listeners.push(Listeners::start(&host).unwrap());
@@ -284,16 +316,18 @@
         Self {
             hosts,
             ports,
+            size,
             _listeners: listeners,
             client: Client::new(ClientOptions::default()),
         }
     }
 
     /// Returns access to a cell whose hosts are processes of their own.
-    pub fn of_processes(ports: Ports) -> Self {
+    pub fn of_processes(ports: Ports, size: CellSize) -> Self {
         Self {
             hosts: Vec::new(),
             ports,
+            size,
             _listeners: Vec::new(),
             client: Client::new(ClientOptions::default()),
         }
@@ -308,8 +342,32 @@
         self.client.send(request).ok()
     }
 
+    /// Sends a caller's request to the first entry host.
     pub fn caller(&self, method: Method, path: &str, body: &Value) -> Option<ClientResponse> {
-        let url = format!("http://127.0.0.4:{}{path}", self.ports.callers);
+        self.caller_at(*self.size.entries().start(), method, path, body)
+    }
+
+    /// Sends a caller's request to an entry host.
+    pub fn caller_at(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Option<ClientResponse> {
+        let url = format!("http://127.0.0.{entry}:{}{path}", self.ports.callers);
+        self.send(method, &url, body)
+    }
+
+    /// Sends an operator's request or a heartbeat to a storage host.
+    pub fn control_at(
+        &self,
+        host: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Option<ClientResponse> {
+        let url = format!("http://127.0.0.{host}:{}{path}", self.ports.control);
         self.send(method, &url, body)
     }
 
@@ -318,9 +376,8 @@
     pub fn control(&self, method: &Method, path: &str, body: &Value) -> ClientResponse {
         let mut host = 0;
         await_some(|| {
-            host = host % 3 + 1;
-            let url = format!("http://127.0.0.{host}:{}{path}", self.ports.control);
-            let answer = self.send(method.clone(), &url, body);
+            host = host % self.size.storage_hosts + 1;
+            let answer = self.control_at(host, method.clone(), path, body);
             answer.filter(|answer| answer.status < 500)
         })
     }
@@ -345,7 +402,7 @@
 
     /// Position of the leader in `hosts`; `None` while the entry host knows no leader.
     pub fn leader(&self) -> Option<usize> {
-        let address = self.hosts[3].leader()?;
+        let address = self.hosts[self.size.storage_hosts].leader()?;
         address
             .strip_prefix("127.0.0.")?
             .parse::<usize>()
@@ -354,7 +411,8 @@
     }
 }
 
-fn settings(number: usize, folder: &Path, ports: Ports, has_storage: bool) -> String {
+fn settings(number: usize, folder: &Path, ports: Ports, size: CellSize) -> String {
+    let has_storage = number <= size.storage_hosts;
     let ip = format!("127.0.0.{number}");
     let listeners = if has_storage {
         format!("control = \"{ip}:{}\"", ports.control)
@@ -371,14 +429,16 @@
         String::new()
     };
     let seed = |number| format!("\"127.0.0.{number}:{}\"", ports.control);
+    // As on the users' platform, three seeds are named in a cell of any size.
     let seeds: Vec<String> = (1..=3).map(seed).collect();
     format!(
         "[host]\naddress = \"{ip}\"\nname = \"host-{number}\"\ndata_centre = \"lowell-yard\"\n{data}\n\
          [listeners]\npeers = \"{ip}:{}\"\n{listeners}\n\
-         [cell]\nseeds = [{}]\nforms_new_cell = true\ntolerated_losses = 1\n\
+         [cell]\nseeds = [{}]\nforms_new_cell = true\ntolerated_losses = {}\n\
          [timing]\nmax_worker_lease_ms = 10000\nstop_grace_ms = 6000\njob_retention_ms = 120000\n",
         ports.peers,
-        seeds.join(", ")
+        seeds.join(", "),
+        size.tolerated_losses()
     )
 }
 
--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -1,4 +1,4 @@
-//! Runs the storage hosts and the entry host of a cell as processes of their own, whose disks can
+//! Runs the storage hosts and the entry hosts of a cell as processes of their own, whose disks can
 //! be made to refuse writes.
 
 use std::io::{BufRead, BufReader};
@@ -9,55 +9,60 @@
 use std::thread;
 
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
+use serde_json::Value;
 
-use super::{Ports, settings};
+use super::{CellSize, Ports, settings};
 
 /// Program with its arguments, as in `deploy/system.toml`.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_jujubewinch");
-/// Lines of the log that are kept for a failure message.
-const KEPT_LINES: usize = 400;
-
-/// A host of the cell: storage hosts are numbered from 1 to 3, the entry host is 4.
-struct HostProcess {
-    child: Option<Child>,
-    log: Arc<Mutex<Vec<String>>>,
+/// Folder in which the logs of the hosts are kept after a failure.
+const LOG_FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+
+/// A member of the log, as the leader logs a change of the membership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LoggedMember {
+    /// Number of the host.
+    pub host: usize,
+    pub incarnation: u64,
+    /// `Voter`, `Returning` or `Learner`.
+    pub role: String,
 }
 
-/// All hosts of a cell; ends their processes when it is dropped.
+/// All hosts of a cell, numbered from 1 as in [`CellSize`]; ends their processes when it is dropped.
 pub struct HostProcesses {
     folder: PathBuf,
-    hosts: Vec<HostProcess>,
+    ports: Ports,
+    /// Process of each host; `None` while it does not run.
+    children: Vec<Option<Child>>,
+    /// Number of the host and text of each line that was logged, in the order of arrival.
+    log: Arc<Mutex<Vec<(usize, String)>>>,
 }
 
 impl HostProcesses {
-    /// Starts three storage hosts and an entry host. Their ports must be free: hosts that outlived
-    /// another run of the test would answer in their place.
-    pub fn start(folder: &Path, ports: Ports) -> Self {
-        let mut hosts = Vec::new();
-        for number in 1..=4 {
+    /// Starts all hosts. Their ports must be free: hosts that outlived another run of the test would
+    /// answer in their place.
+    pub fn start(folder: &Path, ports: Ports, size: CellSize) -> Self {
+        for number in 1..=size.hosts() {
             for port in [ports.peers, ports.callers, ports.readiness, ports.control] {
                 let address = format!("127.0.0.{number}:{port}");
                 TcpListener::bind(&address)
                     .unwrap_or_else(|error| panic!("{address} is not free: {error}"));
             }
-            let text = settings(number, folder, ports, number < 4);
+            let text = settings(number, folder, ports, size);
             std::fs::write(folder.join(format!("{number}.toml")), text).unwrap();
-            hosts.push(HostProcess {
-                child: None,
-                log: Arc::default(),
-            });
         }
         let mut processes = Self {
             folder: folder.to_owned(),
-            hosts,
+            ports,
+            children: (0..size.hosts()).map(|_| None).collect(),
+            log: Arc::default(),
         };
-        (1..=4).for_each(|number| processes.start_host(number));
+        (1..=size.hosts()).for_each(|number| processes.start_host(number));
         processes
     }
 
     /// Starts a host that does not run.
     pub fn start_host(&mut self, number: usize) {
-        let host = &mut self.hosts[number - 1];
         // A write beyond the size limit of files returns an error only while its signal is ignored.
         let mut child = Command::new("sh")
             .args(["-c", "trap '' XFSZ; exec \"$0\" --log-json cell", PROGRAM])
@@ -71,30 +76,26 @@
             .spawn()
             .unwrap();
         let output = BufReader::new(child.stdout.take().unwrap());
-        let log = Arc::clone(&host.log);
+        let log = Arc::clone(&self.log);
         thread::spawn(move || {
             for line in output.lines().map_while(Result::ok) {
-                let mut log = log.lock().unwrap();
-                if log.len() == KEPT_LINES {
-                    log.remove(0);
-                }
-                log.push(line);
+                log.lock().unwrap().push((number, line));
             }
         });
-        host.child = Some(child);
+        self.children[number - 1] = Some(child);
     }
 
     /// Panics if a host has ended by itself.
     pub fn assert_running(&mut self) {
-        for (position, host) in self.hosts.iter_mut().enumerate() {
-            let child = host.child.as_mut().expect("the host was started");
+        for (position, child) in self.children.iter_mut().enumerate() {
+            let child = child.as_mut().expect("the host was started");
             let status = child.try_wait().unwrap();
             assert_eq!(status, None, "host {} has ended", position + 1);
         }
     }
 
     fn pid(&self, number: usize) -> Option<Pid> {
-        let child = self.hosts[number - 1].child.as_ref()?;
+        let child = self.children[number - 1].as_ref()?;
         Pid::from_raw(i32::try_from(child.id()).ok()?)
     }
 
@@ -118,7 +119,7 @@
 
     /// Kills a host as in a crash and waits for its end.
     pub fn kill(&mut self, number: usize) {
-        if let Some(mut child) = self.hosts[number - 1].child.take() {
+        if let Some(mut child) = self.children[number - 1].take() {
             child.kill().unwrap();
             child.wait().unwrap();
         }
@@ -126,10 +127,10 @@
 
     /// Kills all hosts at the same moment, as when a site loses power, and waits for their end.
     pub fn kill_all(&mut self) {
-        for number in 1..=self.hosts.len() {
+        for number in 1..=self.children.len() {
             self.signal(number, Signal::KILL);
         }
-        (1..=self.hosts.len()).for_each(|number| self.kill(number));
+        (1..=self.children.len()).for_each(|number| self.kill(number));
     }
 
     /// Removes all files of a storage host that does not run.
@@ -137,32 +138,82 @@
         std::fs::remove_dir_all(self.folder.join(number.to_string())).unwrap();
     }
 
+    /// Returns the messages of the hosts that the closure maps to a value, in the order of arrival.
+    fn messages<T>(&self, read: impl Fn(&str) -> Option<T>) -> Vec<T> {
+        let log = self.log.lock().unwrap();
+        let messages = log.iter().filter_map(|(_, line)| {
+            let line: Value = serde_json::from_str(line).ok()?;
+            read(line["message"].as_str()?)
+        });
+        messages.collect()
+    }
+
+    /// Returns the latest term of the log and the host that leads in it.
+    pub fn leader(&self) -> Option<(u64, usize)> {
+        let elected = self.messages(|message| {
+            let (host, term) = message.split_once(" leads workflow in term ")?;
+            let host = host.strip_prefix("127.0.0.")?;
+            Some((term.parse().ok()?, host.parse().ok()?))
+        });
+        elected.into_iter().max()
+    }
+
+    /// Returns the members after the latest change; empty before the first one.
+    pub fn members(&self) -> Vec<LoggedMember> {
+        let mut memberships = self.messages(|message| {
+            let members = message.strip_prefix("membership of workflow becomes ")?;
+            let members = members.split("Member { host: \"127.0.0.").skip(1);
+            members.map(logged_member).collect::<Option<Vec<_>>>()
+        });
+        memberships.pop().unwrap_or_default()
+    }
+
     /// Returns the warnings and errors of all hosts.
     pub fn warnings(&self) -> String {
-        let mut text = String::new();
-        for (position, host) in self.hosts.iter().enumerate() {
-            let log = host.log.lock().unwrap();
-            let important = |line: &&String| {
-                line.contains("\"WARN\"") || line.contains("\"ERROR\"") || line.contains("again")
-            };
-            for line in log.iter().filter(important) {
-                text += &format!("host {}: {line}\n", position + 1);
-            }
-        }
-        text
+        let log = self.log.lock().unwrap();
+        let important = |(_, line): &&(usize, String)| {
+            line.contains("\"WARN\"") || line.contains("\"ERROR\"") || line.contains("again")
+        };
+        let lines = log.iter().filter(important);
+        lines
+            .map(|(host, line)| format!("host {host}: {line}\n"))
+            .collect()
     }
+
+    /// Writes all lines of the hosts to a file and returns its path.
+    fn keep_log(&self) -> std::io::Result<PathBuf> {
+        let name = format!("hosts-{}-{}.log", self.ports.peers, std::process::id());
+        let path = Path::new(LOG_FOLDER).join(name);
+        let log = self.log.lock().unwrap();
+        let lines = log
+            .iter()
+            .map(|(host, line)| format!("host {host}: {line}\n"));
+        std::fs::write(&path, lines.collect::<String>())?;
+        Ok(path)
+    }
+}
+
+/// Reads a member from the text after the common part of the host addresses.
+fn logged_member(text: &str) -> Option<LoggedMember> {
+    let (host, rest) = text.split_once("\", incarnation: ")?;
+    let (incarnation, rest) = rest.split_once(", role: ")?;
+    let (role, _) = rest.split_once(' ')?;
+    Some(LoggedMember {
+        host: host.parse().ok()?,
+        incarnation: incarnation.parse().ok()?,
+        role: role.to_owned(),
+    })
 }
 
 impl Drop for HostProcesses {
     fn drop(&mut self) {
-        for number in 1..=self.hosts.len() {
-            if let Some(child) = &mut self.hosts[number - 1].child {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
         }
         if thread::panicking() {
             eprintln!("{}", self.warnings());
+            eprintln!("logs of all hosts: {:?}", self.keep_log());
         }
     }
 }
