feature: simulated runners crash and start again

Change: the simulated runner is called through a proxy on loopback that keeps its address. A crash ends its runs; the next process has a new born, no fencing token, no runs, its clock at zero and its ends numbered from 1. The proxy holds chosen requests, which can be delivered to the next process before or after its other calls, and drops everything while it is cut. A lease longer than the maximum, 10 s unless a test sets another, is shortened to it. Starts and ends are recorded with their times, so that runs of one task that overlap are counted over several runners too. A lapse is recorded with the end of the lease, also when the check is late.

--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod processes;
+pub mod proxy;
 pub mod runner;
 
 use std::path::Path;
@@ -173,7 +174,7 @@
     json!({"service": "shopdesk", "addr": runner.address().to_string(),
         "zone": "lowell-yard", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
         "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0}, "labels": ["a", "r1"],
-        "clock_ms": 1, "seq": sequence, "born": 1})
+        "clock_ms": 1, "seq": sequence, "born": runner.born()})
 }
 
 /// A configuration with one queue.
--- /dev/null
+++ b/tests/platform_support/proxy.rs
@@ -0,0 +1,144 @@
+//! A proxy at the address of a simulated runner. It stays while the process behind it crashes and
+//! starts again, and can hold requests for the next process or drop everything.
+
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// Decides by the text of a request whether it is held.
+pub type Chosen = Box<dyn Fn(&str) -> bool + Send>;
+
+#[derive(Default)]
+struct State {
+    /// Address of the process; `None` while none runs.
+    process: Option<SocketAddr>,
+    /// Number of processes so far; the answers of earlier ones are discarded.
+    processes: u64,
+    is_cut: bool,
+    chosen: Option<Chosen>,
+    held: Vec<Vec<u8>>,
+}
+
+/// Forwards requests, one at a time for each connection.
+pub struct Proxy {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Proxy {
+    /// Listens on a free port of 127.0.0.1; there is no process yet.
+    pub fn start() -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::<Mutex<State>>::default();
+        let shared = Arc::clone(&state);
+        thread::spawn(move || {
+            for client in listener.incoming().map_while(Result::ok) {
+                let shared = Arc::clone(&shared);
+                thread::spawn(move || serve(client, &shared));
+            }
+        });
+        Self { address, state }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Forwards requests to a process from now on, or to none: it then closes connections at the
+    /// next request.
+    pub fn set_process(&self, process: Option<SocketAddr>) {
+        let mut state = self.state.lock().unwrap();
+        state.process = process;
+        state.processes += 1;
+    }
+
+    /// Drops all requests and answers from now on without closing connections, or forwards again.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.state.lock().unwrap().is_cut = is_cut;
+    }
+
+    /// Keeps the chosen requests from now on instead of forwarding them, and answers none of them.
+    pub fn hold(&self, chosen: Option<Chosen>) {
+        self.state.lock().unwrap().chosen = chosen;
+    }
+
+    /// Returns whether a request is held.
+    pub fn holds_request(&self) -> bool {
+        !self.state.lock().unwrap().held.is_empty()
+    }
+
+    /// Removes the held requests and returns them in the order of their arrival.
+    pub fn take_held(&self) -> Vec<Vec<u8>> {
+        std::mem::take(&mut self.state.lock().unwrap().held)
+    }
+}
+
+/// Sends a request to a process; its answer is read and discarded in the background.
+pub fn deliver(request: &[u8], process: SocketAddr) {
+    let mut connection = TcpStream::connect(process).unwrap();
+    connection.write_all(request).unwrap();
+    thread::spawn(move || read_message(&mut connection));
+}
+
+/// Serves a connection until it is closed or the process is gone.
+fn serve(mut client: TcpStream, state: &Mutex<State>) -> io::Result<()> {
+    loop {
+        let request = read_message(&mut client)?;
+        let (process, processes) = {
+            let mut state = state.lock().unwrap();
+            if state.is_cut {
+                continue;
+            }
+            let chosen = state.chosen.as_ref();
+            if chosen.is_some_and(|chosen| chosen(&String::from_utf8_lossy(&request))) {
+                state.held.push(request);
+                continue;
+            }
+            (state.process, state.processes)
+        };
+        let Some(process) = process else {
+            return Ok(());
+        };
+        let mut connection = TcpStream::connect(process)?;
+        connection.write_all(&request)?;
+        let answer = read_message(&mut connection)?;
+        let is_cut = {
+            let state = state.lock().unwrap();
+            if state.processes != processes {
+                return Ok(());
+            }
+            state.is_cut
+        };
+        if !is_cut {
+            client.write_all(&answer)?;
+        }
+    }
+}
+
+/// Reads a request or an answer up to the end of its body.
+fn read_message(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let mut message = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        if message_length(&message).is_some_and(|length| message.len() >= length) {
+            return Ok(message);
+        }
+        match stream.read(&mut chunk)? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            count => message.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
+
+/// Length of a message with its body; `None` while its header section is incomplete.
+fn message_length(message: &[u8]) -> Option<usize> {
+    let body = message.windows(4).position(|bytes| bytes == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&message[..body]).to_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"));
+    let length = length.map_or(0, |length| length.trim().parse().unwrap());
+    Some(body + length)
+}
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -1,8 +1,8 @@
-//! A simulated runner of the users' platform.
+//! A simulated runner of the users' platform, which can crash and start again.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -10,24 +10,70 @@
 use jujubewinch::http::{Request, Response, Server, ServerOptions};
 use serde_json::{Value, json};
 
-/// Run time of each task on a simulated runner.
-const RUN_TIME: Duration = Duration::from_millis(150);
+use super::await_some;
+use super::proxy::{Proxy, deliver};
+
 /// Delay of an answer that counts as lost; longer than the sender of an order waits for it.
 const LOST_ANSWER_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Properties of a simulated runner.
+#[derive(Clone, Copy)]
+pub struct RunnerOptions {
+    /// Run time of each task.
+    pub run_time: Duration,
+    /// Longest lease; a longer one is shortened to it.
+    pub max_hold: Duration,
+    /// Reading of the clock at the start of the first process; it is zero at the start of the others.
+    pub first_clock: Duration,
+}
+
+impl Default for RunnerOptions {
+    fn default() -> Self {
+        Self {
+            run_time: Duration::from_millis(150),
+            max_hold: Duration::from_secs(10),
+            first_clock: Duration::ZERO,
+        }
+    }
+}
+
 /// A simulated runner that checks run numbers, fencing tokens and the lease on its own clock, and
-/// lists the ends of runs until they are acknowledged.
+/// lists the ends of runs until they are acknowledged. It is called through a [`Proxy`].
 pub struct Runner {
-    started_at: Instant,
+    options: RunnerOptions,
+    proxy: Proxy,
     state: Mutex<RunnerState>,
     changed: Condvar,
     /// Number of further start orders that are carried out but whose answers are lost.
     pub lose_answers: AtomicUsize,
     server: Mutex<Option<Server>>,
+    /// Runs of all processes, in the order of their starts.
+    runs: Mutex<Vec<RecordedRun>>,
+}
+
+/// A run that was started.
+struct RecordedRun {
+    /// Number of the process that started it.
+    born: u64,
+    task: String,
+    run: u64,
+    started_at: Instant,
+    /// `None` while the run is at work.
+    ended_at: Option<Instant>,
+    /// Whether it ended because the process crashed.
+    crashed: bool,
 }
 
-#[derive(Default)]
+/// State of a process, which ends with it.
 struct RunnerState {
+    /// Number of the process, in place of the time of its start.
+    born: u64,
+    started_at: Instant,
+    first_clock: Duration,
+    /// Number of heartbeats that the process has sent.
+    heartbeats: u64,
+    /// Number of requests that the process has received.
+    received: usize,
     /// Highest fencing token that the runner has received.
     fence: u64,
     /// End of the lease on the runner's clock.
@@ -39,125 +85,287 @@
     /// Ends that are not acknowledged yet: number of the end, task, run number and outcome.
     ended: Vec<(u64, String, u64, &'static str)>,
     next_end: u64,
-    /// Task and run number of each started run, in order.
-    starts: Vec<(String, u64)>,
-    overlaps: usize,
+}
+
+impl RunnerState {
+    fn new(born: u64, first_clock: Duration) -> Self {
+        Self {
+            born,
+            started_at: Instant::now(),
+            first_clock,
+            heartbeats: 0,
+            received: 0,
+            fence: 0,
+            lease_until_ms: 0,
+            running: IndexMap::new(),
+            closed: IndexMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        (self.first_clock + self.started_at.elapsed()).as_millis() as u64
+    }
+
+    /// Time at which everything is killed unless the lease is renewed.
+    fn lapses_at(&self) -> Instant {
+        let left = Duration::from_millis(self.lease_until_ms).saturating_sub(self.first_clock);
+        self.started_at + left
+    }
 }
 
 impl Runner {
     /// Starts a runner on a free port of 127.0.0.1.
     pub fn start() -> Arc<Self> {
+        Self::start_with(RunnerOptions::default())
+    }
+
+    pub fn start_with(options: RunnerOptions) -> Arc<Self> {
         let runner = Arc::new(Self {
-            started_at: Instant::now(),
-            state: Mutex::new(RunnerState {
-                next_end: 1,
-                ..RunnerState::default()
-            }),
+            options,
+            proxy: Proxy::start(),
+            state: Mutex::new(RunnerState::new(1, options.first_clock)),
             changed: Condvar::new(),
             lose_answers: AtomicUsize::new(0),
             server: Mutex::new(None),
+            runs: Mutex::default(),
         });
-        let handler = Arc::clone(&runner);
-        let server = Server::start(
-            SocketAddr::from(([127, 0, 0, 1], 0)),
-            ServerOptions::default(),
-            Arc::new(move |request| handler.answer(&request)),
-        );
-        *runner.server.lock().unwrap() = Some(server.unwrap());
+        runner.start_process(&[]);
         let background = Arc::clone(&runner);
         thread::spawn(move || {
             loop {
                 thread::sleep(Duration::from_millis(10));
-                background.end_runs();
+                background.end_runs(&mut background.state.lock().unwrap());
             }
         });
         runner
     }
 
+    /// Starts the server of the process. It receives the requests in `first` before any other.
+    fn start_process(self: &Arc<Self>, first: &[Vec<u8>]) {
+        let handler = Arc::clone(self);
+        let born = self.born();
+        let server = Server::start(
+            SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            ServerOptions::default(),
+            Arc::new(move |request| handler.answer(&request, born)),
+        );
+        *self.server.lock().unwrap() = Some(server.unwrap());
+        self.deliver(first);
+        let server = self.server.lock().unwrap();
+        let process = server.as_ref().map(Server::local_address);
+        self.proxy.set_process(process);
+    }
+
+    /// Ends the process as in a crash: its runs end, and it answers no request any more.
+    pub fn crash(&self) {
+        self.proxy.set_process(None);
+        let mut state = self.state.lock().unwrap();
+        self.end_runs(&mut state);
+        let now = Instant::now();
+        for run in self.runs.lock().unwrap().iter_mut() {
+            run.crashed |= run.ended_at.is_none();
+            run.ended_at.get_or_insert(now);
+        }
+        *state = RunnerState::new(state.born + 1, Duration::ZERO);
+        self.changed.notify_all();
+        drop(state);
+        *self.server.lock().unwrap() = None;
+    }
+
+    /// Starts the next process at the address of the one that crashed. It receives the requests in
+    /// `first` before any other.
+    pub fn restart(self: &Arc<Self>, first: &[Vec<u8>]) {
+        self.state.lock().unwrap().started_at = Instant::now();
+        self.start_process(first);
+    }
+
+    /// Delivers held requests to the current process, one after the other, and returns once it has
+    /// received them. Their answers are lost.
+    pub fn deliver(&self, requests: &[Vec<u8>]) {
+        let server = self.server.lock().unwrap();
+        let process = server.as_ref().unwrap().local_address();
+        drop(server);
+        for request in requests {
+            let received = || self.state.lock().unwrap().received;
+            let before = received();
+            deliver(request, process);
+            await_some(|| (received() > before).then_some(()));
+        }
+    }
+
+    /// Proxy at the address of the runner.
+    pub fn proxy(&self) -> &Proxy {
+        &self.proxy
+    }
+
     pub fn address(&self) -> SocketAddr {
-        self.server
-            .lock()
-            .unwrap()
-            .as_ref()
-            .unwrap()
-            .local_address()
+        self.proxy.address()
+    }
+
+    /// Number of the process, in place of the time of its start.
+    pub fn born(&self) -> u64 {
+        self.state.lock().unwrap().born
+    }
+
+    /// Returns the sequence number of the next heartbeat of the process.
+    pub fn next_heartbeat(&self) -> u64 {
+        let mut state = self.state.lock().unwrap();
+        state.heartbeats += 1;
+        state.heartbeats
     }
 
     /// Returns the task and run number of each started run, in order.
     pub fn starts(&self) -> Vec<(String, u64)> {
-        self.state.lock().unwrap().starts.clone()
+        let runs = self.runs.lock().unwrap();
+        runs.iter().map(|run| (run.task.clone(), run.run)).collect()
     }
 
-    /// Number of runs that started while another run of the same task was active.
-    pub fn overlaps(&self) -> usize {
-        self.state.lock().unwrap().overlaps
+    /// Waits until the current process runs a task and returns the time of its start.
+    pub fn await_start(&self) -> Instant {
+        let born = self.born();
+        await_some(|| {
+            let runs = self.runs.lock().unwrap();
+            let run = runs.iter().find(|run| run.born == born)?;
+            Some(run.started_at)
+        })
     }
 
-    fn clock_ms(&self) -> u64 {
-        self.started_at.elapsed().as_millis() as u64
+    /// Whether a task that has already been lost in a crash of this runner is at work or named in one
+    /// of the held requests.
+    pub fn runs_crashed_task(&self, held: &[Vec<u8>]) -> bool {
+        let runs = self.runs.lock().unwrap();
+        let is_present = |task: &str| {
+            let at_work = |run: &RecordedRun| run.ended_at.is_none() && run.task == task;
+            let quoted = format!("\"{task}\"");
+            let named = |request: &Vec<u8>| String::from_utf8_lossy(request).contains(&quoted);
+            runs.iter().any(at_work) || held.iter().any(named)
+        };
+        let mut crashed = runs.iter().filter(|run| run.crashed);
+        crashed.any(|run| is_present(&run.task))
     }
 
-    fn end_runs(&self) {
-        let clock_ms = self.clock_ms();
-        let mut state = self.state.lock().unwrap();
-        let expired = clock_ms > state.lease_until_ms;
-        let finished: Vec<String> = state
+    /// Number of runs that started while another run of the same task was at work on this runner.
+    pub fn overlaps(&self) -> usize {
+        overlaps(&[self])
+    }
+
+    /// Ends runs that are complete, and all runs once the lease has expired. The recorded ends are
+    /// those of the runs, also when the check is late.
+    fn end_runs(&self, state: &mut RunnerState) {
+        let (now, lapses_at) = (Instant::now(), state.lapses_at());
+        let over = |(_, ends_at): &(u64, Instant)| (*ends_at).min(lapses_at) <= now;
+        let over: Vec<(String, Instant)> = state
             .running
             .iter()
-            .filter(|(_, (_, ends_at))| expired || Instant::now() >= *ends_at)
-            .map(|(task, _)| task.clone())
+            .filter(|(_, run)| over(run))
+            .map(|(task, (_, ends_at))| (task.clone(), *ends_at))
             .collect();
-        for task in finished {
-            state.close(&task, if expired { "lapsed" } else { "done" });
-            self.changed.notify_all();
+        for (task, ends_at) in over {
+            let outcome = if lapses_at < ends_at {
+                "lapsed"
+            } else {
+                "done"
+            };
+            self.close(state, &task, outcome, ends_at.min(lapses_at));
+        }
+    }
+
+    /// Removes the active run of a task and lists its end; has no effect without an active run.
+    fn close(&self, state: &mut RunnerState, task: &str, outcome: &'static str, at: Instant) {
+        let Some((run, _)) = state.running.shift_remove(task) else {
+            return;
+        };
+        state
+            .ended
+            .push((state.next_end, task.to_owned(), run, outcome));
+        state.next_end += 1;
+        let closed = state.closed.entry(task.to_owned()).or_insert(0);
+        *closed = run.max(*closed);
+        self.record_end(task, run, at);
+        self.changed.notify_all();
+    }
+
+    fn record_end(&self, task: &str, run: u64, at: Instant) {
+        let mut runs = self.runs.lock().unwrap();
+        let mut latest = runs.iter_mut().rev();
+        if let Some(recorded) = latest.find(|other| other.task == task && other.run == run) {
+            recorded.ended_at.get_or_insert(at);
         }
     }
 
-    fn answer(&self, request: &Request) -> Response {
+    /// Locks the state of a process; `None` if it has crashed.
+    fn lock(&self, born: u64) -> Option<MutexGuard<'_, RunnerState>> {
+        let state = self.state.lock().unwrap();
+        (state.born == born).then_some(state)
+    }
+
+    fn answer(&self, request: &Request, born: u64) -> Response {
+        // The proxy discards the answers of a process that has crashed.
+        self.answer_of_process(request, born)
+            .unwrap_or_else(|| Response::text(503, ""))
+    }
+
+    fn answer_of_process(&self, request: &Request, born: u64) -> Option<Response> {
         let body: Value = serde_json::from_slice(&request.body).unwrap();
         let fence = body["fence_token"].as_u64().unwrap_or(0);
         {
-            let mut state = self.state.lock().unwrap();
+            let mut state = self.lock(born)?;
+            self.end_runs(&mut state);
+            state.received += 1;
+            let clock_ms = state.clock_ms();
             if fence < state.fence {
-                let rejection = json!({"clock_ms": self.clock_ms(), "reason": "fence"});
-                return Response::json(409, &rejection);
+                let rejection = json!({"clock_ms": clock_ms, "reason": "fence"});
+                return Some(Response::json(409, &rejection));
             }
             state.fence = fence;
             if let Some(until_ms) = body["deadline_ms"].as_u64() {
-                state.lease_until_ms = state.lease_until_ms.max(until_ms);
+                let longest_ms = clock_ms + self.options.max_hold.as_millis() as u64;
+                state.lease_until_ms = state.lease_until_ms.max(until_ms.min(longest_ms));
             }
         }
         match request.path.as_str() {
-            "/api/run-start" => self.run_start(&body),
-            "/api/run-stop" => self.run_stop(&body),
-            "/api/hold" => self.hold(&body),
-            _ => Response::text(404, ""),
+            "/api/run-start" => self.run_start(&body, born),
+            "/api/run-stop" => self.run_stop(&body, born),
+            "/api/hold" => self.hold(&body, born),
+            _ => Some(Response::text(404, "")),
         }
     }
 
-    fn run_start(&self, body: &Value) -> Response {
+    fn run_start(&self, body: &Value, born: u64) -> Option<Response> {
         let task = body["task"].as_str().unwrap().to_owned();
         let run = body["run_id"].as_u64().unwrap();
-        let reject =
-            |reason| Response::json(409, &json!({"clock_ms": self.clock_ms(), "reason": reason}));
-        {
-            let mut state = self.state.lock().unwrap();
-            if self.clock_ms() > state.lease_until_ms {
-                return reject("late");
-            }
-            if state.closed.get(&task).is_some_and(|closed| run <= *closed) {
-                return reject("old");
-            }
-            match state.running.get(&task) {
-                Some((current, _)) if *current == run => {}
-                previous => {
-                    state.overlaps += usize::from(previous.is_some());
-                    let ends_at = Instant::now() + RUN_TIME;
-                    state.running.insert(task.clone(), (run, ends_at));
-                    state.starts.push((task, run));
-                }
+        let mut state = self.lock(born)?;
+        let clock_ms = state.clock_ms();
+        let reject = |reason| Response::json(409, &json!({"clock_ms": clock_ms, "reason": reason}));
+        let now = Instant::now();
+        if now >= state.lapses_at() {
+            return Some(reject("late"));
+        }
+        if state.closed.get(&task).is_some_and(|closed| run <= *closed) {
+            return Some(reject("old"));
+        }
+        let current = state.running.get(&task).map(|(current, _)| *current);
+        if current != Some(run) {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push(RecordedRun {
+                born,
+                task: task.clone(),
+                run,
+                started_at: now,
+                ended_at: None,
+                crashed: false,
+            });
+            drop(runs);
+            if let Some(replaced) = current {
+                // Ends after the start of the other run, so that both count as at work at once.
+                self.record_end(&task, replaced, now + Duration::from_nanos(1));
             }
+            let ends_at = now + self.options.run_time;
+            state.running.insert(task, (run, ends_at));
         }
+        drop(state);
         let lost =
             self.lose_answers
                 .fetch_update(Ordering::AcqRel, Ordering::Acquire, |remaining| {
@@ -166,37 +374,39 @@
         if lost.is_ok() {
             thread::sleep(LOST_ANSWER_DELAY);
         }
-        Response::json(200, &json!({"clock_ms": self.clock_ms()}))
+        let clock_ms = self.lock(born)?.clock_ms();
+        Some(Response::json(200, &json!({"clock_ms": clock_ms})))
     }
 
-    fn run_stop(&self, body: &Value) -> Response {
+    fn run_stop(&self, body: &Value, born: u64) -> Option<Response> {
         let task = body["task"].as_str().unwrap().to_owned();
         let run = body["run_id"].as_u64().unwrap();
-        let mut state = self.state.lock().unwrap();
-        if state
-            .running
-            .get(&task)
-            .is_some_and(|(current, _)| *current == run)
-        {
-            state.close(&task, "stopped");
+        let mut state = self.lock(born)?;
+        let current = state.running.get(&task).map(|(current, _)| *current);
+        if current == Some(run) {
+            self.close(&mut state, &task, "stopped", Instant::now());
         }
         let closed = state.closed.entry(task).or_insert(0);
         *closed = run.max(*closed);
         self.changed.notify_all();
-        Response::json(200, &json!({"clock_ms": self.clock_ms()}))
+        let clock_ms = state.clock_ms();
+        Some(Response::json(200, &json!({"clock_ms": clock_ms})))
     }
 
-    fn hold(&self, body: &Value) -> Response {
+    fn hold(&self, body: &Value, born: u64) -> Option<Response> {
         let cursor = body["ack_cursor"].as_u64().unwrap();
         let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock(born)?;
         state.ended.retain(|(number, ..)| *number > cursor);
-        let no_ends = |state: &mut RunnerState| state.ended.is_empty();
+        let no_ends = |state: &mut RunnerState| state.born == born && state.ended.is_empty();
         state = self
             .changed
             .wait_timeout_while(state, wait, no_ends)
             .unwrap()
             .0;
+        if state.born != born {
+            return None;
+        }
         let running: Vec<Value> = state
             .running
             .iter()
@@ -207,20 +417,30 @@
             .iter()
             .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
             .collect();
-        let answer = json!({"clock_ms": self.clock_ms(), "running": running, "ended_runs": ended, "born": 1});
-        Response::json(200, &answer)
+        let answer = json!({"clock_ms": state.clock_ms(), "running": running,
+            "ended_runs": ended, "born": born});
+        Some(Response::json(200, &answer))
     }
 }
 
-impl RunnerState {
-    /// Removes the active run of a task and lists its end; has no effect without an active run.
-    fn close(&mut self, task: &str, outcome: &'static str) {
-        if let Some((run, _)) = self.running.shift_remove(task) {
-            self.ended
-                .push((self.next_end, task.to_owned(), run, outcome));
-            self.next_end += 1;
-            let closed = self.closed.entry(task.to_owned()).or_insert(0);
-            *closed = run.max(*closed);
-        }
+/// Number of runs that started on one of the runners while another run of the same task was at work
+/// on any of them.
+pub fn overlaps(runners: &[&Runner]) -> usize {
+    let mut runs = Vec::new();
+    for runner in runners {
+        runner.end_runs(&mut runner.state.lock().unwrap());
+        let recorded = runner.runs.lock().unwrap();
+        let recorded = recorded.iter();
+        runs.extend(recorded.map(|run| (run.task.clone(), run.started_at, run.ended_at)));
     }
+    runs.sort_by_key(|(_, started_at, _)| *started_at);
+    let at_work = |position: usize| {
+        let (task, started_at, _) = &runs[position];
+        runs[..position].iter().any(|(other, _, ended_at)| {
+            other == task && ended_at.is_none_or(|ended_at| ended_at > *started_at)
+        })
+    };
+    (0..runs.len())
+        .filter(|position| at_work(*position))
+        .count()
 }
