bug: the test of a late start order depends on the order of a stop

Cause: the present code starts the task again and stops the run of the next process at about the same time.

--- a/tests/workflow_restarts.rs
+++ b/tests/workflow_restarts.rs
@@ -113,7 +113,9 @@
     let other = Runner::start_with(options);
     cell.announce("i-2", &other, 1);
     restarted.crash();
-    restarted.proxy().hold(None);
+    // Stop orders are lost, so that the run of the next process is at work for its whole run time.
+    let is_stop = |request: &str| request.contains("/api/run-stop");
+    restarted.proxy().hold(Some(Box::new(is_stop)));
     restarted.restart(&restarted.proxy().take_held());
     cell.announce("i-1", &restarted, 1);
     await_some(|| (cell.state(JOB).as_deref() == Some("completed")).then_some(()));
