feature: workers start again in the seeded faults of the cell

Change: two workers, one of which crashes and starts again in one of six rounds. Its requests are held before the crash while work arrives; each is lost, carried out by the next process before its other calls, or carried out after the next round. A task that was in a crash is not crashed again, since the cell gives up tasks that crash their workers. Tasks run for 1.5 s and the two of a job on different workers, so that start orders are in flight and runs can overlap.

--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jujubewinch::http::{Request, Response, Server, ServerOptions};
 use serde_json::{Value, json};
 
@@ -60,8 +60,6 @@
     started_at: Instant,
     /// `None` while the run is at work.
     ended_at: Option<Instant>,
-    /// Whether it ended because the process crashed.
-    crashed: bool,
 }
 
 /// State of a process, which ends with it.
@@ -165,7 +163,6 @@
         self.end_runs(&mut state);
         let now = Instant::now();
         for run in self.runs.lock().unwrap().iter_mut() {
-            run.crashed |= run.ended_at.is_none();
             run.ended_at.get_or_insert(now);
         }
         *state = RunnerState::new(state.born + 1, Duration::ZERO);
@@ -232,18 +229,13 @@
         })
     }
 
-    /// Whether a task that has already been lost in a crash of this runner is at work or named in one
-    /// of the held requests.
-    pub fn runs_crashed_task(&self, held: &[Vec<u8>]) -> bool {
+    /// Returns the tasks that are at work or named in one of the held requests.
+    pub fn present_tasks(&self, held: &[Vec<u8>]) -> IndexSet<String> {
+        let mut present: IndexSet<String> = held.iter().filter_map(|it| task_of(it)).collect();
         let runs = self.runs.lock().unwrap();
-        let is_present = |task: &str| {
-            let at_work = |run: &RecordedRun| run.ended_at.is_none() && run.task == task;
-            let quoted = format!("\"{task}\"");
-            let named = |request: &Vec<u8>| String::from_utf8_lossy(request).contains(&quoted);
-            runs.iter().any(at_work) || held.iter().any(named)
-        };
-        let mut crashed = runs.iter().filter(|run| run.crashed);
-        crashed.any(|run| is_present(&run.task))
+        let at_work = runs.iter().filter(|run| run.ended_at.is_none());
+        present.extend(at_work.map(|run| run.task.clone()));
+        present
     }
 
     /// Number of runs that started while another run of the same task was at work on this runner.
@@ -355,7 +347,6 @@
                 run,
                 started_at: now,
                 ended_at: None,
-                crashed: false,
             });
             drop(runs);
             if let Some(replaced) = current {
@@ -423,6 +414,13 @@
     }
 }
 
+/// Task that a request to a runner names.
+fn task_of(request: &[u8]) -> Option<String> {
+    let body = request.windows(4).position(|bytes| bytes == b"\r\n\r\n")? + 4;
+    let body: Value = serde_json::from_slice(&request[body..]).unwrap();
+    body["task"].as_str().map(str::to_owned)
+}
+
 /// Number of runs that started on one of the runners while another run of the same task was at work
 /// on any of them.
 pub fn overlaps(runners: &[&Runner]) -> usize {
