--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -1,25 +1,33 @@
 //! Runs a cell of real processes whose disks refuse writes and which are stopped, paused and
-//! killed, while callers and an operator go on.
+//! killed, while callers and an operator go on and workers start again.
 
 mod platform_support;
 
 use std::ops::Range;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use http::Method;
+use indexmap::IndexSet;
 use platform_support::processes::HostProcesses;
 use platform_support::recorded::{
     TestCell, body_text, lacks_configuration, path, send_requests, short_job,
 };
-use platform_support::{CellSize, WAIT_TIMEOUT, configuration};
+use platform_support::{CellSize, Runner, WAIT_TIMEOUT, configuration};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use serde_json::Value;
 
+/// Workers of the cell with seeded faults.
+const WORKERS: usize = 2;
+/// Average number of rounds between two restarts of workers.
+const RESTART_ROUNDS: usize = 6;
+/// Long enough for a second run of a task to begin while the first is at work.
+const RUN_TIME: Duration = Duration::from_millis(1_500);
 /// Storage hosts of a small cell; they are numbered from 1.
 const STORAGE_HOSTS: usize = CellSize::SMALL.storage_hosts;
 /// A cell that survives the loss of two disks.
@@ -346,10 +354,59 @@
     }
 }
 
-/// Begins and ends faults of one or two storage hosts at a time, which overlap at random.
-fn run_faults(test: &mut TestCell, rng: &mut StdRng, rounds: usize) {
+/// Crashes a worker whose requests are held and starts it again. Each held request is lost, carried
+/// out by the next process before its other calls, or returned.
+///
+/// A task that was in a crash before is not crashed again: the cell would be right to give it up.
+fn restart_worker(
+    worker: &Arc<Runner>,
+    crashed: &mut IndexSet<String>,
+    mut rng: StdRng,
+) -> Vec<Vec<u8>> {
+    let in_flight = Duration::from_millis(rng.random_range(300..1_200));
+    let pause = Duration::from_millis(rng.random_range(0..300));
+    thread::sleep(in_flight);
+    let mut held = worker.proxy().take_held();
+    let present = worker.present_tasks(&held);
+    if !present.is_disjoint(crashed) {
+        worker.proxy().hold(None);
+        held.extend(worker.proxy().take_held());
+        return held;
+    }
+    crashed.extend(present);
+    worker.crash();
+    worker.proxy().hold(None);
+    held.extend(worker.proxy().take_held());
+    thread::sleep(pause);
+    let (mut first, mut late) = (Vec::new(), Vec::new());
+    for request in held {
+        match rng.random_range(0..3) {
+            0 => first.push(request),
+            1 => late.push(request),
+            _ => {}
+        }
+    }
+    worker.restart(&first);
+    late
+}
+
+/// Begins and ends faults of one or two storage hosts at a time, which overlap at random, and lets
+/// workers crash and start again.
+fn run_faults(test: &mut TestCell, seed: u64, rounds: usize) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    // Restarts of workers do not change the faults of the storage hosts under a seed.
+    let mut restarts = StdRng::seed_from_u64(!seed);
+    let mut crashed = IndexSet::new();
+    // Requests that the next process of a worker carries out after other calls.
+    let mut late: Option<(Vec<Vec<u8>>, Arc<Runner>)> = None;
     let mut present: Vec<(usize, Fault, Instant)> = Vec::new();
     for _ in 0..rounds {
+        let position = restarts.random_range(0..RESTART_ROUNDS * WORKERS);
+        let restart = StdRng::seed_from_u64(restarts.random());
+        let worker = test.workers.get(position).cloned();
+        if let Some(worker) = &worker {
+            worker.proxy().hold(Some(Box::new(|_| true)));
+        }
         let host = rng.random_range(1..=STORAGE_HOSTS);
         let fault = match rng.random_range(0..6) {
             0..3 => Fault::DiskFull,
@@ -365,6 +422,15 @@
         if present.len() < 2 {
             test.work();
         }
+        if let Some((requests, worker)) = late.take() {
+            worker.deliver(&requests);
+        }
+        if let Some(worker) = worker {
+            late = Some((restart_worker(&worker, &mut crashed, restart), worker));
+            if present.len() < 2 {
+                test.announce();
+            }
+        }
         thread::sleep(Duration::from_millis(rng.random_range(50..500)));
         let now = Instant::now();
         let over = present.extract_if(.., |(_, _, until)| *until <= now);
@@ -392,9 +458,8 @@
 fn accepted_work_survives_seeded_faults() {
     for seed in seeds(1) {
         println!("seed {seed}");
-        let mut test = TestCell::start(17_420, CellSize::SMALL);
-        let mut rng = StdRng::seed_from_u64(seed);
-        run_faults(&mut test, &mut rng, 40);
+        let mut test = TestCell::start_with_workers(17_420, WORKERS, RUN_TIME);
+        run_faults(&mut test, seed, 40);
         test.work();
         test.check();
     }
--- a/tests/platform_support/recorded.rs
+++ b/tests/platform_support/recorded.rs
@@ -11,6 +11,7 @@
 use tempfile::TempDir;
 
 use super::processes::HostProcesses;
+use super::runner::{RunnerOptions, overlaps};
 use super::{Cell, CellSize, Ports, Runner, WAIT_TIMEOUT, await_some, configuration};
 
 /// State that a job has to reach.
@@ -131,12 +132,19 @@
     }
 }
 
-/// A cell of processes with one runner, and what it has acknowledged.
+/// A job whose two tasks work at the same time on different workers.
+fn job_on_two_workers() -> Value {
+    json!({"task_spec": "plan", "steps": [
+        {"count": 2, "cpu": 100, "mem_mb": 10, "estimate_ms": 1500, "anti_affinity": 1}]})
+}
+
+/// A cell of processes with its workers, and what it has acknowledged.
 pub struct TestCell {
     pub cell: Cell,
     pub processes: HostProcesses,
-    runner: Arc<Runner>,
-    heartbeats: u64,
+    pub workers: Vec<Arc<Runner>>,
+    /// Job that is submitted as work.
+    job: Value,
     pub record: Mutex<Record>,
     /// Storage hosts that have lost a disk, and the incarnation that was lost with it.
     pub emptied: Vec<(usize, u64)>,
@@ -144,15 +152,32 @@
 }
 
 impl TestCell {
+    /// Starts a cell with one worker.
     pub fn start(first_port: u16, size: CellSize) -> Self {
+        let workers = vec![Runner::start()];
+        Self::start_with(first_port, size, workers, short_job())
+    }
+
+    /// Starts a cell with workers whose tasks work for some time.
+    pub fn start_with_workers(first_port: u16, count: usize, run_time: Duration) -> Self {
+        let options = RunnerOptions {
+            run_time,
+            ..RunnerOptions::default()
+        };
+        let workers = (0..count).map(|_| Runner::start_with(options));
+        let size = CellSize::SMALL;
+        Self::start_with(first_port, size, workers.collect(), job_on_two_workers())
+    }
+
+    fn start_with(first_port: u16, size: CellSize, workers: Vec<Arc<Runner>>, job: Value) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let ports = Ports::starting_at(first_port);
         let processes = HostProcesses::start(folder.path(), ports, size);
         let mut test = Self {
             cell: Cell::of_processes(ports, size),
             processes,
-            runner: Runner::start(),
-            heartbeats: 0,
+            workers,
+            job,
             record: Mutex::default(),
             emptied: Vec::new(),
             _folder: folder,
@@ -165,19 +190,23 @@
         (1..=self.cell.size.storage_hosts).collect()
     }
 
-    fn send_heartbeat(&mut self) {
-        self.heartbeats += 1;
-        self.cell.announce("i-1", &self.runner, self.heartbeats);
+    /// Sends a heartbeat of each worker until it is acknowledged.
+    pub fn announce(&self) {
+        for (number, worker) in self.workers.iter().enumerate() {
+            let id = format!("i-{}", number + 1);
+            self.cell.announce(&id, worker, worker.next_heartbeat());
+        }
     }
 
-    /// Sends a heartbeat, a change of the configuration and a job, each until it is acknowledged.
+    /// Sends heartbeats, a change of the configuration and a job, each until it is acknowledged.
     pub fn work(&mut self) {
-        self.send_heartbeat();
+        self.announce();
         let version = self.record.get_mut().unwrap().next_version();
         let answer = self.cell.configure(version);
         assert_eq!(answer.status, 200, "version {version}");
         self.record.get_mut().unwrap().version = version;
-        self.submit(Expected::Completed, &short_job());
+        let job = self.job.clone();
+        self.submit(Expected::Completed, &job);
     }
 
     /// Submits a job until it is acknowledged.
@@ -229,12 +258,13 @@
             while !self.is_job_as_expected(position) {
                 let name = &self.record.get_mut().unwrap().jobs[position].name;
                 assert!(Instant::now() < deadline, "job {name} does not complete");
-                // The runner is used only while it sends heartbeats.
-                self.send_heartbeat();
+                // Workers are used only while they send heartbeats.
+                self.announce();
                 thread::sleep(Duration::from_millis(50));
             }
         }
-        assert_eq!(self.runner.overlaps(), 0);
+        let workers: Vec<&Runner> = self.workers.iter().map(Arc::as_ref).collect();
+        assert_eq!(overlaps(&workers), 0, "tasks with two runs at once");
         self.check_configuration(asked);
     }
 
