--- a/src/workflow/decisions/fencing.rs
+++ b/src/workflow/decisions/fencing.rs
@@ -6,9 +6,9 @@
 
 use crate::ids::{Epoch, Generation};
 
-/// Bits of a token that hold the generation. The epochs of the log begin with the Unix
-/// milliseconds of its formation, so that
-/// tokens stay below 2^53 until the year 2039; all decoders of JSON represent such numbers exactly.
+/// Bits of a token that hold the generation. The epochs of a log begin with the Unix milliseconds of
+/// its formation, so that the tokens of one that is formed before 2039 stay below 2^53, which all
+/// decoders of JSON represent exactly.
 const GENERATION_BITS: u32 = 12;
 const MAX_GENERATION: u64 = (1 << GENERATION_BITS) - 1;
 
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -67,8 +67,8 @@
 impl LiveRun {
     /// Returns until when a run may be at work on a silent worker by a start order whose outcome is
     /// not known: the worker may have restarted, and its next incarnation carries out the order,
-    /// whose lease ends on the clock of the former one. `None` if all orders have an outcome, or name a
-    /// permit, which is valid for one incarnation.
+    /// whose lease ends on the clock of the former one. `None` if the only copy of the order was
+    /// answered, or if it names a permit, which is valid for one incarnation.
     fn late_start_ends_at(&self, max_lease: Duration) -> Option<Instant> {
         let is_open = !self.start_is_settled && self.permit.is_none();
         let sent_at = self.start_sent_at.filter(|_| is_open)?;
