--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -16,6 +16,8 @@
 
 const STEP: Duration = Duration::from_millis(100);
 const MAX_LEASE: Duration = Duration::from_secs(10);
+/// Longest time from an order to the end of a lease by it, if it is carried out late.
+const LATE_LEASE: Duration = LATE_CALL_ALLOWANCE.saturating_add(MAX_LEASE);
 
 fn no_answer() -> CallFailure {
     CallFailure::NoAnswer("a simulated cut".to_owned())
@@ -117,14 +119,20 @@
     expect_next_run(&mut fixture, "w", 2);
 }
 
-/// Creates a term with a job whose start order was sent to the worker `w`, which then restarted.
-fn restarted_with_start_in_flight() -> Fixture {
+/// Creates a term with a job whose start order was sent to the worker `w`.
+fn with_start_in_flight() -> Fixture {
     let mut fixture = with_relay();
     fixture.advance(3 * MAX_LEASE);
     fixture.report("w", vec![], vec![]);
     fixture.submit(vec![stage(1)]);
     fixture.commit_all();
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    fixture
+}
+
+/// Creates a term with such a job whose worker then restarted.
+fn restarted_with_start_in_flight() -> Fixture {
+    let mut fixture = with_start_in_flight();
     fixture.restart("w");
     fixture.commit_all();
     fixture
@@ -143,6 +151,13 @@
     assert_eq!((run.run, run.worker.as_str()), (2, "v"));
 }
 
+/// Lets the worker `w` list the end of its run, and checks that it is recorded.
+fn expect_recorded_end(fixture: &mut Fixture) {
+    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![], vec![end]);
+    assert_eq!(fixture.phase(), JobPhase::Completed);
+}
+
 /// Guards against two runs of a task at once: the next incarnation of a worker carried out the start
 /// order for the former one, while the run counted as lost and was placed again.
 #[test]
@@ -156,24 +171,14 @@
     assert!(matches!(run.phase, RunPhase::Running { .. }));
     assert_eq!((run.run, run.incarnation), (1, 2));
     assert!(fixture.orders.is_empty());
-    fixture.report(
-        "w",
-        vec![],
-        vec![listed_end(1, 0, 1, RunOutcome::Succeeded)],
-    );
-    assert_eq!(fixture.phase(), JobPhase::Completed);
+    expect_recorded_end(&mut fixture);
 }
 
 /// Guards against finished work that runs again: the late run ended before the first list.
 #[test]
 fn the_end_of_a_run_that_the_next_incarnation_started_late_counts() {
     let mut fixture = restarted_with_start_in_flight();
-    fixture.report(
-        "w",
-        vec![],
-        vec![listed_end(1, 0, 1, RunOutcome::Succeeded)],
-    );
-    assert_eq!(fixture.phase(), JobPhase::Completed);
+    expect_recorded_end(&mut fixture);
 }
 
 /// Guards against work that waits for a worker that does not answer after its restart, and against a
@@ -183,12 +188,7 @@
     let mut fixture = restarted_with_start_in_flight();
     let restarted_at = fixture.now.at;
     fixture.announce("v");
-    expect_run_until(
-        &mut fixture,
-        "w",
-        1,
-        restarted_at + LATE_CALL_ALLOWANCE + MAX_LEASE,
-    );
+    expect_run_until(&mut fixture, "w", 1, restarted_at + LATE_LEASE);
     expect_next_run(&mut fixture, "w", 1);
 }
 
@@ -279,18 +279,12 @@
         (permitted, false),
     ];
     for (number, (answer, is_open)) in cases.into_iter().enumerate() {
-        let mut fixture = with_relay();
-        fixture.advance(3 * MAX_LEASE);
-        fixture.report("w", vec![], vec![]);
-        fixture.submit(vec![stage(1)]);
-        fixture.commit_all();
-        assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+        let mut fixture = with_start_in_flight();
         let sent_at = fixture.now.at;
         answer(&mut fixture);
         fixture.announce("v");
         if is_open {
-            let until = sent_at + LATE_CALL_ALLOWANCE + MAX_LEASE;
-            expect_run_until(&mut fixture, "w", 1, until);
+            expect_run_until(&mut fixture, "w", 1, sent_at + LATE_LEASE);
         } else {
             expect_run_until(&mut fixture, "w", 1, sent_at + LEASE);
         }
@@ -404,12 +398,7 @@
 /// again under its identifier, where the order was carried out late.
 #[test]
 fn a_start_in_flight_to_a_worker_that_left_is_not_placed_again_at_once() {
-    let mut fixture = with_relay();
-    fixture.advance(3 * MAX_LEASE);
-    fixture.report("w", vec![], vec![]);
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_start_in_flight();
     let sent_at = fixture.now.at;
     fixture.announce("v");
     let now = fixture.now;
@@ -426,20 +415,10 @@
 /// the takeover by the next incarnation of a worker that is then cut off.
 #[test]
 fn a_new_placer_allows_for_late_start_orders_of_the_former_one() {
-    let mut former = with_relay();
-    former.advance(3 * MAX_LEASE);
-    former.report("w", vec![], vec![]);
-    former.submit(vec![stage(1)]);
-    former.commit_all();
-    assert_eq!(send_starts(&mut former), [(0, 1)]);
+    let former = with_start_in_flight();
     let mut fixture = Fixture::with_state(former.term.state);
     let began_at = fixture.now.at;
     fixture.announce("v");
-    expect_run_until(
-        &mut fixture,
-        "w",
-        1,
-        began_at + LATE_CALL_ALLOWANCE + MAX_LEASE,
-    );
+    expect_run_until(&mut fixture, "w", 1, began_at + LATE_LEASE);
     expect_next_run(&mut fixture, "w", 1);
 }
