--- a/src/workflow/placer/claims.rs
+++ b/src/workflow/placer/claims.rs
@@ -6,7 +6,7 @@
 //! The next incarnation of a worker may carry out start orders that were sent to the former one, so
 //! that the runs stay with the worker until it has listed what it runs.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use indexmap::IndexSet;
 
@@ -18,11 +18,6 @@
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::WorkerStatus;
 
-/// Time for which calls for a former incarnation, or of an earlier placer, may be carried out as long
-/// as the worker has not answered. The contract with the workers states no bound: a relay sends for up
-/// to 0.5 s more, and TCP repeats a lost packet after 1 s.
-pub(super) const LATE_CALL_ALLOWANCE: Duration = Duration::from_secs(2);
-
 /// A heartbeat of another incarnation of a worker, while it is not known which one runs.
 pub struct Claim {
     heartbeat: WorkerHeartbeat,
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -7,13 +7,16 @@
 use super::super::decisions::leases::{ClockReading, expires_without_reading};
 use super::super::spec::TaskKey;
 use super::Now;
-use super::claims::LATE_CALL_ALLOWANCE;
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::WorkerId;
 
 /// Time without an answer after which a worker is removed whose lease has expired, so that it has
 /// no runs.
 const UNRESPONSIVE_WORKER_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which calls for a former incarnation, or of an earlier placer, may be carried out as long
+/// as the worker has not answered. The contract with the workers states no bound: a relay sends for up
+/// to 0.5 s more, and TCP repeats a lost packet after 1 s.
+pub(super) const LATE_CALL_ALLOWANCE: Duration = Duration::from_secs(2);
 
 /// Time from which on no run that was started before is still running on a worker, unless its lease
 /// is renewed.
@@ -123,15 +126,18 @@
         });
     }
 
-    /// Returns whether the clock in the answer to an order can be that of the known incarnation, and
-    /// records it then. The next incarnation also answers orders for the known one, and its clock
-    /// starts anew.
-    pub(super) fn is_clock_of_known_incarnation(
+    /// Returns whether the answer to an order can be one of the known incarnation, and records its
+    /// clock then. The next incarnation also answers orders for the known one, and its clock starts
+    /// anew; what it did says nothing about the run, which its first list shows.
+    pub(super) fn is_answer_of_known_incarnation(
         &mut self,
         worker: &WorkerId,
-        clock_ms: u64,
+        clock_ms: Option<u64>,
         now: Instant,
     ) -> bool {
+        let Some(clock_ms) = clock_ms else {
+            return true;
+        };
         let Some(live) = self.workers.get(worker) else {
             return false;
         };
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -26,7 +26,8 @@
         answer: OrderAnswer,
         now: Now,
     ) -> bool {
-        let is_known = self.is_answer_of_known_incarnation(order, answer, now);
+        let (worker, clock_ms) = (order.worker, answer.clock_ms);
+        let is_known = self.is_answer_of_known_incarnation(worker, clock_ms, now.at);
         if is_known {
             self.apply_start_answer(order, answer, now);
         }
@@ -92,20 +93,6 @@
         }
     }
 
-    /// Records the clock in an answer and returns whether it can be one of the known incarnation.
-    /// What another incarnation did says nothing about the run; its first list shows it.
-    fn is_answer_of_known_incarnation(
-        &mut self,
-        order: &OrderedRun<'_>,
-        answer: OrderAnswer,
-        now: Now,
-    ) -> bool {
-        let Some(clock_ms) = answer.clock_ms else {
-            return true;
-        };
-        self.is_clock_of_known_incarnation(order.worker, clock_ms, now.at)
-    }
-
     /// Handles a start order without an answer. If the order may have arrived, the run is stopped
     /// so that it cannot start later; otherwise the run has never started.
     pub(super) fn handle_unanswered_start(
@@ -141,7 +128,7 @@
         answer: OrderAnswer,
         now: Now,
     ) {
-        if !self.is_answer_of_known_incarnation(order, answer, now) {
+        if !self.is_answer_of_known_incarnation(order.worker, answer.clock_ms, now.at) {
             return;
         }
         if !matches!(
--- a/src/workflow/placer/tests/claims.rs
+++ b/src/workflow/placer/tests/claims.rs
@@ -17,12 +17,12 @@
     foreign
 }
 
-fn run_number(fixture: &Fixture) -> Option<u32> {
+pub(super) fn run_number(fixture: &Fixture) -> Option<u32> {
     fixture.term.runs.get(&task(0)).map(|run| run.run)
 }
 
 /// Runs a tick and a pass, which would start a lost run again.
-fn step(fixture: &mut Fixture) {
+pub(super) fn step(fixture: &mut Fixture) {
     fixture.advance(STEP);
     fixture.term.tick(fixture.now);
     fixture.term.schedule(fixture.now);
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -3,10 +3,11 @@
 
 use std::time::{Duration, Instant};
 
-use super::super::claims::LATE_CALL_ALLOWANCE;
+use super::super::leases::LATE_CALL_ALLOWANCE;
 use super::super::reports::target;
 use super::super::term::RunPhase;
 use super::capacity::{send_starts, with_relay};
+use super::claims::{run_number, step};
 use super::fixture::*;
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
@@ -14,7 +15,6 @@
 use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
 use crate::workflow::state::JobPhase;
 
-const STEP: Duration = Duration::from_millis(100);
 const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Longest time from an order to the end of a lease by it, if it is carried out late.
 const LATE_LEASE: Duration = LATE_CALL_ALLOWANCE.saturating_add(MAX_LEASE);
@@ -23,24 +23,12 @@
     CallFailure::NoAnswer("a simulated cut".to_owned())
 }
 
-fn run_number(fixture: &Fixture) -> Option<u32> {
-    fixture.term.runs.get(&task(0)).map(|run| run.run)
-}
-
 /// Lets the term last for longer than any lease of an earlier placer.
 fn pass_leases_of_earlier_placers(fixture: &mut Fixture) {
     fixture.advance(3 * MAX_LEASE);
     fixture.report("w", vec![listed(0, 1)], vec![]);
 }
 
-/// Runs a tick and a pass, which would start a lost run again.
-fn step(fixture: &mut Fixture) {
-    fixture.advance(STEP);
-    fixture.term.tick(fixture.now);
-    fixture.term.schedule(fixture.now);
-    fixture.commit_all();
-}
-
 /// Returns the fencing token of the next call to the worker `w`.
 fn token(fixture: &Fixture) -> u64 {
     let target = target(&fixture.term.workers["w"]);
@@ -234,7 +222,7 @@
 }
 
 /// Lets the relay report the answer of the worker `w` to the start order of its run.
-fn report_start_answer(fixture: &mut Fixture, earlier_attempt_open: bool) {
+fn report_start_answer(fixture: &mut Fixture, clock_ms: u64, earlier_attempt_open: bool) {
     let event = RelayEvent {
         worker: "w".to_owned(),
         incarnation: 1,
@@ -243,7 +231,7 @@
             run: 1,
             answer: OrderAnswer {
                 outcome: OrderOutcome::Done,
-                clock_ms: Some(fixture.clock_ms()),
+                clock_ms: Some(clock_ms),
             },
             earlier_attempt_open,
         },
@@ -260,12 +248,13 @@
 fn a_start_without_an_answer_on_a_silent_worker_counts_for_the_longest_lease() {
     let unanswered = |_: &mut Fixture| {};
     let listed_only = |fixture: &mut Fixture| fixture.report("w", vec![listed(0, 1)], vec![]);
-    let second_attempt = |fixture: &mut Fixture| report_start_answer(fixture, true);
+    let second_attempt =
+        |fixture: &mut Fixture| report_start_answer(fixture, fixture.clock_ms(), true);
     let second_order = |fixture: &mut Fixture| {
         fixture.term.runs[&task(0)].starts_sent = 2;
-        report_start_answer(fixture, false);
+        report_start_answer(fixture, fixture.clock_ms(), false);
     };
-    let settled = |fixture: &mut Fixture| report_start_answer(fixture, false);
+    let settled = |fixture: &mut Fixture| report_start_answer(fixture, fixture.clock_ms(), false);
     let permitted = |fixture: &mut Fixture| {
         fixture.term.runs[&task(0)].permit = Some("permit".to_owned());
     };
@@ -301,20 +290,9 @@
 #[test]
 fn an_answer_with_the_clock_of_another_incarnation_confirms_no_run() {
     for clock_ms in [10, 90_000_000] {
-        let mut fixture = with_relay();
-        fixture.advance(3 * MAX_LEASE);
-        fixture.report("w", vec![], vec![]);
-        fixture.submit(vec![stage(1)]);
-        fixture.commit_all();
-        let order = fixture.orders[0].clone();
-        send_starts(&mut fixture);
-        let (sent_at, now) = (fixture.now.at, fixture.now);
-        let answer = OrderAnswer {
-            outcome: OrderOutcome::Done,
-            clock_ms: Some(clock_ms),
-        };
-        let term = &mut fixture.term;
-        term.handle_start_answer(&ordered(&order), answer, now);
+        let mut fixture = with_start_in_flight();
+        let sent_at = fixture.now.at;
+        report_start_answer(&mut fixture, clock_ms, false);
         fixture.announce("v");
         expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
         expect_next_run(&mut fixture, "w", 1);
@@ -329,7 +307,7 @@
     pass_leases_of_earlier_placers(&mut fixture);
     let (id, now) = ("w".to_owned(), fixture.now);
     let term = &mut fixture.term;
-    assert!(!term.is_clock_of_known_incarnation(&id, 10, now.at));
+    assert!(!term.is_answer_of_known_incarnation(&id, Some(10), now.at));
     fixture.announce("v");
     expect_run_until(&mut fixture, "w", 1, now.at + LEASE);
     expect_next_run(&mut fixture, "w", 1);
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -9,7 +9,7 @@
 use super::super::state::Job;
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
-use super::claims::LATE_CALL_ALLOWANCE;
+use super::leases::LATE_CALL_ALLOWANCE;
 use super::load::LOAD_REPORT_TICKS;
 use super::relaying::GRANT_TICKS;
 use super::term::{LiveWorker, RunPhase, Term};
