feature: caps of customers in the placer

Cause: nothing limited what a customer has running. Change: each run counts against the cap of its customer from its placement until it is known to be over; a new placer counts the same from the committed state. A pass starts no task above the cap and no part of a gang. A gang that the cap holds back reserves the room under it before later work of its customer, and before all of it once it has waited half of the time that it may. What can never run under the cap is refused when it is submitted.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod crash_suspects;
+pub mod customer_caps;
 pub mod fencing;
 pub mod heartbeats;
 pub mod leases;
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -11,6 +11,7 @@
 mod client_calls;
 mod committed;
 mod crashes;
+mod customers;
 mod figures;
 mod gang_sizes;
 mod gangs;
--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -59,14 +59,18 @@
     /// Adds waiting tasks of a stage to the sums.
     pub(super) fn add_waiting_tasks(&mut self, key: &StageKey, tasks: usize) {
         if let Some(stage) = self.stages.get(key).filter(|stage| !stage.too_late) {
-            self.waiting_work.add(&stage.needs, tasks);
+            let needs = stage.needs;
+            self.waiting_work.add(&needs, tasks);
+            self.add_waiting_work_of_customer(&needs, tasks);
         }
     }
 
     /// Subtracts tasks of a stage that no longer wait from the sums.
     pub(super) fn subtract_waiting_tasks(&mut self, key: &StageKey, tasks: usize) {
         if let Some(stage) = self.stages.get(key).filter(|stage| !stage.too_late) {
-            self.waiting_work.subtract(&stage.needs, tasks);
+            let needs = stage.needs;
+            self.waiting_work.subtract(&needs, tasks);
+            self.subtract_waiting_work_of_customer(&needs, tasks);
         }
     }
 
@@ -76,12 +80,27 @@
             return;
         };
         if !stage.too_late {
-            self.waiting_work
-                .subtract(&stage.needs, stage.waiting.len());
+            let (needs, waiting) = (stage.needs, stage.waiting.len());
+            self.waiting_work.subtract(&needs, waiting);
             stage.too_late = true;
-            if stage.needs.gang && stage.all_tasks_wait() {
-                self.size_shares.record_given_up(band(&stage.needs));
+            if needs.gang && stage.all_tasks_wait() {
+                self.size_shares.record_given_up(band(&needs));
             }
+            self.subtract_waiting_work_of_customer(&needs, waiting);
+        }
+    }
+
+    fn add_waiting_work_of_customer(&mut self, needs: &StageNeeds, tasks: usize) {
+        let customer = needs.customer;
+        if let Some((_, live)) = customer.and_then(|index| self.customers.get_index_mut(index)) {
+            live.waiting_work += work_of(needs, tasks);
+        }
+    }
+
+    fn subtract_waiting_work_of_customer(&mut self, needs: &StageNeeds, tasks: usize) {
+        let customer = needs.customer;
+        if let Some((_, live)) = customer.and_then(|index| self.customers.get_index_mut(index)) {
+            live.waiting_work = live.waiting_work.saturating_sub(work_of(needs, tasks));
         }
     }
 
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -153,6 +153,13 @@
         if let Err(reason) = spec.validate() {
             return Reply::Invalid(reason);
         }
+        if let Some(customer) = access.customer()
+            && let Some(reason) = self.exceeds_cap(customer, &spec)
+        {
+            log::info!(job = id, queue = queue.name.as_str(), customer = customer.as_str(); "job refused: {reason}");
+            instruments().count_job("refused");
+            return Reply::Invalid(reason);
+        }
         let (queue, id) = (queue.clone(), JobId::from(id));
         let version = configuration.version;
         if let Admission::Refuse { retry_after } = self.admit(&queue, &spec, now.at) {
@@ -248,6 +255,7 @@
             self.record(Record::QueuesReplaced(Box::new(configuration)));
             if customers.is_some() || self.state.customers.configuration.is_some() {
                 self.record(Record::CustomersReplaced(customers));
+                self.update_customers();
             }
         } else {
             log::info!(version, present; "configuration acknowledged without effect: it is not newer");
--- a/src/workflow/placer/gathering.rs
+++ b/src/workflow/placer/gathering.rs
@@ -41,7 +41,10 @@
             let Some((_, stage)) = self.stages.get_index(entry.position) else {
                 continue;
             };
-            if !stage.all_tasks_wait() || now.at < stage.next_gathering_at {
+            if !stage.all_tasks_wait()
+                || now.at < stage.next_gathering_at
+                || self.is_held_by_cap(&entry.needs)
+            {
                 continue;
             }
             positions.push(entry.position);
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -22,6 +22,7 @@
         let Some(run) = self.runs.swap_remove(task) else {
             return;
         };
+        self.discharge(&run);
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.swap_remove(task);
             let index = worker.index;
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -99,6 +99,7 @@
             let late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
             self.newest_gangs_first = late_gangs >= NEWEST_FIRST_THRESHOLD;
         }
+        self.reserve_for_aged_gangs(&order, now);
         self.choose_gathering_gangs(&order, now);
         let reassigns = self.reassignment(includes_too_late, now);
         for entry in order.iter().filter(|entry| entry.needs.gang) {
@@ -123,6 +124,12 @@
             if !needs.gang && !self.has_room(&needs, &mut known_room) {
                 continue;
             }
+            if self.is_held_by_cap(&needs) {
+                if needs.gang {
+                    self.reserve_under_cap(&needs);
+                }
+                continue;
+            }
             let Some((key, stage)) = self.stages.get_index(position) else {
                 continue;
             };
@@ -275,8 +282,11 @@
             limited = self.startable_tasks(&search);
             &limited
         };
-        let wanted = tasks.len();
-        if wanted == 0 || (spec.gang && !stage.all_tasks_wait()) {
+        let wanted = self.tasks_under_cap(&stage.needs, tasks.len());
+        if wanted == 0
+            || (spec.gang && wanted < tasks.len())
+            || (spec.gang && !stage.all_tasks_wait())
+        {
             return StageDecision::Wait;
         }
         let permitted = match search.limit {
@@ -357,8 +367,17 @@
             log::warn!(stage:% = key; "a gang is not placed: a chosen worker has no room for its members");
             return;
         }
+        let needs = self.stages.get(key).map(|stage| stage.needs);
+        let allowed = needs.map_or(choices.len(), |needs| {
+            self.tasks_under_cap(&needs, choices.len())
+        });
+        if spec.gang && allowed < choices.len() {
+            log::debug!(stage:% = key; "a gang is not placed: the cap of its customer does not allow all members");
+            return;
+        }
+        let customer = needs.and_then(|needs| needs.customer);
         let mut placements = Vec::new();
-        for choice in choices {
+        for choice in choices.into_iter().take(allowed) {
             let task = TaskKey {
                 stage: key.clone(),
                 index: choice.task,
@@ -395,6 +414,7 @@
             let target = (worker.clone(), incarnation);
             let mut live = LiveRun::new(run, target, RunPhase::Starting, now.at);
             live.permit.clone_from(&choice.permit);
+            self.charge(&mut live, customer, spec.ledger_amount());
             self.runs.insert(task.clone(), live);
             let kind = OrderKind::Start {
                 permit: choice.permit,
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -8,6 +8,7 @@
 use super::super::spec::{StageKey, StageSpec};
 use super::super::state::Job;
 use super::Now;
+use super::customers::CustomerIndex;
 use super::isolation::StartLimit;
 use super::term::{LiveStage, LiveWorker, Term};
 use crate::ids::{ServiceName, WorkerId};
@@ -32,6 +33,8 @@
 pub struct StageNeeds {
     /// Priority of the queue; zero is the most urgent.
     pub priority: u32,
+    /// Customer of the job; `None` if it has none.
+    pub customer: Option<CustomerIndex>,
     /// Whether the stage is a gang, whose tasks all start together.
     pub gang: bool,
     /// Number of tasks of the stage, whether they wait or not.
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -52,6 +52,7 @@
             stages: IndexMap::new(),
             repeated_jobs: Default::default(),
             runs: IndexMap::new(),
+            customers: Default::default(),
             waiting_work: Default::default(),
             passes: Passes::new(now.at),
             newest_gangs_first: false,
@@ -66,6 +67,7 @@
             pending_orders: Vec::new(),
             due_grants: IndexSet::new(),
         };
+        term.update_customers();
         let records: Vec<_> = term.state.workers.values().cloned().collect();
         for record in records {
             term.add_worker(record, now.at);
@@ -88,6 +90,7 @@
     }
 
     fn adopt_runs(&mut self, key: &StageKey, now: Instant) {
+        let customer = self.customer_of(&key.job);
         let Some(job) = self.state.jobs.get(&key.job) else {
             return;
         };
@@ -113,7 +116,8 @@
         }
         for (task, run, worker, incarnation) in adopted {
             let target = (worker.clone(), incarnation);
-            let live = LiveRun::new(run, target, RunPhase::Unresolved, now);
+            let mut live = LiveRun::new(run, target, RunPhase::Unresolved, now);
+            self.charge(&mut live, customer, amount);
             self.runs.insert(task.clone(), live);
             // A worker that left no longer has the run; the first tick ends it.
             let Some(known) = self.workers.get_mut(&worker) else {
@@ -129,6 +133,7 @@
     pub(super) fn activate_stages(&mut self, id: &JobId, now: Now) {
         let service = self.state.jobs.get(id).map(|job| job.queue.service.clone());
         let pool = service.map_or(0, |service| self.pool_of(&service));
+        let customer = self.customer_of(id);
         let Some(job) = self.state.jobs.get(id) else {
             return;
         };
@@ -166,6 +171,7 @@
             };
             let needs = StageNeeds {
                 priority: job.queue.priority,
+                customer,
                 gang: spec.gang,
                 task_count: spec.task_count as usize,
                 pool,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -19,6 +19,7 @@
 use super::backlog::WaitingWork;
 use super::claims::Claim;
 use super::crashes::CrashWatch;
+use super::customers::{Charge, LiveCustomers};
 use super::growth::GrantedWorkers;
 use super::passes::Passes;
 use super::search::{EmptySearch, StageNeeds};
@@ -64,6 +65,8 @@
     pub repeated_jobs: IndexSet<JobId>,
     /// Runs that may exist on a worker.
     pub runs: IndexMap<TaskKey, LiveRun>,
+    /// Customers with what they have running and waiting.
+    pub customers: LiveCustomers,
     /// Sums over the waiting tasks of `stages`.
     pub waiting_work: WaitingWork,
     /// Changes since the last scheduling pass, and counters of the passes.
@@ -280,6 +283,8 @@
     pub progress: Option<Progress>,
     /// Time at which the run was placed, or adopted from an earlier leader.
     pub placed_at: Instant,
+    /// What the run counts against the cap of its customer; `None` if its job has no customer.
+    pub charge: Option<Charge>,
     /// Permit of the start order; `None` when the queue has no placement policy, and for a run that
     /// was adopted from an earlier leader.
     pub permit: Option<String>,
@@ -310,6 +315,7 @@
             harmless: false,
             progress: None,
             placed_at: now,
+            charge: None,
             permit: None,
             start_sent_at: None,
             give_up_at: None,
