feature: one memory budget for the request bodies of a process

Cause: each connection could hold a body up to the limit of its listener, and a chunk of one byte kept the connection's read buffer alive, so that unfinished bodies took a process beyond the memory of its machine.

Change: all listeners share a budget of 32 MiB, of which one address gets half. A body is received into one buffer and reserves memory before the buffer grows, until its handler has returned. Without room, stalled and slow bodies are closed, slowest first; if there are none, the request is refused with 503, retry-after and the verdict did_not_run. A body over the limit is refused from its announced length or at the limit. Unfinished bodies are dropped after 15 s without progress or below 1 KiB/s. The limits are settings of both kinds of host, and are counted in metrics and one log line. An entry host with max_payload_bytes above 16 MiB has to raise the new limits.

The speed of ordinary requests was not measured.

--- a/src/entry_host.rs
+++ b/src/entry_host.rs
@@ -24,7 +24,7 @@
 use crate::gateway::api::Gateway;
 use crate::gateway::routing::{RemoteHost, Router, announce_to_both};
 use crate::gateway::throttle::Throttle;
-use crate::http::{Server, ServerOptions};
+use crate::http::{Server, ServerOptions, body_budget};
 use crate::membership::agent::MembershipPeer;
 use crate::membership::{HostView, MembershipAgent, MembershipOptions, ProbeTiming};
 use crate::options::Settings;
@@ -150,6 +150,7 @@
             Arc::new(move |host, request| handler.handle(&host, request)),
         )?;
         let caller_gateway = Arc::clone(&gateway);
+        body_budget::configure(settings.limits.body_limits());
         let callers = Server::start(
             settings.listeners.callers,
             ServerOptions {
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 server and client used by all HTTP interfaces.
 
+mod body;
+pub mod body_budget;
 pub mod client;
 pub mod message;
 pub mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -17,12 +17,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use super::body::{BodyError, receive_body, refuse_body};
+use super::body_budget::{self, BodyBudget, Refusal};
 use super::message::{Request, Response};
 use crate::verdict::{ErrorCode, RequestError};
 
@@ -76,6 +78,7 @@
 
 struct Shared {
     options: ServerOptions,
+    budget: Arc<BodyBudget>,
     handler: Handler,
     stopping: AtomicBool,
     /// Whether the address is still bound.
@@ -98,6 +101,7 @@
         let local_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             options,
+            budget: Arc::clone(body_budget::process()),
             handler,
             stopping: AtomicBool::new(false),
             listening: AtomicBool::new(true),
@@ -228,10 +232,13 @@
 
 /// Socket state shared by the connection future and the polling loop.
 struct SocketState {
-    stream: TcpStream,
+    /// Shared with the body budget, which shuts it down if a slow body has to make room.
+    stream: Arc<TcpStream>,
     phase: Cell<Phase>,
     /// When the current phase times out.
     deadline: Cell<Instant>,
+    /// When the body that is being received is too slow; `None` outside of bodies.
+    body_deadline: Cell<Option<Instant>>,
     /// Whether `hyper` has data to write for which the socket was not ready.
     wants_write: Cell<bool>,
     options: ServerOptions,
@@ -246,6 +253,7 @@
             Phase::Handling | Phase::Sending => self.options.send_timeout,
         };
         self.phase.set(phase);
+        self.body_deadline.set(None);
         self.deadline.set(Instant::now() + timeout);
     }
 }
@@ -262,7 +270,7 @@
         let state = &self.0;
         let mut chunk = [0_u8; 8 * 1024];
         let wanted = chunk.len().min(buffer.remaining());
-        match (&state.stream).read(&mut chunk[..wanted]) {
+        match (&*state.stream).read(&mut chunk[..wanted]) {
             Ok(count) => {
                 if count > 0 && matches!(state.phase.get(), Phase::Idle | Phase::Sending) {
                     state.enter(Phase::Receiving);
@@ -287,7 +295,7 @@
         _context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match (&self.0.stream).write(bytes) {
+        match (&*self.0.stream).write(bytes) {
             Ok(count) => {
                 self.0.wants_write.set(false);
                 Poll::Ready(Ok(count))
@@ -319,9 +327,10 @@
         return;
     }
     let state = Rc::new(SocketState {
-        stream,
+        stream: Arc::new(stream),
         phase: Cell::new(Phase::Idle),
         deadline: Cell::new(Instant::now()),
+        body_deadline: Cell::new(None),
         wants_write: Cell::new(false),
         options: shared.options.clone(),
     });
@@ -361,8 +370,14 @@
             Poll::Pending => {}
         }
         let now = Instant::now();
-        let deadline = state.deadline.get();
-        if now >= deadline {
+        let body_deadline = state.body_deadline.get();
+        if body_deadline.is_some_and(|at| now >= at) {
+            body_budget::record_refusal(Refusal::Timeout);
+            return;
+        }
+        let phase_deadline = state.deadline.get();
+        let deadline = body_deadline.map_or(phase_deadline, |at| at.min(phase_deadline));
+        if now >= phase_deadline {
             log::debug!(
                 "HTTP connection closed in phase {:?} at its timeout",
                 state.phase.get()
@@ -383,7 +398,7 @@
             flags = PollFlags::OUT;
         }
         let timeout = Timespec::try_from(wait).ok();
-        let mut descriptors = [PollFd::new(&state.stream, flags)];
+        let mut descriptors = [PollFd::new(&*state.stream, flags)];
         match poll(&mut descriptors, timeout.as_ref()) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(_) => return,
@@ -399,29 +414,32 @@
     peer_address: Option<SocketAddr>,
 ) -> hyper::Response<Full<Bytes>> {
     let (parts, body) = incoming.into_parts();
-    let collected = Limited::new(body, shared.options.max_body_bytes)
-        .collect()
-        .await;
-    let response = match collected {
-        Ok(collected) => {
+    let limit = shared.options.max_body_bytes;
+    let address = peer_address.map(|address| address.ip());
+    let open = || {
+        let stream = Arc::clone(&state.stream);
+        shared.budget.open(address, Some(stream))
+    };
+    let set_deadline = |at| state.body_deadline.set(Some(at));
+    let response = match receive_body(body, limit, open, set_deadline).await {
+        // The reservation lasts until the handler has returned, since the handler holds the body.
+        Ok((body, _reservation)) => {
             state.enter(Phase::Handling);
             let request = Request {
                 method: parts.method,
                 path: parts.uri.path().to_owned(),
                 query: parse_query(parts.uri.query().unwrap_or_default()),
                 headers: parts.headers,
-                body: collected.to_bytes().to_vec(),
+                body,
                 peer_address,
             };
             (shared.handler)(request)
         }
-        Err(error) if error.is::<LengthLimitError>() => {
-            let limit = shared.options.max_body_bytes;
-            let message = format!("the body exceeds {limit} bytes");
-            Response::error(&RequestError::did_not_run(ErrorCode::TooLarge, message), "")
-                .header("connection", "close")
+        Err(BodyError::Refused(refusal)) => {
+            body_budget::record_refusal(refusal);
+            refuse_body(refusal, limit)
         }
-        Err(error) => {
+        Err(BodyError::Unreadable(error)) => {
             let message = format!("the body could not be read: {error}");
             Response::error(
                 &RequestError::did_not_run(ErrorCode::BadRequest, message),
--- a/src/options.rs
+++ b/src/options.rs
@@ -3,7 +3,7 @@
 pub mod arguments;
 pub mod file;
 mod position;
-mod ranges;
+pub(crate) mod ranges;
 pub mod security;
 pub mod settings;
 
--- a/src/options/ranges.rs
+++ b/src/options/ranges.rs
@@ -1,6 +1,7 @@
 //! Allowed ranges of the numbers in the settings of an entry host.
 
 use super::settings::Settings;
+use crate::http::body_budget::BodyLimits;
 
 /// Maximum duration, one week; larger values could overflow a deadline.
 const MAX_DURATION_MS: u64 = 7 * 24 * 60 * 60 * 1_000;
@@ -74,3 +75,40 @@
     }
     None
 }
+
+/// Returns the dotted key and the reason of the first limit of held bodies that is out of its range.
+/// A body of `largest_body` bytes has to fit, since it would be refused for ever otherwise.
+pub(crate) fn body_fault(
+    limits: &BodyLimits,
+    largest_body: usize,
+) -> Option<(&'static str, String)> {
+    let (total, address) = (limits.max_total_bytes, limits.max_address_bytes);
+    let stall_ms = limits.stall_timeout.as_millis() as u64;
+    let ranges = [
+        (
+            "limits.max_address_body_bytes",
+            address as u64,
+            largest_body as u64,
+            MAX_BYTES,
+        ),
+        (
+            "limits.max_held_body_bytes",
+            total as u64,
+            address as u64,
+            MAX_BYTES,
+        ),
+        ("limits.body_stall_timeout_ms", stall_ms, 1, MAX_DURATION_MS),
+        (
+            "limits.min_body_bytes_per_second",
+            limits.min_bytes_per_second as u64,
+            1,
+            MAX_BYTES,
+        ),
+    ];
+    for (key, value, min, max) in ranges {
+        if !(min..=max).contains(&value) {
+            return Some((key, format!("must be from {min} to {max}")));
+        }
+    }
+    None
+}
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -10,11 +10,14 @@
 use super::ranges;
 use super::security::decode_hex;
 use crate::configuration::digest::Sha256Digest;
+use crate::http::body_budget::BodyLimits;
 use crate::ids::{DataCentreName, HostId, RegionName};
 use crate::scheduling::request_queue::policy::RequestPolicyName;
 
 /// Minimum length of the secret of a cluster key.
 const MIN_SECRET_BYTES: usize = 16;
+/// Largest body on the operators' listener.
+const ADMIN_BODY_BYTES: usize = 1024 * 1024;
 
 pub use super::security::{ClusterKeySettings, SecuritySettings};
 
@@ -117,6 +120,14 @@
     pub max_queued_requests: usize,
     /// Maximum size of all retained answers at one placer.
     pub max_answer_bytes: usize,
+    /// Maximum memory of the request bodies in the process, over all listeners.
+    pub max_held_body_bytes: usize,
+    /// Maximum memory of the request bodies from one IP address.
+    pub max_address_body_bytes: usize,
+    /// Time without a received byte after which an unfinished body is dropped.
+    pub body_stall_timeout_ms: u64,
+    /// Average rate below which an unfinished body is dropped, after a grace period of 15 s.
+    pub min_body_bytes_per_second: usize,
 }
 
 impl Default for LimitSettings {
@@ -127,6 +138,22 @@
             max_header_bytes: 16 * 1024,
             max_queued_requests: 10_000,
             max_answer_bytes: 64 * 1024 * 1024,
+            max_held_body_bytes: 32 * 1024 * 1024,
+            max_address_body_bytes: 16 * 1024 * 1024,
+            body_stall_timeout_ms: 15_000,
+            min_body_bytes_per_second: 1_024,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Returns the limits of the bodies that the process holds.
+    pub fn body_limits(&self) -> BodyLimits {
+        BodyLimits {
+            max_total_bytes: self.max_held_body_bytes,
+            max_address_bytes: self.max_address_body_bytes,
+            stall_timeout: Duration::from_millis(self.body_stall_timeout_ms),
+            min_bytes_per_second: self.min_body_bytes_per_second,
         }
     }
 }
@@ -275,6 +302,12 @@
         if let Some((key, reason)) = ranges::first_fault(self) {
             return Err(Fault::new(key, &reason));
         }
+        if let Some((key, reason)) = ranges::body_fault(
+            &self.limits.body_limits(),
+            self.limits.max_payload_bytes.max(ADMIN_BODY_BYTES),
+        ) {
+            return Err(Fault::new(key, &reason));
+        }
         let timing = &self.timing;
         if timing.announcement_interval_ms * 3 > timing.lease_ms {
             return Err(Fault::new(
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -6,8 +6,13 @@
 
 use serde::Deserialize;
 
+use crate::http::body_budget::BodyLimits;
 use crate::ids::{DataCentreName, HostId};
 use crate::options::file::{self, Fault, SettingsError};
+use crate::options::ranges;
+
+/// Largest body of a request to a host, that of an operator or a worker.
+pub const LARGEST_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Settings of one host.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -24,6 +29,9 @@
     /// External placement policy; may be left out if no queue has one.
     #[serde(default)]
     pub placement_policy: PolicySettings,
+    /// Limits of the memory of request bodies; may be left out.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Identity of the host.
@@ -96,6 +104,45 @@
     pub address: Option<SocketAddr>,
 }
 
+/// Limits of the memory of request bodies.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Maximum memory of the request bodies in the process, over all listeners.
+    pub max_held_body_bytes: usize,
+    /// Maximum memory of the request bodies from one IP address; at least 4 MiB, the largest body
+    /// of a worker or an operator.
+    pub max_address_body_bytes: usize,
+    /// Time without a received byte after which an unfinished body is dropped.
+    pub body_stall_timeout_ms: u64,
+    /// Average rate below which an unfinished body is dropped, after a grace period of 15 s.
+    pub min_body_bytes_per_second: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        let limits = BodyLimits::default();
+        Self {
+            max_held_body_bytes: limits.max_total_bytes,
+            max_address_body_bytes: limits.max_address_bytes,
+            body_stall_timeout_ms: limits.stall_timeout.as_millis() as u64,
+            min_body_bytes_per_second: limits.min_bytes_per_second,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Returns the limits of the bodies that the process holds.
+    pub fn body_limits(&self) -> BodyLimits {
+        BodyLimits {
+            max_total_bytes: self.max_held_body_bytes,
+            max_address_bytes: self.max_address_body_bytes,
+            stall_timeout: Duration::from_millis(self.body_stall_timeout_ms),
+            min_bytes_per_second: self.min_body_bytes_per_second,
+        }
+    }
+}
+
 impl WorkflowSettings {
     /// Reads and checks a settings file.
     ///
@@ -122,6 +169,10 @@
                 "must be at least 1",
             ));
         }
+        let limits = self.limits.body_limits();
+        if let Some((key, reason)) = ranges::body_fault(&limits, LARGEST_BODY_BYTES) {
+            return Err(Fault::new(key, &reason));
+        }
         if self.cell.seeds.is_empty() {
             return Err(Fault::new("cell.seeds", "must name a host"));
         }
