feature: smaller resident memory of the hosts of a cell

Cause: an entry host with 160 MB of memory kept 45 to 60 MB resident under load. Each connection to a worker had two buffers of 128 KiB, which the HTTP library fills with zeros, and the allocator of the C library kept freed buffers in 55 heaps of different threads.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,6 +11,10 @@
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
+/// Smallest accepted size of a buffer of a connection. Below 10 KiB the library resizes the buffer
+/// while it holds data.
+pub const MIN_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Timeouts and limits of a client.
 #[derive(Clone, Debug)]
 pub struct ClientOptions {
@@ -23,6 +27,10 @@
     pub max_idle_connections_per_host: usize,
     /// Largest response body in bytes.
     pub max_body_bytes: u64,
+    /// Size of each of the two buffers of a connection in bytes, at least [`MIN_BUFFER_BYTES`]. The
+    /// whole buffers stay resident while the connection is open. The header section of a response
+    /// has to fit into one; bodies may be larger.
+    pub buffer_bytes: usize,
 }
 
 impl Default for ClientOptions {
@@ -32,6 +40,7 @@
             max_idle_age: Duration::from_secs(2),
             max_idle_connections_per_host: 16,
             max_body_bytes: 4 * 1024 * 1024,
+            buffer_bytes: 128 * 1024,
         }
     }
 }
@@ -229,7 +238,10 @@
 }
 
 fn agent(options: &ClientOptions, max_idle_connections_per_host: usize) -> Agent {
+    let buffer_bytes = options.buffer_bytes.max(MIN_BUFFER_BYTES);
     let config = Agent::config_builder()
+        .input_buffer_size(buffer_bytes)
+        .output_buffer_size(buffer_bytes)
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,11 +2,17 @@
 
 use std::process::ExitCode;
 
+use dlmalloc::GlobalDlmalloc;
 use jujubewinch::commands;
 use jujubewinch::options::arguments;
 use jujubewinch::options::settings::LoggingSettings;
 use jujubewinch::telemetry::logging;
 
+/// Allocator with one heap for all threads, which returns freed memory to the system. The allocator of
+/// the C library keeps a heap for each of many threads, and a host has more than a hundred threads.
+#[global_allocator]
+static ALLOCATOR: GlobalDlmalloc = GlobalDlmalloc;
+
 fn main() -> ExitCode {
     let matches = arguments::command().get_matches();
     let mut settings = LoggingSettings::default();
--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Returns the process identifier of a host that runs.
+    pub fn process_id(&self, number: usize) -> u32 {
+        let child = self.children[number - 1].as_ref();
+        child.expect("the host was started").id()
+    }
+
     fn pid(&self, number: usize) -> Option<Pid> {
         let child = self.children[number - 1].as_ref()?;
         Pid::from_raw(i32::try_from(child.id()).ok()?)
