bug: faults of keys and caps found in a review

Cause: a gang that exceeded a cap which was lowered after its job was accepted reserved all room under it, so that nothing else of its customer started. A gang that waited for workers did not keep the room under the cap, which small work of its customer took again and again. The end of a run on a worker that had left made no pass due. The policy was asked about workers for tasks that the cap held back, and room that only a cap holds back was reported as idle. A caller of a public queue without a key in force was refused its own job. Keys above 4,096 bytes were refused although a header section of 16 KiB can carry them. Change: a reservation names its gang, is no limit to it, and is made for aged gangs that wait for workers as well, never for one above the cap. Questions and the report of idle room respect the caps. A public queue gives access to the jobs that were submitted to it. Each stage that a cap holds back has one log line, at most 20 a second for a customer. The new tests were not run against the code before.

--- a/src/workflow/customers.rs
+++ b/src/workflow/customers.rs
@@ -7,8 +7,9 @@
 use crate::ids::{CallerKey, CustomerName, JobId};
 use crate::resources::Resources;
 
-/// Longest key of a caller, in bytes: as much as fits into a header section beside other fields.
-pub const MAX_KEY_BYTES: usize = 4_096;
+/// Longest key of a caller, in bytes: a header section has 16 KiB at most, of which other fields need
+/// some. A shorter limit would refuse configurations whose keys can be sent.
+pub const MAX_KEY_BYTES: usize = 15 * 1024;
 
 /// A customer as the operator configures it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -124,13 +125,15 @@
         Access::UnknownKey
     }
 
-    /// Whether a call may query, cancel or repeat a job.
-    pub fn may_access(&self, job: &str, access: &Access) -> bool {
+    /// Whether a call may query, cancel or repeat a job. `in_queue` tells whether the job was submitted
+    /// to the queue of the call.
+    pub fn may_access(&self, job: &str, access: &Access, in_queue: bool) -> bool {
         match (self.owners.get(job), access) {
             (_, Access::UnknownKey) => false,
             (Some(owner), Access::Customer(name)) => owner == name,
-            // Without a list of customers, no call has a customer.
-            (Some(_), Access::Public) => self.configuration.is_none(),
+            // Without a list of customers, no call has a customer. A public queue needs no key for the
+            // jobs that were submitted to it with one, and gives no access to those of other queues.
+            (Some(_), Access::Public) => self.configuration.is_none() || in_queue,
             (None, _) => true,
         }
     }
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -12,6 +12,7 @@
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
 use super::super::spec::WorkflowSpec;
+use super::super::state::Job;
 use super::policy::{CONTACT_TIMEOUT, INITIAL_ROUND_TRIP};
 use super::term::{Effect, PolicyCaller, RunPhase, Term};
 use super::waiting_jobs::WaitingJobs;
@@ -38,8 +39,11 @@
             drop(state);
             return self.count_waiting_jobs(&address);
         }
+        let in_queue = |job: &Job| job.queue.address == queue.address;
         match state.jobs.get(rest) {
-            Some(_) if !state.customers.may_access(rest, &access) => Reply::OtherCustomer,
+            Some(job) if !state.customers.may_access(rest, &access, in_queue(job)) => {
+                Reply::OtherCustomer
+            }
             Some(job) => Reply::Progress(job.phase),
             None => Reply::NoSuchJob,
         }
@@ -142,8 +146,9 @@
         if id.is_empty() || id.contains(['/', '.']) {
             return Reply::Invalid(format!("{id:?} is not the name of a job"));
         }
-        if self.state.jobs.contains_key(id) {
-            if !self.state.customers.may_access(id, &access) {
+        if let Some(job) = self.state.jobs.get(id) {
+            let in_queue = job.queue.address == queue.address;
+            if !self.state.customers.may_access(id, &access, in_queue) {
                 return Reply::OtherCustomer;
             }
             // The reply has to wait for the commit of the first submission.
@@ -219,7 +224,8 @@
         let Some(job) = self.state.jobs.get(&id) else {
             return Reply::NoSuchJob;
         };
-        if !self.state.customers.may_access(&id, &access) {
+        let in_queue = job.queue.address == queue.address;
+        if !self.state.customers.may_access(&id, &access, in_queue) {
             return Reply::OtherCustomer;
         }
         self.needs_commit = true;
--- a/src/workflow/placer/gathering.rs
+++ b/src/workflow/placer/gathering.rs
@@ -43,7 +43,7 @@
             };
             if !stage.all_tasks_wait()
                 || now.at < stage.next_gathering_at
-                || self.is_held_by_cap(&entry.needs)
+                || self.is_held_by_cap(entry.position, &entry.needs)
             {
                 continue;
             }
--- a/src/workflow/placer/idle_room.rs
+++ b/src/workflow/placer/idle_room.rs
@@ -7,6 +7,7 @@
 use super::super::instruments::instruments;
 use super::super::spec::StageKey;
 use super::Now;
+use super::customers::{count_as_running, tasks_under_cap};
 use super::term::{LiveStage, Term};
 use crate::resources::Resources;
 use crate::scheduling::ledger::{PoolIndex, WorkerIndex, WorkerStatus};
@@ -70,6 +71,7 @@
     /// policy answered at once, and returns the room that they would take.
     pub(super) fn idle_room(&self, now: Now) -> IdleRoom {
         let mut rooms = self.free_rooms(now.at);
+        let mut customers = self.customers.clone();
         let mut examined = 0;
         let mut idle = IdleRoom::default();
         for position in self.ranked_positions(now) {
@@ -79,7 +81,14 @@
             if examined >= MAX_EXAMINED_WORKERS {
                 break;
             }
-            let (taken, looked_at) = self.take_room(key, stage, &mut rooms);
+            // What a cap holds back could not use the room.
+            let needs = &stage.needs;
+            let allowed = tasks_under_cap(&customers, key, needs, stage.waiting.len());
+            if allowed == 0 || (needs.gang && allowed < stage.waiting.len()) {
+                continue;
+            }
+            let (taken, looked_at) = self.take_room(key, stage, allowed, &mut rooms);
+            count_as_running(&mut customers, needs, taken);
             examined += looked_at;
             let millis = taken as u64 * stage.needs.amount.cpu_millis;
             idle.add(awaited(stage), stage.needs.gang, millis);
@@ -115,9 +124,15 @@
         rooms
     }
 
-    /// Takes room for the waiting tasks of a stage. Returns the number of tasks that got room and of
+    /// Takes room for waiting tasks of a stage, at most `limit`. Returns the number of tasks that got room and of
     /// workers that were examined.
-    fn take_room(&self, key: &StageKey, stage: &LiveStage, rooms: &mut [Room]) -> (usize, usize) {
+    fn take_room(
+        &self,
+        key: &StageKey,
+        stage: &LiveStage,
+        limit: usize,
+        rooms: &mut [Room],
+    ) -> (usize, usize) {
         let needs = &stage.needs;
         let mut share = 1.0;
         if needs.slow_policy.is_some() {
@@ -129,7 +144,7 @@
             rooms.partition_point(|room| room.free_cpu_millis >= needs.amount.cpu_millis);
         // What is reserved for the stage itself is not free.
         let reserved = stage.reserved_tasks();
-        let mut missing = stage.waiting.len().saturating_sub(reserved);
+        let mut missing = limit.saturating_sub(reserved);
         let mut expected_grants = 0.0;
         let mut taken = Vec::new();
         let mut examined = 0;
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -2,14 +2,57 @@
 
 use std::time::Instant;
 
+use indexmap::IndexSet;
+
 use super::super::instruments::instruments;
-use super::super::records::{Record, RunNumber, RunOutcome};
+use super::super::records::{Placement, Record, RunNumber, RunOutcome};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::Now;
+use super::gang_sizes::band;
+use super::renewals::millis_since;
 use super::term::{Effect, Order, OrderKind, RunPhase, Term};
 use crate::ids::{Incarnation, JobId, WorkerId};
 
 impl Term {
+    /// Records which tasks of a stage were placed, and that they no longer wait.
+    pub(super) fn record_placements(
+        &mut self,
+        key: &StageKey,
+        placements: Vec<Placement>,
+        now: Now,
+    ) {
+        if let Some(stage) = self.stages.get_mut(key) {
+            let placed: IndexSet<TaskIndex> =
+                placements.iter().map(|placement| placement.task).collect();
+            let before = stage.waiting.len();
+            stage.waiting.retain(|task| !placed.contains(task));
+            let left = stage.waiting.len();
+            if stage.needs.gang && !stage.too_late {
+                self.size_shares.record_placed(band(&stage.needs));
+            }
+            let millis = |since: Option<Instant>| since.map_or(0, |at| millis_since(at, now.at));
+            let gathered_ms = millis(stage.gathers_since.take());
+            let whole_ms = millis(stage.room_whole_since.take());
+            let renewals = std::mem::take(&mut stage.renewals);
+            if stage.needs.gang {
+                instruments().count_gang_start(renewals);
+            }
+            let waited = now.at.saturating_duration_since(stage.due_at);
+            instruments().record_placement(placed.len(), waited);
+            log::info!(
+                stage:% = key, tasks = placed.len(), left,
+                waited_ms = waited.as_millis() as u64,
+                gathered_ms, whole_ms, renewals;
+                "tasks placed"
+            );
+            self.subtract_waiting_tasks(key, before - left);
+        }
+        self.record(Record::RunsPlaced {
+            stage: key.clone(),
+            placements,
+        });
+    }
+
     /// Ends a run: records the outcome, releases its resources, and makes its task or the next
     /// stages schedulable.
     pub(super) fn finish_run(
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -2,20 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::ranking::{self, Rank, Waiting};
-use super::super::instruments::instruments;
-use super::super::records::{Placement, Record};
+use super::super::records::Placement;
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
 use super::Now;
-use super::gang_sizes::band;
 use super::growth::UsableGrowth;
 use super::isolation::StartLimit;
 use super::policy::Question;
-use super::renewals::millis_since;
 use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
 use super::takeover::urgency;
 use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
@@ -124,10 +121,11 @@
             if !needs.gang && !self.has_room(&needs, &mut known_room) {
                 continue;
             }
-            if self.is_held_by_cap(&needs) {
+            if self.is_held_by_cap(position, &needs) {
                 if needs.gang {
-                    self.reserve_under_cap(&needs);
+                    self.reserve_under_cap(position, &needs);
                 }
+                self.log_held_by_cap(position, &needs, now);
                 continue;
             }
             let Some((key, stage)) = self.stages.get_index(position) else {
@@ -282,7 +280,7 @@
             limited = self.startable_tasks(&search);
             &limited
         };
-        let wanted = self.tasks_under_cap(&stage.needs, tasks.len());
+        let wanted = self.tasks_under_cap(key, &stage.needs, tasks.len());
         if wanted == 0
             || (spec.gang && wanted < tasks.len())
             || (spec.gang && !stage.all_tasks_wait())
@@ -333,7 +331,8 @@
         {
             return StageDecision::AwaitCaller;
         }
-        let wanted = stage.waiting.len();
+        // Permits for tasks that the cap holds back would keep room from others.
+        let wanted = self.tasks_under_cap(search.key, &stage.needs, stage.waiting.len());
         let rooms = permitted
             .iter()
             .map(|candidate| placing::room(spec, candidate, wanted));
@@ -369,7 +368,7 @@
         }
         let needs = self.stages.get(key).map(|stage| stage.needs);
         let allowed = needs.map_or(choices.len(), |needs| {
-            self.tasks_under_cap(&needs, choices.len())
+            self.tasks_under_cap(key, &needs, choices.len())
         });
         if spec.gang && allowed < choices.len() {
             log::debug!(stage:% = key; "a gang is not placed: the cap of its customer does not allow all members");
@@ -441,39 +440,6 @@
         })
     }
 
-    fn record_placements(&mut self, key: &StageKey, placements: Vec<Placement>, now: Now) {
-        if let Some(stage) = self.stages.get_mut(key) {
-            let placed: IndexSet<TaskIndex> =
-                placements.iter().map(|placement| placement.task).collect();
-            let before = stage.waiting.len();
-            stage.waiting.retain(|task| !placed.contains(task));
-            let left = stage.waiting.len();
-            if stage.needs.gang && !stage.too_late {
-                self.size_shares.record_placed(band(&stage.needs));
-            }
-            let millis = |since: Option<Instant>| since.map_or(0, |at| millis_since(at, now.at));
-            let gathered_ms = millis(stage.gathers_since.take());
-            let whole_ms = millis(stage.room_whole_since.take());
-            let renewals = std::mem::take(&mut stage.renewals);
-            if stage.needs.gang {
-                instruments().count_gang_start(renewals);
-            }
-            let waited = now.at.saturating_duration_since(stage.due_at);
-            instruments().record_placement(placed.len(), waited);
-            log::info!(
-                stage:% = key, tasks = placed.len(), left,
-                waited_ms = waited.as_millis() as u64,
-                gathered_ms, whole_ms, renewals;
-                "tasks placed"
-            );
-            self.subtract_waiting_tasks(key, before - left);
-        }
-        self.record(Record::RunsPlaced {
-            stage: key.clone(),
-            placements,
-        });
-    }
-
     /// Prepares a question about workers and reserves room on them until the answer. Returns `None`
     /// while all hosts that can call the policy are busy.
     pub(super) fn question(
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -182,6 +182,7 @@
             let live = LiveStage {
                 needs,
                 too_late: false,
+                logged_as_held: false,
                 empty_search: None,
                 next_worker_search_at: now.at,
                 waiting,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -216,6 +216,8 @@
     pub needs: StageNeeds,
     /// Whether a scheduling pass found the job too late to count in the backlog; never reset.
     pub too_late: bool,
+    /// Whether a line of the log has said that the cap of the customer holds the stage back.
+    pub logged_as_held: bool,
     /// Last search for workers, if it found none.
     pub empty_search: Option<EmptySearch>,
     /// Earliest time at which a gang searches again for workers about which it has not asked yet.
--- a/src/workflow/placer/tests/customers.rs
+++ b/src/workflow/placer/tests/customers.rs
@@ -266,6 +266,147 @@
     }
 }
 
+/// Guards against a gang that no longer fits a lowered cap and holds back all other work of its
+/// customer until the cap is raised.
+#[test]
+fn a_gang_above_a_lowered_cap_holds_nothing_back() {
+    let mut fixture = with_cap(4_000);
+    submit(&mut fixture, Some(KEY), JOB, vec![stage(1)]);
+    schedule(&mut fixture);
+    submit(&mut fixture, Some(KEY), "gang", vec![gang(4)]);
+    replace(&mut fixture, 9, customers(3_000));
+    schedule(&mut fixture);
+    submit(&mut fixture, Some(KEY), SECOND_JOB, vec![stage(2)]);
+    fixture.advance(Duration::from_millis(1_500));
+    schedule(&mut fixture);
+    assert_eq!(starts_of(&fixture, "gang"), 0);
+    assert_eq!(starts_of(&fixture, SECOND_JOB), 2);
+}
+
+/// Guards against a gang that waits for room on workers while small work of its own customer takes
+/// the room under the cap again and again.
+#[test]
+fn small_work_leaves_the_cap_to_a_gang_that_waits_for_workers() {
+    let mut fixture = with_cap(4_000);
+    let other = Some("key-of-other");
+    submit(&mut fixture, other, JOB, vec![stage(5)]);
+    schedule(&mut fixture);
+    fixture.answer_starts(OrderOutcome::Done);
+    submit(&mut fixture, Some(KEY), "gang", vec![gang(4)]);
+    schedule(&mut fixture);
+    fixture.advance(Duration::from_millis(1_500));
+    submit(&mut fixture, Some(KEY), SECOND_JOB, vec![stage(2)]);
+    schedule(&mut fixture);
+    assert_eq!(starts_of(&fixture, SECOND_JOB), 0);
+    let first = fixture.term.runs.keys().next().cloned().unwrap();
+    let now = fixture.now;
+    fixture
+        .term
+        .finish_run(&first, RunOutcome::Succeeded, String::new(), now);
+    schedule(&mut fixture);
+    assert_eq!(starts_of(&fixture, "gang"), 4);
+}
+
+/// Guards against work that waits although a run has left room under the cap: the worker of the run
+/// is gone, so that no room on a worker grows with its end.
+#[test]
+fn room_under_the_cap_makes_a_pass_due() {
+    let mut fixture = with_cap(1_000);
+    submit(&mut fixture, Some(KEY), JOB, vec![stage(1)]);
+    submit(&mut fixture, Some(KEY), SECOND_JOB, vec![stage(1)]);
+    schedule(&mut fixture);
+    let (task, run) = fixture.term.runs.first().unwrap();
+    let (task, worker) = (task.clone(), run.worker.clone());
+    fixture.term.workers.swap_remove(&worker);
+    let cancelled = reply(&mut fixture, Some(KEY), Call::Cancel(address(JOB)));
+    assert_eq!(cancelled, Reply::Cancelled);
+    schedule(&mut fixture);
+    assert!(!fixture.term.is_pass_due());
+    let now = fixture.now;
+    fixture
+        .term
+        .finish_run(&task, RunOutcome::Stopped, String::new(), now);
+    assert!(fixture.term.is_pass_due());
+}
+
+/// Guards against a caller of a public queue that is refused its job since it was submitted with a
+/// key, and against public queues that give access to the jobs of other queues.
+#[test]
+fn a_public_queue_needs_no_key_for_its_jobs_only() {
+    let mut fixture = with_cap(0);
+    let mut queues = configuration(9);
+    let mut open = queue();
+    open.address.path_prefix = "/open/".to_owned();
+    queues.queues.push(open.clone());
+    let customers = CustomerConfiguration::new(vec![customer("acme", KEY, 0)], [open.address]);
+    let call = Call::ReplaceCustomers {
+        queues: Box::new(queues),
+        customers: Box::new(customers.unwrap()),
+    };
+    assert_eq!(reply(&mut fixture, None, call), Reply::QueuesReplaced);
+    submit(&mut fixture, Some(KEY), JOB, vec![stage(1)]);
+    let open = |job: &str| QueueAddress {
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/open/{job}"),
+    };
+    let spec = WorkflowSpec {
+        payload: "plan".to_owned(),
+        stages: vec![stage(1)],
+        repetition: None,
+    };
+    let submission = Call::Submit {
+        target: open(SECOND_JOB),
+        spec: Box::new(spec),
+    };
+    assert_eq!(reply(&mut fixture, Some(KEY), submission), Reply::Accepted);
+    let cancelled = reply(
+        &mut fixture,
+        Some("revoked"),
+        Call::Cancel(open(SECOND_JOB)),
+    );
+    assert_eq!(cancelled, Reply::Cancelled);
+    let of_other_queue = reply(&mut fixture, None, Call::Cancel(open(JOB)));
+    assert_eq!(of_other_queue, Reply::OtherCustomer);
+}
+
+/// Guards against held jobs of which the log says nothing, and against a customer whose held jobs fill
+/// the log.
+#[test]
+fn held_jobs_are_logged_at_a_bounded_rate() {
+    let mut fixture = with_cap(1_000);
+    let short = StageSpec {
+        estimate_ms: 100,
+        ..stage(1)
+    };
+    for number in 0..30 {
+        let job = format!("job-{number}");
+        let accepted = submit(&mut fixture, Some(KEY), &job, vec![short.clone()]);
+        assert_eq!(accepted, Reply::Accepted);
+    }
+    let logged = |fixture: &Fixture| {
+        let stages = fixture.term.stages.values();
+        stages.filter(|stage| stage.logged_as_held).count()
+    };
+    for _ in 0..2 {
+        schedule(&mut fixture);
+        assert_eq!(logged(&fixture), 20);
+    }
+    fixture.advance(Duration::from_millis(1_000));
+    schedule(&mut fixture);
+    assert_eq!(logged(&fixture), 29);
+}
+
+/// Guards against a report that the placer leaves room free which only the cap holds back.
+#[test]
+fn room_that_a_cap_holds_back_is_not_idle() {
+    let mut fixture = with_cap(2_000);
+    submit(&mut fixture, Some(KEY), JOB, vec![stage(4)]);
+    submit(&mut fixture, Some(KEY), SECOND_JOB, vec![stage(4)]);
+    assert_eq!(fixture.term.idle_room(fixture.now).total_millis(), 2_000);
+    schedule(&mut fixture);
+    assert_eq!(fixture.term.idle_room(fixture.now).total_millis(), 0);
+}
+
 /// Guards against an accepted job that can never run, as its gang or one of its tasks needs more than
 /// the cap.
 #[test]
