--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -26,6 +26,8 @@
 const WORKERS: usize = 2;
 /// Average number of rounds between two restarts of workers.
 const RESTART_ROUNDS: usize = 6;
+/// Rounds after which the key of the customer is revoked and its cap is lowered or raised.
+const CHANGE_ROUNDS: usize = 10;
 /// Long enough for a second run of a task to begin while the first is at work.
 const RUN_TIME: Duration = Duration::from_millis(1_500);
 /// Storage hosts of a small cell; they are numbered from 1.
@@ -400,7 +402,14 @@
     // Requests that the next process of a worker carries out after other calls.
     let mut late: Option<(Vec<Vec<u8>>, Arc<Runner>)> = None;
     let mut present: Vec<(usize, Fault, Instant)> = Vec::new();
-    for _ in 0..rounds {
+    for round in 1..=rounds {
+        if let Some(customer) = test
+            .customer
+            .as_mut()
+            .filter(|_| round % CHANGE_ROUNDS == 0)
+        {
+            customer.change();
+        }
         let position = restarts.random_range(0..RESTART_ROUNDS * WORKERS);
         let restart = StdRng::seed_from_u64(restarts.random());
         let worker = test.workers.get(position).cloned();
@@ -453,7 +462,7 @@
 }
 
 /// Guards against lost or repeated work and lost changes after faults that come in series and
-/// overlap. Without the variable, runs one seed.
+/// overlap, against a revoked key that is accepted, and against a customer above its cap. Without the variable, runs one seed.
 #[test]
 fn accepted_work_survives_seeded_faults() {
     for seed in seeds(1) {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod customers;
 pub mod processes;
 pub mod proxy;
 pub mod recorded;
@@ -10,7 +11,7 @@
 
 use std::ops::RangeInclusive;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -83,6 +84,8 @@
     pub hosts: Vec<Arc<WorkflowHost>>,
     pub ports: Ports,
     pub size: CellSize,
+    /// Key of the calls; `None` where none is needed.
+    pub key: Mutex<Option<String>>,
     _listeners: Vec<Listeners>,
     client: Client,
 }
@@ -104,6 +107,7 @@
             hosts,
             ports,
             size,
+            key: Mutex::default(),
             _listeners: listeners,
             client: Client::new(ClientOptions::default()),
         }
@@ -115,14 +119,29 @@
             hosts: Vec::new(),
             ports,
             size,
+            key: Mutex::default(),
             _listeners: Vec::new(),
             client: Client::new(ClientOptions::default()),
         }
     }
 
     pub fn send(&self, method: Method, url: &str, body: &Value) -> Option<ClientResponse> {
+        let key = self.key.lock().unwrap().clone();
+        self.send_with_key(key.as_deref(), method, url, body)
+    }
+
+    fn send_with_key(
+        &self,
+        key: Option<&str>,
+        method: Method,
+        url: &str,
+        body: &Value,
+    ) -> Option<ClientResponse> {
         let deadline = Instant::now() + Duration::from_secs(4);
         let mut request = ClientRequest::new(method, url, deadline).header("host", "shop.example");
+        if let Some(key) = key {
+            request = request.header("authorization", format!("Token {key}"));
+        }
         if !body.is_null() {
             request.body = serde_json::to_vec(body).unwrap();
         }
@@ -134,6 +153,19 @@
         self.caller_at(*self.size.entries().start(), method, path, body)
     }
 
+    /// Sends a caller's request with a key to the first entry host.
+    pub fn caller_with_key(
+        &self,
+        key: &str,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Option<ClientResponse> {
+        let entry = *self.size.entries().start();
+        let url = format!("http://127.0.0.{entry}:{}{path}", self.ports.callers);
+        self.send_with_key(Some(key), method, &url, body)
+    }
+
     /// Sends a caller's request to an entry host.
     pub fn caller_at(
         &self,
--- a/tests/platform_support/recorded.rs
+++ b/tests/platform_support/recorded.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use super::customers::TestCustomer;
 use super::processes::HostProcesses;
 use super::runner::{RunnerOptions, overlaps};
 use super::{Cell, CellSize, Ports, Runner, WAIT_TIMEOUT, await_some, configuration};
@@ -143,6 +144,8 @@
     pub cell: Cell,
     pub processes: HostProcesses,
     pub workers: Vec<Arc<Runner>>,
+    /// Customer of all jobs; `None` if the configuration names none.
+    pub customer: Option<TestCustomer>,
     /// Job that is submitted as work.
     job: Value,
     pub record: Mutex<Record>,
@@ -155,10 +158,10 @@
     /// Starts a cell with one worker.
     pub fn start(first_port: u16, size: CellSize) -> Self {
         let workers = vec![Runner::start()];
-        Self::start_with(first_port, size, workers, short_job())
+        Self::start_with(first_port, size, workers, short_job(), None)
     }
 
-    /// Starts a cell with workers whose tasks work for some time.
+    /// Starts a cell with workers whose tasks work for some time, and a customer.
     pub fn start_with_workers(first_port: u16, count: usize, run_time: Duration) -> Self {
         let options = RunnerOptions {
             run_time,
@@ -166,10 +169,18 @@
         };
         let workers = (0..count).map(|_| Runner::start_with(options));
         let size = CellSize::SMALL;
-        Self::start_with(first_port, size, workers.collect(), job_on_two_workers())
+        let customer = Some(TestCustomer::default());
+        let job = job_on_two_workers();
+        Self::start_with(first_port, size, workers.collect(), job, customer)
     }
 
-    fn start_with(first_port: u16, size: CellSize, workers: Vec<Arc<Runner>>, job: Value) -> Self {
+    fn start_with(
+        first_port: u16,
+        size: CellSize,
+        workers: Vec<Arc<Runner>>,
+        job: Value,
+        customer: Option<TestCustomer>,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let ports = Ports::starting_at(first_port);
         let processes = HostProcesses::start(folder.path(), ports, size);
@@ -177,6 +188,7 @@
             cell: Cell::of_processes(ports, size),
             processes,
             workers,
+            customer,
             job,
             record: Mutex::default(),
             emptied: Vec::new(),
@@ -202,9 +214,17 @@
     pub fn work(&mut self) {
         self.announce();
         let version = self.record.get_mut().unwrap().next_version();
-        let answer = self.cell.configure(version);
+        let customer = self.customer.as_mut();
+        let document = customer.map_or_else(
+            || configuration(version),
+            |customer| customer.document(version),
+        );
+        let answer = self.cell.control(&Method::PUT, "/api/config", &document);
         assert_eq!(answer.status, 200, "version {version}");
         self.record.get_mut().unwrap().version = version;
+        if let Some(customer) = &mut self.customer {
+            customer.acknowledged(&self.cell, &self.job);
+        }
         let job = self.job.clone();
         self.submit(Expected::Completed, &job);
     }
@@ -224,6 +244,8 @@
     fn acknowledge(&self, method: Method, job: &str, body: &Value) {
         await_some(|| {
             let answer = self.cell.caller(method.clone(), &path(job), body);
+            let is_refused = answer.as_ref().is_some_and(|answer| answer.status == 401);
+            assert!(!is_refused, "the key in force is refused for job {job}");
             is_acknowledged(&answer).then_some(())
         });
     }
@@ -243,8 +265,8 @@
         }
     }
 
-    /// Checks that all jobs that were accepted complete, that no task ran twice at a time, and that
-    /// each storage host has the latest configuration.
+    /// Checks that all jobs that were accepted complete, that no task ran twice at a time, that the
+    /// customer has not exceeded its cap, and that each storage host has the latest configuration.
     pub fn check(&mut self) {
         self.processes.assert_running();
         self.check_work(&self.storage_hosts());
@@ -265,6 +287,9 @@
         }
         let workers: Vec<&Runner> = self.workers.iter().map(Arc::as_ref).collect();
         assert_eq!(overlaps(&workers), 0, "tasks with two runs at once");
+        if let Some(customer) = &self.customer {
+            customer.check(&workers);
+        }
         self.check_configuration(asked);
     }
 
@@ -282,7 +307,7 @@
             return false;
         };
         assert!(
-            !matches!(answer.status, 404 | 410) && !lacks_configuration(&answer),
+            !matches!(answer.status, 401 | 403 | 404 | 410) && !lacks_configuration(&answer),
             "job {name} is missing: {}",
             body_text(&answer)
         );
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -421,9 +421,8 @@
     body["task"].as_str().map(str::to_owned)
 }
 
-/// Number of runs that started on one of the runners while another run of the same task was at work
-/// on any of them.
-pub fn overlaps(runners: &[&Runner]) -> usize {
+/// Task, start and end of the runs of all runners, in the order of their starts.
+pub fn recorded_runs(runners: &[&Runner]) -> Vec<(String, Instant, Option<Instant>)> {
     let mut runs = Vec::new();
     for runner in runners {
         runner.end_runs(&mut runner.state.lock().unwrap());
@@ -432,6 +431,13 @@
         runs.extend(recorded.map(|run| (run.task.clone(), run.started_at, run.ended_at)));
     }
     runs.sort_by_key(|(_, started_at, _)| *started_at);
+    runs
+}
+
+/// Number of runs that started on one of the runners while another run of the same task was at work
+/// on any of them.
+pub fn overlaps(runners: &[&Runner]) -> usize {
+    let runs = recorded_runs(runners);
     let at_work = |position: usize| {
         let (task, started_at, _) = &runs[position];
         runs[..position].iter().any(|(other, _, ended_at)| {
