bug: a test of caps that does not show its fault

Cause: small_work_leaves_the_cap_to_a_gang_that_waits_for_workers also passed on the code before: the gang had reserved all free room on the workers, so that the small work did not start in any case. Change: the members of the gang need three cores each, so that room for small work is left beside what the gang can reserve.

--- a/src/workflow/placer/tests/customers.rs
+++ b/src/workflow/placer/tests/customers.rs
@@ -287,24 +287,29 @@
 /// the room under the cap again and again.
 #[test]
 fn small_work_leaves_the_cap_to_a_gang_that_waits_for_workers() {
-    let mut fixture = with_cap(4_000);
+    let mut fixture = with_cap(6_000);
     let other = Some("key-of-other");
-    submit(&mut fixture, other, JOB, vec![stage(5)]);
+    submit(&mut fixture, other, JOB, vec![stage(4)]);
     schedule(&mut fixture);
     fixture.answer_starts(OrderOutcome::Done);
-    submit(&mut fixture, Some(KEY), "gang", vec![gang(4)]);
+    // Two workers have room for four cores each, so that one member fits at most.
+    let mut wide = gang(2);
+    wide.resources.cpu_millis = 3_000;
+    submit(&mut fixture, Some(KEY), "gang", vec![wide]);
     schedule(&mut fixture);
     fixture.advance(Duration::from_millis(1_500));
     submit(&mut fixture, Some(KEY), SECOND_JOB, vec![stage(2)]);
     schedule(&mut fixture);
     assert_eq!(starts_of(&fixture, SECOND_JOB), 0);
-    let first = fixture.term.runs.keys().next().cloned().unwrap();
+    let others: Vec<_> = fixture.term.runs.keys().cloned().collect();
     let now = fixture.now;
-    fixture
-        .term
-        .finish_run(&first, RunOutcome::Succeeded, String::new(), now);
+    for task in others {
+        fixture
+            .term
+            .finish_run(&task, RunOutcome::Succeeded, String::new(), now);
+    }
     schedule(&mut fixture);
-    assert_eq!(starts_of(&fixture, "gang"), 4);
+    assert_eq!(starts_of(&fixture, "gang"), 2);
 }
 
 /// Guards against work that waits although a run has left room under the cap: the worker of the run
