feature: shares of customers in the order, the gathering and the admission

Cause: a customer that sends many times its usual load made the others wait, since the order of a pass and the admission of jobs knew no customers.

Change: stages of customers with more than their share running come after all others that still count, their gangs get the slots that the others leave, and a job is refused only if neither the cell nor the share of its customer can serve it in time. Metrics by customer with at most 64 names.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod crash_suspects;
 pub mod customer_caps;
+pub mod customer_shares;
 pub mod fencing;
 pub mod heartbeats;
 pub mod leases;
--- a/src/workflow/decisions/admission.rs
+++ b/src/workflow/decisions/admission.rs
@@ -21,6 +21,15 @@
     pub capacity_millis: u64,
 }
 
+impl Backlog {
+    /// Returns the time that the capacity needs for the work; `None` while no capacity is known.
+    pub fn wait(&self) -> Option<Duration> {
+        let work = self.cpu_work_ms.saturating_mul(1_000);
+        work.checked_div(self.capacity_millis)
+            .map(Duration::from_millis)
+    }
+}
+
 /// Outcome of [`decide`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -37,11 +46,14 @@
 ///
 /// Accepts every job while no capacity is known.
 pub fn decide(backlog: &Backlog, allowed_wait: Duration) -> Admission {
-    if backlog.capacity_millis == 0 {
-        return Admission::Accept;
+    match backlog.wait() {
+        Some(wait) => decide_by_wait(wait, allowed_wait),
+        None => Admission::Accept,
     }
-    let wait_ms = backlog.cpu_work_ms.saturating_mul(1_000) / backlog.capacity_millis;
-    let wait = Duration::from_millis(wait_ms);
+}
+
+/// Accepts or refuses a job with a forecast of its wait.
+pub fn decide_by_wait(wait: Duration, allowed_wait: Duration) -> Admission {
     if wait <= allowed_wait {
         return Admission::Accept;
     }
--- a/src/workflow/decisions/ranking.rs
+++ b/src/workflow/decisions/ranking.rs
@@ -72,6 +72,20 @@
         class << 66 | u128::from(kind) << 64 | u128::from(at)
     }
 
+    /// Returns the rank of a stage whose customer has more than its share: it comes after all stages
+    /// of customers within their share, except that stages that are too late to count come last.
+    #[must_use]
+    pub fn of_customer_over_share(self) -> Self {
+        let group = match self.group {
+            Group::Urgent => Group::OverShareUrgent,
+            Group::InTime => Group::OverShareInTime,
+            Group::Late => Group::OverShareLate,
+            Group::TooLate => Group::OverShareTooLate,
+            group => group,
+        };
+        Self { group, ..self }
+    }
+
     /// Priority of the queue.
     pub fn priority(&self) -> u32 {
         self.priority
@@ -95,7 +109,12 @@
     Urgent,
     InTime,
     Late,
+    /// Like `Urgent`, of a customer that has more than its share.
+    OverShareUrgent,
+    OverShareInTime,
+    OverShareLate,
     TooLate,
+    OverShareTooLate,
 }
 
 /// Returns the nanoseconds from `now` to a time, in the order of the times: times before `now` are in
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -134,6 +134,48 @@
     chosen
 }
 
+/// Like [`choose_gathering`] in a cell with customers: gangs that come last, such as those of
+/// customers over their share, get the slots that the others leave. Those of them that have begun to
+/// gather go on only while no other gang lacks a slot.
+pub fn choose_gathering_by_shares(
+    gangs: &[WaitingGang],
+    comes_last: &[bool],
+    mut slots: ReservationSlots,
+    shares: &SizeShares,
+) -> Vec<bool> {
+    let (last, first): (Vec<usize>, Vec<usize>) =
+        (0..gangs.len()).partition(|&position| comes_last[position]);
+    if last.is_empty() {
+        return choose_gathering(gangs, slots, shares);
+    }
+    let mut chosen = vec![false; gangs.len()];
+    let of_first: Vec<WaitingGang> = first.iter().map(|&position| gangs[position]).collect();
+    let mut lacks_slot = false;
+    for (position, gathers) in
+        (first.into_iter()).zip(choose_gathering(&of_first, slots.clone(), shares))
+    {
+        chosen[position] = gathers;
+        lacks_slot |= !gathers;
+        if gathers {
+            slots.keep(
+                gangs[position].band.priority,
+                gangs[position].missing_millis,
+            );
+        }
+    }
+    let mut of_last: Vec<WaitingGang> = last.iter().map(|&position| gangs[position]).collect();
+    for gang in &mut of_last {
+        gang.gathers &= !lacks_slot;
+    }
+    for (position, gathers) in last
+        .into_iter()
+        .zip(choose_gathering(&of_last, slots, shares))
+    {
+        chosen[position] = gathers;
+    }
+    chosen
+}
+
 /// Returns the next gang of the size of which the smallest share is placed, among those for which
 /// there is a slot.
 fn next_by_size(
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -1,8 +1,9 @@
 //! Records the metrics of workflows: counters, gauges and latency histograms.
 
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
+use indexmap::{IndexMap, IndexSet};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
@@ -15,6 +16,68 @@
     0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.6, 3.0, 10.0,
 ];
 
+/// Customers with a label of their own in the metrics of a process, the first that it meets. Each name
+/// adds a series to each metric, and configurations may name any number.
+const MAX_CUSTOMER_LABELS: usize = 64;
+/// Label of all other customers.
+const OTHER_CUSTOMERS: &str = "other";
+
+/// What a customer has, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CustomerLoad<'a> {
+    /// Name of the customer.
+    pub customer: &'a str,
+    /// Processors of its runs.
+    pub running_millis: u64,
+    /// Processors that its waiting tasks need.
+    pub waiting_millis: u64,
+    /// Its share of the processors of the cell.
+    pub share_millis: u64,
+    /// Its cap; 0 is no limit.
+    pub cap_millis: u64,
+}
+
+/// Names of customers that are used as labels. Invariant: at most [`MAX_CUSTOMER_LABELS`].
+#[derive(Debug, Default)]
+pub struct CustomerLabels(IndexSet<String>);
+
+impl CustomerLabels {
+    /// Returns the label of a customer: its name, or the common label once there are too many names.
+    /// A customer with the name of the common label is counted under it.
+    pub fn label(&mut self, customer: &str) -> String {
+        if self.0.len() < MAX_CUSTOMER_LABELS && customer != OTHER_CUSTOMERS {
+            self.0.insert(customer.to_owned());
+        }
+        if self.0.contains(customer) {
+            customer.to_owned()
+        } else {
+            OTHER_CUSTOMERS.to_owned()
+        }
+    }
+
+    /// Adds up the loads of customers with the same label.
+    pub fn by_label(
+        &mut self,
+        loads: &[CustomerLoad<'_>],
+    ) -> IndexMap<String, [(&'static str, u64); 4]> {
+        let mut sums = IndexMap::new();
+        for load in loads {
+            let parts = [
+                ("running", load.running_millis),
+                ("waiting", load.waiting_millis),
+                ("share", load.share_millis),
+                ("cap", load.cap_millis),
+            ];
+            let sum = sums.entry(self.label(load.customer));
+            let sum = sum.or_insert_with(|| parts.map(|(part, _)| (part, 0)));
+            for ((_, sum), (_, amount)) in sum.iter_mut().zip(parts) {
+                *sum = u64::saturating_add(*sum, amount);
+            }
+        }
+        sums
+    }
+}
+
 /// Instruments of the placer and of the hosts that call it.
 pub struct Instruments {
     jobs: Counter<u64>,
@@ -42,6 +105,9 @@
     queued: Gauge<u64>,
     peer_calls: Gauge<u64>,
     peer_call_threads: Gauge<u64>,
+    customer_cpu: Gauge<u64>,
+    refusals: Counter<u64>,
+    customer_labels: Mutex<CustomerLabels>,
 }
 
 /// Returns the instruments of this process, which are created at the first call.
@@ -88,6 +154,9 @@
             queued: gauge("jujubewinch_workflow_queued"),
             peer_calls: gauge("jujubewinch_peer_calls_in_flight"),
             peer_call_threads: gauge("jujubewinch_peer_call_threads"),
+            customer_cpu: gauge("jujubewinch_workflow_customer_millicores"),
+            refusals: counter("jujubewinch_workflow_customer_refusals"),
+            customer_labels: Mutex::default(),
         }
     }
 
@@ -154,6 +223,30 @@
         self.waiting_tasks.record(tasks, &[]);
     }
 
+    /// Records what each customer has.
+    pub fn record_customers(&self, loads: &[CustomerLoad<'_>]) {
+        let labels = self.customer_labels.lock();
+        let mut labels = labels.unwrap_or_else(PoisonError::into_inner);
+        for (customer, parts) in labels.by_label(loads) {
+            for (part, millis) in parts {
+                let labels = [
+                    customer_label(customer.clone()),
+                    KeyValue::new("part", part),
+                ];
+                self.customer_cpu.record(millis, &labels);
+            }
+        }
+    }
+
+    /// Counts a refused job of a customer by the reason.
+    pub fn count_refusal(&self, customer: &str, reason: &'static str) {
+        let labels = self.customer_labels.lock();
+        let mut labels = labels.unwrap_or_else(PoisonError::into_inner);
+        let customer = customer_label(labels.label(customer));
+        self.refusals
+            .add(1, &[customer, KeyValue::new("reason", reason)]);
+    }
+
     /// Records the processors that are free while tasks wait that could use them, in thousandths of a
     /// core: by whether these tasks wait for their first question to the placement policy, for its
     /// answer, or for anything else.
@@ -220,3 +313,7 @@
 fn outcome_label(outcome: &str) -> KeyValue {
     KeyValue::new("outcome", outcome.to_owned())
 }
+
+fn customer_label(customer: String) -> KeyValue {
+    KeyValue::new("customer", customer)
+}
--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::super::spec::StageKey;
+use super::customers::sum;
 use super::gang_sizes::band;
 use super::search::StageNeeds;
 use super::term::Term;
@@ -14,42 +15,59 @@
 /// Time for which the computed capacity of all workers is reused. One tick.
 const CAPACITY_VALIDITY: Duration = Duration::from_millis(100);
 
-/// Declared work of waiting tasks, and the capacity of the workers.
-#[derive(Debug, Default)]
-pub struct WaitingWork {
-    /// Declared work of waiting tasks by the priority of their queue, in milliseconds of a
-    /// thousandth of a core. Invariant: the sum over all stages that are not marked as too late;
-    /// the type is wide enough for any number of them.
-    by_priority: IndexMap<u32, u128>,
-    /// Processors of the workers that are not known to be unavailable, in thousandths of a core,
-    /// with the time until which the value is valid.
-    capacity: Option<(Instant, u64)>,
-}
+/// Declared work of waiting tasks by the priority of their queue, in milliseconds of a thousandth of a
+/// core. The type is wide enough for any number of tasks.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkByPriority(IndexMap<u32, u128>);
 
-impl WaitingWork {
+impl WorkByPriority {
     fn add(&mut self, needs: &StageNeeds, tasks: usize) {
-        *self.by_priority.entry(needs.priority).or_default() += work_of(needs, tasks);
+        *self.0.entry(needs.priority).or_default() += work_of(needs, tasks);
     }
 
     fn subtract(&mut self, needs: &StageNeeds, tasks: usize) {
-        let work = self.by_priority.entry(needs.priority).or_default();
+        let work = self.0.entry(needs.priority).or_default();
         *work = work.saturating_sub(work_of(needs, tasks));
     }
 
     /// Returns the declared processor time of waiting tasks of the same or a more urgent priority,
     /// in milliseconds of one core.
     pub fn before_ms(&self, priority: u32) -> u64 {
-        let works = self.by_priority.iter();
+        let works = self.0.iter();
         let before = works.filter(|(other, _)| **other <= priority);
         let work_ms = before.map(|(_, work)| work).sum::<u128>() / 1_000;
         u64::try_from(work_ms).unwrap_or(u64::MAX)
     }
 }
 
+/// Declared work of waiting tasks, and the capacity of the workers.
+#[derive(Debug, Default)]
+pub struct WaitingWork {
+    /// Invariant: the sum over all stages that are not marked as too late.
+    by_priority: WorkByPriority,
+    /// Processors of the workers that are not known to be unavailable, in thousandths of a core,
+    /// with the time until which the value is valid.
+    capacity: Option<(Instant, u64)>,
+}
+
+impl WaitingWork {
+    /// Returns the declared processor time of waiting tasks of the same or a more urgent priority,
+    /// in milliseconds of one core.
+    pub fn before_ms(&self, priority: u32) -> u64 {
+        self.by_priority.before_ms(priority)
+    }
+}
+
 fn work_of(needs: &StageNeeds, tasks: usize) -> u128 {
     u128::from(needs.task_work) * tasks as u128
 }
 
+/// Returns the resources of tasks together. What the type cannot hold counts as nothing: no cell has a
+/// capacity in its range.
+fn amount_of(needs: &StageNeeds, tasks: usize) -> Resources {
+    needs.amount.checked_mul(tasks as u64).unwrap_or_default()
+}
+
 /// Returns the work of a task as [`WaitingWork`] counts it.
 pub(super) fn task_work(estimate_ms: u64, amount: &Resources) -> u64 {
     estimate_ms.saturating_mul(amount.cpu_millis)
@@ -60,7 +78,7 @@
     pub(super) fn add_waiting_tasks(&mut self, key: &StageKey, tasks: usize) {
         if let Some(stage) = self.stages.get(key).filter(|stage| !stage.too_late) {
             let needs = stage.needs;
-            self.waiting_work.add(&needs, tasks);
+            self.waiting_work.by_priority.add(&needs, tasks);
             self.add_waiting_work_of_customer(&needs, tasks);
         }
     }
@@ -69,7 +87,7 @@
     pub(super) fn subtract_waiting_tasks(&mut self, key: &StageKey, tasks: usize) {
         if let Some(stage) = self.stages.get(key).filter(|stage| !stage.too_late) {
             let needs = stage.needs;
-            self.waiting_work.subtract(&needs, tasks);
+            self.waiting_work.by_priority.subtract(&needs, tasks);
             self.subtract_waiting_work_of_customer(&needs, tasks);
         }
     }
@@ -81,7 +99,7 @@
         };
         if !stage.too_late {
             let (needs, waiting) = (stage.needs, stage.waiting.len());
-            self.waiting_work.subtract(&needs, waiting);
+            self.waiting_work.by_priority.subtract(&needs, waiting);
             stage.too_late = true;
             if needs.gang && stage.all_tasks_wait() {
                 self.size_shares.record_given_up(band(&needs));
@@ -93,14 +111,17 @@
     fn add_waiting_work_of_customer(&mut self, needs: &StageNeeds, tasks: usize) {
         let customer = needs.customer;
         if let Some((_, live)) = customer.and_then(|index| self.customers.get_index_mut(index)) {
-            live.waiting_work += work_of(needs, tasks);
+            live.waiting_work.add(needs, tasks);
+            live.waiting = sum(&live.waiting, &amount_of(needs, tasks));
         }
     }
 
     fn subtract_waiting_work_of_customer(&mut self, needs: &StageNeeds, tasks: usize) {
         let customer = needs.customer;
         if let Some((_, live)) = customer.and_then(|index| self.customers.get_index_mut(index)) {
-            live.waiting_work = live.waiting_work.saturating_sub(work_of(needs, tasks));
+            live.waiting_work.subtract(needs, tasks);
+            let left = live.waiting.checked_sub(&amount_of(needs, tasks));
+            live.waiting = left.unwrap_or_default();
         }
     }
 
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -1,13 +1,11 @@
 //! Handles calls of callers, workers and operators.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use indexmap::IndexMap;
 
 use super::super::calls::{Call, HostContact, Reply};
 use super::super::customers::{Access, CustomerConfiguration};
-use super::super::decisions::admission::{self, Admission, Backlog};
-use super::super::decisions::ranking::LATE_FACTOR;
 use super::super::instruments::instruments;
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
 use super::super::records::Record;
@@ -158,15 +156,18 @@
         {
             log::info!(job = id, queue = queue.name.as_str(), customer = customer.as_str(); "job refused: {reason}");
             instruments().count_job("refused");
+            instruments().count_refusal(customer, "over_cap");
             return Reply::Invalid(reason);
         }
         let (queue, id) = (queue.clone(), JobId::from(id));
         let version = configuration.version;
-        if let Admission::Refuse { retry_after } = self.admit(&queue, &spec, now.at) {
-            let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
-            log::info!(job = id.as_str(), queue = queue.name.as_str(), retry_after_ms; "job refused: the backlog is too long");
-            instruments().count_job("refused");
-            return Reply::NotAccepted { retry_after_ms };
+        let customer = access.customer().map(String::as_str);
+        if let Err(refusal) = self.admit(&queue, &spec, customer, now.at) {
+            refusal.report(&id, &queue, customer);
+            let retry_after_ms = refusal.retry_after.as_millis();
+            return Reply::NotAccepted {
+                retry_after_ms: u64::try_from(retry_after_ms).unwrap_or(u64::MAX),
+            };
         }
         log::info!(
             job = id.as_str(), queue = queue.name.as_str(), stages = spec.stages.len(),
@@ -189,20 +190,6 @@
         Reply::Accepted
     }
 
-    fn admit(&mut self, queue: &Queue, spec: &WorkflowSpec, now: Instant) -> Admission {
-        if spec.repetition.is_some() || spec.stages.iter().any(|stage| stage.lasting) {
-            return Admission::Accept;
-        }
-        let chain_ms = spec.critical_path_ms() as f64;
-        let objective_ms = chain_ms * queue.slack_factor + queue.target_latency_ms as f64;
-        let allowed_ms = objective_ms * f64::from(LATE_FACTOR) - chain_ms;
-        let backlog = Backlog {
-            cpu_work_ms: self.waiting_work.before_ms(queue.priority),
-            capacity_millis: self.available_capacity_millis(now),
-        };
-        admission::decide(&backlog, Duration::from_millis(allowed_ms.max(0.0) as u64))
-    }
-
     fn cancel(&mut self, target: &QueueAddress, key: Option<&str>, now: Now) -> Reply {
         let Some(configuration) = &self.state.configuration else {
             return Reply::NotConfigured;
--- a/src/workflow/placer/customers.rs
+++ b/src/workflow/placer/customers.rs
@@ -6,7 +6,8 @@
 use super::super::decisions::customer_caps::{self, CapUse};
 use super::super::spec::{StageSpec, WorkflowSpec};
 use super::Now;
-use super::scheduling::Ranked;
+use super::backlog::WorkByPriority;
+use super::ranked_stages::Ranked;
 use super::search::StageNeeds;
 use super::term::{LiveRun, Term};
 use crate::ids::{CustomerName, JobId};
@@ -26,9 +27,13 @@
     pub running: Resources,
     /// Resources that gangs of the customer reserve under its cap in the current pass.
     pub reserved: Resources,
-    /// Declared work of its waiting tasks, in milliseconds of a thousandth of a core. Invariant: like
-    /// that of `WaitingWork`, without stages that are marked as too late.
-    pub waiting_work: u128,
+    /// Declared work of its waiting tasks. Invariant: like that of `WaitingWork`, without stages that
+    /// are marked as too late.
+    pub waiting_work: WorkByPriority,
+    /// Resources of its waiting tasks. Invariant: like that of `waiting_work`.
+    pub waiting: Resources,
+    /// Whether it had more than its share running when the last pass began.
+    pub is_over_share: bool,
 }
 
 impl Default for LiveCustomer {
@@ -38,7 +43,9 @@
             cap: Resources::ZERO,
             running: Resources::ZERO,
             reserved: Resources::ZERO,
-            waiting_work: 0,
+            waiting_work: WorkByPriority::default(),
+            waiting: Resources::ZERO,
+            is_over_share: false,
         }
     }
 }
@@ -65,7 +72,7 @@
     pub amount: Resources,
 }
 
-fn sum(left: &Resources, right: &Resources) -> Resources {
+pub(super) fn sum(left: &Resources, right: &Resources) -> Resources {
     Resources {
         cpu_millis: left.cpu_millis.saturating_add(right.cpu_millis),
         memory_mib: left.memory_mib.saturating_add(right.memory_mib),
--- a/src/workflow/placer/gathering.rs
+++ b/src/workflow/placer/gathering.rs
@@ -1,9 +1,11 @@
 //! Assignment of the slots in which gangs gather room.
 
-use super::super::decisions::reservations::{ReservationSlots, WaitingGang, choose_gathering};
+use super::super::decisions::reservations::{
+    ReservationSlots, WaitingGang, choose_gathering_by_shares,
+};
 use super::Now;
 use super::gang_sizes::band;
-use super::scheduling::Ranked;
+use super::ranked_stages::Ranked;
 use super::term::{LiveStage, Term};
 
 impl LiveStage {
@@ -37,6 +39,9 @@
         let free_millis = self.ledger.free_total().cpu_millis;
         let mut positions = Vec::new();
         let mut gangs = Vec::new();
+        // Gangs of customers over their share, and with them those that are too late to count.
+        let mut comes_last = Vec::new();
+        let has_over_share = self.customers.values().any(|live| live.is_over_share);
         for entry in order.iter().filter(|entry| entry.needs.gang) {
             let Some((_, stage)) = self.stages.get_index(entry.position) else {
                 continue;
@@ -48,6 +53,8 @@
                 continue;
             }
             positions.push(entry.position);
+            let is_last = entry.rank.is_too_late() || self.is_over_share(&entry.needs);
+            comes_last.push(has_over_share && is_last);
             gangs.push(WaitingGang {
                 band: band(&stage.needs),
                 missing_millis: stage.missing_millis(),
@@ -56,7 +63,7 @@
             });
         }
         let slots = ReservationSlots::new(capacity_millis, free_millis);
-        let chosen = choose_gathering(&gangs, slots, &self.size_shares);
+        let chosen = choose_gathering_by_shares(&gangs, &comes_last, slots, &self.size_shares);
         for (position, gathers) in positions.into_iter().zip(chosen) {
             if let Some((_, stage)) = self.stages.get_index_mut(position) {
                 let since = stage.gathers_since.unwrap_or(now.at);
--- a/src/workflow/placer/load.rs
+++ b/src/workflow/placer/load.rs
@@ -84,5 +84,8 @@
             load.held_millis,
             load.tasks as u64,
         );
+        if !self.customers.is_empty() {
+            instruments().record_customers(&self.customer_loads(load.capacity_millis));
+        }
     }
 }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -6,7 +6,7 @@
 
 use super::super::decisions::permits::{self, Unpermitted};
 use super::super::decisions::placing::{self, Candidate};
-use super::super::decisions::ranking::{self, Rank, Waiting};
+use super::super::decisions::ranking::Rank;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
 use super::super::spec::{StageKey, StageSpec, TaskIndex, TaskKey};
@@ -15,10 +15,11 @@
 use super::growth::UsableGrowth;
 use super::isolation::StartLimit;
 use super::policy::Question;
+use super::ranked_stages::Ranked;
 use super::renewals::millis_since;
-use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
+use super::search::{EmptyResult, KnownRoom, Search};
 use super::takeover::urgency;
-use super::term::{LiveRun, LiveStage, OrderKind, RunPhase, Term};
+use super::term::{LiveRun, OrderKind, RunPhase, Term};
 use crate::ids::WorkerId;
 use crate::scheduling::ledger::{Allocation, Purpose};
 
@@ -31,15 +32,6 @@
 /// them room or a question.
 const TOO_LATE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// A stage in the order of a scheduling pass.
-#[derive(Clone, Copy)]
-pub(super) struct Ranked {
-    pub rank: Rank,
-    /// Index among the stages of the term; stays valid, since no stage is removed during a pass.
-    pub position: usize,
-    pub needs: StageNeeds,
-}
-
 /// Gangs whose room a pass assigns again. Those that are too late to count have an interval of their
 /// own, as not all passes include them: the passes of a common one need not.
 #[derive(Clone, Copy)]
@@ -85,6 +77,7 @@
     pub(super) fn schedule(&mut self, now: Now) -> Vec<Question> {
         let searched_growths = self.ledger.growths();
         self.free_unused_slots();
+        self.update_shares();
         let mut includes_too_late = now.at >= self.passes.too_late_at;
         let mut order = self.ranked_stages(now, includes_too_late);
         if order.is_empty() && !includes_too_late {
@@ -193,46 +186,6 @@
         }
     }
 
-    /// Returns the stages with waiting tasks in the order in which they are scheduled, with or without
-    /// those that were too late in an earlier pass.
-    fn ranked_stages(&self, now: Now, includes_too_late: bool) -> Vec<Ranked> {
-        let mut entries = Vec::with_capacity(self.stages.len());
-        let mut order = Vec::with_capacity(self.stages.len());
-        for (position, stage) in self.stages.values().enumerate() {
-            if stage.waiting.is_empty() || (stage.too_late && !includes_too_late) {
-                continue;
-            }
-            let rank = ranking::rank(&self.waiting(stage), now.at);
-            order.push((rank.sort_key(now.at), entries.len()));
-            entries.push(Ranked {
-                rank,
-                position,
-                needs: stage.needs,
-            });
-        }
-        order.sort_unstable();
-        order.into_iter().map(|(_, index)| entries[index]).collect()
-    }
-
-    /// Returns the positions of the stages with waiting tasks in the order in which they are
-    /// scheduled.
-    pub(super) fn ranked_positions(&self, now: Now) -> Vec<usize> {
-        let order = self.ranked_stages(now, true).into_iter();
-        order.map(|entry| entry.position).collect()
-    }
-
-    /// Returns the properties of a stage that determine its rank.
-    pub(super) fn waiting(&self, stage: &LiveStage) -> Waiting {
-        Waiting {
-            priority: stage.needs.priority,
-            due_at: stage.due_at,
-            objective: stage.objective,
-            remaining: stage.remaining,
-            newest_first: self.newest_gangs_first && stage.needs.gang,
-            gathers_since: stage.gathers_since,
-        }
-    }
-
     /// Places the tasks of a stage that have room and returns a question about further workers.
     pub(super) fn schedule_stage(&mut self, key: &StageKey, now: Now) -> Option<Question> {
         let mut decision = self.decide_stage(key, now);
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -8,6 +8,7 @@
 mod cost;
 mod crashing_cell;
 mod crashing_tasks;
+mod customer_shares;
 mod customers;
 mod extremes;
 mod figures;
--- a/src/workflow/placer/tests/grown_cell.rs
+++ b/src/workflow/placer/tests/grown_cell.rs
@@ -162,6 +162,8 @@
     pub counts_until: Instant,
     /// Whether the job ended while its end counted.
     pub served: bool,
+    /// Whether the job ended within its objective.
+    pub in_time: bool,
 }
 
 fn queues(traffic: &Traffic) -> Vec<Queue> {
@@ -311,10 +313,16 @@
             },
             ..stage(tasks)
         };
-        let call = Call::Submit {
+        self.submit_stage(kind, &format!("{:016x}", self.submitted), None, spec);
+    }
+
+    /// Submits a job of a kind with one stage, with or without the key of a customer.
+    pub fn submit_stage(&mut self, kind: usize, name: &str, key: Option<&str>, spec: StageSpec) {
+        let work = u64::from(spec.task_count) * spec.resources.cpu_millis * spec.estimate_ms;
+        let mut call = Call::Submit {
             target: QueueAddress {
                 host: "shop.example".to_owned(),
-                path_prefix: format!("/{}/{:016x}", QUEUE_NAMES[kind], self.submitted),
+                path_prefix: format!("/{}/{name}", QUEUE_NAMES[kind]),
             },
             spec: Box::new(WorkflowSpec {
                 payload: "plan".to_owned(),
@@ -322,6 +330,10 @@
                 repetition: None,
             }),
         };
+        if let Some(key) = key {
+            let (key, keyed) = (key.to_owned(), Box::new(call));
+            call = Call::Keyed { key, call: keyed };
+        }
         self.submitted += 1;
         let responder = CallResponder::new(|_| {});
         let Fixture { term, now, .. } = &mut self.fixture;
@@ -329,7 +341,7 @@
         let step = || term.handle_call(call, responder, *now);
         self.step_times.measure("submit", step);
         if self.fixture.term.state.jobs.len() > known {
-            self.note_accepted(kind, u64::from(tasks) * cpu_millis * estimate_ms);
+            self.note_accepted(kind, work);
         }
     }
 
@@ -346,6 +358,7 @@
             work,
             counts_until: stage.1.due_at + stage.1.objective * LATE_FACTOR,
             served: false,
+            in_time: false,
         };
         self.jobs.insert(id.clone(), job);
     }
@@ -381,6 +394,7 @@
             {
                 if let Some(job) = self.jobs.get_mut(&task.stage.job) {
                     job.served = now.at <= job.counts_until;
+                    job.in_time = in_time;
                 }
                 let ended = &mut self.ended[kind_of(&job.queue)];
                 ended[0] += 1;
