feature: decide how long a stage waits for room near its data or on one rack

Cause: a stage that names a rack, and a gang that prefers one, started elsewhere at once when the rack was full, and took remote_factor times as long. A gang that prefers one rack never gathered room.

Change: decisions/place_waits.rs compares the expected ends near and elsewhere, with a deadline bounded by the time saved, the demand for the rack and the objective; without a fresh forecast nothing waits. The scheduling pass uses it in cells with [placement] remote_factor above 1. There, a gang that prefers one rack gathers room like others when it has none anywhere.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -7,6 +7,7 @@
 pub mod heartbeats;
 pub mod leases;
 pub mod permits;
+pub mod place_waits;
 pub mod placing;
 pub mod progress;
 pub mod question_shares;
--- a/src/workflow/decisions/progress.rs
+++ b/src/workflow/decisions/progress.rs
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Latest reported progress, in percent.
+    pub fn percent(&self) -> u8 {
+        self.percent
+    }
+
+    /// Time of the report that first showed this progress.
+    pub fn advanced_at(&self) -> Instant {
+        self.advanced_at
+    }
+
     /// Whether the run made no progress for longer than its declared run time explains.
     pub fn is_stalled(&self, run_time: Duration, now: Instant) -> bool {
         let allowed = (run_time / STALL_DIVISOR).max(STALLED_AFTER);
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -353,6 +353,7 @@
             max_lease,
             retention: settings.retention(),
             wanted_voters: settings.cell.tolerated_losses * 2 + 1,
+            remote_factor: settings.remote_factor(),
         },
         Clock::system(),
         Arc::clone(&replica),
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -27,6 +27,7 @@
     permit_renewals: Counter<u64>,
     gang_starts: Counter<u64>,
     abandoned_rooms: Counter<u64>,
+    place_waits: Counter<u64>,
     unanswered_calls: Counter<u64>,
     cell_cpu: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
@@ -71,6 +72,7 @@
             permit_renewals: counter("jujubewinch_workflow_permit_renewals"),
             gang_starts: counter("jujubewinch_workflow_gang_starts"),
             abandoned_rooms: counter("jujubewinch_workflow_abandoned_rooms"),
+            place_waits: counter("jujubewinch_workflow_place_waits"),
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
             cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
             waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
@@ -134,6 +136,13 @@
         self.abandoned_rooms.add(1, &[]);
     }
 
+    /// Counts tasks that start after a wait for a better place: `near`, `remote` at the deadline, or
+    /// `remote_early` when the wait was not worthwhile any more.
+    pub fn count_place_wait(&self, outcome: &'static str, tasks: usize) {
+        self.place_waits
+            .add(tasks as u64, &[outcome_label(outcome)]);
+    }
+
     /// Counts a gang that starts after a number of questions that renewed its permits.
     pub fn count_gang_start(&self, renewals: u32) {
         let label = match renewals {
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -24,6 +24,7 @@
 mod load;
 mod orders;
 mod passes;
+mod place_waits;
 mod policy;
 mod relaying;
 mod renewals;
@@ -34,6 +35,7 @@
 mod runs;
 mod scheduling;
 mod search;
+mod settings;
 mod takeover;
 mod term;
 mod term_lock;
@@ -64,6 +66,7 @@
 use relaying::RelaySenders;
 pub use relaying::SendInstructions;
 pub use replies::CallResponder;
+pub use settings::PlacerSettings;
 use term::{Effect, StepOutput, Term};
 pub use term::{Order, OrderKind};
 use term_lock::{TermGuard, TermLock};
@@ -83,21 +86,6 @@
 /// Stack size of the threads of the placer, in bytes; small, since they do not recurse.
 const STACK_BYTES: usize = 256 * 1024;
 
-/// Settings of the placer on one host.
-#[derive(Clone, Debug)]
-pub struct PlacerSettings {
-    /// Identifier of this host.
-    pub host: HostId,
-    /// Duration of the lease that each renewal grants to a worker.
-    pub lease: Duration,
-    /// Longest lease that a worker accepts, also from an earlier placer.
-    pub max_lease: Duration,
-    /// Time for which jobs are kept in the state after their end.
-    pub retention: Duration,
-    /// Number of voters of the workflow log when enough storage hosts are in contact.
-    pub wanted_voters: usize,
-}
-
 /// Returns the client for calls to another host.
 pub type FindPeer = Arc<dyn Fn(&HostId) -> PeerClient + Send + Sync>;
 
--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -110,6 +110,7 @@
         self.subtract_waiting_tasks(key, waiting);
         self.release_reservations(key);
         self.stages.swap_remove(key);
+        self.place_waits.shift_remove(key);
     }
 
     /// Returns the processors of the workers that are not known to be unavailable, in thousandths
--- a/src/workflow/placer/gangs.rs
+++ b/src/workflow/placer/gangs.rs
@@ -56,7 +56,15 @@
                     return Vec::new();
                 }
                 StageDecision::Ask(_) | StageDecision::AwaitCaller | StageDecision::Wait => {}
-                StageDecision::NothingFound => self.record_empty_gang_search(key, &spec, now),
+                StageDecision::NothingFound => {
+                    self.end_place_wait(key, now.at);
+                    self.record_empty_gang_search(key, &spec, now);
+                }
+                StageDecision::WaitForPlace(wait) => {
+                    self.release_reservations(key);
+                    self.note_place_wait(key, wait, now);
+                    return Vec::new();
+                }
             }
         }
         let Some(stage) = self.stages.get(key) else {
@@ -70,7 +78,7 @@
             return self.start_reserved_gang(key, now);
         }
         let holds_nothing = !is_asked_about && stage.reservations.is_empty();
-        let questions = if may_reserve && !spec.prefers_one_rack {
+        let questions = if may_reserve && self.may_gather(key, &spec, now.at) {
             self.reserve_room_for_gang(key, &spec, now);
             self.start_reserved_gang(key, now)
         } else if has_policy && may_fit && holds_nothing {
@@ -108,6 +116,7 @@
             lacking,
             awaits_caller: !self.may_ask(search.stage, now),
             isolated: lacking == 0 || search.limit != StartLimit::None,
+            awaits_place: false,
         };
         self.record_empty_search(key, result, now);
     }
--- a/src/workflow/placer/growth.rs
+++ b/src/workflow/placer/growth.rs
@@ -83,17 +83,23 @@
         if stage.granted_workers.permit_changes != stage.permits.changes() {
             self.derive_granted_workers(position);
         }
-        let Some((_, stage)) = self.stages.get_index(position) else {
+        let Some((key, stage)) = self.stages.get_index(position) else {
             return UsableGrowth::Enough;
         };
         // Only an answer of the policy makes other workers usable, and it ends the validity.
         let waits_for_policy = stage.open_questions > 0 || empty.awaits_caller;
         let has_answers = stage.permits.known_count() > 0;
         let needs_grant = waits_for_policy || (stage.needs.gang && has_answers);
+        // A gang that waits for one rack can use any other that has room for it first.
+        let awaits_rack = empty.awaits_place && !stage.needs.gang;
+        let awaited = awaits_rack.then(|| self.awaited_rack(key)).flatten();
         let mut gained = 0;
         if has_answers || !needs_grant {
             for index in grown.with_free_cpu(stage.needs.amount.cpu_millis) {
                 self.passes.count_examined();
+                if awaited.is_some_and(|rack| !self.is_in_rack(index, rack)) {
+                    continue;
+                }
                 gained += self.usable_growth(stage, needs_grant, index);
                 if gained >= empty.lacking {
                     return UsableGrowth::Enough;
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -6,11 +6,14 @@
 use crossbeam::channel::Receiver;
 
 use super::super::calls::{CallFailure, POLICY_EXTENSION, PolicyAnswer, PolicyQuestion};
-use super::super::decisions::permits::{MAX_QUEUE, QuestionCost};
+use super::super::decisions::permits::{self, MAX_QUEUE, QuestionCost, Unpermitted};
+use super::super::decisions::placing::{self, Candidate};
 use super::super::decisions::renewals::Callers;
 use super::super::instruments::instruments;
 use super::super::queues::{PlacementPolicy, Queue};
 use super::super::spec::StageKey;
+use super::scheduling::StageDecision;
+use super::search::Search;
 use super::term::{PolicyCaller, Term};
 use super::{Now, POLICY_THREADS, Placer};
 use crate::ids::{Epoch, HostId, WorkerId};
@@ -322,4 +325,71 @@
         let share = self.good_shares.entry(queue).or_default();
         share.update(question.workers.len(), answer.granted.len());
     }
+
+    /// Chooses the workers to ask about for a stage that found no room on the workers it may use.
+    pub(super) fn decide_question<'a>(
+        &'a self,
+        search: &Search<'a>,
+        permitted: &[Candidate<'_, &WorkerId>],
+    ) -> StageDecision {
+        let Search {
+            stage, job, spec, ..
+        } = search;
+        // For a gang, questions are asked by `ask_for_gang`, whether there is room now or not.
+        if spec.gang {
+            return StageDecision::NothingFound;
+        }
+        if job.queue.placement_policy.is_none() || stage.open_questions > 0 {
+            return StageDecision::NothingFound;
+        }
+        if !self.may_ask(stage, search.now)
+            || self.are_policy_callers_busy(&job.queue, search.now.at)
+        {
+            return StageDecision::AwaitCaller;
+        }
+        let wanted = stage.waiting.len();
+        let rooms = permitted
+            .iter()
+            .map(|candidate| placing::room(spec, candidate, wanted));
+        let missing = wanted.saturating_sub(rooms.sum()).max(1);
+        let (unpermitted, has_more) = self.unpermitted(search, wanted);
+        let share = self.good_shares.get(&job.queue.name).copied();
+        let mut cost = self.question_cost(&job.queue);
+        // When the search stopped early, there are too many workers to ask about all of them.
+        cost.callers_are_free &= !has_more;
+        let share = share.unwrap_or_default();
+        let workers = permits::choose_workers(unpermitted, missing, false, share, cost);
+        if workers.is_empty() {
+            StageDecision::NothingFound
+        } else {
+            StageDecision::Ask(workers.into_iter().map(Unpermitted::cloned).collect())
+        }
+    }
+
+    /// Prepares a question about workers and reserves room on them until the answer. Returns `None`
+    /// while all hosts that can call the policy are busy.
+    pub(super) fn question(
+        &mut self,
+        key: &StageKey,
+        workers: Vec<Unpermitted>,
+        now: Now,
+    ) -> Option<Question> {
+        let job = self.state.jobs.get(&key.job)?;
+        let queue = job.queue.clone();
+        let (host, expected) = self.choose_policy_caller(&queue, workers.len(), now.at)?;
+        self.reserve_room(key, &workers);
+        let renewed = workers.iter().filter(|entry| entry.previously_granted);
+        let renewed = renewed.count();
+        self.stages.get_mut(key)?.open_questions += 1;
+        Some(Question {
+            epoch: self.epoch,
+            stage: key.clone(),
+            workers: workers.into_iter().map(|entry| entry.worker).collect(),
+            renewed,
+            host,
+            expected,
+            decided_at: now.at,
+            priority: queue.priority,
+        })
+    }
 }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -4,8 +4,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::super::decisions::permits::{self, Unpermitted};
-use super::super::decisions::placing::{self, Candidate};
+use super::super::decisions::permits::Unpermitted;
+use super::super::decisions::placing;
 use super::super::decisions::ranking::{self, Rank, Waiting};
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record};
@@ -14,6 +14,7 @@
 use super::gang_sizes::band;
 use super::growth::UsableGrowth;
 use super::isolation::StartLimit;
+use super::place_waits::PlaceWait;
 use super::policy::Question;
 use super::renewals::millis_since;
 use super::search::{EmptyResult, KnownRoom, Search, StageNeeds};
@@ -73,6 +74,8 @@
     NothingFound,
     /// No worker that the stage may use has room, and the policy cannot be asked about others now.
     AwaitCaller,
+    /// There is room, but a wait for room at a better place is worthwhile.
+    WaitForPlace(PlaceWait),
     /// Tasks to place.
     Place(Vec<Choice>),
     /// Workers with room about which to ask the placement policy.
@@ -240,7 +243,7 @@
             self.place(key, choices, now);
             self.note_started(key);
             decision = self.decide_stage(key, now);
-        } else {
+        } else if !matches!(decision, StageDecision::WaitForPlace(_)) {
             self.hold_worker_for(key, now);
         }
         match decision {
@@ -257,6 +260,10 @@
                 self.record_empty_stage_search(key, true, now);
                 None
             }
+            StageDecision::WaitForPlace(wait) => {
+                self.note_place_wait(key, wait, now);
+                None
+            }
             StageDecision::Wait | StageDecision::Place(_) => None,
         }
     }
@@ -266,6 +273,7 @@
             lacking: 1,
             awaits_caller,
             isolated: self.start_limit(key, now) != StartLimit::None,
+            awaits_place: false,
         };
         self.record_empty_search(key, result, now);
     }
@@ -293,13 +301,18 @@
             StartLimit::Isolated(..) if !spec.gang => self.least_used_candidate(&search),
             _ => self.usable_candidates(&search, wanted),
         };
-        let chosen = placing::place(spec, wanted, &permitted);
+        let mut chosen = placing::place(spec, wanted, &permitted);
         if chosen.is_empty() && self.waits_for_isolation(&search) {
             return StageDecision::NothingFound;
         }
         if chosen.is_empty() {
             return self.decide_question(&search, &permitted);
         }
+        if let Some(wait) = self.wait_for_place(&search, &permitted, &mut chosen)
+            && chosen.is_empty()
+        {
+            return StageDecision::WaitForPlace(wait);
+        }
         let choices = chosen.iter().zip(tasks).map(|(&position, &task)| {
             let worker = permitted[position].worker.clone();
             let permit = stage.permits.usable(&worker, now.at).map(str::to_owned);
@@ -312,46 +325,6 @@
         StageDecision::Place(choices.collect())
     }
 
-    /// Chooses the workers to ask about for a stage that found no room on the workers it may use.
-    fn decide_question<'a>(
-        &'a self,
-        search: &Search<'a>,
-        permitted: &[Candidate<'_, &WorkerId>],
-    ) -> StageDecision {
-        let Search {
-            stage, job, spec, ..
-        } = search;
-        // For a gang, questions are asked by `ask_for_gang`, whether there is room now or not.
-        if spec.gang {
-            return StageDecision::NothingFound;
-        }
-        if job.queue.placement_policy.is_none() || stage.open_questions > 0 {
-            return StageDecision::NothingFound;
-        }
-        if !self.may_ask(stage, search.now)
-            || self.are_policy_callers_busy(&job.queue, search.now.at)
-        {
-            return StageDecision::AwaitCaller;
-        }
-        let wanted = stage.waiting.len();
-        let rooms = permitted
-            .iter()
-            .map(|candidate| placing::room(spec, candidate, wanted));
-        let missing = wanted.saturating_sub(rooms.sum()).max(1);
-        let (unpermitted, has_more) = self.unpermitted(search, wanted);
-        let share = self.good_shares.get(&job.queue.name).copied();
-        let mut cost = self.question_cost(&job.queue);
-        // When the search stopped early, there are too many workers to ask about all of them.
-        cost.callers_are_free &= !has_more;
-        let share = share.unwrap_or_default();
-        let workers = permits::choose_workers(unpermitted, missing, false, share, cost);
-        if workers.is_empty() {
-            StageDecision::NothingFound
-        } else {
-            StageDecision::Ask(workers.into_iter().map(Unpermitted::cloned).collect())
-        }
-    }
-
     pub(super) fn place(&mut self, key: &StageKey, choices: Vec<Choice>, now: Now) {
         let Some(job) = self.state.jobs.get(&key.job) else {
             return;
@@ -467,37 +440,11 @@
                 "tasks placed"
             );
             self.subtract_waiting_tasks(key, before - left);
+            self.note_place_start(key, &placements, left, now.at);
         }
         self.record(Record::RunsPlaced {
             stage: key.clone(),
             placements,
         });
     }
-
-    /// Prepares a question about workers and reserves room on them until the answer. Returns `None`
-    /// while all hosts that can call the policy are busy.
-    pub(super) fn question(
-        &mut self,
-        key: &StageKey,
-        workers: Vec<Unpermitted>,
-        now: Now,
-    ) -> Option<Question> {
-        let job = self.state.jobs.get(&key.job)?;
-        let queue = job.queue.clone();
-        let (host, expected) = self.choose_policy_caller(&queue, workers.len(), now.at)?;
-        self.reserve_room(key, &workers);
-        let renewed = workers.iter().filter(|entry| entry.previously_granted);
-        let renewed = renewed.count();
-        self.stages.get_mut(key)?.open_questions += 1;
-        Some(Question {
-            epoch: self.epoch,
-            stage: key.clone(),
-            workers: workers.into_iter().map(|entry| entry.worker).collect(),
-            renewed,
-            host,
-            expected,
-            decided_at: now.at,
-            priority: queue.priority,
-        })
-    }
 }
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -22,7 +22,8 @@
 /// Time after which a search without a result is repeated in any case. Everything that may give it a
 /// result is noticed, so that this bounds the effect of an oversight.
 const EMPTY_SEARCH_VALIDITY: Duration = Duration::from_millis(2_000);
-/// Time after which a search is repeated that was held back by the isolation of suspects. One tick.
+/// Time after which a search is repeated that was held back by the isolation of suspects, or by a wait
+/// for a better place. One tick.
 const BLOCKED_SEARCH_VALIDITY: Duration = Duration::from_millis(100);
 /// Number of amounts without room that a pass keeps; each further stage is compared with all of
 /// them.
@@ -67,6 +68,8 @@
     pub lacking: usize,
     /// Whether the stage would have asked the placement policy if a host could have called it.
     pub awaits_caller: bool,
+    /// Whether the stage waits for a better place, so that only room there is of use.
+    pub awaits_place: bool,
     /// Time from which on the search is repeated in any case.
     pub repeat_at: Instant,
 }
@@ -80,6 +83,8 @@
     pub awaits_caller: bool,
     /// Whether the stage has suspects, or room that it may not use yet.
     pub isolated: bool,
+    /// Whether the stage waits for a better place.
+    pub awaits_place: bool,
 }
 
 /// A stage and the job that it belongs to, as input of a search.
@@ -193,7 +198,8 @@
     pub(super) fn record_empty_search(&mut self, key: &StageKey, result: EmptyResult, now: Now) {
         let growths = self.ledger.growths();
         self.passes.fruitless_searches += 1;
-        let validity = if result.isolated || self.holds_back_starts() {
+        let is_blocked = result.isolated || result.awaits_place || self.holds_back_starts();
+        let validity = if is_blocked {
             BLOCKED_SEARCH_VALIDITY
         } else {
             EMPTY_SEARCH_VALIDITY
@@ -203,6 +209,7 @@
                 growths,
                 lacking: result.lacking.max(1),
                 awaits_caller: result.awaits_caller,
+                awaits_place: result.awaits_place,
                 repeat_at: now.at + validity,
             });
         }
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -53,6 +53,8 @@
             repeated_jobs: Default::default(),
             runs: IndexMap::new(),
             customers: Default::default(),
+            place_waits: Default::default(),
+            place_demand: Default::default(),
             waiting_work: Default::default(),
             passes: Passes::new(now.at),
             newest_gangs_first: false,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -8,6 +8,7 @@
 use super::super::calls::{HostContact, Reply};
 use super::super::decisions::leases::ClockReading;
 use super::super::decisions::permits::{GrantedShare, PermitCache};
+use super::super::decisions::place_waits::Demand;
 use super::super::decisions::progress::Progress;
 use super::super::decisions::question_shares::QuestionShares;
 use super::super::decisions::size_shares::SizeShares;
@@ -22,6 +23,7 @@
 use super::customers::{Charge, LiveCustomers};
 use super::growth::GrantedWorkers;
 use super::passes::Passes;
+use super::place_waits::PlaceWait;
 use super::search::{EmptySearch, StageNeeds};
 use super::{CallResponder, PlacerSettings};
 use crate::ids::{Epoch, Generation, HostId, Incarnation, JobId, ServiceName, WorkerId};
@@ -67,6 +69,12 @@
     pub runs: IndexMap<TaskKey, LiveRun>,
     /// Customers with what they have running and waiting.
     pub customers: LiveCustomers,
+    /// Stages of `stages` that wait for a better place, those that wait longest first. Entries are
+    /// inserted at the end and removed with `shift_remove`.
+    pub place_waits: IndexMap<StageKey, PlaceWait>,
+    /// Tasks that recently started and named a rack, by rack; those of gangs that prefer any one rack
+    /// under an empty name. Holds at most `MAX_DEMANDED_RACKS` entries.
+    pub place_demand: IndexMap<String, Demand>,
     /// Sums over the waiting tasks of `stages`.
     pub waiting_work: WaitingWork,
     /// Changes since the last scheduling pass, and counters of the passes.
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod passes;
 mod pauses;
+mod place_waits;
 mod relays;
 mod renewals;
 mod restarts;
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -37,6 +37,7 @@
         max_lease: Duration::from_secs(10),
         retention: Duration::from_secs(120),
         wanted_voters: 3,
+        remote_factor: None,
     }
 }
 
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -9,6 +9,9 @@
 use crate::ids::{DataCentreName, HostId};
 use crate::options::file::{self, Fault, SettingsError};
 
+/// Largest `remote_factor`; a larger one would overflow the arithmetic on times.
+const MAX_REMOTE_FACTOR: f64 = 1_000.0;
+
 /// Settings of one host.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -24,6 +27,9 @@
     /// External placement policy; may be left out if no queue has one.
     #[serde(default)]
     pub placement_policy: PolicySettings,
+    /// Choice of workers; may be left out.
+    #[serde(default)]
+    pub placement: PlacementSettings,
 }
 
 /// Identity of the host.
@@ -96,6 +102,16 @@
     pub address: Option<SocketAddr>,
 }
 
+/// Choice of workers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// Factor by which tasks take longer away from the rack that they name, or gangs that prefer one
+    /// rack on several; `None` or at most 1 if they do not.
+    #[serde(default)]
+    pub remote_factor: Option<f64>,
+}
+
 impl WorkflowSettings {
     /// Reads and checks a settings file.
     ///
@@ -122,6 +138,16 @@
                 "must be at least 1",
             ));
         }
+        if self
+            .placement
+            .remote_factor
+            .is_some_and(|factor| !(factor.is_finite() && factor <= MAX_REMOTE_FACTOR))
+        {
+            return Err(Fault::new(
+                "placement.remote_factor",
+                "must be a number of at most 1000",
+            ));
+        }
         if self.cell.seeds.is_empty() {
             return Err(Fault::new("cell.seeds", "must name a host"));
         }
@@ -145,6 +171,11 @@
         seeds.map(|seed| seed.ip().to_string()).collect()
     }
 
+    /// Factor by which tasks take longer away from their rack; `None` unless it is above 1.
+    pub fn remote_factor(&self) -> Option<f64> {
+        self.placement.remote_factor.filter(|&factor| factor > 1.0)
+    }
+
     /// Time for which ended jobs are kept.
     pub fn retention(&self) -> Duration {
         Duration::from_millis(self.timing.job_retention_ms)
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -95,6 +95,11 @@
             "5: listeners.readiness: ",
         ),
         ("name = ", "nmae = ", "3: host.nmae: "),
+        (
+            "[timing]",
+            "[placement]\nremote_factor = nan\n[timing]",
+            "12: placement.remote_factor: ",
+        ),
     ];
     for (valid, invalid, expected) in cases {
         let text = sample.replace(valid, invalid);
@@ -105,3 +110,26 @@
         assert!(error.starts_with(&expected), "{error}");
     }
 }
+
+/// Guards against a factor that is refused in a form that the platform writes, and against waits in
+/// cells without a factor above 1.
+#[test]
+fn the_factor_of_remote_tasks_is_optional() {
+    let sample = "[host]\naddress = \"10.0.0.1\"\nname = \"a\"\ndata_centre = \"erdenet\"\n\
+        [listeners]\npeers = \"10.0.0.1:1\"\n\
+        [cell]\nseeds = [\"10.0.0.1:1\"]\nforms_new_cell = true\ntolerated_losses = 1\n\
+        [timing]\nmax_worker_lease_ms = 10000\nstop_grace_ms = 6000\njob_retention_ms = 1000\n";
+    let cases = [
+        ("", None),
+        ("[placement]\n", None),
+        ("[placement]\nremote_factor = 1.0\n", None),
+        ("[placement]\nremote_factor = 0.5\n", None),
+        ("[placement]\nremote_factor = 2\n", Some(2.0)),
+        ("[placement]\nremote_factor = 1.5\n", Some(1.5)),
+    ];
+    for (section, expected) in cases {
+        let settings = WorkflowSettings::parse(&format!("{sample}{section}"), "cell.toml");
+        let settings = settings.unwrap_or_else(|error| panic!("{error}"));
+        assert_eq!(settings.remote_factor(), expected, "{section}");
+    }
+}
