--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -46,6 +46,7 @@
                 "tasks placed"
             );
             self.subtract_waiting_tasks(key, before - left);
+            self.note_place_start(key, &placements, left, now.at);
         }
         self.record(Record::RunsPlaced {
             stage: key.clone(),
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -14,6 +14,9 @@
 /// Largest body of a request to a host, that of an operator or a worker.
 pub const LARGEST_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Largest `remote_factor`; a larger one would overflow the arithmetic on times.
+const MAX_REMOTE_FACTOR: f64 = 1_000.0;
+
 /// Settings of one host.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +35,9 @@
     /// Limits of the memory of request bodies; may be left out.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Choice of workers; may be left out.
+    #[serde(default)]
+    pub placement: PlacementSettings,
 }
 
 /// Identity of the host.
@@ -143,6 +149,16 @@
     }
 }
 
+/// Choice of workers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// Factor by which tasks take longer away from the rack that they name, or gangs that prefer one
+    /// rack on several; `None` or at most 1 if they do not.
+    #[serde(default)]
+    pub remote_factor: Option<f64>,
+}
+
 impl WorkflowSettings {
     /// Reads and checks a settings file.
     ///
@@ -173,6 +189,16 @@
         if let Some((key, reason)) = ranges::body_fault(&limits, LARGEST_BODY_BYTES) {
             return Err(Fault::new(key, &reason));
         }
+        if self
+            .placement
+            .remote_factor
+            .is_some_and(|factor| !(factor.is_finite() && factor <= MAX_REMOTE_FACTOR))
+        {
+            return Err(Fault::new(
+                "placement.remote_factor",
+                "must be a number of at most 1000",
+            ));
+        }
         if self.cell.seeds.is_empty() {
             return Err(Fault::new("cell.seeds", "must name a host"));
         }
@@ -196,6 +222,11 @@
         seeds.map(|seed| seed.ip().to_string()).collect()
     }
 
+    /// Factor by which tasks take longer away from their rack; `None` unless it is above 1.
+    pub fn remote_factor(&self) -> Option<f64> {
+        self.placement.remote_factor.filter(|&factor| factor > 1.0)
+    }
+
     /// Time for which ended jobs are kept.
     pub fn retention(&self) -> Duration {
         Duration::from_millis(self.timing.job_retention_ms)
