feature: workers are compared by the run times of completed stages

Cause: the order of workers followed run times relative to declared ones, which are wrong by half and include the time of two commits; that said little about a worker, while a third of the workers of both new cells takes 1.3 times as long and a job ends with its slowest task. Change: the run times of a completed stage are compared with each other; a worker whose runs took longer by more than its uncertainty comes after the others, for single tasks and for the room of gangs. A declared run time still shows workers that are slower by more than a factor of two.

--- a/src/workflow/decisions.rs
+++ b/src/workflow/decisions.rs
@@ -18,3 +18,4 @@
 pub mod retries;
 pub mod size_shares;
 pub mod worker_health;
+pub mod worker_speed;
--- a/src/workflow/decisions/reservations.rs
+++ b/src/workflow/decisions/reservations.rs
@@ -170,8 +170,13 @@
     candidates: &[Candidate<'_, T>],
 ) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
-    // The emptiest workers first, so that few workers are needed.
-    order.sort_by_key(|&position| std::cmp::Reverse(candidates[position].free.cpu_millis));
+    // A gang is as fast as its slowest member. Among equally fast workers the emptiest come first, so
+    // that few workers are needed.
+    order.sort_by(|&left, &right| {
+        let (left, right) = (&candidates[left], &candidates[right]);
+        let slowness = left.slowness.total_cmp(&right.slowness);
+        slowness.then(right.free.cpu_millis.cmp(&left.free.cpu_millis))
+    });
     let mut reserved = vec![0; candidates.len()];
     let mut remaining = missing;
     for position in order {
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -34,6 +34,7 @@
 mod runs;
 mod scheduling;
 mod search;
+mod speeds;
 mod takeover;
 mod term;
 mod term_lock;
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -222,6 +222,7 @@
                 continue;
             }
             self.update_worker_health(worker, end, now);
+            self.note_run_time(end, now);
             if matches!(end.outcome, RunOutcome::GangIncomplete) {
                 log::error!(task:% = end.run.task, run = end.run.run, worker = worker.as_str(); "a gang did not start in time");
             }
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -83,6 +83,9 @@
             self.passes.changed = true;
             self.add_waiting_tasks(&task.stage, 1);
         }
+        if complete {
+            self.compare_workers(&task.stage);
+        }
         if !open && !was_open {
             return;
         }
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -399,7 +399,7 @@
             free,
             rack: worker.record.rack(),
             tasks_of_stage,
-            slowness: worker.health.slowness(),
+            slowness: worker.slowness(),
         })
     }
 }
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -185,6 +185,7 @@
                 empty_search: None,
                 next_worker_search_at: now.at,
                 waiting,
+                run_times_ms: Vec::new(),
                 permits: Default::default(),
                 granted_workers: Default::default(),
                 open_questions: 0,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -12,6 +12,7 @@
 use super::super::decisions::question_shares::QuestionShares;
 use super::super::decisions::size_shares::SizeShares;
 use super::super::decisions::worker_health::{Restriction, WorkerHealth};
+use super::super::decisions::worker_speed::WorkerSpeed;
 use super::super::records::{Batch, Record, RunNumber};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::super::state::WorkflowState;
@@ -27,6 +28,9 @@
 use crate::ids::{Epoch, Generation, HostId, Incarnation, JobId, ServiceName, WorkerId};
 use crate::scheduling::ledger::{Ledger, WorkerIndex};
 
+/// Run time relative to the declared one that a wrong declaration explains.
+const DECLARATION_ERROR: f64 = 2.0;
+
 /// State of the placer while it leads. It is ahead of the committed log: records are applied to
 /// `state` when they are appended, and everything that others can observe of them waits in
 /// `effects` until they are committed. A leader that fails to commit drops the whole term.
@@ -177,6 +181,8 @@
     pub runs: IndexSet<TaskKey>,
     /// Health of the worker, derived from the ends and the progress of its runs.
     pub health: WorkerHealth,
+    /// Speed of the incarnation, derived from completed stages in this term.
+    pub speed: WorkerSpeed,
     /// Restriction of new runs by the health of the worker at the last tick.
     pub restriction: Restriction,
     /// Time until which the worker is expected to leave, since a call announced its departure; it is
@@ -203,6 +209,17 @@
         self.reachable && !self.record.draining
     }
 
+    /// Expected run time relative to other workers, at least 1.
+    pub fn slowness(&self) -> f64 {
+        // Declared run times are far off. Where run times were compared, what deviates from a
+        // declaration by less than a factor of two says nothing.
+        let by_declaration = self.health.slowness();
+        if self.speed.is_known() && by_declaration <= DECLARATION_ERROR {
+            return self.speed.slowness();
+        }
+        by_declaration
+    }
+
     /// Returns how many milliseconds ago the clock of the worker was read; `None` if it is not known.
     pub fn clock_age_ms(&self, now: Instant) -> Option<u64> {
         let read_at = self.clock?.received_at;
@@ -222,6 +239,9 @@
     pub next_worker_search_at: Instant,
     /// Tasks that wait for a run.
     pub waiting: Vec<TaskIndex>,
+    /// Workers on which tasks succeeded in their first run, with the run times in milliseconds; none
+    /// for a gang, whose members all end with the slowest.
+    pub run_times_ms: Vec<(WorkerId, u64)>,
     /// Answers of the placement policy about workers.
     pub permits: PermitCache,
     /// Workers that were granted, derived from `permits`.
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -47,6 +47,7 @@
             recorded_ends: 0,
             runs: IndexSet::new(),
             health: Default::default(),
+            speed: Default::default(),
             restriction: Default::default(),
             leaving_until: None,
             ended: false,
@@ -91,6 +92,9 @@
                 let (reachable, leaving) = (known.reachable, known.leaving_until.is_some());
                 let former = std::mem::replace(&mut known.record, record);
                 let resized = known.record.capacity != former.capacity;
+                if known.record.incarnation != former.incarnation {
+                    known.speed = Default::default();
+                }
                 self.ledger.announce(describe(&known.record));
                 self.ledger.set_pool(known.index, pool);
                 if !reachable {
