--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -38,6 +38,7 @@
 mod scheduling;
 mod search;
 mod settings;
+mod speeds;
 mod takeover;
 mod term;
 mod term_lock;
--- a/src/workflow/placer/search.rs
+++ b/src/workflow/placer/search.rs
@@ -406,7 +406,7 @@
             free,
             rack: worker.record.rack(),
             tasks_of_stage,
-            slowness: worker.health.slowness(),
+            slowness: worker.slowness(),
         })
     }
 }
