--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -5,7 +5,6 @@
 
 use indexmap::IndexMap;
 
-use super::super::decisions::admission::AdmittedWait;
 use super::super::spec::StageKey;
 use super::customers::sum;
 use super::gang_sizes::band;
@@ -46,8 +45,6 @@
 pub struct WaitingWork {
     /// Invariant: the sum over all stages that are not marked as too late.
     by_priority: WorkByPriority,
-    /// Part of the time that jobs may wait for which new ones are accepted, by priority.
-    admitted_waits: IndexMap<u32, AdmittedWait>,
     /// Processors of the workers that are not known to be unavailable, in thousandths of a core,
     /// with the time until which the value is valid.
     capacity: Option<(Instant, u64)>,
@@ -59,12 +56,6 @@
     pub fn before_ms(&self, priority: u32) -> u64 {
         self.by_priority.before_ms(priority)
     }
-
-    /// Returns the part of the time that jobs of a priority may wait for which new ones are accepted.
-    pub fn admitted_wait(&self, priority: u32) -> AdmittedWait {
-        let known = self.admitted_waits.get(&priority);
-        known.copied().unwrap_or_default()
-    }
 }
 
 fn work_of(needs: &StageNeeds, tasks: usize) -> u128 {
@@ -102,8 +93,7 @@
     }
 
     /// Marks a stage as too late to count, which is final: other jobs do not wait for its work.
-    pub(super) fn mark_too_late(&mut self, position: usize, now: Instant) {
-        self.note_wrong_forecast(position, now);
+    pub(super) fn mark_too_late(&mut self, position: usize) {
         let Some((_, stage)) = self.stages.get_index_mut(position) else {
             return;
         };
@@ -118,20 +108,6 @@
         }
     }
 
-    /// Records that a stage becomes too late, unless a limit of its own customer explains that.
-    fn note_wrong_forecast(&mut self, position: usize, now: Instant) {
-        let Some((_, stage)) = self.stages.get_index(position) else {
-            return;
-        };
-        let needs = stage.needs;
-        if stage.too_late || self.is_over_share(&needs) || self.is_held_by_cap(position, &needs) {
-            return;
-        }
-        let admitted = &mut self.waiting_work.admitted_waits;
-        let admitted = admitted.entry(needs.priority).or_default();
-        admitted.record_too_late(now);
-    }
-
     fn add_waiting_work_of_customer(&mut self, needs: &StageNeeds, tasks: usize) {
         let customer = needs.customer;
         if let Some((_, live)) = customer.and_then(|index| self.customers.get_index_mut(index)) {
--- a/src/workflow/placer/customer_shares.rs
+++ b/src/workflow/placer/customer_shares.rs
@@ -6,6 +6,7 @@
 use super::super::decisions::customer_shares::{
     self, CustomerUse, DecidingBacklog, OwnBacklog, WaitForecast,
 };
+use super::super::decisions::ranking::LATE_FACTOR;
 use super::super::instruments::{CustomerLoad, instruments};
 use super::super::queues::Queue;
 use super::super::spec::WorkflowSpec;
@@ -13,7 +14,7 @@
 use super::search::StageNeeds;
 use super::term::Term;
 
-/// Refusal of a job because it would end after its objective.
+/// Refusal of a job because it would end too late to count.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct TooLongBacklog {
     /// Forecast that the decision is based on.
@@ -83,7 +84,7 @@
         customer.is_some_and(|(_, live)| live.is_over_share)
     }
 
-    /// Decides whether a new job can still end within its objective.
+    /// Decides whether a new job can still end in time to count.
     pub(super) fn admit(
         &mut self,
         queue: &Queue,
@@ -96,9 +97,8 @@
         }
         let chain_ms = spec.critical_path_ms() as f64;
         let objective_ms = chain_ms * queue.slack_factor + queue.target_latency_ms as f64;
-        let in_time_ms = (objective_ms - chain_ms).max(0.0);
-        let admitted = self.waiting_work.admitted_wait(queue.priority).share(now);
-        let allowed_wait = Duration::from_millis((in_time_ms * admitted) as u64);
+        let allowed_ms = objective_ms * f64::from(LATE_FACTOR) - chain_ms;
+        let allowed_wait = Duration::from_millis(allowed_ms.max(0.0) as u64);
         let backlog = Backlog {
             cpu_work_ms: self.waiting_work.before_ms(queue.priority),
             capacity_millis: self.available_capacity_millis(now),
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -85,7 +85,7 @@
             order = self.ranked_stages(now, true);
         }
         for entry in order.iter().filter(|entry| entry.rank.is_too_late()) {
-            self.mark_too_late(entry.position, now.at);
+            self.mark_too_late(entry.position);
         }
         if includes_too_late {
             let gangs = order.iter().filter(|entry| entry.needs.gang);
