bug: faults of caps, shares and place waits found in a review of the merged code

Cause: the forecast of a job's wait knew no cap, so that a customer held by its cap had more jobs accepted than it can run. An accepted gang that is too late to count lost the room under its cap to small work for ever. A refusal by a cap or by the owner of a job was passed on although an earlier attempt without an answer may have taken effect. Workers were compared by tasks that ran away from their data, and by runs of an earlier placer. A list of customers that is null read as none. Change: each of these, with tests of the forecast and of the unreadable list.

--- a/src/http/body_budget.rs
+++ b/src/http/body_budget.rs
@@ -245,7 +245,7 @@
     ///
     /// # Errors
     ///
-    /// The limit without room, or `Evicted` if the body was closed in favour of another one.
+    /// The limit without room.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), Refusal> {
         let Some(more) = bytes.checked_sub(self.bytes).filter(|more| *more > 0) else {
             return Ok(());
--- a/src/workflow/calls.rs
+++ b/src/workflow/calls.rs
@@ -167,6 +167,8 @@
     UnknownKey,
     /// The job belongs to another customer than the key. The call had no effect.
     OtherCustomer,
+    /// The job can never run under the cap of its customer, and was not accepted.
+    ExceedsCap(String),
     /// There is no configuration yet.
     NotConfigured,
     /// The call may have taken effect and should be repeated.
--- a/src/workflow/customers.rs
+++ b/src/workflow/customers.rs
@@ -55,7 +55,7 @@
                 return Err(QueueConfigurationError::InvalidWeight(name));
             }
             for key in &customer.keys {
-                if !can_stand_in_a_header(key) {
+                if !is_valid_header_key(key) {
                     return Err(QueueConfigurationError::InvalidKey(name));
                 }
                 let owner = configuration.owners.insert(key.clone(), name.clone());
@@ -73,7 +73,7 @@
 }
 
 /// Whether a header can carry the key: visible ASCII characters without spaces.
-fn can_stand_in_a_header(key: &str) -> bool {
+fn is_valid_header_key(key: &str) -> bool {
     !key.is_empty() && key.len() <= MAX_KEY_BYTES && key.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
--- a/src/workflow/decisions/customer_shares.rs
+++ b/src/workflow/decisions/customer_shares.rs
@@ -80,7 +80,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DecidingBacklog {
     /// The customer of the job has more than its share of the waiting work, so that the job waits for
-    /// as long as the whole cell needs.
+    /// as long as the whole cell needs, or its cap serves its work more slowly.
     OfCustomer,
     /// The job has no customer, or its customer has at most its share of the waiting work.
     OfCell,
@@ -89,7 +89,8 @@
 /// Forecast of the wait of a new job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WaitForecast {
-    /// The shorter of the times below.
+    /// The shorter of the times below, or the time in which the cap of the customer serves its own
+    /// accepted work if that is longer.
     pub wait: Duration,
     /// Time in which the whole cell serves the accepted work of all customers.
     pub by_cell: Duration,
@@ -107,6 +108,8 @@
     pub cpu_work_ms: u64,
     /// Share of the customer, above 0 and up to 1.
     pub share: f64,
+    /// Processors that the cap of the customer allows, in thousandths of a core; zero is no limit.
+    pub cap_millis: u64,
 }
 
 /// Forecasts the wait of a new job; `None` while no capacity is known.
@@ -121,12 +124,23 @@
         // The conversion of a float saturates.
         Duration::from_millis(wait_ms as u64)
     });
+    // The cap holds also while the cell has room. A cap of zero gives no time.
+    let by_cap = own.and_then(|own| {
+        let capped = Backlog {
+            cpu_work_ms: own.cpu_work_ms,
+            capacity_millis: own.cap_millis,
+        };
+        capped.wait()
+    });
+    let by_order = by_share.map_or(by_cell, |by_share| by_share.min(by_cell));
+    let wait = by_order.max(by_cap.unwrap_or_default());
     let decided_by = match by_share {
+        _ if wait > by_order => DecidingBacklog::OfCustomer,
         Some(by_share) if by_share > by_cell => DecidingBacklog::OfCustomer,
         _ => DecidingBacklog::OfCell,
     };
     Some(WaitForecast {
-        wait: by_share.map_or(by_cell, |by_share| by_share.min(by_cell)),
+        wait,
         by_cell,
         by_share,
         decided_by,
--- a/src/workflow/directory.rs
+++ b/src/workflow/directory.rs
@@ -156,10 +156,14 @@
                 // An earlier attempt may have taken effect; only a reply other than a refusal shows
                 // that.
                 AttemptResult::Reply(Reply::Busy { .. }) if unanswered_attempts > 0 => {}
-                // The backlog is not shorter at the next attempt, and a queue or key that was removed
-                // after an earlier one does not return, so that none follows.
+                // The backlog is not shorter at the next attempt, and a queue, key or cap that was
+                // changed after an earlier one does not return, so that none follows.
                 AttemptResult::Reply(
-                    Reply::NotAccepted { .. } | Reply::NoSuchQueue | Reply::UnknownKey,
+                    Reply::NotAccepted { .. }
+                    | Reply::NoSuchQueue
+                    | Reply::UnknownKey
+                    | Reply::OtherCustomer
+                    | Reply::ExceedsCap(_),
                 ) if unanswered_attempts > 0 && is_submission => {
                     break;
                 }
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -162,7 +162,7 @@
             log::info!(job = id, queue = queue.name.as_str(), customer = customer.as_str(); "job refused: {reason}");
             instruments().count_job("refused");
             instruments().count_refusal(customer, "over_cap");
-            return Reply::Invalid(reason);
+            return Reply::ExceedsCap(reason);
         }
         let (queue, id) = (queue.clone(), JobId::from(id));
         let version = configuration.version;
--- a/src/workflow/placer/customer_shares.rs
+++ b/src/workflow/placer/customer_shares.rs
@@ -123,6 +123,7 @@
         Some(OwnBacklog {
             cpu_work_ms: live.waiting_work.before_ms(priority),
             share: customer_shares::share(&as_use(live), self.active_weight()),
+            cap_millis: live.cap.cpu_millis,
         })
     }
 
--- a/src/workflow/placer/customers.rs
+++ b/src/workflow/placer/customers.rs
@@ -20,6 +20,10 @@
 const HELD_LINES: u32 = 20;
 const HELD_LINES_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Multiple of its objective after which a gang that is too late to count reserves room under the cap
+/// like one in time: it was accepted, and small work of its customer may never pause.
+const OVERDUE_FACTOR: u32 = 10;
+
 /// Position of a customer in [`LiveCustomers`]; stays valid for the term.
 pub type CustomerIndex = usize;
 
@@ -229,12 +233,24 @@
     /// Begins a pass: drops the reservations of the last one, and reserves for the gangs that have
     /// waited too long. Those that the cap allows reserve as well while they wait for room on workers:
     /// small work of their customer would take the room under the cap before they start.
-    pub(super) fn reserve_for_aged_gangs(&mut self, order: &[Ranked], now: Now) {
+    /// A pass without the stages that are too late keeps the reservations of such gangs.
+    pub(super) fn reserve_for_aged_gangs(
+        &mut self,
+        order: &[Ranked],
+        includes_too_late: bool,
+        now: Now,
+    ) {
         if self.customers.is_empty() {
             return;
         }
+        let stages = &self.stages;
         for live in self.customers.values_mut() {
-            live.reserved = None;
+            let reserved = live.reserved.take();
+            live.reserved = reserved.filter(|reserved| {
+                let gang = stages.get(&reserved.stage);
+                let waits = gang.is_some_and(|gang| gang.too_late && gang.all_tasks_wait());
+                waits && !includes_too_late
+            });
         }
         for entry in order.iter().filter(|entry| entry.needs.gang) {
             let customer = entry.needs.customer;
@@ -245,8 +261,10 @@
             let Some((_, stage)) = self.stages.get_index(entry.position) else {
                 continue;
             };
-            let may_start = !entry.rank.is_too_late() && !stage.lacks_capacity;
             let waited = now.at.saturating_duration_since(stage.due_at);
+            let is_overdue = waited >= stage.objective * OVERDUE_FACTOR;
+            let counts = !entry.rank.is_too_late() || is_overdue;
+            let may_start = counts && !stage.lacks_capacity;
             let allowed = stage.objective.saturating_sub(stage.remaining);
             let is_aged = stage.all_tasks_wait() && customer_caps::reserves_first(waited, allowed);
             if is_aged && (may_start || self.is_held_by_cap(entry.position, &entry.needs)) {
--- a/src/workflow/placer/place_waits.rs
+++ b/src/workflow/placer/place_waits.rs
@@ -24,6 +24,9 @@
 /// Largest number of racks of which the demand is known; jobs can name racks that do not exist.
 const MAX_DEMANDED_RACKS: usize = 1_024;
 
+/// Largest number of stages that wait for a place: each decision reads the waits before its own.
+const MAX_PLACE_WAITS: usize = 64;
+
 /// A wait of a stage for a better place.
 #[derive(Clone, Debug)]
 pub struct PlaceWait {
@@ -69,6 +72,10 @@
         if far == 0 && !is_split {
             return None;
         }
+        let is_full = self.place_waits.len() >= MAX_PLACE_WAITS;
+        if is_full && !self.place_waits.contains_key(search.key) {
+            return None;
+        }
         let racks = self.rack_workers(search, factor);
         if spec.gang {
             let waits = racks.iter().filter_map(|(rack, workers)| {
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -92,7 +92,7 @@
             let late_gangs = gangs.filter(|entry| !entry.rank.is_in_time()).count();
             self.newest_gangs_first = late_gangs >= NEWEST_FIRST_THRESHOLD;
         }
-        self.reserve_for_aged_gangs(&order, now);
+        self.reserve_for_aged_gangs(&order, includes_too_late, now);
         self.choose_gathering_gangs(&order, now);
         let reassigns = self.reassignment(includes_too_late, now);
         for entry in order.iter().filter(|entry| entry.needs.gang) {
--- a/src/workflow/placer/speeds.rs
+++ b/src/workflow/placer/speeds.rs
@@ -14,7 +14,16 @@
         if end.outcome != RunOutcome::Succeeded || end.run.run != 1 {
             return;
         }
+        let key = &end.run.task.stage;
+        let job = self.state.jobs.get(&key.job);
+        let spec = job.and_then(|job| job.stage_spec(key.stage));
+        // Tasks away from their data take longer on any worker.
+        if spec.is_none_or(|spec| spec.data_rack.is_some()) {
+            return;
+        }
+        // The start of a run that was adopted from an earlier placer is not known.
         let run = self.runs.get(&end.run.task);
+        let run = run.filter(|run| run.starts_sent > 0);
         let Some((run, confirmed_at)) = run.and_then(|run| Some((run, run.confirmed_at()?))) else {
             return;
         };
--- a/src/workflow/placer/tests/customers.rs
+++ b/src/workflow/placer/tests/customers.rs
@@ -427,7 +427,7 @@
     };
     for stages in [vec![stage(1), gang(4)], vec![large]] {
         let refused = submit(&mut fixture, Some(KEY), JOB, stages);
-        assert!(matches!(refused, Reply::Invalid(_)), "{refused:?}");
+        assert!(matches!(refused, Reply::ExceedsCap(_)), "{refused:?}");
     }
     assert!(fixture.term.state.jobs.is_empty());
     let accepted = submit(&mut fixture, Some(KEY), JOB, vec![gang(3)]);
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -14,8 +14,8 @@
 /// Largest body of a request to a host, that of an operator or a worker.
 pub const LARGEST_BODY_BYTES: usize = 4 * 1024 * 1024;
 
-/// Largest `remote_factor`; a larger one would overflow the arithmetic on times.
-const MAX_REMOTE_FACTOR: f64 = 1_000.0;
+/// Largest `remote_factor`; cells have up to 3.
+const MAX_REMOTE_FACTOR: f64 = 10.0;
 
 /// Settings of one host.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -196,7 +196,7 @@
         {
             return Err(Fault::new(
                 "placement.remote_factor",
-                "must be a number of at most 1000",
+                "must be a number of at most 10",
             ));
         }
         if self.cell.seeds.is_empty() {
--- a/tests/customer_shares.rs
+++ b/tests/customer_shares.rs
@@ -126,7 +126,7 @@
         weights in 1_u32..50,
     ) {
         let cell = Backlog { cpu_work_ms: others_ms + own_ms, capacity_millis: 100_000 };
-        let own = OwnBacklog { cpu_work_ms: own_ms, share: 1.0 / f64::from(weights) };
+        let own = OwnBacklog { cpu_work_ms: own_ms, share: 1.0 / f64::from(weights), cap_millis: 0 };
         let found = forecast(&cell, Some(own)).unwrap();
         let by_share = found.by_share.unwrap();
         prop_assert_eq!(found.wait, by_share.min(found.by_cell));
@@ -160,10 +160,35 @@
     let own = OwnBacklog {
         cpu_work_ms: 60_000,
         share: 0.1,
+        cap_millis: 0,
     };
     assert_eq!(forecast(&cell, Some(own)), None);
 }
 
+/// Guards against jobs that are accepted although the cap of their customer serves its backlog too
+/// slowly: a cell with room does not serve them sooner.
+#[test]
+fn a_cap_delays_the_jobs_of_its_customer() {
+    let cell = Backlog {
+        cpu_work_ms: 60_000,
+        capacity_millis: 60_000,
+    };
+    let own = OwnBacklog {
+        cpu_work_ms: 60_000,
+        share: 0.5,
+        cap_millis: 10_000,
+    };
+    let capped = forecast(&cell, Some(own)).unwrap();
+    assert_eq!(capped.wait, Duration::from_secs(6));
+    assert_eq!(capped.decided_by, DecidingBacklog::OfCustomer);
+    let wide = OwnBacklog {
+        cap_millis: 600_000,
+        ..own
+    };
+    let uncapped = forecast(&cell, Some(wide)).unwrap();
+    assert_eq!(uncapped.wait, Duration::from_secs(1));
+}
+
 /// Guards against gangs of a customer over its share that keep the slots which gangs of other
 /// customers wait for, and against another choice where no customer is over its share.
 #[test]
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -73,6 +73,23 @@
     }
 }
 
+/// Guards against a list of customers that is lost, after which calls would need no keys.
+#[test]
+fn a_list_of_customers_that_cannot_be_read_is_refused() {
+    let with = |list: &str| {
+        let list = format!("\"limits\":{{}},\"tenants\":{list}");
+        CONFIGURATION.replace("\"limits\":{}", &list)
+    };
+    for list in ["null", "{}", "[{}]", r#"[{"name":"acme","weight":"1"}]"#] {
+        assert!(
+            decode_configuration(with(list).as_bytes()).is_err(),
+            "{list}"
+        );
+    }
+    let empty = decode_configuration(with("[]").as_bytes()).unwrap();
+    assert!(empty.customers.is_some());
+}
+
 const HEARTBEAT: &str = r#"{"service":"huvo11a","addr":"10.128.0.9:8080","zone":"erdenet",
     "version":"v1","slots":8,"state":"ready","cold_left_ms":0,"born":1772671542368,
     "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"seq":4}"#;
