bug: a gang that waits for one rack did not use one that became free at once

Cause: the last commit put the search of such a gang off by up to 100 ms, and a_gang_waits_for_the_rack_that_is_free_first failed. Change: that part is taken back; the number of waits stays bounded.

--- a/src/workflow/placer/growth.rs
+++ b/src/workflow/placer/growth.rs
@@ -90,13 +90,11 @@
         let waits_for_policy = stage.open_questions > 0 || empty.awaits_caller;
         let has_answers = stage.permits.known_count() > 0;
         let needs_grant = waits_for_policy || (stage.needs.gang && has_answers);
+        // A gang that waits for one rack can use any other that has room for it first.
         let awaits_rack = empty.awaits_place && !stage.needs.gang;
         let awaited = awaits_rack.then(|| self.awaited_rack(key)).flatten();
-        // The search of a gang that waits for one rack examines all runs of the cell. It is repeated
-        // at `repeat_at`, at most 100 ms later.
-        let is_deferred = empty.awaits_place && stage.needs.gang;
         let mut gained = 0;
-        if !is_deferred && (has_answers || !needs_grant) {
+        if has_answers || !needs_grant {
             for index in grown.with_free_cpu(stage.needs.amount.cpu_millis) {
                 self.passes.count_examined();
                 if awaited.is_some_and(|rack| !self.is_in_rack(index, rack)) {
