--- a/src/workflow/decisions/worker_speed.rs
+++ b/src/workflow/decisions/worker_speed.rs
@@ -12,8 +12,9 @@
 /// Run times after which earlier ones have lost half of their weight, so that a change of the worker
 /// shows.
 const HALVING_RUNS: f64 = 64.0;
-/// Fewest run times from which the speed of a worker is judged.
-const MIN_RUNS: f64 = 5.0;
+/// Fewest run times from which the speed of a worker is judged: five, of which the earlier ones have
+/// lost some weight.
+const MIN_RUNS: f64 = 4.5;
 /// Difference from the average worker that counts as slow, as a natural logarithm.
 const SLOW_DIFFERENCE: f64 = 0.08;
 /// Standard errors by which the difference has to exceed zero: with 1.5, one worker in fifteen of
