--- a/src/http/body_budget.rs
+++ b/src/http/body_budget.rs
@@ -4,12 +4,12 @@
 //! handler panics. Without room, bodies that arrive too slowly are closed, slowest first. If there
 //! are none, the body that asks is refused. See docs/design/body-budget.md.
 
-use std::collections::HashMap;
 use std::net::{IpAddr, Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use slab::Slab;
@@ -21,6 +21,9 @@
 const MIN_EVICTION_AGE: Duration = Duration::from_secs(1);
 /// Average rate below which a body is slow: it takes more than 16 s for 262,144 bytes.
 const SLOW_BYTES_PER_SECOND: u128 = 16 * 1024;
+/// Bytes that count as progress. Single bytes at long intervals would keep a nearly complete body
+/// from ever being slow.
+const PROGRESS_BYTES: usize = 1024;
 /// Longest wait for the memory of closed bodies. Their threads release it when they next run.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time before the minimum rate applies, which covers the start of a connection.
@@ -92,7 +95,7 @@
 #[derive(Default)]
 struct Ledger {
     held_bytes: usize,
-    by_address: HashMap<Option<IpAddr>, usize>,
+    by_address: IndexMap<Option<IpAddr>, usize>,
     bodies: Slab<Body>,
 }
 
@@ -109,7 +112,9 @@
 #[derive(Default)]
 struct Arrived {
     bytes: AtomicUsize,
-    /// Time from the start of the body to its latest byte.
+    /// Number of bytes at the latest progress.
+    progress_bytes: AtomicUsize,
+    /// Time from the start of the body to its latest progress of [`PROGRESS_BYTES`].
     at_ms: AtomicU64,
 }
 
@@ -280,9 +285,14 @@
         let now = Instant::now();
         let age = now.saturating_duration_since(self.started_at);
         self.arrived.bytes.store(bytes, Ordering::Relaxed);
-        self.arrived
-            .at_ms
-            .store(age.as_millis() as u64, Ordering::Relaxed);
+        let progress_bytes = self.arrived.progress_bytes.load(Ordering::Relaxed);
+        if bytes >= progress_bytes + PROGRESS_BYTES {
+            let arrived = &self.arrived;
+            arrived.progress_bytes.store(bytes, Ordering::Relaxed);
+            arrived
+                .at_ms
+                .store(age.as_millis() as u64, Ordering::Relaxed);
+        }
         let limits = &self.budget.limits;
         let stalled_at = now + limits.stall_timeout;
         let earned_ms =
@@ -310,7 +320,7 @@
         if let Some(of_address) = ledger.by_address.get_mut(&body.address) {
             *of_address -= body.bytes;
             if *of_address == 0 {
-                ledger.by_address.remove(&body.address);
+                ledger.by_address.swap_remove(&body.address);
             }
         }
         drop(ledger);
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -279,7 +279,11 @@
                 Poll::Ready(Ok(()))
             }
             Err(error) if is_retryable(&error) => {
-                if state.phase.get() == Phase::Sending && !state.wants_write.get() {
+                // A further request may have begun while the response is sent; its body keeps its
+                // deadline.
+                let receives_body = state.body_deadline.get().is_some();
+                if state.phase.get() == Phase::Sending && !state.wants_write.get() && !receives_body
+                {
                     state.enter(Phase::Idle);
                 }
                 Poll::Pending
@@ -436,7 +440,10 @@
             (shared.handler)(request)
         }
         Err(BodyError::Refused(refusal)) => {
-            body_budget::record_refusal(refusal);
+            // A body that was closed to make room was counted when it was closed.
+            if refusal != Refusal::Evicted {
+                body_budget::record_refusal(refusal);
+            }
             refuse_body(refusal, limit)
         }
         Err(BodyError::Unreadable(error)) => {
--- a/tests/body_memory.rs
+++ b/tests/body_memory.rs
@@ -74,8 +74,9 @@
         Self { child, address }
     }
 
-    /// Starts a storage host of a cell; the address is that of its operators' interface.
-    fn start_cell_host(folder: &std::path::Path) -> Self {
+    /// Starts a storage host of a cell; the address is that of its operators' interface, or of its
+    /// callers' interface.
+    fn start_cell_host(folder: &std::path::Path, for_callers: bool) -> Self {
         let sockets: Vec<TcpListener> = (0..4)
             .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
             .collect();
@@ -105,7 +106,7 @@
             .unwrap();
         let process = Self {
             child,
-            address: ports[3],
+            address: if for_callers { ports[1] } else { ports[3] },
         };
         let until = Instant::now() + ANSWER_TIMEOUT;
         while TcpStream::connect(process.address).is_err() {
@@ -315,8 +316,46 @@
 fn bodies_of_operators_that_stop_one_byte_short() {
     let _alone = one_at_a_time();
     let folder = tempfile::tempdir().unwrap();
-    let mut process = Process::start_cell_host(folder.path());
+    let mut process = Process::start_cell_host(folder.path(), false);
     let head = format!("content-length: {CONTROL_BYTES}");
     let sent = pieces(CONTROL_BYTES - 1, PIECE_BYTES);
     process.assert_withstands("operators", CONTROL_CROWD, &head, &sent);
 }
+
+/// Guards against complete jobs that decode to many times their size at the same time.
+#[test]
+fn jobs_of_many_steps_at_once() {
+    let _alone = one_at_a_time();
+    let folder = tempfile::tempdir().unwrap();
+    let mut process = Process::start_cell_host(folder.path(), true);
+    let start = r#"{"task_spec":"","steps":[{"count":1}"#;
+    let step = r#",{"count":1}"#;
+    let steps = (LEGAL_BYTES - start.len() - 2) / step.len();
+    let body = format!("{start}{}]}}", step.repeat(steps));
+    let head = format!("content-length: {}", body.len());
+    process.assert_withstands("jobs", CONTROL_CROWD, &head, &[body.into_bytes()]);
+}
+
+/// Guards against the labels of one heartbeat that fill the memory of each host.
+#[test]
+fn a_heartbeat_with_countless_labels() {
+    let _alone = one_at_a_time();
+    let folder = tempfile::tempdir().unwrap();
+    let mut process = Process::start_cell_host(folder.path(), false);
+    let start = r#"{"service":"s","addr":"127.0.0.1:9","zone":"z","state":"ready","seq":1,
+        "capacity":{"cpu":1,"mem_mb":1},"labels":[""#;
+    let labels = (CONTROL_BYTES - start.len() - 16) / 3;
+    let body = format!("{start}\"{}]}}", ",\"\"".repeat(labels));
+    let head = format!("content-length: {}", body.len());
+    let request = format!(
+        "PUT /api/instances/i-1 HTTP/1.1\r\nhost: x\r\n{head}\r\nconnection: close\r\n\r\n{body}"
+    );
+    let mut stream = TcpStream::connect(process.address).unwrap();
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).unwrap();
+    assert!(reply.starts_with("HTTP/1.1 400"), "{reply}");
+    process.assert_within_the_machine("one heartbeat");
+    process.assert_answers("one heartbeat");
+}
