--- a/tests/platform_malformed.rs
+++ b/tests/platform_malformed.rs
@@ -2,9 +2,8 @@
 
 use std::thread;
 
-use jujubewinch::platform::wire::{
-    JobBody, decode_configuration, decode_heartbeat, decode_policy_answer, decode_report,
-};
+use jujubewinch::platform::configuration::decode_configuration;
+use jujubewinch::platform::wire::{JobBody, decode_heartbeat, decode_policy_answer, decode_report};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -1,7 +1,8 @@
 //! Tests the decoding of valid and invalid messages of the users' platform.
 
+use jujubewinch::platform::configuration::decode_configuration;
 use jujubewinch::platform::wire::{
-    JobBody, StartBody, decode_configuration, decode_heartbeat, decode_policy_answer, decode_report,
+    JobBody, StartBody, decode_heartbeat, decode_policy_answer, decode_report,
 };
 use jujubewinch::workflow::records::RunOutcome;
 
