refactor: one sum of resources, and one place for the defaults of body limits

Cause: a read of the whole change found placer/customers.rs with a copy of scheduling::ledger::add, and the settings of entry hosts with a copy of the defaults of BodyLimits, which the settings of a cell's hosts already derive. Change: both call the existing piece. One comment line is wrapped. Behaviour is the same.

--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -132,16 +132,17 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
+        let bodies = BodyLimits::default();
         Self {
             max_caller_connections: 2048,
             max_payload_bytes: 256 * 1024,
             max_header_bytes: 16 * 1024,
             max_queued_requests: 10_000,
             max_answer_bytes: 64 * 1024 * 1024,
-            max_held_body_bytes: 32 * 1024 * 1024,
-            max_address_body_bytes: 16 * 1024 * 1024,
-            body_stall_timeout_ms: 15_000,
-            min_body_bytes_per_second: 1_024,
+            max_held_body_bytes: bodies.max_total_bytes,
+            max_address_body_bytes: bodies.max_address_bytes,
+            body_stall_timeout_ms: bodies.stall_timeout.as_millis() as u64,
+            min_body_bytes_per_second: bodies.min_bytes_per_second,
         }
     }
 }
--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -6,11 +6,11 @@
 use indexmap::IndexMap;
 
 use super::super::spec::StageKey;
-use super::customers::sum;
 use super::gang_sizes::band;
 use super::search::StageNeeds;
 use super::term::Term;
 use crate::resources::Resources;
+use crate::scheduling::ledger::add;
 
 /// Time for which the computed capacity of all workers is reused. One tick.
 const CAPACITY_VALIDITY: Duration = Duration::from_millis(100);
@@ -112,7 +112,7 @@
         let customer = needs.customer;
         if let Some((_, live)) = customer.and_then(|index| self.customers.get_index_mut(index)) {
             live.waiting_work.add(needs, tasks);
-            live.waiting = sum(&live.waiting, &amount_of(needs, tasks));
+            live.waiting = add(&live.waiting, &amount_of(needs, tasks));
         }
     }
 
--- a/src/workflow/placer/customers.rs
+++ b/src/workflow/placer/customers.rs
@@ -14,6 +14,7 @@
 use super::term::{LiveRun, Term};
 use crate::ids::{CustomerName, JobId};
 use crate::resources::Resources;
+use crate::scheduling::ledger::add;
 
 /// Log lines about held jobs of one customer in one [`HELD_LINES_INTERVAL`]. With twenty customers,
 /// they stay below a tenth of the 4,000 lines that a host writes in a second.
@@ -83,7 +84,7 @@
         CapUse {
             cap: self.cap,
             used: reserved.map_or(self.running, |reserved| {
-                sum(&self.running, &reserved.amount)
+                add(&self.running, &reserved.amount)
             }),
         }
     }
@@ -112,14 +113,6 @@
     pub amount: Resources,
 }
 
-pub(super) fn sum(left: &Resources, right: &Resources) -> Resources {
-    Resources {
-        cpu_millis: left.cpu_millis.saturating_add(right.cpu_millis),
-        memory_mib: left.memory_mib.saturating_add(right.memory_mib),
-        accelerators: left.accelerators.saturating_add(right.accelerators),
-    }
-}
-
 impl Term {
     /// Takes over weights and caps from the state. Customers that are no longer known keep theirs.
     pub(super) fn update_customers(&mut self) {
@@ -160,7 +153,7 @@
         let Some((_, live)) = self.customers.get_index_mut(customer) else {
             return;
         };
-        live.running = sum(&live.running, &amount);
+        live.running = add(&live.running, &amount);
         run.charge = Some(Charge { customer, amount });
     }
 
@@ -331,7 +324,7 @@
         return;
     };
     if let Some(amount) = needs.amount.checked_mul(tasks as u64) {
-        live.running = sum(&live.running, &amount);
+        live.running = add(&live.running, &amount);
     }
 }
 
--- a/src/workflow/placer/idle_room.rs
+++ b/src/workflow/placer/idle_room.rs
@@ -124,8 +124,8 @@
         rooms
     }
 
-    /// Takes room for waiting tasks of a stage, at most `limit`. Returns the number of tasks that got room and of
-    /// workers that were examined.
+    /// Takes room for waiting tasks of a stage, at most `limit`. Returns the number of tasks that got
+    /// room and of workers that were examined.
     fn take_room(
         &self,
         key: &StageKey,
