--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -14,6 +14,7 @@
 /// Bounds of the small deployment, as the pages give them for `tuul-orders`.
 const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
 const DRAIN: Duration = Duration::from_millis(3_000);
+const CANCEL: Duration = Duration::from_millis(3_000);
 const FINISH: Duration = Duration::from_secs(14);
 /// Time for which a job must have nothing running, and time after the last run of a task that lasts
 /// from which on that counts.
@@ -32,8 +33,9 @@
 
 pub fn play(case: &str, play: &Play<'_>) -> Verdict {
     match case {
-        "two-crashes" => two_crashes(play),
         "moved-queue" => moved_queue(play),
+        "late-submission" => late_submission(play),
+        "earlier-born" => earlier_born(play),
         "crash-loop" => crash_loop(play),
         "hoarding-gang" => hoarding_gang(play),
         _ => Err(format!("there is no case {case}")),
@@ -133,77 +135,6 @@
         .any(|run| run.ended.as_ref().is_none_or(|(at, _)| *at >= since))
 }
 
-/// A runner crashes while it runs a sound task, and so does the next runner of the task. Both are back two
-/// seconds later, and nothing else happens.
-fn two_crashes(play: &Play<'_>) -> Verdict {
-    let cell = Cell::start(play.program, play.folder, play.record)?;
-    cell.await_ready()?;
-    let mut runners = play.runners(&cell, "desk", "desk-a", 8);
-    cell.configure(&configuration(
-        1,
-        vec![route("orders", "/orders/", "desk-a", 1)],
-        &["desk-a"],
-    ))?;
-    thread::sleep(Duration::from_millis(3_000));
-
-    let begin = Instant::now();
-    play.record.line("traffic begins");
-    let at = |seconds: f64| begin + Duration::from_secs_f64(seconds);
-    let small = |number: u64| {
-        let path = format!("/orders/00000000000000{number:02x}");
-        cell.submit(&path, &job("work 400", vec![step(2, 500, 400, &[])]))
-    };
-    for number in 0..8 {
-        wait_until(at(0.25 * number as f64));
-        small(number)?;
-    }
-    wait_until(at(4.0));
-    let id = "5c0e7a21d94b36f8";
-    let path = format!("/orders/{id}");
-    cell.submit(&path, &job("work 3000", vec![step(1, 1_000, 3_000, &[])]))?;
-    for crash in 1..=if play.trouble { 2 } else { 0 } {
-        let deadline = Instant::now() + Duration::from_secs(15);
-        let position = loop {
-            if let Some(position) = runners.iter().position(|runner| runner.runs(id)) {
-                break position;
-            }
-            if Instant::now() > deadline {
-                return Err(format!("the task did not start before crash {crash}"));
-            }
-            thread::sleep(Duration::from_millis(10));
-        };
-        thread::sleep(Duration::from_millis(100));
-        runners[position].crash("crashes");
-        thread::sleep(Duration::from_secs(2));
-        let id = format!("back-{crash}");
-        let zone = ZONES[position % ZONES.len()];
-        runners[position] = Runner::start(&id, "desk-a", zone, &cell.control(), play.record);
-    }
-    for number in 8..16 {
-        small(number)?;
-        thread::sleep(Duration::from_millis(250));
-    }
-    play.record.line("traffic ends");
-    thread::sleep(FINISH);
-    let state = cell.state(&path);
-    let all = play.record.runs(id);
-    let ends: Vec<&str> = all
-        .iter()
-        .filter_map(|run| run.ended.as_ref().map(|(_, how)| how.as_str()))
-        .collect();
-    let failed = ends.iter().filter(|how| **how == "failed").count();
-    if state == "completed" {
-        return Ok(None);
-    }
-    if state != "failed" || failed > 0 {
-        return Err(format!("the job is {state:?} after the ends {ends:?}"));
-    }
-    Ok(Some(format!(
-        "job {id} is shown as failed, and no task of it has ended failed; its runs ended {ends:?}, and max_attempts \
-         is 3"
-    )))
-}
-
 /// A queue is moved to the runners of another service, and the runners of the former one leave, one
 /// after the other. A job that was accepted before has a step whose turn comes after that.
 fn moved_queue(play: &Play<'_>) -> Verdict {
@@ -358,14 +289,14 @@
 }
 
 /// A gang can never be done: beside the tasks that last, the runners have room for four of its five members.
-/// A sound task that lasts, of a less urgent queue, fails twice and has to be restarted.
+/// A sound job of a less urgent queue waits with it until other jobs have left their room.
 fn hoarding_gang(play: &Play<'_>) -> Verdict {
     let cell = Cell::start(play.program, play.folder, play.record)?;
     cell.await_ready()?;
     let runners = play.runners(&cell, "desk", "desk-a", 4);
     let routes = vec![
         route("urgent", "/urgent/", "desk-a", 0),
-        route("standing", "/standing/", "desk-a", 1),
+        route("orders", "/orders/", "desk-a", 1),
     ];
     cell.configure(&configuration(1, routes, &["desk-a"]))?;
     thread::sleep(Duration::from_millis(3_000));
@@ -373,60 +304,174 @@
     let begin = Instant::now();
     play.record.line("traffic begins");
     let at = |seconds: f64| begin + Duration::from_secs_f64(seconds);
-    // One task that lasts on each runner.
-    let spread = [
-        ("long_running", Json::Bool(true)),
-        ("anti_affinity", Json::number(1)),
-    ];
-    cell.submit(
-        "/standing/5c0e7a21d94b3600",
-        &job("last", vec![step(4, 1_200, 1_000, &spread)]),
-    )?;
-    let lasts = [("long_running", Json::Bool(true))];
+    // One task that lasts on each runner, and one that uses most of the other room for 16 s.
+    let one_each = ("anti_affinity", Json::number(1));
+    let lasts = [("long_running", Json::Bool(true)), one_each.clone()];
+    let body = job("last", vec![step(4, 1_200, 1_000, &lasts)]);
+    cell.submit("/orders/5c0e7a21d94b3600", &body)?;
+    let body = job("work 16000", vec![step(4, 2_300, 16_000, &[one_each])]);
+    cell.submit("/orders/5c0e7a21d94b3601", &body)?;
+    wait_until(at(2.0));
     let id = "5c0e7a21d94b36f8";
-    let path = format!("/standing/{id}");
-    cell.submit(
-        &path,
-        &job("last-fail-twice 25000", vec![step(1, 1_000, 1_000, &lasts)]),
-    )?;
+    let path = format!("/orders/{id}");
+    cell.submit(&path, &job("work 1000", vec![step(1, 1_000, 1_000, &[])]))?;
     // Twenty jobs of the urgent queue; one of them is hopeless.
     for number in 0..20_u64 {
-        wait_until(at(2.0 + 0.2 * number as f64));
+        wait_until(at(2.5 + 0.2 * number as f64));
         let path = format!("/urgent/00000000000000{number:02x}");
         let body = if number == 10 && play.trouble {
-            job(
-                "work 1000",
-                vec![step(5, 2_000, 1_000, &[("gang", Json::Bool(true))])],
-            )
+            let gang = [("gang", Json::Bool(true))];
+            job("work 1000", vec![step(5, 2_000, 1_000, &gang)])
         } else {
-            job("work 400", vec![step(1, 500, 400, &[])])
+            job("work 400", vec![step(1, 400, 400, &[])])
         };
         cell.submit(&path, &body)?;
     }
-    wait_until(at(26.0));
+    wait_until(at(18.0));
     play.record.line("traffic ends");
-    wait_until(at(26.0) + FINISH);
-    let mut all = play.record.runs(id);
-    let last_end = all
-        .iter()
-        .filter_map(|run| run.ended.as_ref().map(|(at, _)| *at))
-        .max();
-    let Some(last_end) = last_end else {
-        return Err("the sound task did not fail".to_owned());
-    };
-    let since = Instant::now().max(last_end + AFTER_LAST_RUN);
+    wait_until(at(18.0) + FINISH);
+    let since = Instant::now();
     wait_until(since + NOTHING_RUNS + Duration::from_millis(500));
-    all = play.record.runs(id);
-    if any_at_work(&all, since) {
+    let state = cell.state(&path);
+    if state == "completed" {
         return Ok(None);
     }
+    if any_at_work(&play.record.runs(id), since) {
+        return Err(format!("the job is at work and {state}"));
+    }
     if runners.iter().any(|runner| runner.tasks() != 1) {
         return Err("not every runner has just one task".to_owned());
     }
+    Ok(Some(format!(
+        "job {id}, whose task needs 1000, is {state} {:.1} s after the other jobs have ended, and each of the 4 \
+         runners uses 1200 of {CPU}",
+        (Instant::now() - at(16.5)).as_secs_f64()
+    )))
+}
+
+/// An entry host freezes while a client hands a job in there. The client gets no answer, and cancels the job
+/// at another entry host, before the first one wakes.
+fn late_submission(play: &Play<'_>) -> Verdict {
+    let cell = Cell::start(play.program, play.folder, play.record)?;
+    cell.await_ready()?;
+    let _runners = play.runners(&cell, "desk", "desk-a", 8);
+    cell.configure(&configuration(
+        1,
+        vec![route("orders", "/orders/", "desk-a", 1)],
+        &["desk-a"],
+    ))?;
+    thread::sleep(Duration::from_millis(3_000));
+
+    play.record.line("traffic begins");
+    for number in 0..8 {
+        let path = format!("/orders/00000000000000{number:02x}");
+        cell.submit(&path, &job("work 400", vec![step(2, 500, 400, &[])]))?;
+    }
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/orders/{id}");
+    let after_first = [("depends_on", Json::List(vec![Json::number(0)]))];
+    let steps = vec![
+        step(1, 1_000, 8_000, &[]),
+        step(2, 1_000, 1_000, &after_first),
+    ];
+    let body = job("work 8000;work 1000", steps).to_string();
+    if play.trouble {
+        cell.freeze(0, true)?;
+        cell.client_in_vain(0, "POST", &path, &body)?;
+    } else {
+        let answer = cell.client(0, "POST", &path, &body);
+        answer
+            .filter(|it| it.status() == 200)
+            .ok_or("the job was not accepted")?;
+    }
+    let answer = cell.client(1, "DELETE", &path, "");
+    let cancelled_at = Instant::now();
+    let status = answer.map_or(0, |it| it.status());
+    if status != 200 && status != 410 {
+        return Err(format!("the cancellation got {status}"));
+    }
+    if play.trouble {
+        thread::sleep(Duration::from_millis(300));
+        cell.freeze(0, false)?;
+    }
+    wait_until(cancelled_at + FINISH);
+    play.record.line("traffic ends");
+    let late = play
+        .record
+        .starts(id)
+        .into_iter()
+        .filter(|at| *at > cancelled_at + CANCEL)
+        .count();
     let state = cell.state(&path);
+    if late == 0 {
+        return Ok(None);
+    }
     Ok(Some(format!(
-        "the task of job {id}, which lasts and needs 1000, ended {:.1} s ago and has not been started again; the \
-         job is {state}, and each of the 4 runners uses 1200 of {CPU}",
-        last_end.elapsed().as_secs_f64()
+        "the cancelling of job {id} was acknowledged with {status}, and {late} tasks of it started more than {} ms \
+         later; it is shown as {state:?}",
+        CANCEL.as_millis()
+    )))
+}
+
+/// The time of day of a runner's machine is ahead when the runner starts. The runner crashes and starts again
+/// under its identifier, while the clock is right again. One job needs a runner of its kind.
+fn earlier_born(play: &Play<'_>) -> Verdict {
+    let cell = Cell::start(play.program, play.folder, play.record)?;
+    cell.await_ready()?;
+    let runners = play.runners(&cell, "desk", "desk-a", 7);
+    let routes = vec![route("orders", "/orders/", "desk-a", 1)];
+    cell.configure(&configuration(1, routes, &["desk-a"]))?;
+    thread::sleep(Duration::from_millis(3_000));
+
+    play.record.line("traffic begins");
+    for number in 0..8 {
+        let path = format!("/orders/00000000000000{number:02x}");
+        cell.submit(&path, &job("work 400", vec![step(2, 500, 400, &[])]))?;
+    }
+    let ahead_ms = if play.trouble { 2_400 } else { 0 };
+    let life = |ahead_ms| {
+        let odd = ("odd", "b");
+        Runner::start_life(
+            odd,
+            "desk-a",
+            ZONES[0],
+            &cell.control(),
+            play.record,
+            ahead_ms,
+        )
+    };
+    play.record.line(&format!(
+        "runner odd starts; its clock is {ahead_ms} ms ahead"
+    ));
+    let first = life(ahead_ms);
+    thread::sleep(Duration::from_millis(1_000));
+    first.crash("crashes");
+    thread::sleep(Duration::from_millis(500));
+    play.record
+        .line("runner odd starts again; its clock is right");
+    let second = life(0);
+    thread::sleep(Duration::from_millis(4_000));
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/orders/{id}");
+    let label = [("required_label", Json::text("b"))];
+    cell.submit(
+        &path,
+        &job("work 1000", vec![step(1, 1_000, 1_000, &label)]),
+    )?;
+    play.record.line("traffic ends");
+    thread::sleep(FINISH);
+    let since = Instant::now();
+    wait_until(since + NOTHING_RUNS + Duration::from_millis(500));
+    let state = cell.state(&path);
+    if state == "completed" {
+        return Ok(None);
+    }
+    if any_at_work(&play.record.runs(id), since) || !second.idle() {
+        return Err(format!("the job is at work and {state}"));
+    }
+    let idle = runners.iter().filter(|runner| runner.idle()).count();
+    Ok(Some(format!(
+        "job {id} is {state}; it can run on runner odd, which is idle and whose heartbeats are acknowledged, and \
+         nothing of it runs; {idle} of the 7 other runners are idle"
     )))
 }
--- a/review/stand-2/cell.rs
+++ b/review/stand-2/cell.rs
@@ -15,10 +15,10 @@
 
 const ZONES: [&str; 3] = ["erdenet", "sukhbaatar", "chinggis"];
 const STORAGE_HOSTS: usize = 3;
-const HOSTS: usize = 6;
+const HOSTS: usize = 10;
 pub const HOST_NAME: &str = "desk.example";
 
-/// Three storage hosts and three entry hosts, each a process of its own.
+/// Three storage hosts and seven entry hosts, each a process of its own.
 pub struct Cell {
     folder: PathBuf,
     program: PathBuf,
@@ -171,8 +171,7 @@
 
     /// Sends a client's request to an entry host.
     pub fn client(&self, entry: usize, method: &str, path: &str, body: &str) -> Option<Message> {
-        let host = STORAGE_HOSTS + 1 + entry % (HOSTS - STORAGE_HOSTS);
-        let address = SocketAddr::new(ip(host), self.ports[1]);
+        let address = self.entry_address(entry);
         let headers = [("host", HOST_NAME), ("request-deadline", "3000")];
         let answer = call(
             address,
@@ -206,6 +205,58 @@
         Err(format!("{path} was not accepted"))
     }
 
+    /// Sends a client's request to an entry host that does not answer, and closes the connection at the
+    /// client's deadline.
+    pub fn client_in_vain(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Result<(), String> {
+        let address = self.entry_address(entry);
+        let headers = [("host", HOST_NAME), ("request-deadline", "3000")];
+        match call(
+            address,
+            method,
+            path,
+            &headers,
+            body,
+            Duration::from_secs(3),
+        ) {
+            Ok(answer) => Err(format!(
+                "{method} {path} was answered with {}",
+                answer.status()
+            )),
+            Err(error) => {
+                self.record.line(&format!(
+                    "client {method} {path} {body} -> no answer: {error}"
+                ));
+                Ok(())
+            }
+        }
+    }
+
+    /// Stops an entry host, as a machine that stands still, or lets it go on.
+    pub fn freeze(&self, entry: usize, frozen: bool) -> Result<(), String> {
+        let child = self.children[STORAGE_HOSTS + entry % (HOSTS - STORAGE_HOSTS)].as_ref();
+        let id = child.ok_or("the host does not run")?.id().to_string();
+        let signal = if frozen { "-STOP" } else { "-CONT" };
+        let sent = Command::new("kill").args([signal, &id]).status();
+        self.record.line(&format!(
+            "entry host {entry} {}",
+            if frozen { "freezes" } else { "wakes" }
+        ));
+        sent.is_ok_and(|status| status.success())
+            .then_some(())
+            .ok_or_else(|| "no signal was sent".to_owned())
+    }
+
+    fn entry_address(&self, entry: usize) -> SocketAddr {
+        let host = STORAGE_HOSTS + 1 + entry % (HOSTS - STORAGE_HOSTS);
+        SocketAddr::new(ip(host), self.ports[1])
+    }
+
     /// State of a job as a client reads it; empty without an answer.
     pub fn state(&self, path: &str) -> String {
         let answer = (0..3).find_map(|entry| {
--- a/review/stand-2/record.rs
+++ b/review/stand-2/record.rs
@@ -10,6 +10,7 @@
 pub struct RunRecord {
     pub task: String,
     pub run: u64,
+    started: Instant,
     pub ended: Option<(Instant, String)>,
 }
 
@@ -39,6 +40,7 @@
         self.runs.lock().unwrap().push(RunRecord {
             task: task.to_owned(),
             run,
+            started: Instant::now(),
             ended: None,
         });
     }
@@ -55,6 +57,11 @@
         }
     }
 
+    /// Times at which the tasks whose names begin so were started.
+    pub fn starts(&self, prefix: &str) -> Vec<Instant> {
+        self.runs(prefix).iter().map(|run| run.started).collect()
+    }
+
     /// Runs of the tasks whose names begin so, in the order of their starts.
     pub fn runs(&self, prefix: &str) -> Vec<RunRecord> {
         let runs = self.runs.lock().unwrap();
--- a/review/stand-2/runner.rs
+++ b/review/stand-2/runner.rs
@@ -4,8 +4,7 @@
 //! What a task does follows from the `task_spec` of its job, which the client chose. It holds one entry
 //! for each step, separated by `;`:
 //! `work MS` ends `done` after MS; `fail MS` ends `failed` after MS, each time; `last` goes on until it
-//! is stopped; `last-fail MS` does the same, but its first run ends `failed` after MS;
-//! `last-fail-twice MS` besides fails in its second run, after 300 ms.
+//! is stopped; `last-fail MS` does the same, but its first run ends `failed` after MS.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,6 +28,7 @@
     pub id: String,
     pub service: String,
     zone: String,
+    kind: String,
     born: u64,
     started: Instant,
     record: Arc<Record>,
@@ -61,20 +61,33 @@
 }
 
 impl Runner {
-    /// Starts a runner that registers at the storage hosts.
+    /// Starts a runner of kind `a` that registers at the storage hosts.
     pub fn start(
         id: &str,
         service: &str,
         zone: &str,
         control: &[SocketAddr],
         record: &Arc<Record>,
+    ) -> Arc<Self> {
+        Self::start_life((id, "a"), service, zone, control, record, 0)
+    }
+
+    /// Starts a life of a runner. The time of day of its machine is `ahead_ms` ahead.
+    pub fn start_life(
+        (id, kind): (&str, &str),
+        service: &str,
+        zone: &str,
+        control: &[SocketAddr],
+        record: &Arc<Record>,
+        ahead_ms: u64,
     ) -> Arc<Self> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let runner = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
-            born: since_epoch.as_millis() as u64,
+            kind: kind.to_owned(),
+            born: since_epoch.as_millis() as u64 + ahead_ms,
             started: Instant::now(),
             record: Arc::clone(record),
             control: control.to_vec(),
@@ -213,7 +226,7 @@
             ("capacity", capacity()),
             (
                 "labels",
-                Json::List(vec![Json::text("a"), Json::text("r1")]),
+                Json::List(vec![Json::text(&self.kind), Json::text("r1")]),
             ),
             ("clock_ms", Json::number(self.clock_ms())),
             ("seq", Json::number(sequence)),
@@ -423,15 +436,6 @@
         "fail" => Some(("failed", after)),
         "last" => None,
         "last-fail" => (run == 1).then_some(("failed", after)),
-        "last-fail-twice" if run <= 2 => Some((
-            "failed",
-            if run == 1 {
-                after
-            } else {
-                Duration::from_millis(300)
-            },
-        )),
-        "last-fail-twice" => None,
         _ => Some(("done", after)),
     }
 }
