--- a/review/stand-2/cell.rs
+++ b/review/stand-2/cell.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::cleanup;
 use crate::http::{Message, call};
 use crate::json::Json;
 use crate::record::Record;
@@ -93,6 +94,7 @@
             .stdout(log)
             .spawn()
             .map_err(|it| format!("cannot start {}: {it}", self.program.display()))?;
+        cleanup::note_process(child.id());
         self.children[host - 1] = Some(child);
         Ok(())
     }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -6,6 +6,7 @@
 
 mod cases;
 mod cell;
+mod cleanup;
 mod http;
 mod json;
 mod record;
@@ -35,6 +36,7 @@
         eprintln!("cannot create a temporary folder: {error}");
         exit(2);
     }
+    cleanup::watch(folder.clone());
     record.line(&format!(
         "case {case}, {}",
         if trouble {
--- a/review/stand-2/runner.rs
+++ b/review/stand-2/runner.rs
@@ -242,7 +242,14 @@
                 &body.to_string(),
                 Duration::from_secs(1),
             );
-            answer.is_ok_and(|answer| answer.status() / 100 == 2)
+            let status = answer.map_or(0, |answer| answer.status());
+            if self.kind == "b" {
+                let (id, born) = (&self.id, self.born);
+                self.record.line(&format!(
+                    "heartbeat {sequence} of {id}, born {born}: {status}"
+                ));
+            }
+            status / 100 == 2
         })
     }
 
