feature: log lines about start orders that may still be carried out, and missing ends

A task that waits since a copy of its start order may still be carried out left no line, nor did the end of that wait by time alone, nor a gap in the numbers of ends that a worker lists.

Change: one line when such a task begins to wait, one when the order counts as lost by time, and one for ends that another call acknowledged.

--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -7,6 +7,7 @@
 use super::super::decisions::leases::{ClockReading, expires_without_reading};
 use super::super::spec::TaskKey;
 use super::Now;
+use super::reports::ms_ago;
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::WorkerId;
 
@@ -174,6 +175,7 @@
         for id in expired {
             let ended = self.runs_without_late_start(&id, now.at);
             self.report_expired_lease(&id, ended.len(), now.at);
+            self.report_open_starts(&id, &ended, now.at);
             self.note_expired_lease(&id, now);
             self.end_runs_as_lost(&id, ended, "the lease expired", now);
         }
@@ -199,6 +201,37 @@
         ended
     }
 
+    /// Logs the runs on a silent worker that wait since a copy of their start order may still be
+    /// carried out, and those that end although no answer has shown that it cannot.
+    fn report_open_starts(&mut self, id: &WorkerId, ended: &[TaskKey], now: Instant) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let max_lease = self.settings.max_lease;
+        for task in &worker.runs {
+            let Some(run) = self.runs.get_mut(task) else {
+                continue;
+            };
+            let Some(until) = run.late_start_ends_at(max_lease) else {
+                continue;
+            };
+            let sent_ms_ago = run.start_sent_at.map(|at| ms_ago(at, now));
+            if ended.contains(task) {
+                log::warn!(
+                    task:% = task, run = run.run, worker = id.as_str(), sent_ms_ago:?;
+                    "a start order without an answer counts as lost by time"
+                );
+            } else if !run.logged_as_open {
+                run.logged_as_open = true;
+                log::info!(
+                    task:% = task, run = run.run, worker = id.as_str(), sent_ms_ago:?,
+                    waits_ms = -ms_ago(until, now);
+                    "a task waits: a copy of its start order may still be carried out"
+                );
+            }
+        }
+    }
+
     fn report_expired_lease(&self, id: &WorkerId, ended: usize, now: Instant) {
         let Some(worker) = self.workers.get(id).filter(|_| ended > 0) else {
             return;
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -209,6 +209,15 @@
             if end.number <= live.seen_ends {
                 continue;
             }
+            // An earlier placer may have acknowledged ends of an incarnation that it knew.
+            let first_is_known = live.seen_ends > 0 || live.generation > 0;
+            if first_is_known && end.number > live.seen_ends + 1 {
+                log::error!(
+                    worker = worker.as_str(), incarnation = live.record.incarnation,
+                    number = end.number, seen = live.seen_ends;
+                    "ends are missing in the list of a worker: another call acknowledged them"
+                );
+            }
             live.seen_ends = end.number;
             let current = self.runs.get(&end.run.task);
             let matches = current
@@ -426,7 +435,7 @@
 }
 
 /// Returns how many milliseconds ago a time was; negative for a time in the future.
-fn ms_ago(at: Instant, now: Instant) -> i64 {
+pub(super) fn ms_ago(at: Instant, now: Instant) -> i64 {
     let ms = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
     match now.checked_duration_since(at) {
         Some(past) => ms(past),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -326,6 +326,8 @@
     pub starts_sent: u32,
     /// Whether the only copy of the start order was answered, so that it cannot be carried out later.
     pub start_is_settled: bool,
+    /// Whether a line of the log has said that a copy of the start order may still be carried out.
+    pub logged_as_open: bool,
 }
 
 impl LiveRun {
@@ -351,6 +353,7 @@
             give_up_at: None,
             starts_sent: 0,
             start_is_settled: false,
+            logged_as_open: false,
         }
     }
 
