--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -219,6 +219,11 @@
         runs.iter().map(|run| (run.task.clone(), run.run)).collect()
     }
 
+    /// Number of ends that the current process lists, since they are not acknowledged.
+    pub fn listed_ends(&self) -> usize {
+        self.state.lock().unwrap().ended.len()
+    }
+
     /// Waits until the current process runs a task and returns the time of its start.
     pub fn await_start(&self) -> Instant {
         let born = self.born();
