bug: a start order that arrives late runs beside the task's next run

What callers saw: two runs of one task at once, after its worker had crashed with the start order on its way, started again under its identifier and was cut off.

Cause: the placer gave up a run on a silent worker, of whose start order a copy had no answer, the longest lease after 2 s, a guess about how late a call can be. The contract names no bound, and the users' workers carry out orders 2 to 12 s late. An order that is held for 3 to 9 s runs on the next process of the worker while its successor is at work.

Change: such a task waits for evidence: an answer of the worker by a call with a newer token. Without one it starts elsewhere after timing.late_call_limit_ms (new, default 12 s) and the longest lease, counted from the later of the order and the last renewal that may carry a lease. A worker is not forgotten while such a run waits. Runs of an earlier placer count as such until they are listed. All other runs on a silent worker end with the lease, without the 2 s: their lease is a time on a clock that has gone on.

In restarts.rs the bounds before which no second run may start rise from 10 and 12 s to 22 s, since they held the old guess; the time within which it has to start afterwards stays 3 s. Two tests are new.

Not covered: an order that is later than the limit; one that is later than the evidence of one incarnation and reaches the one after it.

--- a/src/workflow/decisions/leases.rs
+++ b/src/workflow/decisions/leases.rs
@@ -26,6 +26,11 @@
 }
 
 impl ClockReading {
+    /// Whether the reading was certainly taken after a local time.
+    pub fn taken_after(&self, at: Instant) -> bool {
+        self.received_at > at + Duration::from_millis(MAX_ANSWER_AGE_MS)
+    }
+
     /// Lower bound of the worker's clock at `now`, in milliseconds.
     pub fn at_least_ms(&self, now: Instant) -> u64 {
         let elapsed = now.saturating_duration_since(self.received_at);
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -351,6 +351,7 @@
             host: settings.host_id(),
             lease: WORKER_LEASE.min(max_lease),
             max_lease,
+            late_call_limit: settings.late_call_limit(),
             retention: settings.retention(),
             wanted_voters: settings.cell.tolerated_losses * 2 + 1,
             remote_factor: settings.remote_factor(),
--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -6,18 +6,14 @@
 
 use super::super::decisions::leases::{ClockReading, expires_without_reading};
 use super::super::spec::TaskKey;
-use super::Now;
 use super::reports::ms_ago;
 use super::term::{LiveRun, LiveWorker, Term};
+use super::{Now, PlacerSettings};
 use crate::ids::WorkerId;
 
 /// Time without an answer after which a worker is removed whose lease has expired, so that it has
 /// no runs.
 const UNRESPONSIVE_WORKER_RETENTION: Duration = Duration::from_secs(60);
-/// Time for which calls for a former incarnation, or of an earlier placer, may be carried out as long
-/// as the worker has not answered. The contract with the workers states no bound: a relay sends for up
-/// to 0.5 s more, and TCP repeats a lost packet after 1 s.
-pub(super) const LATE_CALL_ALLOWANCE: Duration = Duration::from_secs(2);
 
 /// Time from which on no run that was started before is still running on a worker, unless its lease
 /// is renewed.
@@ -48,10 +44,13 @@
     /// earlier placers and for former incarnations, which have no effect from then on. Before it,
     /// each of them may have renewed the lease up to the longest one, whatever end it names: that is
     /// a time on the clock of the former incarnation.
+    ///
+    /// Without an answer, the end holds for runs that no later incarnation can begin: their lease is
+    /// a time on a clock that has gone on since it was granted, however late the call arrived.
     pub fn lease_end(&self, max_lease: Duration) -> LeaseEnd {
         let Some(reading) = self.clock else {
             return LeaseEnd {
-                expires_at: expires_without_reading(self.unknown_calls_until, max_lease),
+                expires_at: expires_without_reading(self.known_since, max_lease),
                 basis: LeaseBasis::NoAnswer,
             };
         };
@@ -69,16 +68,28 @@
 }
 
 impl LiveRun {
-    /// Returns until when a run may be at work on a silent worker by a start order whose outcome is
-    /// not known: the worker may have restarted, and its next incarnation carries out the order,
-    /// whose lease ends on the clock of the former one. `None` if the only copy of the order was
-    /// answered, or if it names a permit, which is valid for one incarnation.
-    fn late_start_ends_at(&self, max_lease: Duration) -> Option<Instant> {
+    /// Returns until when a run may be at work on a silent worker by a start order of which a copy has
+    /// no answer: the worker may have restarted, and its next incarnation carries out the copy and
+    /// later renewals, whose leases end on the clock of the former one. `None` if the only copy was
+    /// answered, or if it names a permit, which is valid for one incarnation, or if the known
+    /// incarnation was at work when calls that were sent with the order no longer arrive.
+    pub(super) fn late_start_ends_at(
+        &self,
+        worker: &LiveWorker,
+        settings: &PlacerSettings,
+    ) -> Option<Instant> {
         let is_open = !self.start_is_settled && self.permit.is_none();
         let sent_at = self.start_sent_at.filter(|_| is_open)?;
+        let arrives_by = sent_at + settings.late_call_limit;
+        let outlived = |reading: ClockReading| reading.taken_after(arrives_by);
+        if worker.clock.is_some_and(outlived) {
+            return None;
+        }
+        // A relay sends no lease after a renewal without an answer.
+        let last_renewal = worker.unresponsive_since.unwrap_or(worker.known_since);
         Some(expires_without_reading(
-            sent_at + LATE_CALL_ALLOWANCE,
-            max_lease,
+            sent_at.max(last_renewal) + settings.late_call_limit,
+            settings.max_lease,
         ))
     }
 }
@@ -180,7 +191,14 @@
             self.end_runs_as_lost(&id, ended, "the lease expired", now);
         }
         for id in removed {
-            self.remove_worker(&id, now);
+            // A run that waits for a late start order keeps its worker.
+            if self
+                .workers
+                .get(&id)
+                .is_some_and(|worker| worker.runs.is_empty())
+            {
+                self.remove_worker(&id, now);
+            }
         }
     }
 
@@ -189,11 +207,10 @@
         let Some(worker) = self.workers.get(id) else {
             return Vec::new();
         };
-        let max_lease = self.settings.max_lease;
         let mut ended = Vec::new();
         for task in &worker.runs {
             let run = self.runs.get(task);
-            let late_until = run.and_then(|run| run.late_start_ends_at(max_lease));
+            let late_until = run.and_then(|run| run.late_start_ends_at(worker, &self.settings));
             if late_until.is_none_or(|until| now >= until) {
                 ended.push(task.clone());
             }
@@ -207,12 +224,11 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let max_lease = self.settings.max_lease;
         for task in &worker.runs {
             let Some(run) = self.runs.get_mut(task) else {
                 continue;
             };
-            let Some(until) = run.late_start_ends_at(max_lease) else {
+            let Some(until) = run.late_start_ends_at(worker, &self.settings) else {
                 continue;
             };
             let sent_ms_ago = run.start_sent_at.map(|at| ms_ago(at, now));
--- a/src/workflow/placer/settings.rs
+++ b/src/workflow/placer/settings.rs
@@ -13,6 +13,9 @@
     pub lease: Duration,
     /// Longest lease that a worker accepts, also from an earlier placer.
     pub max_lease: Duration,
+    /// Longest time between sending a call to a worker and its execution there, if the call was held
+    /// on its way.
+    pub late_call_limit: Duration,
     /// Time for which jobs are kept in the state after their end.
     pub retention: Duration,
     /// Number of voters of the workflow log when enough storage hosts are in contact.
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -101,6 +101,8 @@
         };
         let amount = spec.ledger_amount();
         let urgency = urgency(job.queue.priority);
+        // Which copies of the start orders have an answer is known to the former leader alone.
+        let start_sent_at = job.queue.placement_policy.is_none().then_some(now);
         let mut adopted = Vec::new();
         for (index, task) in stage.tasks.iter().enumerate() {
             let TaskProgress::Placed {
@@ -119,6 +121,7 @@
         for (task, run, worker, incarnation) in adopted {
             let target = (worker.clone(), incarnation);
             let mut live = LiveRun::new(run, target, RunPhase::Unresolved, now);
+            live.start_sent_at = start_sent_at;
             self.charge(&mut live, customer, amount);
             self.runs.insert(task.clone(), live);
             // A worker that left no longer has the run; the first tick ends it.
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -175,8 +175,9 @@
     /// Latest end of a lease that the worker may have received before its first answer in this term,
     /// by calls of an earlier placer or for a former incarnation; zero until then.
     pub unknown_until_clock_ms: u64,
-    /// Latest time at which such a call counts as possible if the worker does not answer.
-    pub unknown_calls_until: Instant,
+    /// Time at which the incarnation became known in this term. Earlier calls were for a former
+    /// incarnation or of an earlier placer.
+    pub known_since: Instant,
     /// Whether the worker answered the latest renewal of its lease.
     pub reachable: bool,
     /// Time of the first renewal without an answer since the last answer; `None` while it answers.
@@ -318,7 +319,8 @@
     /// Permit of the start order; `None` when the queue has no placement policy, and for a run that
     /// was adopted from an earlier leader.
     pub permit: Option<String>,
-    /// Time at which the start order was last sent; `None` before.
+    /// Time at which the start order was last sent, or before which an earlier leader sent it without a
+    /// permit; `None` before.
     pub start_sent_at: Option<Instant>,
     /// Time at which the run is stopped if no start order has an outcome; `None` before the first.
     pub give_up_at: Option<Instant>,
@@ -374,6 +376,10 @@
     /// Records that the worker listed the run or confirmed its start.
     pub fn confirm(&mut self, now: Instant) {
         self.confirmed = true;
+        // The order of an earlier leader was carried out, and is not carried out again.
+        if self.phase == RunPhase::Unresolved && self.starts_sent == 0 {
+            self.start_is_settled = true;
+        }
         if matches!(self.phase, RunPhase::Unresolved | RunPhase::Starting) {
             self.phase = RunPhase::Running { confirmed_at: now };
         }
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -35,6 +35,7 @@
         host: "10.0.0.1".to_owned(),
         lease: LEASE,
         max_lease: Duration::from_secs(10),
+        late_call_limit: Duration::from_secs(12),
         retention: Duration::from_secs(120),
         wanted_voters: 3,
         remote_factor: None,
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -3,7 +3,6 @@
 
 use std::time::{Duration, Instant};
 
-use super::super::leases::LATE_CALL_ALLOWANCE;
 use super::super::reports::target;
 use super::super::term::RunPhase;
 use super::capacity::{send_starts, with_relay};
@@ -17,7 +16,7 @@
 
 const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Longest time from an order to the end of a lease by it, if it is carried out late.
-const LATE_LEASE: Duration = LATE_CALL_ALLOWANCE.saturating_add(MAX_LEASE);
+const LATE_LEASE: Duration = Duration::from_secs(12).saturating_add(MAX_LEASE);
 
 fn no_answer() -> CallFailure {
     CallFailure::NoAnswer("a simulated cut".to_owned())
@@ -294,7 +293,7 @@
         let sent_at = fixture.now.at;
         report_start_answer(&mut fixture, clock_ms, false);
         fixture.announce("v");
-        expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
+        expect_run_until(&mut fixture, "w", 1, sent_at + LATE_LEASE);
         expect_next_run(&mut fixture, "w", 1);
     }
 }
@@ -382,7 +381,7 @@
     let now = fixture.now;
     fixture.term.handle_departure(&"w".to_owned(), now.at);
     fixture.fail_to_answer("w", &CallFailure::PortClosed);
-    expect_run_until(&mut fixture, "w", 1, sent_at + MAX_LEASE);
+    expect_run_until(&mut fixture, "w", 1, sent_at + LATE_LEASE);
     for _ in 0..30 {
         step(&mut fixture);
     }
@@ -400,3 +399,32 @@
     expect_run_until(&mut fixture, "w", 1, began_at + LATE_LEASE);
     expect_next_run(&mut fixture, "w", 1);
 }
+
+/// Guards against runs that wait for late start orders of the former placer although the worker has
+/// listed them, so that the tasks of a lost worker start elsewhere much later.
+#[test]
+fn a_run_of_the_former_placer_that_was_listed_ends_with_the_lease() {
+    let former = Fixture::running_on_w();
+    let mut fixture = Fixture::with_state(former.term.state);
+    fixture.report("w", vec![listed(0, 1)], vec![]);
+    let answered_at = fixture.now.at;
+    fixture.announce("v");
+    expect_run_until(&mut fixture, "w", 1, answered_at + MAX_LEASE);
+    expect_next_run(&mut fixture, "w", 1);
+}
+
+/// Guards against a worker that is forgotten while it may still carry out a start order: its task
+/// would start elsewhere beside it.
+#[test]
+fn a_silent_worker_is_kept_for_as_long_as_a_start_order_may_be_late() {
+    let mut fixture = with_start_in_flight();
+    fixture.term.settings.late_call_limit = Duration::from_secs(90);
+    let sent_at = fixture.now.at;
+    fixture.announce("v");
+    let late_lease = Duration::from_secs(90) + MAX_LEASE;
+    expect_run_until(&mut fixture, "w", 1, sent_at + late_lease);
+    for _ in 0..30 {
+        step(&mut fixture);
+    }
+    assert_eq!(run_number(&fixture), Some(2));
+}
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -9,7 +9,6 @@
 use super::super::state::Job;
 use super::super::workers::{WorkerHeartbeat, WorkerRecord};
 use super::Now;
-use super::leases::LATE_CALL_ALLOWANCE;
 use super::load::LOAD_REPORT_TICKS;
 use super::relaying::GRANT_TICKS;
 use super::term::{LiveWorker, RunPhase, Term};
@@ -40,7 +39,7 @@
             clock: None,
             granted_until_clock_ms: 0,
             unknown_until_clock_ms: 0,
-            unknown_calls_until: now + LATE_CALL_ALLOWANCE,
+            known_since: now,
             reachable: false,
             unresponsive_since: None,
             seen_ends: 0,
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -99,6 +99,14 @@
     pub stop_grace_ms: u64,
     /// Time for which ended jobs are kept.
     pub job_retention_ms: u64,
+    /// Longest time by which a call to a worker may be late; may be left out.
+    #[serde(default = "default_late_call_limit_ms")]
+    pub late_call_limit_ms: u64,
+}
+
+/// Returns the longest time by which the users' workers carry out orders late.
+fn default_late_call_limit_ms() -> u64 {
+    12_000
 }
 
 /// External placement policy.
@@ -227,6 +235,11 @@
         self.placement.remote_factor.filter(|&factor| factor > 1.0)
     }
 
+    /// Longest time between sending a call to a worker and its execution there.
+    pub fn late_call_limit(&self) -> Duration {
+        Duration::from_millis(self.timing.late_call_limit_ms)
+    }
+
     /// Time for which ended jobs are kept.
     pub fn retention(&self) -> Duration {
         Duration::from_millis(self.timing.job_retention_ms)
