bug: a call to a worker that was given up no longer waits in the kernel

Cause: when a call times out, the HTTP library closes its socket, but the kernel goes on sending what the peer has not acknowledged, long after the close and also while the process is paused. A start order whose caller gave up after 450 ms can so be carried out seconds later, when a cut heals.

Change: ClientOptions::unacknowledged_timeout. If set, connections have SO_LINGER 0 right after they were established, so that each end of them, also by a killed process, is a reset that discards what has not arrived, and TCP_USER_TIMEOUT, so that the kernel gives up unacknowledged bytes without the process. The library's transport gives no access to its sockets, so a small one of our own takes its place for these clients; rustix has the options.

Not covered: bytes that the kernel of the worker has received.

--- a/src/http.rs
+++ b/src/http.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod message;
 pub mod server;
+mod transport;
 
 pub use client::{Client, ClientError, ClientOptions};
 pub use message::{Request, Response};
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,6 +11,8 @@
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
+use super::transport::ResettingConnector;
+
 /// Smallest accepted size of a buffer of a connection. Below 10 KiB the library resizes the buffer
 /// while it holds data.
 pub const MIN_BUFFER_BYTES: usize = 16 * 1024;
@@ -31,6 +33,11 @@
     /// whole buffers stay resident while the connection is open. The header section of a response
     /// has to fit into one; bodies may be larger.
     pub buffer_bytes: usize,
+    /// Bounds how late a request can arrive whose caller gave up, also while the process is paused.
+    /// If set, the kernel gives up a connection whose peer has not acknowledged sent bytes for this
+    /// time, and connections are closed with a reset, which discards bytes that have not arrived.
+    /// If `None`, the kernel goes on sending them until its own limits, also after the close.
+    pub unacknowledged_timeout: Option<Duration>,
 }
 
 impl Default for ClientOptions {
@@ -41,6 +48,7 @@
             max_idle_connections_per_host: 16,
             max_body_bytes: 4 * 1024 * 1024,
             buffer_bytes: 128 * 1024,
+            unacknowledged_timeout: None,
         }
     }
 }
@@ -250,7 +258,15 @@
         .max_idle_connections(max_idle_connections_per_host)
         .max_idle_connections_per_host(max_idle_connections_per_host)
         .build();
-    Agent::with_parts(config, DefaultConnector::new(), AddressResolver)
+    match options.unacknowledged_timeout {
+        Some(unacknowledged_timeout) => {
+            let connector = ResettingConnector {
+                unacknowledged_timeout,
+            };
+            Agent::with_parts(config, connector, AddressResolver)
+        }
+        None => Agent::with_parts(config, DefaultConnector::new(), AddressResolver),
+    }
 }
 
 /// Resolves only hosts that are IP addresses, since no others are used. The library's resolver
