bug: a start order is sent beside the acknowledgement of another link

Two links of a relay serve a worker for a short time when its token changes. Both could send an acknowledgement, and the answer to the first one counted as the answer to both, so that a start order went out while the second one had no answer. The next incarnation of the worker could carry out both.

A second acknowledgement now waits for the answer to the first one.

--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -50,9 +50,10 @@
         self.takes_starts && unanswered.is_some_and(|unanswered| unanswered >= token)
     }
 
-    /// Whether an acknowledgement may be sent.
+    /// Whether an acknowledgement may be sent. Only one is on its way: `is_acknowledging` could not
+    /// tell which of two has been answered.
     pub fn may_acknowledge(&self, now: Instant) -> bool {
-        self.starts == 0 && !self.is_start_open(now)
+        self.starts == 0 && !self.is_acknowledging && !self.is_start_open(now)
     }
 
     /// Whether a start order whose answer is no longer awaited may be carried out.
@@ -62,8 +63,6 @@
 
     /// Whether nothing has to be remembered.
     pub fn is_settled(&self, now: Instant) -> bool {
-        self.may_acknowledge(now)
-            && !self.is_acknowledging
-            && self.unanswered_acknowledgement.is_none()
+        self.may_acknowledge(now) && self.unanswered_acknowledgement.is_none()
     }
 }
--- a/src/workflow/relay/open_calls.rs
+++ b/src/workflow/relay/open_calls.rs
@@ -74,13 +74,13 @@
         loop {
             let now = Instant::now();
             let calls = calls_to(&mut workers, target);
-            calls.is_acknowledging = calls.may_acknowledge(now);
+            let may_acknowledge = calls.may_acknowledge(now);
+            calls.is_acknowledging |= may_acknowledge;
             calls.acknowledgement_waits =
-                !calls.is_acknowledging && !calls.is_start_open(now) && now < deadline;
+                !may_acknowledge && !calls.is_start_open(now) && now < deadline;
             if !calls.acknowledgement_waits {
-                let is_acknowledging = calls.is_acknowledging;
                 self.changed.notify_all();
-                return is_acknowledging.then(|| OpenAcknowledgement {
+                return may_acknowledge.then(|| OpenAcknowledgement {
                     table: self,
                     target,
                     epoch,
--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -53,6 +53,8 @@
     ends: AtomicU64,
     loses_starts: AtomicBool,
     loses_acknowledgements: AtomicBool,
+    /// Times for which acknowledgements are held, the next one first.
+    holds: Mutex<Vec<Duration>>,
 }
 
 impl Worker {
@@ -80,7 +82,8 @@
             self.open_acknowledgements.fetch_add(1, Ordering::AcqRel);
             self.note_meeting(&self.open_starts);
         }
-        thread::sleep(ANSWER_TIME);
+        let held = acknowledges.then(|| self.holds.lock().unwrap().pop());
+        thread::sleep(held.flatten().unwrap_or(ANSWER_TIME));
         if acknowledges {
             self.note_meeting(&self.open_starts);
             self.open_acknowledgements.fetch_sub(1, Ordering::AcqRel);
@@ -315,3 +318,21 @@
     test.instruct(0, 1, vec![start_order(1, Some("permit"))]);
     test.await_event(is_start_answer);
 }
+
+/// Guards against a start order that is on its way with an acknowledgement: after a change of the
+/// token, the acknowledgement of the former link ended while that of the next one had no answer.
+#[test]
+fn a_start_order_waits_for_the_acknowledgements_of_two_links() {
+    let test = TestRelay::start(WAIT_TIMEOUT);
+    let (first, second) = (Duration::from_millis(200), Duration::from_millis(400));
+    *test.worker.holds.lock().unwrap() = vec![second, first];
+    test.worker.ends.store(1, Ordering::Release);
+    test.instruct(0, 1, Vec::new());
+    test.await_acknowledgement();
+    test.instruct(1, 1, Vec::new());
+    thread::sleep(first / 3);
+    test.instruct(1, 1, vec![start_order(1, None)]);
+    test.await_event(is_start_answer);
+    await_true(|| test.worker.open_acknowledgements.load(Ordering::Acquire) == 0);
+    assert_eq!(test.worker.meetings.load(Ordering::Acquire), 0);
+}
