bug: a change of the relay stops runs whose start order is on its way

The new relay's calls have a higher token, and overtake the start order of the former relay. The worker refuses that order, and the refusal stopped the run, and the whole gang of a member, although the new relay had repeated the order.

A refusal for the token no longer counts while another copy of the order was sent.

Test: the run was stopped; now the answer to the second copy confirms it.

--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -49,6 +49,10 @@
                 "start order refused"
             );
         }
+        // A change of the relay raises the token, which overtakes copies of the former relay.
+        if answer.outcome == OrderOutcome::Fenced && run.starts_sent > 1 {
+            return;
+        }
         // A copy that another relay sent may still be executed after this refusal.
         if answer.outcome.is_refusal() && run.starts_sent > 1 {
             self.handle_unanswered_start(order, true, now);
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::super::reports::target;
+use super::super::term::RunPhase;
 use super::capacity::{contact, send_starts};
 use super::fixture::*;
-use crate::workflow::calls::WorkerReport;
+use crate::workflow::calls::{OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
@@ -135,3 +136,51 @@
     assert_eq!(fixture.term.workers["w"].generation, before + 1);
     assert!(fixture.term.due_grants.contains("w"));
 }
+
+/// Lets a relay report the answer to the start order of the first run.
+fn report_start_answer(
+    fixture: &mut Fixture,
+    relay: &str,
+    outcome: OrderOutcome,
+    earlier_attempt_open: bool,
+) {
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StartAnswered {
+            task: task(0),
+            run: 1,
+            answer: OrderAnswer {
+                outcome,
+                clock_ms: Some(fixture.clock_ms()),
+            },
+            earlier_attempt_open,
+        },
+    };
+    let now = fixture.now;
+    fixture
+        .term
+        .handle_relay_event(&relay.to_owned(), event, now);
+}
+
+fn relay(fixture: &Fixture) -> String {
+    fixture.term.workers["w"].relay.clone().unwrap()
+}
+
+/// Guards against runs that are stopped by a change of the relay: its higher token makes the worker
+/// refuse the order of the former relay, while that of the new one is on its way.
+#[test]
+fn a_start_order_that_the_token_of_a_new_relay_overtakes_does_not_stop_the_run() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let former = relay(&fixture);
+    change_relay(&mut fixture);
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    report_start_answer(&mut fixture, &former, OrderOutcome::Fenced, false);
+    let new = relay(&fixture);
+    report_start_answer(&mut fixture, &new, OrderOutcome::Done, false);
+    let phase = fixture.term.runs[&task(0)].phase;
+    assert!(matches!(phase, RunPhase::Running { .. }), "{phase:?}");
+}
