bug: a new relay acknowledges the end of a run whose start order is open

The placer counted only start orders of runs that are at work when a worker gets another relay. A run that had ended while one attempt of its order had no answer was not counted: the new relay acknowledged its end at once, and the next incarnation of the worker could still carry out the attempt.

The worker keeps the time until which orders of ended runs may be carried out.

Test: the end was acknowledged at once; now after the limit of late calls.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -2,11 +2,15 @@
 //! and acknowledgements, of different relays or of an earlier placer. Those of one relay are kept
 //! apart by the relay.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::{Generation, WorkerId};
 
+/// Longest time between a start order of the placer and its last attempt by a relay: 0.8 s for the
+/// instructions, and 1.4 s in which the relay sends the order.
+const RELAYING_TIME: Duration = Duration::from_millis(2_200);
+
 impl LiveWorker {
     /// Returns up to which number ends may be acknowledged; zero for none.
     pub(super) fn acknowledged_ends(&self, now: Instant) -> u64 {
@@ -22,6 +26,12 @@
     pub(super) fn has_open_start(&self) -> bool {
         self.start_sent_at.is_some() && !self.start_is_settled && self.permit.is_none()
     }
+
+    /// Returns until when an open copy of the start order may be carried out; `None` without one.
+    pub(super) fn start_arrives_by(&self, late_call_limit: Duration) -> Option<Instant> {
+        let sent_at = self.start_sent_at.filter(|_| self.has_open_start())?;
+        Some(sent_at + RELAYING_TIME + late_call_limit)
+    }
 }
 
 impl Term {
@@ -54,7 +64,9 @@
         let mut of_service = queues.filter(|queue| queue.service == worker.record.service);
         let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
         let mut open_starts = runs.filter(|run| run.has_open_start());
-        let has_open_start = open_starts.next().is_some();
+        let of_ended_run = worker.ended_starts_open_until;
+        let has_open_start =
+            open_starts.next().is_some() || of_ended_run.is_some_and(|until| now < until);
         if !has_open_start && of_service.all(|queue| queue.placement_policy.is_some()) {
             return;
         }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -190,6 +190,9 @@
     /// Time until which no end is acknowledged, since start orders of another relay or of an earlier
     /// placer may be carried out.
     pub acknowledges_from: Instant,
+    /// Time until which a start order of a run that has ended may be carried out; `None` if all were
+    /// answered.
+    pub ended_starts_open_until: Option<Instant>,
     /// Tasks whose runs may exist on the worker.
     pub runs: IndexSet<TaskKey>,
     /// Health of the worker, derived from the ends and the progress of its runs.
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -184,3 +184,28 @@
     let phase = fixture.term.runs[&task(0)].phase;
     assert!(matches!(phase, RunPhase::Running { .. }), "{phase:?}");
 }
+
+/// Lets the run on the worker `w` end although one attempt of its start order has no answer.
+fn end_with_open_attempt(fixture: &mut Fixture) {
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(fixture), [(0, 1)]);
+    let relay = relay(fixture);
+    report_start_answer(fixture, &relay, OrderOutcome::Done, true);
+    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![], vec![end]);
+    fixture.commit_all();
+    assert!(fixture.term.runs.is_empty());
+}
+
+/// Guards against finished work that runs again: the run had ended, so that its open start order was
+/// not counted when the worker got another relay.
+#[test]
+fn a_new_relay_acknowledges_no_end_of_a_run_whose_start_order_is_open() {
+    let mut fixture = with_relays(Fixture::new());
+    end_with_open_attempt(&mut fixture);
+    change_relay(&mut fixture);
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 1);
+}
