bug: relay changes during a long run put off acknowledgements

A start order of which an attempt had no answer counted as open for as long as its run was at work. Each change of the relay put off the acknowledgement of ends for the limit of late calls, so that with changes within that time none was acknowledged, and the list of the worker grew.

The order counts until its last copy can have arrived.

Test: no end was acknowledged a minute after the order; now it is.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -62,21 +62,21 @@
         let queues = self.state.configuration.iter();
         let queues = queues.flat_map(|configuration| &configuration.queues);
         let mut of_service = queues.filter(|queue| queue.service == worker.record.service);
+        let late_call_limit = self.settings.late_call_limit;
         let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
-        let mut open_starts = runs.filter(|run| run.has_open_start());
-        let of_ended_run = worker.ended_starts_open_until;
-        let has_open_start =
-            open_starts.next().is_some() || of_ended_run.is_some_and(|until| now < until);
-        if !has_open_start && of_service.all(|queue| queue.placement_policy.is_some()) {
+        let of_runs = runs.filter_map(|run| run.start_arrives_by(late_call_limit));
+        let open_until = of_runs.chain(worker.ended_starts_open_until).max();
+        let open_until = open_until.filter(|until| now < *until);
+        if open_until.is_none() && of_service.all(|queue| queue.placement_policy.is_some()) {
             return;
         }
-        let late_call_limit = self.settings.late_call_limit;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.generation = worker.generation.saturating_add(1);
-        if has_open_start {
-            worker.acknowledges_from = worker.acknowledges_from.max(now + late_call_limit);
+        if let Some(until) = open_until {
+            let until = until.min(now + late_call_limit);
+            worker.acknowledges_from = worker.acknowledges_from.max(until);
         }
     }
 }
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -209,3 +209,23 @@
     fixture.advance(LATE_CALL_LIMIT);
     assert_eq!(acknowledged(&mut fixture), 1);
 }
+
+/// Guards against ends that are never acknowledged: each change of the relay counted the start order
+/// of a long run as sent just before.
+#[test]
+fn relay_changes_during_a_long_run_do_not_put_off_acknowledgements() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let first = relay(&fixture);
+    report_start_answer(&mut fixture, &first, OrderOutcome::Done, true);
+    fixture.advance(5 * LATE_CALL_LIMIT);
+    contact(&mut fixture, "entry-1", false);
+    contact(&mut fixture, "entry-2", false);
+    let end = listed_end(1, 9, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![listed(0, 1)], vec![end]);
+    fixture.commit_all();
+    change_relay(&mut fixture);
+    assert_eq!(acknowledged(&mut fixture), 1);
+}
