bug: a new relay has the former token while an accepted job has no policy

Whether a worker receives start orders without permits was read from the queues in force alone. A job keeps the queue that it was submitted to, so that after the queue was removed, or got a policy, start orders of the new relay had the token of the former one, whose acknowledgement could follow.

Open jobs of the service count as well.

Test: the token stayed the same in both cases; now it rises.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::super::queues::Queue;
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::{Generation, WorkerId};
 
@@ -59,15 +60,12 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let queues = self.state.configuration.iter();
-        let queues = queues.flat_map(|configuration| &configuration.queues);
-        let mut of_service = queues.filter(|queue| queue.service == worker.record.service);
         let late_call_limit = self.settings.late_call_limit;
         let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
         let of_runs = runs.filter_map(|run| run.start_arrives_by(late_call_limit));
         let open_until = of_runs.chain(worker.ended_starts_open_until).max();
         let open_until = open_until.filter(|until| now < *until);
-        if open_until.is_none() && of_service.all(|queue| queue.placement_policy.is_some()) {
+        if open_until.is_none() && !self.sends_starts_without_permits(&worker.record.service) {
             return;
         }
         let Some(worker) = self.workers.get_mut(id) else {
@@ -79,4 +77,16 @@
             worker.acknowledges_from = worker.acknowledges_from.max(until);
         }
     }
+
+    /// Whether workers of a service receive start orders without permits. Accepted jobs keep the queue
+    /// that they were submitted to, as it was then.
+    pub(super) fn sends_starts_without_permits(&self, service: &str) -> bool {
+        let configured = self.state.configuration.iter();
+        let mut configured = configured.flat_map(|configuration| &configuration.queues);
+        let lacks_policy =
+            |queue: &Queue| queue.placement_policy.is_none() && queue.service == service;
+        let mut accepted = self.state.jobs.values();
+        configured.any(lacks_policy)
+            || accepted.any(|job| lacks_policy(&job.queue) && job.is_open())
+    }
 }
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -229,3 +229,24 @@
     change_relay(&mut fixture);
     assert_eq!(acknowledged(&mut fixture), 1);
 }
+
+/// Guards against a start order of the new relay that an acknowledgement of the former one follows,
+/// where only jobs that were accepted earlier have no policy.
+#[test]
+fn a_new_relay_has_a_higher_token_while_an_accepted_job_has_no_policy() {
+    for removed in [true, false] {
+        let mut fixture = with_relays(Fixture::new());
+        fixture.submit(vec![stage(1)]);
+        fixture.commit_all();
+        let configuration = fixture.term.state.configuration.as_mut().unwrap();
+        if removed {
+            configuration.queues.clear();
+        } else {
+            let with_policy = Fixture::with_policy(10.0, 0.1).term.state.configuration;
+            *configuration = with_policy.unwrap();
+        }
+        let before = token(&fixture);
+        change_relay(&mut fixture);
+        assert!(token(&fixture) > before, "queue removed: {removed}");
+    }
+}
