bug: a new placer acknowledges the end of a run whose start order is open

A new placer withheld acknowledgements only for workers with runs in the committed state. A run that had ended while one attempt of its order had no answer is no longer placed there: its end was acknowledged with the first list, and the next incarnation of the worker could carry out the attempt.

At the start of a term, ends are withheld for the limit of late calls on all workers that receive start orders without permits.

Test: the end was acknowledged at once; now after the limit of late calls.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -4,6 +4,8 @@
 
 use std::time::{Duration, Instant};
 
+use indexmap::IndexSet;
+
 use super::super::queues::Queue;
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::{Generation, WorkerId};
@@ -78,6 +80,23 @@
         }
     }
 
+    /// Lets no end be acknowledged at the start of a term where start orders of the former placer may be
+    /// open. The state has no record of them once their runs have ended.
+    pub(super) fn withhold_acknowledgements(&mut self, now: Instant) {
+        let until = now + self.settings.late_call_limit;
+        let services = self.workers.values().map(|worker| &worker.record.service);
+        let services: IndexSet<_> = services.cloned().collect();
+        for service in services {
+            if !self.sends_starts_without_permits(&service) {
+                continue;
+            }
+            let workers = self.workers.values_mut();
+            for worker in workers.filter(|worker| worker.record.service == service) {
+                worker.acknowledges_from = until;
+            }
+        }
+    }
+
     /// Whether workers of a service receive start orders without permits. Accepted jobs keep the queue
     /// that they were submitted to, as it was then.
     pub(super) fn sends_starts_without_permits(&self, service: &str) -> bool {
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -78,6 +78,7 @@
         for job in jobs {
             term.adopt_job(&job, now);
         }
+        term.withhold_acknowledgements(now.at);
         term
     }
 
@@ -129,9 +130,6 @@
                 continue;
             };
             known.runs.insert(task.clone());
-            if start_sent_at.is_some() {
-                known.acknowledges_from = now + self.settings.late_call_limit;
-            }
             let index = known.index;
             self.ledger.adopt(index, &task.to_string(), amount, urgency);
         }
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -250,3 +250,19 @@
         assert!(token(&fixture) > before, "queue removed: {removed}");
     }
 }
+
+/// Guards against the same after a change of the placer: the state no longer has the run.
+#[test]
+fn a_new_placer_acknowledges_no_end_of_a_run_whose_start_order_may_be_open() {
+    let mut former = with_relays(Fixture::new());
+    end_with_open_attempt(&mut former);
+    let mut fixture = Fixture::with_state(former.term.state);
+    contact(&mut fixture, "entry-1", false);
+    fixture.term.assign_relays(fixture.now.at);
+    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![], vec![end]);
+    fixture.commit_all();
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 1);
+}
