feature: failing test of a start order that is open after its run ended

A list of the known incarnation of a worker, or a stop that it confirms, shows what became of a start order there. It shows nothing of the next incarnation, which has seen no token, and carries out an attempt that is still on its way beside the next run of the task. Not fixed: the task would wait for the limit of late calls wherever an attempt has no answer.

--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -6,8 +6,9 @@
 use super::super::reports::target;
 use super::super::term::RunPhase;
 use super::capacity::{contact, send_starts};
+use super::claims::{run_number, step};
 use super::fixture::*;
-use crate::workflow::calls::{OrderAnswer, OrderOutcome, WorkerReport};
+use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
@@ -266,3 +267,48 @@
     fixture.advance(LATE_CALL_LIMIT);
     assert_eq!(acknowledged(&mut fixture), 1);
 }
+
+/// Guards against two runs of a task at once: the known incarnation of a worker shows that it does not
+/// run the task, and its next incarnation carries out an attempt of the start order that is still on
+/// its way.
+#[test]
+fn a_task_does_not_start_elsewhere_while_a_start_order_is_open() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let sent_at = fixture.now.at;
+    fixture.announce("v");
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StartUnanswered {
+            task: task(0),
+            run: 1,
+            may_have_arrived: true,
+        },
+    };
+    let (relay, now) = (relay(&fixture), fixture.now);
+    fixture.term.handle_relay_event(&relay, event, now);
+    let stop = OrderAnswer {
+        outcome: OrderOutcome::Done,
+        clock_ms: Some(fixture.clock_ms()),
+    };
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StopAnswered {
+            task: task(0),
+            run: 1,
+            answer: stop,
+        },
+    };
+    fixture.term.handle_relay_event(&relay, event, now);
+    fixture.advance(Duration::from_millis(100));
+    fixture.report("w", vec![], vec![]);
+    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
+    while fixture.now.at < sent_at + LATE_CALL_LIMIT {
+        step(&mut fixture);
+        assert!(matches!(run_number(&fixture), None | Some(1)));
+    }
+}
