bug: a call to the former incarnation of a worker hides those to the next one

A link to a former incarnation that waited with an acknowledgement replaced the relay's record of open calls by one for its own incarnation. The link to the next incarnation then found no open start order and sent its acknowledgement beside it, with the same token.

A call with a lower token than those to another incarnation is obsolete and is not sent.

--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -22,6 +22,8 @@
 pub struct OpenCalls {
     /// Incarnation that the calls are meant for.
     pub incarnation: Incarnation,
+    /// Highest token of the calls.
+    pub token: CallToken,
     /// Whether a start order without a permit was to be sent; never reset.
     pub takes_starts: bool,
     /// Start orders without a permit whose answer is awaited.
--- a/src/workflow/relay/open_calls.rs
+++ b/src/workflow/relay/open_calls.rs
@@ -36,7 +36,7 @@
         let token = (epoch, target.generation);
         let mut workers = self.workers.lock().unwrap();
         loop {
-            let calls = calls_to(&mut workers, target);
+            let calls = calls_to(&mut workers, target, epoch)?;
             calls.takes_starts = true;
             if calls.may_start(token) {
                 calls.starts += 1;
@@ -73,7 +73,7 @@
         let mut workers = self.workers.lock().unwrap();
         loop {
             let now = Instant::now();
-            let calls = calls_to(&mut workers, target);
+            let calls = calls_to(&mut workers, target, epoch)?;
             let may_acknowledge = calls.may_acknowledge(now);
             calls.is_acknowledging |= may_acknowledge;
             calls.acknowledgement_waits =
@@ -197,19 +197,26 @@
     }
 }
 
-/// Returns the open calls to an incarnation of a worker. Those to another one are dropped: the first
-/// answer of the next incarnation comes from a call with a higher token than all of them.
+/// Returns the open calls to an incarnation of a worker. Those to a former one are dropped: the first
+/// answer of the next incarnation comes from a call with a higher token than all of them. `None` if a
+/// later incarnation is known, so that the call is obsolete.
 fn calls_to<'a>(
     workers: &'a mut IndexMap<WorkerId, OpenCalls>,
     target: &WorkerTarget,
-) -> &'a mut OpenCalls {
+    epoch: Epoch,
+) -> Option<&'a mut OpenCalls> {
+    let token = (epoch, target.generation);
     let calls = workers.entry(target.worker.clone()).or_default();
     if calls.incarnation != target.incarnation {
+        if token < calls.token {
+            return None;
+        }
         *calls = OpenCalls {
             incarnation: target.incarnation,
             takes_starts: calls.takes_starts,
             ..OpenCalls::default()
         };
     }
-    calls
+    calls.token = calls.token.max(token);
+    Some(calls)
 }
--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -55,6 +55,10 @@
     loses_acknowledgements: AtomicBool,
     /// Times for which acknowledgements are held, the next one first.
     holds: Mutex<Vec<Duration>>,
+    /// The same for start orders.
+    start_holds: Mutex<Vec<Duration>>,
+    /// Number of restarts.
+    restarts: AtomicU64,
 }
 
 impl Worker {
@@ -62,7 +66,8 @@
         self.starts.fetch_add(1, Ordering::AcqRel);
         self.open_starts.fetch_add(1, Ordering::AcqRel);
         self.note_meeting(&self.open_acknowledgements);
-        thread::sleep(ANSWER_TIME);
+        let held = self.start_holds.lock().unwrap().pop();
+        thread::sleep(held.unwrap_or(ANSWER_TIME));
         self.note_meeting(&self.open_acknowledgements);
         self.open_starts.fetch_sub(1, Ordering::AcqRel);
         if self.loses_starts.load(Ordering::Acquire) {
@@ -103,7 +108,7 @@
             outcome: RunOutcome::Succeeded,
         });
         Ok(WorkerReport {
-            incarnation: 1,
+            incarnation: 1 + self.restarts.load(Ordering::Acquire),
             clock_ms: 1,
             running: Vec::new(),
             ends: ends.into_iter().collect(),
@@ -164,7 +169,7 @@
     fn instruct(&self, generation: u32, recorded_ends: u64, orders: Vec<WorkerOrder>) {
         let target = WorkerTarget {
             worker: "w".to_owned(),
-            incarnation: 1,
+            incarnation: 1 + self.worker.restarts.load(Ordering::Acquire),
             address: "w:80".to_owned(),
             generation,
         };
@@ -336,3 +341,25 @@
     await_true(|| test.worker.open_acknowledgements.load(Ordering::Acquire) == 0);
     assert_eq!(test.worker.meetings.load(Ordering::Acquire), 0);
 }
+
+/// Guards against a start order that is on its way with an acknowledgement: the link to the former
+/// incarnation waited with an acknowledgement of its own, and dropped the calls to the next one.
+#[test]
+fn calls_to_the_next_incarnation_count_while_a_call_to_the_former_one_waits() {
+    let test = TestRelay::start(WAIT_TIMEOUT);
+    let (first, second) = (Duration::from_millis(300), Duration::from_millis(500));
+    *test.worker.start_holds.lock().unwrap() = vec![second, first];
+    test.worker.ends.store(1, Ordering::Release);
+    let open_starts = || test.worker.open_starts.load(Ordering::Acquire);
+    test.instruct(0, 0, vec![start_order(1, None)]);
+    await_true(|| open_starts() == 1);
+    test.instruct(0, 1, Vec::new());
+    thread::sleep(first / 6);
+    test.worker.restarts.store(1, Ordering::Release);
+    test.instruct(1, 0, vec![start_order(2, None)]);
+    await_true(|| open_starts() == 2);
+    test.instruct(1, 1, Vec::new());
+    await_true(|| open_starts() == 0);
+    assert_eq!(test.worker.meetings.load(Ordering::Acquire), 0);
+    test.await_acknowledgement();
+}
