--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -2,11 +2,18 @@
 //! and acknowledgements, of different relays or of an earlier placer. Those of one relay are kept
 //! apart by the relay.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use indexmap::IndexSet;
+
+use super::super::queues::Queue;
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::{Generation, WorkerId};
 
+/// Longest time between a start order of the placer and its last attempt by a relay: 0.8 s for the
+/// instructions, and 1.4 s in which the relay sends the order.
+const RELAYING_TIME: Duration = Duration::from_millis(2_200);
+
 impl LiveWorker {
     /// Returns up to which number ends may be acknowledged; zero for none.
     pub(super) fn acknowledged_ends(&self, now: Instant) -> u64 {
@@ -22,6 +29,12 @@
     pub(super) fn has_open_start(&self) -> bool {
         self.start_sent_at.is_some() && !self.start_is_settled && self.permit.is_none()
     }
+
+    /// Returns until when an open copy of the start order may be carried out; `None` without one.
+    pub(super) fn start_arrives_by(&self, late_call_limit: Duration) -> Option<Instant> {
+        let sent_at = self.start_sent_at.filter(|_| self.has_open_start())?;
+        Some(sent_at + RELAYING_TIME + late_call_limit)
+    }
 }
 
 impl Term {
@@ -49,22 +62,50 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let queues = self.state.configuration.iter();
-        let queues = queues.flat_map(|configuration| &configuration.queues);
-        let mut of_service = queues.filter(|queue| queue.service == worker.record.service);
+        let late_call_limit = self.settings.late_call_limit;
         let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
-        let mut open_starts = runs.filter(|run| run.has_open_start());
-        let has_open_start = open_starts.next().is_some();
-        if !has_open_start && of_service.all(|queue| queue.placement_policy.is_some()) {
+        let of_runs = runs.filter_map(|run| run.start_arrives_by(late_call_limit));
+        let open_until = of_runs.chain(worker.ended_starts_open_until).max();
+        let open_until = open_until.filter(|until| now < *until);
+        if open_until.is_none() && !self.sends_starts_without_permits(&worker.record.service) {
             return;
         }
-        let late_call_limit = self.settings.late_call_limit;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.generation = worker.generation.saturating_add(1);
-        if has_open_start {
-            worker.acknowledges_from = worker.acknowledges_from.max(now + late_call_limit);
+        if let Some(until) = open_until {
+            let until = until.min(now + late_call_limit);
+            worker.acknowledges_from = worker.acknowledges_from.max(until);
         }
     }
+
+    /// Lets no end be acknowledged at the start of a term where start orders of the former placer may be
+    /// open. The state has no record of them once their runs have ended.
+    pub(super) fn withhold_acknowledgements(&mut self, now: Instant) {
+        let until = now + self.settings.late_call_limit;
+        let services = self.workers.values().map(|worker| &worker.record.service);
+        let services: IndexSet<_> = services.cloned().collect();
+        for service in services {
+            if !self.sends_starts_without_permits(&service) {
+                continue;
+            }
+            let workers = self.workers.values_mut();
+            for worker in workers.filter(|worker| worker.record.service == service) {
+                worker.acknowledges_from = until;
+            }
+        }
+    }
+
+    /// Whether workers of a service receive start orders without permits. Accepted jobs keep the queue
+    /// that they were submitted to, as it was then.
+    pub(super) fn sends_starts_without_permits(&self, service: &str) -> bool {
+        let configured = self.state.configuration.iter();
+        let mut configured = configured.flat_map(|configuration| &configuration.queues);
+        let lacks_policy =
+            |queue: &Queue| queue.placement_policy.is_none() && queue.service == service;
+        let mut accepted = self.state.jobs.values();
+        configured.any(lacks_policy)
+            || accepted.any(|job| lacks_policy(&job.queue) && job.is_open())
+    }
 }
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use super::super::reports::target;
+use super::super::term::RunPhase;
 use super::capacity::{contact, send_starts};
+use super::claims::{run_number, step};
 use super::fixture::*;
-use crate::workflow::calls::WorkerReport;
+use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
 use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
@@ -135,3 +137,178 @@
     assert_eq!(fixture.term.workers["w"].generation, before + 1);
     assert!(fixture.term.due_grants.contains("w"));
 }
+
+/// Lets a relay report the answer to the start order of the first run.
+fn report_start_answer(
+    fixture: &mut Fixture,
+    relay: &str,
+    outcome: OrderOutcome,
+    earlier_attempt_open: bool,
+) {
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StartAnswered {
+            task: task(0),
+            run: 1,
+            answer: OrderAnswer {
+                outcome,
+                clock_ms: Some(fixture.clock_ms()),
+            },
+            earlier_attempt_open,
+        },
+    };
+    let now = fixture.now;
+    fixture
+        .term
+        .handle_relay_event(&relay.to_owned(), event, now);
+}
+
+fn relay(fixture: &Fixture) -> String {
+    fixture.term.workers["w"].relay.clone().unwrap()
+}
+
+/// Guards against runs that are stopped by a change of the relay: its higher token makes the worker
+/// refuse the order of the former relay, while that of the new one is on its way.
+#[test]
+fn a_start_order_that_the_token_of_a_new_relay_overtakes_does_not_stop_the_run() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let former = relay(&fixture);
+    change_relay(&mut fixture);
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    report_start_answer(&mut fixture, &former, OrderOutcome::Fenced, false);
+    let new = relay(&fixture);
+    report_start_answer(&mut fixture, &new, OrderOutcome::Done, false);
+    let phase = fixture.term.runs[&task(0)].phase;
+    assert!(matches!(phase, RunPhase::Running { .. }), "{phase:?}");
+}
+
+/// Lets the run on the worker `w` end although one attempt of its start order has no answer.
+fn end_with_open_attempt(fixture: &mut Fixture) {
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(fixture), [(0, 1)]);
+    let relay = relay(fixture);
+    report_start_answer(fixture, &relay, OrderOutcome::Done, true);
+    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![], vec![end]);
+    fixture.commit_all();
+    assert!(fixture.term.runs.is_empty());
+}
+
+/// Guards against finished work that runs again: the run had ended, so that its open start order was
+/// not counted when the worker got another relay.
+#[test]
+fn a_new_relay_acknowledges_no_end_of_a_run_whose_start_order_is_open() {
+    let mut fixture = with_relays(Fixture::new());
+    end_with_open_attempt(&mut fixture);
+    change_relay(&mut fixture);
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 1);
+}
+
+/// Guards against ends that are never acknowledged: each change of the relay counted the start order
+/// of a long run as sent just before.
+#[test]
+fn relay_changes_during_a_long_run_do_not_put_off_acknowledgements() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let first = relay(&fixture);
+    report_start_answer(&mut fixture, &first, OrderOutcome::Done, true);
+    fixture.advance(5 * LATE_CALL_LIMIT);
+    contact(&mut fixture, "entry-1", false);
+    contact(&mut fixture, "entry-2", false);
+    let end = listed_end(1, 9, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![listed(0, 1)], vec![end]);
+    fixture.commit_all();
+    change_relay(&mut fixture);
+    assert_eq!(acknowledged(&mut fixture), 1);
+}
+
+/// Guards against a start order of the new relay that an acknowledgement of the former one follows,
+/// where only jobs that were accepted earlier have no policy.
+#[test]
+fn a_new_relay_has_a_higher_token_while_an_accepted_job_has_no_policy() {
+    for removed in [true, false] {
+        let mut fixture = with_relays(Fixture::new());
+        fixture.submit(vec![stage(1)]);
+        fixture.commit_all();
+        let configuration = fixture.term.state.configuration.as_mut().unwrap();
+        if removed {
+            configuration.queues.clear();
+        } else {
+            let with_policy = Fixture::with_policy(10.0, 0.1).term.state.configuration;
+            *configuration = with_policy.unwrap();
+        }
+        let before = token(&fixture);
+        change_relay(&mut fixture);
+        assert!(token(&fixture) > before, "queue removed: {removed}");
+    }
+}
+
+/// Guards against the same after a change of the placer: the state no longer has the run.
+#[test]
+fn a_new_placer_acknowledges_no_end_of_a_run_whose_start_order_may_be_open() {
+    let mut former = with_relays(Fixture::new());
+    end_with_open_attempt(&mut former);
+    let mut fixture = Fixture::with_state(former.term.state);
+    contact(&mut fixture, "entry-1", false);
+    fixture.term.assign_relays(fixture.now.at);
+    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
+    fixture.report("w", vec![], vec![end]);
+    fixture.commit_all();
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 1);
+}
+
+/// Guards against two runs of a task at once: the known incarnation of a worker shows that it does not
+/// run the task, and its next incarnation carries out an attempt of the start order that is still on
+/// its way.
+#[test]
+fn a_task_does_not_start_elsewhere_while_a_start_order_is_open() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let sent_at = fixture.now.at;
+    fixture.announce("v");
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StartUnanswered {
+            task: task(0),
+            run: 1,
+            may_have_arrived: true,
+        },
+    };
+    let (relay, now) = (relay(&fixture), fixture.now);
+    fixture.term.handle_relay_event(&relay, event, now);
+    let stop = OrderAnswer {
+        outcome: OrderOutcome::Done,
+        clock_ms: Some(fixture.clock_ms()),
+    };
+    let event = RelayEvent {
+        worker: "w".to_owned(),
+        incarnation: 1,
+        kind: RelayEventKind::StopAnswered {
+            task: task(0),
+            run: 1,
+            answer: stop,
+        },
+    };
+    fixture.term.handle_relay_event(&relay, event, now);
+    fixture.advance(Duration::from_millis(100));
+    fixture.report("w", vec![], vec![]);
+    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
+    while fixture.now.at < sent_at + LATE_CALL_LIMIT {
+        step(&mut fixture);
+        assert!(matches!(run_number(&fixture), None | Some(1)));
+    }
+}
