--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -78,16 +78,16 @@
         worker: &LiveWorker,
         settings: &PlacerSettings,
     ) -> Option<Instant> {
-        let sent_at = self.start_sent_at.filter(|_| self.has_open_start())?;
-        let arrives_by = sent_at + settings.late_call_limit;
+        let arrives_by = self.start_arrives_by(settings.late_call_limit)?;
         let outlived = |reading: ClockReading| reading.taken_after(arrives_by);
         if worker.clock.is_some_and(outlived) {
             return None;
         }
         // A relay sends no lease after a renewal without an answer.
         let last_renewal = worker.unresponsive_since.unwrap_or(worker.known_since);
+        let renewal_arrives_by = last_renewal + settings.late_call_limit;
         Some(expires_without_reading(
-            sent_at.max(last_renewal) + settings.late_call_limit,
+            arrives_by.max(renewal_arrives_by),
             settings.max_lease,
         ))
     }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -383,7 +383,8 @@
     /// Records that the worker listed the run or confirmed its start.
     pub fn confirm(&mut self, now: Instant) {
         self.confirmed = true;
-        // The order of an earlier leader was carried out, and is not carried out again.
+        // One copy of the order of an earlier leader was carried out. To allow for further ones, all
+        // runs of a worker that is lost soon after a takeover would wait for late calls.
         if self.phase == RunPhase::Unresolved && self.starts_sent == 0 {
             self.start_is_settled = true;
         }
