--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -1,10 +1,12 @@
 //! State of the job placer during one epoch.
 
+mod replies;
+
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::calls::{WorkerCall, WorkerCallError, WorkerReply, WorkerRequest};
+use super::calls::{WorkerCall, WorkerRequest};
 use super::leases::{Leases, StartRate, WorkerLease};
 use super::live::LiveTasks;
 use super::{JobPlacerOptions, TeamSource};
@@ -17,12 +19,10 @@
     Decision, JobOutcome, JobScheduler, RestoredTask, TaskStart,
 };
 use crate::scheduling::ledger::WorkerDescription;
-use crate::scheduling::overuse::Measure;
+use replies::task_end;
 
 /// Interval at which a call is repeated until it has an effect.
 const REPEAT_AFTER: Duration = Duration::from_secs(1);
-/// Time between the request for a checkpoint and the stop.
-const CHECKPOINT_TIME: Duration = Duration::from_secs(5);
 
 /// Scheduler, leases and outstanding calls of the job placer in one epoch.
 pub(super) struct Term {
@@ -370,66 +370,6 @@
         });
     }
 
-    /// Records the reply to a call.
-    pub(super) fn handle_reply(
-        &mut self,
-        call: &WorkerCall,
-        reply: Result<WorkerReply, WorkerCallError>,
-        now: Instant,
-    ) {
-        // A call without a reply is repeated; the worker ignores operations it has already performed.
-        let Ok(reply) = reply else {
-            return;
-        };
-        let state = match reply {
-            WorkerReply::State(state) => state,
-            // A refused measure does not change the task.
-            WorkerReply::Refused if !matches!(call.request, WorkerRequest::Start { .. }) => return,
-            WorkerReply::Refused => TaskState::NeverStarted,
-        };
-        // The next incarnation of the worker refuses a start for the former one, which may have
-        // carried out another copy. The tombstone of a cancellation settles whether it did.
-        let is_start = matches!(call.request, WorkerRequest::Start { .. });
-        let only_copy = self.tasks.get(&call.task).map(|live| live.prepared_starts) == Some(1);
-        if state == TaskState::NeverStarted && is_start && !only_copy {
-            self.tasks.set_call(&call.task, now, WorkerRequest::Cancel);
-            return;
-        }
-        if let Some(end) = task_end(state) {
-            self.end_task(&call.task, end, now);
-            return;
-        }
-        match &call.request {
-            WorkerRequest::Apply(Measure::Checkpoint) => {
-                let stop = WorkerRequest::Apply(Measure::Stop);
-                self.tasks.set_call(&call.task, now + CHECKPOINT_TIME, stop);
-            }
-            WorkerRequest::Apply(Measure::Throttle) => self.tasks.clear_call(&call.task),
-            WorkerRequest::Start { .. } => self.confirm_start(&call.task),
-            // Repeated until the end of the task is reported.
-            WorkerRequest::Apply(Measure::Stop) | WorkerRequest::Cancel => {}
-            WorkerRequest::RemoveRecord => {}
-        }
-    }
-
-    fn confirm_start(&mut self, task: &str) {
-        if self.tasks.is_starting(task) {
-            self.tasks.clear_call(task);
-        }
-        let Some(live) = self
-            .tasks
-            .get_mut(task)
-            .filter(|live| !live.attempt.started)
-        else {
-            return;
-        };
-        live.attempt.started = true;
-        self.records.push(JobRecord::TaskStarted {
-            job: live.job.clone(),
-            task: task.to_owned(),
-        });
-    }
-
     fn end_task(&mut self, task: &str, end: TaskEnd, now: Instant) {
         let ended = self.scheduler.task_ended(task, end, now);
         // Sent once, after the commit; a worker that does not receive it drops the record at its own
@@ -469,18 +409,6 @@
     }
 }
 
-/// Returns how a task ended; `None` while it may be running.
-fn task_end(state: TaskState) -> Option<TaskEnd> {
-    match state {
-        // A start that is still in transit may start an unknown task.
-        TaskState::Running | TaskState::Unknown => None,
-        TaskState::Succeeded => Some(TaskEnd::Succeeded),
-        TaskState::Failed => Some(TaskEnd::Failed),
-        TaskState::Stopped => Some(TaskEnd::Stopped),
-        TaskState::NeverStarted => Some(TaskEnd::NeverStarted),
-    }
-}
-
 fn worker_description(
     options: &JobPlacerOptions,
     announcement: &Announcement,
