bug: a late announcement returned a leaving worker to service for jobs

Cause: the job placer took the phase of whichever announcement arrived last. One that the worker wrote before it began to leave, and that was held on its way, made it a target of new tasks again. The runner table of requests already remembers that an incarnation leaves.

Change: the lease of a worker records that its incarnation has announced `leaving`; later announcements of that incarnation do not take it back. A placer that takes over has not seen it and learns it from the next announcement.

Result: a_late_announcement_does_not_return_a_leaving_worker_to_service failed before (a start was sent to the leaving worker), passes now; job_life passes (12).

--- a/src/placer/jobs/leases.rs
+++ b/src/placer/jobs/leases.rs
@@ -16,6 +16,8 @@
     /// Empty until the worker has announced itself to this placer.
     pub(super) address: String,
     pub(super) incarnation: Incarnation,
+    /// The incarnation has announced that it is leaving, after which it accepts no tasks.
+    pub(super) leaving: bool,
     /// Time at which the worker stops its tasks unless the lease is renewed.
     pub(super) ends_at: Instant,
     /// The lease has expired and the scheduler places nothing there.
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -103,6 +103,7 @@
             let lease = WorkerLease {
                 address: String::new(),
                 incarnation: attempt.incarnation,
+                leaving: false,
                 ends_at: now + options.lease,
                 expired: false,
                 tasks_ended: false,
@@ -166,9 +167,14 @@
                 .cloned()
                 .collect();
         }
+        // Announcements may arrive out of order, and an incarnation that leaves never returns.
+        let left = known
+            .is_some_and(|lease| lease.incarnation == announcement.incarnation && lease.leaving);
+        let leaving = left || announcement.phase == WorkerPhase::Leaving;
         let lease = WorkerLease {
             address: announcement.address.clone(),
             incarnation: announcement.incarnation,
+            leaving,
             ends_at: now + options.lease,
             expired: false,
             tasks_ended: false,
@@ -177,7 +183,7 @@
         self.end_former_incarnations(announcement, now);
         self.end_reported(announcement, now);
         self.resolve_missing(announcement, now);
-        let description = worker_description(options, announcement);
+        let description = worker_description(options, announcement, leaving);
         let job_tasks = announcement
             .tasks
             .iter()
@@ -412,6 +418,7 @@
 fn worker_description(
     options: &JobPlacerOptions,
     announcement: &Announcement,
+    leaving: bool,
 ) -> WorkerDescription {
     WorkerDescription {
         id: announcement.worker.clone(),
@@ -420,6 +427,6 @@
         data_centre: announcement.data_centre.clone(),
         region: options.region.clone(),
         capacity: announcement.resources,
-        leaving: announcement.phase == WorkerPhase::Leaving,
+        leaving,
     }
 }
