bug: announcements that arrive late stopped a running task of a job

Cause: two announcements without a started task made the job placer cancel it. One may have been written before the start arrived; that two cannot was a guess about how late an announcement is. A worker that repeats announcements through several entry hosts during a cut has more than two on their way, and they arrive when the cut heals, after a newer one and after a start. The task was stopped and run again; one that must run at most once failed.

Change: the placer asks the worker about a task that announcements lack (GET, as the request path does), and cancels it only when the worker answers that it does not know it. The tombstone still refuses a start in transit. A query does not replace a call that is due, and a late answer to one ends no other call.

Result: late_announcements_do_not_stop_a_task_that_started_after_them failed before (the worker's task was gone, expected running), passes now. a_cancelled_task_that_announcements_lack_stays_stopped passed before and guards the change. job_life (12), job_policies (9), job_scheduling (2) and jobs_over_http (7) pass.

--- a/src/entry_host/jobs.rs
+++ b/src/entry_host/jobs.rs
@@ -172,6 +172,7 @@
             request.body.clone_from(payload);
             request
         }
+        WorkerRequest::Query => ClientRequest::new(Method::GET, url(""), deadline),
         WorkerRequest::Apply(measure) => {
             let suffix = match measure {
                 Measure::Throttle => "/throttle",
--- a/src/placer/jobs/calls.rs
+++ b/src/placer/jobs/calls.rs
@@ -19,6 +19,8 @@
         /// Payload of the job, opaque to the placer.
         payload: Vec<u8>,
     },
+    /// Report the state of the task, without an effect on it.
+    Query,
     /// Apply a measure to the task: throttle, checkpoint or stop.
     Apply(Measure),
     /// Stop the task. The worker records a tombstone for an unknown id, which can then never start.
--- a/src/placer/jobs/live.rs
+++ b/src/placer/jobs/live.rs
@@ -86,6 +86,25 @@
         }
     }
 
+    /// Cancels the repetition of a call that had its effect, unless another call was scheduled
+    /// meanwhile: replies may arrive late.
+    pub(super) fn complete_call(&mut self, task: &str, request: &WorkerRequest) {
+        let call = self
+            .tasks
+            .get(task)
+            .and_then(|live| live.next_call.as_ref());
+        if call.is_some_and(|(_, next)| next == request) {
+            self.clear_call(task);
+        }
+    }
+
+    /// Whether a call about a task is scheduled.
+    pub(super) fn has_call(&self, task: &str) -> bool {
+        self.tasks
+            .get(task)
+            .is_some_and(|live| live.next_call.is_some())
+    }
+
     /// Whether the next call about a task is its start.
     pub(super) fn is_starting(&self, task: &str) -> bool {
         let call = self
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -215,10 +215,11 @@
         }
     }
 
-    /// Cancels tasks that this incarnation of the worker should have but does not list: their start
-    /// was lost, or is still in transit from a former placer. The tombstone of the cancellation
-    /// settles which. An announcement may have been written before a start arrived, so a single one
-    /// without the task does not suffice.
+    /// Asks the worker about tasks that this incarnation should have but does not list: their start
+    /// was lost, or is still in transit from a former placer, or the announcement was written before
+    /// it arrived. Announcements may arrive late in any number, so only the answer of the worker
+    /// proves that it does not have the task. A single one without the task is usual, and not asked
+    /// about.
     fn resolve_missing(&mut self, announcement: &Announcement, now: Instant) {
         for task in self.tasks.on_worker(&announcement.worker) {
             let Some(live) = self.tasks.get_mut(&task) else {
@@ -230,8 +231,9 @@
             }
             live.missed_announcements += 1;
             let may_be_sent = live.attempt.started || live.attempt.epoch < self.epoch;
-            if may_be_sent && live.missed_announcements > 1 {
-                self.tasks.set_call(&task, now, WorkerRequest::Cancel);
+            let missing = may_be_sent && live.missed_announcements > 1;
+            if missing && !self.tasks.has_call(&task) {
+                self.tasks.set_call(&task, now, WorkerRequest::Query);
             }
         }
     }
--- a/src/placer/jobs/term/replies.rs
+++ b/src/placer/jobs/term/replies.rs
@@ -49,6 +49,14 @@
             }
             WorkerRequest::Apply(Measure::Throttle) => self.tasks.clear_call(&call.task),
             WorkerRequest::Start { .. } => self.confirm_start(&call.task),
+            // A start that is still in transit must find a tombstone.
+            WorkerRequest::Query if state == TaskState::Unknown => {
+                self.tasks.set_call(&call.task, now, WorkerRequest::Cancel);
+            }
+            WorkerRequest::Query => {
+                self.confirm_start(&call.task);
+                self.tasks.complete_call(&call.task, &call.request);
+            }
             // Repeated until the end of the task is reported.
             WorkerRequest::Apply(Measure::Stop) | WorkerRequest::Cancel => {}
             WorkerRequest::RemoveRecord => {}
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -3,7 +3,61 @@
 mod job_support;
 
 use job_support::cell::{Cell, job};
-use jujubewinch::protocol::worker::WorkerPhase;
+use jujubewinch::placer::jobs::{JobStatus, WorkerRequest};
+use jujubewinch::protocol::worker::{TaskState, WorkerPhase};
+use jujubewinch::scheduling::job_scheduler::Cancellation;
+use jujubewinch::scheduling::overuse::Measure;
+
+/// Guards against a stop of a running task because announcements that its worker wrote before the
+/// start arrive after it.
+#[test]
+fn late_announcements_do_not_stop_a_task_that_started_after_them() {
+    for at_most_once in [false, true] {
+        let cell = Cell::new(&["worker-1"]);
+        let late = cell.announcement("worker-1");
+        cell.placer
+            .submit(job("render", "batch", 1, at_most_once))
+            .unwrap();
+        cell.run(1, &["worker-1"]);
+        assert_eq!(cell.start_counts("render"), [("render-0-0".into(), 1)]);
+        for _ in 0..3 {
+            cell.placer.announce(&late).unwrap();
+        }
+        cell.run(2, &["worker-1"]);
+        let running = cell.announcement("worker-1").tasks;
+        assert_eq!(running.get("render-0-0"), Some(&TaskState::Running));
+        assert_eq!(cell.start_counts("render").len(), 1);
+        cell.finish_all(TaskState::Succeeded);
+        cell.run(1, &["worker-1"]);
+        assert!(
+            matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.succeeded == 1)
+        );
+    }
+}
+
+/// Guards against a stop that is no longer repeated because the worker does not list the task yet.
+#[test]
+fn a_cancelled_task_that_announcements_lack_stays_stopped() {
+    let cell = Cell::new(&["worker-1"]);
+    cell.placer
+        .submit(job("render", "batch", 1, false))
+        .unwrap();
+    cell.run(1, &["worker-1"]);
+    let mut late = cell.announcement("worker-1");
+    late.tasks.clear();
+    assert_eq!(
+        cell.placer.cancel(&"render".to_owned()),
+        Ok(Cancellation::Stopping)
+    );
+    for call in cell.placer.tick().unwrap() {
+        assert_eq!(call.request, WorkerRequest::Apply(Measure::Stop));
+    }
+    for _ in 0..3 {
+        cell.placer.announce(&late).unwrap();
+    }
+    cell.run(2, &["worker-1"]);
+    assert!(matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.cancelled));
+}
 
 /// Guards against new tasks on a leaving worker because an announcement that it wrote before it began
 /// to leave arrives after the later one.
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -318,6 +318,15 @@
         .get_mut(&call.worker)
         .expect("the worker exists");
     let known = tasks.get(&call.task).copied();
+    if call.request == WorkerRequest::Query {
+        let state = WorkerReply::State(known.unwrap_or(TaskState::Unknown));
+        let lost = WorkerCallError::NoAnswer("connection closed".into());
+        return if environment.lose_replies {
+            Err(lost)
+        } else {
+            Ok(state)
+        };
+    }
     let state = match (&call.request, known) {
         (WorkerRequest::Start { .. }, None) => {
             environment.uncommitted_starts += u32::from(!intent_committed);
