bug: a late answer to an earlier call ended the repetition of a stop

Cause: each task has one call that is repeated until it has had its effect. The answer to a throttle call ended whatever call was due, also the stop of a job that was cancelled while the answer was on its way. When that stop was lost, nobody sent it again: a task without an end ran on, and its job stayed `stopping`.

Change: an answer ends, or is followed by, another call only if its own call is still the one that is due.

--- a/src/placer/jobs/live.rs
+++ b/src/placer/jobs/live.rs
@@ -89,13 +89,18 @@
     /// Cancels the repetition of a call that had its effect, unless another call was scheduled
     /// meanwhile: replies may arrive late.
     pub(super) fn complete_call(&mut self, task: &str, request: &WorkerRequest) {
+        if self.is_next(task, request) {
+            self.clear_call(task);
+        }
+    }
+
+    /// Whether the request is that of the next call about a task.
+    pub(super) fn is_next(&self, task: &str, request: &WorkerRequest) -> bool {
         let call = self
             .tasks
             .get(task)
             .and_then(|live| live.next_call.as_ref());
-        if call.is_some_and(|(_, next)| next == request) {
-            self.clear_call(task);
-        }
+        call.is_some_and(|(_, next)| next == request)
     }
 
     /// Whether a call about a task is scheduled.
--- a/src/placer/jobs/term/replies.rs
+++ b/src/placer/jobs/term/replies.rs
@@ -43,11 +43,17 @@
             return;
         }
         match &call.request {
+            // A late reply must not postpone or end a stop that was decided meanwhile.
             WorkerRequest::Apply(Measure::Checkpoint) => {
+                if !self.tasks.is_next(&call.task, &call.request) {
+                    return;
+                }
                 let stop = WorkerRequest::Apply(Measure::Stop);
                 self.tasks.set_call(&call.task, now + CHECKPOINT_TIME, stop);
             }
-            WorkerRequest::Apply(Measure::Throttle) => self.tasks.clear_call(&call.task),
+            WorkerRequest::Apply(Measure::Throttle) => {
+                self.tasks.complete_call(&call.task, &call.request);
+            }
             WorkerRequest::Start { .. } => self.confirm_start(&call.task),
             // A start that is still in transit must find a tombstone.
             WorkerRequest::Query if state == TaskState::Unknown => {
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -2,7 +2,7 @@
 
 mod job_support;
 
-use job_support::cell::{Cell, job};
+use job_support::cell::{Cell, job, resources};
 use jujubewinch::placer::jobs::{JobStatus, WorkerRequest};
 use jujubewinch::protocol::worker::{TaskState, WorkerPhase};
 use jujubewinch::scheduling::job_scheduler::Cancellation;
@@ -59,6 +59,30 @@
     assert!(matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.cancelled));
 }
 
+/// Guards against a task of a cancelled job that runs on: the answer to an earlier call about it arrives
+/// after the call that stops it was lost, and ends the repetition of that call.
+#[test]
+fn a_late_answer_to_an_earlier_call_does_not_end_the_repetition_of_a_stop() {
+    let cell = Cell::new(&["worker-1"]);
+    cell.placer
+        .submit(job("render", "service", 1, false))
+        .unwrap();
+    cell.run(1, &["worker-1"]);
+    let mut overuse = cell.announcement("worker-1");
+    overuse
+        .usage
+        .insert("render-0-0".into(), resources(20_000, 8_192));
+    cell.placer.announce(&overuse).unwrap();
+    let throttle = cell.placer.tick().unwrap();
+    assert_eq!(throttle[0].request, WorkerRequest::Apply(Measure::Throttle));
+    cell.placer.cancel(&"render".to_owned()).unwrap();
+    let lost = cell.placer.tick().unwrap();
+    assert_eq!(lost.len(), 1);
+    cell.placer.perform(&throttle[0]).unwrap();
+    cell.run(5, &["worker-1"]);
+    assert!(matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.cancelled));
+}
+
 /// Guards against new tasks on a leaving worker because an announcement that it wrote before it began
 /// to leave arrives after the later one.
 #[test]
