bug: a report of overuse replaced the stop of a cancelled task

Cause: a new call about a task replaced whatever call was due. A usage report that the worker wrote before a cancellation, and that arrived after it, replaced the stop by a throttle call. When the stop had been lost, the task ran on.

Change: a stop or a cancellation that is due is not replaced by a weaker call.

--- a/src/placer/jobs/live.rs
+++ b/src/placer/jobs/live.rs
@@ -8,6 +8,7 @@
 use super::calls::WorkerRequest;
 use crate::ids::{JobId, TaskId, WorkerId};
 use crate::placer::job_records::TaskAttempt;
+use crate::scheduling::overuse::Measure;
 
 /// A task whose end is not committed.
 pub(super) struct LiveTask {
@@ -70,8 +71,16 @@
             .unwrap_or_default()
     }
 
-    /// Schedules the next call about a task and replaces an earlier one.
+    /// Schedules the next call about a task and replaces an earlier one, but not a stop or a
+    /// cancellation by a weaker call: they are repeated until the end of the task is reported.
     pub(super) fn set_call(&mut self, task: &str, at: Instant, request: WorkerRequest) {
+        let next = self
+            .tasks
+            .get(task)
+            .and_then(|live| live.next_call.as_ref());
+        if next.is_some_and(|(_, next)| stop_rank(next) > stop_rank(&request)) {
+            return;
+        }
         self.clear_call(task);
         if let Some(live) = self.tasks.get_mut(task) {
             live.next_call = Some((at, request));
@@ -141,3 +150,13 @@
         calls
     }
 }
+
+/// Orders calls by whether they stop a task. Unlike a stop, a cancellation leaves a tombstone for a
+/// task that the worker does not know.
+fn stop_rank(request: &WorkerRequest) -> u8 {
+    match request {
+        WorkerRequest::Cancel => 2,
+        WorkerRequest::Apply(Measure::Stop) => 1,
+        _ => 0,
+    }
+}
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -83,6 +83,27 @@
     assert!(matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.cancelled));
 }
 
+/// Guards against a task of a cancelled job that runs on: a report of overuse that the worker wrote
+/// before the cancellation replaces the call that stops the task, which was lost, by a lesser measure.
+#[test]
+fn a_late_report_of_overuse_does_not_replace_a_stop() {
+    let cell = Cell::new(&["worker-1"]);
+    cell.placer
+        .submit(job("render", "service", 1, false))
+        .unwrap();
+    cell.run(1, &["worker-1"]);
+    let mut overuse = cell.announcement("worker-1");
+    overuse
+        .usage
+        .insert("render-0-0".into(), resources(20_000, 8_192));
+    cell.placer.cancel(&"render".to_owned()).unwrap();
+    let lost = cell.placer.tick().unwrap();
+    assert_eq!(lost[0].request, WorkerRequest::Apply(Measure::Stop));
+    cell.placer.announce(&overuse).unwrap();
+    cell.run(5, &["worker-1"]);
+    assert!(matches!(cell.placer.status("render"), Some(JobStatus::Ended(end)) if end.cancelled));
+}
+
 /// Guards against new tasks on a leaving worker because an announcement that it wrote before it began
 /// to leave arrives after the later one.
 #[test]
