bug: a task whose start was lost before the placer rebuilt its state never ran

Cause: after a failed commit the job placer rebuilds its state in the same epoch. A task whose start was committed, but lost on its way, then had no call that is due, and only tasks of earlier epochs or confirmed ones were asked about. It kept its room and waited until its worker restarted or lost its lease.

Change: a task that announcements lack is asked about whenever no call about it is due; the epoch no longer matters.

--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -216,7 +216,7 @@
     }
 
     /// Asks the worker about tasks that this incarnation should have but does not list: their start
-    /// was lost, or is still in transit from a former placer, or the announcement was written before
+    /// was lost, or is still in transit from an earlier state, or the announcement was written before
     /// it arrived. Announcements may arrive late in any number, so only the answer of the worker
     /// proves that it does not have the task. A single one without the task is usual, and not asked
     /// about.
@@ -230,9 +230,8 @@
                 continue;
             }
             live.missed_announcements += 1;
-            let may_be_sent = live.attempt.started || live.attempt.epoch < self.epoch;
-            let missing = may_be_sent && live.missed_announcements > 1;
-            if missing && !self.tasks.has_call(&task) {
+            // A task without a call has started, or its start was sent by an earlier state.
+            if live.missed_announcements > 1 && !self.tasks.has_call(&task) {
                 self.tasks.set_call(&task, now, WorkerRequest::Query);
             }
         }
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -2,8 +2,11 @@
 
 mod job_support;
 
+use std::time::Duration;
+
 use job_support::cell::{Cell, job, resources};
 use jujubewinch::placer::jobs::{JobStatus, WorkerRequest};
+use jujubewinch::placer::journal::JournalError;
 use jujubewinch::protocol::worker::{TaskState, WorkerPhase};
 use jujubewinch::scheduling::job_scheduler::Cancellation;
 use jujubewinch::scheduling::overuse::Measure;
@@ -123,3 +126,27 @@
     cell.run(2, &["worker-1"]);
     assert_eq!(cell.start_counts("render").len(), 1);
 }
+
+/// Guards against a task that never runs: its start was lost, and the state of the same epoch was
+/// rebuilt before the start was repeated.
+#[test]
+fn a_start_that_was_lost_before_the_state_was_rebuilt_does_not_keep_its_task_waiting() {
+    for at_most_once in [false, true] {
+        let cell = Cell::new(&["worker-1"]);
+        cell.placer
+            .submit(job("render", "batch", 1, at_most_once))
+            .unwrap();
+        cell.advance(Duration::from_secs(1));
+        let lost = cell.placer.tick().unwrap();
+        assert_eq!(lost.len(), 1);
+        cell.environment.lock().unwrap().journal_error =
+            Some(JournalError::Unconfirmed("no quorum".into()));
+        cell.placer.cancel(&"render".to_owned()).unwrap_err();
+        cell.environment.lock().unwrap().journal_error = None;
+        cell.run(20, &["worker-1"]);
+        assert_eq!(cell.start_counts("render"), [("render-0-1".into(), 1)]);
+        // The lost start arrives after all.
+        cell.placer.perform(&lost[0]).unwrap();
+        assert_eq!(cell.start_counts("render"), [("render-0-1".into(), 1)]);
+    }
+}
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jujubewinch::clock::Clock;
 use jujubewinch::ids::{Epoch, Incarnation, TaskId};
 use jujubewinch::placer::job_records::{JobRecord, JobState};
@@ -31,6 +31,8 @@
 pub struct Environment {
     /// States of the tasks on each worker.
     pub workers: IndexMap<String, IndexMap<TaskId, TaskState>>,
+    /// Tasks whose records were dropped; late starts of these have no effect.
+    pub dropped: IndexSet<TaskId>,
     /// Incarnations of workers that have restarted; that of the others is 1.
     pub restarted: IndexMap<String, Incarnation>,
     /// Number of times that each task was started.
@@ -328,7 +330,7 @@
         };
     }
     let state = match (&call.request, known) {
-        (WorkerRequest::Start { .. }, None) => {
+        (WorkerRequest::Start { .. }, None) if !environment.dropped.contains(&call.task) => {
             environment.uncommitted_starts += u32::from(!intent_committed);
             *environment
                 .start_counts
@@ -342,9 +344,11 @@
         (_, None) => TaskState::NeverStarted,
         (_, Some(state)) => state,
     };
-    tasks.insert(call.task.clone(), state);
     if call.request == WorkerRequest::RemoveRecord {
         tasks.swap_remove(&call.task);
+        environment.dropped.insert(call.task.clone());
+    } else if !environment.dropped.contains(&call.task) {
+        tasks.insert(call.task.clone(), state);
     }
     if environment.lose_replies {
         return Err(WorkerCallError::NoAnswer("connection closed".into()));
