bug: a host without a disk ran requests and jobs of its former process again

Cause: a data centre with a single entry host without a disk keeps its records in memory. After a restart a copy of a submission, sent again after a lost answer or held on its way, met a process without records, and the key or id was within its retention: a request that must run at most once ran twice.

Such a host sets the start of its process, and submissions that were issued before are refused with `may_have_run` (`key_expired`). Replicated logs set 0 and behave as before. Issue times have the resolution of a second.

--- a/src/entry_host/placement_log.rs
+++ b/src/entry_host/placement_log.rs
@@ -68,10 +68,19 @@
         }
         let own = &this.data_centre;
         if voters(settings, own).len() == 1 && settings.host.data_folder.is_none() {
-            let epoch = in_memory_epoch();
+            let started = Clock::system().unix_seconds();
+            // The unit is that of the epochs of a replicated log, so that no epoch becomes lower when a
+            // host is added to the data centre.
+            let epoch = started * 1_000;
             let journals = Journals {
-                requests: Journal::in_memory(epoch),
-                jobs: JobJournal::in_memory(epoch),
+                requests: Journal {
+                    records_since_unix_seconds: started,
+                    ..Journal::in_memory(epoch)
+                },
+                jobs: JobJournal {
+                    records_since_unix_seconds: started,
+                    ..JobJournal::in_memory(epoch)
+                },
             };
             return (logs, journals);
         }
@@ -167,13 +176,6 @@
     folder.map_or(StorageOptions::Memory, StorageOptions::Folder)
 }
 
-/// Returns the epoch of a host that keeps its records in memory only. The unit is that of the
-/// epochs of a replicated log, so that no epoch becomes lower when a host is added to the data
-/// centre.
-fn in_memory_epoch() -> u64 {
-    Clock::system().unix_seconds() * 1_000
-}
-
 fn state_machine(state: &LogState) -> StateMachine<()> {
     let (apply, snapshot, restore) = (state.clone(), state.clone(), state.clone());
     StateMachine {
@@ -210,11 +212,13 @@
             append: Arc::new(move |record| append(&for_requests, &LogRecord::Requests(record))),
             epoch: Arc::clone(&epoch),
             state: state.requests,
+            records_since_unix_seconds: 0,
         },
         jobs: JobJournal {
             append: Arc::new(move |records| append(&for_jobs, &LogRecord::Jobs(records))),
             epoch,
             state: state.jobs,
+            records_since_unix_seconds: 0,
         },
     }
 }
@@ -240,11 +244,13 @@
             append: Arc::new(move |_| Err(refused())),
             epoch: Arc::new(|| None),
             state: state.requests,
+            records_since_unix_seconds: 0,
         },
         jobs: JobJournal {
             append: Arc::new(move |_| Err(refused())),
             epoch: Arc::new(|| None),
             state: state.jobs,
+            records_since_unix_seconds: 0,
         },
     }
 }
--- a/src/placer/admission.rs
+++ b/src/placer/admission.rs
@@ -147,7 +147,9 @@
             let recorded_seconds = placement.now_unix_ms / 1000;
             key::KeyWindow {
                 now_seconds: self.options.clock.unix_seconds().max(recorded_seconds),
-                floor_seconds: placement.key_floor_unix_seconds,
+                floor_seconds: placement
+                    .key_floor_unix_seconds
+                    .max(self.options.journal.records_since_unix_seconds),
             }
         })
     }
--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -42,6 +42,10 @@
     pub epoch: CurrentEpoch,
     /// State built from the committed records in log order.
     pub state: Arc<Mutex<JobState>>,
+    /// Wall-clock time in Unix seconds before which records may be missing: the start of a process
+    /// that keeps them in memory only, 0 for a replicated log. A submission with an earlier issue time
+    /// may have run.
+    pub records_since_unix_seconds: u64,
 }
 
 impl JobJournal {
@@ -58,6 +62,7 @@
             }),
             epoch: Arc::new(move || Some(epoch)),
             state,
+            records_since_unix_seconds: 0,
         }
     }
 }
@@ -170,7 +175,8 @@
             let message = "the id is issued in the future";
             return Err(RequestError::did_not_run(ErrorCode::BadRequest, message));
         }
-        if issued + self.options.key_retention.as_secs() < now {
+        let records_since = self.options.journal.records_since_unix_seconds;
+        if issued + self.options.key_retention.as_secs() < now || issued < records_since {
             let message = "the id is too old; its job may have run";
             return Err(RequestError::may_have_run(ErrorCode::KeyExpired, message));
         }
--- a/src/placer/journal.rs
+++ b/src/placer/journal.rs
@@ -51,6 +51,10 @@
     pub epoch: CurrentEpoch,
     /// State built from the committed records in log order.
     pub state: Arc<Mutex<PlacementState>>,
+    /// Wall-clock time in Unix seconds before which records may be missing: the start of a process
+    /// that keeps them in memory only, 0 for a replicated log. A submission with an earlier issue time
+    /// may have run.
+    pub records_since_unix_seconds: u64,
 }
 
 impl Journal {
@@ -66,6 +70,7 @@
             }),
             epoch: Arc::new(move || Some(epoch)),
             state,
+            records_since_unix_seconds: 0,
         }
     }
 }
--- a/src/placer/key.rs
+++ b/src/placer/key.rs
@@ -94,7 +94,9 @@
     if issued.saturating_add(retention_seconds) < window.now_seconds
         || issued < window.floor_seconds
     {
-        let message = format!("the key is older than the retention of {retention_seconds} s");
+        let message = format!(
+            "the key is older than the records or their retention of {retention_seconds} s"
+        );
         return Err(RequestError::may_have_run(ErrorCode::KeyExpired, message));
     }
     Ok(())
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -283,6 +283,7 @@
                 (current_epoch.load(Ordering::SeqCst) == own_epoch).then_some(own_epoch as Epoch)
             }),
             state: Arc::clone(state),
+            records_since_unix_seconds: 0,
         },
         client: WorkerClient {
             send: Arc::new(move |call| {
--- a/tests/placer_support/mod.rs
+++ b/tests/placer_support/mod.rs
@@ -310,6 +310,7 @@
                 (current.epoch.load(Ordering::SeqCst) == epoch).then_some(epoch)
             }),
             state: Arc::clone(&self.log.state),
+            records_since_unix_seconds: 0,
         }
     }
 
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -65,6 +65,16 @@
         digits.collect::<String>().parse().unwrap()
     }
 
+    fn submit_job(&self, id: &str) -> ClientResponse {
+        let url = format!("http://{}/v1/jobs", self.host.caller_address());
+        let mut request = ClientRequest::new(Method::POST, url, Instant::now() + WAIT_TIMEOUT)
+            .header("content-type", "application/json");
+        let resources = r#"{"cpu_millis":1,"memory_mib":1}"#;
+        let job = format!(r#"{{"id":"{id}","kind":"batch","tasks":1,"resources":{resources}}}"#);
+        request.body = job.into_bytes();
+        self.client.send(request).expect("the entry host answers")
+    }
+
     fn post(&self, payload: &str, fields: &[(&str, &str)]) -> ClientResponse {
         let url = format!("http://{}/v1/requests", self.host.caller_address());
         let mut request = ClientRequest::new(Method::POST, url, Instant::now() + WAIT_TIMEOUT)
@@ -271,3 +281,26 @@
     }
     assert_eq!(cell.runner.tasks().started(), 0);
 }
+
+/// Guards against a second run of a request or a job whose record was lost when a host without a disk
+/// started again: a copy of its submission reaches the next process.
+#[test]
+fn submissions_to_a_former_process_without_a_disk_are_refused() {
+    let former = Cell::start();
+    let key = fresh_key("confirmation");
+    let ran = former.post("confirm cart 7", &[(headers::IDEMPOTENCY_KEY, &key)]);
+    assert_eq!(ran.status, 200);
+    drop(former);
+    // Keys have the resolution of a second.
+    while fresh_key("confirmation") == key {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let next = Cell::start();
+    let copy = next.post("confirm cart 7", &[(headers::IDEMPOTENCY_KEY, &key)]);
+    for response in [copy, next.submit_job(&key)] {
+        assert_eq!(response.status, 410);
+        assert_eq!(response.header(headers::VERDICT), Some("may_have_run"));
+    }
+    assert_eq!(next.runner.tasks().started(), 0);
+    assert_ne!(next.submit_job(&fresh_key("wheels")).status, 410);
+}
