bug: a job ran again when its outcome had been dropped for later ones

Cause: the outcomes of the latest 20,000 ended jobs are kept, and a submission without a record is accepted for 600 s from its issue. When more jobs end within that time, as in a burst of cancellations, a copy of a submission that arrives late finds no record, and the job runs again. That no copy arrives after 20,000 later ends was a guess. The records of requests have a floor for this case already.

Change: dropping an outcome raises a floor for issue times; an older id without a record is refused with `may_have_run` (`key_expired`).

Result: a_submission_of_a_job_whose_outcome_was_dropped_is_refused failed before (the job was accepted again), passes now; snapshots_keep_the_floor_of_job_ids is new. job_late_messages (7), job_life (12), job_policies (9), placement_state (6), placement_log (4), jobs_over_http (7), placer_records (14) and request_path (9) pass.

--- a/src/entry_host/placement_log.rs
+++ b/src/entry_host/placement_log.rs
@@ -13,7 +13,7 @@
 use crate::gateway::routing::RemoteHost;
 use crate::ids::{DataCentreName, HostId};
 use crate::options::Settings;
-use crate::placer::job_records::{JobRecord, JobState};
+use crate::placer::job_records::{JobRecord, JobState, decode_snapshot, encode_snapshot};
 use crate::placer::jobs::JobJournal;
 use crate::placer::journal::{CurrentEpoch, Journal, JournalError};
 use crate::placer::records::{PlacementRecord, PlacementState};
@@ -190,10 +190,9 @@
         snapshot: Box::new(move || {
             let requests = snapshot.requests.lock().unwrap();
             let jobs = snapshot.jobs.lock().unwrap();
-            postcard::to_stdvec(&(&*requests, &*jobs))
-                .expect("the state consists of types postcard can encode")
+            encode_snapshot(&requests, &jobs)
         }),
-        restore: Box::new(move |bytes| match postcard::from_bytes(bytes) {
+        restore: Box::new(move |bytes| match decode_snapshot(bytes) {
             Ok((requests, jobs)) => {
                 *restore.requests.lock().unwrap() = requests;
                 *restore.jobs.lock().unwrap() = jobs;
--- a/src/placer/job_records.rs
+++ b/src/placer/job_records.rs
@@ -5,11 +5,13 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::key;
+use super::records::PlacementState;
 use crate::ids::{Epoch, Incarnation, JobId, TaskId, WorkerId};
 use crate::scheduling::job::{JobSpec, TaskEnd};
 
 /// Maximum number of ended jobs whose outcome can be queried; the oldest are dropped first.
-const MAX_ENDED_JOBS: usize = 20_000;
+pub const MAX_ENDED_JOBS: usize = 20_000;
 
 /// One entry of the placement log about a job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -113,6 +115,11 @@
     /// Outcomes of the latest ended jobs.
     pub ended: IndexMap<JobId, JobEnd>,
     ended_order: VecDeque<JobId>,
+    /// Jobs without a record whose ids were issued before this time are refused, since the outcome of
+    /// a job of that age was dropped. [`encode_snapshot`] writes it after the rest of the state, so that
+    /// snapshots of earlier versions, which lack it, stay readable.
+    #[serde(skip)]
+    pub id_floor_unix_seconds: u64,
 }
 
 impl JobState {
@@ -173,10 +180,33 @@
             && let Some(oldest) = self.ended_order.pop_front()
         {
             self.ended.swap_remove(&oldest);
+            let issued = key::issued_unix_seconds(&oldest).unwrap_or(0);
+            let floor = issued.saturating_add(1);
+            self.id_floor_unix_seconds = self.id_floor_unix_seconds.max(floor);
         }
     }
 }
 
+/// Encodes the state of a placement log.
+pub fn encode_snapshot(requests: &PlacementState, jobs: &JobState) -> Vec<u8> {
+    postcard::to_stdvec(&(requests, jobs, jobs.id_floor_unix_seconds))
+        .expect("the state consists of types postcard can encode")
+}
+
+/// Decodes the state of a placement log. Snapshots of earlier versions end before the floor of ids.
+///
+/// # Errors
+///
+/// The error of postcard for a snapshot that is malformed.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<(PlacementState, JobState), postcard::Error> {
+    let ((requests, mut jobs), rest) =
+        postcard::take_from_bytes::<(PlacementState, JobState)>(bytes)?;
+    if !rest.is_empty() {
+        jobs.id_floor_unix_seconds = postcard::from_bytes(rest)?;
+    }
+    Ok((requests, jobs))
+}
+
 impl JobEntry {
     fn begin(&mut self, task: TaskId, attempt: TaskAttempt) {
         // A further attempt of a gang also repeats tasks that had succeeded.
--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -175,8 +175,14 @@
             let message = "the id is issued in the future";
             return Err(RequestError::did_not_run(ErrorCode::BadRequest, message));
         }
+        let dropped_before = {
+            let state = self.options.journal.state.lock().unwrap();
+            // The clock of a caller may have been ahead.
+            state.id_floor_unix_seconds.min(now)
+        };
         let records_since = self.options.journal.records_since_unix_seconds;
-        if issued + self.options.key_retention.as_secs() < now || issued < records_since {
+        let floor = records_since.max(dropped_before);
+        if issued + self.options.key_retention.as_secs() < now || issued < floor {
             let message = "the id is too old; its job may have run";
             return Err(RequestError::may_have_run(ErrorCode::KeyExpired, message));
         }
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use job_support::cell::{Cell, job, resources};
+use jujubewinch::placer::job_records::MAX_ENDED_JOBS;
 use jujubewinch::placer::jobs::{JobStatus, WorkerRequest};
 use jujubewinch::placer::journal::JournalError;
+use jujubewinch::protocol::job::JobCall;
 use jujubewinch::protocol::worker::{TaskState, WorkerPhase};
 use jujubewinch::scheduling::job_scheduler::Cancellation;
 use jujubewinch::scheduling::overuse::Measure;
+use jujubewinch::verdict::{ErrorCode, Verdict};
 
 /// Guards against a stop of a running task because announcements that its worker wrote before the
 /// start arrive after it.
@@ -150,3 +153,27 @@
         assert_eq!(cell.start_counts("render"), [("render-0-1".into(), 1)]);
     }
 }
+
+/// Guards against a second run of a job that ended: a copy of its submission arrives after so many later
+/// jobs have ended that its outcome was dropped.
+#[test]
+fn a_submission_of_a_job_whose_outcome_was_dropped_is_refused() {
+    let cell = Cell::new(&["worker-1"]);
+    let submit = |id: String| {
+        let spec = Box::new(job(&id, "batch", 1, true));
+        cell.placer.handle(JobCall::Submit(spec))
+    };
+    let first = "erdenet.1.first";
+    submit(first.into()).unwrap();
+    cell.placer.cancel(&first.into()).unwrap();
+    for number in 0..MAX_ENDED_JOBS {
+        let id = format!("erdenet.3.{number}");
+        submit(id.clone()).unwrap();
+        cell.placer.cancel(&id).unwrap();
+    }
+    assert_eq!(cell.placer.status(first), None);
+    let refused = submit(first.into()).unwrap_err();
+    assert_eq!(refused.code, ErrorCode::KeyExpired);
+    assert_eq!(refused.verdict, Verdict::MayHaveRun);
+    submit("erdenet.3.next".into()).unwrap();
+}
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -242,6 +242,9 @@
     let own_epoch = epoch.load(Ordering::SeqCst);
     let (base, elapsed) = (Instant::now(), Arc::clone(elapsed_ms));
     let now = move || base + Duration::from_millis(elapsed.load(Ordering::SeqCst));
+    let wall_elapsed = Arc::clone(elapsed_ms);
+    let wall =
+        move || SystemTime::UNIX_EPOCH + Duration::from_millis(wall_elapsed.load(Ordering::SeqCst));
     let (journal_state, journal_environment) = (Arc::clone(state), Arc::clone(environment));
     let journal_clock = Arc::clone(elapsed_ms);
     let team_environment = Arc::clone(environment);
@@ -260,7 +263,7 @@
         max_starts_per_s: 50,
         scheduler: SchedulerSettings::default(),
         teams: Arc::new(move || team_environment.lock().unwrap().teams.clone()),
-        clock: Clock::new(now, || SystemTime::UNIX_EPOCH),
+        clock: Clock::new(now, wall),
         journal: JobJournal {
             append: Arc::new(move |records| {
                 if let Some(error) = journal_environment.lock().unwrap().journal_error.clone() {
--- a/tests/placement_state.rs
+++ b/tests/placement_state.rs
@@ -3,6 +3,7 @@
 
 mod placer_support;
 
+use jujubewinch::placer::job_records::{JobState, decode_snapshot, encode_snapshot};
 use jujubewinch::placer::records::{
     Cancellation, Completion, Intent, PlacementRecord, PlacementState, RequestDigest,
 };
@@ -251,3 +252,21 @@
     let outcome = state.keys["k"].outcome.clone().unwrap();
     assert_eq!(verdict(&outcome), "did_not_run");
 }
+
+/// Guards against jobs that run again after a restart from a snapshot that lacks the floor of ids, and
+/// against snapshots of earlier versions, which end before it, that cannot be read.
+#[test]
+fn snapshots_keep_the_floor_of_job_ids() {
+    let (mut requests, mut jobs) = (PlacementState::default(), JobState::default());
+    requests.apply(intent("erdenet.1.cut", None, "task-1", 1, 1_000));
+    let former = postcard::to_stdvec(&(&requests, &jobs)).unwrap();
+    assert_eq!(
+        decode_snapshot(&former),
+        Ok((requests.clone(), jobs.clone()))
+    );
+    jobs.id_floor_unix_seconds = 7;
+    let encoded = encode_snapshot(&requests, &jobs);
+    assert_eq!(decode_snapshot(&encoded), Ok((requests, jobs)));
+    let truncated = &former[..former.len() - 1];
+    assert!(decode_snapshot(truncated).is_err());
+}
