bug: a late start ran its task beside the next run of the task

Cause: the job placer takes the tasks of a worker for ended when its lease and the margin of 2 s have passed, and starts them elsewhere. That holds for what runs, but a start without an answer may still be on its way. It reached the same incarnation after the worker had announced itself again and had a new lease, and the task ran twice at once. That no start arrives later than lease and margin was a guess.

Change: such starts are remembered, also when the state is rebuilt in the same epoch. The lease of the incarnation is renewed only once the worker holds a tombstone for each of them; without a lease it starts nothing. Other incarnations and later epochs refuse them already.

--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -14,6 +14,7 @@
 
 pub use calls::{WorkerCall, WorkerCallError, WorkerClient, WorkerReply, WorkerRequest};
 use term::Term;
+use term::late_starts::SharedLateStarts;
 
 use super::job_records::{JobEnd, JobEntry, JobRecord, JobState};
 use super::journal::{CurrentEpoch, JournalError};
@@ -114,6 +115,7 @@
     options: JobPlacerOptions,
     /// Present while this host leads the placement log and its state matches the committed records.
     term: Mutex<Option<Term>>,
+    late_starts: SharedLateStarts,
 }
 
 impl JobPlacer {
@@ -123,6 +125,7 @@
         Self {
             options,
             term: Mutex::new(None),
+            late_starts: SharedLateStarts::default(),
         }
     }
 
@@ -260,8 +263,8 @@
     ///
     /// # Errors
     ///
-    /// `Unavailable` when this host is not the placer, the worker knows a later epoch, or the commit
-    /// failed.
+    /// `Unavailable` when this host is not the placer, the worker knows a later epoch, starts of tasks
+    /// that were given up may still reach it, or the commit failed.
     pub fn announce(&self, announcement: &Announcement) -> Result<AnnouncementReply, RequestError> {
         let mut guard = self.lock();
         let now = self.options.clock.now();
@@ -270,6 +273,10 @@
             let message = "the worker knows a later placer";
             return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
         }
+        if term.cancel_late_starts(announcement) {
+            let message = "starts that the worker may still receive are being cancelled";
+            return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
+        }
         let stop = term.announce(&self.options, announcement, now);
         let epoch = term.epoch;
         self.commit(&mut guard)?;
@@ -359,7 +366,7 @@
         let now = self.options.clock.now();
         Ok(term.get_or_insert_with(|| {
             let state = self.options.journal.state.lock().unwrap();
-            Term::recover(&self.options, &state, epoch, now)
+            Term::recover(&self.options, &state, &self.late_starts, epoch, now)
         }))
     }
 
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -1,7 +1,9 @@
 //! State of the job placer during one epoch.
 
+pub(super) mod late_starts;
 mod replies;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -19,6 +21,7 @@
     Decision, JobOutcome, JobScheduler, RestoredTask, TaskStart,
 };
 use crate::scheduling::ledger::WorkerDescription;
+use late_starts::SharedLateStarts;
 use replies::task_end;
 
 /// Interval at which a call is repeated until it has an effect.
@@ -35,6 +38,7 @@
     start_rate: StartRate,
     /// Time until which workers may not have announced themselves to this placer yet.
     announcement_grace_until: Option<Instant>,
+    late_starts: SharedLateStarts,
     records: Vec<JobRecord>,
     calls: Vec<WorkerCall>,
 }
@@ -45,9 +49,11 @@
     pub(super) fn recover(
         options: &JobPlacerOptions,
         state: &JobState,
+        late_starts: &SharedLateStarts,
         epoch: Epoch,
         now: Instant,
     ) -> Self {
+        late_starts.lock().unwrap().begin_epoch(epoch);
         let mut term = Self {
             epoch,
             scheduler: JobScheduler::new(options.scheduler),
@@ -56,6 +62,7 @@
             tasks: LiveTasks::default(),
             start_rate: StartRate::new(options.max_starts_per_s, now),
             announcement_grace_until: Some(now + options.lease),
+            late_starts: Arc::clone(late_starts),
             records: Vec::new(),
             calls: Vec::new(),
         };
@@ -277,6 +284,7 @@
         }
         for worker in self.leases.certainly_stopped(options.clock_margin, now) {
             for task in self.tasks.on_worker(&worker) {
+                self.record_late_start(&task);
                 self.end_task(&task, TaskEnd::Lost, now);
             }
         }
--- a/src/placer/jobs/term/replies.rs
+++ b/src/placer/jobs/term/replies.rs
@@ -24,6 +24,7 @@
         let Ok(reply) = reply else {
             return;
         };
+        self.settle_late_start(call, reply);
         let state = match reply {
             WorkerReply::State(state) => state,
             // A refused measure does not change the task.
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -177,3 +177,47 @@
     assert_eq!(refused.verdict, Verdict::MayHaveRun);
     submit("erdenet.3.next".into()).unwrap();
 }
+
+/// Guards against two runs of a task at once: its start arrives after the lease of its worker has lapsed,
+/// the task has been started elsewhere, and the worker has announced itself again. The state of the placer
+/// may have been rebuilt in between.
+#[test]
+fn a_start_that_arrives_after_the_lease_of_its_worker_does_not_run_beside_the_next_one() {
+    for rebuilt in [false, true] {
+        let cell = Cell::new(&["worker-1", "worker-2"]);
+        cell.placer
+            .submit(job("render", "batch", 1, false))
+            .unwrap();
+        cell.advance(Duration::from_millis(500));
+        let late = cell.placer.tick().unwrap().remove(0);
+        let workers = ["worker-1", "worker-2"];
+        let other = workers.into_iter().find(|id| *id != late.worker).unwrap();
+        for _ in 0..20 {
+            cell.advance(Duration::from_millis(500));
+            cell.announce(other);
+            let calls = cell.placer.tick().unwrap();
+            for call in calls.iter().filter(|call| call.worker == other) {
+                cell.placer.perform(call).unwrap();
+            }
+        }
+        assert_eq!(cell.start_counts("render"), [("render-0-1".into(), 1)]);
+        if rebuilt {
+            cell.environment.lock().unwrap().journal_error =
+                Some(JournalError::Unconfirmed("no quorum".into()));
+            cell.placer.cancel(&"render".to_owned()).unwrap_err();
+            cell.environment.lock().unwrap().journal_error = None;
+        }
+        let mut announcements = 0;
+        while cell
+            .placer
+            .announce(&cell.announcement(&late.worker))
+            .is_err()
+        {
+            announcements += 1;
+            assert!(announcements < 5, "the worker gets no lease");
+            cell.run(1, &[other]);
+        }
+        cell.placer.perform(&late).unwrap();
+        assert_eq!(cell.start_counts("render"), [("render-0-1".into(), 1)]);
+    }
+}
