bug: a full stand-in runner forgot its latest tasks first

Cause: the lists of ended tasks and of dropped ids removed their first entry by a swap with the last one, so that from the second removal on the newest entries were removed. A late copy of a create call for a task that had just ended was carried out again. Records that were dropped at the limit left no id behind either.

Change: both lists keep their order, and a record that is dropped at its limit leaves its id. Limits as before (100,000 each): a copy that arrives after so many later ends is still carried out.

Result: a_full_runner_forgets_its_oldest_tasks_first failed before (three late copies were started), passes now; agent_leases (2), placer_records (14), placer_faults (13), placer_properties (2), jobs_over_http (7) and request_path (9) pass.

--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -1,5 +1,6 @@
 //! Tasks of the stand-in runner: idempotent create, tombstones, fencing and leases.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,10 +21,10 @@
 /// Maximum number of task records, tombstones included; the oldest ended ones are dropped first. The
 /// placer requests to drop a record after it committed the completion, so only abandoned records
 /// reach this limit.
-const MAX_FINISHED_TASKS: usize = 100_000;
+pub const MAX_FINISHED_TASKS: usize = 100_000;
 /// Maximum number of ids of dropped records, which are kept so that a late copy of their create call
 /// starts nothing.
-const MAX_DROPPED_IDS: usize = 100_000;
+pub const MAX_DROPPED_IDS: usize = 100_000;
 /// Maximum wait for the end of a task within one exchange.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -57,7 +58,11 @@
 struct Table {
     incarnation: Incarnation,
     tasks: IndexMap<TaskId, Task>,
+    /// Ended tasks and tombstones, oldest first; the records of some may be dropped.
+    ended_order: VecDeque<TaskId>,
     dropped: IndexSet<TaskId>,
+    /// The ids of `dropped`, oldest first.
+    dropped_order: VecDeque<TaskId>,
     leaving: bool,
     running: usize,
     /// Number of running tasks of requests.
@@ -119,7 +124,9 @@
         self.executions.all_ended();
         table.incarnation = incarnation;
         table.tasks.clear();
+        table.ended_order.clear();
         table.dropped.clear();
+        table.dropped_order.clear();
         table.running = 0;
         table.busy_slots = 0;
         table.highest_epoch = 0;
@@ -182,6 +189,7 @@
             // is free.
             let view = TaskView::new(TaskState::NeverStarted, message.as_bytes());
             table.add(id, view, resources);
+            table.retain_ended(id);
             return Ok(());
         }
         table.start(id, resources);
@@ -238,7 +246,6 @@
         };
         table.end(id, view);
         self.executions.ended(id);
-        drop_oldest(&mut table);
         self.changed.notify_all();
     }
 
@@ -318,11 +325,11 @@
         }
         match table.tasks.get_mut(id) {
             Some(task) => task.stop_requested = true,
-            None => table.add(
-                id,
-                TaskView::new(TaskState::NeverStarted, b"cancelled"),
-                None,
-            ),
+            None => {
+                let view = TaskView::new(TaskState::NeverStarted, b"cancelled");
+                table.add(id, view, None);
+                table.retain_ended(id);
+            }
         }
         self.changed.notify_all();
         Ok(())
@@ -330,19 +337,7 @@
 
     /// Drops the record of a task that is not running.
     pub fn remove_ended(&self, id: &str) {
-        let mut table = self.table.lock().unwrap();
-        if table
-            .tasks
-            .get(id)
-            .is_none_or(|task| task.view.state == TaskState::Running)
-        {
-            return;
-        }
-        table.tasks.swap_remove(id);
-        if table.dropped.len() >= MAX_DROPPED_IDS {
-            table.dropped.swap_remove_index(0);
-        }
-        table.dropped.insert(id.to_owned());
+        self.table.lock().unwrap().drop_record(id);
     }
 
     /// Stops tasks that the placer does not know, as listed in its reply to an announcement.
@@ -460,16 +455,32 @@
             task.view = view;
             self.busy_slots -= usize::from(task.resources.is_none());
         }
+        self.retain_ended(id);
     }
-}
 
-fn drop_oldest(table: &mut Table) {
-    while table.tasks.len() > MAX_FINISHED_TASKS {
-        let oldest = table
-            .tasks
-            .iter()
-            .position(|(_, task)| task.view.state != TaskState::Running);
-        let Some(index) = oldest else { return };
-        table.tasks.swap_remove_index(index);
+    /// Keeps the record of a task that ended, and drops the oldest one above the limit.
+    fn retain_ended(&mut self, id: &str) {
+        self.ended_order.push_back(id.to_owned());
+        if self.ended_order.len() > MAX_FINISHED_TASKS
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.drop_record(&oldest);
+        }
+    }
+
+    /// Drops the record of a task that is not running, and keeps its id up to the limit.
+    fn drop_record(&mut self, id: &str) {
+        let task = self.tasks.get(id);
+        if task.is_none_or(|task| task.view.state == TaskState::Running) {
+            return;
+        }
+        self.tasks.swap_remove(id);
+        self.dropped.insert(id.to_owned());
+        self.dropped_order.push_back(id.to_owned());
+        if self.dropped_order.len() > MAX_DROPPED_IDS
+            && let Some(oldest) = self.dropped_order.pop_front()
+        {
+            self.dropped.swap_remove(&oldest);
+        }
     }
 }
