--- a/src/entry_host/placement_log.rs
+++ b/src/entry_host/placement_log.rs
@@ -13,7 +13,7 @@
 use crate::gateway::routing::RemoteHost;
 use crate::ids::{DataCentreName, HostId};
 use crate::options::Settings;
-use crate::placer::job_records::{JobRecord, JobState};
+use crate::placer::job_records::{JobRecord, JobState, decode_snapshot, encode_snapshot};
 use crate::placer::jobs::JobJournal;
 use crate::placer::journal::{CurrentEpoch, Journal, JournalError};
 use crate::placer::records::{PlacementRecord, PlacementState};
@@ -68,10 +68,19 @@
         }
         let own = &this.data_centre;
         if voters(settings, own).len() == 1 && settings.host.data_folder.is_none() {
-            let epoch = in_memory_epoch();
+            let started = Clock::system().unix_seconds();
+            // The unit is that of the epochs of a replicated log, so that no epoch becomes lower when a
+            // host is added to the data centre.
+            let epoch = started * 1_000;
             let journals = Journals {
-                requests: Journal::in_memory(epoch),
-                jobs: JobJournal::in_memory(epoch),
+                requests: Journal {
+                    records_since_unix_seconds: started,
+                    ..Journal::in_memory(epoch)
+                },
+                jobs: JobJournal {
+                    records_since_unix_seconds: started,
+                    ..JobJournal::in_memory(epoch)
+                },
             };
             return (logs, journals);
         }
@@ -167,13 +176,6 @@
     folder.map_or(StorageOptions::Memory, StorageOptions::Folder)
 }
 
-/// Returns the epoch of a host that keeps its records in memory only. The unit is that of the
-/// epochs of a replicated log, so that no epoch becomes lower when a host is added to the data
-/// centre.
-fn in_memory_epoch() -> u64 {
-    Clock::system().unix_seconds() * 1_000
-}
-
 fn state_machine(state: &LogState) -> StateMachine<()> {
     let (apply, snapshot, restore) = (state.clone(), state.clone(), state.clone());
     StateMachine {
@@ -188,10 +190,9 @@
         snapshot: Box::new(move || {
             let requests = snapshot.requests.lock().unwrap();
             let jobs = snapshot.jobs.lock().unwrap();
-            postcard::to_stdvec(&(&*requests, &*jobs))
-                .expect("the state consists of types postcard can encode")
+            encode_snapshot(&requests, &jobs)
         }),
-        restore: Box::new(move |bytes| match postcard::from_bytes(bytes) {
+        restore: Box::new(move |bytes| match decode_snapshot(bytes) {
             Ok((requests, jobs)) => {
                 *restore.requests.lock().unwrap() = requests;
                 *restore.jobs.lock().unwrap() = jobs;
@@ -210,11 +211,13 @@
             append: Arc::new(move |record| append(&for_requests, &LogRecord::Requests(record))),
             epoch: Arc::clone(&epoch),
             state: state.requests,
+            records_since_unix_seconds: 0,
         },
         jobs: JobJournal {
             append: Arc::new(move |records| append(&for_jobs, &LogRecord::Jobs(records))),
             epoch,
             state: state.jobs,
+            records_since_unix_seconds: 0,
         },
     }
 }
@@ -240,11 +243,13 @@
             append: Arc::new(move |_| Err(refused())),
             epoch: Arc::new(|| None),
             state: state.requests,
+            records_since_unix_seconds: 0,
         },
         jobs: JobJournal {
             append: Arc::new(move |_| Err(refused())),
             epoch: Arc::new(|| None),
             state: state.jobs,
+            records_since_unix_seconds: 0,
         },
     }
 }
--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -14,6 +14,7 @@
 
 pub use calls::{WorkerCall, WorkerCallError, WorkerClient, WorkerReply, WorkerRequest};
 use term::Term;
+use term::late_starts::SharedLateStarts;
 
 use super::job_records::{JobEnd, JobEntry, JobRecord, JobState};
 use super::journal::{CurrentEpoch, JournalError};
@@ -42,6 +43,10 @@
     pub epoch: CurrentEpoch,
     /// State built from the committed records in log order.
     pub state: Arc<Mutex<JobState>>,
+    /// Wall-clock time in Unix seconds before which records may be missing: the start of a process
+    /// that keeps them in memory only, 0 for a replicated log. A submission with an earlier issue time
+    /// may have run.
+    pub records_since_unix_seconds: u64,
 }
 
 impl JobJournal {
@@ -58,6 +63,7 @@
             }),
             epoch: Arc::new(move || Some(epoch)),
             state,
+            records_since_unix_seconds: 0,
         }
     }
 }
@@ -109,6 +115,7 @@
     options: JobPlacerOptions,
     /// Present while this host leads the placement log and its state matches the committed records.
     term: Mutex<Option<Term>>,
+    late_starts: SharedLateStarts,
 }
 
 impl JobPlacer {
@@ -118,6 +125,7 @@
         Self {
             options,
             term: Mutex::new(None),
+            late_starts: SharedLateStarts::default(),
         }
     }
 
@@ -170,7 +178,14 @@
             let message = "the id is issued in the future";
             return Err(RequestError::did_not_run(ErrorCode::BadRequest, message));
         }
-        if issued + self.options.key_retention.as_secs() < now {
+        let dropped_before = {
+            let state = self.options.journal.state.lock().unwrap();
+            // The clock of a caller may have been ahead.
+            state.id_floor_unix_seconds.min(now)
+        };
+        let records_since = self.options.journal.records_since_unix_seconds;
+        let floor = records_since.max(dropped_before);
+        if issued + self.options.key_retention.as_secs() < now || issued < floor {
             let message = "the id is too old; its job may have run";
             return Err(RequestError::may_have_run(ErrorCode::KeyExpired, message));
         }
@@ -248,8 +263,8 @@
     ///
     /// # Errors
     ///
-    /// `Unavailable` when this host is not the placer, the worker knows a later epoch, or the commit
-    /// failed.
+    /// `Unavailable` when this host is not the placer, the worker knows a later epoch, starts of tasks
+    /// that were given up may still reach it, or the commit failed.
     pub fn announce(&self, announcement: &Announcement) -> Result<AnnouncementReply, RequestError> {
         let mut guard = self.lock();
         let now = self.options.clock.now();
@@ -258,6 +273,10 @@
             let message = "the worker knows a later placer";
             return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
         }
+        if term.cancel_late_starts(announcement) {
+            let message = "starts that the worker may still receive are being cancelled";
+            return Err(RequestError::did_not_run(ErrorCode::Unavailable, message));
+        }
         let stop = term.announce(&self.options, announcement, now);
         let epoch = term.epoch;
         self.commit(&mut guard)?;
@@ -347,7 +366,7 @@
         let now = self.options.clock.now();
         Ok(term.get_or_insert_with(|| {
             let state = self.options.journal.state.lock().unwrap();
-            Term::recover(&self.options, &state, epoch, now)
+            Term::recover(&self.options, &state, &self.late_starts, epoch, now)
         }))
     }
 
--- a/src/placer/jobs/live.rs
+++ b/src/placer/jobs/live.rs
@@ -8,6 +8,7 @@
 use super::calls::WorkerRequest;
 use crate::ids::{JobId, TaskId, WorkerId};
 use crate::placer::job_records::TaskAttempt;
+use crate::scheduling::overuse::Measure;
 
 /// A task whose end is not committed.
 pub(super) struct LiveTask {
@@ -70,8 +71,16 @@
             .unwrap_or_default()
     }
 
-    /// Schedules the next call about a task and replaces an earlier one.
+    /// Schedules the next call about a task and replaces an earlier one, but not a stop or a
+    /// cancellation by a weaker call: they are repeated until the end of the task is reported.
     pub(super) fn set_call(&mut self, task: &str, at: Instant, request: WorkerRequest) {
+        let next = self
+            .tasks
+            .get(task)
+            .and_then(|live| live.next_call.as_ref());
+        if next.is_some_and(|(_, next)| stop_rank(next) > stop_rank(&request)) {
+            return;
+        }
         self.clear_call(task);
         if let Some(live) = self.tasks.get_mut(task) {
             live.next_call = Some((at, request));
@@ -86,6 +95,30 @@
         }
     }
 
+    /// Cancels the repetition of a call that had its effect, unless another call was scheduled
+    /// meanwhile: replies may arrive late.
+    pub(super) fn complete_call(&mut self, task: &str, request: &WorkerRequest) {
+        if self.is_next(task, request) {
+            self.clear_call(task);
+        }
+    }
+
+    /// Whether the request is that of the next call about a task.
+    pub(super) fn is_next(&self, task: &str, request: &WorkerRequest) -> bool {
+        let call = self
+            .tasks
+            .get(task)
+            .and_then(|live| live.next_call.as_ref());
+        call.is_some_and(|(_, next)| next == request)
+    }
+
+    /// Whether a call about a task is scheduled.
+    pub(super) fn has_call(&self, task: &str) -> bool {
+        self.tasks
+            .get(task)
+            .is_some_and(|live| live.next_call.is_some())
+    }
+
     /// Whether the next call about a task is its start.
     pub(super) fn is_starting(&self, task: &str) -> bool {
         let call = self
@@ -117,3 +150,13 @@
         calls
     }
 }
+
+/// Orders calls by whether they stop a task. Unlike a stop, a cancellation leaves a tombstone for a
+/// task that the worker does not know.
+fn stop_rank(request: &WorkerRequest) -> u8 {
+    match request {
+        WorkerRequest::Cancel => 2,
+        WorkerRequest::Apply(Measure::Stop) => 1,
+        _ => 0,
+    }
+}
--- a/src/placer/jobs/term.rs
+++ b/src/placer/jobs/term.rs
@@ -1,10 +1,14 @@
 //! State of the job placer during one epoch.
 
+pub(super) mod late_starts;
+mod replies;
+
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::calls::{WorkerCall, WorkerCallError, WorkerReply, WorkerRequest};
+use super::calls::{WorkerCall, WorkerRequest};
 use super::leases::{Leases, StartRate, WorkerLease};
 use super::live::LiveTasks;
 use super::{JobPlacerOptions, TeamSource};
@@ -17,12 +21,11 @@
     Decision, JobOutcome, JobScheduler, RestoredTask, TaskStart,
 };
 use crate::scheduling::ledger::WorkerDescription;
-use crate::scheduling::overuse::Measure;
+use late_starts::SharedLateStarts;
+use replies::task_end;
 
 /// Interval at which a call is repeated until it has an effect.
 const REPEAT_AFTER: Duration = Duration::from_secs(1);
-/// Time between the request for a checkpoint and the stop.
-const CHECKPOINT_TIME: Duration = Duration::from_secs(5);
 
 /// Scheduler, leases and outstanding calls of the job placer in one epoch.
 pub(super) struct Term {
@@ -35,6 +38,7 @@
     start_rate: StartRate,
     /// Time until which workers may not have announced themselves to this placer yet.
     announcement_grace_until: Option<Instant>,
+    late_starts: SharedLateStarts,
     records: Vec<JobRecord>,
     calls: Vec<WorkerCall>,
 }
@@ -45,9 +49,11 @@
     pub(super) fn recover(
         options: &JobPlacerOptions,
         state: &JobState,
+        late_starts: &SharedLateStarts,
         epoch: Epoch,
         now: Instant,
     ) -> Self {
+        late_starts.lock().unwrap().begin_epoch(epoch);
         let mut term = Self {
             epoch,
             scheduler: JobScheduler::new(options.scheduler),
@@ -56,6 +62,7 @@
             tasks: LiveTasks::default(),
             start_rate: StartRate::new(options.max_starts_per_s, now),
             announcement_grace_until: Some(now + options.lease),
+            late_starts: Arc::clone(late_starts),
             records: Vec::new(),
             calls: Vec::new(),
         };
@@ -103,6 +110,7 @@
             let lease = WorkerLease {
                 address: String::new(),
                 incarnation: attempt.incarnation,
+                leaving: false,
                 ends_at: now + options.lease,
                 expired: false,
                 tasks_ended: false,
@@ -166,9 +174,14 @@
                 .cloned()
                 .collect();
         }
+        // Announcements may arrive out of order, and an incarnation that leaves never returns.
+        let left = known
+            .is_some_and(|lease| lease.incarnation == announcement.incarnation && lease.leaving);
+        let leaving = left || announcement.phase == WorkerPhase::Leaving;
         let lease = WorkerLease {
             address: announcement.address.clone(),
             incarnation: announcement.incarnation,
+            leaving,
             ends_at: now + options.lease,
             expired: false,
             tasks_ended: false,
@@ -177,7 +190,7 @@
         self.end_former_incarnations(announcement, now);
         self.end_reported(announcement, now);
         self.resolve_missing(announcement, now);
-        let description = worker_description(options, announcement);
+        let description = worker_description(options, announcement, leaving);
         let job_tasks = announcement
             .tasks
             .iter()
@@ -209,10 +222,11 @@
         }
     }
 
-    /// Cancels tasks that this incarnation of the worker should have but does not list: their start
-    /// was lost, or is still in transit from a former placer. The tombstone of the cancellation
-    /// settles which. An announcement may have been written before a start arrived, so a single one
-    /// without the task does not suffice.
+    /// Asks the worker about tasks that this incarnation should have but does not list: their start
+    /// was lost, or is still in transit from an earlier state, or the announcement was written before
+    /// it arrived. Announcements may arrive late in any number, so only the answer of the worker
+    /// proves that it does not have the task. A single one without the task is usual, and not asked
+    /// about.
     fn resolve_missing(&mut self, announcement: &Announcement, now: Instant) {
         for task in self.tasks.on_worker(&announcement.worker) {
             let Some(live) = self.tasks.get_mut(&task) else {
@@ -223,9 +237,9 @@
                 continue;
             }
             live.missed_announcements += 1;
-            let may_be_sent = live.attempt.started || live.attempt.epoch < self.epoch;
-            if may_be_sent && live.missed_announcements > 1 {
-                self.tasks.set_call(&task, now, WorkerRequest::Cancel);
+            // A task without a call has started, or its start was sent by an earlier state.
+            if live.missed_announcements > 1 && !self.tasks.has_call(&task) {
+                self.tasks.set_call(&task, now, WorkerRequest::Query);
             }
         }
     }
@@ -270,6 +284,7 @@
         }
         for worker in self.leases.certainly_stopped(options.clock_margin, now) {
             for task in self.tasks.on_worker(&worker) {
+                self.record_late_start(&task);
                 self.end_task(&task, TaskEnd::Lost, now);
             }
         }
@@ -370,66 +385,6 @@
         });
     }
 
-    /// Records the reply to a call.
-    pub(super) fn handle_reply(
-        &mut self,
-        call: &WorkerCall,
-        reply: Result<WorkerReply, WorkerCallError>,
-        now: Instant,
-    ) {
-        // A call without a reply is repeated; the worker ignores operations it has already performed.
-        let Ok(reply) = reply else {
-            return;
-        };
-        let state = match reply {
-            WorkerReply::State(state) => state,
-            // A refused measure does not change the task.
-            WorkerReply::Refused if !matches!(call.request, WorkerRequest::Start { .. }) => return,
-            WorkerReply::Refused => TaskState::NeverStarted,
-        };
-        // The next incarnation of the worker refuses a start for the former one, which may have
-        // carried out another copy. The tombstone of a cancellation settles whether it did.
-        let is_start = matches!(call.request, WorkerRequest::Start { .. });
-        let only_copy = self.tasks.get(&call.task).map(|live| live.prepared_starts) == Some(1);
-        if state == TaskState::NeverStarted && is_start && !only_copy {
-            self.tasks.set_call(&call.task, now, WorkerRequest::Cancel);
-            return;
-        }
-        if let Some(end) = task_end(state) {
-            self.end_task(&call.task, end, now);
-            return;
-        }
-        match &call.request {
-            WorkerRequest::Apply(Measure::Checkpoint) => {
-                let stop = WorkerRequest::Apply(Measure::Stop);
-                self.tasks.set_call(&call.task, now + CHECKPOINT_TIME, stop);
-            }
-            WorkerRequest::Apply(Measure::Throttle) => self.tasks.clear_call(&call.task),
-            WorkerRequest::Start { .. } => self.confirm_start(&call.task),
-            // Repeated until the end of the task is reported.
-            WorkerRequest::Apply(Measure::Stop) | WorkerRequest::Cancel => {}
-            WorkerRequest::RemoveRecord => {}
-        }
-    }
-
-    fn confirm_start(&mut self, task: &str) {
-        if self.tasks.is_starting(task) {
-            self.tasks.clear_call(task);
-        }
-        let Some(live) = self
-            .tasks
-            .get_mut(task)
-            .filter(|live| !live.attempt.started)
-        else {
-            return;
-        };
-        live.attempt.started = true;
-        self.records.push(JobRecord::TaskStarted {
-            job: live.job.clone(),
-            task: task.to_owned(),
-        });
-    }
-
     fn end_task(&mut self, task: &str, end: TaskEnd, now: Instant) {
         let ended = self.scheduler.task_ended(task, end, now);
         // Sent once, after the commit; a worker that does not receive it drops the record at its own
@@ -469,21 +424,10 @@
     }
 }
 
-/// Returns how a task ended; `None` while it may be running.
-fn task_end(state: TaskState) -> Option<TaskEnd> {
-    match state {
-        // A start that is still in transit may start an unknown task.
-        TaskState::Running | TaskState::Unknown => None,
-        TaskState::Succeeded => Some(TaskEnd::Succeeded),
-        TaskState::Failed => Some(TaskEnd::Failed),
-        TaskState::Stopped => Some(TaskEnd::Stopped),
-        TaskState::NeverStarted => Some(TaskEnd::NeverStarted),
-    }
-}
-
 fn worker_description(
     options: &JobPlacerOptions,
     announcement: &Announcement,
+    leaving: bool,
 ) -> WorkerDescription {
     WorkerDescription {
         id: announcement.worker.clone(),
@@ -492,6 +436,6 @@
         data_centre: announcement.data_centre.clone(),
         region: options.region.clone(),
         capacity: announcement.resources,
-        leaving: announcement.phase == WorkerPhase::Leaving,
+        leaving,
     }
 }
--- a/tests/job_support/cell.rs
+++ b/tests/job_support/cell.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jujubewinch::clock::Clock;
 use jujubewinch::ids::{Epoch, Incarnation, TaskId};
 use jujubewinch::placer::job_records::{JobRecord, JobState};
@@ -31,6 +31,8 @@
 pub struct Environment {
     /// States of the tasks on each worker.
     pub workers: IndexMap<String, IndexMap<TaskId, TaskState>>,
+    /// Tasks whose records were dropped; late starts of these have no effect.
+    pub dropped: IndexSet<TaskId>,
     /// Incarnations of workers that have restarted; that of the others is 1.
     pub restarted: IndexMap<String, Incarnation>,
     /// Number of times that each task was started.
@@ -240,6 +242,9 @@
     let own_epoch = epoch.load(Ordering::SeqCst);
     let (base, elapsed) = (Instant::now(), Arc::clone(elapsed_ms));
     let now = move || base + Duration::from_millis(elapsed.load(Ordering::SeqCst));
+    let wall_elapsed = Arc::clone(elapsed_ms);
+    let wall =
+        move || SystemTime::UNIX_EPOCH + Duration::from_millis(wall_elapsed.load(Ordering::SeqCst));
     let (journal_state, journal_environment) = (Arc::clone(state), Arc::clone(environment));
     let journal_clock = Arc::clone(elapsed_ms);
     let team_environment = Arc::clone(environment);
@@ -258,7 +263,7 @@
         max_starts_per_s: 50,
         scheduler: SchedulerSettings::default(),
         teams: Arc::new(move || team_environment.lock().unwrap().teams.clone()),
-        clock: Clock::new(now, || SystemTime::UNIX_EPOCH),
+        clock: Clock::new(now, wall),
         journal: JobJournal {
             append: Arc::new(move |records| {
                 if let Some(error) = journal_environment.lock().unwrap().journal_error.clone() {
@@ -281,6 +286,7 @@
                 (current_epoch.load(Ordering::SeqCst) == own_epoch).then_some(own_epoch as Epoch)
             }),
             state: Arc::clone(state),
+            records_since_unix_seconds: 0,
         },
         client: WorkerClient {
             send: Arc::new(move |call| {
@@ -318,8 +324,17 @@
         .get_mut(&call.worker)
         .expect("the worker exists");
     let known = tasks.get(&call.task).copied();
+    if call.request == WorkerRequest::Query {
+        let state = WorkerReply::State(known.unwrap_or(TaskState::Unknown));
+        let lost = WorkerCallError::NoAnswer("connection closed".into());
+        return if environment.lose_replies {
+            Err(lost)
+        } else {
+            Ok(state)
+        };
+    }
     let state = match (&call.request, known) {
-        (WorkerRequest::Start { .. }, None) => {
+        (WorkerRequest::Start { .. }, None) if !environment.dropped.contains(&call.task) => {
             environment.uncommitted_starts += u32::from(!intent_committed);
             *environment
                 .start_counts
@@ -333,9 +348,11 @@
         (_, None) => TaskState::NeverStarted,
         (_, Some(state)) => state,
     };
-    tasks.insert(call.task.clone(), state);
     if call.request == WorkerRequest::RemoveRecord {
         tasks.swap_remove(&call.task);
+        environment.dropped.insert(call.task.clone());
+    } else if !environment.dropped.contains(&call.task) {
+        tasks.insert(call.task.clone(), state);
     }
     if environment.lose_replies {
         return Err(WorkerCallError::NoAnswer("connection closed".into()));
