refactor: crowds of clients that do not behave are shared by tests

Cause: tests/body_memory.rs had the only crowds of unfinished and oversized bodies, and played them on one listener of a process from one address. Change: its senders, its reader of /proc and its limits move to tests/client_crowds without a change of any crowd or bound. HostProcesses can start hosts with changed settings.

--- a/tests/body_memory.rs
+++ b/tests/body_memory.rs
@@ -5,22 +5,24 @@
 //! that its peak resident memory and its open descriptors stay within those of an entry host, and
 //! that an ordinary request is answered afterwards while the crowd is still connected.
 
+mod client_crowds;
+
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use client_crowds::{
+    ANSWER_TIMEOUT, CHUNKED, CONTROL_BYTES, Crowd, LEGAL_BYTES, PIECE_BYTES, await_read, chunk,
+    one_at_a_time, open_descriptors, peak_resident_kb, split,
+};
+
 /// Memory of an entry host, from docs/design/customers-and-load.md: 160 MB.
 const MAX_RESIDENT_KB: u64 = 160_000;
 /// File descriptors of an entry host, from the same page.
 const MAX_DESCRIPTORS: usize = 4_100;
-/// Published limit of a body of a caller.
-const LEGAL_BYTES: usize = 262_144;
-/// Limit of a body from an operator or a worker of a cell.
-const CONTROL_BYTES: usize = 4 * 1024 * 1024;
 /// Connections with bodies of legal size.
 const LARGE_CROWD: usize = 600;
 /// Connections whose bodies have chunks of one byte.
@@ -33,22 +35,6 @@
 const OVERSIZED_BYTES: usize = 4 * 1024 * 1024;
 /// Connections with bodies of 4 MiB to the operators' interface.
 const CONTROL_CROWD: usize = 64;
-/// Size of a piece of a body that is sent in pieces, and of a large chunk.
-const PIECE_BYTES: usize = 16 * 1024;
-/// Threads that send the bodies of a crowd.
-const SENDERS: usize = 8;
-/// Longest wait of a client for the server to take a piece.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// State of an open connection in `/proc/net/tcp`.
-const ESTABLISHED: &str = "01";
-/// Maximum wait for a start or an answer on a busy machine.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// The crowds run one at a time, since each needs many connections.
-fn one_at_a_time() -> MutexGuard<'static, ()> {
-    static RUNNING: Mutex<()> = Mutex::new(());
-    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
-}
 
 struct Process {
     child: Child,
@@ -116,39 +102,13 @@
         process
     }
 
-    /// Waits until the server has read what the crowd sent, or has closed those connections, since
-    /// the system's buffers take most of a body before the process sees it.
-    fn await_read(&self) {
-        let port = format!(":{:04X}", self.address.port());
-        let until = Instant::now() + ANSWER_TIMEOUT;
-        while Instant::now() < until {
-            let table = fs::read_to_string("/proc/net/tcp").unwrap();
-            let unread = table.lines().any(|line| {
-                let fields: Vec<&str> = line.split_whitespace().collect();
-                fields.len() > 4
-                    && fields[1].ends_with(&port)
-                    && fields[3] == ESTABLISHED
-                    && !fields[4].ends_with(":00000000")
-            });
-            if !unread {
-                return;
-            }
-            thread::sleep(Duration::from_millis(100));
-        }
-    }
-
     /// Checks that the process lives within the memory and the descriptors of an entry host.
     fn assert_within_the_machine(&mut self, crowd: &str) {
         let ended = self.child.try_wait().unwrap();
         assert_eq!(ended, None, "{crowd}: the process has ended");
-        let folder = format!("/proc/{}", self.child.id());
-        let status = fs::read_to_string(format!("{folder}/status")).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let peak_kb: u64 = line
-            .and_then(|line| line.split_whitespace().nth(1))
-            .and_then(|number| number.parse().ok())
-            .unwrap();
-        let descriptors = fs::read_dir(format!("{folder}/fd")).unwrap().count();
+        let process = self.child.id();
+        let peak_kb = peak_resident_kb(process);
+        let descriptors = open_descriptors(process);
         println!("{crowd}: peak {peak_kb} kB, {descriptors} descriptors");
         assert!(peak_kb <= MAX_RESIDENT_KB, "{crowd}: {peak_kb} kB resident");
         assert!(descriptors <= MAX_DESCRIPTORS, "{crowd}: {descriptors}");
@@ -190,24 +150,19 @@
     /// Plays a crowd, whose members each send the pieces in turn and stay connected, and checks the
     /// process.
     fn assert_withstands(&mut self, crowd: &str, members: usize, head: &str, pieces: &[Vec<u8>]) {
-        let address = self.address;
-        let held: Vec<TcpStream> = thread::scope(|scope| {
-            let senders: Vec<_> = (0..SENDERS)
-                .map(|sender| {
-                    let members = (sender..members).step_by(SENDERS).count();
-                    scope.spawn(move || send_in_rounds(address, members, head, pieces))
-                })
-                .collect();
-            let sent = senders.into_iter().map(|sender| sender.join().unwrap());
-            sent.flatten().collect()
-        });
-        self.await_read();
+        let head = format!("POST /v1/crowd HTTP/1.1\r\nhost: x\r\n{head}\r\n\r\n");
+        let crowd_of = Crowd {
+            members,
+            addresses: 1,
+            pieces,
+            end: b"",
+        };
+        let held = crowd_of.play(self.address, &|stream| stream.write_all(head.as_bytes()));
+        await_read(self.address);
         self.assert_within_the_machine(crowd);
         self.assert_answers(crowd);
         self.assert_within_the_machine(crowd);
-        for stream in &held {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        drop(held);
     }
 }
 
@@ -218,49 +173,11 @@
     }
 }
 
-/// Opens the connections and sends each piece on all of them before the next piece. Returns the
-/// connections that took everything, which stay open; the server may close the others.
-fn send_in_rounds(
-    address: SocketAddr,
-    members: usize,
-    head: &str,
-    pieces: &[Vec<u8>],
-) -> Vec<TcpStream> {
-    let head = format!("POST /v1/crowd HTTP/1.1\r\nhost: x\r\n{head}\r\n\r\n");
-    let mut streams = Vec::new();
-    for _ in 0..members {
-        let Ok(mut stream) = TcpStream::connect(address) else {
-            continue;
-        };
-        stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
-        if stream.write_all(head.as_bytes()).is_ok() {
-            streams.push(stream);
-        }
-    }
-    for piece in pieces {
-        streams.retain_mut(|stream| stream.write_all(piece).is_ok());
-    }
-    streams
-}
-
 /// Splits `count` bytes into pieces.
 fn pieces(count: usize, piece_bytes: usize) -> Vec<Vec<u8>> {
-    vec![b'b'; count]
-        .chunks(piece_bytes)
-        .map(<[u8]>::to_vec)
-        .collect()
+    split(&vec![b'b'; count], piece_bytes)
 }
 
-/// Encodes a piece as one chunk, without its last line break if it ends the body early.
-fn chunk(piece: &[u8]) -> Vec<u8> {
-    let mut encoded = format!("{:x}\r\n", piece.len()).into_bytes();
-    encoded.extend_from_slice(piece);
-    encoded.extend_from_slice(b"\r\n");
-    encoded
-}
-
-const CHUNKED: &str = "transfer-encoding: chunked";
-
 /// Guards against bodies of legal size, sent whole or piece by piece, that stop one byte short and
 /// are held without a bound.
 #[test]
--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -42,13 +42,24 @@
     /// Starts all hosts. Their ports must be free: hosts that outlived another run of the test would
     /// answer in their place.
     pub fn start(folder: &Path, ports: Ports, size: CellSize) -> Self {
+        Self::start_with_settings(folder, ports, size, |_, text| text)
+    }
+
+    /// Starts all hosts, with settings that the closure makes from the number of the host and its
+    /// usual settings.
+    pub fn start_with_settings(
+        folder: &Path,
+        ports: Ports,
+        size: CellSize,
+        change: impl Fn(usize, String) -> String,
+    ) -> Self {
         for number in 1..=size.hosts() {
             for port in [ports.peers, ports.callers, ports.readiness, ports.control] {
                 let address = format!("127.0.0.{number}:{port}");
                 TcpListener::bind(&address)
                     .unwrap_or_else(|error| panic!("{address} is not free: {error}"));
             }
-            let text = settings(number, folder, ports, size);
+            let text = change(number, settings(number, folder, ports, size));
             std::fs::write(folder.join(format!("{number}.toml")), text).unwrap();
         }
         let mut processes = Self {
