bug: unfinished frames of other hosts were held without a bound

Cause: the listener for peers read each frame of up to 16 MiB into a buffer of its own on up to 256 connections, 4 GiB together. The key of a cell is publicly known, so that any client can open such connections. Its size is limits.max_held_frame_bytes, 32 MiB by default and at least one largest frame. A new test sends single messages of the largest sizes, which are served.

--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -1,12 +1,19 @@
 //! Authenticated frames over an established connection.
 
 use std::io::{self, ErrorKind, Read, Write};
+use std::net::{IpAddr, TcpStream};
+use std::sync::Arc;
 
 use super::frame::{
     Frame, LENGTH_BYTES, MAX_FRAME_BYTES, call_id_of_request, decode, encode, length_prefixed,
-    read_body,
+    read_body, read_length, read_reserved,
 };
 use super::keys::{CODE_BYTES, code, codes_match};
+use crate::http::body_budget::{BodyBudget, Reservation};
+
+/// Largest frame that is read without a reservation. Nearly all frames are smaller, and the
+/// connections of a server hold 16 MiB of them at most.
+const UNRESERVED_FRAME_BYTES: usize = 64 * 1024;
 
 /// Sends frames in one direction of a connection.
 pub struct FrameWriter<W> {
@@ -80,12 +87,26 @@
     },
 }
 
+/// Memory budget of the large frames of a server, with the connection that is shut down if its
+/// unfinished frame has to make room.
+pub struct FrameBudget {
+    /// Budget of all connections of the server.
+    pub budget: Arc<BodyBudget>,
+    /// Address of the other end.
+    pub address: IpAddr,
+    /// Connection of the reader.
+    pub stream: Arc<TcpStream>,
+}
+
 /// Receives frames in one direction of a connection.
 pub struct FrameReader<R> {
     stream: R,
     secret: [u8; 32],
     sequence: u64,
     last_frame_bytes: usize,
+    budget: Option<FrameBudget>,
+    /// Memory of the last frame, which the next read releases: its call may still be handled.
+    reservation: Option<Reservation>,
 }
 
 impl<R: Read> FrameReader<R> {
@@ -96,9 +117,17 @@
             secret,
             sequence: 0,
             last_frame_bytes: 0,
+            budget: None,
+            reservation: None,
         }
     }
 
+    /// Makes the reader reserve the memory of large frames.
+    pub fn within(mut self, budget: FrameBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
     /// Returns the size of the last frame that was read, including its length field and its message
     /// authentication code, in bytes.
     pub fn last_frame_bytes(&self) -> usize {
@@ -110,7 +139,8 @@
     /// # Errors
     ///
     /// The error of the stream, `InvalidData` for a malformed frame, or `PermissionDenied` for a
-    /// frame that was changed, reordered or replayed.
+    /// frame that was changed, reordered or replayed. With a budget, `OutOfMemory` without room for
+    /// the frame, or `TimedOut` when it arrives too slowly.
     pub fn read(&mut self) -> io::Result<Frame> {
         decode(&self.read_content()?)
     }
@@ -131,7 +161,7 @@
 
     /// Reads the content of one frame and verifies its message authentication code.
     fn read_content(&mut self) -> io::Result<Vec<u8>> {
-        let mut body = read_body(&mut self.stream, MAX_FRAME_BYTES)?;
+        let mut body = self.read_frame()?;
         self.last_frame_bytes = LENGTH_BYTES + body.len();
         let Some((content, received)) = body.split_last_chunk::<CODE_BYTES>() else {
             return Err(io::Error::new(
@@ -151,4 +181,22 @@
         body.truncate(content_bytes);
         Ok(body)
     }
+    /// Reads one frame without its length field.
+    fn read_frame(&mut self) -> io::Result<Vec<u8>> {
+        self.reservation = None;
+        let Some(limit) = &self.budget else {
+            return read_body(&mut self.stream, MAX_FRAME_BYTES);
+        };
+        let length = read_length(&mut self.stream, MAX_FRAME_BYTES)?;
+        if length <= UNRESERVED_FRAME_BYTES {
+            let mut body = vec![0; length];
+            self.stream.read_exact(&mut body)?;
+            return Ok(body);
+        }
+        let stream = Arc::clone(&limit.stream);
+        let mut reservation = limit.budget.open(Some(limit.address), Some(stream));
+        let body = read_reserved(&mut self.stream, length, &mut reservation)?;
+        self.reservation = Some(reservation);
+        Ok(body)
+    }
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use super::call_load::CountedCall;
-use super::channel::{FrameReader, FrameWriter, ReceivedCall};
-use super::frame::Frame;
+use super::channel::{FrameBudget, FrameReader, FrameWriter, ReceivedCall};
+use super::frame::{Frame, MAX_FRAME_BYTES};
 use super::handshake;
 use super::keys::ClusterKeys;
 use super::pool::{CallPool, CallPoolOptions};
 use super::responder::{MAX_CALLS_IN_FLIGHT, Outbox, Responder};
 use super::{CONNECT_TIMEOUT, IDLE_PING_INTERVAL, SILENCE_TIMEOUT, WRITE_TIMEOUT};
+use crate::http::body_budget::{BodyBudget, BodyLimits};
 use crate::ids::HostId;
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::telemetry::processor_time;
@@ -37,6 +38,9 @@
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Default memory of the large frames that a server receives at the same time: two of the largest.
+pub const DEFAULT_HELD_FRAME_BYTES: usize = 2 * MAX_FRAME_BYTES;
+
 /// Handles a call from the given host on the reader thread of its connection. The handler must not
 /// block: it passes long operations to another thread together with the responder.
 pub type CallHandler = Arc<dyn Fn(HostId, PeerRequest, Responder) + Send + Sync>;
@@ -52,9 +56,12 @@
 struct Shared {
     keys: ClusterKeys,
     handler: CallHandler,
+    /// Memory of the large frames that are received. It is apart from the budget of the bodies of
+    /// requests, so that clients cannot keep the hosts of a cell from each other.
+    budget: Arc<BodyBudget>,
     stopping: AtomicBool,
     /// Open connections, which are closed when the server stops.
-    connections: Mutex<Vec<TcpStream>>,
+    connections: Mutex<Vec<Arc<TcpStream>>>,
 }
 
 impl PeerServer {
@@ -79,11 +86,33 @@
         keys: ClusterKeys,
         handler: CallHandler,
     ) -> io::Result<Self> {
+        Self::start_limited(address, keys, DEFAULT_HELD_FRAME_BYTES, handler)
+    }
+
+    /// Starts a server like [`Self::start_deferred`], with the memory in bytes that large frames may
+    /// hold before they are complete; at least that of one frame of the largest size. One address
+    /// may hold half of it, but always one such frame.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`Self::start_deferred`].
+    pub fn start_limited(
+        address: SocketAddr,
+        keys: ClusterKeys,
+        max_held_frame_bytes: usize,
+        handler: CallHandler,
+    ) -> io::Result<Self> {
+        let limits = BodyLimits {
+            max_total_bytes: max_held_frame_bytes.max(MAX_FRAME_BYTES),
+            max_address_bytes: (max_held_frame_bytes / 2).max(MAX_FRAME_BYTES),
+            ..BodyLimits::default()
+        };
         let listener = TcpListener::bind(address)?;
         let local_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             keys,
             handler,
+            budget: Arc::new(BodyBudget::new(limits)),
             stopping: AtomicBool::new(false),
             connections: Mutex::new(Vec::new()),
         });
@@ -135,14 +164,19 @@
                 continue;
             }
         };
-        let Some(registered) = register(&stream, shared) else {
+        let Some((registered, copy)) = register(&stream, shared) else {
             continue;
         };
+        let limit = FrameBudget {
+            budget: Arc::clone(&shared.budget),
+            address: registered.ip(),
+            stream: copy,
+        };
         let connection = Arc::clone(shared);
         let spawned = thread::Builder::new()
             .name("peer-connection".to_owned())
             .spawn(move || {
-                if let Err(error) = serve_connection(stream, &connection) {
+                if let Err(error) = serve_connection(stream, limit, &connection) {
                     log::debug!("peer connection from {registered} ended: {error}");
                 }
                 deregister(&connection, registered);
@@ -154,10 +188,11 @@
     }
 }
 
-/// Registers the connection and returns the address of the peer; `None` when too many are open.
-fn register(stream: &TcpStream, shared: &Shared) -> Option<SocketAddr> {
+/// Registers the connection and returns the address of the peer with the registered copy; `None`
+/// when too many are open.
+fn register(stream: &TcpStream, shared: &Shared) -> Option<(SocketAddr, Arc<TcpStream>)> {
     let address = stream.peer_addr().ok()?;
-    let copy = stream.try_clone().ok()?;
+    let copy = Arc::new(stream.try_clone().ok()?);
     let mut connections = shared.connections.lock().unwrap();
     if connections.len() >= MAX_CONNECTIONS {
         log::warn!(
@@ -165,8 +200,8 @@
         );
         return None;
     }
-    connections.push(copy);
-    Some(address)
+    connections.push(Arc::clone(&copy));
+    Some((address, copy))
 }
 
 fn deregister(shared: &Shared, address: SocketAddr) {
@@ -174,7 +209,11 @@
     connections.retain(|stream| stream.peer_addr().is_ok_and(|peer| peer != address));
 }
 
-fn serve_connection(mut stream: TcpStream, shared: &Arc<Shared>) -> io::Result<()> {
+fn serve_connection(
+    mut stream: TcpStream,
+    limit: FrameBudget,
+    shared: &Arc<Shared>,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(CONNECT_TIMEOUT))?;
     stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
@@ -192,7 +231,7 @@
                 log::debug!("cannot write replies: {error}");
             }
         })?;
-    let reader = FrameReader::new(stream, session.client_secret);
+    let reader = FrameReader::new(stream, session.client_secret).within(limit);
     let result = read_calls(reader, &session.client, &outbox, shared);
     outbox.close();
     result
--- a/src/workflow/host.rs
+++ b/src/workflow/host.rs
@@ -109,7 +109,15 @@
             )?),
             None => None,
         };
-        let server = serve_peers(peers, &directory, replica.clone(), outside, relay)?;
+        let max_held_frame_bytes = settings.limits.max_held_frame_bytes;
+        let server = serve_peers(
+            peers,
+            &directory,
+            replica.clone(),
+            outside,
+            relay,
+            max_held_frame_bytes,
+        )?;
         let host = Arc::new(Self {
             settings,
             directory,
@@ -372,6 +380,7 @@
     replica: Option<Arc<Replica<()>>>,
     outside: OutsideCalls,
     relay: Arc<Relay>,
+    max_held_frame_bytes: usize,
 ) -> io::Result<PeerServer> {
     let directory = Arc::clone(directory);
     let policy = CallPool::new(CallPoolOptions {
@@ -402,7 +411,12 @@
         }
         other => responder.answer(PeerReply::Refused(format!("unknown call {}", other.kind()))),
     };
-    PeerServer::start_deferred(address, ClusterKeys::unauthenticated(), Arc::new(handler))
+    PeerServer::start_limited(
+        address,
+        ClusterKeys::unauthenticated(),
+        max_held_frame_bytes,
+        Arc::new(handler),
+    )
 }
 
 fn answer_call(directory: &Directory, from: &HostId, message: &[u8], responder: Responder) {
--- a/src/workflow/settings.rs
+++ b/src/workflow/settings.rs
@@ -10,6 +10,8 @@
 use crate::ids::{DataCentreName, HostId};
 use crate::options::file::{self, Fault, SettingsError};
 use crate::options::ranges;
+use crate::peer::frame::MAX_FRAME_BYTES;
+use crate::peer::server::DEFAULT_HELD_FRAME_BYTES;
 
 /// Largest body of a request to a host, that of an operator or a worker.
 pub const LARGEST_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -110,7 +112,7 @@
     pub address: Option<SocketAddr>,
 }
 
-/// Limits of the memory of request bodies.
+/// Limits of the memory of request bodies and of frames from other hosts.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
@@ -123,6 +125,9 @@
     pub body_stall_timeout_ms: u64,
     /// Average rate below which an unfinished body is dropped, after a grace period of 15 s.
     pub min_body_bytes_per_second: usize,
+    /// Maximum memory of unfinished frames above 64 KiB from other hosts; at least 16 MiB, the
+    /// largest frame.
+    pub max_held_frame_bytes: usize,
 }
 
 impl Default for LimitSettings {
@@ -133,6 +138,7 @@
             max_address_body_bytes: limits.max_address_bytes,
             body_stall_timeout_ms: limits.stall_timeout.as_millis() as u64,
             min_body_bytes_per_second: limits.min_bytes_per_second,
+            max_held_frame_bytes: DEFAULT_HELD_FRAME_BYTES,
         }
     }
 }
@@ -189,6 +195,10 @@
         if let Some((key, reason)) = ranges::body_fault(&limits, LARGEST_BODY_BYTES) {
             return Err(Fault::new(key, &reason));
         }
+        if self.limits.max_held_frame_bytes < MAX_FRAME_BYTES {
+            let reason = format!("must be at least {MAX_FRAME_BYTES}");
+            return Err(Fault::new("limits.max_held_frame_bytes", &reason));
+        }
         if self
             .placement
             .remote_factor
--- a/tests/client_crowds/mod.rs
+++ b/tests/client_crowds/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod peers;
+
 use std::fs;
 use std::io::Write;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpStream};
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -10,19 +10,19 @@
 mod client_crowds;
 mod platform_support;
 
-use std::io::{Error, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use client_crowds::peers::{assert_peer_answers, exchange_frame, open_connection, open_frame};
 use client_crowds::{
     ANSWER_TIMEOUT, CHUNKED, CONTROL_BYTES, Crowd, LEGAL_BYTES, PIECE_BYTES, await_read, chunk,
     one_at_a_time, open_descriptors, peak_resident_kb, reset_peak, split,
 };
-use jujubewinch::peer::ClusterKeys;
-use jujubewinch::peer::channel::{FrameReader, FrameWriter};
+use jujubewinch::peer::channel::FrameWriter;
 use jujubewinch::peer::frame::{Frame, MAX_FRAME_BYTES};
-use jujubewinch::peer::handshake;
+use jujubewinch::protocol::peer::{PeerReply, PeerRequest};
 use platform_support::processes::HostProcesses;
 use platform_support::{Cell, CellSize, Ports, configuration};
 use serde_json::json;
@@ -102,7 +102,8 @@
                 let text = text.replace(&other_seeds, "");
                 format!(
                     "{text}[limits]\nmax_held_body_bytes = {HELD_BODY_BYTES}\n\
-                     max_address_body_bytes = {}\n",
+                     max_address_body_bytes = {}\n\
+                     max_held_frame_bytes = {MAX_FRAME_BYTES}\n",
                     HELD_BODY_BYTES / 2
                 )
             });
@@ -230,36 +231,44 @@
         assert!(descriptors <= MAX_DESCRIPTORS, "{case}: {descriptors}");
     }
 
-    /// Sends an ordinary request to a listener until it is served. Only a refusal for overload may
-    /// come before, and on the callers' listener it has to say when to come back.
+    /// Sends an ordinary request to a listener until it is served.
     fn assert_answers(&mut self, case: &str, listener: &Listener) {
-        self.jobs += 1;
         let (call, body) = match listener.name {
             "callers" => {
-                let job = json!({"task_spec": "plan", "steps":
-                    [{"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 150}]});
-                (format!("POST /plans/job-{}", self.jobs), job.to_string())
+                self.jobs += 1;
+                (format!("POST /plans/job-{}", self.jobs), ordinary_job())
             }
             "control" => ("PUT /api/config".to_owned(), configuration(1).to_string()),
             "readiness" => ("GET /api/ready".to_owned(), String::new()),
             _ => ("GET /metrics".to_owned(), String::new()),
         };
-        let address = host_address(listener.host, listener.port);
-        let until = Instant::now() + ANSWER_TIMEOUT;
-        loop {
-            let reply = exchange(address, &call, &body).unwrap_or_default();
-            if reply.starts_with("HTTP/1.1 200") {
-                return;
-            }
-            let is_refused = reply.starts_with("HTTP/1.1 503") || reply.starts_with("HTTP/1.1 504");
-            assert!(reply.is_empty() || is_refused, "{case}: {reply}");
-            if listener.name == "callers" && reply.starts_with("HTTP/1.1 503") {
-                let has_time = reply.to_ascii_lowercase().contains("retry-after: ");
-                assert!(has_time, "{case}: {reply}");
-            }
-            assert!(Instant::now() < until, "{case}: no answer: {reply}");
-            thread::sleep(Duration::from_millis(100));
+        assert_served(case, listener, &call, &body);
+    }
+}
+
+fn ordinary_job() -> String {
+    let step = json!({"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 150});
+    json!({"task_spec": "plan", "steps": [step]}).to_string()
+}
+
+/// Sends a request until it is served. Only a refusal for overload may come before, and on the
+/// callers' listener it has to say when to come back.
+fn assert_served(case: &str, listener: &Listener, call: &str, body: &str) {
+    let address = host_address(listener.host, listener.port);
+    let until = Instant::now() + ANSWER_TIMEOUT;
+    loop {
+        let reply = exchange(address, call, body).unwrap_or_default();
+        if reply.starts_with("HTTP/1.1 200") {
+            return;
+        }
+        let is_refused = reply.starts_with("HTTP/1.1 503") || reply.starts_with("HTTP/1.1 504");
+        assert!(reply.is_empty() || is_refused, "{case}: {reply}");
+        if listener.name == "callers" && reply.starts_with("HTTP/1.1 503") {
+            let has_time = reply.to_ascii_lowercase().contains("retry-after: ");
+            assert!(has_time, "{case}: {reply}");
         }
+        assert!(Instant::now() < until, "{case}: no answer: {reply}");
+        thread::sleep(Duration::from_millis(100));
     }
 }
 
@@ -291,33 +300,6 @@
     Ok(reply)
 }
 
-/// Opens a connection as another host does, until a ping on it is answered.
-fn assert_peer_answers(case: &str, address: SocketAddr) {
-    let until = Instant::now() + ANSWER_TIMEOUT;
-    while let Err(error) = ping(address) {
-        assert!(Instant::now() < until, "{case}: no answer: {error}");
-        thread::sleep(Duration::from_millis(100));
-    }
-}
-
-fn ping(address: SocketAddr) -> std::io::Result<()> {
-    let mut stream = TcpStream::connect(address)?;
-    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
-    let session = handshake::open(&mut stream, "127.0.0.9", &ClusterKeys::unauthenticated())?;
-    FrameWriter::new(&stream, session.client_secret).write(&Frame::Ping)?;
-    match FrameReader::new(&stream, session.server_secret).read()? {
-        Frame::Pong => Ok(()),
-        other => Err(Error::other(format!("unexpected frame {other:?}"))),
-    }
-}
-
-/// Performs the handshake of another host and announces a frame.
-fn open_frame(stream: &mut TcpStream, announced_bytes: usize) -> std::io::Result<()> {
-    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
-    handshake::open(stream, "127.0.0.9", &ClusterKeys::unauthenticated())?;
-    stream.write_all(&u32::try_from(announced_bytes).unwrap().to_be_bytes())
-}
-
 /// A job of the given size. The text of its task is longer than a job may have.
 fn job_body(bytes: usize) -> Vec<u8> {
     let (start, end) = (r#"{"task_spec":""#, r#"","steps":[]}"#);
@@ -426,10 +408,8 @@
     let _alone = one_at_a_time();
     let mut hosts = Hosts::start(17_535);
     let open = |stream: &mut TcpStream| {
-        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
         stream.set_write_timeout(Some(PING_WRITE_TIMEOUT))?;
-        let keys = ClusterKeys::unauthenticated();
-        let session = handshake::open(stream, "127.0.0.9", &keys)?;
+        let session = open_connection(stream)?;
         let pings = vec![Frame::Ping; PINGS];
         let mut writer = FrameWriter::new(stream, session.client_secret);
         // The server stops reading once the replies fill the buffers of the system.
@@ -452,3 +432,40 @@
     hosts.assert_withstand_frames("before the handshake", CONTROL_CROWD, &pieces, &announce);
     hosts.assert_withstand_frames("after the handshake", CONTROL_CROWD, &pieces, &open);
 }
+
+/// Guards against limits that refuse a single message of the largest legal size while nothing else
+/// arrives.
+#[test]
+fn single_messages_of_the_largest_size_are_served() {
+    let _alone = one_at_a_time();
+    let hosts = Hosts::start(17_545);
+    for listener in hosts.listeners() {
+        let (call, body) = match listener.name {
+            "callers" => ("POST /plans/largest", ordinary_job()),
+            "control" => ("PUT /api/config", configuration(1).to_string()),
+            _ => continue,
+        };
+        let padding = " ".repeat(listener.body_bytes - body.len());
+        assert_served("largest body", &listener, call, &(body + &padding));
+    }
+    let request = PeerRequest::Extension {
+        name: "unknown".to_owned(),
+        message: vec![b'b'; MAX_FRAME_BYTES - 64],
+    };
+    let call = Frame::Request {
+        call_id: 1,
+        request,
+    };
+    for host in [STORAGE, ENTRY] {
+        let address = host_address(host, hosts.cell.ports.peers);
+        let reply = exchange_frame(address, &call).unwrap();
+        let is_reply = matches!(
+            reply,
+            Frame::Reply {
+                call_id: 1,
+                reply: PeerReply::Refused(_)
+            }
+        );
+        assert!(is_reply, "host {host}: {reply:?}");
+    }
+}
