bug: silent connections kept all others out of a listener for a minute

Cause: at its limit of connections, a listener refuses further ones until one of the open ones reaches its timeout: 60 s for silent connections and 10 s for header sections, while 15 s and 3 s are published. Change: at the limit, a further connection takes the place of the one that is past the published times for the longest time. Below the limit, the timeouts stay, so that no client is closed that would not have been before. Result: overdue_connections_make_room_at_the_limit fails on (503 for 30 s) and passes, with the other tests of http_server, body_memory and hostile_clients.

--- a/src/http.rs
+++ b/src/http.rs
@@ -3,6 +3,7 @@
 mod body;
 pub mod body_budget;
 pub mod client;
+mod connections;
 pub mod message;
 pub mod server;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,7 +12,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, Waker};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -25,6 +25,7 @@
 
 use super::body::{BodyError, receive_body, refuse_body};
 use super::body_budget::{self, BodyBudget, Refusal};
+use super::connections::{OpenConnection, OpenConnections};
 use super::message::{Request, Response};
 use crate::verdict::{ErrorCode, RequestError};
 
@@ -37,13 +38,20 @@
 /// Timeout for writing the refusal of a connection above the limit.
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Published time between requests of a connection. A connection that is idle for longer makes room
+/// at the connection limit; the idle timeout is longer, for clients that reuse theirs late.
+const PUBLISHED_IDLE_TIME: Duration = Duration::from_secs(15);
+/// Published time for a header section, after which its connection makes room at the limit.
+const PUBLISHED_HEADER_TIME: Duration = Duration::from_secs(3);
+
 /// Computes the response to a request. A handler may block: it runs in the connection's thread.
 pub type Handler = Arc<dyn Fn(Request) -> Response + Send + Sync>;
 
 /// Timeouts and limits of a server.
 #[derive(Clone, Debug)]
 pub struct ServerOptions {
-    /// Maximum number of open connections. Further ones are refused with status 503.
+    /// Maximum number of open connections. Further ones take the place of one that is past the
+    /// published times, or are refused with status 503.
     pub max_connections: usize,
     /// Time for a request to arrive completely, counted from its first byte.
     pub receive_timeout: Duration,
@@ -83,7 +91,7 @@
     stopping: AtomicBool,
     /// Whether the address is still bound.
     listening: AtomicBool,
-    open_connections: AtomicUsize,
+    connections: Arc<OpenConnections>,
 }
 
 impl Server {
@@ -100,12 +108,12 @@
         let listener = TcpListener::bind(address)?;
         let local_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
+            connections: Arc::new(OpenConnections::new(options.max_connections)),
             options,
             budget: Arc::clone(body_budget::process()),
             handler,
             stopping: AtomicBool::new(false),
             listening: AtomicBool::new(true),
-            open_connections: AtomicUsize::new(0),
         });
         let accepting = Arc::clone(&shared);
         thread::Builder::new()
@@ -128,7 +136,7 @@
 
     /// Number of open connections.
     pub fn open_connections(&self) -> usize {
-        self.shared.open_connections.load(Ordering::Acquire)
+        self.shared.connections.count()
     }
 
     /// Stops accepting connections, lets requests in flight finish and closes idle connections.
@@ -174,38 +182,24 @@
                 continue;
             }
         };
-        let open = shared.open_connections.fetch_add(1, Ordering::AcqRel);
-        if open >= shared.options.max_connections {
-            shared.open_connections.fetch_sub(1, Ordering::AcqRel);
-            refuse_connection(stream);
+        let stream = Arc::new(stream);
+        let Some(place) = shared.connections.admit(&stream) else {
+            refuse_connection(&stream);
             continue;
-        }
+        };
         let connection = Arc::clone(shared);
         let spawned = thread::Builder::new()
             .name("http-connection".to_owned())
             .stack_size(CONNECTION_STACK_BYTES)
-            .spawn(move || {
-                let _count = ConnectionCount(&connection.open_connections);
-                serve_connection(stream, &connection);
-            });
+            .spawn(move || serve_connection(stream, place, &connection));
         if let Err(error) = spawned {
-            shared.open_connections.fetch_sub(1, Ordering::AcqRel);
             log::warn!("cannot start a connection thread: {error}");
         }
     }
 }
 
-/// Decrements the number of open connections when dropped, also if the handler panics.
-struct ConnectionCount<'a>(&'a AtomicUsize);
-
-impl Drop for ConnectionCount<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Responds with status 503 without reading the request, which therefore did not run.
-fn refuse_connection(mut stream: TcpStream) {
+fn refuse_connection(mut stream: &TcpStream) {
     let error = RequestError::did_not_run(ErrorCode::Overloaded, "too many open connections");
     let response = Response::error(&error.retry_after_ms(1000), "");
     let head = format!(
@@ -234,6 +228,7 @@
 struct SocketState {
     /// Shared with the body budget, which shuts it down if a slow body has to make room.
     stream: Arc<TcpStream>,
+    place: OpenConnection,
     phase: Cell<Phase>,
     /// When the current phase times out.
     deadline: Cell<Instant>,
@@ -252,6 +247,11 @@
             Phase::Receiving => self.options.receive_timeout,
             Phase::Handling | Phase::Sending => self.options.send_timeout,
         };
+        self.place.set_overdue_after(match phase {
+            Phase::Idle => Some(PUBLISHED_IDLE_TIME),
+            Phase::Receiving => Some(PUBLISHED_HEADER_TIME),
+            Phase::Handling | Phase::Sending => None,
+        });
         self.phase.set(phase);
         self.body_deadline.set(None);
         self.deadline.set(Instant::now() + timeout);
@@ -325,13 +325,14 @@
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
-fn serve_connection(stream: TcpStream, shared: &Arc<Shared>) {
+fn serve_connection(stream: Arc<TcpStream>, place: OpenConnection, shared: &Arc<Shared>) {
     let peer_address = stream.peer_addr().ok();
     if stream.set_nonblocking(true).is_err() || stream.set_nodelay(true).is_err() {
         return;
     }
     let state = Rc::new(SocketState {
-        stream: Arc::new(stream),
+        stream,
+        place,
         phase: Cell::new(Phase::Idle),
         deadline: Cell::new(Instant::now()),
         body_deadline: Cell::new(None),
@@ -417,6 +418,8 @@
     shared: &Shared,
     peer_address: Option<SocketAddr>,
 ) -> hyper::Response<Full<Bytes>> {
+    // The budget of bodies closes slow ones.
+    state.place.set_overdue_after(None);
     let (parts, body) = incoming.into_parts();
     let limit = shared.options.max_body_bytes;
     let address = peer_address.map(|address| address.ip());
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -161,6 +161,36 @@
     assert_eq!(handled.load(Ordering::Acquire), 1);
 }
 
+/// Guards against connections that send nothing, or only a part of a header section, and keep all
+/// others out of the listener until their timeout.
+#[test]
+fn overdue_connections_make_room_at_the_limit() {
+    let timeout = Duration::from_secs(3600);
+    for bytes in [b"GET / HT".as_slice(), b""] {
+        let (server, _) = start(ServerOptions {
+            receive_timeout: timeout,
+            idle_timeout: timeout,
+            ..options()
+        });
+        let mut held: Vec<TcpStream> = (0..8).map(|_| connect(&server)).collect();
+        for stream in &mut held {
+            stream.write_all(bytes).unwrap();
+        }
+        while server.open_connections() < 8 {
+            thread::yield_now();
+        }
+        let until = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            let reply = exchange(&server, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+            if reply.starts_with("HTTP/1.1 200") {
+                break;
+            }
+            assert!(Instant::now() < until, "{bytes:?}: {reply}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
 /// Guards against a shutdown that cuts off a request in flight.
 #[test]
 fn shutdown_waits_for_the_request_in_flight() {
