bug: the soak counted work behind a cap as lost

Traced: the cap of the customer let the tasks of 18 jobs run one after the other, 1.54 s each; the last one ended 40.2 s after the check had begun. The check waited 40 s for all jobs together, which is a bound on the amount of work left. It now waits 40 s for each job in turn, so that one that never completes fails as before.

--- a/tests/platform_support/recorded.rs
+++ b/tests/platform_support/recorded.rs
@@ -275,8 +275,9 @@
     /// As [`Self::check`], while only some hosts run; `asked` are those that show the configuration.
     pub fn check_work(&mut self, asked: &[usize]) {
         self.check_configuration(asked);
-        let deadline = Instant::now() + WAIT_TIMEOUT;
         for position in 0..self.record.get_mut().unwrap().jobs.len() {
+            // The cap of the customer may let the tasks of all jobs run only one after the other.
+            let deadline = Instant::now() + WAIT_TIMEOUT;
             while !self.is_job_as_expected(position) {
                 let name = &self.record.get_mut().unwrap().jobs[position].name;
                 assert!(Instant::now() < deadline, "job {name} does not complete");
