bug: queues without jobs withheld the acknowledgements of all workers

The configurations there have routes without a policy and without jobs, and a new placer took all workers of their service for ones that receive start orders without permits. Their ends were not acknowledged for 12 s, and were seen up to 0.7 s late.

Only queues of jobs that the state has count at a takeover. After a change of the relay, the token rises with the first start order without a permit, and no longer by what is configured.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -6,7 +6,6 @@
 
 use indexmap::IndexSet;
 
-use super::super::queues::Queue;
 use super::term::{LiveRun, LiveWorker, Term};
 use crate::ids::{Generation, WorkerId};
 
@@ -67,16 +66,27 @@
         let of_runs = runs.filter_map(|run| run.start_arrives_by(late_call_limit));
         let open_until = of_runs.chain(worker.ended_starts_open_until).max();
         let open_until = open_until.filter(|until| now < *until);
-        if open_until.is_none() && !self.sends_starts_without_permits(&worker.record.service) {
-            return;
-        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let Some(until) = open_until else {
+            worker.start_raises_token = true;
+            return;
+        };
         worker.generation = worker.generation.saturating_add(1);
-        if let Some(until) = open_until {
-            let until = until.min(now + late_call_limit);
-            worker.acknowledges_from = worker.acknowledges_from.max(until);
+        let until = until.min(now + late_call_limit);
+        worker.acknowledges_from = worker.acknowledges_from.max(until);
+    }
+
+    /// Raises the token of a worker for the first start order without a permit since its relay has
+    /// changed: an acknowledgement of the former relay may have no answer.
+    pub(super) fn raise_token_for_start(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if std::mem::take(&mut worker.start_raises_token) {
+            worker.generation = worker.generation.saturating_add(1);
+            self.due_grants.insert(id.clone());
         }
     }
 
@@ -87,7 +97,7 @@
         let services = self.workers.values().map(|worker| &worker.record.service);
         let services: IndexSet<_> = services.cloned().collect();
         for service in services {
-            if !self.sends_starts_without_permits(&service) {
+            if !self.sent_starts_without_permits(&service) {
                 continue;
             }
             let workers = self.workers.values_mut();
@@ -97,15 +107,11 @@
         }
     }
 
-    /// Whether workers of a service receive start orders without permits. Accepted jobs keep the queue
-    /// that they were submitted to, as it was then.
-    pub(super) fn sends_starts_without_permits(&self, service: &str) -> bool {
-        let configured = self.state.configuration.iter();
-        let mut configured = configured.flat_map(|configuration| &configuration.queues);
-        let lacks_policy =
-            |queue: &Queue| queue.placement_policy.is_none() && queue.service == service;
-        let mut accepted = self.state.jobs.values();
-        configured.any(lacks_policy)
-            || accepted.any(|job| lacks_policy(&job.queue) && job.is_open())
+    /// Whether workers of a service may have received start orders without permits: it has a job of a
+    /// queue without a policy, also one that ended within the retention time. Queues without jobs do not
+    /// count, since configurations may have many.
+    fn sent_starts_without_permits(&self, service: &str) -> bool {
+        let mut queues = self.state.jobs.values().map(|job| &job.queue);
+        queues.any(|queue| queue.placement_policy.is_none() && queue.service == service)
     }
 }
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -45,6 +45,7 @@
             seen_ends: 0,
             recorded_ends: 0,
             acknowledges_from: now,
+            start_raises_token: false,
             ended_starts_open_until: None,
             runs: IndexSet::new(),
             health: Default::default(),
