bug: ends were seen late while acknowledgements are withheld

Cause: a grant that withheld acknowledgements named no recorded ends, so that the relay waited up to 0.7 s for a record before each renewal. On queues without a policy that was so for 12 s after each change of the placer.

Change: the grant names the recorded ends and whether they may be acknowledged. Meanwhile the relay renews each 0.2 s.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -6,23 +6,13 @@
 
 use indexmap::IndexSet;
 
-use super::term::{LiveRun, LiveWorker, Term};
+use super::term::{LiveRun, Term};
 use crate::ids::{Generation, WorkerId};
 
 /// Longest time between a start order of the placer and its last attempt by a relay: 0.8 s for the
 /// instructions, and 1.4 s in which the relay sends the order.
 const RELAYING_TIME: Duration = Duration::from_millis(2_200);
 
-impl LiveWorker {
-    /// Returns up to which number ends may be acknowledged; zero for none.
-    pub(super) fn acknowledged_ends(&self, now: Instant) -> u64 {
-        if now < self.acknowledges_from {
-            return 0;
-        }
-        self.recorded_ends
-    }
-}
-
 impl LiveRun {
     /// Whether a copy of the start order may be carried out by a later incarnation.
     pub(super) fn has_open_start(&self) -> bool {
--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -271,7 +271,8 @@
         let grant = Grant {
             target: target(live),
             lease_until_clock_ms: granted.filter(|_| live.unresponsive_since.is_none()),
-            recorded_ends: live.acknowledged_ends(now),
+            recorded_ends: live.recorded_ends,
+            may_acknowledge: now >= live.acknowledges_from,
             granted_at_ms: u64::try_from(since_begin.as_millis()).unwrap_or(0),
         };
         Some((live.relay.clone()?, grant))
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -24,7 +24,12 @@
 fn acknowledged(fixture: &mut Fixture) -> u64 {
     let now = fixture.now.at;
     let grant = fixture.term.grant(&"w".to_owned(), now);
-    grant.expect("the worker has a relay").1.recorded_ends
+    let grant = grant.expect("the worker has a relay").1;
+    if grant.may_acknowledge {
+        grant.recorded_ends
+    } else {
+        0
+    }
 }
 
 /// Creates a term with one worker that has a relay, one of two.
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -38,6 +38,7 @@
     recorded_ends: u64,
     /// Ends up to this number were acknowledged, and the worker has answered; never decreases.
     acknowledged_ends: u64,
+    may_acknowledge: bool,
     granted_at_ms: u64,
     expires_at: Instant,
     /// Time until which the incarnation of the grants counts as present; `None` while its latest
@@ -55,6 +56,7 @@
                 lease_until_clock_ms: grant.lease_until_clock_ms,
                 recorded_ends: grant.recorded_ends,
                 acknowledged_ends: 0,
+                may_acknowledge: grant.may_acknowledge,
                 granted_at_ms: grant.granted_at_ms,
                 expires_at: now + GRANT_LIFETIME,
                 confirmed_until: None,
@@ -81,6 +83,7 @@
         if grant.granted_at_ms >= state.granted_at_ms {
             state.granted_at_ms = grant.granted_at_ms;
             state.lease_until_clock_ms = grant.lease_until_clock_ms;
+            state.may_acknowledge = grant.may_acknowledge;
         }
         self.changed.notify_all();
         true
@@ -189,6 +192,9 @@
             }
             if last_end > order.recorded_ends {
                 self.await_record(last_end);
+                if !self.may_acknowledge() {
+                    thread::sleep(UNACKNOWLEDGED_PAUSE);
+                }
             }
         }
         self.end();
@@ -203,7 +209,8 @@
         if state.ended || Instant::now() >= state.expires_at {
             return None;
         }
-        let is_unacknowledged = confirmed && state.recorded_ends > state.acknowledged_ends;
+        let is_unacknowledged =
+            confirmed && state.may_acknowledge && state.recorded_ends > state.acknowledged_ends;
         let order = RenewOrder {
             fence: self.epoch,
             lease_until_clock_ms: state.lease_until_clock_ms.filter(|_| confirmed),
@@ -240,6 +247,10 @@
         open
     }
 
+    fn may_acknowledge(&self) -> bool {
+        self.state.lock().unwrap().may_acknowledge
+    }
+
     fn note_acknowledged(&self, ends: u64) {
         let mut state = self.state.lock().unwrap();
         state.acknowledged_ends = state.acknowledged_ends.max(ends);
--- a/src/workflow/relay/messages.rs
+++ b/src/workflow/relay/messages.rs
@@ -36,8 +36,10 @@
     /// End of the lease that the relay may renew, on the worker's clock; `None` while that clock is
     /// not known or the lease has to expire.
     pub lease_until_clock_ms: Option<u64>,
-    /// Ends up to this number are recorded, so that the worker may discard them.
+    /// Ends up to this number are recorded.
     pub recorded_ends: u64,
+    /// Whether they may be acknowledged, so that the worker discards them.
+    pub may_acknowledge: bool,
     /// Time of the grant in milliseconds since the start of the placer's term; reports repeat it.
     pub granted_at_ms: u64,
 }
--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -165,8 +165,18 @@
         }
     }
 
-    /// Sends a grant that records ends, with orders.
+    /// Sends a grant that lets recorded ends be acknowledged, with orders.
     fn instruct(&self, generation: u32, recorded_ends: u64, orders: Vec<WorkerOrder>) {
+        self.instruct_with(generation, recorded_ends, true, orders);
+    }
+
+    fn instruct_with(
+        &self,
+        generation: u32,
+        recorded_ends: u64,
+        may_acknowledge: bool,
+        orders: Vec<WorkerOrder>,
+    ) {
         let target = WorkerTarget {
             worker: "w".to_owned(),
             incarnation: 1 + self.worker.restarts.load(Ordering::Acquire),
@@ -185,6 +195,7 @@
                 target: target.clone(),
                 lease_until_clock_ms: Some(6_000),
                 recorded_ends,
+                may_acknowledge,
                 granted_at_ms: 5,
             }],
             orders,
@@ -363,3 +374,26 @@
     assert_eq!(test.worker.meetings.load(Ordering::Acquire), 0);
     test.await_acknowledgement();
 }
+
+/// Guards against ends that are acknowledged although the placer withholds that, and against later ends
+/// that are not seen meanwhile.
+#[test]
+fn ends_are_reported_while_acknowledgements_are_withheld() {
+    let test = TestRelay::start(WAIT_TIMEOUT);
+    test.worker.ends.store(1, Ordering::Release);
+    test.instruct_with(0, 1, false, Vec::new());
+    let lists = |number: u64| {
+        move |kind: &RelayEventKind| {
+            let RelayEventKind::Listed { report, .. } = kind else {
+                return false;
+            };
+            report.ends.last().is_some_and(|end| end.number == number)
+        }
+    };
+    test.await_event(lists(1));
+    test.worker.ends.store(2, Ordering::Release);
+    test.await_event(lists(2));
+    assert_eq!(test.worker.acknowledgements(), 0);
+    test.instruct(0, 2, Vec::new());
+    test.await_acknowledgement();
+}
--- a/tests/workflow_relays.rs
+++ b/tests/workflow_relays.rs
@@ -56,6 +56,7 @@
             target: target(),
             lease_until_clock_ms: Some(6_000),
             recorded_ends,
+            may_acknowledge: true,
             granted_at_ms: 5,
         }],
         orders: Vec::new(),
