--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -165,6 +165,21 @@
         }
     }
 
+    /// Starts a relay whose first acknowledgement has no answer.
+    fn with_unanswered_acknowledgement() -> Self {
+        let test = Self::start(WAIT_TIMEOUT);
+        test.worker.ends.store(1, Ordering::Release);
+        test.worker
+            .loses_acknowledgements
+            .store(true, Ordering::Release);
+        test.instruct(0, 1, Vec::new());
+        test.await_acknowledgement();
+        test.worker
+            .loses_acknowledgements
+            .store(false, Ordering::Release);
+        test
+    }
+
     /// Sends a grant that lets recorded ends be acknowledged, with orders.
     fn instruct(&self, generation: u32, recorded_ends: u64, orders: Vec<WorkerOrder>) {
         self.instruct_with(generation, recorded_ends, true, orders);
@@ -291,16 +306,7 @@
 /// a worker that receives no start orders for good after one.
 #[test]
 fn a_start_order_needs_a_higher_token_than_an_unanswered_acknowledgement() {
-    let test = TestRelay::start(WAIT_TIMEOUT);
-    test.worker.ends.store(1, Ordering::Release);
-    test.worker
-        .loses_acknowledgements
-        .store(true, Ordering::Release);
-    test.instruct(0, 1, Vec::new());
-    test.await_acknowledgement();
-    test.worker
-        .loses_acknowledgements
-        .store(false, Ordering::Release);
+    let test = TestRelay::with_unanswered_acknowledgement();
     test.instruct(0, 1, vec![start_order(1, None)]);
     test.await_event(|kind| {
         let outdated = match kind {
@@ -321,16 +327,7 @@
 /// it.
 #[test]
 fn a_start_order_with_a_permit_waits_for_no_acknowledgement() {
-    let test = TestRelay::start(WAIT_TIMEOUT);
-    test.worker.ends.store(1, Ordering::Release);
-    test.worker
-        .loses_acknowledgements
-        .store(true, Ordering::Release);
-    test.instruct(0, 1, Vec::new());
-    test.await_acknowledgement();
-    test.worker
-        .loses_acknowledgements
-        .store(false, Ordering::Release);
+    let test = TestRelay::with_unanswered_acknowledgement();
     test.instruct(0, 1, vec![start_order(1, Some("permit"))]);
     test.await_event(is_start_answer);
 }
