refactor: one place starts the relays of the relay tests

Change: start_with calls it; the tests and their assertions are the same. A blank line between two functions of src/peer/channel.rs.

--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -181,6 +181,7 @@
         body.truncate(content_bytes);
         Ok(body)
     }
+
     /// Reads one frame without its length field.
     fn read_frame(&mut self) -> io::Result<Vec<u8>> {
         self.reservation = None;
--- a/tests/workflow_relays.rs
+++ b/tests/workflow_relays.rs
@@ -11,10 +11,10 @@
     StartOrder, WorkerReport, WorkerTarget,
 };
 use jujubewinch::workflow::records::RunOutcome;
-use jujubewinch::workflow::relay::Relay;
 use jujubewinch::workflow::relay::messages::{
     Grant, Instructions, RelayEvent, RelayEventKind, RelayReport, RelayedOrder, WorkerOrder,
 };
+use jujubewinch::workflow::relay::{Relay, SendReport};
 use jujubewinch::workflow::spec::{StageKey, TaskKey};
 
 /// Longest wait for an expected event, also on a busy machine.
@@ -78,6 +78,10 @@
     }
 }
 
+fn start_with(outside: OutsideCalls, send_report: SendReport) -> Arc<Relay> {
+    Relay::start("entry-1".to_owned(), outside, send_report, LATE_CALL_LIMIT)
+}
+
 /// A relay between a worker that lists one end until it is acknowledged and a placer that loses the
 /// first report.
 struct TestRelay {
@@ -156,12 +160,7 @@
         Ok(())
     };
     TestRelay {
-        relay: Relay::start(
-            "entry-1".to_owned(),
-            outside,
-            Arc::new(send_report),
-            LATE_CALL_LIMIT,
-        ),
+        relay: start_with(outside, Arc::new(send_report)),
         renewals,
         starts,
         reports,
@@ -354,12 +353,7 @@
         }),
         ask_policy: Arc::new(|_, _| Err(CallFailure::NotSent("not used".to_owned()))),
     };
-    let relay = Relay::start(
-        "entry-1".to_owned(),
-        outside,
-        Arc::new(|_, _, _| Ok(())),
-        LATE_CALL_LIMIT,
-    );
+    let relay = start_with(outside, Arc::new(|_, _, _| Ok(())));
     relay.accept(instructions(7, 0));
     let deadline = Instant::now() + WAIT_TIMEOUT;
     while renewals.load(Ordering::Acquire) < 2 {
@@ -393,12 +387,7 @@
         }),
         ask_policy: Arc::new(|_, _| Err(CallFailure::NotSent("not used".to_owned()))),
     };
-    let relay = Relay::start(
-        "entry-1".to_owned(),
-        outside,
-        Arc::new(|_, _, _| Ok(())),
-        LATE_CALL_LIMIT,
-    );
+    let relay = start_with(outside, Arc::new(|_, _, _| Ok(())));
     let mut present = instructions(7, 0);
     present.grants[0].target.incarnation = 2;
     present.grants[0].target.generation = 1;
@@ -433,12 +422,7 @@
         }),
         ask_policy: Arc::new(|_, _| Err(CallFailure::NotSent("not used".to_owned()))),
     };
-    let relay = Relay::start(
-        "entry-1".to_owned(),
-        outside,
-        Arc::new(|_, _, _| Ok(())),
-        LATE_CALL_LIMIT,
-    );
+    let relay = start_with(outside, Arc::new(|_, _, _| Ok(())));
     let deadline = Instant::now() + WAIT_TIMEOUT;
     while renewals.load(Ordering::Acquire) < 3 {
         assert!(Instant::now() < deadline, "the worker is not renewed");
@@ -477,12 +461,7 @@
         let _ = sender.send(report);
         Ok(())
     };
-    let relay = Relay::start(
-        "entry-1".to_owned(),
-        outside,
-        Arc::new(send_report),
-        LATE_CALL_LIMIT,
-    );
+    let relay = start_with(outside, Arc::new(send_report));
     let mut with_order = instructions(7, 0);
     with_order.orders.push(start(7));
     relay.accept(with_order);
