bug: a test changed a log while its host was reading it

An attempt to use a storage again reads all files and then writes what it has read. The test emptied the log between the two, so that the host found all entries that it had acknowledged, wrote them anew and voted with them. The second change of the file, which returns the entries, had the same race.

Change: the test changes the file while the disk is full, and gives the disk room only after an attempt that has read the new content has failed. What it asserts is unchanged.

--- a/src/replication/tests/threads.rs
+++ b/src/replication/tests/threads.rs
@@ -30,6 +30,8 @@
     failing: DiskOperation,
     /// For each host, whether its disk is full.
     disks_full: Vec<Arc<AtomicBool>>,
+    /// For each host, number of operations that failed on a full disk.
+    failures: Vec<Arc<AtomicU64>>,
 }
 
 impl Group {
@@ -46,6 +48,7 @@
             folder: on_disk.then(|| TempDir::new().unwrap()),
             failing,
             disks_full: (0..count).map(|_| Arc::default()).collect(),
+            failures: (0..count).map(|_| Arc::default()).collect(),
         };
         for position in 0..count {
             let replica = group.replica(position);
@@ -65,10 +68,12 @@
             Ok(target.handle(&from, &bytes))
         });
         let (failing, disk_full) = (self.failing, Arc::clone(&self.disks_full[position]));
+        let failures = Arc::clone(&self.failures[position]);
         let storage = self.folder.as_ref().map(|folder| HookedFolder {
             folder: folder.path().join(host_name(position)),
             hook: Arc::new(move |operation| {
                 if operation == failing && disk_full.load(Ordering::SeqCst) {
+                    failures.fetch_add(1, Ordering::SeqCst);
                     return Err(io::Error::from(ErrorKind::StorageFull));
                 }
                 Ok(())
@@ -111,6 +116,30 @@
         self.disks_full[position].store(full, Ordering::SeqCst);
     }
 
+    /// Replaces the log of a faulty host. An attempt to use the storage again reads all files and then
+    /// writes what it has read, so that the file changes only while the disk is full, and the disk gets
+    /// room only after an attempt that has read the new content.
+    fn replace_log(&self, position: usize, bytes: &[u8]) {
+        let folder = self.folder.as_ref().unwrap().path();
+        self.set_disk_full(position, true);
+        self.wait_for_failures(position, 1);
+        fs::write(folder.join(host_name(position)).join("log"), bytes).unwrap();
+        // The first failure may be that of an attempt that read the former content.
+        self.wait_for_failures(position, 2);
+        self.set_disk_full(position, false);
+    }
+
+    /// Waits for further failed operations on a full disk; each attempt to use it ends with one.
+    fn wait_for_failures(&self, position: usize, count: u64) {
+        let failures = || self.failures[position].load(Ordering::SeqCst);
+        let enough = failures() + count;
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while failures() < enough {
+            assert!(Instant::now() < deadline, "the full disk is not used");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Waits until the host takes part in the group, or until it does not.
     fn wait_for_fault(&self, position: usize, faulty: bool) {
         let deadline = Instant::now() + TEST_TIMEOUT;
@@ -298,6 +327,7 @@
         folder: None,
         failing: DiskOperation::Write,
         disks_full: (0..3).map(|_| Arc::default()).collect(),
+        failures: (0..3).map(|_| Arc::default()).collect(),
     };
     for position in 0..3 {
         let mut options = group.options(position);
@@ -441,13 +471,11 @@
     let failing = (group.leader() + 1) % 3;
     group.wait_for_last(failing, "acknowledged");
     let folder = group.folder.as_ref().unwrap().path();
-    let log = folder.join(host_name(failing)).join("log");
-    let bytes = fs::read(&log).unwrap();
+    let bytes = fs::read(folder.join(host_name(failing)).join("log")).unwrap();
     group.set_disk_full(failing, true);
     group.commit("while the disk is full");
     group.wait_for_fault(failing, true);
-    fs::write(&log, []).unwrap();
-    group.set_disk_full(failing, false);
+    group.replace_log(failing, &[]);
     let deadline = Instant::now() + TEST_TIMEOUT;
     loop {
         let ReplicaPhase::Faulty(reason) = group.replicas[failing].status().phase else {
@@ -459,7 +487,7 @@
         assert!(Instant::now() < deadline, "{reason}");
         thread::sleep(Duration::from_millis(5));
     }
-    fs::write(&log, bytes).unwrap();
+    group.replace_log(failing, &bytes);
     group.wait_for_fault(failing, false);
     group.commit("after");
     group.wait_for_last(failing, "after");
