bug: tests of the whole path had workers that send one heartbeat only

Reproduced beside syncs on the same disk, 2 of 70 runs: the disk stalled, the group had no leader for 6 s, and the log says "workers receive no runs before their next heartbeat: there was no placer for long". Workers announce themselves each second, the runner of this test did so once.

Change: the runner repeats its heartbeats while the test waits, also in platform_customers. What the tests assert is unchanged. Other tests with one heartbeat make no change of the placer.

--- a/tests/platform_customers.rs
+++ b/tests/platform_customers.rs
@@ -108,7 +108,7 @@
     let both = [tenant("acme", &["old", &kept], 1.0)];
     assert_eq!(configure(&cell, &with_customers(2, &both)), 200);
     let runner = Runner::start();
-    cell.announce("i-1", &runner, 1);
+    cell.announce("i-1", &runner, runner.next_heartbeat());
     let mut connection = OpenConnection::open(&cell);
     let job = "00c0ffee00000001";
     assert_eq!(connection.submit("/plans/", job, Some("old")), 200);
@@ -146,7 +146,9 @@
             .iter()
             .any(|(task, _)| task.starts_with(job))
     };
-    await_some(|| (completed(accepted) && completed(public)).then_some(()));
+    cell.await_with_heartbeats("i-1", &runner, || {
+        (completed(accepted) && completed(public)).then_some(())
+    });
     assert!(!completed(refused), "a refused job has run");
 }
 
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -35,8 +35,11 @@
         {"count": 2, "cpu": 500, "mem_mb": 10, "estimate_ms": 150, "gang": true, "depends_on": [0]}]})
 }
 
-fn await_state(cell: &Cell, id: &str, state: &str) {
-    await_some(|| (cell.state(id).as_deref() == Some(state)).then_some(()));
+/// Waits until a job is completed by the worker i-1.
+fn await_completion(cell: &Cell, runner: &Runner, id: &str) {
+    cell.await_with_heartbeats("i-1", runner, || {
+        (cell.state(id).as_deref() == Some("completed")).then_some(())
+    });
 }
 
 /// Guards against jobs that do not complete, against tasks that start more than once or in the
@@ -46,14 +49,14 @@
     let (cell, _folder) = start_cell(17_310);
     let runner = Runner::start();
     runner.lose_answers.store(2, Ordering::Release);
-    cell.announce("i-1", &runner, 1);
+    cell.announce("i-1", &runner, runner.next_heartbeat());
     assert_eq!(submit(&cell, "00c0ffee00c0ffee", &two_stage_job()), 200);
     assert_eq!(
         submit(&cell, "00c0ffee00c0ffee", &two_stage_job()),
         200,
         "a repeated submission of the same job"
     );
-    await_state(&cell, "00c0ffee00c0ffee", "completed");
+    await_completion(&cell, &runner, "00c0ffee00c0ffee");
     let starts = runner.starts();
     let tasks: Vec<&str> = starts.iter().map(|(task, _)| task.as_str()).collect();
     let second_stage = tasks
@@ -77,7 +80,7 @@
 fn a_successor_of_the_placer_completes_its_jobs() {
     let (cell, _folder) = start_cell(17_320);
     let runner = Runner::start();
-    cell.announce("i-1", &runner, 1);
+    cell.announce("i-1", &runner, runner.next_heartbeat());
     let ids: Vec<String> = (0..8)
         .map(|number| format!("00c0ffee0000000{number}"))
         .collect();
@@ -88,7 +91,7 @@
     let leader = await_some(|| cell.leader());
     cell.hosts[leader].crash();
     for id in &ids {
-        await_state(&cell, id, "completed");
+        await_completion(&cell, &runner, id);
     }
     assert_eq!(runner.overlaps(), 0);
     assert_eq!(
@@ -111,11 +114,11 @@
     let cancel = |id| cell.caller(Method::DELETE, &format!("/plans/{id}"), &Value::Null);
     assert_eq!(cancel("00c0ffee00c0ffee").unwrap().status, 200);
     assert_eq!(cancel("00c0ffee00000000").unwrap().status, 410);
-    await_state(&cell, "00c0ffee00c0ffee", "cancelled");
+    await_some(|| (cell.state("00c0ffee00c0ffee").as_deref() == Some("cancelled")).then_some(()));
     let runner = Runner::start();
-    cell.announce("i-1", &runner, 1);
+    cell.announce("i-1", &runner, runner.next_heartbeat());
     assert_eq!(submit(&cell, "00c0ffee00000001", &two_stage_job()), 200);
-    await_state(&cell, "00c0ffee00000001", "completed");
+    await_completion(&cell, &runner, "00c0ffee00000001");
     assert!(
         runner
             .starts()
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -28,6 +28,8 @@
 
 /// Longest wait for an expected event, also on a busy machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
+/// Interval of the heartbeats of a runner.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Ports of a cell whose hosts are 127.0.0.1, 127.0.0.2 and so on.
 #[derive(Clone, Copy)]
@@ -208,6 +210,24 @@
         assert_eq!(answer.status, 200);
     }
 
+    /// Polls the closure like [`await_some`] while a runner repeats its heartbeats. After 1.5 s without
+    /// a placer, the next one places no run on a worker before its next heartbeat.
+    pub fn await_with_heartbeats<T>(
+        &self,
+        id: &str,
+        runner: &Runner,
+        mut attempt: impl FnMut() -> Option<T>,
+    ) -> T {
+        let mut heartbeat_at = Instant::now();
+        await_some(|| {
+            if Instant::now() >= heartbeat_at {
+                self.announce(id, runner, runner.next_heartbeat());
+                heartbeat_at = Instant::now() + HEARTBEAT_INTERVAL;
+            }
+            attempt()
+        })
+    }
+
     pub fn configure(&self, version: u64) -> ClientResponse {
         self.control(&Method::PUT, "/api/config", &configuration(version))
     }
