bug: a test took a submission without an answer in time for a failure

By the users' page a client that gets 504 sends the job again under the same identifier.

Change: the test does so as well, as it does after 503 and without an answer.

--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -19,11 +19,12 @@
     (cell, folder)
 }
 
-/// Submits a job, again while the answer is missing or 503, and returns the status of the answer.
+/// Submits a job, again while the answer is missing, 503 or 504, and returns the status of the answer.
+/// A submission that the placer did not answer in time is repeated: it may have had no effect.
 fn submit(cell: &Cell, id: &str, body: &Value) -> u16 {
     let answer = await_some(|| {
         let answer = cell.caller(Method::POST, &format!("/plans/{id}"), body)?;
-        (answer.status != 503).then_some(answer)
+        (!matches!(answer.status, 503 | 504)).then_some(answer)
     });
     answer.status
 }
