--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod options;
 pub mod peer;
 pub mod placer;
+pub mod process_pause;
 pub mod protocol;
 pub mod replication;
 pub mod resources;
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -209,6 +209,7 @@
         }
         let id = JobId::from(id);
         let Some(job) = self.state.jobs.get(&id) else {
+            log::info!(job = id.as_str(), queue = queue.name.as_str(), epoch = self.epoch; "cancellation of an unknown job");
             return Reply::NoSuchJob;
         };
         let in_queue = job.queue.address == queue.address;
