bug: a cancelled job ran when its submission arrived after the cancellation

What callers saw: a client hands a job in at an entry host that stands still, gets no answer, and cancels the job elsewhere: 410.

Cause: the placer answered a cancellation of a job that it does not know without keeping anything, so that a later submission of the identifier was new to it. The reply also left without a commit.

Fix: the cancellation is recorded in the log (UnknownJobCancelled) and kept in the state for the time for which ended jobs are kept; the reply waits for the commit. A submission that the call could have cancelled finds it, never runs, and is answered 410. At most 32,768 are kept, names have 128 bytes at most, and a customer may have as many as there is room left; without room the cancellation is not acknowledged (503 with the time to come back).

--- a/src/workflow.rs
+++ b/src/workflow.rs
@@ -7,6 +7,7 @@
 //! `docs/platform.md` describes the programs and the path of a job.
 
 pub mod calls;
+pub mod cancellations;
 pub mod crashes;
 pub mod customers;
 pub mod decisions;
--- a/src/workflow/customers.rs
+++ b/src/workflow/customers.rs
@@ -138,6 +138,24 @@
         }
     }
 
+    /// Whether a call of `canceller` could have cancelled a job of `owner` in a queue; `None` stands for
+    /// a call or job without a customer.
+    pub fn may_cancel(
+        &self,
+        canceller: Option<&CustomerName>,
+        owner: Option<&CustomerName>,
+        queue: &QueueAddress,
+    ) -> bool {
+        match (canceller, owner) {
+            (_, None) => true,
+            (Some(canceller), Some(owner)) => canceller == owner,
+            (None, Some(_)) => {
+                let configuration = self.configuration.as_ref();
+                configuration.is_none_or(|present| present.public_queues.contains(queue))
+            }
+        }
+    }
+
     /// Weight and cap of a customer; `None` if it is not known or owns nothing any more.
     pub fn customer(&self, name: &str) -> Option<&Customer> {
         let configured = self.configuration.as_ref();
--- a/src/workflow/instruments.rs
+++ b/src/workflow/instruments.rs
@@ -92,6 +92,7 @@
     abandoned_rooms: Counter<u64>,
     place_waits: Counter<u64>,
     unanswered_calls: Counter<u64>,
+    early_cancellations: Counter<u64>,
     cell_cpu: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
     idle_room: Gauge<u64>,
@@ -140,6 +141,7 @@
             abandoned_rooms: counter("jujubewinch_workflow_abandoned_rooms"),
             place_waits: counter("jujubewinch_workflow_place_waits"),
             unanswered_calls: counter("jujubewinch_workflow_unanswered_calls"),
+            early_cancellations: counter("jujubewinch_workflow_early_cancellations"),
             cell_cpu: gauge("jujubewinch_workflow_cpu_millicores"),
             waiting_tasks: gauge("jujubewinch_workflow_waiting_tasks"),
             idle_room: gauge("jujubewinch_workflow_idle_millicores"),
@@ -168,6 +170,12 @@
         self.jobs.add(1, &[outcome_label(outcome)]);
     }
 
+    /// Counts a cancellation of an unknown job that was `kept`, `refused` for want of room, or `applied`
+    /// to a submission.
+    pub fn count_early_cancellation(&self, outcome: &str) {
+        self.early_cancellations.add(1, &[outcome_label(outcome)]);
+    }
+
     /// Counts a run that ended.
     pub fn count_run(&self, outcome: &str) {
         self.runs.add(1, &[outcome_label(outcome)]);
--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod customer_shares;
 mod customers;
+mod early_cancellations;
 mod figures;
 mod gang_sizes;
 mod gangs;
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::super::calls::{Call, HostContact, Reply};
+use super::super::cancellations::MAX_JOB_NAME_BYTES;
 use super::super::customers::{Access, CustomerConfiguration};
 use super::super::instruments::instruments;
 use super::super::queues::{Queue, QueueAddress, QueueConfiguration};
@@ -153,6 +154,14 @@
             self.needs_commit = true;
             return Reply::Accepted;
         }
+        if self.was_cancelled_early(id, &access, queue, now) {
+            return Reply::NoSuchJob;
+        }
+        if id.len() > MAX_JOB_NAME_BYTES {
+            return Reply::Invalid(format!(
+                "the name of a job has at most {MAX_JOB_NAME_BYTES} bytes"
+            ));
+        }
         if let Err(reason) = spec.validate() {
             return Reply::Invalid(reason);
         }
@@ -209,8 +218,8 @@
         }
         let id = JobId::from(id);
         let Some(job) = self.state.jobs.get(&id) else {
-            log::info!(job = id.as_str(), queue = queue.name.as_str(), epoch = self.epoch; "cancellation of an unknown job");
-            return Reply::NoSuchJob;
+            let (queue, customer) = (queue.name.clone(), access.customer().cloned());
+            return self.cancel_unknown_job(id, &queue, customer, now);
         };
         let in_queue = job.queue.address == queue.address;
         if !self.state.customers.may_access(&id, &access, in_queue) {
--- a/src/workflow/placer/committed.rs
+++ b/src/workflow/placer/committed.rs
@@ -46,10 +46,7 @@
                     Err(error) => log::error!("failed to decode workflow batch {index}: {error}"),
                 },
             ),
-            snapshot: Box::new(move || {
-                postcard::to_stdvec(&*snapshot.state.lock().unwrap())
-                    .expect("postcard can encode all types of the state")
-            }),
+            snapshot: Box::new(move || snapshot.state.lock().unwrap().encode()),
             restore: Box::new(move |bytes| match WorkflowState::decode(bytes) {
                 Ok(state) => *restore.state.lock().unwrap() = state,
                 Err(error) => log::error!("failed to decode a workflow snapshot: {error}"),
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -10,6 +10,7 @@
 mod crashing_tasks;
 mod customer_shares;
 mod customers;
+mod early_cancellations;
 mod extremes;
 mod figures;
 mod fixture;
--- a/src/workflow/placer/tests/customers.rs
+++ b/src/workflow/placer/tests/customers.rs
@@ -2,9 +2,6 @@
 
 use std::time::Duration;
 
-use crossbeam::channel::bounded;
-
-use super::super::CallResponder;
 use super::super::term::OrderKind;
 use super::fixture::*;
 use crate::resources::Resources;
@@ -58,38 +55,8 @@
     fixture
 }
 
-fn reply(fixture: &mut Fixture, key: Option<&str>, call: Call) -> Reply {
-    let call = match key {
-        Some(key) => Call::Keyed {
-            key: key.to_owned(),
-            call: Box::new(call),
-        },
-        None => call,
-    };
-    let (sender, replies) = bounded(1);
-    let responder = CallResponder::new(move |reply| sender.send(reply).unwrap());
-    fixture.term.handle_call(call, responder, fixture.now);
-    fixture.commit_all();
-    replies.recv().unwrap().unwrap()
-}
-
-fn address(job: &str) -> QueueAddress {
-    QueueAddress {
-        host: "shop.example".to_owned(),
-        path_prefix: format!("/plans/{job}"),
-    }
-}
-
 fn submit(fixture: &mut Fixture, key: Option<&str>, job: &str, stages: Vec<StageSpec>) -> Reply {
-    let call = Call::Submit {
-        target: address(job),
-        spec: Box::new(WorkflowSpec {
-            payload: "plan".to_owned(),
-            stages,
-            repetition: None,
-        }),
-    };
-    reply(fixture, key, call)
+    fixture.reply(key, submission(job, stages))
 }
 
 fn schedule(fixture: &mut Fixture) {
@@ -109,7 +76,7 @@
         queues: Box::new(configuration(version)),
         customers: Box::new(customers),
     };
-    assert_eq!(reply(fixture, None, call), Reply::QueuesReplaced);
+    assert_eq!(fixture.reply(None, call), Reply::QueuesReplaced);
 }
 
 /// Guards against jobs that run although no configuration in force has the key of their call.
@@ -125,7 +92,7 @@
     assert_eq!(accepted, Reply::Accepted);
     let of_other = submit(&mut fixture, Some("key-of-other"), JOB, vec![stage(1)]);
     assert_eq!(of_other, Reply::OtherCustomer);
-    let cancelled = reply(&mut fixture, None, Call::Cancel(address(JOB)));
+    let cancelled = fixture.reply(None, Call::Cancel(address(JOB)));
     assert_eq!(cancelled, Reply::UnknownKey);
     assert_ne!(fixture.phase(), JobPhase::Cancelled);
 }
@@ -323,7 +290,7 @@
     let (task, run) = fixture.term.runs.first().unwrap();
     let (task, worker) = (task.clone(), run.worker.clone());
     fixture.term.workers.swap_remove(&worker);
-    let cancelled = reply(&mut fixture, Some(KEY), Call::Cancel(address(JOB)));
+    let cancelled = fixture.reply(Some(KEY), Call::Cancel(address(JOB)));
     assert_eq!(cancelled, Reply::Cancelled);
     schedule(&mut fixture);
     assert!(!fixture.term.is_pass_due());
@@ -348,7 +315,7 @@
         queues: Box::new(queues),
         customers: Box::new(customers.unwrap()),
     };
-    assert_eq!(reply(&mut fixture, None, call), Reply::QueuesReplaced);
+    assert_eq!(fixture.reply(None, call), Reply::QueuesReplaced);
     submit(&mut fixture, Some(KEY), JOB, vec![stage(1)]);
     let open = |job: &str| QueueAddress {
         host: "shop.example".to_owned(),
@@ -363,14 +330,10 @@
         target: open(SECOND_JOB),
         spec: Box::new(spec),
     };
-    assert_eq!(reply(&mut fixture, Some(KEY), submission), Reply::Accepted);
-    let cancelled = reply(
-        &mut fixture,
-        Some("revoked"),
-        Call::Cancel(open(SECOND_JOB)),
-    );
+    assert_eq!(fixture.reply(Some(KEY), submission), Reply::Accepted);
+    let cancelled = fixture.reply(Some("revoked"), Call::Cancel(open(SECOND_JOB)));
     assert_eq!(cancelled, Reply::Cancelled);
-    let of_other_queue = reply(&mut fixture, None, Call::Cancel(open(JOB)));
+    let of_other_queue = fixture.reply(None, Call::Cancel(open(JOB)));
     assert_eq!(of_other_queue, Reply::OtherCustomer);
 }
 
--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel::bounded;
+
 use super::super::orders::OrderedRun;
 use super::super::term::{Effect, Order, OrderKind, StepOutput, Term};
 use super::super::{CallResponder, Now, PlacerSettings};
 use crate::resources::Resources;
 use crate::workflow::calls::{
     Call, CallFailure, HostContact, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, OutsideCalls,
-    WorkerReport,
+    Reply, WorkerReport,
 };
 use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress, QueueConfiguration, Service};
 use crate::workflow::records::RunOutcome;
@@ -143,6 +145,25 @@
     }
 }
 
+/// Returns the address of a job of the queue.
+pub(super) fn address(job: &str) -> QueueAddress {
+    QueueAddress {
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/plans/{job}"),
+    }
+}
+
+pub(super) fn submission(job: &str, stages: Vec<StageSpec>) -> Call {
+    Call::Submit {
+        target: address(job),
+        spec: Box::new(WorkflowSpec {
+            payload: "plan".to_owned(),
+            stages,
+            repetition: None,
+        }),
+    }
+}
+
 /// Returns the run that an order refers to.
 pub(super) fn ordered(order: &Order) -> OrderedRun<'_> {
     OrderedRun {
@@ -319,18 +340,23 @@
     }
 
     pub(super) fn submit_without_pass(&mut self, job: &str, stages: Vec<StageSpec>) {
-        let call = Call::Submit {
-            target: QueueAddress {
-                host: "shop.example".to_owned(),
-                path_prefix: format!("/plans/{job}"),
+        self.call(submission(job, stages));
+    }
+
+    /// Returns the reply to a call with or without a key, once it is committed.
+    pub(super) fn reply(&mut self, key: Option<&str>, call: Call) -> Reply {
+        let call = match key {
+            Some(key) => Call::Keyed {
+                key: key.to_owned(),
+                call: Box::new(call),
             },
-            spec: Box::new(WorkflowSpec {
-                payload: "plan".to_owned(),
-                stages,
-                repetition: None,
-            }),
+            None => call,
         };
-        self.call(call);
+        let (sender, replies) = bounded(1);
+        let responder = CallResponder::new(move |reply| sender.send(reply).unwrap());
+        self.term.handle_call(call, responder, self.now);
+        self.commit_all();
+        replies.recv().unwrap().unwrap()
     }
 
     pub(super) fn call(&mut self, call: Call) {
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -286,12 +286,14 @@
 
     fn remove_old_jobs(&mut self, unix_ms: u64) {
         let retention_ms = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
-        let is_old = |ended: Option<u64>| ended.is_some_and(|ended| ended + retention_ms < unix_ms);
+        let oldest_unix_ms = unix_ms.saturating_sub(retention_ms);
+        let is_old = |ended: Option<u64>| ended.is_some_and(|ended| ended < oldest_unix_ms);
+        let mut old = self.old_early_cancellations(oldest_unix_ms);
         let jobs = self.state.jobs.iter();
-        let old = jobs.filter(|(_, job)| is_old(job.ended_unix_ms));
-        let old: Vec<_> = old.map(|(id, _)| id.clone()).collect();
+        let ended = jobs.filter(|(_, job)| is_old(job.ended_unix_ms));
+        old.extend(ended.map(|(id, _)| id.clone()));
         if !old.is_empty() {
-            self.record(Record::JobsForgotten(old));
+            self.record(Record::JobsForgotten(old.into_iter().collect()));
         }
     }
 
--- a/src/workflow/records.rs
+++ b/src/workflow/records.rs
@@ -80,7 +80,8 @@
         /// Time at which the placer learned of the end.
         at_unix_ms: u64,
     },
-    /// Ended jobs were removed because their retention is over.
+    /// Ended jobs, and cancellations of jobs that were not known, were removed because their retention
+    /// is over.
     JobsForgotten(Vec<JobId>),
     /// A worker announced itself or a change of its record.
     WorkerAnnounced {
@@ -121,6 +122,15 @@
         /// Customer whose key the submission had.
         customer: CustomerName,
     },
+    /// A job that is not known was cancelled; a later submission of it has no effect.
+    UnknownJobCancelled {
+        /// Identifier of the job.
+        id: JobId,
+        /// Customer of the call; `None` if it had none.
+        customer: Option<CustomerName>,
+        /// Time of the cancellation.
+        at_unix_ms: u64,
+    },
 }
 
 /// Assignment of a run to a worker.
--- a/src/workflow/state.rs
+++ b/src/workflow/state.rs
@@ -4,6 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
+use super::cancellations::EarlyCancellations;
 use super::crashes::{CrashRecords, WorkerCrash};
 use super::customers::CustomerRecords;
 use super::queues::{Queue, QueueConfiguration};
@@ -33,6 +34,8 @@
     pub crashes: CrashRecords,
     /// Customers, and the jobs that they own.
     pub customers: CustomerRecords,
+    /// Cancellations of jobs that were not known, until their retention is over.
+    pub early_cancellations: EarlyCancellations,
 }
 
 /// Progress of a job as its caller sees it.
@@ -199,6 +202,7 @@
                 self.jobs.retain(|id, _| !ids.contains(id));
                 self.crashes.abandoned.retain(|id, _| !ids.contains(id));
                 self.customers.forget(&ids);
+                self.early_cancellations.forget(&ids);
             }
             Record::WorkerCrashed {
                 worker,
@@ -232,6 +236,11 @@
                     self.customers.owners.entry(id).or_insert(customer);
                 }
             }
+            Record::UnknownJobCancelled {
+                id,
+                customer,
+                at_unix_ms,
+            } => self.early_cancellations.keep(id, customer, at_unix_ms),
             Record::TaskAbandoned { task, at_unix_ms } => {
                 let job = self.jobs.get_mut(&task.stage.job);
                 if let Some(job) = job.filter(|job| job.is_open()) {
@@ -248,16 +257,27 @@
         }
     }
 
-    /// Decodes a snapshot, which may be one of a version without the fields after `jobs` or after
-    /// `crashes`.
+    /// Encodes a snapshot. Versions without `early_cancellations` read it while there are none.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut snapshot =
+            postcard::to_stdvec(self).expect("postcard can encode all types of the state");
+        if self.early_cancellations.is_empty() {
+            // The encoding of no cancellations is one byte.
+            snapshot.pop();
+        }
+        snapshot
+    }
+
+    /// Decodes a snapshot, which may be one of a version without the fields after `jobs`, after
+    /// `crashes` or after `customers`.
     ///
     /// # Errors
     ///
     /// The snapshot is damaged.
     pub fn decode(snapshot: &[u8]) -> Result<Self, postcard::Error> {
-        // The encoding of no customers, and before it that of no heartbeats, no outdated workers and
-        // no crashes.
-        const ADDED_FIELDS: [&[u8]; 2] = [&[0; 3], &[0; 7]];
+        // The encoding of no cancellations, before it that of no customers, and before it that of no
+        // heartbeats, no outdated workers and no crashes.
+        const ADDED_FIELDS: [&[u8]; 3] = [&[0; 1], &[0; 4], &[0; 8]];
         let mut decoded = decode_whole(snapshot);
         for added in ADDED_FIELDS {
             if decoded.is_ok() {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod customers;
+pub mod late_clients;
 pub mod processes;
 pub mod proxy;
 pub mod recorded;
@@ -163,8 +164,8 @@
         path: &str,
         body: &Value,
     ) -> Option<ClientResponse> {
-        let entry = *self.size.entries().start();
-        let url = format!("http://127.0.0.{entry}:{}{path}", self.ports.callers);
+        let address = self.caller_address(*self.size.entries().start());
+        let url = format!("http://{address}{path}");
         self.send_with_key(Some(key), method, &url, body)
     }
 
@@ -176,10 +177,15 @@
         path: &str,
         body: &Value,
     ) -> Option<ClientResponse> {
-        let url = format!("http://127.0.0.{entry}:{}{path}", self.ports.callers);
+        let url = format!("http://{}{path}", self.caller_address(entry));
         self.send(method, &url, body)
     }
 
+    /// Address at which an entry host serves callers.
+    pub fn caller_address(&self, entry: usize) -> String {
+        format!("127.0.0.{entry}:{}", self.ports.callers)
+    }
+
     /// Sends an operator's request or a heartbeat to a storage host.
     pub fn control_at(
         &self,
--- a/tests/workflow_state.rs
+++ b/tests/workflow_state.rs
@@ -439,7 +439,14 @@
     let state = state(vec![accept(vec![stage(2, &[])], None)]);
     let snapshot = postcard::to_stdvec(&state).unwrap();
     assert_eq!(WorkflowState::decode(&snapshot).unwrap(), state);
-    let without_customers = &snapshot[..snapshot.len() - 3];
+    let without_cancellations = &snapshot[..snapshot.len() - 1];
+    assert_eq!(WorkflowState::decode(without_cancellations).unwrap(), state);
+    assert_eq!(
+        state.encode(),
+        without_cancellations,
+        "earlier versions read snapshots without cancellations"
+    );
+    let without_customers = &without_cancellations[..without_cancellations.len() - 3];
     assert_eq!(WorkflowState::decode(without_customers).unwrap(), state);
     let earlier = &without_customers[..without_customers.len() - 4];
     assert_eq!(WorkflowState::decode(earlier).unwrap(), state);
