bug: a placer that was paused replied from an old state

What callers could see: a 404, 429, 400 or 410, or the state of a job, from a placer that another one has replaced. Such a reply may refuse a job that the new placer has accepted, or say that an accepted job does not exist.

Cause: the leadership was checked before a call was handled. A process that is stopped after the check goes on with the term that it had; replies that need no commit left at once.

No run with a stopped process has shown it: the check and the reply are microseconds apart.

Fix: the lease is checked again after a reply without a commit, or the answer to a query, was made. A lease that has lapsed does not return in its epoch, so that the state was current when it was read. Otherwise the term ends, and the caller learns that nothing is certain; a query goes to the next placer.

Placer::handle moves to client_calls.rs with the other calls.

--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -57,7 +57,7 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 
-use super::calls::{Call, OutsideCalls, Reply};
+use super::calls::{OutsideCalls, Reply};
 use crate::clock::Clock;
 use crate::ids::{Epoch, HostId};
 use crate::peer::PeerClient;
@@ -240,54 +240,6 @@
         }
     }
 
-    /// Whether this host leads the workflow log and its take-over is committed.
-    pub fn is_leading(&self) -> bool {
-        let epoch = self.replica.leadership();
-        let term = self.lock();
-        term.as_ref()
-            .is_some_and(|term| term.ready && epoch == Some(term.epoch))
-    }
-
-    /// Handles a call of a host. Queries and rejected calls are answered immediately; other replies
-    /// are sent after the call is committed. If the term ends before the commit, the call may still
-    /// have taken effect.
-    pub fn handle(&self, from: &HostId, call: Call, responder: CallResponder) {
-        if matches!(&call, Call::Heartbeat(heartbeat) if self.is_recorded(heartbeat)) {
-            responder.reply(Reply::WorkerNoted);
-            return;
-        }
-        if !self.is_leading() {
-            responder.not_leading();
-            return;
-        }
-        if let Some((target, key)) = call.as_query() {
-            responder.reply(self.query(target, key));
-            return;
-        }
-        let slot = call.is_limited().then(|| self.call_limits.acquire(from));
-        let responder = match slot {
-            None => responder,
-            Some(Some(slot)) => responder.with_slot(slot),
-            Some(None) => {
-                log::debug!(host = from.as_str(); "call refused: too many calls in flight");
-                responder.reply(Reply::Busy {
-                    retry_after_ms: BUSY_RETRY_MS,
-                });
-                return;
-            }
-        };
-        let mut waiting = Some(responder);
-        self.with_term(None, |term, now| {
-            if let Some(responder) = waiting.take() {
-                term.handle_call(call, responder, now);
-            }
-        });
-        // The term ended after the leadership was checked.
-        if let Some(responder) = waiting {
-            responder.not_leading();
-        }
-    }
-
     fn lock(&self) -> TermGuard<'_> {
         self.term.lock()
     }
@@ -341,6 +293,14 @@
     fn flush(&self, term: &mut Term, now: Now) -> Result<(), String> {
         match term.finish_step() {
             StepOutput::Effects(effects) => {
+                // No commit shows that the term has not been replaced, as it may be while the process
+                // is paused.
+                let replies = effects
+                    .iter()
+                    .any(|effect| matches!(effect, Effect::Reply(..)));
+                if replies && self.replica.leadership() != Some(term.epoch) {
+                    return Err("the leadership has ended".to_owned());
+                }
                 self.execute(term, effects);
                 Ok(())
             }
--- a/src/workflow/placer/client_calls.rs
+++ b/src/workflow/placer/client_calls.rs
@@ -12,13 +12,75 @@
 use super::super::records::Record;
 use super::super::spec::WorkflowSpec;
 use super::super::state::Job;
+use super::call_limits::BUSY_RETRY_MS;
 use super::policy::{CONTACT_TIMEOUT, INITIAL_ROUND_TRIP};
 use super::term::{Effect, PolicyCaller, RunPhase, Term};
 use super::waiting_jobs::WaitingJobs;
 use super::{CallResponder, Now, Placer};
-use crate::ids::JobId;
+use crate::ids::{Epoch, HostId, JobId};
 
 impl Placer {
+    /// Whether this host leads the workflow log and its take-over is committed.
+    pub fn is_leading(&self) -> bool {
+        self.leading_epoch().is_some()
+    }
+
+    /// Returns the epoch in which this host leads, once its take-over is committed.
+    fn leading_epoch(&self) -> Option<Epoch> {
+        let epoch = self.replica.leadership()?;
+        let term = self.lock();
+        let leads = term
+            .as_ref()
+            .is_some_and(|term| term.ready && term.epoch == epoch);
+        leads.then_some(epoch)
+    }
+
+    /// Handles a call of a host. Queries and rejected calls are answered immediately; other replies
+    /// are sent after the call is committed. If the term ends before the commit, the call may still
+    /// have taken effect.
+    pub fn handle(&self, from: &HostId, call: Call, responder: CallResponder) {
+        if matches!(&call, Call::Heartbeat(heartbeat) if self.is_recorded(heartbeat)) {
+            responder.reply(Reply::WorkerNoted);
+            return;
+        }
+        let Some(epoch) = self.leading_epoch() else {
+            responder.not_leading();
+            return;
+        };
+        if let Some((target, key)) = call.as_query() {
+            let reply = self.query(target, key);
+            // The process may have been paused since the check, and another placer may lead.
+            if self.replica.leadership() == Some(epoch) {
+                responder.reply(reply);
+            } else {
+                responder.not_leading();
+            }
+            return;
+        }
+        let slot = call.is_limited().then(|| self.call_limits.acquire(from));
+        let responder = match slot {
+            None => responder,
+            Some(Some(slot)) => responder.with_slot(slot),
+            Some(None) => {
+                log::debug!(host = from.as_str(); "call refused: too many calls in flight");
+                responder.reply(Reply::Busy {
+                    retry_after_ms: BUSY_RETRY_MS,
+                });
+                return;
+            }
+        };
+        let mut waiting = Some(responder);
+        self.with_term(None, |term, now| {
+            if let Some(responder) = waiting.take() {
+                term.handle_call(call, responder, now);
+            }
+        });
+        // The term ended after the leadership was checked.
+        if let Some(responder) = waiting {
+            responder.not_leading();
+        }
+    }
+
     /// Answers a query for a job or a queue from the committed state.
     pub(super) fn query(&self, target: &QueueAddress, key: Option<&str>) -> Reply {
         let state = self.committed.state.lock().unwrap();
--- a/src/workflow/placer/tests/leadership.rs
+++ b/src/workflow/placer/tests/leadership.rs
@@ -11,7 +11,7 @@
 use super::super::term::Term;
 use super::super::{CallResponder, Committed, Placer, SendInstructions};
 use super::fixture::{
-    Fixture, JOB, configuration, heartbeat, settings, stage, unreachable_workers,
+    Fixture, JOB, address, configuration, heartbeat, settings, stage, unreachable_workers,
 };
 use crate::clock::Clock;
 use crate::ids::Epoch;
@@ -23,6 +23,8 @@
 
 /// Longest wait for an election of a single host, which takes a second.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which a query reaches the lock of the committed state.
+const QUERY_TIME: Duration = Duration::from_millis(300);
 
 /// Starts the placer of a cell with one storage host, whose log refuses larger batches than the
 /// limit.
@@ -287,3 +289,43 @@
     let heard_at = status.heard_leader_at;
     assert_eq!(heard_other_leader_at(&status, &host), heard_at);
 }
+
+/// Guards against a refusal by a placer that was paused after the check of its leadership, while
+/// another one leads and may have accepted the job.
+#[test]
+fn a_reply_without_a_commit_is_not_sent_after_the_leadership_has_ended() {
+    let (placer, replica) = start_placer(MAX_BATCH_BYTES);
+    let first = await_placer(&placer, &replica).expect("a single voter keeps its lease");
+    replace_queues(&placer, 0);
+    let (sender, replies) = bounded(1);
+    let responder = CallResponder::new(move |reply| {
+        let _ = sender.send(reply);
+    });
+    placer.with_term(Some(first), |term, now| {
+        replica.resign(first);
+        let unknown_queue = QueueAddress {
+            host: "other.example".to_owned(),
+            path_prefix: format!("/plans/{JOB}"),
+        };
+        term.handle_call(Call::Cancel(unknown_queue), responder, now);
+    });
+    let reply = replies.recv_timeout(TEST_TIMEOUT).expect("a reply");
+    assert_eq!(reply, Some(Reply::Unconfirmed));
+}
+
+/// Guards against a query that is answered from an old state: the placer was paused after the check of
+/// its leadership, while another one leads and has accepted the job.
+#[test]
+fn a_query_is_not_answered_after_the_leadership_has_ended() {
+    let (placer, replica) = start_placer(MAX_BATCH_BYTES);
+    let first = await_placer(&placer, &replica).expect("a single voter keeps its lease");
+    replace_queues(&placer, 0);
+    // The query waits here, after the check of the leadership.
+    let state = placer.committed.state.lock().unwrap();
+    let querying = Arc::clone(&placer);
+    let query = thread::spawn(move || reply_to(&querying, Call::Query(address(JOB))));
+    thread::sleep(QUERY_TIME);
+    replica.resign(first);
+    drop(state);
+    assert_eq!(query.join().unwrap(), None);
+}
