bug: a submission was handed in although the wait of its client was over

What callers saw: a client hands a job in at an entry host that stands still, and waits in vain. Its next attempt, at another host, is refused; the refusal says that the job never runs. The first host wakes and hands the job in, which is accepted and runs.

Cause: the entry host counted the wait of a client from the time at which it read the request. A request that has waited in the socket of a stopped process counted as new.

--- a/tests/workflow_late_submissions.rs
+++ b/tests/workflow_late_submissions.rs
@@ -123,3 +123,16 @@
     test.processes.signal(leader, Signal::CONT);
     test.check_that_the_job_does_not_run();
 }
+
+/// Guards against a job that is handed in for a client that has gone on: it was refused elsewhere in
+/// the meantime, and would run although the refusal said that it never does.
+#[test]
+fn a_submission_that_waited_for_longer_than_its_client_is_not_handed_in() {
+    let test = TestCell::start(17_625);
+    test.processes.signal(STILL_HOST, Signal::STOP);
+    let address = test.cell.caller_address(STILL_HOST);
+    submit_without_answer(&address, JOB, None, Duration::from_secs(1));
+    thread::sleep(Duration::from_millis(2_500));
+    test.processes.signal(STILL_HOST, Signal::CONT);
+    test.check_that_the_job_does_not_run();
+}
