bug: a cancelled job of serve ran when its submission arrived after the cancellation

What callers saw: DELETE /v1/jobs/ID of a job that is not known answers 404 with the verdict did_not_run. A submission of the id that has waited at a host which stood still arrives afterwards, is accepted, and runs.

The job placer kept nothing of such a cancellation.

Evidence: a_submission_that_arrives_after_its_cancellation_does_not_run (tests/job_late_messages.rs, with a change of the placer in between) failed on: the task had started once.

Fix: the cancellation is recorded as the end of the job, which the state now keeps for a job that was never submitted. The call answers 200 with the phase cancelled; a later submission is answered with that phase and does not run. Ended jobs are bounded by count, and an id that is older than the oldest one dropped is refused, as before. An id that is too old to be accepted gets the answer of its submission (410, may_have_run), since its record may have been dropped.

--- a/src/placer/job_records.rs
+++ b/src/placer/job_records.rs
@@ -123,8 +123,8 @@
 }
 
 impl JobState {
-    /// Applies the next record of the log. Records of unknown jobs have no effect, so that applying a
-    /// record twice is harmless.
+    /// Applies the next record of the log. Of the records of unknown jobs, only a cancellation has an
+    /// effect, so that applying a record twice is harmless.
     pub fn apply(&mut self, record: JobRecord) {
         match record {
             JobRecord::Accepted { spec } => self.accept(spec),
@@ -171,7 +171,9 @@
 
     fn end(&mut self, job: JobId, outcome: JobEnd) {
         // `shift_remove` preserves the order of the other jobs, in which a new placer queues them.
-        if self.jobs.shift_remove(&job).is_none() {
+        let is_known = self.jobs.shift_remove(&job).is_some();
+        // A job that was cancelled before it was submitted is over, too.
+        if !is_known && (!outcome.cancelled || self.ended.contains_key(&job)) {
             return;
         }
         self.ended.insert(job.clone(), outcome);
--- a/src/placer/jobs.rs
+++ b/src/placer/jobs.rs
@@ -158,6 +158,7 @@
             }
             JobCall::Query(id) => id,
             JobCall::Cancel(id) => {
+                self.check_age(&id)?;
                 self.cancel(&id)?;
                 id
             }
@@ -226,7 +227,8 @@
     }
 
     /// Cancels a job and returns once the cancellation is committed. Running tasks are stopped
-    /// afterwards.
+    /// afterwards. A job without a record is over from then on, so that a submission that arrives
+    /// later does not run.
     ///
     /// # Errors
     ///
@@ -234,9 +236,12 @@
     pub fn cancel(&self, job: &JobId) -> Result<Cancellation, RequestError> {
         let mut guard = self.lock();
         let term = self.current(&mut guard)?;
-        let Some(progress) = term.scheduler.progress(job) else {
+        let progress = term.scheduler.progress(job);
+        if progress.is_none() && self.status(job).is_some() {
             return Ok(Cancellation::Unknown);
-        };
+        }
+        let is_unknown = progress.is_none();
+        let progress = progress.unwrap_or_default();
         let record = if progress.running > 0 {
             JobRecord::CancelRequested { job: job.clone() }
         } else {
@@ -255,6 +260,10 @@
             *guard = None;
             return Err(error.to_error());
         }
+        if is_unknown {
+            log::info!(job = job.as_str(); "job cancelled before it was submitted");
+            return Ok(Cancellation::Ended);
+        }
         Ok(term.scheduler.cancel(job))
     }
 
--- a/src/scheduling/job_scheduler/types.rs
+++ b/src/scheduling/job_scheduler/types.rs
@@ -160,11 +160,11 @@
 /// Effect of a cancellation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cancellation {
-    /// No task was running, so the job was removed.
+    /// No task was running, so the job was removed, or it was not submitted yet.
     Ended,
     /// The next round of decisions stops the running tasks.
     Stopping,
-    /// The job is unknown or has ended.
+    /// The scheduler does not know the job; mostly it has ended.
     Unknown,
 }
 
--- a/tests/job_late_messages.rs
+++ b/tests/job_late_messages.rs
@@ -8,7 +8,7 @@
 use jujubewinch::placer::job_records::MAX_ENDED_JOBS;
 use jujubewinch::placer::jobs::{JobStatus, WorkerRequest};
 use jujubewinch::placer::journal::JournalError;
-use jujubewinch::protocol::job::JobCall;
+use jujubewinch::protocol::job::{JobCall, JobPhase};
 use jujubewinch::protocol::worker::{TaskState, WorkerPhase};
 use jujubewinch::scheduling::job_scheduler::Cancellation;
 use jujubewinch::scheduling::overuse::Measure;
@@ -221,3 +221,20 @@
         assert_eq!(cell.start_counts("render"), [("render-0-1".into(), 1)]);
     }
 }
+
+/// Guards against a job that runs although its cancellation was confirmed: its submission had waited at
+/// an entry host that stood still, and arrives after the cancellation.
+#[test]
+fn a_submission_that_arrives_after_its_cancellation_does_not_run() {
+    let mut cell = Cell::new(&["worker-1"]);
+    let id = "erdenet.1.late".to_owned();
+    let cancelled = cell.placer.handle(JobCall::Cancel(id.clone()));
+    cell.change_placer();
+    cell.announce_all();
+    let spec = Box::new(job(&id, "batch", 1, false));
+    let submitted = cell.placer.handle(JobCall::Submit(spec)).unwrap();
+    cell.run(3, &["worker-1"]);
+    assert_eq!(cell.start_counts(&id), []);
+    assert_eq!(cancelled.unwrap().phase, JobPhase::Cancelled);
+    assert_eq!(submitted.phase, JobPhase::Cancelled);
+}
