feature: the soak has clients that cancel without an answer

A client hands a job in at an entry host that stands still for 0.1 to 2.5 s, leaves, and cancels the job at another one; the host then goes on. The job must neither run nor be shown at the end. The cell of the soak has a second entry host for this. Other faults of a seed stay as they were.

--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -26,6 +26,8 @@
 const WORKERS: usize = 2;
 /// Average number of rounds between two restarts of workers.
 const RESTART_ROUNDS: usize = 6;
+/// Average number of rounds with work between two clients that cancel without an answer.
+const LATE_CLIENT_ROUNDS: u32 = 3;
 /// Rounds after which the key of the customer is revoked and its cap is lowered or raised.
 const CHANGE_ROUNDS: usize = 10;
 /// Long enough for a second run of a task to begin while the first is at work.
@@ -396,8 +398,9 @@
 /// workers crash and start again.
 fn run_faults(test: &mut TestCell, seed: u64, rounds: usize) {
     let mut rng = StdRng::seed_from_u64(seed);
-    // Restarts of workers do not change the faults of the storage hosts under a seed.
+    // Restarts of workers and late clients do not change the faults of the storage hosts under a seed.
     let mut restarts = StdRng::seed_from_u64(!seed);
+    let mut late_clients = StdRng::seed_from_u64(seed.rotate_left(32));
     let mut crashed = IndexSet::new();
     // Requests that the next process of a worker carries out after other calls.
     let mut late: Option<(Vec<Vec<u8>>, Arc<Runner>)> = None;
@@ -430,6 +433,12 @@
         }
         if present.len() < 2 {
             test.work();
+            // The shorter waits are over when the host goes on after a long pause.
+            let wait_ms = [1_000, 20_000][late_clients.random_range(0..2)];
+            let still_time = Duration::from_millis(late_clients.random_range(100..2_500));
+            if late_clients.random_ratio(1, LATE_CLIENT_ROUNDS) {
+                test.cancel_without_answer(Duration::from_millis(wait_ms), still_time);
+            }
         }
         if let Some((requests, worker)) = late.take() {
             worker.deliver(&requests);
@@ -462,7 +471,8 @@
 }
 
 /// Guards against lost or repeated work and lost changes after faults that come in series and
-/// overlap, against a revoked key that is accepted, and against a customer above its cap. Without the variable, runs one seed.
+/// overlap, against a revoked key that is accepted, against a customer above its cap, and against jobs
+/// that run after their cancellation. Without the variable, runs one seed.
 #[test]
 fn accepted_work_survives_seeded_faults() {
     for seed in seeds(1) {
--- a/tests/platform_support/recorded.rs
+++ b/tests/platform_support/recorded.rs
@@ -151,6 +151,8 @@
     pub record: Mutex<Record>,
     /// Storage hosts that have lost a disk, and the incarnation that was lost with it.
     pub emptied: Vec<(usize, u64)>,
+    /// Jobs that were cancelled before their submission arrived.
+    pub cancelled_early: Vec<String>,
     _folder: TempDir,
 }
 
@@ -161,14 +163,17 @@
         Self::start_with(first_port, size, workers, short_job(), None)
     }
 
-    /// Starts a cell with workers whose tasks work for some time, and a customer.
+    /// Starts a cell with two entry hosts, workers whose tasks work for some time, and a customer.
     pub fn start_with_workers(first_port: u16, count: usize, run_time: Duration) -> Self {
         let options = RunnerOptions {
             run_time,
             ..RunnerOptions::default()
         };
         let workers = (0..count).map(|_| Runner::start_with(options));
-        let size = CellSize::SMALL;
+        let size = CellSize {
+            entry_hosts: 2,
+            ..CellSize::SMALL
+        };
         let customer = Some(TestCustomer::default());
         let job = job_on_two_workers();
         Self::start_with(first_port, size, workers.collect(), job, customer)
@@ -192,6 +197,7 @@
             job,
             record: Mutex::default(),
             emptied: Vec::new(),
+            cancelled_early: Vec::new(),
             _folder: folder,
         };
         test.work();
@@ -291,6 +297,7 @@
         if let Some(customer) = &self.customer {
             customer.check(&workers);
         }
+        self.check_cancelled_early();
         self.check_configuration(asked);
     }
 
