--- a/src/workflow/placer/tests/early_cancellations.rs
+++ b/src/workflow/placer/tests/early_cancellations.rs
@@ -7,6 +7,7 @@
 use crate::workflow::calls::{Call, Reply};
 use crate::workflow::cancellations::{MAX_CANCELLATIONS, MAX_JOB_NAME_BYTES};
 use crate::workflow::customers::{Customer, CustomerConfiguration};
+use crate::workflow::queues::QueueAddress;
 use crate::workflow::state::{JobPhase, WorkflowState};
 
 const KEY: Option<&str> = Some("key-of-acme");
@@ -28,8 +29,8 @@
     successor
 }
 
-/// Returns a cell with two customers and one worker.
-fn with_customers() -> Fixture {
+/// Returns a cell with two customers and one worker; the queues at `public` need no key.
+fn with_customers(public: Vec<QueueAddress>) -> Fixture {
     let customer = |name: &str, key: Option<&str>| Customer {
         name: name.to_owned(),
         keys: key.into_iter().map(str::to_owned).collect(),
@@ -41,7 +42,7 @@
         configuration: Some(configuration(3)),
         ..WorkflowState::default()
     };
-    state.customers.configuration = Some(CustomerConfiguration::new(customers, []).unwrap());
+    state.customers.configuration = Some(CustomerConfiguration::new(customers, public).unwrap());
     let mut fixture = Fixture::with_state(state);
     fixture.announce("w");
     fixture
@@ -100,7 +101,7 @@
 /// Guards against customers who cancel or probe the jobs of others by their identifiers.
 #[test]
 fn a_cancellation_has_no_effect_on_jobs_of_other_customers() {
-    let mut fixture = with_customers();
+    let mut fixture = with_customers(Vec::new());
     assert_eq!(cancel(&mut fixture, OTHER_KEY, JOB), Reply::NoSuchJob);
     assert_eq!(submit(&mut fixture, KEY, JOB), Reply::Accepted);
     let second = "00c0ffee00000002";
@@ -112,11 +113,24 @@
     assert_eq!(submit(&mut fixture, KEY, third), Reply::Accepted);
 }
 
+/// Guards against a cancellation in a public queue that is acknowledged and stops nothing: calls there
+/// may cancel jobs without a customer, and calls without a key those that were submitted with one.
+#[test]
+fn a_cancellation_in_a_public_queue_stops_what_it_could_have_cancelled() {
+    let mut fixture = with_customers(vec![queue().address]);
+    let (first, second) = (JOB, "00c0ffee00000002");
+    assert_eq!(cancel(&mut fixture, None, first), Reply::NoSuchJob);
+    assert_eq!(submit(&mut fixture, KEY, first), Reply::NoSuchJob);
+    assert_eq!(cancel(&mut fixture, KEY, second), Reply::NoSuchJob);
+    assert_eq!(submit(&mut fixture, None, second), Reply::NoSuchJob);
+    assert_eq!(submit(&mut fixture, OTHER_KEY, second), Reply::Accepted);
+}
+
 /// Guards against an open job that is forgotten together with the cancellation of another customer
 /// under the same identifier.
 #[test]
 fn a_job_stays_when_a_cancellation_of_its_identifier_is_forgotten() {
-    let mut fixture = with_customers();
+    let mut fixture = with_customers(Vec::new());
     cancel(&mut fixture, OTHER_KEY, JOB);
     submit(&mut fixture, KEY, JOB);
     fixture.advance(settings().retention + Duration::from_secs(1));
@@ -132,7 +146,7 @@
 /// leaves no room to others, and against an acknowledgement that nothing stands behind.
 #[test]
 fn a_crowd_of_cancellations_is_refused_and_leaves_room_to_other_customers() {
-    let mut fixture = with_customers();
+    let mut fixture = with_customers(Vec::new());
     let mut refused = 0;
     for number in 0..MAX_CANCELLATIONS {
         match cancel(&mut fixture, OTHER_KEY, &format!("{number:016x}")) {
