feature: logs and stand-ins show permits of a next incarnation

Cause: the logs did not tell a run that ended although its start order had a permit and no answer, nor which order an answer with the clock of another incarnation belongs to. No test over sockets had a placement policy.

Change: a line for each of the two; a simulated policy whose permits are valid for one stage, one process of a runner and a limited time; runners that check them and can crash behind a cut.

--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -228,6 +228,13 @@
                 continue;
             };
             let Some(until) = run.late_start_ends_at(worker, &self.settings) else {
+                if run.permit.is_some() && !run.start_is_settled && ended.contains(task) {
+                    log::warn!(
+                        task:% = task, run = run.run, worker = id.as_str(),
+                        sent_ms_ago:? = run.start_sent_at.map(|at| ms_ago(at, now));
+                        "a start order with a permit and without an answer ends with the lease"
+                    );
+                }
                 continue;
             };
             let sent_ms_ago = run.start_sent_at.map(|at| ms_ago(at, now));
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -30,6 +30,12 @@
         let is_known = self.is_answer_of_known_incarnation(worker, clock_ms, now.at);
         if is_known {
             self.apply_start_answer(order, answer, now);
+        } else {
+            log::warn!(
+                task:% = order.task, run = order.run, worker = worker.as_str(),
+                outcome:? = answer.outcome;
+                "the answer to a start order shows another incarnation, which may run the task"
+            );
         }
         is_known
     }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod customers;
 pub mod late_clients;
+pub mod policy;
 pub mod processes;
 pub mod proxy;
 pub mod recorded;
@@ -303,6 +304,14 @@
         "services": [{"name": "shopdesk", "enforce_capacity": false}], "limits": {}})
 }
 
+/// A configuration with one queue, whose tasks need permits of the simulated placement policy.
+pub fn configuration_with_policy(version: u64) -> Value {
+    let mut configuration = configuration(version);
+    configuration["routes"][0]["policy_service"] = json!({"decision_ms": 10.0,
+        "per_worker_ms": 0.1, "validity_ms": policy::PERMIT_VALIDITY.as_millis() as u64});
+    configuration
+}
+
 /// Polls the closure until it returns a value and panics after `WAIT_TIMEOUT`.
 pub fn await_some<T>(mut attempt: impl FnMut() -> Option<T>) -> T {
     let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -11,6 +11,7 @@
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::Value;
 
+use super::policy::PolicyService;
 use super::{CellSize, Ports, settings};
 
 /// Program with its arguments, as in `deploy/system.toml`.
@@ -45,6 +46,18 @@
         Self::start_with_settings(folder, ports, size, |_, text| text)
     }
 
+    /// Starts all hosts, which call a placement policy.
+    pub fn start_with_policy(
+        folder: &Path,
+        ports: Ports,
+        size: CellSize,
+        policy: &PolicyService,
+    ) -> Self {
+        Self::start_with_settings(folder, ports, size, |_, text| {
+            text + &format!("[placement_policy]\naddress = \"{}\"\n", policy.address())
+        })
+    }
+
     /// Starts all hosts, with settings that the closure makes from the number of the host and its
     /// usual settings.
     pub fn start_with_settings(
--- a/tests/platform_support/proxy.rs
+++ b/tests/platform_support/proxy.rs
@@ -101,22 +101,28 @@
         let Some(process) = process else {
             return Ok(());
         };
-        let mut connection = TcpStream::connect(process)?;
-        connection.write_all(&request)?;
-        let answer = read_message(&mut connection)?;
-        let is_cut = {
+        let answer = exchange(&request, process);
+        {
             let state = state.lock().unwrap();
+            // The end of a process behind a cut is not seen either.
+            if state.is_cut {
+                continue;
+            }
             if state.processes != processes {
                 return Ok(());
             }
-            state.is_cut
-        };
-        if !is_cut {
-            client.write_all(&answer)?;
         }
+        client.write_all(&answer?)?;
     }
 }
 
+/// Sends a request to a process and returns its answer.
+fn exchange(request: &[u8], process: SocketAddr) -> io::Result<Vec<u8>> {
+    let mut connection = TcpStream::connect(process)?;
+    connection.write_all(request)?;
+    read_message(&mut connection)
+}
+
 /// Reads a request or an answer up to the end of its body.
 fn read_message(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
     let mut message = Vec::new();
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 
 use super::await_some;
+use super::policy::Permits;
 use super::proxy::{Proxy, deliver};
 
 /// Delay of an answer that counts as lost; longer than the sender of an order waits for it.
@@ -46,6 +47,8 @@
     changed: Condvar,
     /// Number of further start orders that are carried out but whose answers are lost.
     pub lose_answers: AtomicUsize,
+    /// Permits that start orders need; `None` where they need none.
+    permits: Mutex<Option<Arc<Permits>>>,
     server: Mutex<Option<Server>>,
     /// Runs of all processes, in the order of their starts.
     runs: Mutex<Vec<RecordedRun>>,
@@ -126,6 +129,7 @@
             state: Mutex::new(RunnerState::new(1, options.first_clock)),
             changed: Condvar::new(),
             lose_answers: AtomicUsize::new(0),
+            permits: Mutex::default(),
             server: Mutex::new(None),
             runs: Mutex::default(),
         });
@@ -192,6 +196,25 @@
         }
     }
 
+    /// Crashes behind a cut, so that its connections stay open without answers, and starts again.
+    pub fn crash_unseen(self: &Arc<Self>, down_time: Duration) {
+        self.proxy.set_cut(true);
+        self.crash();
+        thread::sleep(down_time);
+        self.restart(&[]);
+        self.proxy.set_cut(false);
+    }
+
+    /// Rejects start orders without a valid permit from now on.
+    pub fn require_permits(&self, permits: Arc<Permits>) {
+        *self.permits.lock().unwrap() = Some(permits);
+    }
+
+    /// Number of requests that the current process has received.
+    pub fn received(&self) -> usize {
+        self.state.lock().unwrap().received
+    }
+
     /// Proxy at the address of the runner.
     pub fn proxy(&self) -> &Proxy {
         &self.proxy
@@ -234,6 +257,11 @@
         })
     }
 
+    /// Whether the current process runs a task.
+    pub fn is_at_work(&self) -> bool {
+        !self.state.lock().unwrap().running.is_empty()
+    }
+
     /// Returns the tasks that are at work or named in one of the held requests.
     pub fn present_tasks(&self, held: &[Vec<u8>]) -> IndexSet<String> {
         let mut present: IndexSet<String> = held.iter().filter_map(|it| task_of(it)).collect();
@@ -317,6 +345,10 @@
                 return Some(Response::json(409, &rejection));
             }
             state.fence = fence;
+            if request.path == "/api/run-start" && !self.has_permit(&body, born) {
+                let rejection = json!({"clock_ms": clock_ms, "reason": "ticket"});
+                return Some(Response::json(409, &rejection));
+            }
             if let Some(until_ms) = body["deadline_ms"].as_u64() {
                 let longest_ms = clock_ms + self.options.max_hold.as_millis() as u64;
                 state.lease_until_ms = state.lease_until_ms.max(until_ms.min(longest_ms));
@@ -330,6 +362,17 @@
         }
     }
 
+    fn has_permit(&self, body: &Value, born: u64) -> bool {
+        let permits = self.permits.lock().unwrap();
+        let Some(permits) = permits.as_ref() else {
+            return true;
+        };
+        let task = body["task"].as_str().unwrap();
+        let (stage, _) = task.rsplit_once('.').unwrap();
+        let permit = body["ticket_id"].as_str().unwrap_or_default();
+        permits.are_valid(permit, stage, born)
+    }
+
     fn run_start(&self, body: &Value, born: u64) -> Option<Response> {
         let task = body["task"].as_str().unwrap().to_owned();
         let run = body["run_id"].as_u64().unwrap();
