--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -6,6 +6,14 @@
 
 use crate::commands;
 
+/// Version of the program, with the digest of the sources from which it was built.
+pub const VERSION: &str = concat!(
+    env!("CARGO_PKG_VERSION"),
+    " (sources ",
+    env!("JUJUBEWINCH_SOURCES"),
+    ")"
+);
+
 const EXIT_CODES: &str = "Exit codes:
   0  success
   1  the operation failed; standard error says why
@@ -16,7 +24,7 @@
 /// Builds the command line of the binary.
 pub fn command() -> Command {
     Command::new("jujubewinch")
-        .version(clap::crate_version!())
+        .version(VERSION)
         .about("A cluster scheduler for unlike workloads: requests, batch, services and gangs")
         .help_template(help_template())
         .subcommand_required(true)
