--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -3,7 +3,6 @@
 
 mod platform_support;
 
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -15,7 +14,7 @@
 use platform_support::recorded::{
     TestCell, body_text, lacks_configuration, path, send_requests, short_job,
 };
-use platform_support::{CellSize, Runner, WAIT_TIMEOUT, configuration};
+use platform_support::{CellSize, Runner, WAIT_TIMEOUT, configuration, seeds};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -39,8 +38,6 @@
     storage_hosts: 6,
     entry_hosts: 2,
 };
-/// Environment variable with a range of seeds for the seeded tests, such as `100..150`.
-const SEEDS_VARIABLE: &str = "JUJUBEWINCH_FAULT_SEEDS";
 /// Seed that takes the leader's disk in each round: with requests in flight, while it goes on for a
 /// moment, and while others are behind.
 const LARGE_CELL_SEED: u64 = 45;
@@ -461,15 +458,6 @@
     }
 }
 
-/// Returns the seeds that the environment names, otherwise the default.
-fn seeds(default: u64) -> Range<u64> {
-    let Ok(seeds) = std::env::var(SEEDS_VARIABLE) else {
-        return default..default + 1;
-    };
-    let (first, last) = seeds.split_once("..").expect("a range of seeds");
-    first.parse().unwrap()..last.parse().unwrap()
-}
-
 /// Guards against lost or repeated work and lost changes after faults that come in series and
 /// overlap, against a revoked key that is accepted, against a customer above its cap, and against jobs
 /// that run after their cancellation. Without the variable, runs one seed.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -11,7 +11,7 @@
 pub mod recorded;
 pub mod runner;
 
-use std::ops::RangeInclusive;
+use std::ops::{Range, RangeInclusive};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -30,6 +30,8 @@
 
 /// Longest wait for an expected event, also on a busy machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
+/// Environment variable with a range of seeds for the seeded tests, such as `100..150`.
+const SEEDS_VARIABLE: &str = "JUJUBEWINCH_FAULT_SEEDS";
 /// Interval of the heartbeats of a runner.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -312,6 +314,15 @@
     configuration
 }
 
+/// Returns the seeds that the environment names, otherwise the default.
+pub fn seeds(default: u64) -> Range<u64> {
+    let Ok(seeds) = std::env::var(SEEDS_VARIABLE) else {
+        return default..default + 1;
+    };
+    let (first, last) = seeds.split_once("..").expect("a range of seeds");
+    first.parse().unwrap()..last.parse().unwrap()
+}
+
 /// Polls the closure until it returns a value and panics after `WAIT_TIMEOUT`.
 pub fn await_some<T>(mut attempt: impl FnMut() -> Option<T>) -> T {
     let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/tests/platform_support/policy.rs
+++ b/tests/platform_support/policy.rs
@@ -100,18 +100,21 @@
 fn advise(issued: &Mutex<Issued>, request: &Request) -> Response {
     let body: Value = serde_json::from_slice(&request.body).unwrap();
     thread::sleep(DECISION_TIME);
-    let mut issued = issued.lock().unwrap();
     let mut good = Vec::new();
     for worker in body["workers"].as_array().unwrap() {
         let worker = worker.as_str().unwrap();
-        let Some(runner) = issued.runners.get(worker).and_then(Weak::upgrade) else {
+        let runner = issued.lock().unwrap().runners.get(worker).cloned();
+        let Some(runner) = runner.and_then(|runner| runner.upgrade()) else {
             continue;
         };
+        // A runner checks permits while its state is locked, so that nothing is locked here.
+        let born = runner.born();
+        let mut issued = issued.lock().unwrap();
         good.push(json!([worker, format!("permit-{}", issued.permits.len())]));
         issued.permits.push(Permit {
             worker: worker.to_owned(),
             stage: body["step"].as_str().unwrap().to_owned(),
-            born: runner.born(),
+            born,
             expires_at: Instant::now() + PERMIT_VALIDITY,
         });
     }
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -63,6 +63,8 @@
     started_at: Instant,
     /// `None` while the run is at work.
     ended_at: Option<Instant>,
+    /// Whether the run ended as done and this end was acknowledged, while the lease did not lapse.
+    done_is_noted: bool,
 }
 
 /// State of a process, which ends with it.
@@ -86,6 +88,8 @@
     /// Ends that are not acknowledged yet: number of the end, task, run number and outcome.
     ended: Vec<(u64, String, u64, &'static str)>,
     next_end: u64,
+    /// Number of the last end before the lease lapsed for the last time.
+    lapsed_end: u64,
 }
 
 impl RunnerState {
@@ -102,6 +106,7 @@
             closed: IndexMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            lapsed_end: 0,
         }
     }
 
@@ -320,6 +325,14 @@
         }
     }
 
+    fn note_done(&self, task: &str, run: u64) {
+        let mut runs = self.runs.lock().unwrap();
+        let mut latest = runs.iter_mut().rev();
+        if let Some(recorded) = latest.find(|other| other.task == task && other.run == run) {
+            recorded.done_is_noted = true;
+        }
+    }
+
     /// Locks the state of a process; `None` if it has crashed.
     fn lock(&self, born: u64) -> Option<MutexGuard<'_, RunnerState>> {
         let state = self.state.lock().unwrap();
@@ -339,6 +352,9 @@
             let mut state = self.lock(born)?;
             self.end_runs(&mut state);
             state.received += 1;
+            if Instant::now() >= state.lapses_at() {
+                state.lapsed_end = state.next_end - 1;
+            }
             let clock_ms = state.clock_ms();
             if fence < state.fence {
                 let rejection = json!({"clock_ms": clock_ms, "reason": "fence"});
@@ -395,6 +411,7 @@
                 run,
                 started_at: now,
                 ended_at: None,
+                done_is_noted: false,
             });
             drop(runs);
             if let Some(replaced) = current {
@@ -436,7 +453,13 @@
         let cursor = body["ack_cursor"].as_u64().unwrap();
         let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
         let mut state = self.lock(born)?;
-        state.ended.retain(|(number, ..)| *number > cursor);
+        let lapsed_end = state.lapsed_end;
+        let forgotten = state.ended.extract_if(.., |(number, ..)| *number <= cursor);
+        for (number, task, run, outcome) in forgotten {
+            if outcome == "done" && number > lapsed_end {
+                self.note_done(&task, run);
+            }
+        }
         let no_ends = |state: &mut RunnerState| state.born == born && state.ended.is_empty();
         state = self
             .changed
@@ -496,3 +519,20 @@
         .filter(|position| at_work(*position))
         .count()
 }
+
+/// Tasks and numbers of the runs that started after another run of the task had ended as done, if that
+/// end was acknowledged while the lease of its worker did not lapse.
+pub fn repeats(runners: &[&Runner]) -> Vec<(String, u64)> {
+    let mut done: IndexMap<String, Instant> = IndexMap::new();
+    let recorded: Vec<_> = runners.iter().map(|it| it.runs.lock().unwrap()).collect();
+    for run in recorded.iter().flat_map(|runs| runs.iter()) {
+        if let Some(ended_at) = run.ended_at.filter(|_| run.done_is_noted) {
+            let first = done.entry(run.task.clone()).or_insert(ended_at);
+            *first = ended_at.min(*first);
+        }
+    }
+    let runs = recorded.iter().flat_map(|runs| runs.iter());
+    runs.filter(|run| done.get(&run.task).is_some_and(|at| *at < run.started_at))
+        .map(|run| (run.task.clone(), run.run))
+        .collect()
+}
