--- a/tests/cell_faults.rs
+++ b/tests/cell_faults.rs
@@ -14,7 +14,7 @@
 use platform_support::recorded::{
     TestCell, body_text, lacks_configuration, path, send_requests, short_job,
 };
-use platform_support::{CellSize, Runner, WAIT_TIMEOUT, configuration, seeds};
+use platform_support::{CellSize, Runner, WAIT_TIMEOUT, configuration, first_port, seeds};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -465,7 +465,7 @@
 fn accepted_work_survives_seeded_faults() {
     for seed in seeds(1) {
         println!("seed {seed}");
-        let mut test = TestCell::start_with_workers(17_420, WORKERS, RUN_TIME);
+        let mut test = TestCell::start_with_workers(first_port(17_420), WORKERS, RUN_TIME);
         run_faults(&mut test, seed, 40);
         test.work();
         test.check();
--- a/tests/cell_restarts.rs
+++ b/tests/cell_restarts.rs
@@ -11,7 +11,9 @@
 use platform_support::policy::PolicyService;
 use platform_support::processes::HostProcesses;
 use platform_support::runner::{RunnerOptions, overlaps, repeats};
-use platform_support::{Cell, CellSize, Ports, Runner, configuration_with_policy, seeds};
+use platform_support::{
+    Cell, CellSize, Ports, Runner, configuration_with_policy, first_port, seeds,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
@@ -236,7 +238,7 @@
 fn work_on_workers_that_restart_together_and_are_cut_off_runs_once() {
     for seed in seeds(1) {
         println!("seed {seed}");
-        let mut play = Play::start(17_660, seed);
+        let mut play = Play::start(first_port(17_660), seed);
         play.play();
         println!("{} jobs", play.jobs.len());
         play.check();
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -32,6 +32,8 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 /// Environment variable with a range of seeds for the seeded tests, such as `100..150`.
 const SEEDS_VARIABLE: &str = "JUJUBEWINCH_FAULT_SEEDS";
+/// Environment variable with the first port of the seeded tests, by which several run at once.
+const FIRST_PORT_VARIABLE: &str = "JUJUBEWINCH_FAULT_FIRST_PORT";
 /// Interval of the heartbeats of a runner.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -323,6 +325,12 @@
     first.parse().unwrap()..last.parse().unwrap()
 }
 
+/// Returns the first port that the environment names, otherwise the default.
+pub fn first_port(default: u16) -> u16 {
+    let port = std::env::var(FIRST_PORT_VARIABLE).ok();
+    port.map_or(default, |port| port.parse().expect("a port"))
+}
+
 /// Polls the closure until it returns a value and panics after `WAIT_TIMEOUT`.
 pub fn await_some<T>(mut attempt: impl FnMut() -> Option<T>) -> T {
     let deadline = Instant::now() + WAIT_TIMEOUT;
