bug: an answer of a next incarnation could count as one of a worker that is 5 s old

Cause: two readings of a clock tell incarnations apart once the known one is older than twice the age of an answer and the drift since the reading; the bound left the drift out.

Change: three times the age of an answer. The test readings_tell_incarnations_apart_only_where_no_later_one_can_agree checks all ages up to 20 s.

--- a/src/workflow/decisions/leases.rs
+++ b/src/workflow/decisions/leases.rs
@@ -31,9 +31,10 @@
         self.received_at > at + Duration::from_millis(MAX_ANSWER_AGE_MS)
     }
 
-    /// Whether [`Self::agrees_with`] tells the incarnation from later ones, whose clocks start at zero.
+    /// Whether [`Self::agrees_with`] tells the incarnation from later ones, whose clocks start at zero:
+    /// both readings may be old, and the clocks drift.
     pub fn tells_incarnations_apart(&self) -> bool {
-        self.clock_ms > 2 * MAX_ANSWER_AGE_MS
+        self.clock_ms > 3 * MAX_ANSWER_AGE_MS
     }
 
     /// Lower bound of the worker's clock at `now`, in milliseconds.
--- a/src/workflow/placer/tests/permits.rs
+++ b/src/workflow/placer/tests/permits.rs
@@ -8,6 +8,7 @@
 use super::fixture::*;
 use super::restarts::{MAX_LEASE, expect_next_run, expect_run_until, no_answer};
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
+use crate::workflow::decisions::leases::ClockReading;
 use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
 use crate::workflow::spec::StageSpec;
 
@@ -160,6 +161,28 @@
     expect_second_run_after(&mut fixture, sent_at + PERMITTED_LEASE);
 }
 
+/// Guards against the same with two old readings of clocks that drift.
+#[test]
+fn readings_tell_incarnations_apart_only_where_no_later_one_can_agree() {
+    let taken_at = Instant::now();
+    let answer_age_ms = 2_500;
+    for clock_ms in (500..20_000).step_by(250) {
+        let reading = ClockReading {
+            clock_ms,
+            received_at: taken_at + Duration::from_millis(answer_age_ms),
+        };
+        if !reading.tells_incarnations_apart() {
+            continue;
+        }
+        for elapsed_ms in (0..60_000).step_by(500) {
+            let now = reading.received_at + Duration::from_millis(elapsed_ms);
+            // The worker restarted right after the reading was taken.
+            let next_clock_ms = answer_age_ms + elapsed_ms;
+            assert!(!reading.agrees_with(next_clock_ms, now));
+        }
+    }
+}
+
 /// Guards against two runs of a task at once: the worker is known to have restarted, and a renewal for
 /// the former incarnation lengthens the lease of the run.
 #[test]
