--- a/src/workflow/placer/tests/fixture.rs
+++ b/src/workflow/placer/tests/fixture.rs
@@ -15,6 +15,7 @@
 };
 use crate::workflow::queues::{PlacementPolicy, Queue, QueueAddress, QueueConfiguration, Service};
 use crate::workflow::records::RunOutcome;
+use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
 use crate::workflow::spec::{StageKey, StageSpec, TaskKey, WorkflowSpec};
 use crate::workflow::state::{JobPhase, WorkflowState};
 use crate::workflow::workers::{WorkerHeartbeat, WorkerRecord};
@@ -379,6 +380,35 @@
         }
     }
 
+    /// Lets a relay report the answer of the worker `w` to the start order of the first run.
+    pub(super) fn report_start_answer(
+        &mut self,
+        relay: &str,
+        (outcome, clock_ms): (OrderOutcome, u64),
+        earlier_attempt_open: bool,
+    ) {
+        let event = RelayEvent {
+            worker: "w".to_owned(),
+            incarnation: 1,
+            kind: RelayEventKind::StartAnswered {
+                task: task(0),
+                run: 1,
+                answer: OrderAnswer {
+                    outcome,
+                    clock_ms: Some(clock_ms),
+                },
+                earlier_attempt_open,
+            },
+        };
+        self.term
+            .handle_relay_event(&relay.to_owned(), event, self.now);
+    }
+
+    /// Returns the relay of the worker `w`.
+    pub(super) fn relay(&self) -> String {
+        self.term.workers["w"].relay.clone().unwrap()
+    }
+
     /// Returns the number of collected start orders.
     pub(super) fn starts(&self) -> usize {
         let starts = self.orders.iter();
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -167,27 +167,8 @@
     outcome: OrderOutcome,
     earlier_attempt_open: bool,
 ) {
-    let event = RelayEvent {
-        worker: "w".to_owned(),
-        incarnation: 1,
-        kind: RelayEventKind::StartAnswered {
-            task: task(0),
-            run: 1,
-            answer: OrderAnswer {
-                outcome,
-                clock_ms: Some(fixture.clock_ms()),
-            },
-            earlier_attempt_open,
-        },
-    };
-    let now = fixture.now;
-    fixture
-        .term
-        .handle_relay_event(&relay.to_owned(), event, now);
-}
-
-fn relay(fixture: &Fixture) -> String {
-    fixture.term.workers["w"].relay.clone().unwrap()
+    let answer = (outcome, fixture.clock_ms());
+    fixture.report_start_answer(relay, answer, earlier_attempt_open);
 }
 
 /// Guards against runs that are stopped by a change of the relay: its higher token makes the worker
@@ -198,11 +179,11 @@
     fixture.submit(vec![stage(1)]);
     fixture.commit_all();
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
-    let former = relay(&fixture);
+    let former = fixture.relay();
     change_relay(&mut fixture);
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
     report_start_answer(&mut fixture, &former, OrderOutcome::Fenced, false);
-    let new = relay(&fixture);
+    let new = fixture.relay();
     report_start_answer(&mut fixture, &new, OrderOutcome::Done, false);
     let phase = fixture.term.runs[&task(0)].phase;
     assert!(matches!(phase, RunPhase::Running { .. }), "{phase:?}");
@@ -213,7 +194,7 @@
     fixture.submit(vec![stage(1)]);
     fixture.commit_all();
     assert_eq!(send_starts(fixture), [(0, 1)]);
-    let relay = relay(fixture);
+    let relay = fixture.relay();
     report_start_answer(fixture, &relay, OrderOutcome::Done, true);
     let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
     fixture.report("w", vec![], vec![end]);
@@ -241,7 +222,7 @@
     fixture.submit(vec![stage(1)]);
     fixture.commit_all();
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
-    let first = relay(&fixture);
+    let first = fixture.relay();
     report_start_answer(&mut fixture, &first, OrderOutcome::Done, true);
     fixture.advance(5 * LATE_CALL_LIMIT);
     contact(&mut fixture, "entry-1", false);
@@ -311,7 +292,7 @@
             may_have_arrived: true,
         },
     };
-    let (relay, now) = (relay(&fixture), fixture.now);
+    let (relay, now) = (fixture.relay(), fixture.now);
     fixture.term.handle_relay_event(&relay, event, now);
     let stop = OrderAnswer {
         outcome: OrderOutcome::Done,
--- a/src/workflow/placer/tests/permits.rs
+++ b/src/workflow/placer/tests/permits.rs
@@ -7,9 +7,8 @@
 use super::claims::{run_number, step};
 use super::fixture::*;
 use super::restarts::{MAX_LEASE, expect_next_run, expect_run_until, no_answer};
-use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
+use crate::workflow::calls::{CallFailure, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::leases::ClockReading;
-use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
 use crate::workflow::spec::StageSpec;
 
 /// Time for which a worker accepts a permit.
@@ -62,24 +61,10 @@
     expect_next_run(fixture, "w", 1);
 }
 
-/// Lets the relay report the answer of the worker `w` to the start order of its run.
-fn answer_start(fixture: &mut Fixture, outcome: OrderOutcome, clock_ms: u64) {
-    let event = RelayEvent {
-        worker: "w".to_owned(),
-        incarnation: 1,
-        kind: RelayEventKind::StartAnswered {
-            task: task(0),
-            run: 1,
-            answer: OrderAnswer {
-                outcome,
-                clock_ms: Some(clock_ms),
-            },
-            earlier_attempt_open: false,
-        },
-    };
-    let now = fixture.now;
-    let relay = fixture.term.workers["w"].relay.clone().unwrap();
-    fixture.term.handle_relay_event(&relay, event, now);
+/// Lets the relay report that the worker `w` has carried out the start order of its run.
+fn answer_start(fixture: &mut Fixture, clock_ms: u64) {
+    let answer = (OrderOutcome::Done, clock_ms);
+    fixture.report_start_answer(&fixture.relay(), answer, false);
 }
 
 /// Guards against two runs of a task at once: the permit was issued for an incarnation that the placer
@@ -99,7 +84,7 @@
 #[test]
 fn a_permitted_start_counts_for_the_lease_once_the_known_incarnation_was_at_work() {
     let answered = |fixture: &mut Fixture| {
-        answer_start(fixture, OrderOutcome::Done, fixture.clock_ms());
+        answer_start(fixture, fixture.clock_ms());
     };
     let listed = |fixture: &mut Fixture| fixture.report("w", vec![listed(0, 1)], vec![]);
     let listed_without_the_run = |fixture: &mut Fixture| {
@@ -156,7 +141,7 @@
     live.clock.as_mut().unwrap().clock_ms = 3_000;
     live.granted_until_clock_ms = 3_000 + LEASE.as_millis() as u64;
     live.unknown_until_clock_ms = 0;
-    answer_start(&mut fixture, OrderOutcome::Done, 1_000);
+    answer_start(&mut fixture, 1_000);
     add_other(&mut fixture);
     expect_second_run_after(&mut fixture, sent_at + PERMITTED_LEASE);
 }
@@ -193,7 +178,7 @@
         assert_eq!(fixture.term.workers["w"].record.incarnation, 1);
     };
     let restarted = |fixture: &mut Fixture| fixture.restart("w");
-    let answered = |fixture: &mut Fixture| answer_start(fixture, OrderOutcome::Done, 10);
+    let answered = |fixture: &mut Fixture| answer_start(fixture, 10);
     type Sign = fn(&mut Fixture);
     let cases: [Sign; 3] = [claimed, restarted, answered];
     for show in cases {
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -11,7 +11,6 @@
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
-use crate::workflow::relay::messages::{RelayEvent, RelayEventKind};
 use crate::workflow::state::JobPhase;
 
 pub(super) const MAX_LEASE: Duration = Duration::from_secs(10);
@@ -222,22 +221,8 @@
 
 /// Lets the relay report the answer of the worker `w` to the start order of its run.
 fn report_start_answer(fixture: &mut Fixture, clock_ms: u64, earlier_attempt_open: bool) {
-    let event = RelayEvent {
-        worker: "w".to_owned(),
-        incarnation: 1,
-        kind: RelayEventKind::StartAnswered {
-            task: task(0),
-            run: 1,
-            answer: OrderAnswer {
-                outcome: OrderOutcome::Done,
-                clock_ms: Some(clock_ms),
-            },
-            earlier_attempt_open,
-        },
-    };
-    let now = fixture.now;
-    let relay = fixture.term.workers["w"].relay.clone().unwrap();
-    fixture.term.handle_relay_event(&relay, event, now);
+    let answer = (OrderOutcome::Done, clock_ms);
+    fixture.report_start_answer(&fixture.relay(), answer, earlier_attempt_open);
 }
 
 /// Guards against two runs of a task at once: a copy of a start order without an answer was carried
