--- a/tests/workflow_permits.rs
+++ b/tests/workflow_permits.rs
@@ -11,7 +11,7 @@
 use http::Method;
 use platform_support::policy::PolicyService;
 use platform_support::processes::HostProcesses;
-use platform_support::runner::{RunnerOptions, overlaps};
+use platform_support::runner::{RunnerOptions, overlaps, repeats};
 use platform_support::{Cell, CellSize, Ports, Runner, await_some, configuration_with_policy};
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -33,6 +33,9 @@
 /// Delay of a start order that is carried out late, but before its permit has expired.
 const LATE_START: Duration = Duration::from_millis(2_200);
 
+/// Run time of a task that ends before the cell knows of the process that runs it.
+const SHORT_RUN: Duration = Duration::from_millis(300);
+
 /// A cell of processes whose queue has a placement policy.
 struct Hosts {
     policy: PolicyService,
@@ -169,3 +172,45 @@
     restarted.deliver(&restarted.proxy().take_held()[..1]);
     expect_no_second_run(&mut hosts, &restarted);
 }
+
+/// Guards against finished work that runs again: a process that the cell does not know runs a task with
+/// a permit, and then carries out an acknowledgement for its former process, which makes it forget the
+/// end before anybody has read it.
+#[test]
+fn a_late_acknowledgement_erases_no_end_of_a_permitted_run() {
+    let mut hosts = Hosts::start(17_655);
+    let short = RunnerOptions {
+        run_time: SHORT_RUN,
+        ..options()
+    };
+    let restarted = hosts.add("i-1", short);
+    thread::sleep(AGE_AT_CRASH);
+    let acknowledges =
+        |request: &str| request.contains("/api/hold") && !request.contains("\"ack_cursor\":0");
+    restarted.proxy().hold(Some(Box::new(acknowledges)));
+    hosts.submit("00c0ffee00000100");
+    await_some(|| restarted.proxy().holds_request().then_some(()));
+    restarted.crash_unseen(DOWN_TIME);
+    let job = "00c0ffee00000101";
+    hosts.submit(job);
+    let submitted_at = Instant::now();
+    while restarted.listed_ends() == 0 && submitted_at.elapsed() < ORDER_TIME {
+        thread::sleep(Duration::from_millis(10));
+    }
+    restarted.deliver(&restarted.proxy().take_held());
+    restarted.proxy().hold(None);
+
+    let other = hosts.add("i-2", short);
+    let cell = &hosts.cell;
+    let announced = restarted.next_heartbeat();
+    cell.announce("i-1", &restarted, announced);
+    cell.await_with_heartbeats("i-2", &other, || {
+        (cell.state(job).as_deref() == Some("completed")).then_some(())
+    });
+    assert_eq!(
+        repeats(&[&restarted, &other]),
+        [],
+        "finished work ran again"
+    );
+    hosts.processes.assert_running();
+}
