bug: an acknowledgement could erase the end of a run with a permit

What callers could see: finished work runs again, on queues with a placement policy.

Cause: relays kept acknowledgements apart from start orders without permits only, with the reason that a permit is valid for one incarnation. It may be for one that the cell does not know: that process runs the task, an acknowledgement for the former process reaches it after the task has ended, and its first list shows neither the run nor its end.

Change: a relay sends no start order while an acknowledgement has no answer and the other way round, with a permit or without. An order with a permit that has no answer counts until the worker has answered a call that was sent after it, which shows that the permit was not for a later process. An order that waited is sent only if the worker has answered since.

a_start_order_with_a_permit_waits_for_no_acknowledgement keeps its check under another name: after an acknowledgement whose answer is no longer awaited, such an order needs no higher token. That it waits for one that is awaited is checked by start_orders_and_acknowledgements_are_never_open_together, which has both kinds of orders now.

--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -27,10 +27,15 @@
     pub token: CallToken,
     /// Whether a start order without a permit was to be sent; never reset.
     pub takes_starts: bool,
-    /// Start orders without a permit whose answer is awaited.
+    /// Start orders whose answer is awaited.
     pub starts: usize,
+    /// Whether a start order with a permit was to be sent; never reset.
+    pub takes_permitted_starts: bool,
     /// Time until which a start order whose answer is no longer awaited may be carried out.
     pub starts_open_until: Option<Instant>,
+    /// Time at which a start order with a permit was given up, unless the incarnation has answered a
+    /// later call.
+    pub permitted_start_open_since: Option<Instant>,
     /// Whether the answer to an acknowledgement is awaited.
     pub is_acknowledging: bool,
     /// Whether an acknowledgement waits for the answers to start orders; new ones wait for it.
@@ -41,10 +46,10 @@
 }
 
 impl OpenCalls {
-    /// Whether a start order without a permit may be sent.
-    pub fn may_start(&self, token: CallToken) -> bool {
+    /// Whether a start order may be sent; one with a permit needs no higher token.
+    pub fn may_start(&self, token: CallToken, has_permit: bool) -> bool {
         let waits = self.is_acknowledging || self.acknowledgement_waits;
-        !waits && !self.needs_higher_token(token)
+        !waits && (has_permit || !self.needs_higher_token(token))
     }
 
     /// Whether start orders need a higher token than this one.
@@ -61,7 +66,15 @@
 
     /// Whether a start order whose answer is no longer awaited may be carried out.
     pub fn is_start_open(&self, now: Instant) -> bool {
-        self.starts_open_until.is_some_and(|until| now < until)
+        self.permitted_start_open_since.is_some()
+            || self.starts_open_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that the incarnation has answered a call that was sent at a time, and returns whether this
+    /// shows that an order with a permit can no longer be carried out by a later one.
+    pub fn note_answer(&mut self, sent_at: Instant) -> bool {
+        let is_later = |since: &mut Instant| *since < sent_at;
+        self.permitted_start_open_since.take_if(is_later).is_some()
     }
 
     /// Whether nothing has to be remembered.
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Whether the incarnation of the grants has answered recently.
+    pub(super) fn is_confirmed(&self) -> bool {
+        let state = self.state.lock().unwrap();
+        let now = Instant::now();
+        !state.ended && state.confirmed_until.is_some_and(|until| now < until)
+    }
+
     fn set_confirmed_until(&self, until: Option<Instant>) {
         self.state.lock().unwrap().confirmed_until = until;
         self.changed.notify_all();
@@ -129,6 +136,10 @@
             let deadline = sent_at + Duration::from_millis(order.wait_ms) + RENEWAL_GRACE;
             let result = (relay.outside.renew)(&self.target, &order, deadline);
             let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
+            if is_unanswered {
+                // Start orders that wait for the answer to an acknowledgement find this afterwards.
+                self.set_confirmed_until(None);
+            }
             if let Some(open) = open.filter(|_| !is_unanswered) {
                 open.settle();
             }
@@ -167,6 +178,7 @@
             confirmed = true;
             wait = RENEWAL_WAIT;
             self.note_acknowledged(order.recorded_ends);
+            relay.open_calls.note_answer(&self.target, sent_at);
             let now = Instant::now();
             self.set_confirmed_until(Some(now + CONFIRMATION_VALIDITY));
             let last_end = report.ends.last().map_or(0, |end| end.number);
--- a/src/workflow/relay/open_calls.rs
+++ b/src/workflow/relay/open_calls.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use super::super::calls::WorkerTarget;
+use super::super::calls::{StartOrder, WorkerTarget};
 use super::super::decisions::open_calls::OpenCalls;
 use crate::ids::{Epoch, WorkerId};
 
@@ -25,44 +25,63 @@
         }
     }
 
-    /// Waits until a start order without a permit may be sent; `None` if it may not be sent before the
-    /// deadline.
+    /// Waits until a start order may be sent; `None` if it may not be sent before the deadline.
     pub(super) fn begin_start<'a>(
         &'a self,
         target: &'a WorkerTarget,
-        epoch: Epoch,
+        order: &StartOrder,
         deadline: Instant,
     ) -> Option<OpenStart<'a>> {
+        let (epoch, has_permit) = (order.fence, order.permit.is_some());
         let token = (epoch, target.generation);
         let mut workers = self.workers.lock().unwrap();
         loop {
             let calls = calls_to(&mut workers, target, epoch)?;
-            calls.takes_starts = true;
-            if calls.may_start(token) {
+            calls.takes_starts |= !has_permit;
+            calls.takes_permitted_starts |= has_permit;
+            if calls.may_start(token, has_permit) {
                 calls.starts += 1;
                 return Some(OpenStart {
-                    table: Some(self),
+                    table: self,
                     target,
+                    has_permit,
                     may_be_late: true,
                 });
             }
             let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() || calls.needs_higher_token(token) {
+            let is_outdated = !has_permit && calls.needs_higher_token(token);
+            if left.is_zero() || is_outdated {
                 return None;
             }
             workers = self.wait(workers, left);
         }
     }
 
-    fn end_start(&self, target: &WorkerTarget, may_be_late: bool) {
-        self.update(target, |calls| {
+    fn end_start(&self, start: &OpenStart<'_>) {
+        self.update(start.target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
-            if may_be_late {
-                calls.starts_open_until = Some(Instant::now() + self.late_call_limit);
+            if !start.may_be_late {
+                return;
+            }
+            let now = Instant::now();
+            if start.has_permit {
+                calls.permitted_start_open_since = Some(now);
+            } else {
+                calls.starts_open_until = Some(now + self.late_call_limit);
             }
         });
     }
 
+    /// Notes that the incarnation of the target has answered a call that was sent at a time.
+    pub(super) fn note_answer(&self, target: &WorkerTarget, sent_at: Instant) {
+        let mut workers = self.workers.lock().unwrap();
+        let calls = workers.get_mut(&target.worker);
+        let current = calls.filter(|calls| calls.incarnation == target.incarnation);
+        if current.is_some_and(|calls| calls.note_answer(sent_at)) {
+            self.changed.notify_all();
+        }
+    }
+
     /// Waits until an acknowledgement may be sent; `None` if it may not be sent before the deadline.
     pub(super) fn begin_acknowledgement<'a>(
         &'a self,
@@ -106,7 +125,7 @@
     pub(super) fn separates_acknowledgements(&self, target: &WorkerTarget) -> bool {
         let workers = self.workers.lock().unwrap();
         let calls = workers.get(&target.worker);
-        calls.is_some_and(|calls| calls.takes_starts)
+        calls.is_some_and(|calls| calls.takes_starts || calls.takes_permitted_starts)
     }
 
     /// Whether start orders need a higher token than that of the target.
@@ -145,22 +164,13 @@
 /// A start order that is being sent. When it is dropped, the worker may carry it out late, unless it
 /// was settled.
 pub(super) struct OpenStart<'a> {
-    /// `None` for an order with a permit.
-    table: Option<&'a OpenCallTable>,
+    table: &'a OpenCallTable,
     target: &'a WorkerTarget,
+    has_permit: bool,
     may_be_late: bool,
 }
 
-impl<'a> OpenStart<'a> {
-    /// Returns an order with a permit, which waits for no acknowledgement.
-    pub(super) fn exempt(target: &'a WorkerTarget) -> Self {
-        Self {
-            table: None,
-            target,
-            may_be_late: false,
-        }
-    }
-
+impl OpenStart<'_> {
     /// Notes that the order was answered or certainly not sent.
     pub(super) fn settle(mut self) {
         self.may_be_late = false;
@@ -169,9 +179,7 @@
 
 impl Drop for OpenStart<'_> {
     fn drop(&mut self) {
-        if let Some(table) = self.table {
-            table.end_start(self.target, self.may_be_late);
-        }
+        self.table.end_start(self);
     }
 }
 
@@ -214,6 +222,7 @@
         *calls = OpenCalls {
             incarnation: target.incarnation,
             takes_starts: calls.takes_starts,
+            takes_permitted_starts: calls.takes_permitted_starts,
             ..OpenCalls::default()
         };
     }
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -54,8 +54,7 @@
 
     /// Whether a start order may be sent now. Waits for an answer of the worker if the latest is not
     /// recent, as after a pause of this process: the worker may have restarted, and its new
-    /// incarnation would start the run. Waits for the answer to an acknowledgement, unless the order
-    /// has a permit.
+    /// incarnation would start the run. Waits for the answer to an acknowledgement.
     fn begin_start<'a>(
         &'a self,
         target: &'a WorkerTarget,
@@ -63,14 +62,15 @@
         valid_until: Instant,
     ) -> Option<OpenStart<'a>> {
         let link = self.link(target, order.fence)?;
-        if !link.await_confirmation(valid_until) {
-            return None;
-        }
-        if order.permit.is_some() {
-            return Some(OpenStart::exempt(target));
+        while link.await_confirmation(valid_until) {
+            let open = self.open_calls.begin_start(target, order, valid_until)?;
+            // The acknowledgement that the order waited for may have had no answer.
+            if link.is_confirmed() {
+                return Some(open);
+            }
+            open.settle();
         }
-        self.open_calls
-            .begin_start(target, order.fence, valid_until)
+        None
     }
 
     /// Sends a start order, whose first attempt is `open`.
--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -11,6 +11,7 @@
     CallFailure, ListedEnd, ListedRun, OrderAnswer, OrderOutcome, OutsideCalls, RenewOrder,
     StartOrder, WorkerReport, WorkerTarget,
 };
+use jujubewinch::workflow::decisions::open_calls::OpenCalls;
 use jujubewinch::workflow::records::RunOutcome;
 use jujubewinch::workflow::relay::Relay;
 use jujubewinch::workflow::relay::messages::{
@@ -269,20 +270,40 @@
     assert_eq!(test.worker.acknowledgements(), 1);
 }
 
-/// Guards against a start order and an acknowledgement that are on their way at the same time.
+/// Guards against a start order and an acknowledgement that are on their way at the same time. A permit
+/// may be for the next process as well.
 #[test]
 fn start_orders_and_acknowledgements_are_never_open_together() {
-    let test = TestRelay::start(WAIT_TIMEOUT);
-    test.instruct(0, 0, Vec::new());
-    for round in 1..=40_u32 {
-        test.worker.ends.store(u64::from(round), Ordering::Release);
-        let orders = (0..5).map(|order| start_order(round * 5 + order, None));
-        test.instruct(0, u64::from(round), orders.collect());
-        thread::sleep(ANSWER_TIME * 2);
+    for permit in [None, Some("permit")] {
+        let test = TestRelay::start(WAIT_TIMEOUT);
+        test.instruct(0, 0, Vec::new());
+        for round in 1..=40_u32 {
+            test.worker.ends.store(u64::from(round), Ordering::Release);
+            let orders = (0..5).map(|order| start_order(round * 5 + order, permit));
+            test.instruct(0, u64::from(round), orders.collect());
+            thread::sleep(ANSWER_TIME * 2);
+        }
+        await_true(|| test.worker.starts.load(Ordering::Acquire) >= 200);
+        assert!(test.worker.acknowledgements() > 0);
+        assert_eq!(test.worker.meetings.load(Ordering::Acquire), 0);
     }
-    await_true(|| test.worker.starts.load(Ordering::Acquire) >= 200);
-    assert!(test.worker.acknowledgements() > 0);
-    assert_eq!(test.worker.meetings.load(Ordering::Acquire), 0);
+}
+
+/// Guards against an acknowledgement that follows a start order with a permit for the next process: only
+/// an answer to a later call shows that the permit was not for that one.
+#[test]
+fn an_end_is_acknowledged_once_a_permitted_start_is_not_for_the_next_process() {
+    let given_up_at = Instant::now();
+    let (earlier, later) = (given_up_at - ANSWER_TIME, given_up_at + ANSWER_TIME);
+    let mut calls = OpenCalls {
+        permitted_start_open_since: Some(given_up_at),
+        ..OpenCalls::default()
+    };
+    assert!(!calls.may_acknowledge(given_up_at + WAIT_TIMEOUT));
+    assert!(!calls.note_answer(earlier));
+    assert!(!calls.may_acknowledge(given_up_at + WAIT_TIMEOUT));
+    assert!(calls.note_answer(later));
+    assert!(calls.may_acknowledge(later));
 }
 
 /// Guards against an acknowledgement that follows a start order without an answer.
@@ -323,10 +344,10 @@
     test.await_event(is_start_answer);
 }
 
-/// Guards against work that is held back although its permit keeps the next process from starting
-/// it.
+/// Guards against work that is held back for long although it has a permit: after an acknowledgement
+/// whose answer is no longer awaited, it needs no higher token.
 #[test]
-fn a_start_order_with_a_permit_waits_for_no_acknowledgement() {
+fn a_start_order_with_a_permit_waits_for_no_higher_token() {
     let test = TestRelay::with_unanswered_acknowledgement();
     test.instruct(0, 1, vec![start_order(1, Some("permit"))]);
     test.await_event(is_start_answer);
