refactor: the record of simulated runs has a module of its own

Two methods looked up the same run in the same way, and the submission of a task stood in three tests.

Change: run_record.rs holds the record and the checks `overlaps` and `repeats`; one lookup serves both changes of a run; Cell::submit_task serves the three tests. Only tests change, and no assertion. `repeats` brings the record up to date first, as `overlaps` does.

--- a/tests/cell_restarts.rs
+++ b/tests/cell_restarts.rs
@@ -10,7 +10,8 @@
 use http::Method;
 use platform_support::policy::PolicyService;
 use platform_support::processes::HostProcesses;
-use platform_support::runner::{RunnerOptions, overlaps, repeats};
+use platform_support::run_record::{overlaps, repeats};
+use platform_support::runner::RunnerOptions;
 use platform_support::{
     Cell, CellSize, Ports, Runner, configuration_with_policy, first_port, seeds,
 };
--- a/tests/platform_support/customers.rs
+++ b/tests/platform_support/customers.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use super::runner::recorded_runs;
+use super::run_record::recorded_runs;
 use super::{Cell, Runner, await_some, configuration};
 
 /// Processors of a task, in thousandths of a core.
--- a/tests/platform_support/late_clients.rs
+++ b/tests/platform_support/late_clients.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use super::recorded::{TestCell, path};
-use super::runner::recorded_runs;
+use super::run_record::recorded_runs;
 use super::{Runner, await_some};
 
 /// A job that may wait for long, so that a busy cell accepts it.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -9,6 +9,7 @@
 pub mod processes;
 pub mod proxy;
 pub mod recorded;
+pub mod run_record;
 pub mod runner;
 
 use std::ops::{Range, RangeInclusive};
@@ -243,6 +244,17 @@
         self.control(&Method::PUT, "/api/config", &configuration(version))
     }
 
+    /// Submits a job with one task until it is acknowledged.
+    pub fn submit_task(&self, job: &str) {
+        let body = json!({"task_spec": "plan", "steps": [
+            {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 60_000}]});
+        let path = format!("/plans/{job}");
+        await_some(|| {
+            let answer = self.caller(Method::POST, &path, &body)?;
+            (answer.status == 200).then_some(())
+        });
+    }
+
     /// State of a job; `None` if no answer with a state arrived.
     pub fn state(&self, job: &str) -> Option<String> {
         let answer = self.caller(Method::GET, &format!("/plans/{job}"), &Value::Null)?;
--- a/tests/platform_support/recorded.rs
+++ b/tests/platform_support/recorded.rs
@@ -12,7 +12,8 @@
 
 use super::customers::TestCustomer;
 use super::processes::HostProcesses;
-use super::runner::{RunnerOptions, overlaps};
+use super::run_record::overlaps;
+use super::runner::RunnerOptions;
 use super::{Cell, CellSize, Ports, Runner, WAIT_TIMEOUT, await_some, configuration};
 
 /// State that a job has to reach.
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -13,6 +13,7 @@
 use super::await_some;
 use super::policy::Permits;
 use super::proxy::{Proxy, deliver};
+use super::run_record::{RunRecord, overlaps};
 
 /// Delay of an answer that counts as lost; longer than the sender of an order waits for it.
 const LOST_ANSWER_DELAY: Duration = Duration::from_millis(1_500);
@@ -51,20 +52,7 @@
     permits: Mutex<Option<Arc<Permits>>>,
     server: Mutex<Option<Server>>,
     /// Runs of all processes, in the order of their starts.
-    runs: Mutex<Vec<RecordedRun>>,
-}
-
-/// A run that was started.
-struct RecordedRun {
-    /// Number of the process that started it.
-    born: u64,
-    task: String,
-    run: u64,
-    started_at: Instant,
-    /// `None` while the run is at work.
-    ended_at: Option<Instant>,
-    /// Whether the run ended as done and this end was acknowledged, while the lease did not lapse.
-    done_is_noted: bool,
+    runs: RunRecord,
 }
 
 /// State of a process, which ends with it.
@@ -136,7 +124,7 @@
             lose_answers: AtomicUsize::new(0),
             permits: Mutex::default(),
             server: Mutex::new(None),
-            runs: Mutex::default(),
+            runs: RunRecord::default(),
         });
         runner.start_process(&[]);
         let background = Arc::clone(&runner);
@@ -170,10 +158,7 @@
         self.proxy.set_process(None);
         let mut state = self.state.lock().unwrap();
         self.end_runs(&mut state);
-        let now = Instant::now();
-        for run in self.runs.lock().unwrap().iter_mut() {
-            run.ended_at.get_or_insert(now);
-        }
+        self.runs.end_all(Instant::now());
         *state = RunnerState::new(state.born + 1, Duration::ZERO);
         self.changed.notify_all();
         drop(state);
@@ -243,7 +228,7 @@
 
     /// Returns the task and run number of each started run, in order.
     pub fn starts(&self) -> Vec<(String, u64)> {
-        let runs = self.runs.lock().unwrap();
+        let runs = self.runs.lock();
         runs.iter().map(|run| (run.task.clone(), run.run)).collect()
     }
 
@@ -256,7 +241,7 @@
     pub fn await_start(&self) -> Instant {
         let born = self.born();
         await_some(|| {
-            let runs = self.runs.lock().unwrap();
+            let runs = self.runs.lock();
             let run = runs.iter().find(|run| run.born == born)?;
             Some(run.started_at)
         })
@@ -270,7 +255,7 @@
     /// Returns the tasks that are at work or named in one of the held requests.
     pub fn present_tasks(&self, held: &[Vec<u8>]) -> IndexSet<String> {
         let mut present: IndexSet<String> = held.iter().filter_map(|it| task_of(it)).collect();
-        let runs = self.runs.lock().unwrap();
+        let runs = self.runs.lock();
         let at_work = runs.iter().filter(|run| run.ended_at.is_none());
         present.extend(at_work.map(|run| run.task.clone()));
         present
@@ -281,6 +266,12 @@
         overlaps(&[self])
     }
 
+    /// Returns the runs of all processes up to now.
+    pub fn run_record(&self) -> &RunRecord {
+        self.end_runs(&mut self.state.lock().unwrap());
+        &self.runs
+    }
+
     /// Ends runs that are complete, and all runs once the lease has expired. The recorded ends are
     /// those of the runs, also when the check is late.
     fn end_runs(&self, state: &mut RunnerState) {
@@ -313,26 +304,10 @@
         state.next_end += 1;
         let closed = state.closed.entry(task.to_owned()).or_insert(0);
         *closed = run.max(*closed);
-        self.record_end(task, run, at);
+        self.runs.end(task, run, at);
         self.changed.notify_all();
     }
 
-    fn record_end(&self, task: &str, run: u64, at: Instant) {
-        let mut runs = self.runs.lock().unwrap();
-        let mut latest = runs.iter_mut().rev();
-        if let Some(recorded) = latest.find(|other| other.task == task && other.run == run) {
-            recorded.ended_at.get_or_insert(at);
-        }
-    }
-
-    fn note_done(&self, task: &str, run: u64) {
-        let mut runs = self.runs.lock().unwrap();
-        let mut latest = runs.iter_mut().rev();
-        if let Some(recorded) = latest.find(|other| other.task == task && other.run == run) {
-            recorded.done_is_noted = true;
-        }
-    }
-
     /// Locks the state of a process; `None` if it has crashed.
     fn lock(&self, born: u64) -> Option<MutexGuard<'_, RunnerState>> {
         let state = self.state.lock().unwrap();
@@ -404,19 +379,11 @@
         }
         let current = state.running.get(&task).map(|(current, _)| *current);
         if current != Some(run) {
-            let mut runs = self.runs.lock().unwrap();
-            runs.push(RecordedRun {
-                born,
-                task: task.clone(),
-                run,
-                started_at: now,
-                ended_at: None,
-                done_is_noted: false,
-            });
-            drop(runs);
+            self.runs.start(born, &task, run, now);
             if let Some(replaced) = current {
                 // Ends after the start of the other run, so that both count as at work at once.
-                self.record_end(&task, replaced, now + Duration::from_nanos(1));
+                self.runs
+                    .end(&task, replaced, now + Duration::from_nanos(1));
             }
             let ends_at = now + self.options.run_time;
             state.running.insert(task, (run, ends_at));
@@ -457,7 +424,7 @@
         let forgotten = state.ended.extract_if(.., |(number, ..)| *number <= cursor);
         for (number, task, run, outcome) in forgotten {
             if outcome == "done" && number > lapsed_end {
-                self.note_done(&task, run);
+                self.runs.note_done(&task, run);
             }
         }
         let no_ends = |state: &mut RunnerState| state.born == born && state.ended.is_empty();
@@ -491,48 +458,3 @@
     let body: Value = serde_json::from_slice(&request[body..]).unwrap();
     body["task"].as_str().map(str::to_owned)
 }
-
-/// Task, start and end of the runs of all runners, in the order of their starts.
-pub fn recorded_runs(runners: &[&Runner]) -> Vec<(String, Instant, Option<Instant>)> {
-    let mut runs = Vec::new();
-    for runner in runners {
-        runner.end_runs(&mut runner.state.lock().unwrap());
-        let recorded = runner.runs.lock().unwrap();
-        let recorded = recorded.iter();
-        runs.extend(recorded.map(|run| (run.task.clone(), run.started_at, run.ended_at)));
-    }
-    runs.sort_by_key(|(_, started_at, _)| *started_at);
-    runs
-}
-
-/// Number of runs that started on one of the runners while another run of the same task was at work
-/// on any of them.
-pub fn overlaps(runners: &[&Runner]) -> usize {
-    let runs = recorded_runs(runners);
-    let at_work = |position: usize| {
-        let (task, started_at, _) = &runs[position];
-        runs[..position].iter().any(|(other, _, ended_at)| {
-            other == task && ended_at.is_none_or(|ended_at| ended_at > *started_at)
-        })
-    };
-    (0..runs.len())
-        .filter(|position| at_work(*position))
-        .count()
-}
-
-/// Tasks and numbers of the runs that started after another run of the task had ended as done, if that
-/// end was acknowledged while the lease of its worker did not lapse.
-pub fn repeats(runners: &[&Runner]) -> Vec<(String, u64)> {
-    let mut done: IndexMap<String, Instant> = IndexMap::new();
-    let recorded: Vec<_> = runners.iter().map(|it| it.runs.lock().unwrap()).collect();
-    for run in recorded.iter().flat_map(|runs| runs.iter()) {
-        if let Some(ended_at) = run.ended_at.filter(|_| run.done_is_noted) {
-            let first = done.entry(run.task.clone()).or_insert(ended_at);
-            *first = ended_at.min(*first);
-        }
-    }
-    let runs = recorded.iter().flat_map(|runs| runs.iter());
-    runs.filter(|run| done.get(&run.task).is_some_and(|at| *at < run.started_at))
-        .map(|run| (run.task.clone(), run.run))
-        .collect()
-}
--- a/tests/workflow_late_calls.rs
+++ b/tests/workflow_late_calls.rs
@@ -6,11 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use http::Method;
 use platform_support::processes::HostProcesses;
-use platform_support::runner::{RunnerOptions, overlaps};
+use platform_support::run_record::overlaps;
+use platform_support::runner::RunnerOptions;
 use platform_support::{Cell, CellSize, Ports, Runner, await_some};
-use serde_json::json;
 use tempfile::TempDir;
 
 const JOB: &str = "00c0ffee00c0ffee";
@@ -45,17 +44,6 @@
         }
     }
 
-    fn submit(&self, job: &str) {
-        let body = json!({"task_spec": "plan", "steps": [
-            {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 60_000}]});
-        await_some(|| {
-            let answer = self
-                .cell
-                .caller(Method::POST, &format!("/plans/{job}"), &body)?;
-            (answer.status == 200).then_some(())
-        });
-    }
-
     fn await_completion(&self, job: &str) {
         await_some(|| (self.cell.state(job).as_deref() == Some("completed")).then_some(()));
     }
@@ -80,7 +68,7 @@
     thread::sleep(AGE_AT_CRASH);
 
     restarted.proxy().hold(Some(Box::new(is_start)));
-    hosts.submit(JOB);
+    hosts.cell.submit_task(JOB);
     await_some(|| restarted.proxy().holds_request().then_some(()));
     let sent_at = Instant::now();
     restarted.crash();
@@ -127,13 +115,13 @@
     });
     hosts.cell.announce("i-1", &restarted, 1);
     let first_job = "00c0ffee00000001";
-    hosts.submit(first_job);
+    hosts.cell.submit_task(first_job);
     hosts.await_completion(first_job);
     await_some(|| (restarted.listed_ends() == 0).then_some(()));
 
     let is_held = |request: &str| is_start(request) || request.contains("/api/hold");
     restarted.proxy().hold(Some(Box::new(is_held)));
-    hosts.submit(JOB);
+    hosts.cell.submit_task(JOB);
     let held_from = Instant::now();
     let mut held = Vec::new();
     let holds = |held: &[Vec<u8>], path: &str| {
--- a/tests/workflow_permits.rs
+++ b/tests/workflow_permits.rs
@@ -11,9 +11,10 @@
 use http::Method;
 use platform_support::policy::PolicyService;
 use platform_support::processes::HostProcesses;
-use platform_support::runner::{RunnerOptions, overlaps, repeats};
+use platform_support::run_record::{overlaps, repeats};
+use platform_support::runner::RunnerOptions;
 use platform_support::{Cell, CellSize, Ports, Runner, await_some, configuration_with_policy};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::TempDir;
 
 /// Reading of the clock of a first process: a lease on it ends far ahead on the clock of the next.
@@ -69,16 +70,6 @@
         runner
     }
 
-    fn submit(&self, job: &str) {
-        let body = json!({"task_spec": "plan", "steps": [
-            {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 60_000}]});
-        let path = format!("/plans/{job}");
-        await_some(|| {
-            let answer = self.cell.caller(Method::POST, &path, &body)?;
-            (answer.status == 200).then_some(())
-        });
-    }
-
     /// Restarts a worker unseen and submits a job at once, until a start order is seen before the cell
     /// knows of the new process.
     fn order_start_on_unknown_process(&self, worker: &Arc<Runner>, is_seen: impl Fn() -> bool) {
@@ -87,7 +78,7 @@
             await_some(|| (worker.received() > received).then_some(()));
             worker.crash_unseen(DOWN_TIME);
             let job = format!("00c0ffee{number:08x}");
-            self.submit(&job);
+            self.cell.submit_task(&job);
             let submitted_at = Instant::now();
             while submitted_at.elapsed() < ORDER_TIME {
                 if is_seen() {
@@ -188,11 +179,11 @@
     let acknowledges =
         |request: &str| request.contains("/api/hold") && !request.contains("\"ack_cursor\":0");
     restarted.proxy().hold(Some(Box::new(acknowledges)));
-    hosts.submit("00c0ffee00000100");
+    hosts.cell.submit_task("00c0ffee00000100");
     await_some(|| restarted.proxy().holds_request().then_some(()));
     restarted.crash_unseen(DOWN_TIME);
     let job = "00c0ffee00000101";
-    hosts.submit(job);
+    hosts.cell.submit_task(job);
     let submitted_at = Instant::now();
     while restarted.listed_ends() == 0 && submitted_at.elapsed() < ORDER_TIME {
         thread::sleep(Duration::from_millis(10));
--- a/tests/workflow_restarts.rs
+++ b/tests/workflow_restarts.rs
@@ -6,10 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
-use http::Method;
-use platform_support::runner::{RunnerOptions, overlaps};
+use platform_support::run_record::overlaps;
+use platform_support::runner::RunnerOptions;
 use platform_support::{Cell, Ports, Runner, await_some};
-use serde_json::json;
 
 const JOB: &str = "00c0ffee00c0ffee";
 /// Reading of the clock of a first process: a lease on it ends far ahead on the clock of the next.
@@ -55,7 +54,7 @@
     };
     restarted.restart(first);
     cell.announce("i-1", &restarted, 1);
-    submit_task(&cell);
+    cell.submit_task(JOB);
     restarted.await_start();
     restarted.proxy().set_cut(true);
     restarted.deliver(late);
@@ -70,16 +69,6 @@
     );
 }
 
-fn submit_task(cell: &Cell) {
-    let url = format!("/plans/{JOB}");
-    let body = json!({"task_spec": "plan", "steps": [
-        {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 60_000}]});
-    await_some(|| {
-        let answer = cell.caller(Method::POST, &url, &body)?;
-        (answer.status == 200).then_some(())
-    });
-}
-
 /// Guards against a second run of a task while the first one is at work on a worker whose lease was
 /// lengthened by a renewal for its former process, which it carried out before any other call.
 #[test]
@@ -108,7 +97,7 @@
     cell.announce("i-1", &restarted, 1);
     let is_start = |request: &str| request.contains("/api/run-start");
     restarted.proxy().hold(Some(Box::new(is_start)));
-    submit_task(&cell);
+    cell.submit_task(JOB);
     await_some(|| restarted.proxy().holds_request().then_some(()));
     let other = Runner::start_with(options);
     cell.announce("i-2", &other, 1);
