feature: logs name who acknowledged an end and why a start order has no outcome

- 'ends acknowledged' of a relay: incarnation, generation, epoch and the last number.
- 'a start order has no outcome': copies sent, the relay, and whether a heartbeat of another incarnation waits for proof.
- answers to orders, failed and dropped ones name the incarnation that was meant.
- 'ignored the end of a run that is not the latest': number of the end and where the latest run is.

Log lines only.

--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -432,7 +432,14 @@
             }
         }
         for (task, run, worker, gives_up) in due {
-            log::warn!(task:% = task, run, worker = worker.as_str(), gives_up; "a start order has no outcome");
+            let known = self.workers.get(&worker);
+            log::warn!(
+                task:% = task, run, worker = worker.as_str(), gives_up,
+                starts_sent = self.runs.get(&task).map_or(0, |run| run.starts_sent),
+                restart_claimed = known.is_some_and(|known| known.claim.is_some()),
+                relay:? = known.and_then(|known| known.relay.as_ref());
+                "a start order has no outcome"
+            );
             if !gives_up {
                 self.repeat_start(&task);
                 continue;
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -231,7 +231,9 @@
             if !matches {
                 log::info!(
                     task:% = end.run.task, run = end.run.run, worker = worker.as_str(),
-                    outcome:% = end.outcome;
+                    incarnation = live.record.incarnation, number = end.number,
+                    outcome:% = end.outcome, latest_run:? = current.map(|latest| latest.run),
+                    latest_worker:? = current.map(|latest| &latest.worker);
                     "ignored the end of a run that is not the latest"
                 );
                 continue;
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -177,6 +177,14 @@
             }
             confirmed = true;
             wait = RENEWAL_WAIT;
+            if order.recorded_ends > 0 {
+                log::info!(
+                    worker = self.target.worker.as_str(), incarnation = self.target.incarnation,
+                    generation = self.target.generation, epoch = self.epoch,
+                    through = order.recorded_ends;
+                    "ends acknowledged"
+                );
+            }
             self.note_acknowledged(order.recorded_ends);
             relay.open_calls.note_answer(&self.target, sent_at);
             let now = Instant::now();
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -43,7 +43,8 @@
             let Some(open) = self.begin_start(&target, &order, valid_until) else {
                 let late = Instant::now() >= valid_until;
                 log::warn!(
-                    task:% = order.task, run = order.run, worker = target.worker.as_str(), late;
+                    task:% = order.task, run = order.run, worker = target.worker.as_str(),
+                    incarnation = target.incarnation, late;
                     "start order dropped; the placer repeats it"
                 );
                 continue;
@@ -105,7 +106,9 @@
                 Ok(answer) => {
                     log::info!(
                         task:% = order.task, run = order.run, worker = target.worker.as_str(),
+                        incarnation = target.incarnation, generation = target.generation,
                         epoch = order.fence, attempt, outcome:? = answer.outcome,
+                        has_permit = order.permit.is_some(),
                         took_ms = sent_at.elapsed().as_millis() as u64;
                         "start order answered"
                     );
@@ -122,7 +125,8 @@
             };
             may_have_arrived |= is_unanswered;
             log::warn!(
-                task:% = order.task, run = order.run, worker = target.worker.as_str(), attempt;
+                task:% = order.task, run = order.run, worker = target.worker.as_str(),
+                incarnation = target.incarnation, generation = target.generation, attempt;
                 "start order failed: {failure}"
             );
             if !self.is_current(order.fence) {
@@ -149,7 +153,8 @@
             Ok(answer) => {
                 log::info!(
                     task:% = order.task, run = order.run, worker = target.worker.as_str(),
-                    epoch = order.fence, outcome:? = answer.outcome;
+                    incarnation = target.incarnation, epoch = order.fence,
+                    outcome:? = answer.outcome;
                     "stop order answered"
                 );
                 let event = RelayEventKind::StopAnswered {
