bug: failing tests of calls for a former process beside permits

Change: tests over sockets in workflow_permits_late_calls, with real hosts, a policy whose permits are for one process, and a proxy that holds one call; the simulated runner can delay renewals that have arrived. Found while writing: one relay is enough. It gives up the answer to its acknowledgement, later ones are answered, and its next permitted order has the same token as the one that is held.

--- a/tests/platform_support/processes.rs
+++ b/tests/platform_support/processes.rs
@@ -178,6 +178,14 @@
         messages.collect()
     }
 
+    /// Returns the number of the host that logged a line with this text last.
+    pub fn last_host_with_line(&self, text: &str) -> Option<usize> {
+        let log = self.log.lock().unwrap();
+        let mut latest = log.iter().rev();
+        let found = latest.find(|(_, line)| line.contains(text));
+        found.map(|(host, _)| *host)
+    }
+
     /// Returns the latest term of the log and the host that leads in it.
     pub fn leader(&self) -> Option<(u64, usize)> {
         let elected = self.messages(|message| {
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -1,7 +1,7 @@
 //! A simulated runner of the users' platform, which can crash and start again.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -48,6 +48,8 @@
     changed: Condvar,
     /// Number of further start orders that are carried out but whose answers are lost.
     pub lose_answers: AtomicUsize,
+    /// Time for which renewals that have been received wait for the processor, in milliseconds.
+    pub renewal_delay_ms: AtomicU64,
     /// Permits that start orders need; `None` where they need none.
     permits: Mutex<Option<Arc<Permits>>>,
     server: Mutex<Option<Server>>,
@@ -122,6 +124,7 @@
             state: Mutex::new(RunnerState::new(1, options.first_clock)),
             changed: Condvar::new(),
             lose_answers: AtomicUsize::new(0),
+            renewal_delay_ms: AtomicU64::new(0),
             permits: Mutex::default(),
             server: Mutex::new(None),
             runs: RunRecord::default(),
@@ -323,10 +326,14 @@
     fn answer_of_process(&self, request: &Request, born: u64) -> Option<Response> {
         let body: Value = serde_json::from_slice(&request.body).unwrap();
         let fence = body["fence_token"].as_u64().unwrap_or(0);
+        self.lock(born)?.received += 1;
+        if request.path == "/api/hold" {
+            let delay_ms = self.renewal_delay_ms.load(Ordering::Acquire);
+            thread::sleep(Duration::from_millis(delay_ms));
+        }
         {
             let mut state = self.lock(born)?;
             self.end_runs(&mut state);
-            state.received += 1;
             if Instant::now() >= state.lapses_at() {
                 state.lapsed_end = state.next_end - 1;
             }
--- /dev/null
+++ b/tests/workflow_permits_late_calls.rs
@@ -0,0 +1,287 @@
+//! Tests calls for the former process of a worker that are held over an unseen restart and carried out
+//! by the next process, after an order with a permit for that one.
+
+mod platform_support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use platform_support::policy::PolicyService;
+use platform_support::processes::HostProcesses;
+use platform_support::run_record::{overlaps, repeats};
+use platform_support::runner::RunnerOptions;
+use platform_support::{Cell, CellSize, Ports, Runner, await_some, configuration_with_policy};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Reading of the clock of a first process: a lease on it ends far ahead on the clock of the next.
+const FIRST_CLOCK: Duration = Duration::from_secs(600);
+/// Age of the cell at the first job.
+const WARM_UP: Duration = Duration::from_secs(5);
+/// Time in which a relay gives up an acknowledgement and sends it again, or a worker gets another
+/// relay, which then sends its acknowledgement.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Time between a crash and the start of the next process.
+const DOWN_TIME: Duration = Duration::from_millis(100);
+/// Time in which an order for a worker that restarted unseen is sent or dropped.
+const ORDER_TIME: Duration = Duration::from_millis(2_500);
+/// Run time of a task that ends before the cell knows of the process that runs it.
+const SHORT_RUN: Duration = Duration::from_millis(300);
+
+/// Run time of a task that is at work for the whole test.
+const LONG_RUN: Duration = Duration::from_secs(60);
+/// Attempts of a relay to send a start order.
+const ORDER_ATTEMPTS: usize = 3;
+/// Restarts in which the order may arrive too late, as on a busy machine.
+const MAX_RESTARTS: u64 = 8;
+
+/// A cell of processes whose queue has a placement policy.
+struct Hosts {
+    policy: PolicyService,
+    cell: Cell,
+    processes: HostProcesses,
+    /// Entry host that serves the caller.
+    entry: usize,
+    _folder: TempDir,
+}
+
+impl Hosts {
+    fn start(first_port: u16, entry_hosts: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let policy = PolicyService::start();
+        let ports = Ports::starting_at(first_port);
+        let size = CellSize {
+            entry_hosts,
+            ..CellSize::SMALL
+        };
+        let processes = HostProcesses::start_with_policy(folder.path(), ports, size, &policy);
+        let cell = Cell::of_processes(ports, size);
+        let document = configuration_with_policy(1);
+        let answer = cell.control(&Method::PUT, "/api/config", &document);
+        assert_eq!(answer.status, 200);
+        Self {
+            policy,
+            cell,
+            processes,
+            entry: *size.entries().start(),
+            _folder: folder,
+        }
+    }
+
+    fn add(&self, id: &str, options: RunnerOptions) -> Arc<Runner> {
+        let runner = Runner::start_with(options);
+        self.policy.add(id, &runner);
+        self.cell.announce(id, &runner, runner.next_heartbeat());
+        runner
+    }
+
+    /// Restarts a worker while a renewal for its former process is on its way, and submits a job at once,
+    /// until the next process runs a task before the cell knows of that process. Returns the renewals.
+    fn restart_with_held_renewal(&self, worker: &Arc<Runner>) -> Vec<Vec<u8>> {
+        for number in 0..MAX_RESTARTS {
+            let renews =
+                |request: &str| request.contains("/api/hold") && request.contains("deadline_ms");
+            worker.proxy().hold(Some(Box::new(renews)));
+            await_some(|| worker.proxy().holds_request().then_some(()));
+            worker.crash_unseen(DOWN_TIME);
+            let job = format!("00c0ffee{number:08x}");
+            self.submit(&job);
+            let submitted_at = Instant::now();
+            while submitted_at.elapsed() < ORDER_TIME {
+                if worker.is_at_work() {
+                    worker.proxy().set_cut(true);
+                    worker.proxy().hold(None);
+                    return worker.proxy().take_held();
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
+            worker.proxy().hold(None);
+            worker.proxy().take_held();
+            let path = format!("/plans/{job}");
+            self.cell
+                .caller_at(self.entry, Method::DELETE, &path, &Value::Null);
+            self.cell.announce("i-1", worker, worker.next_heartbeat());
+            thread::sleep(WARM_UP);
+        }
+        panic!("no start order reached a process that the cell did not know");
+    }
+
+    fn submit(&self, job: &str) {
+        let body = json!({"task_spec": "plan", "steps": [
+            {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 60_000}]});
+        let path = format!("/plans/{job}");
+        await_some(|| {
+            let answer = self
+                .cell
+                .caller_at(self.entry, Method::POST, &path, &body)?;
+            (answer.status == 200).then_some(())
+        });
+    }
+
+    fn is_completed(&self, job: &str) -> bool {
+        let path = format!("/plans/{job}");
+        let answer = self
+            .cell
+            .caller_at(self.entry, Method::GET, &path, &Value::Null);
+        let body = answer.and_then(|answer| serde_json::from_slice::<Value>(&answer.body).ok());
+        body.is_some_and(|body| body["state"] == "completed")
+    }
+
+    /// Stops the process of the relay of the only worker as in a pause, and waits for the next relay.
+    /// The caller uses an entry host that runs.
+    fn pause_relay(&mut self) -> usize {
+        let relay = self.processes.last_host_with_line("start order answered");
+        let relay = relay.expect("a start order was answered");
+        self.processes.signal(relay, Signal::STOP);
+        let mut entries = self.cell.size.entries();
+        self.entry = entries.find(|entry| *entry != relay).unwrap();
+        let moved = || {
+            self.processes
+                .last_host_with_line("worker gets another relay")
+        };
+        await_some(moved);
+        relay
+    }
+}
+
+/// Holds the first acknowledgement to a worker, restarts the worker unseen after later calls were
+/// answered, lets the next process run a task with a permit to its end, and delivers the
+/// acknowledgement then.
+fn deliver_acknowledgement_after_permitted_run(first_port: u16, changes_relay: bool) {
+    let mut hosts = Hosts::start(first_port, 1 + usize::from(changes_relay));
+    let short = RunnerOptions {
+        run_time: SHORT_RUN,
+        first_clock: FIRST_CLOCK,
+        ..RunnerOptions::default()
+    };
+    let restarted = hosts.add("i-1", short);
+    thread::sleep(WARM_UP);
+    let is_held = AtomicBool::new(false);
+    let first_acknowledgement = move |request: &str| {
+        request.contains("/api/hold")
+            && !request.contains("\"ack_cursor\":0")
+            && !is_held.swap(true, Ordering::AcqRel)
+    };
+    restarted
+        .proxy()
+        .hold(Some(Box::new(first_acknowledgement)));
+    hosts.submit("00c0ffee00000100");
+    await_some(|| restarted.proxy().holds_request().then_some(()));
+    let former = changes_relay.then(|| hosts.pause_relay());
+    thread::sleep(SETTLING_TIME);
+    assert_eq!(
+        restarted.listed_ends(),
+        0,
+        "no later acknowledgement was answered"
+    );
+
+    let received = restarted.received();
+    await_some(|| (restarted.received() > received).then_some(()));
+    restarted.crash_unseen(DOWN_TIME);
+    let job = "00c0ffee00000101";
+    hosts.submit(job);
+    let submitted_at = Instant::now();
+    while restarted.listed_ends() == 0 && submitted_at.elapsed() < ORDER_TIME {
+        thread::sleep(Duration::from_millis(10));
+    }
+    eprintln!(
+        "ends of the next process before the delivery: {}",
+        restarted.listed_ends()
+    );
+    restarted.deliver(&restarted.proxy().take_held());
+    restarted.proxy().hold(None);
+    if let Some(former) = former {
+        hosts.processes.signal(former, Signal::CONT);
+    }
+
+    let other = hosts.add("i-2", short);
+    let cell = &hosts.cell;
+    cell.announce("i-1", &restarted, restarted.next_heartbeat());
+    cell.await_with_heartbeats("i-2", &other, || hosts.is_completed(job).then_some(()));
+    assert_eq!(
+        repeats(&[&restarted, &other]),
+        [],
+        "finished work ran again"
+    );
+    hosts.processes.assert_running();
+}
+
+/// Guards against finished work that runs again: the acknowledgement of a former relay, which had the
+/// token of the start order of the next one, erased the end of a permitted run.
+#[test]
+fn an_acknowledgement_of_a_former_relay_erases_no_end_of_a_permitted_run() {
+    deliver_acknowledgement_after_permitted_run(23_000, true);
+}
+
+/// Guards against the same with one relay, which had given up the answer to its acknowledgement.
+#[test]
+fn an_acknowledgement_that_was_given_up_erases_no_end_of_a_permitted_run() {
+    deliver_acknowledgement_after_permitted_run(23_010, false);
+}
+
+/// Lets the unseen next process of a worker run a long task with a permit, cuts the worker off, and lets
+/// it carry out a renewal for its former process some time after the order, since the renewal was late
+/// on its way or since the process is slow.
+fn renew_after_permitted_start(first_port: u16, delay: Duration, process_is_slow: bool) {
+    let mut hosts = Hosts::start(first_port, 1);
+    let long = RunnerOptions {
+        run_time: LONG_RUN,
+        first_clock: FIRST_CLOCK,
+        ..RunnerOptions::default()
+    };
+    let restarted = hosts.add("i-1", long);
+    thread::sleep(WARM_UP);
+    restarted
+        .lose_answers
+        .store(ORDER_ATTEMPTS, Ordering::Release);
+    let renewals = hosts.restart_with_held_renewal(&restarted);
+    let started_at = Instant::now();
+    let other = hosts.add("i-2", long);
+    let renewal = renewals[..1].to_vec();
+    let worker = Arc::clone(&restarted);
+    let renewing = thread::spawn(move || {
+        if process_is_slow {
+            let delay_ms = u64::try_from(delay.as_millis()).unwrap();
+            worker.renewal_delay_ms.store(delay_ms, Ordering::Release);
+        } else {
+            thread::sleep(delay);
+        }
+        worker.deliver(&renewal);
+    });
+    let cell = &hosts.cell;
+    cell.await_with_heartbeats("i-2", &other, || other.is_at_work().then_some(()));
+    eprintln!(
+        "the other worker starts the task {} ms after the order",
+        started_at.elapsed().as_millis()
+    );
+    renewing.join().unwrap();
+    assert_eq!(
+        overlaps(&[&restarted, &other]),
+        0,
+        "two runs of the task at once"
+    );
+    hosts.processes.assert_running();
+}
+
+/// Guards against two runs of a task at once: a renewal for the former process lengthened the lease of a
+/// permitted run of the next one, of which no answer had told.
+#[test]
+fn a_renewal_four_seconds_late_lengthens_no_lease_of_a_permitted_run() {
+    renew_after_permitted_start(23_020, Duration::from_secs(4), false);
+}
+
+/// Guards against the same with a renewal that is held for as long as a cut lasts.
+#[test]
+fn a_renewal_nine_seconds_late_lengthens_no_lease_of_a_permitted_run() {
+    renew_after_permitted_start(23_030, Duration::from_secs(9), false);
+}
+
+/// Guards against the same with a renewal that has arrived, in a process that stands still.
+#[test]
+fn a_renewal_in_a_slow_process_lengthens_no_lease_of_a_permitted_run() {
+    renew_after_permitted_start(23_040, Duration::from_secs(9), true);
+}
