bug: a late renewal lengthened the lease of a permitted run that nothing showed

Cause: a permitted order that has no answer when its worker falls silent may be at work on the next process of the worker. The placer counted the longest lease from the expiry of the permit, 13 s after the order.

Change: the renewal without an answer counts for all runs whose order is open, as without permits. Signs of a restart decide nothing any more and are gone. Runs that the known process has listed or confirmed end with the lease, as before.

The tests in placer/tests/permits.rs that asserted the wait of 13 s assert the longer one; the test of the latest order has permits that outlast late calls, so that the order decides and not the renewal.

Cost: such a task starts elsewhere after 24 s if its worker stays away, 13 s before.

--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -79,15 +79,6 @@
         let outlived = |reading: ClockReading| reading.taken_after(arrives_by);
         (!worker.clock.is_some_and(outlived)).then_some(arrives_by)
     }
-
-    /// Whether renewals for a former incarnation have to be allowed for, where the next one may have
-    /// begun the run. With a permit, they are where something shows that the worker has restarted: to
-    /// allow for them on each lost worker would keep tasks waiting for twice as long.
-    fn allows_for_late_renewals(&self, worker: &LiveWorker) -> bool {
-        self.permit_expires_by.is_none()
-            || worker.may_have_restarted()
-            || self.incarnation != worker.record.incarnation
-    }
 }
 
 impl Term {
@@ -156,9 +147,6 @@
                 known_ms = known.at_least_ms(now);
                 "an answer has the clock of another incarnation"
             );
-            if let Some(live) = self.workers.get_mut(worker) {
-                live.shows_other_clock = true;
-            }
             return false;
         }
         self.record_clock(worker, clock_ms, now);
@@ -216,13 +204,11 @@
                 continue;
             };
             last_call_by = last_call_by.max(Some(arrives_by));
-            if run.allows_for_late_renewals(worker) {
-                // A relay sends no lease after a renewal without an answer.
-                let last_renewal = worker.unresponsive_since.unwrap_or(worker.known_since);
-                let renewal_arrives_by = last_renewal + self.settings.late_call_limit;
-                last_call_by = last_call_by.max(Some(renewal_arrives_by));
-            }
         }
+        // A relay sends no lease after a renewal without an answer.
+        let last_renewal = worker.unresponsive_since.unwrap_or(worker.known_since);
+        let renewal_arrives_by = last_renewal + self.settings.late_call_limit;
+        let last_call_by = last_call_by.map(|by| by.max(renewal_arrives_by));
         Some(expires_without_reading(
             last_call_by?,
             self.settings.max_lease,
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -130,7 +130,6 @@
         }
         live.steps_without_report = 0;
         live.ended = false;
-        live.shows_other_clock = false;
         let first_answer = live.clock.is_none();
         let record = first_answer.then(|| live.record.clone());
         live.reachable = true;
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -208,8 +208,6 @@
     pub leaving_until: Option<Instant>,
     /// Whether another process has answered at the address since the last answer of the worker.
     pub ended: bool,
-    /// Whether an answer to an order had the clock of another incarnation since the last list of runs.
-    pub shows_other_clock: bool,
     /// Heartbeat of another incarnation, until it is known which one runs.
     pub claim: Option<Claim>,
     /// Host that relays orders to the worker; `None` until one is assigned.
@@ -229,11 +227,6 @@
         self.reachable && !self.record.draining
     }
 
-    /// Whether something shows another incarnation than the known one.
-    pub fn may_have_restarted(&self) -> bool {
-        self.ended || self.claim.is_some() || self.shows_other_clock
-    }
-
     /// Expected run time relative to other workers, at least 1.
     pub fn slowness(&self) -> f64 {
         // Declared run times are far off. Where run times were compared, what deviates from a
--- a/src/workflow/placer/tests/permits.rs
+++ b/src/workflow/placer/tests/permits.rs
@@ -6,18 +6,17 @@
 use super::capacity::{contact, gang, send_starts};
 use super::claims::{run_number, step};
 use super::fixture::*;
-use super::restarts::{MAX_LEASE, expect_next_run, expect_run_until, no_answer};
+use super::restarts::{LATE_LEASE, MAX_LEASE, expect_next_run, expect_run_until, no_answer};
 use crate::workflow::calls::{CallFailure, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::leases::ClockReading;
 use crate::workflow::spec::StageSpec;
 
 /// Time for which a worker accepts a permit.
 const VALIDITY: Duration = Duration::from_secs(2);
-/// Longest time from the placement of a run to the end of the lease of the incarnation for which its
-/// permit was issued, if no later call reaches that one.
-const PERMITTED_LEASE: Duration = VALIDITY.saturating_add(MAX_LEASE);
-/// Time within which a call arrives.
-const LATE_CALL_LIMIT: Duration = Duration::from_secs(12);
+/// Validity of permits that outlast late calls.
+const LONG_VALIDITY: Duration = Duration::from_secs(24);
+/// Time within which a relay sends a start order of the placer.
+const RELAYING_TIME: Duration = Duration::from_millis(2_200);
 
 /// Gives a worker a permit for the job that does not expire in the test.
 fn permit(fixture: &mut Fixture, worker: &str) {
@@ -30,8 +29,14 @@
 
 /// Creates a term with a stage whose start orders were sent to the worker `w` with permits.
 fn with_starts_in_flight(spec: StageSpec) -> Fixture {
+    with_starts_in_flight_valid_for(spec, VALIDITY)
+}
+
+/// As [`with_starts_in_flight`], with permits that are valid for a time.
+fn with_starts_in_flight_valid_for(spec: StageSpec, validity: Duration) -> Fixture {
     let tasks = spec.task_count;
-    let mut fixture = Fixture::with_policy(10.0, 0.1);
+    let validity_ms = validity.as_millis() as u64;
+    let mut fixture = Fixture::with_policy_valid_for(10.0, 0.1, validity_ms);
     fixture.announce("w");
     contact(&mut fixture, "entry-1", false);
     fixture.term.assign_relays(fixture.now.at);
@@ -68,15 +73,14 @@
 }
 
 /// Guards against two runs of a task at once: the permit was issued for an incarnation that the placer
-/// did not know, which held the run for the longest lease, while the placer counted the shorter one of
-/// the known incarnation.
+/// did not know. It held the run for the longest lease, which a renewal for the known incarnation
+/// lengthened, while the placer counted neither.
 #[test]
-fn a_permitted_start_without_an_answer_counts_until_the_permit_has_expired() {
+fn a_permitted_start_without_an_answer_allows_for_late_renewals() {
     let mut fixture = with_start_in_flight();
     let sent_at = fixture.now.at;
     add_other(&mut fixture);
-    expect_second_run_after(&mut fixture, sent_at + PERMITTED_LEASE);
-    assert!(fixture.now.at < sent_at + LATE_CALL_LIMIT + MAX_LEASE);
+    expect_second_run_after(&mut fixture, sent_at + LATE_LEASE);
 }
 
 /// Guards against tasks that wait for longer than a lease although the known incarnation has shown that
@@ -128,7 +132,7 @@
         .term
         .handle_report(&"w".to_owned(), asked_at, &report, now);
     add_other(&mut fixture);
-    expect_second_run_after(&mut fixture, sent_at + PERMITTED_LEASE);
+    expect_second_run_after(&mut fixture, sent_at + LATE_LEASE);
 }
 
 /// Guards against two runs of a task at once: an answer soon after the start of a worker may come from
@@ -143,7 +147,7 @@
     live.unknown_until_clock_ms = 0;
     answer_start(&mut fixture, 1_000);
     add_other(&mut fixture);
-    expect_second_run_after(&mut fixture, sent_at + PERMITTED_LEASE);
+    expect_second_run_after(&mut fixture, sent_at + LATE_LEASE);
 }
 
 /// Guards against the same with two old readings of clocks that drift.
@@ -188,7 +192,7 @@
         add_other(&mut fixture);
         fixture.fail_to_answer("w", &no_answer());
         let silent_from = fixture.now.at;
-        expect_second_run_after(&mut fixture, silent_from + LATE_CALL_LIMIT + MAX_LEASE);
+        expect_second_run_after(&mut fixture, silent_from + LATE_LEASE);
     }
 }
 
@@ -196,13 +200,13 @@
 /// run that the unknown incarnation had begun with an earlier one.
 #[test]
 fn the_latest_order_to_a_silent_worker_decides_for_all_its_open_runs() {
-    let mut fixture = with_start_in_flight();
+    let mut fixture = with_starts_in_flight_valid_for(stage(1), LONG_VALIDITY);
     fixture.advance(Duration::from_millis(1_500));
     let later = "00c0ffee00c0fff0";
     fixture.submit_without_pass(later, vec![stage(1)]);
     let mut key = task(0).stage;
     key.job = later.to_owned();
-    let (worker, expires_at) = ("w".to_owned(), fixture.now.at + VALIDITY);
+    let (worker, expires_at) = ("w".to_owned(), fixture.now.at + LONG_VALIDITY);
     let granted = [(worker.clone(), "permit".to_owned())];
     let permits = &mut fixture.term.stages[&key].permits;
     permits.record(&[worker], &granted, expires_at);
@@ -211,7 +215,7 @@
     assert_eq!(send_starts(&mut fixture).len(), 1);
     let sent_at = fixture.now.at;
     add_other(&mut fixture);
-    expect_second_run_after(&mut fixture, sent_at + PERMITTED_LEASE);
+    expect_second_run_after(&mut fixture, sent_at + RELAYING_TIME + LATE_LEASE);
 }
 
 /// Guards against two runs of a task at once after a change of the placer: the order of the former one
@@ -222,7 +226,7 @@
     let mut fixture = Fixture::with_state(former.term.state);
     let began_at = fixture.now.at;
     add_other(&mut fixture);
-    expect_second_run_after(&mut fixture, began_at + PERMITTED_LEASE);
+    expect_second_run_after(&mut fixture, began_at + LATE_LEASE);
 }
 
 /// Guards against two runs of a task at once: a worker with such an order in flight announced its
@@ -235,7 +239,7 @@
     let now = fixture.now;
     fixture.term.handle_departure(&"w".to_owned(), now.at);
     fixture.fail_to_answer("w", &CallFailure::PortClosed);
-    expect_run_until(&mut fixture, "w", 1, sent_at + PERMITTED_LEASE);
+    expect_run_until(&mut fixture, "w", 1, sent_at + LATE_LEASE);
     for _ in 0..30 {
         step(&mut fixture);
     }
@@ -248,7 +252,7 @@
     let mut fixture = with_starts_in_flight(gang(3));
     let sent_at = fixture.now.at;
     add_other(&mut fixture);
-    while fixture.now.at < sent_at + PERMITTED_LEASE {
+    while fixture.now.at < sent_at + LATE_LEASE {
         for index in 0..3 {
             assert_eq!(fixture.term.runs[&task(index)].run, 1);
         }
--- a/src/workflow/placer/workers.rs
+++ b/src/workflow/placer/workers.rs
@@ -53,7 +53,6 @@
             restriction: Default::default(),
             leaving_until: None,
             ended: false,
-            shows_other_clock: false,
             claim: None,
             relay: None,
             relayed_since: now,
