bug: an acknowledgement of a former relay could erase a permitted end

Cause: after a change of the relay, only start orders without a permit got a higher token than the calls of the former relay. A permit may be for a process of the worker that the cell does not know, which carries out the order of the next relay and then an acknowledgement of the former one with the same token: the end is forgotten before anybody has read it.

Change: the first start order after a change of the relay raises the token, with a permit or without.

The case with one relay still fails.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -1,6 +1,6 @@
-//! Calls to a worker that its next incarnation may carry out: start orders, and start orders without a
-//! permit together with acknowledgements, of different relays or of an earlier placer. Those of one
-//! relay are kept apart by the relay.
+//! Calls to a worker that its next incarnation may carry out: start orders, and start orders together
+//! with acknowledgements, of different relays or of an earlier placer. Those of one relay are kept
+//! apart by the relay.
 
 use std::time::{Duration, Instant};
 
@@ -108,8 +108,9 @@
         worker.acknowledges_from = worker.acknowledges_from.max(until);
     }
 
-    /// Raises the token of a worker for the first start order without a permit since its relay has
-    /// changed: an acknowledgement of the former relay may have no answer.
+    /// Raises the token of a worker for the first start order since its relay has changed: an
+    /// acknowledgement of the former relay may have no answer. A permit may be for an incarnation that
+    /// is not known.
     pub(super) fn raise_token_for_start(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
--- a/src/workflow/placer/relaying.rs
+++ b/src/workflow/placer/relaying.rs
@@ -245,9 +245,7 @@
         run.start_sent_at = Some(now.at);
         run.give_up_at.get_or_insert(now.at + START_TIMEOUT);
         run.starts_sent += 1;
-        if permit.is_none() {
-            self.raise_token_for_start(&order.worker);
-        }
+        self.raise_token_for_start(&order.worker);
         let lease_until_clock_ms = self.grant_lease(&order.worker, now.at)?;
         let job = self.state.jobs.get(&order.task.stage.job)?;
         let checkpoint = self.state.task(&order.task)?.checkpoint.clone();
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -190,7 +190,7 @@
     /// Time until which no end is acknowledged, since start orders of another relay or of an earlier
     /// placer may be carried out.
     pub acknowledges_from: Instant,
-    /// Whether the next start order without a permit needs a higher token, since the relay has changed.
+    /// Whether the next start order needs a higher token, since the relay has changed.
     pub start_raises_token: bool,
     /// Time until which a start order of a run that has ended may be carried out; `None` if all were
     /// answered.
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -8,6 +8,7 @@
 use super::capacity::{contact, send_starts};
 use super::claims::{run_number, step};
 use super::fixture::*;
+use super::permits::permit;
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
@@ -90,6 +91,26 @@
     assert_eq!(acknowledged(&mut fixture), 1);
 }
 
+/// Guards against a permitted start order of the new relay that an acknowledgement of the former one
+/// follows: the permit may be for an incarnation that is not known.
+#[test]
+fn a_permitted_start_order_has_a_higher_token_after_a_change_of_the_relay() {
+    let mut fixture = with_relays(Fixture::with_policy(10.0, 0.1));
+    let before = token(&fixture);
+    change_relay(&mut fixture);
+    fixture.submit_without_pass(JOB, vec![stage(2)]);
+    fixture.commit_all();
+    permit(&mut fixture, "w");
+    fixture.term.schedule(fixture.now);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1), (1, 1)]);
+    let raised = token(&fixture);
+    assert!(raised > before);
+    record_end(&mut fixture);
+    assert_eq!(acknowledged(&mut fixture), 1);
+    assert_eq!(token(&fixture), raised);
+}
+
 /// Guards against calls that a worker refuses after each change of its relay although permits keep
 /// its next incarnation from starting work.
 #[test]
--- a/src/workflow/placer/tests/permits.rs
+++ b/src/workflow/placer/tests/permits.rs
@@ -19,7 +19,7 @@
 const RELAYING_TIME: Duration = Duration::from_millis(2_200);
 
 /// Gives a worker a permit for the job that does not expire in the test.
-fn permit(fixture: &mut Fixture, worker: &str) {
+pub(super) fn permit(fixture: &mut Fixture, worker: &str) {
     let expires_at = fixture.now.at + Duration::from_secs(1_000);
     let stage = &mut fixture.term.stages[&task(0).stage];
     let worker = worker.to_owned();
