bug: tests of the delay of permitted orders after a change of the relay

Change: two tests of the time from the acceptance of a job to the start of its task, after a change of the relay and beside an acknowledgement without an answer. Waits of the file that depend on placements repeat the heartbeats: after a change of the leader on a busy machine, no run is placed on a worker before its next one.

--- a/tests/workflow_permits_late_calls.rs
+++ b/tests/workflow_permits_late_calls.rs
@@ -148,6 +148,16 @@
     }
 }
 
+fn hold_first_acknowledgement(worker: &Runner) {
+    let is_held = AtomicBool::new(false);
+    let first_acknowledgement = move |request: &str| {
+        request.contains("/api/hold")
+            && !request.contains("\"ack_cursor\":0")
+            && !is_held.swap(true, Ordering::AcqRel)
+    };
+    worker.proxy().hold(Some(Box::new(first_acknowledgement)));
+}
+
 /// Holds the first acknowledgement to a worker, restarts the worker unseen after later calls were
 /// answered, lets the next process run a task with a permit to its end, and delivers the
 /// acknowledgement then.
@@ -160,17 +170,10 @@
     };
     let restarted = hosts.add("i-1", short);
     thread::sleep(WARM_UP);
-    let is_held = AtomicBool::new(false);
-    let first_acknowledgement = move |request: &str| {
-        request.contains("/api/hold")
-            && !request.contains("\"ack_cursor\":0")
-            && !is_held.swap(true, Ordering::AcqRel)
-    };
-    restarted
-        .proxy()
-        .hold(Some(Box::new(first_acknowledgement)));
+    hold_first_acknowledgement(&restarted);
     hosts.submit("00c0ffee00000100");
-    await_some(|| restarted.proxy().holds_request().then_some(()));
+    let holds = || restarted.proxy().holds_request().then_some(());
+    hosts.cell.await_with_heartbeats("i-1", &restarted, holds);
     let former = changes_relay.then(|| hosts.pause_relay());
     thread::sleep(SETTLING_TIME);
     assert_eq!(
@@ -285,3 +288,58 @@
 fn a_renewal_in_a_slow_process_lengthens_no_lease_of_a_permitted_run() {
     renew_after_permitted_start(23_040, Duration::from_secs(9), true);
 }
+
+/// Time in which a task is placed and starts, also on a busy machine: the placer repeats an order that a
+/// relay has dropped after 1.6 s.
+const START_TIME: Duration = Duration::from_millis(1_500);
+/// The same where an acknowledgement has no answer: a relay gives it up after 1.6 s at the latest, and
+/// the repeated order still has a valid permit.
+const START_TIME_BESIDE_ACKNOWLEDGEMENT: Duration = Duration::from_millis(3_600);
+
+/// Returns the time between the acceptance of a job and the start of its task on a sound worker of which
+/// an acknowledgement has no answer, after a change of the relay or beside the attempt.
+fn start_delay(first_port: u16, changes_relay: bool) -> Duration {
+    let mut hosts = Hosts::start(first_port, 1 + usize::from(changes_relay));
+    let short = RunnerOptions {
+        run_time: SHORT_RUN,
+        first_clock: FIRST_CLOCK,
+        ..RunnerOptions::default()
+    };
+    let worker = hosts.add("i-1", short);
+    thread::sleep(WARM_UP);
+    hold_first_acknowledgement(&worker);
+    hosts.submit("00c0ffee00000100");
+    let holds = || worker.proxy().holds_request().then_some(());
+    hosts.cell.await_with_heartbeats("i-1", &worker, holds);
+    let former = changes_relay.then(|| hosts.pause_relay());
+    if changes_relay {
+        thread::sleep(SETTLING_TIME);
+    }
+    hosts.submit("00c0ffee00000101");
+    let submitted_at = Instant::now();
+    let has_started = || (worker.starts().len() == 2).then_some(());
+    hosts
+        .cell
+        .await_with_heartbeats("i-1", &worker, has_started);
+    let delay = submitted_at.elapsed();
+    eprintln!("the task starts {} ms after its job", delay.as_millis());
+    if let Some(former) = former {
+        hosts.processes.signal(former, Signal::CONT);
+    }
+    hosts.processes.assert_running();
+    delay
+}
+
+/// Guards against a first order after a change of the relay that is dropped, since it has a higher token
+/// than the calls before it.
+#[test]
+fn a_permitted_task_starts_at_once_after_a_change_of_the_relay() {
+    assert!(start_delay(23_050, true) < START_TIME);
+}
+
+/// Guards against work with a permit that is held back for long beside an acknowledgement without an
+/// answer.
+#[test]
+fn a_permitted_task_starts_soon_beside_an_acknowledgement_without_an_answer() {
+    assert!(start_delay(23_060, false) < START_TIME_BESIDE_ACKNOWLEDGEMENT);
+}
