bug: a test of two unseen restarts around a permitted order

Change: a test over sockets. The permit is for the third process, and the cell hears of the second one before the worker is cut off.

--- a/tests/workflow_permits_late_calls.rs
+++ b/tests/workflow_permits_late_calls.rs
@@ -13,7 +13,9 @@
 use platform_support::processes::HostProcesses;
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
-use platform_support::{Cell, CellSize, Ports, Runner, await_some, configuration_with_policy};
+use platform_support::{
+    Cell, CellSize, Ports, Runner, await_some, configuration_with_policy, heartbeat,
+};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -343,3 +345,55 @@
 fn a_permitted_task_starts_soon_beside_an_acknowledgement_without_an_answer() {
     assert!(start_delay(23_060, false) < START_TIME_BESIDE_ACKNOWLEDGEMENT);
 }
+
+/// Guards against two runs of a task at once: a worker restarts twice unseen and runs a task with a permit
+/// for its third process, and the cell hears of the second one before the worker is cut off.
+#[test]
+fn a_task_on_a_process_two_restarts_later_does_not_start_twice() {
+    let mut hosts = Hosts::start(23_070, 1);
+    let long = RunnerOptions {
+        run_time: LONG_RUN,
+        first_clock: FIRST_CLOCK,
+        ..RunnerOptions::default()
+    };
+    let restarted = hosts.add("i-1", long);
+    thread::sleep(WARM_UP);
+    let mut second = Value::Null;
+    for number in 0..MAX_RESTARTS {
+        let received = restarted.received();
+        await_some(|| (restarted.received() > received).then_some(()));
+        restarted.crash_unseen(DOWN_TIME);
+        second = heartbeat(&restarted, restarted.next_heartbeat());
+        restarted.crash_unseen(DOWN_TIME);
+        let job = format!("00c0ffee{number:08x}");
+        hosts.submit(&job);
+        let submitted_at = Instant::now();
+        while !restarted.is_at_work() && submitted_at.elapsed() < ORDER_TIME {
+            thread::sleep(Duration::from_millis(10));
+        }
+        if restarted.is_at_work() {
+            break;
+        }
+        let path = format!("/plans/{job}");
+        let cell = &hosts.cell;
+        cell.caller_at(hosts.entry, Method::DELETE, &path, &Value::Null);
+        cell.announce("i-1", &restarted, restarted.next_heartbeat());
+        thread::sleep(WARM_UP);
+    }
+    assert!(restarted.is_at_work(), "no start order reached the process");
+    let answer = hosts
+        .cell
+        .control(&Method::PUT, "/api/instances/i-1", &second);
+    assert_eq!(answer.status, 200);
+    restarted.proxy().set_cut(true);
+    let other = hosts.add("i-2", long);
+    hosts
+        .cell
+        .await_with_heartbeats("i-2", &other, || other.is_at_work().then_some(()));
+    assert_eq!(
+        overlaps(&[&restarted, &other]),
+        0,
+        "two runs of the task at once"
+    );
+    hosts.processes.assert_running();
+}
