bug: the validity of a permit could be longer than the placer took it for

Cause: an open order with a permit counted until the permit had expired by the validity in the queue of the job. A later configuration may raise it, and a new placer does not know what the policy stated to the former one.

Change: the order counts for late_call_limit_ms, like one without a permit. Since a late renewal counts for as long, the expiry of the permit saved 2.2 s at most.

Result: a_validity_that_was_raised_after_the_acceptance_of_a_job_counts and a_validity_that_the_policy_stated_to_a_former_placer_counts failed before and pass; their validity is 24 s now, beyond what late renewals cover.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -20,11 +20,7 @@
     /// worker; `None` if none can.
     pub(super) fn start_arrives_by(&self, late_call_limit: Duration) -> Option<Instant> {
         let sent_at = self.start_sent_at.filter(|_| !self.start_is_settled)?;
-        let arrives_by = sent_at + RELAYING_TIME + late_call_limit;
-        Some(match self.permit_expires_by {
-            Some(expires_by) => arrives_by.min(expires_by),
-            None => arrives_by,
-        })
+        Some(sent_at + RELAYING_TIME + late_call_limit)
     }
 
     /// As [`Self::start_arrives_by`], for orders without a permit only.
