bug: simulated workers work on a gang only once all its members are present

The simulated workers ran each member of a gang by itself for half a second. If the start orders of a gang were spread over more than that, the first member ended as succeeded, which stands for all members, and the placer rightly withdrew the others. By the protocol the members work only together from the moment when all of them are present, and end together.

Change: the fleet plans the end of a gang when its last member has started and ends all members then. A member that waits for 3 s ends as incomplete, and a stopped or incomplete member breaks the others. The payload names the number of members. The checks are unchanged.

--- a/tests/scale_support/fleet.rs
+++ b/tests/scale_support/fleet.rs
@@ -1,5 +1,6 @@
 //! Simulates workers and the placement policy. The workers follow the rules of their protocol: they
-//! check run numbers and fencing tokens, and list the ends of runs until these are acknowledged.
+//! check run numbers and fencing tokens, list the ends of runs until these are acknowledged, and work
+//! on a gang only from the moment when all its members are present.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -15,7 +16,7 @@
     PolicyQuestion, RenewOrder, StartOrder, StopOrder, WorkerReport, WorkerTarget,
 };
 use jujubewinch::workflow::records::{RunNumber, RunOutcome};
-use jujubewinch::workflow::spec::TaskKey;
+use jujubewinch::workflow::spec::{StageKey, TaskKey};
 use jujubewinch::workflow::workers::{WorkerHeartbeat, WorkerRecord};
 
 /// Service of all workers.
@@ -26,6 +27,8 @@
 const WORKERS_PER_RACK: usize = 12;
 /// Incarnation of all workers; simulated workers never restart.
 const INCARNATION: u64 = 1;
+/// Time for which a member of a gang waits for the others, as on the deployments.
+const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Interval at which runs whose time is over are ended.
 const END_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -33,8 +36,8 @@
 pub struct Fleet {
     started_at: Instant,
     workers: IndexMap<String, Worker>,
-    /// Planned ends of the started runs, earliest first.
-    due: Mutex<BinaryHeap<Reverse<DueEnd>>>,
+    /// Locked before the state of a worker.
+    plan: Mutex<Plan>,
     stopping: AtomicBool,
     /// Start orders that workers received, including repeated and rejected orders.
     pub start_orders: AtomicUsize,
@@ -46,13 +49,58 @@
     pub asked_workers: AtomicUsize,
 }
 
-/// Time at which a run ends; `worker` is the position of its worker.
+/// Planned ends of the started runs.
+#[derive(Default)]
+struct Plan {
+    /// Earliest first.
+    due: BinaryHeap<Reverse<DueEnd>>,
+    /// Gangs of which a member is active, by stage and run.
+    gangs: IndexMap<(StageKey, RunNumber), Gang>,
+}
+
+#[derive(Default)]
+struct Gang {
+    /// Members that have started, with the positions of their workers.
+    present: Vec<(usize, TaskKey)>,
+    /// Whether all members are present.
+    at_work: bool,
+}
+
+/// Time at which a run ends; `worker` is the position of its worker. The end of a gang at work stands
+/// under the member that started last.
 #[derive(Eq, Ord, PartialEq, PartialOrd)]
 struct DueEnd {
     at: Instant,
     worker: usize,
     task: String,
     run: RunNumber,
+    /// Whether the run ends only if members of its gang are still missing.
+    if_incomplete: bool,
+}
+
+impl Plan {
+    /// Plans the end of a run that has just started.
+    fn add(&mut self, worker: usize, order: &StartOrder) {
+        let (run_time, members) = parse_payload(&order.payload);
+        let mut end = DueEnd {
+            at: Instant::now() + run_time,
+            worker,
+            task: order.task.to_string(),
+            run: order.run,
+            if_incomplete: false,
+        };
+        if members > 1 {
+            let key = (order.task.stage.clone(), order.run);
+            let gang = self.gangs.entry(key).or_default();
+            gang.present.push((worker, order.task.clone()));
+            gang.at_work = gang.present.len() == members;
+            if !gang.at_work {
+                end.at = Instant::now() + GANG_TIMEOUT;
+                end.if_incomplete = true;
+            }
+        }
+        self.due.push(Reverse(end));
+    }
 }
 
 #[derive(Default)]
@@ -74,10 +122,11 @@
 }
 
 impl WorkerState {
-    /// Removes an active run and lists its end; has no effect if the run is not active.
-    fn close(&mut self, task: &TaskKey, run: RunNumber, outcome: RunOutcome) {
+    /// Removes an active run and lists its end; has no effect if the run is not active. Returns whether
+    /// it was.
+    fn close(&mut self, task: &TaskKey, run: RunNumber, outcome: RunOutcome) -> bool {
         if self.running.get(task) != Some(&run) {
-            return;
+            return false;
         }
         self.running.swap_remove(task);
         self.last_end += 1;
@@ -88,9 +137,22 @@
         });
         let closed = self.closed.entry(task.clone()).or_default();
         *closed = run.max(*closed);
+        true
     }
 }
 
+/// Payload of tasks that run for a time, in milliseconds, in gangs of this number of members; one for
+/// tasks that work by themselves.
+pub fn payload(run_ms: u64, members: u32) -> String {
+    format!("{run_ms} {members}")
+}
+
+fn parse_payload(payload: &str) -> (Duration, usize) {
+    let (run_ms, members) = payload.split_once(' ').unwrap();
+    let run_time = Duration::from_millis(run_ms.parse().unwrap());
+    (run_time, members.parse().unwrap())
+}
+
 pub fn resources(cpu_millis: u64) -> Resources {
     Resources {
         cpu_millis,
@@ -114,7 +176,7 @@
         let fleet = Arc::new(Self {
             started_at: Instant::now(),
             workers: workers.collect(),
-            due: Mutex::default(),
+            plan: Mutex::default(),
             stopping: AtomicBool::new(false),
             start_orders: AtomicUsize::new(0),
             overlaps: AtomicUsize::new(0),
@@ -194,6 +256,7 @@
     ) -> Result<OrderAnswer, CallFailure> {
         let (position, worker) = self.worker(target)?;
         self.start_orders.fetch_add(1, Ordering::AcqRel);
+        let mut plan = self.plan.lock().unwrap();
         let mut state = worker.state.lock().unwrap();
         if order.fence < state.fence {
             return Ok(self.answer(OrderOutcome::Fenced));
@@ -211,13 +274,7 @@
         self.overlaps
             .fetch_add(usize::from(previous.is_some()), Ordering::AcqRel);
         self.runs.fetch_add(1, Ordering::AcqRel);
-        let run_ms = order.payload.parse().unwrap();
-        self.due.lock().unwrap().push(Reverse(DueEnd {
-            at: Instant::now() + Duration::from_millis(run_ms),
-            worker: position,
-            task: order.task.to_string(),
-            run: order.run,
-        }));
+        plan.add(position, order);
         Ok(self.answer(OrderOutcome::Done))
     }
 
@@ -227,16 +284,21 @@
         order: &StopOrder,
     ) -> Result<OrderAnswer, CallFailure> {
         let (_, worker) = self.worker(target)?;
+        let mut plan = self.plan.lock().unwrap();
         let mut state = worker.state.lock().unwrap();
         if order.fence < state.fence {
             return Ok(self.answer(OrderOutcome::Fenced));
         }
         state.fence = order.fence;
-        state.close(&order.task, order.run, RunOutcome::Stopped);
+        let was_active = state.close(&order.task, order.run, RunOutcome::Stopped);
         let closed = state.closed.entry(order.task.clone()).or_default();
         *closed = order.run.max(*closed);
         drop(state);
         worker.ended.notify_all();
+        if was_active {
+            let gang = (order.task.stage.clone(), order.run);
+            self.end_gang(&mut plan, &gang, RunOutcome::GangBroken);
+        }
         Ok(self.answer(OrderOutcome::Done))
     }
 
@@ -284,20 +346,37 @@
 
     fn end_due_runs(&self) {
         let now = Instant::now();
-        let mut ended = Vec::new();
-        {
-            let mut due = self.due.lock().unwrap();
-            while due.peek().is_some_and(|Reverse(next)| next.at <= now) {
-                ended.extend(due.pop());
+        let mut plan = self.plan.lock().unwrap();
+        while plan.due.peek().is_some_and(|Reverse(next)| next.at <= now) {
+            let Some(Reverse(end)) = plan.due.pop() else {
+                return;
+            };
+            let task = TaskKey::parse(&end.task).unwrap();
+            let gang = (task.stage.clone(), end.run);
+            if !end.if_incomplete {
+                self.end_run(end.worker, &task, end.run, RunOutcome::Succeeded);
+                self.end_gang(&mut plan, &gang, RunOutcome::Succeeded);
+                continue;
             }
+            if plan.gangs.get(&gang).is_none_or(|gang| gang.at_work) {
+                continue;
+            }
+            self.end_run(end.worker, &task, end.run, RunOutcome::GangIncomplete);
+            self.end_gang(&mut plan, &gang, RunOutcome::GangBroken);
         }
-        for Reverse(end) in ended {
-            let worker = &self.workers[end.worker];
-            let task = TaskKey::parse(&end.task).unwrap();
-            let mut state = worker.state.lock().unwrap();
-            state.close(&task, end.run, RunOutcome::Succeeded);
-            drop(state);
-            worker.ended.notify_all();
+    }
+
+    /// Ends all active members of a gang; has no effect if there is no such gang.
+    fn end_gang(&self, plan: &mut Plan, key: &(StageKey, RunNumber), outcome: RunOutcome) {
+        let gang = plan.gangs.swap_remove(key).unwrap_or_default();
+        for (worker, task) in gang.present {
+            self.end_run(worker, &task, key.1, outcome);
         }
     }
+
+    fn end_run(&self, worker: usize, task: &TaskKey, run: RunNumber, outcome: RunOutcome) {
+        let worker = &self.workers[worker];
+        worker.state.lock().unwrap().close(task, run, outcome);
+        worker.ended.notify_all();
+    }
 }
--- a/tests/scale_support/mod.rs
+++ b/tests/scale_support/mod.rs
@@ -223,10 +223,11 @@
             gang: self.gang,
             ..StageSpec::default()
         };
+        let members = if self.gang { self.tasks } else { 1 };
         Call::Submit {
             target: self.address(id),
             spec: Box::new(WorkflowSpec {
-                payload: (self.run_ms / 10).to_string(),
+                payload: fleet::payload(self.run_ms / 10, members),
                 stages: vec![stage],
                 repetition: None,
             }),
