bug: simulated workers repeat their heartbeats

A placer that follows more than 1.5 s without one starts no runs on a worker before its next heartbeat, because its capacity may have changed. The simulated workers sent one heartbeat each, before the jobs, so that the cell had 300 queued jobs and no worker in use from then on.

Change: sixteen threads repeat the heartbeats of the workers each 1.5 s, as on the deployments, until the cell stops. The checks are unchanged.

--- a/tests/scale_support/fleet.rs
+++ b/tests/scale_support/fleet.rs
@@ -185,7 +185,7 @@
         });
         let background = Arc::clone(&fleet);
         thread::spawn(move || {
-            while !background.stopping.load(Ordering::Acquire) {
+            while !background.is_stopping() {
                 background.end_due_runs();
                 thread::sleep(END_INTERVAL);
             }
@@ -197,8 +197,12 @@
         self.stopping.store(true, Ordering::Release);
     }
 
-    /// First heartbeat of each worker.
-    pub fn heartbeats(&self) -> Vec<WorkerHeartbeat> {
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Heartbeat of each worker with this sequence number.
+    pub fn heartbeats(&self, sequence: u64) -> Vec<WorkerHeartbeat> {
         let workers = self.workers.keys().enumerate();
         let heartbeats = workers.map(|(number, id)| WorkerHeartbeat {
             record: WorkerRecord {
@@ -211,7 +215,7 @@
                 labels: vec![format!("r{}", number / WORKERS_PER_RACK)],
                 draining: false,
             },
-            sequence: 1,
+            sequence,
         });
         heartbeats.collect()
     }
--- a/tests/scale_support/mod.rs
+++ b/tests/scale_support/mod.rs
@@ -6,7 +6,7 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use jujubewinch::workflow::calls::{Call, Reply};
@@ -26,6 +26,10 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which a wait checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval of a worker's heartbeats, also the longest wait for the answer to one.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Threads that send heartbeats, so that a call without an answer delays few workers.
+const HEARTBEAT_THREADS: usize = 16;
 /// Host name of all queues.
 const QUEUE_HOST: &str = "shop.example";
 
@@ -38,6 +42,8 @@
     settings: Vec<WorkflowSettings>,
     /// Number of storage hosts.
     storage_hosts: usize,
+    /// Threads that repeat the heartbeats of the workers.
+    heartbeat_threads: Vec<JoinHandle<()>>,
 }
 
 impl ScaledCell {
@@ -52,18 +58,24 @@
         let hosts = settings
             .iter()
             .map(|host_settings| start_host(host_settings, &fleet));
-        let cell = Self {
+        let mut cell = Self {
             hosts: hosts.collect(),
             fleet,
             settings,
             storage_hosts,
+            heartbeat_threads: Vec::new(),
         };
         let configured = cell.call(&Call::ReplaceQueues(Box::new(configuration(1))));
         assert_eq!(configured, Reply::QueuesReplaced);
-        for heartbeat in cell.fleet.heartbeats() {
+        for heartbeat in cell.fleet.heartbeats(1) {
             let noted = cell.call(&Call::Heartbeat(Box::new(heartbeat)));
             assert_eq!(noted, Reply::WorkerNoted);
         }
+        for share in 0..HEARTBEAT_THREADS.min(workers) {
+            let (hosts, fleet) = (cell.entry_hosts().to_vec(), Arc::clone(&cell.fleet));
+            let run = move || repeat_heartbeats(&hosts, &fleet, share);
+            cell.heartbeat_threads.push(thread::spawn(run));
+        }
         cell
     }
 
@@ -127,12 +139,41 @@
 
 impl Drop for ScaledCell {
     fn drop(&mut self) {
+        self.fleet.stop();
         thread::scope(|scope| {
             for host in &self.hosts {
                 scope.spawn(|| host.crash());
             }
         });
-        self.fleet.stop();
+        for thread in self.heartbeat_threads.drain(..) {
+            // A panic here would hide that of a failed test.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Repeats the heartbeats of a share of the workers, through all entry hosts in turn, until the fleet
+/// stops. A placer that follows a time without one starts no runs on a worker before its next heartbeat.
+fn repeat_heartbeats(hosts: &[Arc<WorkflowHost>], fleet: &Fleet, share: usize) {
+    for sequence in 2.. {
+        let next_at = Instant::now() + HEARTBEAT_INTERVAL;
+        let heartbeats = fleet.heartbeats(sequence);
+        let own = heartbeats
+            .into_iter()
+            .skip(share)
+            .step_by(HEARTBEAT_THREADS);
+        for (number, heartbeat) in own.enumerate() {
+            if fleet.is_stopping() {
+                return;
+            }
+            let host = &hosts[(number + sequence as usize) % hosts.len()];
+            let call = Call::Heartbeat(Box::new(heartbeat));
+            // The next heartbeat makes up for one without an answer.
+            let _ = host.call(&call, Instant::now() + HEARTBEAT_INTERVAL);
+        }
+        while Instant::now() < next_at && !fleet.is_stopping() {
+            thread::sleep(POLL_INTERVAL);
+        }
     }
 }
 
