feature: the proxy of simulated runners loses and delays single calls

Cause: the proxy could hold requests or cut a runner off; lost answers of renewals, answers that others overtake, and orders that are carried out late by whatever process runs then, could not be played over sockets.

Change: a closure decides for each request whether it is forwarded, lost, carried out late, or has its answer lost or delayed.

--- a/tests/platform_support/proxy.rs
+++ b/tests/platform_support/proxy.rs
@@ -1,14 +1,32 @@
 //! A proxy at the address of a simulated runner. It stays while the process behind it crashes and
-//! starts again, and can hold requests for the next process or drop everything.
+//! starts again, can hold requests for the next process, lose or delay calls, or drop everything.
 
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// Decides by the text of a request whether it is held.
 pub type Chosen = Box<dyn Fn(&str) -> bool + Send>;
 
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    Forwarded,
+    /// It reaches no process and has no answer.
+    Lost,
+    /// It is carried out, and its answer is lost.
+    AnswerLost,
+    /// It is carried out, and its answer is delayed, so that later answers overtake it.
+    AnswerDelayed(Duration),
+    /// The process that runs after the delay carries it out; its answer is lost.
+    Delayed(Duration),
+}
+
+/// Decides by the text of a request what becomes of it.
+pub type Fates = Box<dyn FnMut(&str) -> Fate + Send>;
+
 #[derive(Default)]
 struct State {
     /// Address of the process; `None` while none runs.
@@ -18,6 +36,7 @@
     is_cut: bool,
     chosen: Option<Chosen>,
     held: Vec<Vec<u8>>,
+    fates: Option<Fates>,
 }
 
 /// Forwards requests, one at a time for each connection.
@@ -64,6 +83,12 @@
         self.state.lock().unwrap().chosen = chosen;
     }
 
+    /// Decides from now on what becomes of the requests that are not held; forwards all without a
+    /// decision.
+    pub fn set_fates(&self, fates: Option<Fates>) {
+        self.state.lock().unwrap().fates = fates;
+    }
+
     /// Returns whether a request is held.
     pub fn holds_request(&self) -> bool {
         !self.state.lock().unwrap().held.is_empty()
@@ -82,26 +107,54 @@
     thread::spawn(move || read_message(&mut connection));
 }
 
+/// Sends a request after a delay to the process that runs then.
+fn deliver_late(request: Vec<u8>, delay: Duration, state: Arc<Mutex<State>>) {
+    thread::spawn(move || {
+        thread::sleep(delay);
+        let process = state.lock().unwrap().process;
+        if let Some(process) = process {
+            // The process may have crashed since.
+            let _ = exchange(&request, process);
+        }
+    });
+}
+
 /// Serves a connection until it is closed or the process is gone.
-fn serve(mut client: TcpStream, state: &Mutex<State>) -> io::Result<()> {
+fn serve(mut client: TcpStream, state: &Arc<Mutex<State>>) -> io::Result<()> {
     loop {
         let request = read_message(&mut client)?;
-        let (process, processes) = {
+        let (process, processes, fate) = {
             let mut state = state.lock().unwrap();
             if state.is_cut {
                 continue;
             }
+            let text = String::from_utf8_lossy(&request);
             let chosen = state.chosen.as_ref();
-            if chosen.is_some_and(|chosen| chosen(&String::from_utf8_lossy(&request))) {
+            if chosen.is_some_and(|chosen| chosen(&text)) {
                 state.held.push(request);
                 continue;
             }
-            (state.process, state.processes)
+            let fates = state.fates.as_mut();
+            let fate = fates.map_or(Fate::Forwarded, |fates| fates(&text));
+            (state.process, state.processes, fate)
         };
+        match fate {
+            Fate::Lost => continue,
+            Fate::Delayed(delay) => {
+                deliver_late(request, delay, Arc::clone(state));
+                continue;
+            }
+            Fate::Forwarded | Fate::AnswerLost | Fate::AnswerDelayed(_) => {}
+        }
         let Some(process) = process else {
             return Ok(());
         };
         let answer = exchange(&request, process);
+        match fate {
+            Fate::AnswerLost => continue,
+            Fate::AnswerDelayed(delay) => thread::sleep(delay),
+            Fate::Forwarded | Fate::Lost | Fate::Delayed(_) => {}
+        }
         {
             let state = state.lock().unwrap();
             // The end of a process behind a cut is not seen either.
