refactor: cells with a placement policy and restarts have a module of their own

Change: PermitHosts moves to platform_support. A proxy can delay requests and answers, each by its own time, so that those on different connections overtake each other. A runner tells the age of its process.

--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod customers;
 pub mod late_clients;
+pub mod permit_hosts;
 pub mod policy;
 pub mod processes;
 pub mod proxy;
--- a/tests/platform_support/proxy.rs
+++ b/tests/platform_support/proxy.rs
@@ -9,6 +9,17 @@
 
 /// Decides by the text of a request whether it is held.
 pub type Chosen = Box<dyn Fn(&str) -> bool + Send>;
+/// Returns the delays of a request and of its answer by the text of the request.
+pub type DelaysOf = Box<dyn Fn(&str) -> Delays + Send>;
+
+/// Time on the way. A sender that has stopped waiting reads no answer, so that it is lost.
+#[derive(Clone, Copy, Default)]
+pub struct Delays {
+    /// Time until the process receives the request.
+    pub request: Duration,
+    /// Time until the sender receives the answer.
+    pub answer: Duration,
+}
 
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +48,7 @@
     chosen: Option<Chosen>,
     held: Vec<Vec<u8>>,
     fates: Option<Fates>,
+    delays_of: Option<DelaysOf>,
 }
 
 /// Forwards requests, one at a time for each connection.
@@ -89,6 +101,11 @@
         self.state.lock().unwrap().fates = fates;
     }
 
+    /// Delays requests and answers from now on. Those on different connections overtake each other.
+    pub fn delay(&self, delays_of: Option<DelaysOf>) {
+        self.state.lock().unwrap().delays_of = delays_of;
+    }
+
     /// Returns whether a request is held.
     pub fn holds_request(&self) -> bool {
         !self.state.lock().unwrap().held.is_empty()
@@ -123,20 +140,29 @@
 fn serve(mut client: TcpStream, state: &Arc<Mutex<State>>) -> io::Result<()> {
     loop {
         let request = read_message(&mut client)?;
-        let (process, processes, fate) = {
+        let text = String::from_utf8_lossy(&request);
+        let (fate, delays) = {
             let mut state = state.lock().unwrap();
             if state.is_cut {
                 continue;
             }
-            let text = String::from_utf8_lossy(&request);
-            let chosen = state.chosen.as_ref();
-            if chosen.is_some_and(|chosen| chosen(&text)) {
+            if state.chosen.as_ref().is_some_and(|chosen| chosen(&text)) {
                 state.held.push(request);
                 continue;
             }
             let fates = state.fates.as_mut();
             let fate = fates.map_or(Fate::Forwarded, |fates| fates(&text));
-            (state.process, state.processes, fate)
+            let delays_of = state.delays_of.as_ref();
+            let delays = delays_of.map_or_else(Delays::default, |delays_of| delays_of(&text));
+            (fate, delays)
+        };
+        thread::sleep(delays.request);
+        let (process, processes) = {
+            let state = state.lock().unwrap();
+            if state.is_cut {
+                continue;
+            }
+            (state.process, state.processes)
         };
         match fate {
             Fate::Lost => continue,
@@ -155,6 +181,7 @@
             Fate::AnswerDelayed(delay) => thread::sleep(delay),
             Fate::Forwarded | Fate::Lost | Fate::Delayed(_) => {}
         }
+        thread::sleep(delays.answer);
         {
             let state = state.lock().unwrap();
             // The end of a process behind a cut is not seen either.
--- a/tests/platform_support/runner.rs
+++ b/tests/platform_support/runner.rs
@@ -222,6 +222,11 @@
         self.state.lock().unwrap().born
     }
 
+    /// Time since the start of the current process.
+    pub fn process_age(&self) -> Duration {
+        self.state.lock().unwrap().started_at.elapsed()
+    }
+
     /// Returns the sequence number of the next heartbeat of the process.
     pub fn next_heartbeat(&self) -> u64 {
         let mut state = self.state.lock().unwrap();
