bug: a late renewal for a former process lets its task start twice (test fails)

What callers see: a task with a permit runs twice at once.

Cause: a worker restarts unseen while a renewal with a lease is on its way; the next process runs a task with a permit, its answers are lost, and it is cut off. The renewal is carried out after the permit has expired and lengthens the lease of the run by 10 s. Where nothing shows the restart, allows_for_late_renewals leaves such renewals out, so that run 2 starts at 13.1 s.

--- a/tests/workflow_restart_shapes.rs
+++ b/tests/workflow_restart_shapes.rs
@@ -9,11 +9,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use platform_support::permit_hosts::{AGE_AT_CRASH, PermitHosts, long_runs};
+use platform_support::permit_hosts::{AGE_AT_CRASH, DOWN_TIME, PermitHosts, long_runs};
 use platform_support::proxy::Delays;
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
-use platform_support::{CellSize, Runner, first_port, seeds};
+use platform_support::{CellSize, Runner, await_some, first_port, seeds};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
@@ -32,6 +32,8 @@
 /// Delay of a start order that is carried out after the relay has given it up, but well before its
 /// permit has expired.
 const LATE_START: Duration = Duration::from_millis(1_600);
+/// Delay of a renewal that is carried out after the permit of a start order has expired.
+const LATE_RENEWAL: Duration = Duration::from_secs(6);
 /// Time for which an entry host stands still.
 const STOPPED_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which no answer of a worker arrives; longer than its lease and the time in which its
@@ -133,6 +135,29 @@
     hosts.expect_no_second_run(&restarted);
 }
 
+/// Guards against two runs of a task at once: a renewal for the former process of a worker was carried
+/// out by the next one after the permit had expired, and lengthened the lease of the run.
+#[test]
+fn a_late_renewal_for_a_former_process_does_not_let_its_task_start_twice() {
+    let mut hosts = PermitHosts::start(first_port(21_030));
+    let restarted = hosts.add("i-1", long_runs());
+    thread::sleep(AGE_AT_CRASH);
+    restarted
+        .lose_answers
+        .store(ORDER_ATTEMPTS, Ordering::Release);
+    let extends_lease = |request: &str| is_renewal(request) && request.contains("deadline_ms");
+    restarted.proxy().hold(Some(Box::new(extends_lease)));
+    await_some(|| restarted.proxy().holds_request().then_some(()));
+    restarted.crash_unseen(DOWN_TIME);
+    hosts.cell.submit_task("00c0ffee00c0ffee");
+    let started_at = restarted.await_start();
+    restarted.proxy().set_cut(true);
+    let renewed_at = started_at + LATE_RENEWAL;
+    thread::sleep(renewed_at.saturating_duration_since(Instant::now()));
+    restarted.deliver(&restarted.proxy().take_held()[..1]);
+    hosts.expect_no_second_run(&restarted);
+}
+
 /// Guards against two runs of a task at once: the relay stood still between the restart of a worker and
 /// the cut, so that no report of it showed the restart.
 #[test]
