feature: a search over the orders of events for tasks that run twice

Change: placer/tests/call_orders plays the real term and the real decisions on open calls with models of two relays, of workers as PROTOCOL.md describes them and of a network, in simulated time. Calls are carried out late or never, answers are lost or late; workers restart, are cut off, the placer and relays change, the disk is slow. It checks rule TWICE and that each job ends.

--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the steps of a term, without threads, log or network.
 
 mod backlog;
+mod call_orders;
 mod calls;
 mod capacity;
 mod capacity_random;
