--- a/src/workflow/placer/tests/call_orders.rs
+++ b/src/workflow/placer/tests/call_orders.rs
@@ -80,8 +80,8 @@
     search(true);
 }
 
-/// Guards against the same on queues without a policy, but for orders to a former process whose task
-/// was started anew on the evidence of that one (issue 63, KNOWN-RED.txt).
+/// Guards against the same on queues without a policy, but for the orders of [`Cell::is_accepted`]
+/// (issue 63, KNOWN-RED.txt).
 #[test]
 fn no_order_of_events_runs_a_task_without_a_permit_twice() {
     search(false);
@@ -117,6 +117,12 @@
     });
 }
 
+/// Guards against the same on queues without a policy.
+#[test]
+fn a_prompt_acknowledgement_erases_no_end_of_a_run_without_a_permit() {
+    expect_no_violation(&Plan::draw(565, false));
+}
+
 /// Guards against finished work that runs again: a relay's acknowledgement is held while the worker
 /// answers the next relay, and erases the end of a permitted run of the worker's next process.
 #[test]
