bug: an acknowledgement erased the end of a run that the next process had begun

No call has to be late: a worker lists an end and restarts unseen, its next process answers a start order and ends the run, and the acknowledgement of the listed end then makes it forget the other one, which nobody has read.

Cause: a relay took each answer to a start order for one of the known process and acknowledged on. Such answers name no process.

Change: an answer counts for the known process if its clock certainly is the one of its latest list; otherwise nothing is acknowledged until the process has answered a later call. The search plays the same rule in its model of the relay.

--- a/src/workflow/placer/tests/call_orders/relay.rs
+++ b/src/workflow/placer/tests/call_orders/relay.rs
@@ -10,6 +10,7 @@
 use crate::ids::{Epoch, HostId, WorkerId};
 use crate::workflow::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
+use crate::workflow::decisions::leases::ClockReading;
 use crate::workflow::decisions::open_calls::OpenCalls;
 use crate::workflow::relay::messages::{
     Grant, Instructions, RelayEvent, RelayEventKind, RelayedOrder, WorkerOrder,
@@ -59,7 +60,6 @@
             *calls = OpenCalls {
                 incarnation: target.incarnation,
                 takes_starts: calls.takes_starts,
-                takes_permitted_starts: calls.takes_permitted_starts,
                 ..OpenCalls::default()
             };
         }
@@ -84,6 +84,7 @@
     acknowledged_ends: u64,
     pub expires_at: Instant,
     confirmed_until: Option<Instant>,
+    pub clock: Option<ClockReading>,
     pub has_ended: bool,
     is_confirmed: bool,
     wait: Duration,
@@ -138,6 +139,7 @@
                 acknowledged_ends: 0,
                 expires_at: now + GRANT_LIFETIME,
                 confirmed_until: None,
+                clock: None,
                 has_ended: false,
                 is_confirmed: false,
                 wait: Duration::ZERO,
@@ -253,7 +255,7 @@
                 });
                 return;
             }
-            if may_acknowledge && (calls.takes_starts || calls.takes_permitted_starts) {
+            if may_acknowledge && calls.takes_starts {
                 order.wait_ms = 0;
             }
         }
@@ -330,6 +332,10 @@
         link.wait = RENEWAL_WAIT;
         link.acknowledged_ends = link.acknowledged_ends.max(order.recorded_ends);
         link.confirmed_until = Some(now + CONFIRMATION_VALIDITY);
+        link.clock = Some(ClockReading {
+            clock_ms: report.clock_ms,
+            received_at: now,
+        });
         let includes_running = link.listed_at.is_none_or(|at| now >= at + LIST_INTERVAL);
         if includes_running {
             link.listed_at = Some(now);
--- a/src/workflow/placer/tests/call_orders/start_orders.rs
+++ b/src/workflow/placer/tests/call_orders/start_orders.rs
@@ -5,7 +5,7 @@
 use super::cell::{Answer, Cell, LATE_CALL_LIMIT};
 use super::relay::{ORDER_TIMEOUT, POLL};
 use super::worker::Request;
-use crate::workflow::calls::{CallFailure, OrderAnswer, StartOrder, WorkerTarget};
+use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, StartOrder, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::relay::messages::RelayEventKind;
 
@@ -50,7 +50,6 @@
     fn begin_start(&mut self, start: Start) {
         let now = self.now.at;
         let link = &self.links[start.link];
-        let has_permit = start.order.permit.is_some();
         if link.has_ended || now >= link.expires_at || now >= start.valid_until {
             self.drop_start(&start);
             return;
@@ -63,10 +62,9 @@
                 self.drop_start(&start);
                 return;
             };
-            calls.takes_starts |= !has_permit;
-            calls.takes_permitted_starts |= has_permit;
-            may_start = calls.may_start(token, has_permit);
-            if !may_start && !has_permit && calls.needs_higher_token(token) {
+            calls.takes_starts = true;
+            may_start = calls.may_start(token);
+            if !may_start && calls.needs_higher_token(token) {
                 self.drop_start(&start);
                 return;
             }
@@ -96,12 +94,18 @@
         let (relay, target) = (link.relay, link.target.clone());
         let has_permit = start.order.permit.is_some();
         let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
+        let may_run_elsewhere = result.as_ref().is_ok_and(|answer| {
+            let clocks = link.clock.zip(answer.clock_ms);
+            let is_known = clocks.is_some_and(|(known, clock)| known.is_same_clock(clock, now));
+            answer.outcome == OrderOutcome::Done && !is_known
+        });
         self.relays[relay].update(&target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
             match (is_unanswered, has_permit) {
-                (true, true) => calls.permitted_start_open_since = Some(now),
                 (true, false) => calls.starts_open_until = Some(now + LATE_CALL_LIMIT),
-                _ => {}
+                (true, true) => calls.start_open_since = Some(now),
+                (false, _) if may_run_elsewhere => calls.start_open_since = Some(now),
+                (false, _) => {}
             }
         });
         let fence = start.order.fence;
