--- a/tests/platform_support/permit_hosts.rs
+++ b/tests/platform_support/permit_hosts.rs
@@ -15,7 +15,7 @@
 use super::{Cell, CellSize, Ports, Runner, await_some, configuration_with_policy};
 
 /// Reading of the clock of a first process: a lease on it ends far ahead on the clock of the next.
-const FIRST_CLOCK: Duration = Duration::from_secs(600);
+pub const FIRST_CLOCK: Duration = Duration::from_secs(600);
 /// Age of the cell at the crash. Leases that are granted from this age on end later than those that
 /// an earlier placer may have granted.
 pub const AGE_AT_CRASH: Duration = Duration::from_secs(5);
@@ -24,7 +24,7 @@
 /// Time in which an order for a worker that restarted unseen is sent or dropped.
 pub const ORDER_TIME: Duration = Duration::from_millis(2_500);
 /// Restarts in which the order may arrive too late, as on a busy machine.
-const MAX_RESTARTS: u64 = 8;
+pub const MAX_RESTARTS: u64 = 8;
 
 /// A cell of processes whose queue has a placement policy.
 pub struct PermitHosts {
--- a/tests/workflow_noted_ends.rs
+++ b/tests/workflow_noted_ends.rs
@@ -9,27 +9,16 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use platform_support::policy::PolicyService;
-use platform_support::processes::HostProcesses;
+use platform_support::permit_hosts::{
+    AGE_AT_CRASH, DOWN_TIME, MAX_RESTARTS, ORDER_TIME, PermitHosts, long_runs,
+};
 use platform_support::proxy::Fate;
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
-use platform_support::{Cell, CellSize, Ports, Runner, await_some, configuration_with_policy};
+use platform_support::{CellSize, Runner, await_some};
 use rustix::process::Signal;
 use serde_json::Value;
-use tempfile::TempDir;
 
-/// Reading of the clock of a first process: a lease on it ends far ahead on the clock of the next.
-const FIRST_CLOCK: Duration = Duration::from_secs(600);
-/// Age of the cell at the first fault. Leases that are granted from this age on end later than those
-/// that an earlier placer may have granted.
-const AGE_AT_FAULT: Duration = Duration::from_secs(5);
-/// Time between a crash and the start of the next process.
-const DOWN_TIME: Duration = Duration::from_millis(100);
-/// Time in which an order for a worker that restarted unseen is sent or dropped.
-const ORDER_TIME: Duration = Duration::from_millis(2_500);
-/// Restarts in which the order may arrive too late, as on a busy machine.
-const MAX_RESTARTS: u64 = 8;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay of a start order that is carried out late, but before its permit has expired.
 const LATE_START: Duration = Duration::from_millis(1_800);
@@ -50,42 +39,26 @@
 const ORDER_ATTEMPTS: usize = 3;
 
 struct Hosts {
-    policy: PolicyService,
-    cell: Cell,
-    processes: HostProcesses,
+    permit: PermitHosts,
     workers: Vec<(String, Arc<Runner>)>,
     heartbeat_at: Instant,
-    _folder: TempDir,
 }
 
 impl Hosts {
     fn start(first_port: u16, size: CellSize) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let policy = PolicyService::start();
-        let ports = Ports::starting_at(first_port);
-        let processes = HostProcesses::start_with_policy(folder.path(), ports, size, &policy);
-        let cell = Cell::of_processes(ports, size);
-        let document = configuration_with_policy(1);
-        let answer = cell.control(&Method::PUT, "/api/config", &document);
-        assert_eq!(answer.status, 200);
         Self {
-            policy,
-            cell,
-            processes,
+            permit: PermitHosts::start_with_size(first_port, size),
             workers: Vec::new(),
             heartbeat_at: Instant::now(),
-            _folder: folder,
         }
     }
 
     fn add(&mut self, id: &str, run_time: Duration) -> Arc<Runner> {
-        let runner = Runner::start_with(RunnerOptions {
+        let options = RunnerOptions {
             run_time,
-            first_clock: FIRST_CLOCK,
-            ..RunnerOptions::default()
-        });
-        self.policy.add(id, &runner);
-        self.cell.announce(id, &runner, runner.next_heartbeat());
+            ..long_runs()
+        };
+        let runner = self.permit.add(id, options);
         self.workers.push((id.to_owned(), Arc::clone(&runner)));
         runner
     }
@@ -98,7 +71,9 @@
         self.heartbeat_at = Instant::now() + HEARTBEAT_INTERVAL;
         for (id, runner) in &self.workers {
             if Some(id.as_str()) != silent {
-                self.cell.announce(id, runner, runner.next_heartbeat());
+                self.permit
+                    .cell
+                    .announce(id, runner, runner.next_heartbeat());
             }
         }
     }
@@ -123,7 +98,7 @@
             await_some(|| (worker.received() > received).then_some(()));
             worker.crash_unseen(DOWN_TIME);
             let job = format!("00c0ffee{number:08x}");
-            self.cell.submit_task(&job);
+            self.permit.cell.submit_task(&job);
             let submitted_at = Instant::now();
             while submitted_at.elapsed() < ORDER_TIME {
                 if is_seen() {
@@ -132,9 +107,11 @@
                 thread::sleep(Duration::from_millis(2));
             }
             let path = format!("/plans/{job}");
-            self.cell.caller(Method::DELETE, &path, &Value::Null);
-            self.cell.announce("i-1", worker, worker.next_heartbeat());
-            thread::sleep(AGE_AT_FAULT);
+            self.permit.cell.caller(Method::DELETE, &path, &Value::Null);
+            self.permit
+                .cell
+                .announce("i-1", worker, worker.next_heartbeat());
+            thread::sleep(AGE_AT_CRASH);
         }
         panic!("no start order reached a process that the cell did not know");
     }
@@ -145,12 +122,12 @@
         await_some(|| {
             self.send_heartbeats(None);
             let is_noted = self.workers.iter().all(|(_, it)| it.listed_ends() == 0);
-            (is_noted && self.cell.state(job).as_deref() == Some("completed")).then_some(())
+            (is_noted && self.permit.cell.state(job).as_deref() == Some("completed")).then_some(())
         });
         let runners: Vec<&Runner> = self.workers.iter().map(|(_, it)| it.as_ref()).collect();
         assert_eq!(repeats(&runners), [], "finished work ran again");
         assert_eq!(overlaps(&runners), 0, "two runs of a task at once");
-        self.processes.assert_running();
+        self.permit.processes.assert_running();
     }
 }
 
@@ -186,7 +163,7 @@
 fn end_unseen(first_port: u16, case: UnseenRun) {
     let mut hosts = Hosts::start(first_port, CellSize::SMALL);
     let restarted = hosts.add("i-1", UNSEEN_RUN);
-    thread::sleep(AGE_AT_FAULT);
+    thread::sleep(AGE_AT_CRASH);
     let proxy = restarted.proxy();
     let lost = case.lost_answers;
     restarted.lose_answers.store(lost, Ordering::Release);
@@ -205,12 +182,12 @@
     }
     if case.is_announced {
         let sequence = restarted.next_heartbeat();
-        hosts.cell.announce("i-1", &restarted, sequence);
+        hosts.permit.cell.announce("i-1", &restarted, sequence);
     }
     if case.kills_leader {
-        let (_, leader) = hosts.processes.leader().unwrap();
-        hosts.processes.kill(leader);
-        hosts.processes.start_host(leader);
+        let (_, leader) = hosts.permit.processes.leader().unwrap();
+        hosts.permit.processes.kill(leader);
+        hosts.permit.processes.start_host(leader);
     }
     if case.is_late {
         // Without heartbeats, which would wait for the next placer while the permit expires.
@@ -230,7 +207,7 @@
     let back_at = Instant::now();
     proxy.set_cut(false);
     let sequence = restarted.next_heartbeat();
-    hosts.cell.announce("i-1", &restarted, sequence);
+    hosts.permit.cell.announce("i-1", &restarted, sequence);
     if case.holds_next {
         hosts.wait(None, back_at + HELD_ORDER_TIME, || false);
         other.proxy().hold(None);
@@ -300,7 +277,7 @@
     };
     let mut hosts = Hosts::start(first_port, size);
     let healthy = hosts.add("i-1", SHORT_RUN);
-    thread::sleep(AGE_AT_FAULT);
+    thread::sleep(AGE_AT_CRASH);
     let is_ordered = Arc::new(AtomicBool::new(false));
     let ordered = Arc::clone(&is_ordered);
     let submitted_at = Instant::now();
@@ -309,7 +286,7 @@
         fates(request, submitted_at.elapsed())
     })));
     let job = "00c0ffee00000001";
-    hosts.cell.submit_task(job);
+    hosts.permit.cell.submit_task(job);
     await_some(|| {
         hosts.send_heartbeats(None);
         is_ordered.load(Ordering::Acquire).then_some(())
@@ -346,11 +323,11 @@
         }
     };
     run_on_healthy(22_025, fates, |hosts, worker| {
-        let (_, leader) = hosts.processes.leader().unwrap();
+        let (_, leader) = hosts.permit.processes.leader().unwrap();
         await_listed(worker);
-        hosts.processes.signal(leader, Signal::STOP);
+        hosts.permit.processes.signal(leader, Signal::STOP);
         thread::sleep(Duration::from_secs(4));
-        hosts.processes.signal(leader, Signal::CONT);
+        hosts.permit.processes.signal(leader, Signal::CONT);
     });
 }
 
--- a/tests/workflow_permits_late_calls.rs
+++ b/tests/workflow_permits_late_calls.rs
@@ -9,28 +9,20 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use platform_support::policy::PolicyService;
-use platform_support::processes::HostProcesses;
+use platform_support::permit_hosts::{
+    DOWN_TIME, FIRST_CLOCK, MAX_RESTARTS, ORDER_TIME, PermitHosts,
+};
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
-use platform_support::{
-    Cell, CellSize, Ports, Runner, await_some, configuration_with_policy, heartbeat,
-};
+use platform_support::{CellSize, Runner, await_some, heartbeat};
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use tempfile::TempDir;
 
-/// Reading of the clock of a first process: a lease on it ends far ahead on the clock of the next.
-const FIRST_CLOCK: Duration = Duration::from_secs(600);
 /// Age of the cell at the first job.
 const WARM_UP: Duration = Duration::from_secs(5);
 /// Time in which a relay gives up an acknowledgement and sends it again, or a worker gets another
 /// relay, which then sends its acknowledgement.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
-/// Time between a crash and the start of the next process.
-const DOWN_TIME: Duration = Duration::from_millis(100);
-/// Time in which an order for a worker that restarted unseen is sent or dropped.
-const ORDER_TIME: Duration = Duration::from_millis(2_500);
 /// Run time of a task that ends before the cell knows of the process that runs it.
 const SHORT_RUN: Duration = Duration::from_millis(300);
 
@@ -38,49 +30,25 @@
 const LONG_RUN: Duration = Duration::from_secs(60);
 /// Attempts of a relay to send a start order.
 const ORDER_ATTEMPTS: usize = 3;
-/// Restarts in which the order may arrive too late, as on a busy machine.
-const MAX_RESTARTS: u64 = 8;
-
-/// A cell of processes whose queue has a placement policy.
+/// A cell with a placement policy, whose caller may change its entry host.
 struct Hosts {
-    policy: PolicyService,
-    cell: Cell,
-    processes: HostProcesses,
+    permit: PermitHosts,
     /// Entry host that serves the caller.
     entry: usize,
-    _folder: TempDir,
 }
 
 impl Hosts {
     fn start(first_port: u16, entry_hosts: usize) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let policy = PolicyService::start();
-        let ports = Ports::starting_at(first_port);
         let size = CellSize {
             entry_hosts,
             ..CellSize::SMALL
         };
-        let processes = HostProcesses::start_with_policy(folder.path(), ports, size, &policy);
-        let cell = Cell::of_processes(ports, size);
-        let document = configuration_with_policy(1);
-        let answer = cell.control(&Method::PUT, "/api/config", &document);
-        assert_eq!(answer.status, 200);
         Self {
-            policy,
-            cell,
-            processes,
+            permit: PermitHosts::start_with_size(first_port, size),
             entry: *size.entries().start(),
-            _folder: folder,
         }
     }
 
-    fn add(&self, id: &str, options: RunnerOptions) -> Arc<Runner> {
-        let runner = Runner::start_with(options);
-        self.policy.add(id, &runner);
-        self.cell.announce(id, &runner, runner.next_heartbeat());
-        runner
-    }
-
     /// Restarts a worker while a renewal for its former process is on its way, and submits a job at once,
     /// until the next process runs a task before the cell knows of that process. Returns the renewals.
     fn restart_with_held_renewal(&self, worker: &Arc<Runner>) -> Vec<Vec<u8>> {
@@ -104,9 +72,12 @@
             worker.proxy().hold(None);
             worker.proxy().take_held();
             let path = format!("/plans/{job}");
-            self.cell
+            self.permit
+                .cell
                 .caller_at(self.entry, Method::DELETE, &path, &Value::Null);
-            self.cell.announce("i-1", worker, worker.next_heartbeat());
+            self.permit
+                .cell
+                .announce("i-1", worker, worker.next_heartbeat());
             thread::sleep(WARM_UP);
         }
         panic!("no start order reached a process that the cell did not know");
@@ -118,6 +89,7 @@
         let path = format!("/plans/{job}");
         await_some(|| {
             let answer = self
+                .permit
                 .cell
                 .caller_at(self.entry, Method::POST, &path, &body)?;
             (answer.status == 200).then_some(())
@@ -127,6 +99,7 @@
     fn is_completed(&self, job: &str) -> bool {
         let path = format!("/plans/{job}");
         let answer = self
+            .permit
             .cell
             .caller_at(self.entry, Method::GET, &path, &Value::Null);
         let body = answer.and_then(|answer| serde_json::from_slice::<Value>(&answer.body).ok());
@@ -136,13 +109,17 @@
     /// Stops the process of the relay of the only worker as in a pause, and waits for the next relay.
     /// The caller uses an entry host that runs.
     fn pause_relay(&mut self) -> usize {
-        let relay = self.processes.last_host_with_line("start order answered");
+        let relay = self
+            .permit
+            .processes
+            .last_host_with_line("start order answered");
         let relay = relay.expect("a start order was answered");
-        self.processes.signal(relay, Signal::STOP);
-        let mut entries = self.cell.size.entries();
+        self.permit.processes.signal(relay, Signal::STOP);
+        let mut entries = self.permit.cell.size.entries();
         self.entry = entries.find(|entry| *entry != relay).unwrap();
         let moved = || {
-            self.processes
+            self.permit
+                .processes
                 .last_host_with_line("worker gets another relay")
         };
         await_some(moved);
@@ -170,12 +147,15 @@
         first_clock: FIRST_CLOCK,
         ..RunnerOptions::default()
     };
-    let restarted = hosts.add("i-1", short);
+    let restarted = hosts.permit.add("i-1", short);
     thread::sleep(WARM_UP);
     hold_first_acknowledgement(&restarted);
     hosts.submit("00c0ffee00000100");
     let holds = || restarted.proxy().holds_request().then_some(());
-    hosts.cell.await_with_heartbeats("i-1", &restarted, holds);
+    hosts
+        .permit
+        .cell
+        .await_with_heartbeats("i-1", &restarted, holds);
     let former = changes_relay.then(|| hosts.pause_relay());
     thread::sleep(SETTLING_TIME);
     assert_eq!(
@@ -200,11 +180,11 @@
     restarted.deliver(&restarted.proxy().take_held());
     restarted.proxy().hold(None);
     if let Some(former) = former {
-        hosts.processes.signal(former, Signal::CONT);
+        hosts.permit.processes.signal(former, Signal::CONT);
     }
 
-    let other = hosts.add("i-2", short);
-    let cell = &hosts.cell;
+    let other = hosts.permit.add("i-2", short);
+    let cell = &hosts.permit.cell;
     cell.announce("i-1", &restarted, restarted.next_heartbeat());
     cell.await_with_heartbeats("i-2", &other, || hosts.is_completed(job).then_some(()));
     assert_eq!(
@@ -212,7 +192,7 @@
         [],
         "finished work ran again"
     );
-    hosts.processes.assert_running();
+    hosts.permit.processes.assert_running();
 }
 
 /// Guards against finished work that runs again: the acknowledgement of a former relay, which had the
@@ -238,14 +218,14 @@
         first_clock: FIRST_CLOCK,
         ..RunnerOptions::default()
     };
-    let restarted = hosts.add("i-1", long);
+    let restarted = hosts.permit.add("i-1", long);
     thread::sleep(WARM_UP);
     restarted
         .lose_answers
         .store(ORDER_ATTEMPTS, Ordering::Release);
     let renewals = hosts.restart_with_held_renewal(&restarted);
     let started_at = Instant::now();
-    let other = hosts.add("i-2", long);
+    let other = hosts.permit.add("i-2", long);
     let renewal = renewals[..1].to_vec();
     let worker = Arc::clone(&restarted);
     let renewing = thread::spawn(move || {
@@ -257,7 +237,7 @@
         }
         worker.deliver(&renewal);
     });
-    let cell = &hosts.cell;
+    let cell = &hosts.permit.cell;
     cell.await_with_heartbeats("i-2", &other, || other.is_at_work().then_some(()));
     eprintln!(
         "the other worker starts the task {} ms after the order",
@@ -269,7 +249,7 @@
         0,
         "two runs of the task at once"
     );
-    hosts.processes.assert_running();
+    hosts.permit.processes.assert_running();
 }
 
 /// Guards against two runs of a task at once: a renewal for the former process lengthened the lease of a
@@ -307,12 +287,15 @@
         first_clock: FIRST_CLOCK,
         ..RunnerOptions::default()
     };
-    let worker = hosts.add("i-1", short);
+    let worker = hosts.permit.add("i-1", short);
     thread::sleep(WARM_UP);
     hold_first_acknowledgement(&worker);
     hosts.submit("00c0ffee00000100");
     let holds = || worker.proxy().holds_request().then_some(());
-    hosts.cell.await_with_heartbeats("i-1", &worker, holds);
+    hosts
+        .permit
+        .cell
+        .await_with_heartbeats("i-1", &worker, holds);
     let former = changes_relay.then(|| hosts.pause_relay());
     if changes_relay {
         thread::sleep(SETTLING_TIME);
@@ -321,14 +304,15 @@
     let submitted_at = Instant::now();
     let has_started = || (worker.starts().len() == 2).then_some(());
     hosts
+        .permit
         .cell
         .await_with_heartbeats("i-1", &worker, has_started);
     let delay = submitted_at.elapsed();
     eprintln!("the task starts {} ms after its job", delay.as_millis());
     if let Some(former) = former {
-        hosts.processes.signal(former, Signal::CONT);
+        hosts.permit.processes.signal(former, Signal::CONT);
     }
-    hosts.processes.assert_running();
+    hosts.permit.processes.assert_running();
     delay
 }
 
@@ -356,7 +340,7 @@
         first_clock: FIRST_CLOCK,
         ..RunnerOptions::default()
     };
-    let restarted = hosts.add("i-1", long);
+    let restarted = hosts.permit.add("i-1", long);
     thread::sleep(WARM_UP);
     let mut second = Value::Null;
     for number in 0..MAX_RESTARTS {
@@ -375,19 +359,21 @@
             break;
         }
         let path = format!("/plans/{job}");
-        let cell = &hosts.cell;
+        let cell = &hosts.permit.cell;
         cell.caller_at(hosts.entry, Method::DELETE, &path, &Value::Null);
         cell.announce("i-1", &restarted, restarted.next_heartbeat());
         thread::sleep(WARM_UP);
     }
     assert!(restarted.is_at_work(), "no start order reached the process");
     let answer = hosts
+        .permit
         .cell
         .control(&Method::PUT, "/api/instances/i-1", &second);
     assert_eq!(answer.status, 200);
     restarted.proxy().set_cut(true);
-    let other = hosts.add("i-2", long);
+    let other = hosts.permit.add("i-2", long);
     hosts
+        .permit
         .cell
         .await_with_heartbeats("i-2", &other, || other.is_at_work().then_some(()));
     assert_eq!(
@@ -395,5 +381,5 @@
         0,
         "two runs of the task at once"
     );
-    hosts.processes.assert_running();
+    hosts.permit.processes.assert_running();
 }
