bug: the answer of the next process settles a start order without a permit (test fails)

Cause: settle_start takes any answer whose clock agrees with the known one for evidence of the known incarnation. On a worker younger than some 2.5 s the next incarnation's clock agrees as well. Orders with a permit ask for a clock that tells incarnations apart, orders without one do not.

Change: the test only.

--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -9,6 +9,7 @@
 use super::claims::{run_number, step};
 use super::fixture::*;
 use super::permits::permit;
+use super::restarts::expect_run_until;
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::records::RunOutcome;
@@ -337,3 +338,28 @@
         assert!(matches!(run_number(&fixture), None | Some(1)));
     }
 }
+
+/// Guards against two runs of a task at once: the next incarnation of a young worker answered the start
+/// order without a permit, its clock was taken for that of the known one, and the run ended with the
+/// lease on the former clock.
+#[test]
+fn an_answer_that_the_next_incarnation_may_have_given_settles_no_start_order() {
+    let mut fixture = with_relays(Fixture::new());
+    // First answer at 100 ms of the worker's clock, latest list at 2,200 ms.
+    let live = &mut fixture.term.workers["w"];
+    live.clock.as_mut().unwrap().clock_ms = 2_200;
+    live.clock.as_mut().unwrap().received_at = fixture.now.at;
+    live.granted_until_clock_ms = 8_200;
+    live.unknown_until_clock_ms = 10_100;
+    fixture.advance(Duration::from_millis(200));
+    let born_at = fixture.now.at;
+    fixture.advance(Duration::from_millis(200));
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let lease_until = Duration::from_millis(fixture.term.workers["w"].granted_until_clock_ms);
+    fixture.advance(Duration::from_millis(100));
+    fixture.report_start_answer(&fixture.relay(), (OrderOutcome::Done, 300), false);
+    fixture.announce("v");
+    expect_run_until(&mut fixture, "w", 1, born_at + lease_until);
+}
