bug: the answer of the next process settled a start order without a permit

Cause: on a worker younger than some 7.5 s the clock of the next process agrees with the known one. An order without a permit took its answer for one of the known process, so that the run ended with a lease on the former clock while the next process held it on its own. Found by review; no call is late.

Change: as with permits, an answer settles the order if its clock certainly is the known one. Otherwise the order is settled once the known process answers a renewal that was sent after that answer arrived.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -47,19 +47,21 @@
         Some(expires_without_reading(now, validity))
     }
 
-    /// Notes that the known incarnation of a worker was at work after a time: permits that were issued
-    /// before are for it or for an earlier one.
-    pub(super) fn settle_permitted_starts(&mut self, id: &WorkerId, at_work_at: Instant) {
+    /// Notes that the known incarnation of a worker was at work after a time: no later one has a permit
+    /// that was issued before, or gave an answer that arrived before.
+    pub(super) fn settle_earlier_starts(&mut self, id: &WorkerId, at_work_at: Instant) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         for task in &worker.runs {
-            let run = self.runs.get_mut(task);
-            if let Some(run) = run.filter(|run| run.permit_expires_by.is_some())
-                && run.placed_at < at_work_at
-            {
-                run.start_is_settled = true;
-            }
+            let Some(run) = self.runs.get_mut(task) else {
+                continue;
+            };
+            let shown_at = match run.permit_expires_by {
+                Some(_) => Some(run.placed_at),
+                None => run.start_answered_at,
+            };
+            run.start_is_settled |= shown_at.is_some_and(|shown_at| shown_at < at_work_at);
         }
     }
 
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -1,5 +1,7 @@
 //! Handles the outcomes of start and stop orders.
 
+use std::time::Instant;
+
 use super::super::calls::{OrderAnswer, OrderOutcome};
 use super::super::records::{RunNumber, RunOutcome};
 use super::super::spec::TaskKey;
@@ -95,9 +97,15 @@
         }
     }
 
-    /// Notes that the known incarnation has answered a start order. Its permit is for that incarnation
-    /// or for an earlier one; without a permit, other copies of the order may be carried out later.
-    pub(super) fn settle_start(&mut self, order: &OrderedRun<'_>, earlier_attempt_open: bool) {
+    /// Notes that a start order was answered with a clock that may be the one of the known incarnation. If
+    /// it certainly is, the permit is for that incarnation or for an earlier one; without a permit, other
+    /// copies of the order may be carried out later.
+    pub(super) fn settle_start(
+        &mut self,
+        order: &OrderedRun<'_>,
+        earlier_attempt_open: bool,
+        now: Instant,
+    ) {
         let reading = self.workers.get(order.worker).and_then(|live| live.clock);
         let is_certain = reading.is_some_and(|reading| reading.tells_incarnations_apart());
         let current = self.runs.get_mut(order.task);
@@ -106,9 +114,11 @@
         };
         if run.permit_expires_by.is_some() {
             run.start_is_settled |= is_certain;
-        } else if !earlier_attempt_open {
-            run.start_is_settled = run.starts_sent == 1;
+            return;
         }
+        let is_only_copy = !earlier_attempt_open && run.starts_sent == 1;
+        run.start_is_settled = is_only_copy && is_certain;
+        run.start_answered_at = is_only_copy.then_some(now);
     }
 
     /// Handles a start order without an answer. If the order may have arrived, the run is stopped
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -44,7 +44,7 @@
             } => {
                 let is_known = self.handle_start_answer(&run_of(&task, run), answer, now);
                 if is_known && answer.clock_ms.is_some() {
-                    self.settle_start(&run_of(&task, run), earlier_attempt_open);
+                    self.settle_start(&run_of(&task, run), earlier_attempt_open, now.at);
                 }
             }
             RelayEventKind::StartUnanswered {
@@ -156,7 +156,7 @@
         }
         self.record_clock(worker, report.clock_ms, now.at);
         self.refute_claim(worker, asked_at);
-        self.settle_permitted_starts(worker, asked_at);
+        self.settle_earlier_starts(worker, asked_at);
         if let Some(record) = record {
             self.remove_predecessors(&record, now);
         }
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -330,8 +330,8 @@
     /// Permit of the start order; `None` when the queue has no placement policy, and for a run that
     /// was adopted from an earlier leader.
     pub permit: Option<String>,
-    /// Time from which on no worker accepts the permit of the start order; `None` when the queue has no
-    /// placement policy. The permit was issued before `placed_at`.
+    /// Time from which on no worker accepts the permit of the start order by the queue of the job, for
+    /// logs; `None` when the queue has no placement policy. The permit was issued before `placed_at`.
     pub permit_expires_by: Option<Instant>,
     /// Time at which the start order was last sent, or before which an earlier leader sent it; `None`
     /// before.
@@ -340,9 +340,12 @@
     pub give_up_at: Option<Instant>,
     /// Number of times the start order was sent.
     pub starts_sent: u32,
-    /// Whether no later incarnation of the worker can carry out the start order: its only copy was
-    /// answered, or its permit is for the known incarnation or an earlier one.
+    /// Whether no later incarnation of the worker can carry out the start order: the known one has
+    /// answered its only copy, or its permit is for that one or an earlier one.
     pub start_is_settled: bool,
+    /// Time at which the only copy of the start order, without a permit, was answered by an incarnation
+    /// that is not certainly the known one.
+    pub start_answered_at: Option<Instant>,
     /// Whether a line of the log has said that a copy of the start order may still be carried out.
     pub logged_as_open: bool,
 }
@@ -371,6 +374,7 @@
             give_up_at: None,
             starts_sent: 0,
             start_is_settled: false,
+            start_answered_at: None,
             logged_as_open: false,
         }
     }
