--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -30,9 +30,9 @@
     pub starts: usize,
     /// Time until which a start order whose answer is no longer awaited may be carried out.
     pub starts_open_until: Option<Instant>,
-    /// Time at which a start order with a permit was given up, or at which one was answered by an
-    /// incarnation that is not certainly this one, unless this one has answered a later call.
-    pub start_open_since: Option<Instant>,
+    /// Time at which a start order with a permit was given up, unless the incarnation has answered a
+    /// later call.
+    pub permitted_start_open_since: Option<Instant>,
     /// Whether the answer to an acknowledgement is awaited.
     pub is_acknowledging: bool,
     /// Whether an acknowledgement waits for the answers to start orders; new ones wait for it.
@@ -63,14 +63,15 @@
 
     /// Whether a start order whose answer is no longer awaited may be carried out.
     pub fn is_start_open(&self, now: Instant) -> bool {
-        self.start_open_since.is_some() || self.starts_open_until.is_some_and(|until| now < until)
+        self.permitted_start_open_since.is_some()
+            || self.starts_open_until.is_some_and(|until| now < until)
     }
 
     /// Notes that the incarnation has answered a call that was sent at a time, and returns whether this
-    /// shows that no later one carries out or has carried out such an order.
+    /// shows that an order with a permit can no longer be carried out by a later one.
     pub fn note_answer(&mut self, sent_at: Instant) -> bool {
         let is_later = |since: &mut Instant| *since < sent_at;
-        self.start_open_since.take_if(is_later).is_some()
+        self.permitted_start_open_since.take_if(is_later).is_some()
     }
 
     /// Whether nothing has to be remembered.
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use super::super::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
-use super::super::decisions::leases::ClockReading;
 use super::messages::{Grant, RelayEventKind};
 use super::open_calls::OpenAcknowledgement;
 use super::{Link, Relay};
@@ -45,8 +44,6 @@
     /// Time until which the incarnation of the grants counts as present; `None` while its latest
     /// renewal has no answer.
     confirmed_until: Option<Instant>,
-    /// Clock of the incarnation of the grants by its latest list.
-    clock: Option<ClockReading>,
     ended: bool,
 }
 
@@ -63,7 +60,6 @@
                 granted_at_ms: grant.granted_at_ms,
                 expires_at: now + GRANT_LIFETIME,
                 confirmed_until: None,
-                clock: None,
                 ended: false,
             }),
             changed: Condvar::new(),
@@ -123,27 +119,8 @@
         !state.ended && state.confirmed_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the answer to an order certainly came from the incarnation of the grants. Such answers
-    /// name no incarnation; a later one has another clock.
-    pub(super) fn gave_answer(&self, clock_ms: Option<u64>) -> bool {
-        let known = self.state.lock().unwrap().clock;
-        known
-            .zip(clock_ms)
-            .is_some_and(|(known, clock_ms)| known.is_same_clock(clock_ms, Instant::now()))
-    }
-
-    fn note_list(&self, clock_ms: u64, now: Instant) {
-        let mut state = self.state.lock().unwrap();
-        state.confirmed_until = Some(now + CONFIRMATION_VALIDITY);
-        state.clock = Some(ClockReading {
-            clock_ms,
-            received_at: now,
-        });
-        self.changed.notify_all();
-    }
-
-    fn withdraw_confirmation(&self) {
-        self.state.lock().unwrap().confirmed_until = None;
+    fn set_confirmed_until(&self, until: Option<Instant>) {
+        self.state.lock().unwrap().confirmed_until = until;
         self.changed.notify_all();
     }
 
@@ -161,7 +138,7 @@
             let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
             if is_unanswered {
                 // Start orders that wait for the answer to an acknowledgement find this afterwards.
-                self.withdraw_confirmation();
+                self.set_confirmed_until(None);
             }
             if let Some(open) = open.filter(|_| !is_unanswered) {
                 open.settle();
@@ -180,7 +157,7 @@
                         );
                     }
                     confirmed = false;
-                    self.withdraw_confirmation();
+                    self.set_confirmed_until(None);
                     listed_at = None;
                     wait = Duration::ZERO;
                     relay.queue_event(self.epoch, &self.target, RelayEventKind::Silent { failure });
@@ -211,7 +188,7 @@
             self.note_acknowledged(order.recorded_ends);
             relay.open_calls.note_answer(&self.target, sent_at);
             let now = Instant::now();
-            self.note_list(report.clock_ms, now);
+            self.set_confirmed_until(Some(now + CONFIRMATION_VALIDITY));
             let last_end = report.ends.last().map_or(0, |end| end.number);
             let includes_running = listed_at.is_none_or(|at| now >= at + LIST_INTERVAL);
             if includes_running {
--- a/src/workflow/relay/open_calls.rs
+++ b/src/workflow/relay/open_calls.rs
@@ -44,7 +44,7 @@
                     table: self,
                     target,
                     has_permit,
-                    end: StartEnd::Unanswered,
+                    may_be_late: true,
                 });
             }
             let left = deadline.saturating_duration_since(Instant::now());
@@ -58,15 +58,14 @@
     fn end_start(&self, start: &OpenStart<'_>) {
         self.update(start.target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
+            if !start.may_be_late {
+                return;
+            }
             let now = Instant::now();
-            match start.end {
-                StartEnd::Settled => {}
-                StartEnd::Unanswered if !start.has_permit => {
-                    calls.starts_open_until = Some(now + self.late_call_limit);
-                }
-                StartEnd::Unanswered | StartEnd::AnsweredByUnknown => {
-                    calls.start_open_since = Some(now);
-                }
+            if start.has_permit {
+                calls.permitted_start_open_since = Some(now);
+            } else {
+                calls.starts_open_until = Some(now + self.late_call_limit);
             }
         });
     }
@@ -160,35 +159,19 @@
     }
 }
 
-/// What is known of a start order when its answer is no longer awaited.
-#[derive(Clone, Copy)]
-enum StartEnd {
-    /// It was certainly not sent, or the incarnation of the target answered it.
-    Settled,
-    /// It was answered, perhaps by a later incarnation, which may run the task.
-    AnsweredByUnknown,
-    /// The worker may carry it out late.
-    Unanswered,
-}
-
-/// A start order that is being sent. When it is dropped, the worker may carry it out late, unless its
-/// end was noted.
+/// A start order that is being sent. When it is dropped, the worker may carry it out late, unless it
+/// was settled.
 pub(super) struct OpenStart<'a> {
     table: &'a OpenCallTable,
     target: &'a WorkerTarget,
     has_permit: bool,
-    end: StartEnd,
+    may_be_late: bool,
 }
 
 impl OpenStart<'_> {
-    /// Notes that the incarnation of the target answered the order, or that it was certainly not sent.
+    /// Notes that the order was answered or certainly not sent.
     pub(super) fn settle(mut self) {
-        self.end = StartEnd::Settled;
-    }
-
-    /// Notes that the order was answered, perhaps by a later incarnation of the worker.
-    pub(super) fn note_unknown_answer(mut self) {
-        self.end = StartEnd::AnsweredByUnknown;
+        self.may_be_late = false;
     }
 }
 
