refactor: a run keeps whether its order names a permit, not until when

Cause: since no decision uses the expiry of a permit. Its computation for each placement and each adopted run, the longest validity of a stage and the expiry in the run served one field of two log lines, and could be read as a bound that the placer relies on. Tests of the same courses, of departures and of a third incarnation, were written twice.

Change: LiveRun::has_permit; permits_expire_by and permit_validity are gone. The log lines of open start orders have has_permit in place of permit_expires_in_ms. The latest arrival of open orders is a maximum. Tests of stated validities record the permit with that validity; all assertions stay.

No decision changes.

--- a/src/workflow/placer/leases.rs
+++ b/src/workflow/placer/leases.rs
@@ -195,22 +195,14 @@
     ///
     /// The end is common to all these runs, since each such call lengthens the lease of all of them.
     pub(super) fn late_starts_end_at(&self, worker: &LiveWorker) -> Option<Instant> {
-        let mut last_call_by = None;
-        for task in &worker.runs {
-            let Some(run) = self.runs.get(task) else {
-                continue;
-            };
-            let Some(arrives_by) = run.late_start_arrives_by(worker, &self.settings) else {
-                continue;
-            };
-            last_call_by = last_call_by.max(Some(arrives_by));
-        }
+        let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
+        let arrivals = runs.filter_map(|run| run.late_start_arrives_by(worker, &self.settings));
+        let start_arrives_by = arrivals.max()?;
         // A relay sends no lease after a renewal without an answer.
         let last_renewal = worker.unresponsive_since.unwrap_or(worker.known_since);
         let renewal_arrives_by = last_renewal + self.settings.late_call_limit;
-        let last_call_by = last_call_by.map(|by| by.max(renewal_arrives_by));
         Some(expires_without_reading(
-            last_call_by?,
+            start_arrives_by.max(renewal_arrives_by),
             self.settings.max_lease,
         ))
     }
@@ -252,18 +244,17 @@
                 continue;
             }
             let sent_ms_ago = run.start_sent_at.map(|at| ms_ago(at, now));
-            let permit_expires_in_ms = run.permit_expires_by.map(|at| -ms_ago(at, now));
             if ended.contains(task) {
                 log::warn!(
                     task:% = task, run = run.run, worker = id.as_str(), sent_ms_ago:?,
-                    permit_expires_in_ms:?;
+                    has_permit = run.has_permit;
                     "a start order without an answer counts as lost by time"
                 );
             } else if !run.logged_as_open {
                 run.logged_as_open = true;
                 log::info!(
                     task:% = task, run = run.run, worker = id.as_str(), sent_ms_ago:?,
-                    permit_expires_in_ms:?, waits_ms = -ms_ago(until, now);
+                    has_permit = run.has_permit, waits_ms = -ms_ago(until, now);
                     "a task waits: a copy of its start order may still be carried out"
                 );
             }
--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -6,8 +6,6 @@
 
 use indexmap::IndexSet;
 
-use super::super::decisions::leases::expires_without_reading;
-use super::super::spec::StageKey;
 use super::term::{LiveRun, Term};
 use crate::ids::{Generation, WorkerId};
 
@@ -28,7 +26,7 @@
         &self,
         late_call_limit: Duration,
     ) -> Option<Instant> {
-        if self.permit_expires_by.is_some() {
+        if self.has_permit {
             return None;
         }
         self.start_arrives_by(late_call_limit)
@@ -36,17 +34,6 @@
 }
 
 impl Term {
-    /// Returns when the permits that a stage has now are no longer accepted by any worker; `None` without
-    /// a placement policy.
-    pub(super) fn permits_expire_by(&self, key: &StageKey, now: Instant) -> Option<Instant> {
-        let job = self.state.jobs.get(&key.job)?;
-        let policy = job.queue.placement_policy.as_ref()?;
-        let configured = Duration::from_millis(policy.validity_ms);
-        let stage = self.stages.get(key);
-        let validity = stage.map_or(configured, |stage| stage.permit_validity.max(configured));
-        Some(expires_without_reading(now, validity))
-    }
-
     /// Notes that the known incarnation of a worker was at work after a time: no later one has a permit
     /// that was issued before, or gave an answer that arrived before.
     pub(super) fn settle_earlier_starts(&mut self, id: &WorkerId, at_work_at: Instant) {
@@ -57,9 +44,10 @@
             let Some(run) = self.runs.get_mut(task) else {
                 continue;
             };
-            let shown_at = match run.permit_expires_by {
-                Some(_) => Some(run.placed_at),
-                None => run.start_answered_at,
+            let shown_at = if run.has_permit {
+                Some(run.placed_at)
+            } else {
+                run.start_answered_at
             };
             run.start_is_settled |= shown_at.is_some_and(|shown_at| shown_at < at_work_at);
         }
@@ -83,8 +71,7 @@
         self.due_grants.insert(id.clone());
     }
 
-    /// Keeps the calls of the former relay of a worker and those of the new one apart, on a worker that
-    /// receives start orders without permits.
+    /// Keeps the calls of the former relay of a worker and those of the new one apart.
     pub(super) fn separate_relays(&mut self, id: &WorkerId, now: Instant) {
         let Some(worker) = self.workers.get(id) else {
             return;
--- a/src/workflow/placer/orders.rs
+++ b/src/workflow/placer/orders.rs
@@ -112,7 +112,7 @@
         let Some(run) = current.filter(|current| current.run == order.run) else {
             return;
         };
-        if run.permit_expires_by.is_some() {
+        if run.has_permit {
             run.start_is_settled |= is_certain;
             return;
         }
--- a/src/workflow/placer/policy.rs
+++ b/src/workflow/placer/policy.rs
@@ -314,9 +314,7 @@
         // The policy issues the permits at the end of its decision, before which the question waits
         // for others of its host. This process may have been paused since, or the answer delayed.
         let issued_at = now.at.min(sent_at + question.expected);
-        let validity = Duration::from_millis(validity_ms);
-        let expires_at = issued_at + validity;
-        stage.permit_validity = stage.permit_validity.max(validity);
+        let expires_at = issued_at + Duration::from_millis(validity_ms);
         stage
             .permits
             .record(&question.workers, &answer.granted, expires_at);
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -291,7 +291,7 @@
             run.confirm(now);
             run.incarnation = incarnation;
             // A worker accepts only permits that are for its own incarnation.
-            run.start_is_settled |= run.permit_expires_by.is_some();
+            run.start_is_settled |= run.has_permit;
             if !run.harmless {
                 on_probation.push(listed.task.clone());
             }
--- a/src/workflow/placer/scheduling.rs
+++ b/src/workflow/placer/scheduling.rs
@@ -284,6 +284,7 @@
             return;
         };
         let urgency = urgency(job.queue.priority);
+        let has_permit = job.queue.placement_policy.is_some();
         let gang_run = job.stage(key).map_or(1, |stage| {
             stage.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1
         });
@@ -300,7 +301,6 @@
             return;
         }
         let customer = needs.and_then(|needs| needs.customer);
-        let permit_expires_by = self.permits_expire_by(key, now.at);
         let mut placements = Vec::new();
         for choice in choices.into_iter().take(allowed) {
             let task = TaskKey {
@@ -339,7 +339,7 @@
             let target = (worker.clone(), incarnation);
             let mut live = LiveRun::new(run, target, RunPhase::Starting, now.at);
             live.permit.clone_from(&choice.permit);
-            live.permit_expires_by = permit_expires_by;
+            live.has_permit = has_permit;
             self.charge(&mut live, customer, spec.ledger_amount());
             self.runs.insert(task.clone(), live);
             let kind = OrderKind::Start {
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -103,7 +103,7 @@
         let amount = spec.ledger_amount();
         let urgency = urgency(job.queue.priority);
         // Which copies of the start orders have an answer is known to the former leader alone.
-        let permit_expires_by = self.permits_expire_by(key, now);
+        let has_permit = job.queue.placement_policy.is_some();
         let mut adopted = Vec::new();
         for (index, task) in stage.tasks.iter().enumerate() {
             let TaskProgress::Placed {
@@ -123,7 +123,7 @@
             let target = (worker.clone(), incarnation);
             let mut live = LiveRun::new(run, target, RunPhase::Unresolved, now);
             live.start_sent_at = Some(now);
-            live.permit_expires_by = permit_expires_by;
+            live.has_permit = has_permit;
             self.charge(&mut live, customer, amount);
             self.runs.insert(task.clone(), live);
             // A worker that left no longer has the run; the first tick ends it.
@@ -195,7 +195,6 @@
                 waiting,
                 run_times_ms: Vec::new(),
                 permits: Default::default(),
-                permit_validity: Duration::ZERO,
                 granted_workers: Default::default(),
                 open_questions: 0,
                 restarted_workers: IndexSet::new(),
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -264,8 +264,6 @@
     pub run_times_ms: Vec<(WorkerId, u64)>,
     /// Answers of the placement policy about workers.
     pub permits: PermitCache,
-    /// Longest validity of the permits that the policy has answered with; zero before its first answer.
-    pub permit_validity: Duration,
     /// Workers that were granted, derived from `permits`.
     pub granted_workers: GrantedWorkers,
     /// Questions to the placement policy in flight, about different workers.
@@ -330,9 +328,8 @@
     /// Permit of the start order; `None` when the queue has no placement policy, and for a run that
     /// was adopted from an earlier leader.
     pub permit: Option<String>,
-    /// Time from which on no worker accepts the permit of the start order by the queue of the job, for
-    /// logs; `None` when the queue has no placement policy. The permit was issued before `placed_at`.
-    pub permit_expires_by: Option<Instant>,
+    /// Whether the start order names a permit, which was issued before `placed_at`.
+    pub has_permit: bool,
     /// Time at which the start order was last sent, or before which an earlier leader sent it; `None`
     /// before.
     pub start_sent_at: Option<Instant>,
@@ -369,7 +366,7 @@
             placed_at: now,
             charge: None,
             permit: None,
-            permit_expires_by: None,
+            has_permit: false,
             start_sent_at: None,
             give_up_at: None,
             starts_sent: 0,
--- a/src/workflow/placer/tests/open_permits.rs
+++ b/src/workflow/placer/tests/open_permits.rs
@@ -6,8 +6,8 @@
 use super::claims::{run_number, step};
 use super::fixture::*;
 use super::permits::{
-    RELAYING_TIME, add_other, answer_start, expect_second_run_after, with_start_in_flight,
-    with_start_in_flight_of,
+    RELAYING_TIME, add_other, answer_start, expect_second_run_after, permit_until,
+    with_start_in_flight, with_start_in_flight_of,
 };
 use super::restarts::{LATE_LEASE, MAX_LEASE, expect_run_until, no_answer};
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
@@ -73,13 +73,16 @@
     }
 }
 
+/// Lets the policy answer that its permits are valid for [`LONG_VALIDITY`].
+fn state_long_validity(fixture: &mut Fixture) {
+    permit_until(fixture, "w", fixture.now.at + LONG_VALIDITY);
+}
+
 /// Guards against two runs of a task at once: the policy answers that its permits are valid for longer
 /// than the configuration says.
 #[test]
 fn a_validity_that_the_policy_states_counts_for_its_permits() {
-    let mut fixture = with_start_in_flight_of(|fixture| {
-        fixture.term.stages[&task(0).stage].permit_validity = LONG_VALIDITY;
-    });
+    let mut fixture = with_start_in_flight_of(state_long_validity);
     let sent_at = fixture.now.at;
     add_other(&mut fixture);
     expect_second_run_after(&mut fixture, sent_at + RELAYING_TIME + LATE_LEASE);
@@ -88,9 +91,7 @@
 /// Guards against the same after a change of the placer, which has not asked the policy yet.
 #[test]
 fn a_validity_that_the_policy_stated_to_a_former_placer_counts() {
-    let former = with_start_in_flight_of(|fixture| {
-        fixture.term.stages[&task(0).stage].permit_validity = LONG_VALIDITY;
-    });
+    let former = with_start_in_flight_of(state_long_validity);
     let mut fixture = Fixture::with_state(former.term.state);
     let began_at = fixture.now.at;
     add_other(&mut fixture);
@@ -177,15 +178,21 @@
     }
 }
 
-/// Guards against the same, where the third incarnation answers, and against a run that is given up.
-#[test]
-fn a_run_that_the_third_incarnation_lists_goes_on() {
+/// Creates a term with a start order in flight on a worker whose third incarnation has announced itself.
+fn with_third_incarnation() -> Fixture {
     let mut fixture = with_start_in_flight();
     add_other(&mut fixture);
     restart_twice(&mut fixture);
     let now = fixture.now;
     fixture.term.handle_heartbeat(heartbeat("w", 3, 1), now);
     fixture.commit_all();
+    fixture
+}
+
+/// Guards against the same, where the third incarnation answers, and against a run that is given up.
+#[test]
+fn a_run_that_the_third_incarnation_lists_goes_on() {
+    let mut fixture = with_third_incarnation();
     assert_eq!(fixture.term.workers["w"].record.incarnation, 3);
     for _ in 0..200 {
         step(&mut fixture);
@@ -197,12 +204,7 @@
 /// Guards against work that is lost: none of the three incarnations runs the task.
 #[test]
 fn a_task_that_the_third_incarnation_does_not_list_is_placed_again() {
-    let mut fixture = with_start_in_flight();
-    add_other(&mut fixture);
-    restart_twice(&mut fixture);
-    let now = fixture.now;
-    fixture.term.handle_heartbeat(heartbeat("w", 3, 1), now);
-    fixture.commit_all();
+    let mut fixture = with_third_incarnation();
     fixture.report("w", vec![], vec![]);
     step(&mut fixture);
     assert_eq!(run_number(&fixture), Some(2));
--- a/src/workflow/placer/tests/permits.rs
+++ b/src/workflow/placer/tests/permits.rs
@@ -4,10 +4,13 @@
 use std::time::{Duration, Instant};
 
 use super::capacity::{contact, gang, send_starts};
-use super::claims::{run_number, step};
+use super::claims::step;
 use super::fixture::*;
-use super::restarts::{LATE_LEASE, MAX_LEASE, expect_next_run, expect_run_until, no_answer};
-use crate::workflow::calls::{CallFailure, OrderOutcome, WorkerReport};
+use super::restarts::{
+    LATE_LEASE, MAX_LEASE, expect_next_run, expect_run_until, expect_second_run_after_departure,
+    no_answer,
+};
+use crate::workflow::calls::{OrderOutcome, WorkerReport};
 use crate::workflow::decisions::leases::ClockReading;
 use crate::workflow::spec::StageSpec;
 
@@ -18,7 +21,11 @@
 
 /// Gives a worker a permit for the job that does not expire in the test.
 pub(super) fn permit(fixture: &mut Fixture, worker: &str) {
-    let expires_at = fixture.now.at + Duration::from_secs(1_000);
+    permit_until(fixture, worker, fixture.now.at + Duration::from_secs(1_000));
+}
+
+/// Gives a worker a permit for the job.
+pub(super) fn permit_until(fixture: &mut Fixture, worker: &str, expires_at: Instant) {
     let stage = &mut fixture.term.stages[&task(0).stage];
     let worker = worker.to_owned();
     let granted = [(worker.clone(), "permit".to_owned())];
@@ -237,16 +244,8 @@
 #[test]
 fn a_permitted_start_in_flight_to_a_worker_that_left_is_not_placed_again_at_once() {
     let mut fixture = with_start_in_flight();
-    let sent_at = fixture.now.at;
     add_other(&mut fixture);
-    let now = fixture.now;
-    fixture.term.handle_departure(&"w".to_owned(), now.at);
-    fixture.fail_to_answer("w", &CallFailure::PortClosed);
-    expect_run_until(&mut fixture, "w", 1, sent_at + LATE_LEASE);
-    for _ in 0..30 {
-        step(&mut fixture);
-    }
-    assert_eq!(run_number(&fixture), Some(2));
+    expect_second_run_after_departure(&mut fixture);
 }
 
 /// Guards against a gang of which one member runs twice: it is on a silent worker by such an order.
--- a/src/workflow/placer/tests/restarts.rs
+++ b/src/workflow/placer/tests/restarts.rs
@@ -51,6 +51,19 @@
     assert_eq!(run_number(fixture), Some(run + 1));
 }
 
+/// Lets the worker `w`, to which a start order has just been sent, leave, and checks that its run is
+/// placed again once no late copy of the order can be at work.
+pub(super) fn expect_second_run_after_departure(fixture: &mut Fixture) {
+    let sent_at = fixture.now.at;
+    fixture.term.handle_departure(&"w".to_owned(), sent_at);
+    fixture.fail_to_answer("w", &CallFailure::PortClosed);
+    expect_run_until(fixture, "w", 1, sent_at + LATE_LEASE);
+    for _ in 0..30 {
+        step(fixture);
+    }
+    assert_eq!(run_number(fixture), Some(2));
+}
+
 /// Guards against finished work that runs again: the next incarnation of a worker carried out an
 /// acknowledgement for the former one and forgot ends that nobody had read.
 #[test]
@@ -357,16 +370,8 @@
 #[test]
 fn a_start_in_flight_to_a_worker_that_left_is_not_placed_again_at_once() {
     let mut fixture = with_start_in_flight();
-    let sent_at = fixture.now.at;
     fixture.announce("v");
-    let now = fixture.now;
-    fixture.term.handle_departure(&"w".to_owned(), now.at);
-    fixture.fail_to_answer("w", &CallFailure::PortClosed);
-    expect_run_until(&mut fixture, "w", 1, sent_at + LATE_LEASE);
-    for _ in 0..30 {
-        step(&mut fixture);
-    }
-    assert_eq!(run_number(&fixture), Some(2));
+    expect_second_run_after_departure(&mut fixture);
 }
 
 /// Guards against two runs of a task at once: a start order of the former placer was carried out after
