refactor: the search plays the relay's own rules and times

A relay wrote the check of a recent answer twice, and withdrew the confirmation of a worker in two places.

One method says whether a worker has answered recently; a renewal without an answer withdraws that once, also if it was certainly not sent, before its acknowledgement is settled.

--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -7,7 +7,7 @@
 //! acknowledgement is sent while a start order has no answer, and the other way round. A permit changes
 //! nothing in this: the policy may have issued it for an incarnation that is not known yet.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ids::{Epoch, Generation, Incarnation};
 
@@ -43,6 +43,24 @@
 }
 
 impl OpenCalls {
+    /// Prepares for a call to an incarnation, and returns whether it is not obsolete, as it is once a later
+    /// one is known. Calls to a former incarnation are dropped: the first answer of the next one comes from
+    /// a call with a higher token than all of them.
+    pub fn begin_call(&mut self, incarnation: Incarnation, token: CallToken) -> bool {
+        if self.incarnation != incarnation {
+            if token < self.token {
+                return false;
+            }
+            *self = Self {
+                incarnation,
+                takes_starts: self.takes_starts,
+                ..Self::default()
+            };
+        }
+        self.token = self.token.max(token);
+        true
+    }
+
     /// Whether a start order may be sent.
     pub fn may_start(&self, token: CallToken) -> bool {
         let waits = self.is_acknowledging || self.acknowledgement_waits;
@@ -55,6 +73,29 @@
         self.takes_starts && unanswered.is_some_and(|unanswered| unanswered >= token)
     }
 
+    /// Notes that a start order was given up that the worker may carry out late.
+    pub fn note_unanswered_start(
+        &mut self,
+        has_permit: bool,
+        now: Instant,
+        late_call_limit: Duration,
+    ) {
+        if has_permit {
+            self.permitted_start_open_since = Some(now);
+        } else {
+            self.starts_open_until = Some(now + late_call_limit);
+        }
+    }
+
+    /// Begins an acknowledgement if it may be sent, and returns whether it may. Otherwise it waits for the
+    /// answers to start orders, if these are awaited, until the deadline.
+    pub fn begin_acknowledgement(&mut self, now: Instant, deadline: Instant) -> bool {
+        let may_acknowledge = self.may_acknowledge(now);
+        self.is_acknowledging |= may_acknowledge;
+        self.acknowledgement_waits = !may_acknowledge && !self.is_start_open(now) && now < deadline;
+        may_acknowledge
+    }
+
     /// Whether an acknowledgement may be sent. Only one is on its way: `is_acknowledging` could not
     /// tell which of two has been answered.
     pub fn may_acknowledge(&self, now: Instant) -> bool {
--- a/src/workflow/placer/tests/call_orders/relay.rs
+++ b/src/workflow/placer/tests/call_orders/relay.rs
@@ -11,20 +11,15 @@
 use crate::workflow::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::decisions::open_calls::OpenCalls;
+use crate::workflow::relay::link::{
+    CONFIRMATION_VALIDITY, GRANT_LIFETIME, LIST_INTERVAL, RECORD_WAIT, RENEWAL_GRACE, RENEWAL_WAIT,
+    RETRY_PAUSE, UNACKNOWLEDGED_PAUSE,
+};
 use crate::workflow::relay::messages::{
     Grant, Instructions, RelayEvent, RelayEventKind, RelayedOrder, WorkerOrder,
 };
+use crate::workflow::relay::orders::{ORDER_TIMEOUT, START_VALIDITY};
 
-const RENEWAL_WAIT: Duration = Duration::from_millis(1_000);
-const RENEWAL_GRACE: Duration = Duration::from_millis(600);
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-const RECORD_WAIT: Duration = Duration::from_millis(700);
-const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(200);
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
-const GRANT_LIFETIME: Duration = Duration::from_millis(3_000);
-const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(1_700);
-pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
-const START_VALIDITY: Duration = Duration::from_millis(1_400);
 /// Interval at which waits look at what they wait for.
 pub(super) const POLL: Duration = Duration::from_millis(5);
 
@@ -50,20 +45,9 @@
         target: &WorkerTarget,
         epoch: Epoch,
     ) -> Option<&mut OpenCalls> {
-        let token = (epoch, target.generation);
         let calls = self.calls.entry(target.worker.clone()).or_default();
-        if calls.incarnation != target.incarnation {
-            if token < calls.token {
-                return None;
-            }
-            *calls = OpenCalls {
-                incarnation: target.incarnation,
-                takes_starts: calls.takes_starts,
-                ..OpenCalls::default()
-            };
-        }
-        calls.token = calls.token.max(token);
-        Some(calls)
+        let is_due = calls.begin_call(target.incarnation, (epoch, target.generation));
+        is_due.then_some(calls)
     }
 
     pub(super) fn update(&mut self, target: &WorkerTarget, change: impl FnOnce(&mut OpenCalls)) {
@@ -242,10 +226,7 @@
         let calls = self.relays[link.relay].calls_to(&link.target, link.epoch);
         let mut may_acknowledge = false;
         if let Some(calls) = calls {
-            may_acknowledge = calls.may_acknowledge(now);
-            calls.is_acknowledging |= may_acknowledge;
-            calls.acknowledgement_waits =
-                !may_acknowledge && !calls.is_start_open(now) && now < deadline;
+            may_acknowledge = calls.begin_acknowledgement(now, deadline);
             if calls.acknowledgement_waits {
                 self.after(POLL, move |cell| {
                     cell.begin_acknowledgement(number, order, granted_at_ms, deadline);
--- a/src/workflow/placer/tests/call_orders/start_orders.rs
+++ b/src/workflow/placer/tests/call_orders/start_orders.rs
@@ -3,14 +3,12 @@
 use std::time::{Duration, Instant};
 
 use super::cell::{Answer, Cell, LATE_CALL_LIMIT};
-use super::relay::{ORDER_TIMEOUT, POLL};
+use super::relay::POLL;
 use super::worker::Request;
 use crate::workflow::calls::{CallFailure, OrderAnswer, StartOrder, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::relay::messages::RelayEventKind;
-
-const ORDER_ATTEMPTS: u32 = 3;
-const UNSENT_ORDER_PAUSE: Duration = Duration::from_millis(60);
+use crate::workflow::relay::orders::{ORDER_ATTEMPTS, ORDER_TIMEOUT, UNSENT_ORDER_PAUSE};
 
 /// A start order that is being sent.
 #[derive(Clone)]
@@ -96,10 +94,8 @@
         let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
         self.relays[relay].update(&target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
-            match (is_unanswered, has_permit) {
-                (true, true) => calls.permitted_start_open_since = Some(now),
-                (true, false) => calls.starts_open_until = Some(now + LATE_CALL_LIMIT),
-                _ => {}
+            if is_unanswered {
+                calls.note_unanswered_start(has_permit, now, LATE_CALL_LIMIT);
             }
         });
         let fence = start.order.fence;
--- a/src/workflow/relay.rs
+++ b/src/workflow/relay.rs
@@ -7,9 +7,9 @@
 
 pub mod messages;
 
-mod link;
+pub(super) mod link;
 mod open_calls;
-mod orders;
+pub(super) mod orders;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::{Arc, Condvar, Mutex};
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -11,25 +11,25 @@
 use crate::ids::Epoch;
 
 /// Longest time that a worker may delay its answer to a renewal while no run ends.
-const RENEWAL_WAIT: Duration = Duration::from_millis(1_000);
+pub(in crate::workflow) const RENEWAL_WAIT: Duration = Duration::from_millis(1_000);
 /// Time for an answer beyond that delay: a round trip between regions and the processing delay of
 /// the worker.
-const RENEWAL_GRACE: Duration = Duration::from_millis(600);
+pub(in crate::workflow) const RENEWAL_GRACE: Duration = Duration::from_millis(600);
 /// Pause after a renewal without an answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+pub(in crate::workflow) const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest wait for the acknowledgement of ends before the lease is renewed without it: a report, a
 /// commit among three regions and the next grant, with one of these lost.
-const RECORD_WAIT: Duration = Duration::from_millis(700);
+pub(in crate::workflow) const RECORD_WAIT: Duration = Duration::from_millis(700);
 /// Pause before a renewal while ends cannot be acknowledged: the worker answers it at once.
-const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(200);
+pub(in crate::workflow) const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(200);
 /// Interval in which the list of running runs is reported to the placer; ends are reported at once.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+pub(in crate::workflow) const LIST_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a new grant after which the link ends: three intervals of the placer's grants.
-const GRANT_LIFETIME: Duration = Duration::from_millis(3_000);
+pub(in crate::workflow) const GRANT_LIFETIME: Duration = Duration::from_millis(3_000);
 
 /// Time for which an answer shows that the worker has not restarted since: a renewal that the worker
 /// delays as long as it may, with the grace for its answer.
-const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(1_700);
+pub(in crate::workflow) const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(1_700);
 
 /// Latest grant of the placer, and whether the link has ended.
 pub(super) struct GrantState {
@@ -47,6 +47,12 @@
     ended: bool,
 }
 
+impl GrantState {
+    fn is_confirmed(&self, now: Instant) -> bool {
+        !self.ended && self.confirmed_until.is_some_and(|until| now < until)
+    }
+}
+
 impl Link {
     pub(super) fn new(epoch: Epoch, grant: Grant, now: Instant) -> Self {
         Self {
@@ -104,7 +110,7 @@
             if state.ended || now >= state.expires_at || now >= deadline {
                 return false;
             }
-            if state.confirmed_until.is_some_and(|until| now < until) {
+            if state.is_confirmed(now) {
                 return true;
             }
             let timeout = deadline.saturating_duration_since(now);
@@ -114,9 +120,7 @@
 
     /// Whether the incarnation of the grants has answered recently.
     pub(super) fn is_confirmed(&self) -> bool {
-        let state = self.state.lock().unwrap();
-        let now = Instant::now();
-        !state.ended && state.confirmed_until.is_some_and(|until| now < until)
+        self.state.lock().unwrap().is_confirmed(Instant::now())
     }
 
     fn set_confirmed_until(&self, until: Option<Instant>) {
@@ -136,7 +140,7 @@
             let deadline = sent_at + Duration::from_millis(order.wait_ms) + RENEWAL_GRACE;
             let result = (relay.outside.renew)(&self.target, &order, deadline);
             let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
-            if is_unanswered {
+            if result.is_err() {
                 // Start orders that wait for the answer to an acknowledgement find this afterwards.
                 self.set_confirmed_until(None);
             }
@@ -157,7 +161,6 @@
                         );
                     }
                     confirmed = false;
-                    self.set_confirmed_until(None);
                     listed_at = None;
                     wait = Duration::ZERO;
                     relay.queue_event(self.epoch, &self.target, RelayEventKind::Silent { failure });
--- a/src/workflow/relay/open_calls.rs
+++ b/src/workflow/relay/open_calls.rs
@@ -58,14 +58,9 @@
     fn end_start(&self, start: &OpenStart<'_>) {
         self.update(start.target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
-            if !start.may_be_late {
-                return;
-            }
-            let now = Instant::now();
-            if start.has_permit {
-                calls.permitted_start_open_since = Some(now);
-            } else {
-                calls.starts_open_until = Some(now + self.late_call_limit);
+            if start.may_be_late {
+                let now = Instant::now();
+                calls.note_unanswered_start(start.has_permit, now, self.late_call_limit);
             }
         });
     }
@@ -91,10 +86,7 @@
         loop {
             let now = Instant::now();
             let calls = calls_to(&mut workers, target, epoch)?;
-            let may_acknowledge = calls.may_acknowledge(now);
-            calls.is_acknowledging |= may_acknowledge;
-            calls.acknowledgement_waits =
-                !may_acknowledge && !calls.is_start_open(now) && now < deadline;
+            let may_acknowledge = calls.begin_acknowledgement(now, deadline);
             if !calls.acknowledgement_waits {
                 self.changed.notify_all();
                 return may_acknowledge.then(|| OpenAcknowledgement {
@@ -203,26 +195,14 @@
     }
 }
 
-/// Returns the open calls to an incarnation of a worker. Those to a former one are dropped: the first
-/// answer of the next incarnation comes from a call with a higher token than all of them. `None` if a
-/// later incarnation is known, so that the call is obsolete.
+/// Returns the open calls to an incarnation of a worker; `None` if a later incarnation is known, so that
+/// the call is obsolete.
 fn calls_to<'a>(
     workers: &'a mut IndexMap<WorkerId, OpenCalls>,
     target: &WorkerTarget,
     epoch: Epoch,
 ) -> Option<&'a mut OpenCalls> {
-    let token = (epoch, target.generation);
     let calls = workers.entry(target.worker.clone()).or_default();
-    if calls.incarnation != target.incarnation {
-        if token < calls.token {
-            return None;
-        }
-        *calls = OpenCalls {
-            incarnation: target.incarnation,
-            takes_starts: calls.takes_starts,
-            ..OpenCalls::default()
-        };
-    }
-    calls.token = calls.token.max(token);
-    Some(calls)
+    let is_due = calls.begin_call(target.incarnation, (epoch, target.generation));
+    is_due.then_some(calls)
 }
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -14,15 +14,15 @@
 
 /// Time for the answer to an order: a round trip between regions and the processing delay of the
 /// worker.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
+pub(in crate::workflow) const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Attempts to deliver a start order. A run whose start order stays unanswered is then stopped,
 /// well within the time that the members of a gang wait for each other.
-const ORDER_ATTEMPTS: u32 = 3;
+pub(in crate::workflow) const ORDER_ATTEMPTS: u32 = 3;
 /// Time after which a start order that still waits in the queue is dropped: the placer repeats it
 /// after 1.6 s.
-const START_VALIDITY: Duration = Duration::from_millis(1_400);
+pub(in crate::workflow) const START_VALIDITY: Duration = Duration::from_millis(1_400);
 /// Pause after an order that could not be sent.
-const UNSENT_ORDER_PAUSE: Duration = Duration::from_millis(60);
+pub(in crate::workflow) const UNSENT_ORDER_PAUSE: Duration = Duration::from_millis(60);
 
 impl Relay {
     /// Sends the orders of a queue, one at a time. Drops orders of earlier placers, and start
