refactor: tests of a placement policy share cells, set-ups and kinds of requests

Cause: cell_restarts and workflow_noted_ends built the cell of PermitHosts or its unseen restart again; four files told requests apart by their own copies of the same conditions; workflow_permits_late_calls wrote one set-up twice.

Change: PermitHosts serves cell_restarts too and returns the job of the order that it started; proxy.rs names the kinds of requests; one set-up holds an acknowledgement. No assertion, bound, seed or delay of a call changes; the unseen restart looks for its order each 2 ms in all files, as in one before.

--- a/tests/cell_restarts.rs
+++ b/tests/cell_restarts.rs
@@ -8,26 +8,20 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use platform_support::policy::PolicyService;
-use platform_support::processes::HostProcesses;
+use platform_support::permit_hosts::{PermitHosts, long_runs};
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
-use platform_support::{
-    Cell, CellSize, Ports, Runner, configuration_with_policy, first_port, seeds,
-};
+use platform_support::{CellSize, Runner, first_port, seeds};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use serde_json::json;
-use tempfile::TempDir;
 
 /// Workers of each cell that start again together, and those that go on.
 const RESTARTED: usize = 4;
 const OTHERS: usize = 2;
 const LONG_RUN: Duration = Duration::from_secs(14);
 const SHORT_RUN: Duration = Duration::from_millis(300);
-/// Reading of the clock of the first processes: leases on it end far ahead on the clocks of the next.
-const FIRST_CLOCK: Duration = Duration::from_secs(600);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Age of the cell at the restart. Leases that are granted from this age on end later than those that
 /// an earlier placer may have granted.
@@ -49,37 +43,23 @@
 }
 
 struct Play {
-    policy: PolicyService,
-    cell: Cell,
-    processes: HostProcesses,
+    permit: PermitHosts,
     workers: Vec<Worker>,
     jobs: Vec<String>,
     rng: StdRng,
-    _folder: TempDir,
 }
 
 impl Play {
     fn start(first_port: u16, seed: u64) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let policy = PolicyService::start();
         let size = CellSize {
             entry_hosts: 2,
             ..CellSize::SMALL
         };
-        let ports = Ports::starting_at(first_port);
-        let processes = HostProcesses::start_with_policy(folder.path(), ports, size, &policy);
-        let cell = Cell::of_processes(ports, size);
-        let document = configuration_with_policy(1);
-        let answer = cell.control(&Method::PUT, "/api/config", &document);
-        assert_eq!(answer.status, 200);
         let mut play = Self {
-            policy,
-            cell,
-            processes,
+            permit: PermitHosts::start_with_size(first_port, size),
             workers: Vec::new(),
             jobs: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
-            _folder: folder,
         };
         for number in 0..RESTARTED + OTHERS {
             play.add_worker(number);
@@ -95,11 +75,10 @@
             } else {
                 SHORT_RUN
             },
-            first_clock: FIRST_CLOCK,
-            ..RunnerOptions::default()
+            ..long_runs()
         });
         let id = format!("i-{number}");
-        self.policy.add(&id, &runner);
+        self.permit.policy.add(&id, &runner);
         let phase = HEARTBEAT_INTERVAL.mul_f64(self.rng.random());
         self.workers.push(Worker {
             id,
@@ -128,7 +107,9 @@
             }
             worker.next_heartbeat_at += HEARTBEAT_INTERVAL;
             let sequence = worker.runner.next_heartbeat();
-            self.cell.announce(&worker.id, &worker.runner, sequence);
+            self.permit
+                .cell
+                .announce(&worker.id, &worker.runner, sequence);
         }
     }
 
@@ -137,9 +118,12 @@
         let job = format!("00c0ffee{:08x}", self.rng.random::<u32>());
         let body = json!({"task_spec": "plan", "steps": [
             {"count": 4, "cpu": 50, "mem_mb": 10, "estimate_ms": 4_000, "anti_affinity": 1}]});
-        let entry = self.rng.random_range(self.cell.size.entries());
+        let entry = self.rng.random_range(self.permit.cell.size.entries());
         let path = format!("/plans/{job}");
-        let answer = self.cell.caller_at(entry, Method::POST, &path, &body);
+        let answer = self
+            .permit
+            .cell
+            .caller_at(entry, Method::POST, &path, &body);
         if answer.is_some_and(|answer| answer.status == 200) {
             self.jobs.push(job);
         }
@@ -175,15 +159,15 @@
 
     /// Kills the leading storage host, or stops it for a while; returns whether it is to go on.
     fn disturb_leader(&mut self) -> Option<usize> {
-        let (_, leader) = self.processes.leader()?;
+        let (_, leader) = self.permit.processes.leader()?;
         match self.rng.random_range(0..3) {
             0 => {
-                self.processes.kill(leader);
-                self.processes.start_host(leader);
+                self.permit.processes.kill(leader);
+                self.permit.processes.start_host(leader);
                 None
             }
             1 => {
-                self.processes.signal(leader, Signal::STOP);
+                self.permit.processes.signal(leader, Signal::STOP);
                 Some(leader)
             }
             _ => None,
@@ -201,7 +185,7 @@
         self.set_cut(true);
         self.go_on(Duration::from_secs(2), true);
         if let Some(host) = stopped {
-            self.processes.signal(host, Signal::CONT);
+            self.permit.processes.signal(host, Signal::CONT);
         }
         let cut_time = match self.rng.random_range(0..3) {
             // Longer than all leases: the tasks start elsewhere.
@@ -214,14 +198,14 @@
 
     /// Checks that all accepted jobs complete and that no task has run twice.
     fn check(&mut self) {
-        self.processes.assert_running();
+        self.permit.processes.assert_running();
         let deadline = Instant::now() + COMPLETION_TIME;
         for job in self.jobs.clone() {
             let mut state = None;
             while state.as_deref() != Some("completed") {
                 assert!(Instant::now() < deadline, "job {job} is {state:?}");
                 self.send_heartbeats();
-                state = self.cell.state(&job);
+                state = self.permit.cell.state(&job);
                 if state.as_deref() != Some("completed") {
                     thread::sleep(STEP);
                 }
--- a/tests/platform_support/permit_hosts.rs
+++ b/tests/platform_support/permit_hosts.rs
@@ -64,8 +64,12 @@
     }
 
     /// Restarts a worker unseen and submits a job at once, until a start order is seen before the cell
-    /// knows of the new process.
-    pub fn order_start_on_unknown_process(&self, worker: &Arc<Runner>, is_seen: impl Fn() -> bool) {
+    /// knows of the new process. Returns the job.
+    pub fn order_start_on_unknown_process(
+        &self,
+        worker: &Arc<Runner>,
+        is_seen: impl Fn() -> bool,
+    ) -> String {
         for number in 0..MAX_RESTARTS {
             let received = worker.received();
             await_some(|| (worker.received() > received).then_some(()));
@@ -75,9 +79,9 @@
             let submitted_at = Instant::now();
             while submitted_at.elapsed() < ORDER_TIME {
                 if is_seen() {
-                    return;
+                    return job;
                 }
-                thread::sleep(Duration::from_millis(10));
+                thread::sleep(Duration::from_millis(2));
             }
             let path = format!("/plans/{job}");
             self.cell.caller(Method::DELETE, &path, &Value::Null);
--- a/tests/platform_support/proxy.rs
+++ b/tests/platform_support/proxy.rs
@@ -7,6 +7,26 @@
 use std::thread;
 use std::time::Duration;
 
+/// Whether a request starts a run.
+pub fn is_start(request: &str) -> bool {
+    request.contains("/api/run-start")
+}
+
+/// Whether a request stops a run.
+pub fn is_stop(request: &str) -> bool {
+    request.contains("/api/run-stop")
+}
+
+/// Whether a request renews the lease or acknowledges ends.
+pub fn is_renewal(request: &str) -> bool {
+    request.contains("/api/hold")
+}
+
+/// Whether a request acknowledges ends.
+pub fn is_acknowledgement(request: &str) -> bool {
+    is_renewal(request) && !request.contains("\"ack_cursor\":0")
+}
+
 /// Decides by the text of a request whether it is held.
 pub type Chosen = Box<dyn Fn(&str) -> bool + Send>;
 /// Returns the delays of a request and of its answer by the text of the request.
--- a/tests/workflow_noted_ends.rs
+++ b/tests/workflow_noted_ends.rs
@@ -8,16 +8,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use http::Method;
-use platform_support::permit_hosts::{
-    AGE_AT_CRASH, DOWN_TIME, MAX_RESTARTS, ORDER_TIME, PermitHosts, long_runs,
-};
-use platform_support::proxy::Fate;
+use platform_support::permit_hosts::{AGE_AT_CRASH, DOWN_TIME, ORDER_TIME, PermitHosts, long_runs};
+use platform_support::proxy::{Fate, is_renewal, is_start, is_stop};
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
 use platform_support::{CellSize, Runner, await_some};
 use rustix::process::Signal;
-use serde_json::Value;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay of a start order that is carried out late, but before its permit has expired.
@@ -86,36 +82,6 @@
         }
     }
 
-    /// Restarts a worker unseen and submits a job at once, until a start order is seen before the cell
-    /// knows of the new process. Returns the job.
-    fn order_start_on_unknown_process(
-        &mut self,
-        worker: &Arc<Runner>,
-        is_seen: impl Fn() -> bool,
-    ) -> String {
-        for number in 0..MAX_RESTARTS {
-            let received = worker.received();
-            await_some(|| (worker.received() > received).then_some(()));
-            worker.crash_unseen(DOWN_TIME);
-            let job = format!("00c0ffee{number:08x}");
-            self.permit.cell.submit_task(&job);
-            let submitted_at = Instant::now();
-            while submitted_at.elapsed() < ORDER_TIME {
-                if is_seen() {
-                    return job;
-                }
-                thread::sleep(Duration::from_millis(2));
-            }
-            let path = format!("/plans/{job}");
-            self.permit.cell.caller(Method::DELETE, &path, &Value::Null);
-            self.permit
-                .cell
-                .announce("i-1", worker, worker.next_heartbeat());
-            thread::sleep(AGE_AT_CRASH);
-        }
-        panic!("no start order reached a process that the cell did not know");
-    }
-
     /// Waits until a job is completed and all ends are acknowledged, and checks that no task started
     /// while it was at work or after it was done.
     fn expect_no_second_run(&mut self, job: &str) {
@@ -131,18 +97,6 @@
     }
 }
 
-fn is_start(request: &str) -> bool {
-    request.contains("/api/run-start")
-}
-
-fn is_stop(request: &str) -> bool {
-    request.contains("/api/run-stop")
-}
-
-fn is_renewal(request: &str) -> bool {
-    request.contains("/api/hold")
-}
-
 /// A run of a process that the cell does not know, which ends while the process is cut off.
 #[derive(Clone, Copy, Default)]
 struct UnseenRun {
@@ -169,9 +123,13 @@
     restarted.lose_answers.store(lost, Ordering::Release);
     let job = if case.is_late {
         proxy.hold(Some(Box::new(is_start)));
-        hosts.order_start_on_unknown_process(&restarted, || proxy.holds_request())
+        hosts
+            .permit
+            .order_start_on_unknown_process(&restarted, || proxy.holds_request())
     } else {
-        hosts.order_start_on_unknown_process(&restarted, || restarted.is_at_work())
+        hosts
+            .permit
+            .order_start_on_unknown_process(&restarted, || restarted.is_at_work())
     };
     let ordered_at = Instant::now();
     proxy.set_cut(true);
--- a/tests/workflow_permits.rs
+++ b/tests/workflow_permits.rs
@@ -9,6 +9,7 @@
 
 use platform_support::await_some;
 use platform_support::permit_hosts::{AGE_AT_CRASH, DOWN_TIME, ORDER_TIME, PermitHosts, long_runs};
+use platform_support::proxy::{is_acknowledgement, is_start};
 use platform_support::run_record::repeats;
 use platform_support::runner::RunnerOptions;
 
@@ -54,7 +55,6 @@
     let mut hosts = PermitHosts::start(17_650);
     let restarted = hosts.add("i-1", long_runs());
     thread::sleep(AGE_AT_CRASH);
-    let is_start = |request: &str| request.contains("/api/run-start");
     restarted.proxy().hold(Some(Box::new(is_start)));
     hosts.order_start_on_unknown_process(&restarted, || restarted.proxy().holds_request());
     let sent_at = Instant::now();
@@ -79,9 +79,7 @@
     };
     let restarted = hosts.add("i-1", short);
     thread::sleep(AGE_AT_CRASH);
-    let acknowledges =
-        |request: &str| request.contains("/api/hold") && !request.contains("\"ack_cursor\":0");
-    restarted.proxy().hold(Some(Box::new(acknowledges)));
+    restarted.proxy().hold(Some(Box::new(is_acknowledgement)));
     hosts.cell.submit_task("00c0ffee00000100");
     await_some(|| restarted.proxy().holds_request().then_some(()));
     restarted.crash_unseen(DOWN_TIME);
--- a/tests/workflow_permits_late_calls.rs
+++ b/tests/workflow_permits_late_calls.rs
@@ -9,9 +9,8 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use platform_support::permit_hosts::{
-    DOWN_TIME, FIRST_CLOCK, MAX_RESTARTS, ORDER_TIME, PermitHosts,
-};
+use platform_support::permit_hosts::{DOWN_TIME, MAX_RESTARTS, ORDER_TIME, PermitHosts, long_runs};
+use platform_support::proxy::{is_acknowledgement, is_renewal};
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
 use platform_support::{CellSize, Runner, await_some, heartbeat};
@@ -26,8 +25,6 @@
 /// Run time of a task that ends before the cell knows of the process that runs it.
 const SHORT_RUN: Duration = Duration::from_millis(300);
 
-/// Run time of a task that is at work for the whole test.
-const LONG_RUN: Duration = Duration::from_secs(60);
 /// Attempts of a relay to send a start order.
 const ORDER_ATTEMPTS: usize = 3;
 /// A cell with a placement policy, whose caller may change its entry host.
@@ -53,8 +50,7 @@
     /// until the next process runs a task before the cell knows of that process. Returns the renewals.
     fn restart_with_held_renewal(&self, worker: &Arc<Runner>) -> Vec<Vec<u8>> {
         for number in 0..MAX_RESTARTS {
-            let renews =
-                |request: &str| request.contains("/api/hold") && request.contains("deadline_ms");
+            let renews = |request: &str| is_renewal(request) && request.contains("deadline_ms");
             worker.proxy().hold(Some(Box::new(renews)));
             await_some(|| worker.proxy().holds_request().then_some(()));
             worker.crash_unseen(DOWN_TIME);
@@ -129,34 +125,43 @@
 
 fn hold_first_acknowledgement(worker: &Runner) {
     let is_held = AtomicBool::new(false);
-    let first_acknowledgement = move |request: &str| {
-        request.contains("/api/hold")
-            && !request.contains("\"ack_cursor\":0")
-            && !is_held.swap(true, Ordering::AcqRel)
-    };
+    let first_acknowledgement =
+        move |request: &str| is_acknowledgement(request) && !is_held.swap(true, Ordering::AcqRel);
     worker.proxy().hold(Some(Box::new(first_acknowledgement)));
 }
 
-/// Holds the first acknowledgement to a worker, restarts the worker unseen after later calls were
-/// answered, lets the next process run a task with a permit to its end, and delivers the
-/// acknowledgement then.
-fn deliver_acknowledgement_after_permitted_run(first_port: u16, changes_relay: bool) {
-    let mut hosts = Hosts::start(first_port, 1 + usize::from(changes_relay));
-    let short = RunnerOptions {
+fn short_runs() -> RunnerOptions {
+    RunnerOptions {
         run_time: SHORT_RUN,
-        first_clock: FIRST_CLOCK,
-        ..RunnerOptions::default()
-    };
-    let restarted = hosts.permit.add("i-1", short);
+        ..long_runs()
+    }
+}
+
+/// Starts a cell with a worker of which the first acknowledgement is held, and changes its relay then or
+/// does not. Returns the former relay, whose process stands still.
+fn with_held_acknowledgement(
+    first_port: u16,
+    changes_relay: bool,
+) -> (Hosts, Arc<Runner>, Option<usize>) {
+    let mut hosts = Hosts::start(first_port, 1 + usize::from(changes_relay));
+    let worker = hosts.permit.add("i-1", short_runs());
     thread::sleep(WARM_UP);
-    hold_first_acknowledgement(&restarted);
+    hold_first_acknowledgement(&worker);
     hosts.submit("00c0ffee00000100");
-    let holds = || restarted.proxy().holds_request().then_some(());
+    let holds = || worker.proxy().holds_request().then_some(());
     hosts
         .permit
         .cell
-        .await_with_heartbeats("i-1", &restarted, holds);
+        .await_with_heartbeats("i-1", &worker, holds);
     let former = changes_relay.then(|| hosts.pause_relay());
+    (hosts, worker, former)
+}
+
+/// Holds the first acknowledgement to a worker, restarts the worker unseen after later calls were
+/// answered, lets the next process run a task with a permit to its end, and delivers the
+/// acknowledgement then.
+fn deliver_acknowledgement_after_permitted_run(first_port: u16, changes_relay: bool) {
+    let (mut hosts, restarted, former) = with_held_acknowledgement(first_port, changes_relay);
     thread::sleep(SETTLING_TIME);
     assert_eq!(
         restarted.listed_ends(),
@@ -183,7 +188,7 @@
         hosts.permit.processes.signal(former, Signal::CONT);
     }
 
-    let other = hosts.permit.add("i-2", short);
+    let other = hosts.permit.add("i-2", short_runs());
     let cell = &hosts.permit.cell;
     cell.announce("i-1", &restarted, restarted.next_heartbeat());
     cell.await_with_heartbeats("i-2", &other, || hosts.is_completed(job).then_some(()));
@@ -213,11 +218,7 @@
 /// on its way or since the process is slow.
 fn renew_after_permitted_start(first_port: u16, delay: Duration, process_is_slow: bool) {
     let mut hosts = Hosts::start(first_port, 1);
-    let long = RunnerOptions {
-        run_time: LONG_RUN,
-        first_clock: FIRST_CLOCK,
-        ..RunnerOptions::default()
-    };
+    let long = long_runs();
     let restarted = hosts.permit.add("i-1", long);
     thread::sleep(WARM_UP);
     restarted
@@ -281,22 +282,7 @@
 /// Returns the time between the acceptance of a job and the start of its task on a sound worker of which
 /// an acknowledgement has no answer, after a change of the relay or beside the attempt.
 fn start_delay(first_port: u16, changes_relay: bool) -> Duration {
-    let mut hosts = Hosts::start(first_port, 1 + usize::from(changes_relay));
-    let short = RunnerOptions {
-        run_time: SHORT_RUN,
-        first_clock: FIRST_CLOCK,
-        ..RunnerOptions::default()
-    };
-    let worker = hosts.permit.add("i-1", short);
-    thread::sleep(WARM_UP);
-    hold_first_acknowledgement(&worker);
-    hosts.submit("00c0ffee00000100");
-    let holds = || worker.proxy().holds_request().then_some(());
-    hosts
-        .permit
-        .cell
-        .await_with_heartbeats("i-1", &worker, holds);
-    let former = changes_relay.then(|| hosts.pause_relay());
+    let (mut hosts, worker, former) = with_held_acknowledgement(first_port, changes_relay);
     if changes_relay {
         thread::sleep(SETTLING_TIME);
     }
@@ -335,11 +321,7 @@
 #[test]
 fn a_task_on_a_process_two_restarts_later_does_not_start_twice() {
     let mut hosts = Hosts::start(23_070, 1);
-    let long = RunnerOptions {
-        run_time: LONG_RUN,
-        first_clock: FIRST_CLOCK,
-        ..RunnerOptions::default()
-    };
+    let long = long_runs();
     let restarted = hosts.permit.add("i-1", long);
     thread::sleep(WARM_UP);
     let mut second = Value::Null;
--- a/tests/workflow_restart_shapes.rs
+++ b/tests/workflow_restart_shapes.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use platform_support::permit_hosts::{AGE_AT_CRASH, DOWN_TIME, PermitHosts, long_runs};
-use platform_support::proxy::Delays;
+use platform_support::proxy::{Delays, is_renewal, is_start, is_stop};
 use platform_support::run_record::{overlaps, repeats};
 use platform_support::runner::RunnerOptions;
 use platform_support::{CellSize, Runner, await_some, first_port, seeds};
@@ -40,18 +40,6 @@
 /// tasks start elsewhere.
 const UNHEARD_TIME: Duration = Duration::from_secs(20);
 
-fn is_start(request: &str) -> bool {
-    request.contains("/api/run-start")
-}
-
-fn is_stop(request: &str) -> bool {
-    request.contains("/api/run-stop")
-}
-
-fn is_renewal(request: &str) -> bool {
-    request.contains("/api/hold")
-}
-
 /// Sends heartbeats of workers for some time, in steps of a second.
 fn send_heartbeats(hosts: &PermitHosts, workers: &[(&str, &Arc<Runner>)], time: Duration) {
     let until = Instant::now() + time;
