bug: an acknowledgement erased the end of a run that the next process had begun

No call has to be late: a worker lists an end and restarts unseen, its next process answers a start order and ends the run, and the acknowledgement of the listed end then makes it forget the other one, which nobody has read.

Cause: a relay took each answer to a start order for one of the known process and acknowledged on. Such answers name no process.

Change: an answer counts for the known process if its clock certainly is the one of its latest list. The search plays the same rule.

--- a/src/workflow/decisions/leases.rs
+++ b/src/workflow/decisions/leases.rs
@@ -54,6 +54,12 @@
         !is_behind && clock_ms <= latest_ms.saturating_add(MAX_ANSWER_AGE_MS)
     }
 
+    /// Whether a reading that arrives at `now` is certainly of the same clock, and not of that of a
+    /// later incarnation.
+    pub fn is_same_clock(&self, clock_ms: u64, now: Instant) -> bool {
+        self.tells_incarnations_apart() && self.agrees_with(clock_ms, now)
+    }
+
     /// Local time at which a lease that ends at `until_ms` of the worker's clock has expired.
     pub fn expires_at(&self, until_ms: u64) -> Instant {
         let remaining = Duration::from_millis(until_ms.saturating_sub(self.clock_ms));
--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -11,6 +11,19 @@
 
 use crate::ids::{Epoch, Generation, Incarnation};
 
+/// What becomes of an acknowledgement that is due.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AcknowledgementStep {
+    /// It may be sent now.
+    Begun,
+    /// It waits for the answers to start orders or to another acknowledgement.
+    AwaitsAnswers,
+    /// The incarnation has to answer a later call first; new start orders wait for both.
+    NeedsLaterAnswer,
+    /// It may not be sent now.
+    Refused,
+}
+
 /// What the fencing token of a call is made of. A worker that has seen a token carries out no call
 /// with a lower one.
 pub type CallToken = (Epoch, Generation);
@@ -30,12 +43,12 @@
     pub starts: usize,
     /// Time until which a start order whose answer is no longer awaited may be carried out.
     pub starts_open_until: Option<Instant>,
-    /// Time at which a start order with a permit was given up, unless the incarnation has answered a
-    /// later call.
-    pub permitted_start_open_since: Option<Instant>,
+    /// Time at which a start order with a permit was given up, or at which one was answered by an
+    /// incarnation that is not certainly this one, unless this one has answered a later call.
+    pub start_open_since: Option<Instant>,
     /// Whether the answer to an acknowledgement is awaited.
     pub is_acknowledging: bool,
-    /// Whether an acknowledgement waits for the answers to start orders; new ones wait for it.
+    /// Whether an acknowledgement waits for answers of the worker; new start orders wait for it.
     pub acknowledgement_waits: bool,
     /// Highest token of an acknowledgement whose answer is no longer awaited. It has no effect on an
     /// incarnation that has carried out a start order with a higher token.
@@ -81,19 +94,40 @@
         late_call_limit: Duration,
     ) {
         if has_permit {
-            self.permitted_start_open_since = Some(now);
+            self.start_open_since = Some(now);
         } else {
             self.starts_open_until = Some(now + late_call_limit);
         }
     }
 
-    /// Begins an acknowledgement if it may be sent, and returns whether it may. Otherwise it waits for the
-    /// answers to start orders, if these are awaited, until the deadline.
-    pub fn begin_acknowledgement(&mut self, now: Instant, deadline: Instant) -> bool {
-        let may_acknowledge = self.may_acknowledge(now);
-        self.is_acknowledging |= may_acknowledge;
-        self.acknowledgement_waits = !may_acknowledge && !self.is_start_open(now) && now < deadline;
-        may_acknowledge
+    /// Notes that a start order was answered by an incarnation that is not certainly this one: a later
+    /// one may run the task. Such answers name no incarnation.
+    pub fn note_unknown_answer(&mut self, now: Instant) {
+        self.start_open_since = Some(now);
+    }
+
+    /// Begins an acknowledgement if it may be sent. Otherwise it waits until the deadline, and start
+    /// orders wait for it: each of them could need another answer.
+    pub fn begin_acknowledgement(
+        &mut self,
+        now: Instant,
+        deadline: Instant,
+    ) -> AcknowledgementStep {
+        let step = if self.may_acknowledge(now) {
+            AcknowledgementStep::Begun
+        } else if self.is_start_late(now) || now >= deadline {
+            AcknowledgementStep::Refused
+        } else if self.starts > 0 || self.is_acknowledging {
+            AcknowledgementStep::AwaitsAnswers
+        } else {
+            AcknowledgementStep::NeedsLaterAnswer
+        };
+        self.is_acknowledging |= step == AcknowledgementStep::Begun;
+        self.acknowledgement_waits = matches!(
+            step,
+            AcknowledgementStep::AwaitsAnswers | AcknowledgementStep::NeedsLaterAnswer
+        );
+        step
     }
 
     /// Whether an acknowledgement may be sent. Only one is on its way: `is_acknowledging` could not
@@ -102,17 +136,22 @@
         self.starts == 0 && !self.is_acknowledging && !self.is_start_open(now)
     }
 
-    /// Whether a start order whose answer is no longer awaited may be carried out.
+    /// Whether a start order whose answer is no longer awaited may be carried out, or was perhaps carried
+    /// out by a later incarnation.
     pub fn is_start_open(&self, now: Instant) -> bool {
-        self.permitted_start_open_since.is_some()
-            || self.starts_open_until.is_some_and(|until| now < until)
+        self.start_open_since.is_some() || self.is_start_late(now)
+    }
+
+    /// Whether a start order without a permit was given up that may still be carried out.
+    fn is_start_late(&self, now: Instant) -> bool {
+        self.starts_open_until.is_some_and(|until| now < until)
     }
 
     /// Notes that the incarnation has answered a call that was sent at a time, and returns whether this
-    /// shows that an order with a permit can no longer be carried out by a later one.
+    /// shows that no later one carries out or has carried out the start orders before.
     pub fn note_answer(&mut self, sent_at: Instant) -> bool {
         let is_later = |since: &mut Instant| *since < sent_at;
-        self.permitted_start_open_since.take_if(is_later).is_some()
+        self.start_open_since.take_if(is_later).is_some()
     }
 
     /// Whether nothing has to be remembered.
--- a/src/workflow/placer/tests/call_orders/relay.rs
+++ b/src/workflow/placer/tests/call_orders/relay.rs
@@ -10,7 +10,8 @@
 use crate::ids::{Epoch, HostId, WorkerId};
 use crate::workflow::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
-use crate::workflow::decisions::open_calls::OpenCalls;
+use crate::workflow::decisions::leases::ClockReading;
+use crate::workflow::decisions::open_calls::{AcknowledgementStep, OpenCalls};
 use crate::workflow::relay::link::{
     CONFIRMATION_VALIDITY, GRANT_LIFETIME, LIST_INTERVAL, RECORD_WAIT, RENEWAL_GRACE, RENEWAL_WAIT,
     RETRY_PAUSE, UNACKNOWLEDGED_PAUSE,
@@ -67,6 +68,9 @@
     acknowledged_ends: u64,
     pub expires_at: Instant,
     confirmed_until: Option<Instant>,
+    pub clock: Option<ClockReading>,
+    /// Whether start orders wait from the renewal before an acknowledgement until that has begun.
+    holds_starts: bool,
     pub has_ended: bool,
     is_confirmed: bool,
     wait: Duration,
@@ -121,6 +125,8 @@
                 acknowledged_ends: 0,
                 expires_at: now + GRANT_LIFETIME,
                 confirmed_until: None,
+                clock: None,
+                holds_starts: false,
                 has_ended: false,
                 is_confirmed: false,
                 wait: Duration::ZERO,
@@ -210,10 +216,20 @@
         if is_unacknowledged {
             self.begin_acknowledgement(number, order, granted_at_ms, now + RECORD_WAIT);
         } else {
+            self.release_starts(number);
             self.renew_lease(number, order, granted_at_ms, false);
         }
     }
 
+    fn release_starts(&mut self, number: usize) {
+        let link = &mut self.links[number];
+        if link.holds_starts {
+            link.holds_starts = false;
+            let target = link.target.clone();
+            self.relays[link.relay].update(&target, |calls| calls.acknowledgement_waits = false);
+        }
+    }
+
     fn begin_acknowledgement(
         &mut self,
         number: usize,
@@ -224,27 +240,35 @@
         let now = self.now.at;
         let link = &self.links[number];
         let calls = self.relays[link.relay].calls_to(&link.target, link.epoch);
-        let mut may_acknowledge = false;
-        if let Some(calls) = calls {
-            may_acknowledge = calls.begin_acknowledgement(now, deadline);
-            if calls.acknowledgement_waits {
-                self.after(POLL, move |cell| {
-                    cell.begin_acknowledgement(number, order, granted_at_ms, deadline);
-                });
-                return;
+        let step = calls.map_or(AcknowledgementStep::Refused, |calls| {
+            let step = calls.begin_acknowledgement(now, deadline);
+            if step == AcknowledgementStep::Begun && calls.takes_starts {
+                order.wait_ms = 0;
             }
-            if may_acknowledge && calls.takes_starts {
+            step
+        });
+        match step {
+            AcknowledgementStep::Begun => {
+                self.release_starts(number);
+                self.renew_lease(number, order, granted_at_ms, true);
+            }
+            AcknowledgementStep::AwaitsAnswers => self.after(POLL, move |cell| {
+                cell.begin_acknowledgement(number, order, granted_at_ms, deadline);
+            }),
+            AcknowledgementStep::NeedsLaterAnswer => {
+                self.links[number].holds_starts = true;
+                order.recorded_ends = 0;
                 order.wait_ms = 0;
+                self.renew_lease(number, order, granted_at_ms, false);
+            }
+            AcknowledgementStep::Refused => {
+                self.release_starts(number);
+                order.recorded_ends = 0;
+                self.after(UNACKNOWLEDGED_PAUSE, move |cell| {
+                    cell.renew_lease(number, order, granted_at_ms, false);
+                });
             }
         }
-        if may_acknowledge {
-            self.renew_lease(number, order, granted_at_ms, true);
-            return;
-        }
-        order.recorded_ends = 0;
-        self.after(UNACKNOWLEDGED_PAUSE, move |cell| {
-            cell.renew_lease(number, order, granted_at_ms, false);
-        });
     }
 
     fn renew_lease(&mut self, number: usize, order: RenewOrder, granted_at_ms: u64, acks: bool) {
@@ -295,6 +319,7 @@
                 link.confirmed_until = None;
                 link.listed_at = None;
                 link.wait = Duration::ZERO;
+                self.release_starts(number);
                 self.queue_event(relay, epoch, &target, RelayEventKind::Silent { failure });
                 self.after(RETRY_PAUSE, move |cell| cell.run_link(number));
                 return;
@@ -310,6 +335,11 @@
         link.wait = RENEWAL_WAIT;
         link.acknowledged_ends = link.acknowledged_ends.max(order.recorded_ends);
         link.confirmed_until = Some(now + CONFIRMATION_VALIDITY);
+        link.clock = Some(ClockReading {
+            clock_ms: report.clock_ms,
+            received_at: now,
+        });
+        let holds_starts = link.holds_starts;
         let includes_running = link.listed_at.is_none_or(|at| now >= at + LIST_INTERVAL);
         if includes_running {
             link.listed_at = Some(now);
@@ -334,7 +364,7 @@
             };
             self.queue_event(relay, epoch, &target, kind);
         }
-        if last_end > order.recorded_ends {
+        if last_end > order.recorded_ends && !holds_starts {
             self.await_record(number, last_end, now + RECORD_WAIT);
         } else {
             self.run_link(number);
@@ -353,6 +383,7 @@
     }
 
     fn end_link(&mut self, number: usize) {
+        self.release_starts(number);
         let link = &mut self.links[number];
         link.has_ended = true;
         let relay = &mut self.relays[link.relay];
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use super::super::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
+use super::super::decisions::leases::ClockReading;
 use super::messages::{Grant, RelayEventKind};
-use super::open_calls::OpenAcknowledgement;
+use super::open_calls::BegunAcknowledgement;
 use super::{Link, Relay};
 use crate::ids::Epoch;
 
@@ -44,6 +45,8 @@
     /// Time until which the incarnation of the grants counts as present; `None` while its latest
     /// renewal has no answer.
     confirmed_until: Option<Instant>,
+    /// Clock of the incarnation of the grants by its latest list.
+    clock: Option<ClockReading>,
     ended: bool,
 }
 
@@ -66,6 +69,7 @@
                 granted_at_ms: grant.granted_at_ms,
                 expires_at: now + GRANT_LIFETIME,
                 confirmed_until: None,
+                clock: None,
                 ended: false,
             }),
             changed: Condvar::new(),
@@ -123,8 +127,27 @@
         self.state.lock().unwrap().is_confirmed(Instant::now())
     }
 
-    fn set_confirmed_until(&self, until: Option<Instant>) {
-        self.state.lock().unwrap().confirmed_until = until;
+    /// Whether the answer to an order certainly came from the incarnation of the grants. Such answers
+    /// name no incarnation; a later one has another clock.
+    pub(super) fn gave_answer(&self, clock_ms: Option<u64>) -> bool {
+        let known = self.state.lock().unwrap().clock;
+        known
+            .zip(clock_ms)
+            .is_some_and(|(known, clock_ms)| known.is_same_clock(clock_ms, Instant::now()))
+    }
+
+    fn note_list(&self, clock_ms: u64, now: Instant) {
+        let mut state = self.state.lock().unwrap();
+        state.confirmed_until = Some(now + CONFIRMATION_VALIDITY);
+        state.clock = Some(ClockReading {
+            clock_ms,
+            received_at: now,
+        });
+        self.changed.notify_all();
+    }
+
+    fn withdraw_confirmation(&self) {
+        self.state.lock().unwrap().confirmed_until = None;
         self.changed.notify_all();
     }
 
@@ -134,15 +157,31 @@
         let mut listed_at: Option<Instant> = None;
         // Whether the latest answer came from the incarnation that the grants are for.
         let mut confirmed = false;
+        // Start orders wait from the renewal before an acknowledgement until that has begun.
+        let mut held = None;
         while let Some((mut order, granted_at_ms)) = self.next_renewal(wait, confirmed) {
-            let open = self.begin_acknowledgement(relay, &mut order);
+            let begun = self.begin_acknowledgement(relay, &mut order);
+            let open = match begun {
+                BegunAcknowledgement::NeedsLaterAnswer => {
+                    held.get_or_insert_with(|| relay.open_calls.held_starts(&self.target));
+                    None
+                }
+                BegunAcknowledgement::Open(open) => {
+                    held = None;
+                    Some(open)
+                }
+                BegunAcknowledgement::Refused => {
+                    held = None;
+                    None
+                }
+            };
             let sent_at = Instant::now();
             let deadline = sent_at + Duration::from_millis(order.wait_ms) + RENEWAL_GRACE;
             let result = (relay.outside.renew)(&self.target, &order, deadline);
             let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
             if result.is_err() {
                 // Start orders that wait for the answer to an acknowledgement find this afterwards.
-                self.set_confirmed_until(None);
+                self.withdraw_confirmation();
             }
             if let Some(open) = open.filter(|_| !is_unanswered) {
                 open.settle();
@@ -150,6 +189,7 @@
             let report = match result {
                 Ok(report) => report,
                 Err(failure) => {
+                    held = None;
                     if confirmed {
                         log::info!(
                             worker = self.target.worker.as_str(), epoch = self.epoch,
@@ -191,7 +231,7 @@
             self.note_acknowledged(order.recorded_ends);
             relay.open_calls.note_answer(&self.target, sent_at);
             let now = Instant::now();
-            self.set_confirmed_until(Some(now + CONFIRMATION_VALIDITY));
+            self.note_list(report.clock_ms, now);
             let last_end = report.ends.last().map_or(0, |end| end.number);
             let includes_running = listed_at.is_none_or(|at| now >= at + LIST_INTERVAL);
             if includes_running {
@@ -213,7 +253,7 @@
                 };
                 relay.queue_event(self.epoch, &self.target, event);
             }
-            if last_end > order.recorded_ends {
+            if last_end > order.recorded_ends && held.is_none() {
                 self.await_record(last_end);
                 if !self.may_acknowledge() {
                     thread::sleep(UNACKNOWLEDGED_PAUSE);
@@ -247,27 +287,36 @@
         Some((order, state.granted_at_ms))
     }
 
-    /// Takes the acknowledgement out of a renewal while a start order has no answer: the next
-    /// incarnation of the worker could carry out both. If start orders wait for the answer, the worker
-    /// gives it at once.
+    /// Takes the acknowledgement out of a renewal while a start order has no answer, or one that a later
+    /// incarnation of the worker may have given: that one could carry out both. If start orders wait for
+    /// the answer, the worker gives it at once.
     fn begin_acknowledgement<'a>(
         &'a self,
         relay: &'a Relay,
         order: &mut RenewOrder,
-    ) -> Option<OpenAcknowledgement<'a>> {
+    ) -> BegunAcknowledgement<'a> {
         if order.recorded_ends == 0 {
-            return None;
+            return BegunAcknowledgement::Refused;
         }
         let calls = &relay.open_calls;
         let deadline = Instant::now() + RECORD_WAIT;
-        let open = calls.begin_acknowledgement(&self.target, self.epoch, deadline);
-        if open.is_none() {
-            order.recorded_ends = 0;
-            thread::sleep(UNACKNOWLEDGED_PAUSE);
-        } else if calls.separates_acknowledgements(&self.target) {
-            order.wait_ms = 0;
+        let begun = calls.begin_acknowledgement(&self.target, self.epoch, deadline);
+        match begun {
+            BegunAcknowledgement::Open(_) => {
+                if calls.separates_acknowledgements(&self.target) {
+                    order.wait_ms = 0;
+                }
+            }
+            BegunAcknowledgement::NeedsLaterAnswer => {
+                order.recorded_ends = 0;
+                order.wait_ms = 0;
+            }
+            BegunAcknowledgement::Refused => {
+                order.recorded_ends = 0;
+                thread::sleep(UNACKNOWLEDGED_PAUSE);
+            }
         }
-        open
+        begun
     }
 
     fn may_acknowledge(&self) -> bool {
--- a/src/workflow/relay/open_calls.rs
+++ b/src/workflow/relay/open_calls.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use super::super::calls::{StartOrder, WorkerTarget};
-use super::super::decisions::open_calls::OpenCalls;
+use super::super::decisions::open_calls::{AcknowledgementStep, OpenCalls};
 use crate::ids::{Epoch, WorkerId};
 
 /// Open calls to all workers of a relay. Entries outlive the links of the relay.
@@ -44,7 +44,7 @@
                     table: self,
                     target,
                     has_permit,
-                    may_be_late: true,
+                    end: StartEnd::Unanswered,
                 });
             }
             let left = deadline.saturating_duration_since(Instant::now());
@@ -58,9 +58,13 @@
     fn end_start(&self, start: &OpenStart<'_>) {
         self.update(start.target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
-            if start.may_be_late {
-                let now = Instant::now();
-                calls.note_unanswered_start(start.has_permit, now, self.late_call_limit);
+            let now = Instant::now();
+            match start.end {
+                StartEnd::Settled => {}
+                StartEnd::AnsweredByUnknown => calls.note_unknown_answer(now),
+                StartEnd::Unanswered => {
+                    calls.note_unanswered_start(start.has_permit, now, self.late_call_limit);
+                }
             }
         });
     }
@@ -75,28 +79,47 @@
         }
     }
 
-    /// Waits until an acknowledgement may be sent; `None` if it may not be sent before the deadline.
+    /// Waits until an acknowledgement may be sent, or until it cannot be sent before the deadline.
     pub(super) fn begin_acknowledgement<'a>(
         &'a self,
         target: &'a WorkerTarget,
         epoch: Epoch,
         deadline: Instant,
-    ) -> Option<OpenAcknowledgement<'a>> {
+    ) -> BegunAcknowledgement<'a> {
         let mut workers = self.workers.lock().unwrap();
         loop {
             let now = Instant::now();
-            let calls = calls_to(&mut workers, target, epoch)?;
-            let may_acknowledge = calls.begin_acknowledgement(now, deadline);
-            if !calls.acknowledgement_waits {
-                self.changed.notify_all();
-                return may_acknowledge.then(|| OpenAcknowledgement {
-                    table: self,
-                    target,
-                    epoch,
-                    may_be_late: true,
-                });
+            let Some(calls) = calls_to(&mut workers, target, epoch) else {
+                return BegunAcknowledgement::Refused;
+            };
+            match calls.begin_acknowledgement(now, deadline) {
+                AcknowledgementStep::Begun => {
+                    return BegunAcknowledgement::Open(OpenAcknowledgement {
+                        table: self,
+                        target,
+                        epoch,
+                        may_be_late: true,
+                    });
+                }
+                AcknowledgementStep::NeedsLaterAnswer => {
+                    return BegunAcknowledgement::NeedsLaterAnswer;
+                }
+                AcknowledgementStep::Refused => {
+                    self.changed.notify_all();
+                    return BegunAcknowledgement::Refused;
+                }
+                AcknowledgementStep::AwaitsAnswers => {
+                    workers = self.wait(workers, deadline.saturating_duration_since(now));
+                }
             }
-            workers = self.wait(workers, deadline.saturating_duration_since(now));
+        }
+    }
+
+    /// Start orders that wait for an acknowledgement since [`BegunAcknowledgement::NeedsLaterAnswer`].
+    pub(super) fn held_starts<'a>(&'a self, target: &'a WorkerTarget) -> HeldStarts<'a> {
+        HeldStarts {
+            table: self,
+            target,
         }
     }
 
@@ -151,19 +174,35 @@
     }
 }
 
-/// A start order that is being sent. When it is dropped, the worker may carry it out late, unless it
-/// was settled.
+/// What is known of a start order when its answer is no longer awaited.
+#[derive(Clone, Copy)]
+enum StartEnd {
+    /// It was certainly not sent, or certainly no later incarnation carried it out.
+    Settled,
+    /// It was answered, perhaps by a later incarnation, which may run the task.
+    AnsweredByUnknown,
+    /// The worker may carry it out late.
+    Unanswered,
+}
+
+/// A start order that is being sent. When it is dropped, the worker may carry it out late, unless its
+/// end was noted.
 pub(super) struct OpenStart<'a> {
     table: &'a OpenCallTable,
     target: &'a WorkerTarget,
     has_permit: bool,
-    may_be_late: bool,
+    end: StartEnd,
 }
 
 impl OpenStart<'_> {
-    /// Notes that the order was answered or certainly not sent.
+    /// Notes that certainly no later incarnation carries out the order.
     pub(super) fn settle(mut self) {
-        self.may_be_late = false;
+        self.end = StartEnd::Settled;
+    }
+
+    /// Notes that the order was answered, perhaps by a later incarnation of the worker.
+    pub(super) fn note_unknown_answer(mut self) {
+        self.end = StartEnd::AnsweredByUnknown;
     }
 }
 
@@ -173,6 +212,29 @@
     }
 }
 
+/// How an acknowledgement begins.
+pub(super) enum BegunAcknowledgement<'a> {
+    /// It is sent now.
+    Open(OpenAcknowledgement<'a>),
+    /// The incarnation has to answer a later call first; start orders wait meanwhile.
+    NeedsLaterAnswer,
+    /// It may not be sent now.
+    Refused,
+}
+
+/// Start orders to a worker wait for an acknowledgement until this is dropped.
+pub(super) struct HeldStarts<'a> {
+    table: &'a OpenCallTable,
+    target: &'a WorkerTarget,
+}
+
+impl Drop for HeldStarts<'_> {
+    fn drop(&mut self) {
+        self.table
+            .update(self.target, |calls| calls.acknowledgement_waits = false);
+    }
+}
+
 /// An acknowledgement that is being sent, like [`OpenStart`].
 pub(super) struct OpenAcknowledgement<'a> {
     table: &'a OpenCallTable,
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -6,7 +6,9 @@
 
 use crossbeam::channel::Receiver;
 
-use super::super::calls::{CallFailure, OrderAnswer, StartOrder, StopOrder, WorkerTarget};
+use super::super::calls::{
+    CallFailure, OrderAnswer, OrderOutcome, StartOrder, StopOrder, WorkerTarget,
+};
 use super::super::instruments::instruments;
 use super::Relay;
 use super::messages::{RelayEventKind, RelayedOrder, WorkerOrder};
@@ -94,10 +96,12 @@
             let sent_at = Instant::now();
             let result = (self.outside.start)(target, order, sent_at + ORDER_TIMEOUT);
             let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
-            if is_unanswered {
-                drop(open);
-            } else {
-                open.settle();
+            match &result {
+                Ok(answer) if self.may_run_elsewhere(target, order, answer) => {
+                    open.note_unknown_answer();
+                }
+                Err(_) if is_unanswered => drop(open),
+                Ok(_) | Err(_) => open.settle(),
             }
             count_order("start", &result, sent_at);
             let failure = match result {
@@ -144,6 +148,18 @@
         self.queue_event(order.fence, target, event);
     }
 
+    /// Whether a later incarnation of the worker may have carried out a start order that was answered.
+    fn may_run_elsewhere(
+        &self,
+        target: &WorkerTarget,
+        order: &StartOrder,
+        answer: &OrderAnswer,
+    ) -> bool {
+        let link = self.link(target, order.fence);
+        answer.outcome == OrderOutcome::Done
+            && !link.is_some_and(|link| link.gave_answer(answer.clock_ms))
+    }
+
     /// Sends a stop order once; the placer repeats it until the run has ended.
     fn send_stop(&self, target: &WorkerTarget, order: StopOrder) {
         let sent_at = Instant::now();
--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -50,6 +50,10 @@
     open_acknowledgements: AtomicUsize,
     /// Number of calls that were open together with one of the other kind.
     meetings: AtomicUsize,
+    /// Whether a start order was answered since the latest renewal began.
+    follows_start: AtomicBool,
+    /// Number of acknowledgements that followed such an answer without another renewal.
+    unconfirmed_acknowledgements: AtomicUsize,
     /// Number of the last end.
     ends: AtomicU64,
     loses_starts: AtomicBool,
@@ -70,6 +74,7 @@
         let held = self.start_holds.lock().unwrap().pop();
         thread::sleep(held.unwrap_or(ANSWER_TIME));
         self.note_meeting(&self.open_acknowledgements);
+        self.follows_start.store(true, Ordering::Release);
         self.open_starts.fetch_sub(1, Ordering::AcqRel);
         if self.loses_starts.load(Ordering::Acquire) {
             return Err(no_answer());
@@ -84,6 +89,11 @@
         let acknowledges = order.recorded_ends > 0;
         let is_lost = acknowledges && self.loses_acknowledgements.load(Ordering::Acquire);
         self.renewals.lock().unwrap().push(order.clone());
+        let follows_start = self.follows_start.swap(false, Ordering::AcqRel);
+        if acknowledges && follows_start {
+            self.unconfirmed_acknowledgements
+                .fetch_add(1, Ordering::AcqRel);
+        }
         if acknowledges {
             self.open_acknowledgements.fetch_add(1, Ordering::AcqRel);
             self.note_meeting(&self.open_starts);
@@ -289,6 +299,28 @@
     }
 }
 
+/// Guards against an acknowledgement that erases the end of a run of the next process: that one may have
+/// answered the start order, and only a later answer of the known process shows that it did not.
+#[test]
+fn an_end_is_acknowledged_once_the_process_has_answered_after_a_start_order() {
+    for permit in [None, Some("permit")] {
+        let test = TestRelay::start(WAIT_TIMEOUT);
+        test.instruct(0, 0, Vec::new());
+        for round in 1..=40_u32 {
+            test.worker.ends.store(u64::from(round), Ordering::Release);
+            test.instruct(0, u64::from(round), vec![start_order(round, permit)]);
+            thread::sleep(ANSWER_TIME * 2);
+        }
+        await_true(|| test.worker.starts.load(Ordering::Acquire) >= 40);
+        test.await_acknowledgement();
+        let worker = &test.worker;
+        assert_eq!(
+            worker.unconfirmed_acknowledgements.load(Ordering::Acquire),
+            0
+        );
+    }
+}
+
 /// Guards against an acknowledgement that follows a start order with a permit for the next process: only
 /// an answer to a later call shows that the permit was not for that one.
 #[test]
@@ -296,7 +328,7 @@
     let given_up_at = Instant::now();
     let (earlier, later) = (given_up_at - ANSWER_TIME, given_up_at + ANSWER_TIME);
     let mut calls = OpenCalls {
-        permitted_start_open_since: Some(given_up_at),
+        start_open_since: Some(given_up_at),
         ..OpenCalls::default()
     };
     assert!(!calls.may_acknowledge(given_up_at + WAIT_TIMEOUT));
