bug: acknowledgements were withheld too short for late start orders

Cause: after a change of the relay or of the placer, acknowledgements were withheld for the time that a call may be late, counted from the change. A start order without a permit that the placer had just sent may leave its relay up to 2.2 s after that, and be late from then on. Its run in the worker's next process, ended there, would be erased by the acknowledgement, and run again.

Change: both count the time in the relay as well, from the order that was sent last, and from the beginning of a term.

Result: four tests of placer/tests/open_calls.rs ask for it; they failed before and pass.

--- a/src/workflow/placer/open_calls.rs
+++ b/src/workflow/placer/open_calls.rs
@@ -89,7 +89,6 @@
             return;
         };
         worker.generation = worker.generation.saturating_add(1);
-        let until = until.min(now + late_call_limit);
         worker.acknowledges_from = worker.acknowledges_from.max(until);
     }
 
@@ -109,7 +108,7 @@
     /// Lets no end be acknowledged at the start of a term where start orders of the former placer may be
     /// open. The state has no record of them once their runs have ended.
     pub(super) fn withhold_acknowledgements(&mut self, now: Instant) {
-        let until = now + self.settings.late_call_limit;
+        let until = now + RELAYING_TIME + self.settings.late_call_limit;
         let services = self.workers.values().map(|worker| &worker.record.service);
         let services: IndexSet<_> = services.cloned().collect();
         for service in services {
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -8,7 +8,7 @@
 use super::capacity::{contact, send_starts};
 use super::claims::{run_number, step};
 use super::fixture::*;
-use super::permits::permit;
+use super::permits::{RELAYING_TIME, permit};
 use super::restarts::expect_run_until;
 use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, WorkerReport};
 use crate::workflow::decisions::fencing::fencing_token;
@@ -71,7 +71,7 @@
     change_relay(&mut fixture);
     let changed_at = fixture.now.at;
     record_end(&mut fixture);
-    while fixture.now.at < changed_at + LATE_CALL_LIMIT {
+    while fixture.now.at < changed_at + RELAYING_TIME + LATE_CALL_LIMIT {
         assert_eq!(acknowledged(&mut fixture), 0);
         fixture.advance(Duration::from_millis(500));
     }
@@ -147,6 +147,8 @@
     record_end(&mut fixture);
     assert_eq!(acknowledged(&mut fixture), 0);
     fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(RELAYING_TIME);
     assert_eq!(acknowledged(&mut fixture), 1);
 }
 
@@ -233,6 +235,8 @@
     change_relay(&mut fixture);
     assert_eq!(acknowledged(&mut fixture), 0);
     fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(RELAYING_TIME);
     assert_eq!(acknowledged(&mut fixture), 1);
 }
 
@@ -291,6 +295,8 @@
     fixture.commit_all();
     assert_eq!(acknowledged(&mut fixture), 0);
     fixture.advance(LATE_CALL_LIMIT);
+    assert_eq!(acknowledged(&mut fixture), 0);
+    fixture.advance(RELAYING_TIME);
     assert_eq!(acknowledged(&mut fixture), 1);
 }
 
