bug: an acknowledgement followed a late start order at the end of its time

Cause: a start order without a permit and without an answer may be carried out for timing.late_call_limit_ms, and after a change of the relay or of the placer acknowledgements are withheld for as long. Then they were sent on the strength of an answer from before: the worker may have restarted since, carried out the order just before the limit, and ended the run, whose end the acknowledgement erased.

Change: the end of that time counts like an answer of an unknown process: an acknowledgement needs an answer to a call that was sent later. The two times of a worker's open calls become one. A relay that may acknowledge again needs an answer to a call that it sent after that. The search plays the same rules.

--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -41,11 +41,10 @@
     pub takes_starts: bool,
     /// Start orders whose answer is awaited.
     pub starts: usize,
-    /// Time until which a start order whose answer is no longer awaited may be carried out.
+    /// Time until which a start order whose answer is no longer awaited may be carried out by a later
+    /// incarnation, or at which one was perhaps answered by it. It counts until this incarnation has
+    /// answered a call that was sent after that time.
     pub starts_open_until: Option<Instant>,
-    /// Time at which a start order with a permit was given up, or at which one was answered by an
-    /// incarnation that is not certainly this one, unless this one has answered a later call.
-    pub start_open_since: Option<Instant>,
     /// Whether the answer to an acknowledgement is awaited.
     pub is_acknowledging: bool,
     /// Whether an acknowledgement waits for answers of the worker; new start orders wait for it.
@@ -93,17 +92,19 @@
         now: Instant,
         late_call_limit: Duration,
     ) {
-        if has_permit {
-            self.start_open_since = Some(now);
+        // The permit is for an incarnation that was at work when the order was sent.
+        let until = if has_permit {
+            now
         } else {
-            self.starts_open_until = Some(now + late_call_limit);
-        }
+            now + late_call_limit
+        };
+        self.starts_open_until = self.starts_open_until.max(Some(until));
     }
 
     /// Notes that a start order was answered by an incarnation that is not certainly this one: a later
     /// one may run the task. Such answers name no incarnation.
     pub fn note_unknown_answer(&mut self, now: Instant) {
-        self.start_open_since = Some(now);
+        self.starts_open_until = self.starts_open_until.max(Some(now));
     }
 
     /// Begins an acknowledgement if it may be sent. Otherwise it waits until the deadline, and start
@@ -113,7 +114,7 @@
         now: Instant,
         deadline: Instant,
     ) -> AcknowledgementStep {
-        let step = if self.may_acknowledge(now) {
+        let step = if self.may_acknowledge() {
             AcknowledgementStep::Begun
         } else if self.is_start_late(now) || now >= deadline {
             AcknowledgementStep::Refused
@@ -132,17 +133,12 @@
 
     /// Whether an acknowledgement may be sent. Only one is on its way: `is_acknowledging` could not
     /// tell which of two has been answered.
-    pub fn may_acknowledge(&self, now: Instant) -> bool {
-        self.starts == 0 && !self.is_acknowledging && !self.is_start_open(now)
-    }
-
-    /// Whether a start order whose answer is no longer awaited may be carried out, or was perhaps carried
-    /// out by a later incarnation.
-    pub fn is_start_open(&self, now: Instant) -> bool {
-        self.start_open_since.is_some() || self.is_start_late(now)
+    pub fn may_acknowledge(&self) -> bool {
+        let is_idle = self.starts == 0 && !self.is_acknowledging;
+        is_idle && self.starts_open_until.is_none()
     }
 
-    /// Whether a start order without a permit was given up that may still be carried out.
+    /// Whether a start order was given up that a later incarnation may still carry out.
     fn is_start_late(&self, now: Instant) -> bool {
         self.starts_open_until.is_some_and(|until| now < until)
     }
@@ -150,12 +146,14 @@
     /// Notes that the incarnation has answered a call that was sent at a time, and returns whether this
     /// shows that no later one carries out or has carried out the start orders before.
     pub fn note_answer(&mut self, sent_at: Instant) -> bool {
-        let is_later = |since: &mut Instant| *since < sent_at;
-        self.start_open_since.take_if(is_later).is_some()
+        let is_later = |until: &mut Instant| *until < sent_at;
+        self.starts_open_until.take_if(is_later).is_some()
     }
 
-    /// Whether nothing has to be remembered.
+    /// Whether nothing has to be remembered of a worker that is not served: if it is served again, it
+    /// answers a later call before all else.
     pub fn is_settled(&self, now: Instant) -> bool {
-        self.may_acknowledge(now) && self.unanswered_acknowledgement.is_none()
+        let is_idle = self.starts == 0 && !self.is_acknowledging;
+        is_idle && !self.is_start_late(now) && self.unanswered_acknowledgement.is_none()
     }
 }
--- a/src/workflow/placer/tests/call_orders/relay.rs
+++ b/src/workflow/placer/tests/call_orders/relay.rs
@@ -66,13 +66,15 @@
     grant: Grant,
     recorded_ends: u64,
     acknowledged_ends: u64,
+    acknowledges_since: Option<Instant>,
     pub expires_at: Instant,
     confirmed_until: Option<Instant>,
     pub clock: Option<ClockReading>,
     /// Whether start orders wait from the renewal before an acknowledgement until that has begun.
     holds_starts: bool,
     pub has_ended: bool,
-    is_confirmed: bool,
+    /// Time at which the latest call was sent, if it was answered.
+    confirmed_at: Option<Instant>,
     wait: Duration,
     listed_at: Option<Instant>,
 }
@@ -105,6 +107,8 @@
                     link.expires_at = now + GRANT_LIFETIME;
                     link.recorded_ends = link.recorded_ends.max(grant.recorded_ends);
                     if grant.granted_at_ms >= link.grant.granted_at_ms {
+                        let since = link.acknowledges_since.unwrap_or(now);
+                        link.acknowledges_since = grant.may_acknowledge.then_some(since);
                         link.grant = grant;
                     }
                     continue;
@@ -121,6 +125,7 @@
                 epoch: relay.epoch,
                 target: grant.target.clone(),
                 recorded_ends: grant.recorded_ends,
+                acknowledges_since: grant.may_acknowledge.then_some(now),
                 grant,
                 acknowledged_ends: 0,
                 expires_at: now + GRANT_LIFETIME,
@@ -128,7 +133,7 @@
                 clock: None,
                 holds_starts: false,
                 has_ended: false,
-                is_confirmed: false,
+                confirmed_at: None,
                 wait: Duration::ZERO,
                 listed_at: None,
             });
@@ -196,15 +201,16 @@
             self.end_link(number);
             return;
         }
-        let is_unacknowledged = link.is_confirmed
-            && link.grant.may_acknowledge
-            && link.recorded_ends > link.acknowledged_ends;
+        let since = link.acknowledges_since;
+        let may_acknowledge =
+            since.is_some_and(|since| link.confirmed_at.is_some_and(|sent_at| since < sent_at));
+        let is_unacknowledged = may_acknowledge && link.recorded_ends > link.acknowledged_ends;
         let order = RenewOrder {
             fence: link.epoch,
             lease_until_clock_ms: link
                 .grant
                 .lease_until_clock_ms
-                .filter(|_| link.is_confirmed),
+                .filter(|_| link.confirmed_at.is_some()),
             recorded_ends: if is_unacknowledged {
                 link.recorded_ends
             } else {
@@ -315,7 +321,7 @@
         let mut report = match result {
             Ok(report) => report,
             Err(failure) => {
-                link.is_confirmed = false;
+                link.confirmed_at = None;
                 link.confirmed_until = None;
                 link.listed_at = None;
                 link.wait = Duration::ZERO;
@@ -331,7 +337,7 @@
             self.end_link(number);
             return;
         }
-        link.is_confirmed = true;
+        link.confirmed_at = Some(sent_at);
         link.wait = RENEWAL_WAIT;
         link.acknowledged_ends = link.acknowledged_ends.max(order.recorded_ends);
         link.confirmed_until = Some(now + CONFIRMATION_VALIDITY);
@@ -375,7 +381,7 @@
         let link = &self.links[number];
         if !link.has_ended && link.recorded_ends < end && self.now.at < deadline {
             self.after(POLL, move |cell| cell.await_record(number, end, deadline));
-        } else if link.grant.may_acknowledge {
+        } else if link.acknowledges_since.is_some() {
             self.run_link(number);
         } else {
             self.after(UNACKNOWLEDGED_PAUSE, move |cell| cell.run_link(number));
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -39,7 +39,9 @@
     recorded_ends: u64,
     /// Ends up to this number were acknowledged, and the worker has answered; never decreases.
     acknowledged_ends: u64,
-    may_acknowledge: bool,
+    /// Time since which ends may be acknowledged: once the worker has answered a call that was sent
+    /// after it. Until then, a start order of another relay could be carried out.
+    acknowledges_since: Option<Instant>,
     granted_at_ms: u64,
     expires_at: Instant,
     /// Time until which the incarnation of the grants counts as present; `None` while its latest
@@ -65,7 +67,7 @@
                 lease_until_clock_ms: grant.lease_until_clock_ms,
                 recorded_ends: grant.recorded_ends,
                 acknowledged_ends: 0,
-                may_acknowledge: grant.may_acknowledge,
+                acknowledges_since: grant.may_acknowledge.then_some(now),
                 granted_at_ms: grant.granted_at_ms,
                 expires_at: now + GRANT_LIFETIME,
                 confirmed_until: None,
@@ -93,7 +95,8 @@
         if grant.granted_at_ms >= state.granted_at_ms {
             state.granted_at_ms = grant.granted_at_ms;
             state.lease_until_clock_ms = grant.lease_until_clock_ms;
-            state.may_acknowledge = grant.may_acknowledge;
+            let since = state.acknowledges_since.unwrap_or(now);
+            state.acknowledges_since = grant.may_acknowledge.then_some(since);
         }
         self.changed.notify_all();
         true
@@ -155,11 +158,11 @@
     pub(super) fn run(self: &Arc<Self>, relay: &Relay) {
         let mut wait = Duration::ZERO;
         let mut listed_at: Option<Instant> = None;
-        // Whether the latest answer came from the incarnation that the grants are for.
-        let mut confirmed = false;
+        // Time at which the latest call was sent, if the incarnation that the grants are for answered it.
+        let mut confirmed_at: Option<Instant> = None;
         // Start orders wait from the renewal before an acknowledgement until that has begun.
         let mut held = None;
-        while let Some((mut order, granted_at_ms)) = self.next_renewal(wait, confirmed) {
+        while let Some((mut order, granted_at_ms)) = self.next_renewal(wait, confirmed_at) {
             let begun = self.begin_acknowledgement(relay, &mut order);
             let open = match begun {
                 BegunAcknowledgement::NeedsLaterAnswer => {
@@ -190,7 +193,7 @@
                 Ok(report) => report,
                 Err(failure) => {
                     held = None;
-                    if confirmed {
+                    if confirmed_at.is_some() {
                         log::info!(
                             worker = self.target.worker.as_str(), epoch = self.epoch,
                             incarnation = self.target.incarnation,
@@ -200,7 +203,7 @@
                             "renewal without an answer, which may be carried out later: {failure}"
                         );
                     }
-                    confirmed = false;
+                    confirmed_at = None;
                     listed_at = None;
                     wait = Duration::ZERO;
                     relay.queue_event(self.epoch, &self.target, RelayEventKind::Silent { failure });
@@ -218,7 +221,7 @@
                 relay.queue_event(self.epoch, &self.target, RelayEventKind::Silent { failure });
                 break;
             }
-            confirmed = true;
+            confirmed_at = Some(sent_at);
             wait = RENEWAL_WAIT;
             if order.recorded_ends > 0 {
                 log::info!(
@@ -267,16 +270,24 @@
     ///
     /// A worker that may have restarted receives neither a lease nor an acknowledgement: both would
     /// apply to the new incarnation, whose clock and numbers of ends start again.
-    fn next_renewal(&self, wait: Duration, confirmed: bool) -> Option<(RenewOrder, u64)> {
+    fn next_renewal(
+        &self,
+        wait: Duration,
+        confirmed_at: Option<Instant>,
+    ) -> Option<(RenewOrder, u64)> {
         let state = self.state.lock().unwrap();
         if state.ended || Instant::now() >= state.expires_at {
             return None;
         }
-        let is_unacknowledged =
-            confirmed && state.may_acknowledge && state.recorded_ends > state.acknowledged_ends;
+        let since = state.acknowledges_since;
+        let may_acknowledge =
+            since.is_some_and(|since| confirmed_at.is_some_and(|sent_at| since < sent_at));
+        let is_unacknowledged = may_acknowledge && state.recorded_ends > state.acknowledged_ends;
         let order = RenewOrder {
             fence: self.epoch,
-            lease_until_clock_ms: state.lease_until_clock_ms.filter(|_| confirmed),
+            lease_until_clock_ms: state
+                .lease_until_clock_ms
+                .filter(|_| confirmed_at.is_some()),
             recorded_ends: if is_unacknowledged {
                 state.recorded_ends
             } else {
@@ -320,7 +331,7 @@
     }
 
     fn may_acknowledge(&self) -> bool {
-        self.state.lock().unwrap().may_acknowledge
+        self.state.lock().unwrap().acknowledges_since.is_some()
     }
 
     fn note_acknowledged(&self, ends: u64) {
--- a/tests/workflow_open_calls.rs
+++ b/tests/workflow_open_calls.rs
@@ -328,14 +328,14 @@
     let given_up_at = Instant::now();
     let (earlier, later) = (given_up_at - ANSWER_TIME, given_up_at + ANSWER_TIME);
     let mut calls = OpenCalls {
-        start_open_since: Some(given_up_at),
+        starts_open_until: Some(given_up_at),
         ..OpenCalls::default()
     };
-    assert!(!calls.may_acknowledge(given_up_at + WAIT_TIMEOUT));
+    assert!(!calls.may_acknowledge());
     assert!(!calls.note_answer(earlier));
-    assert!(!calls.may_acknowledge(given_up_at + WAIT_TIMEOUT));
+    assert!(!calls.may_acknowledge());
     assert!(calls.note_answer(later));
-    assert!(calls.may_acknowledge(later));
+    assert!(calls.may_acknowledge());
 }
 
 /// Guards against an acknowledgement that follows a start order without an answer.
@@ -440,3 +440,39 @@
     test.instruct(0, 2, Vec::new());
     test.await_acknowledgement();
 }
+
+/// Guards against an acknowledgement that erases the end of a run that a late start order began in the next
+/// process: the order may arrive until the limit is over, and only an answer to a later call shows that the
+/// known process was at work until then.
+#[test]
+fn an_end_is_acknowledged_once_the_process_has_outlived_a_late_start_order() {
+    let given_up_at = Instant::now();
+    let open_until = given_up_at + WAIT_TIMEOUT;
+    let mut calls = OpenCalls::default();
+    calls.note_unanswered_start(false, given_up_at, WAIT_TIMEOUT);
+    calls.note_answer(open_until - ANSWER_TIME);
+    assert!(!calls.may_acknowledge());
+    calls.note_answer(open_until + ANSWER_TIME);
+    assert!(calls.may_acknowledge());
+}
+
+/// Guards against the same where the placer withholds acknowledgements, after a change of the relay or of
+/// the placer: the process may have been replaced since its latest answer, before the limit was over.
+#[test]
+fn a_withheld_end_is_acknowledged_once_the_process_has_answered_a_later_call() {
+    let test = TestRelay::start(WAIT_TIMEOUT);
+    let renewals = || test.worker.renewals.lock().unwrap().len();
+    test.worker.ends.store(1, Ordering::Release);
+    test.instruct_with(0, 1, false, Vec::new());
+    await_true(|| renewals() >= 3);
+    thread::sleep(10 * ANSWER_TIME);
+    let begun_before = renewals();
+    test.instruct(0, 1, Vec::new());
+    test.await_acknowledgement();
+    let renewals = test.worker.renewals.lock().unwrap();
+    let first = renewals.iter().position(|order| order.recorded_ends > 0);
+    assert!(
+        first.is_some_and(|first| first > begun_before),
+        "acknowledged by call {first:?}, {begun_before} calls were made before that was allowed"
+    );
+}
