test: a new placer starts a task whose order of the former one may be late

Cause: a worker that does not list a run to a new placer counts as never having begun it, and the task starts elsewhere at once. That holds for the incarnation that answered. Without a permit, the next one may still carry out the order of the former placer, for 12 s.

--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -345,6 +345,32 @@
     }
 }
 
+/// Guards against two runs of a task at once after a change of the placer: the known incarnation shows that
+/// it does not run the task, and the next one carries out the start order of the former placer.
+#[test]
+fn a_new_placer_starts_no_task_whose_start_order_may_be_late() {
+    let mut former = Fixture::new();
+    former.announce("w");
+    former.submit(vec![stage(1)]);
+    former.commit_all();
+    let mut fixture = Fixture::with_state(former.term.state);
+    contact(&mut fixture, "entry-1", false);
+    let began_at = fixture.now.at;
+    fixture.announce("v");
+    fixture.report("w", vec![], vec![]);
+    fixture.commit_all();
+    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
+    while fixture.now.at < began_at + LATE_CALL_LIMIT {
+        step(&mut fixture);
+        let run = fixture.term.runs.get(&task(0)).map(|run| run.run);
+        assert!(
+            matches!(run, None | Some(1)),
+            "run 2 after {:?}",
+            fixture.now.at - began_at
+        );
+    }
+}
+
 /// Guards against two runs of a task at once: the next incarnation of a young worker answered the start
 /// order without a permit, its clock was taken for that of the known one, and the run ended with the
 /// lease on the former clock.
