bug: a job ended with the run of an earlier one that had its name

And if a later run was refused, the end of the earlier one was ignored, and the task ran again.

Change: the placer remembers which runs it gave up on which worker, at most 256 of a stage, and an end counts if it is of one of these, whichever run is the latest. A new placer starts without them.

--- a/src/workflow/placer.rs
+++ b/src/workflow/placer.rs
@@ -18,6 +18,7 @@
 mod gang_sizes;
 mod gangs;
 mod gathering;
+mod given_up_runs;
 mod growth;
 mod heartbeats;
 mod idle_room;
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -231,7 +231,7 @@
                 let incarnation = live.record.incarnation;
                 let latest = current.map(|latest| (latest.run, latest.worker.clone()));
                 if end.outcome == RunOutcome::Succeeded
-                    && self.finish_given_up_run(end.run.clone(), now)
+                    && self.finish_given_up_run(worker, end.run.clone(), now)
                 {
                     log::warn!(
                         task:% = end.run.task, run = end.run.run, worker = worker.as_str(),
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -4,13 +4,13 @@
 
 use indexmap::IndexSet;
 
-use super::super::calls::ListedRun;
 use super::super::instruments::instruments;
 use super::super::records::{Placement, Record, RunNumber, RunOutcome};
 use super::super::spec::{StageKey, TaskIndex, TaskKey};
 use super::super::state::TaskProgress;
 use super::Now;
 use super::gang_sizes::band;
+use super::given_up_runs::GivenUpRun;
 use super::renewals::millis_since;
 use super::term::{Effect, Order, OrderKind, RunPhase, Term};
 use crate::ids::{Incarnation, JobId, WorkerId};
@@ -91,6 +91,15 @@
             checkpoint,
             at_unix_ms: now.unix_ms,
         });
+        if matches!(outcome, RunOutcome::Lost | RunOutcome::NeverStarted)
+            && let Some(stage) = self.stages.get_mut(&task.stage)
+        {
+            stage.note_given_up(GivenUpRun {
+                task: task.index,
+                run: run.run,
+                worker: run.worker.clone(),
+            });
+        }
         self.update_stage(task, was_open, now);
         let gang = self.is_gang(&task.stage);
         if gang && outcome != RunOutcome::Succeeded {
@@ -98,37 +107,6 @@
         }
     }
 
-    /// Records the success of a run that was given up, if its task waits for the next one, and returns
-    /// whether it does. The end is acknowledged, and the task would run again after it.
-    pub(super) fn finish_given_up_run(&mut self, ended: ListedRun, now: Now) -> bool {
-        let task = ended.task;
-        let waits = self.state.task(&task).is_some_and(|latest| {
-            latest.run == ended.run && latest.progress == TaskProgress::Waiting
-        });
-        let job = self.state.jobs.get(&task.stage.job);
-        let spec = job.and_then(|job| job.stage_spec(task.stage.stage));
-        let ends_task = spec.is_some_and(|spec| !spec.lasting);
-        if !waits || !ends_task || !self.is_open(&task.stage.job) {
-            return false;
-        }
-        if let Some(stage) = self.stages.get_mut(&task.stage) {
-            let before = stage.waiting.len();
-            stage.waiting.retain(|index| *index != task.index);
-            let removed = before - stage.waiting.len();
-            self.subtract_waiting_tasks(&task.stage, removed);
-        }
-        self.record(Record::RunEnded {
-            task: task.clone(),
-            run: ended.run,
-            outcome: RunOutcome::Succeeded,
-            checkpoint: ended.checkpoint,
-            at_unix_ms: now.unix_ms,
-        });
-        self.clear_suspect(&task);
-        self.update_stage(&task, true, now);
-        true
-    }
-
     pub(super) fn is_gang(&self, key: &StageKey) -> bool {
         let job = self.state.jobs.get(&key.job);
         let spec = job.and_then(|job| job.stage_spec(key.stage));
@@ -140,7 +118,7 @@
         job.is_some_and(super::super::state::Job::is_open)
     }
 
-    fn update_stage(&mut self, task: &TaskKey, was_open: bool, now: Now) {
+    pub(super) fn update_stage(&mut self, task: &TaskKey, was_open: bool, now: Now) {
         let Some(job) = self.state.jobs.get(&task.stage.job) else {
             return;
         };
--- a/src/workflow/placer/takeover.rs
+++ b/src/workflow/placer/takeover.rs
@@ -204,6 +204,7 @@
                 renewal_is_incomplete: false,
                 lacks_capacity: false,
                 next_gathering_at: now.at,
+                given_up: VecDeque::new(),
                 room_whole_since: None,
                 renewals: 0,
                 next_question_at: now.at,
--- a/src/workflow/placer/term.rs
+++ b/src/workflow/placer/term.rs
@@ -22,6 +22,7 @@
 use super::claims::Claim;
 use super::crashes::CrashWatch;
 use super::customers::{Charge, LiveCustomers};
+use super::given_up_runs::GivenUpRun;
 use super::growth::GrantedWorkers;
 use super::passes::Passes;
 use super::place_waits::PlaceWait;
@@ -259,6 +260,8 @@
     pub next_worker_search_at: Instant,
     /// Tasks that wait for a run.
     pub waiting: Vec<TaskIndex>,
+    /// The latest runs that were given up: their workers may still list them as done.
+    pub given_up: VecDeque<GivenUpRun>,
     /// Workers on which tasks succeeded in their first run, with the run times in milliseconds; none
     /// for a gang, whose members all end with the slowest.
     pub run_times_ms: Vec<(WorkerId, u64)>,
--- a/src/workflow/placer/tests.rs
+++ b/src/workflow/placer/tests.rs
@@ -17,6 +17,7 @@
 mod fixture;
 mod gang_sizes;
 mod gangs;
+mod given_up_runs;
 mod grown_cell;
 mod idle_room;
 mod leadership;
--- a/src/workflow/placer/tests/runs.rs
+++ b/src/workflow/placer/tests/runs.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::super::term::{OrderKind, RunPhase};
-use super::claims::step;
 use super::fixture::*;
 use crate::workflow::calls::{Call, CallFailure, ListedRun, OrderAnswer, OrderOutcome};
 use crate::workflow::queues::QueueAddress;
@@ -50,36 +49,6 @@
     assert_eq!(fixture.term.workers["w"].recorded_ends, 2);
 }
 
-/// Guards against finished work that runs again: a run was given up with the lease of its worker, which
-/// lists its end as done while the task waits for its next run. The other task still needs one.
-#[test]
-fn a_given_up_run_that_is_done_does_not_run_again() {
-    let mut fixture = Fixture::new();
-    fixture.announce("w");
-    fixture.submit(vec![stage(2)]);
-    fixture.commit_all();
-    fixture.answer_starts(OrderOutcome::Done);
-    fixture.report("w", vec![listed(0, 1), listed(1, 1)], vec![]);
-    while !fixture.term.runs.is_empty() {
-        fixture.fail_to_answer("w", &CallFailure::NoAnswer("cut off".to_owned()));
-        step(&mut fixture);
-    }
-    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
-    for _ in 0..10 {
-        step(&mut fixture);
-        fixture.commit_all();
-    }
-    let runs: Vec<_> = fixture.term.runs.values().map(|run| run.run).collect();
-    assert_eq!(runs, [2]);
-    assert!(!fixture.term.runs.contains_key(&task(0)));
-    let end = listed_end(2, 1, 2, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
-    assert_eq!(fixture.phase(), JobPhase::Completed);
-}
-
 /// Guards against a task that is started again while a lease of an earlier leader may still be
 /// valid: the worker answered the new leader once and then became unreachable.
 #[test]
