test: faults of start orders without permits that the search left out

Cause: the search accepted an order by the restarts since it was sent, so that orders sent to an incarnation that the cell did not know showed up as new, and further copies of orders whose run had ended as done, or was adopted by a new placer, did not show at all.

What is found beside it, and the further ways into that fault, have tests of their own.

--- a/src/workflow/placer/tests/call_orders.rs
+++ b/src/workflow/placer/tests/call_orders.rs
@@ -129,3 +129,17 @@
 fn an_acknowledgement_of_a_former_relay_erases_no_end_of_a_permitted_run() {
     expect_no_violation(&Plan::draw(40_492, true));
 }
+
+/// Guards against finished work that runs again: a further copy of a start order whose run has ended as
+/// done is carried out by the incarnation after the one that ran it.
+#[test]
+fn a_further_copy_of_a_start_order_runs_no_finished_work() {
+    expect_no_violation(&Plan::draw(3_807, false));
+}
+
+/// Guards against two runs at once: a run of a former placer that its worker lists has another copy of
+/// its start order under way, which the next incarnation carries out before the lease counts as expired.
+#[test]
+fn a_further_copy_of_an_adopted_start_order_does_not_outlive_its_run() {
+    expect_no_violation(&Plan::draw(4_814, false));
+}
--- a/src/workflow/placer/tests/call_orders/check.rs
+++ b/src/workflow/placer/tests/call_orders/check.rs
@@ -7,6 +7,7 @@
 use crate::workflow::calls::StartOrder;
 use crate::workflow::records::RunNumber;
 use crate::workflow::spec::TaskKey;
+use crate::workflow::state::TaskProgress;
 
 /// A start of a run.
 #[derive(Clone)]
@@ -30,21 +31,29 @@
 
 impl Cell {
     /// Whether a start is an accepted fault (KNOWN-RED.txt, issue 63): an order without a permit for a
-    /// former life of a worker that restarted twice since, or after the run had begun, or a later one.
-    pub(super) fn is_accepted(&self, id: &WorkerId, order: &StartOrder, sent_at: Instant) -> bool {
-        let births = &self.workers[id].births;
-        let restarts = births.iter().filter(|born_at| **born_at > sent_at).count();
-        let mut starts = self.starts.iter();
-        let is_successor = |start: &Started| {
-            let is_before = births.last().is_some_and(|born_at| start.at < *born_at);
-            start.task == order.task && start.run >= order.run && is_before
-        };
-        order.permit.is_none() && (restarts > 1 || (restarts == 1 && starts.any(is_successor)))
+    /// former life of a worker, whose run the placer has given up.
+    pub(super) fn is_accepted(
+        &self,
+        id: &WorkerId,
+        order: &StartOrder,
+        meant_for: Incarnation,
+    ) -> bool {
+        let latest = self.term.state.task(&order.task);
+        let is_given_up = latest.is_none_or(|latest| {
+            let waits = latest.progress == TaskProgress::Waiting;
+            latest.run > order.run || (latest.run == order.run && waits)
+        });
+        order.permit.is_none() && meant_for < self.workers[id].lives && is_given_up
     }
 
-    pub(super) fn check_start(&mut self, id: &WorkerId, order: &StartOrder, sent_at: Instant) {
+    pub(super) fn check_start(
+        &mut self,
+        id: &WorkerId,
+        order: &StartOrder,
+        meant_for: Incarnation,
+    ) {
         let (task, run) = (&order.task, order.run);
-        let is_accepted = self.is_accepted(id, order, sent_at);
+        let is_accepted = self.is_accepted(id, order, meant_for);
         let is_sound = |start: &&Started| start.task == *task && !start.is_accepted;
         let is_running = |start: &&Started| {
             let worker = &self.workers[&start.worker];
--- a/src/workflow/placer/tests/call_orders/start_orders.rs
+++ b/src/workflow/placer/tests/call_orders/start_orders.rs
@@ -74,7 +74,7 @@
         }
         let id = link.target.worker.clone();
         let token = fencing_token(start.order.fence, link.target.generation);
-        let request = Request::Start(start.order.clone(), token);
+        let request = Request::Start(start.order.clone(), token, link.target.incarnation);
         let done = move |cell: &mut Cell, result: Result<Answer, CallFailure>| {
             let result = match result {
                 Ok(Answer::Order(answer)) => Ok(answer),
--- a/src/workflow/placer/tests/call_orders/worker.rs
+++ b/src/workflow/placer/tests/call_orders/worker.rs
@@ -25,7 +25,8 @@
 /// A call with its fencing token.
 #[derive(Clone, Debug)]
 pub(super) enum Request {
-    Start(StartOrder, u64),
+    /// With the incarnation that the order is meant for.
+    Start(StartOrder, u64, Incarnation),
     Stop(StopOrder, u64),
     Renew(RenewOrder, u64),
 }
@@ -42,7 +43,7 @@
 
     fn token(&self) -> u64 {
         match self {
-            Self::Start(_, token) | Self::Stop(_, token) | Self::Renew(_, token) => *token,
+            Self::Start(_, token, _) | Self::Stop(_, token) | Self::Renew(_, token) => *token,
         }
     }
 }
@@ -51,8 +52,6 @@
     /// The process that runs, if any.
     pub life: Option<Life>,
     pub lives: Incarnation,
-    /// When each life began.
-    pub births: Vec<Instant>,
 }
 
 impl Worker {
@@ -104,7 +103,6 @@
         let worker = Worker {
             life: None,
             lives: 0,
-            births: Vec::new(),
         };
         self.workers.insert(id.clone(), worker);
         self.begin_life(&id, Duration::from_secs(100));
@@ -124,7 +122,6 @@
         let clock_rate = if self.chance(50) { 980 } else { 1_000 };
         let worker = &mut self.workers[id];
         worker.lives += 1;
-        worker.births.push(self.now.at);
         let incarnation = worker.lives;
         worker.life = Some(Life {
             born_at: self.now.at - age,
@@ -190,7 +187,7 @@
         let line = request.clone();
         let outcome = match request {
             _ if is_fenced => OrderOutcome::Fenced,
-            Request::Start(order, _) => self.start(id, incarnation, order, sent_at),
+            Request::Start(order, _, meant_for) => self.start(id, incarnation, order, meant_for),
             Request::Stop(order, _) => {
                 self.stop(id, incarnation, order);
                 OrderOutcome::Done
@@ -216,7 +213,7 @@
         id: &WorkerId,
         incarnation: Incarnation,
         order: StartOrder,
-        sent_at: Instant,
+        meant_for: Incarnation,
     ) -> OrderOutcome {
         let now = self.now.at;
         let is_permitted = order.permit.as_ref().is_none_or(|permit| {
@@ -254,7 +251,7 @@
         if !is_permitted {
             return OrderOutcome::PermitInvalid;
         }
-        self.check_start(id, &order, sent_at);
+        self.check_start(id, &order, meant_for);
         self.extend_lease(id, incarnation, order.lease_until_clock_ms);
         let life = self.workers[id].life.as_mut().unwrap();
         life.running.insert(order.task.clone(), order.run);
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -395,3 +395,69 @@
     fixture.announce("v");
     expect_run_until(&mut fixture, "w", 1, born_at + lease_until);
 }
+
+/// Guards against two runs at once: a start order has no answer, and the next incarnation of the worker
+/// does not list the run. The incarnation after that one may still carry out the order (issue 63).
+#[test]
+fn a_task_does_not_start_elsewhere_while_a_start_order_to_a_former_incarnation_is_open() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let sent_at = fixture.now.at;
+    fixture.announce("v");
+    fixture.restart("w");
+    fixture.advance(Duration::from_millis(20));
+    fixture.report("w", vec![], vec![]);
+    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
+    while fixture.now.at < sent_at + LATE_CALL_LIMIT {
+        step(&mut fixture);
+        assert!(matches!(run_number(&fixture), None | Some(1)));
+    }
+}
+
+/// Guards against two runs at once: a worker lists a former run of a task as running, and the start
+/// order of the latest one is sent to it before that run has ended.
+#[test]
+fn a_start_order_waits_for_the_end_of_a_former_run_that_its_worker_lists() {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let answer = OrderAnswer {
+        outcome: OrderOutcome::Done,
+        clock_ms: Some(fixture.clock_ms()),
+    };
+    let (task, run) = (task(0), 1);
+    let unanswered = RelayEventKind::StartUnanswered {
+        task: task.clone(),
+        run,
+        may_have_arrived: true,
+    };
+    for kind in [
+        unanswered,
+        RelayEventKind::StopAnswered { task, run, answer },
+    ] {
+        let event = RelayEvent {
+            worker: "w".to_owned(),
+            incarnation: 1,
+            kind,
+        };
+        let (relay, now) = (fixture.relay(), fixture.now);
+        fixture.term.handle_relay_event(&relay, event, now);
+    }
+    fixture.advance(Duration::from_millis(100));
+    fixture.report("w", vec![], vec![]);
+    step(&mut fixture);
+    assert_eq!(send_starts(&mut fixture), [(0, 2)]);
+    fixture.restart("w");
+    fixture.advance(Duration::from_millis(20));
+    fixture.report("w", vec![listed(0, 1)], vec![]);
+    for _ in 0..20 {
+        contact(&mut fixture, "entry-1", false);
+        contact(&mut fixture, "entry-2", false);
+        step(&mut fixture);
+        assert_eq!(send_starts(&mut fixture), []);
+        fixture.report("w", vec![listed(0, 1)], vec![]);
+    }
+}
