refactor: tests of given-up runs and open orders share their set-ups

Change: one function gives up the runs on a worker, one lists an end as done, one ends an unanswered run, one checks that a task has no second run.

--- a/src/workflow/placer/tests/given_up_runs.rs
+++ b/src/workflow/placer/tests/given_up_runs.rs
@@ -9,43 +9,48 @@
 use super::permits::permit_until;
 use crate::workflow::calls::{Call, CallFailure, OrderOutcome, PolicyAnswer};
 use crate::workflow::records::RunOutcome;
+use crate::workflow::spec::StageSpec;
 use crate::workflow::state::JobPhase;
 
-/// Lets the worker `w` be silent until its lease has expired and its runs are given up.
-fn give_up_runs_on_w(fixture: &mut Fixture) {
-    while !fixture.term.runs.is_empty() {
-        fixture.fail_to_answer("w", &CallFailure::NoAnswer("cut off".to_owned()));
-        step(fixture);
-    }
-}
-
-/// Guards against finished work that runs again: a run was given up with the lease of its worker, which
-/// lists its end as done while the task waits for its next run. The other task still needs one.
-#[test]
-fn a_given_up_run_that_is_done_does_not_run_again() {
+/// Runs the first stage on the worker `w`, which is then silent until its lease has expired and its runs
+/// are given up.
+fn given_up_on_w(stages: Vec<StageSpec>) -> Fixture {
+    let tasks = stages[0].task_count;
     let mut fixture = Fixture::new();
     fixture.announce("w");
-    fixture.submit(vec![stage(2)]);
+    fixture.submit(stages);
     fixture.commit_all();
     fixture.answer_starts(OrderOutcome::Done);
-    fixture.report("w", vec![listed(0, 1), listed(1, 1)], vec![]);
+    let running = (0..tasks).map(|index| listed(index, 1));
+    fixture.report("w", running.collect(), vec![]);
     while !fixture.term.runs.is_empty() {
         fixture.fail_to_answer("w", &CallFailure::NoAnswer("cut off".to_owned()));
         step(&mut fixture);
     }
-    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
+    fixture
+}
+
+/// Lets the worker `w` list an end as done, and runs some passes.
+fn list_as_done(fixture: &mut Fixture, number: u64, index: u32, run: u32) {
+    let end = listed_end(number, index, run, RunOutcome::Succeeded);
     fixture.report("w", vec![], vec![end]);
     fixture.commit_all();
     for _ in 0..10 {
-        step(&mut fixture);
+        step(fixture);
         fixture.commit_all();
     }
+}
+
+/// Guards against finished work that runs again: a run was given up with the lease of its worker, which
+/// lists its end as done while the task waits for its next run. The other task still needs one.
+#[test]
+fn a_given_up_run_that_is_done_does_not_run_again() {
+    let mut fixture = given_up_on_w(vec![stage(2)]);
+    list_as_done(&mut fixture, 1, 0, 1);
     let runs: Vec<_> = fixture.term.runs.values().map(|run| run.run).collect();
     assert_eq!(runs, [2]);
     assert!(!fixture.term.runs.contains_key(&task(0)));
-    let end = listed_end(2, 1, 2, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
+    list_as_done(&mut fixture, 2, 1, 2);
     assert_eq!(fixture.phase(), JobPhase::Completed);
 }
 
@@ -53,22 +58,11 @@
 /// success of one member of a gang is that of all.
 #[test]
 fn a_given_up_gang_that_is_done_leaves_nothing_behind() {
-    let mut fixture = Fixture::new();
-    fixture.announce("w");
-    fixture.submit(vec![gang(2), stage(1)]);
-    fixture.commit_all();
-    fixture.answer_starts(OrderOutcome::Done);
-    fixture.report("w", vec![listed(0, 1), listed(1, 1)], vec![]);
-    give_up_runs_on_w(&mut fixture);
-    let end = listed_end(1, 1, 1, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
+    let mut fixture = given_up_on_w(vec![gang(2), stage(1)]);
+    list_as_done(&mut fixture, 1, 1, 1);
     let stage = fixture.term.state.jobs[JOB].stage(&task(0).stage).unwrap();
     assert!(stage.is_complete());
     assert!(!fixture.term.stages.contains_key(&task(0).stage));
-    for _ in 0..5 {
-        step(&mut fixture);
-    }
     let runs = fixture.term.runs.keys().map(|key| key.stage.stage);
     assert_eq!(runs.collect::<Vec<_>>(), [1]);
     assert_eq!(fixture.term.waiting_work.before_ms(u32::MAX), 0);
@@ -78,13 +72,7 @@
 /// lists the end of a job that was forgotten, and a later job has its name.
 #[test]
 fn an_end_of_a_forgotten_job_ends_no_task_of_a_later_one() {
-    let mut fixture = Fixture::new();
-    fixture.announce("w");
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    fixture.answer_starts(OrderOutcome::Done);
-    fixture.report("w", vec![listed(0, 1)], vec![]);
-    give_up_runs_on_w(&mut fixture);
+    let mut fixture = given_up_on_w(vec![stage(1)]);
     fixture.call(Call::Cancel(address(JOB)));
     fixture.commit_all();
     while fixture.term.state.jobs.contains_key(JOB) {
@@ -98,9 +86,7 @@
     fixture.commit_all();
     assert!(fixture.term.runs.is_empty());
     fixture.announce("w");
-    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
+    list_as_done(&mut fixture, 1, 0, 1);
     assert_ne!(
         fixture.phase(),
         JobPhase::Completed,
@@ -168,24 +154,13 @@
 /// started, and the task waits again when the end of the first one is listed.
 #[test]
 fn a_given_up_run_that_is_done_counts_after_a_later_run_that_never_started() {
-    let mut fixture = Fixture::new();
-    fixture.announce("w");
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    fixture.answer_starts(OrderOutcome::Done);
-    fixture.report("w", vec![listed(0, 1)], vec![]);
-    give_up_runs_on_w(&mut fixture);
+    let mut fixture = given_up_on_w(vec![stage(1)]);
     fixture.announce("v");
     step(&mut fixture);
     fixture.answer_starts(OrderOutcome::NoRoom);
     fixture.commit_all();
     assert!(fixture.term.runs.is_empty());
-    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
-    for _ in 0..10 {
-        step(&mut fixture);
-    }
+    list_as_done(&mut fixture, 1, 0, 1);
     let runs: Vec<_> = fixture.term.runs.values().map(|run| run.run).collect();
     assert_eq!(runs, [] as [u32; 0]);
     assert_eq!(fixture.phase(), JobPhase::Completed);
@@ -210,12 +185,7 @@
         .term
         .handle_heartbeat(heartbeat("w", 3, 1), fixture.now);
     fixture.advance(Duration::from_millis(20));
-    let end = listed_end(1, 0, 1, RunOutcome::Succeeded);
-    fixture.report("w", vec![], vec![end]);
-    fixture.commit_all();
-    for _ in 0..30 {
-        step(&mut fixture);
-    }
+    list_as_done(&mut fixture, 1, 0, 1);
     assert_eq!(fixture.phase(), JobPhase::Completed);
     assert!(fixture.term.runs.is_empty());
 }
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -1,7 +1,7 @@
 //! Tests that acknowledgements and start orders of different relays, or of an earlier placer, cannot
 //! be carried out together by the next incarnation of a worker.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::super::reports::target;
 use super::super::term::RunPhase;
@@ -300,6 +300,44 @@
     assert_eq!(acknowledged(&mut fixture), 1);
 }
 
+/// Lets the start order of the task have no answer: the worker `w` confirms the stop, and does not list
+/// the run.
+fn end_unanswered_run(fixture: &mut Fixture) {
+    let answer = OrderAnswer {
+        outcome: OrderOutcome::Done,
+        clock_ms: Some(fixture.clock_ms()),
+    };
+    let (task, run) = (task(0), 1);
+    let unanswered = RelayEventKind::StartUnanswered {
+        task: task.clone(),
+        run,
+        may_have_arrived: true,
+    };
+    for kind in [
+        unanswered,
+        RelayEventKind::StopAnswered { task, run, answer },
+    ] {
+        let event = RelayEvent {
+            worker: "w".to_owned(),
+            incarnation: 1,
+            kind,
+        };
+        let (relay, now) = (fixture.relay(), fixture.now);
+        fixture.term.handle_relay_event(&relay, event, now);
+    }
+    fixture.advance(Duration::from_millis(100));
+    fixture.report("w", vec![], vec![]);
+}
+
+/// Lets the worker `w` crash, and checks that the task has no second run before a time.
+fn expect_no_second_run_until(fixture: &mut Fixture, until: Instant) {
+    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
+    while fixture.now.at < until {
+        step(fixture);
+        assert!(matches!(run_number(fixture), None | Some(1)));
+    }
+}
+
 /// Guards against two runs of a task at once: the known incarnation of a worker shows that it does not
 /// run the task, and its next incarnation carries out an attempt of the start order that is still on
 /// its way.
@@ -311,38 +349,8 @@
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
     let sent_at = fixture.now.at;
     fixture.announce("v");
-    let event = RelayEvent {
-        worker: "w".to_owned(),
-        incarnation: 1,
-        kind: RelayEventKind::StartUnanswered {
-            task: task(0),
-            run: 1,
-            may_have_arrived: true,
-        },
-    };
-    let (relay, now) = (fixture.relay(), fixture.now);
-    fixture.term.handle_relay_event(&relay, event, now);
-    let stop = OrderAnswer {
-        outcome: OrderOutcome::Done,
-        clock_ms: Some(fixture.clock_ms()),
-    };
-    let event = RelayEvent {
-        worker: "w".to_owned(),
-        incarnation: 1,
-        kind: RelayEventKind::StopAnswered {
-            task: task(0),
-            run: 1,
-            answer: stop,
-        },
-    };
-    fixture.term.handle_relay_event(&relay, event, now);
-    fixture.advance(Duration::from_millis(100));
-    fixture.report("w", vec![], vec![]);
-    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
-    while fixture.now.at < sent_at + LATE_CALL_LIMIT {
-        step(&mut fixture);
-        assert!(matches!(run_number(&fixture), None | Some(1)));
-    }
+    end_unanswered_run(&mut fixture);
+    expect_no_second_run_until(&mut fixture, sent_at + LATE_CALL_LIMIT);
 }
 
 /// Guards against two runs of a task at once after a change of the placer: the known incarnation shows that
@@ -359,16 +367,7 @@
     fixture.announce("v");
     fixture.report("w", vec![], vec![]);
     fixture.commit_all();
-    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
-    while fixture.now.at < began_at + LATE_CALL_LIMIT {
-        step(&mut fixture);
-        let run = fixture.term.runs.get(&task(0)).map(|run| run.run);
-        assert!(
-            matches!(run, None | Some(1)),
-            "run 2 after {:?}",
-            fixture.now.at - began_at
-        );
-    }
+    expect_no_second_run_until(&mut fixture, began_at + LATE_CALL_LIMIT);
 }
 
 /// Guards against two runs of a task at once: the next incarnation of a young worker answered the start
@@ -409,11 +408,7 @@
     fixture.restart("w");
     fixture.advance(Duration::from_millis(20));
     fixture.report("w", vec![], vec![]);
-    fixture.fail_to_answer("w", &CallFailure::NoAnswer("crashed".to_owned()));
-    while fixture.now.at < sent_at + LATE_CALL_LIMIT {
-        step(&mut fixture);
-        assert!(matches!(run_number(&fixture), None | Some(1)));
-    }
+    expect_no_second_run_until(&mut fixture, sent_at + LATE_CALL_LIMIT);
 }
 
 /// Guards against two runs at once: a worker lists a former run of a task as running, and the start
@@ -424,30 +419,7 @@
     fixture.submit(vec![stage(1)]);
     fixture.commit_all();
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
-    let answer = OrderAnswer {
-        outcome: OrderOutcome::Done,
-        clock_ms: Some(fixture.clock_ms()),
-    };
-    let (task, run) = (task(0), 1);
-    let unanswered = RelayEventKind::StartUnanswered {
-        task: task.clone(),
-        run,
-        may_have_arrived: true,
-    };
-    for kind in [
-        unanswered,
-        RelayEventKind::StopAnswered { task, run, answer },
-    ] {
-        let event = RelayEvent {
-            worker: "w".to_owned(),
-            incarnation: 1,
-            kind,
-        };
-        let (relay, now) = (fixture.relay(), fixture.now);
-        fixture.term.handle_relay_event(&relay, event, now);
-    }
-    fixture.advance(Duration::from_millis(100));
-    fixture.report("w", vec![], vec![]);
+    end_unanswered_run(&mut fixture);
     step(&mut fixture);
     assert_eq!(send_starts(&mut fixture), [(0, 2)]);
     fixture.restart("w");
