--- a/src/workflow/decisions/open_calls.rs
+++ b/src/workflow/decisions/open_calls.rs
@@ -9,8 +9,25 @@
 
 use std::time::{Duration, Instant};
 
+use super::super::calls::{OrderAnswer, OrderOutcome};
+use super::leases::ClockReading;
 use crate::ids::{Epoch, Generation, Incarnation};
 
+/// Whether a later incarnation than the known one may have carried out a start order that was answered.
+/// Such answers name no incarnation; `known` is the clock of the known one.
+pub fn may_run_elsewhere(known: Option<ClockReading>, answer: &OrderAnswer, now: Instant) -> bool {
+    let clocks = known.zip(answer.clock_ms);
+    let is_known = clocks.is_some_and(|(known, clock_ms)| known.is_same_clock(clock_ms, now));
+    answer.outcome == OrderOutcome::Done && !is_known
+}
+
+/// Whether ends may be acknowledged that may be so since a time: the worker has to have answered a call
+/// that was sent after it. `confirmed_at` is when the latest call was sent, if that was answered.
+pub fn has_answered_since(since: Option<Instant>, confirmed_at: Option<Instant>) -> bool {
+    let times = since.zip(confirmed_at);
+    times.is_some_and(|(since, sent_at)| since < sent_at)
+}
+
 /// What becomes of an acknowledgement that is due.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AcknowledgementStep {
@@ -93,18 +110,22 @@
         late_call_limit: Duration,
     ) {
         // The permit is for an incarnation that was at work when the order was sent.
-        let until = if has_permit {
-            now
+        let late = if has_permit {
+            Duration::ZERO
         } else {
-            now + late_call_limit
+            late_call_limit
         };
-        self.starts_open_until = self.starts_open_until.max(Some(until));
+        self.keep_starts_open(now + late);
     }
 
     /// Notes that a start order was answered by an incarnation that is not certainly this one: a later
     /// one may run the task. Such answers name no incarnation.
     pub fn note_unknown_answer(&mut self, now: Instant) {
-        self.starts_open_until = self.starts_open_until.max(Some(now));
+        self.keep_starts_open(now);
+    }
+
+    fn keep_starts_open(&mut self, until: Instant) {
+        self.starts_open_until = self.starts_open_until.max(Some(until));
     }
 
     /// Begins an acknowledgement if it may be sent. Otherwise it waits until the deadline, and start
@@ -118,10 +139,10 @@
             AcknowledgementStep::Begun
         } else if self.is_start_late(now) || now >= deadline {
             AcknowledgementStep::Refused
-        } else if self.starts > 0 || self.is_acknowledging {
-            AcknowledgementStep::AwaitsAnswers
-        } else {
+        } else if self.is_idle() {
             AcknowledgementStep::NeedsLaterAnswer
+        } else {
+            AcknowledgementStep::AwaitsAnswers
         };
         self.is_acknowledging |= step == AcknowledgementStep::Begun;
         self.acknowledgement_waits = matches!(
@@ -134,8 +155,12 @@
     /// Whether an acknowledgement may be sent. Only one is on its way: `is_acknowledging` could not
     /// tell which of two has been answered.
     pub fn may_acknowledge(&self) -> bool {
-        let is_idle = self.starts == 0 && !self.is_acknowledging;
-        is_idle && self.starts_open_until.is_none()
+        self.is_idle() && self.starts_open_until.is_none()
+    }
+
+    /// Whether no answer is awaited.
+    fn is_idle(&self) -> bool {
+        self.starts == 0 && !self.is_acknowledging
     }
 
     /// Whether a start order was given up that a later incarnation may still carry out.
@@ -153,7 +178,6 @@
     /// Whether nothing has to be remembered of a worker that is not served: if it is served again, it
     /// answers a later call before all else.
     pub fn is_settled(&self, now: Instant) -> bool {
-        let is_idle = self.starts == 0 && !self.is_acknowledging;
-        is_idle && !self.is_start_late(now) && self.unanswered_acknowledgement.is_none()
+        self.is_idle() && !self.is_start_late(now) && self.unanswered_acknowledgement.is_none()
     }
 }
--- a/src/workflow/placer/backlog.rs
+++ b/src/workflow/placer/backlog.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use super::super::spec::StageKey;
+use super::super::spec::{StageKey, TaskIndex};
 use super::gang_sizes::band;
 use super::search::StageNeeds;
 use super::term::Term;
@@ -92,6 +92,22 @@
         }
     }
 
+    /// Removes tasks of a stage that no longer wait, also from the sums, and returns how many are left.
+    pub(super) fn remove_waiting_tasks(
+        &mut self,
+        key: &StageKey,
+        is_removed: impl Fn(TaskIndex) -> bool,
+    ) -> usize {
+        let Some(stage) = self.stages.get_mut(key) else {
+            return 0;
+        };
+        let before = stage.waiting.len();
+        stage.waiting.retain(|task| !is_removed(*task));
+        let left = stage.waiting.len();
+        self.subtract_waiting_tasks(key, before - left);
+        left
+    }
+
     /// Marks a stage as too late to count, which is final: other jobs do not wait for its work.
     pub(super) fn mark_too_late(&mut self, position: usize) {
         let Some((_, stage)) = self.stages.get_index_mut(position) else {
--- a/src/workflow/placer/given_up_runs.rs
+++ b/src/workflow/placer/given_up_runs.rs
@@ -1,13 +1,13 @@
 //! Runs that the placer took for over without a listed end. A worker that was cut off, or a list that
 //! was late, may show afterwards that such a run has done its work.
 
-use super::super::calls::ListedRun;
+use super::super::calls::{ListedEnd, ListedRun};
 use super::super::records::{Record, RunNumber, RunOutcome};
 use super::super::spec::{TaskIndex, TaskKey};
 use super::super::state::TaskProgress;
 use super::Now;
 use super::term::{LiveRun, LiveStage, Term};
-use crate::ids::WorkerId;
+use crate::ids::{Incarnation, WorkerId};
 
 /// Number of runs of a stage that are remembered after they were given up.
 const MAX_GIVEN_UP_RUNS: usize = 256;
@@ -42,15 +42,37 @@
 }
 
 impl Term {
-    /// Takes the success of a run that was given up for that of its task, unless a later run is placed;
-    /// if that one is given up as well, the task has succeeded. The end is acknowledged, and the task
-    /// would run again after it. Returns whether the run is known.
-    pub(super) fn finish_given_up_run(
+    /// Handles the end of a run that is not the latest of its task on that worker.
+    pub(super) fn handle_former_end(
         &mut self,
         worker: &WorkerId,
-        ended: ListedRun,
+        incarnation: Incarnation,
+        end: &ListedEnd,
         now: Now,
-    ) -> bool {
+    ) {
+        let has_succeeded = end.outcome == RunOutcome::Succeeded;
+        if has_succeeded && self.finish_given_up_run(worker, end.run.clone(), now) {
+            log::warn!(
+                task:% = end.run.task, run = end.run.run, worker = worker.as_str(),
+                incarnation, number = end.number;
+                "a run that was given up has succeeded; its task does not wait for another run"
+            );
+            return;
+        }
+        let latest = self.runs.get(&end.run.task);
+        log::info!(
+            task:% = end.run.task, run = end.run.run, worker = worker.as_str(),
+            incarnation, number = end.number, outcome:% = end.outcome,
+            latest_run:? = latest.map(|latest| latest.run),
+            latest_worker:? = latest.map(|latest| &latest.worker);
+            "ignored the end of a run that is not the latest"
+        );
+    }
+
+    /// Takes the success of a run that was given up for that of its task, unless a later run is placed;
+    /// if that one is given up as well, the task has succeeded. The end is acknowledged, and the task
+    /// would run again after it. Returns whether the run is known.
+    fn finish_given_up_run(&mut self, worker: &WorkerId, ended: ListedRun, now: Now) -> bool {
         let task = ended.task;
         let job = self.state.jobs.get(&task.stage.job);
         let spec = job.and_then(|job| job.stage_spec(task.stage.stage));
@@ -71,11 +93,7 @@
         let Some(latest_run) = waiting_run else {
             return true;
         };
-        let before = stage.waiting.len();
-        stage.waiting.retain(|index| *index != task.index);
-        let left = stage.waiting.len();
-        self.subtract_waiting_tasks(&task.stage, before - left);
-        if left == 0 {
+        if self.remove_waiting_tasks(&task.stage, |index| index == task.index) == 0 {
             self.place_waits.shift_remove(&task.stage);
         }
         self.record(Record::RunEnded {
--- a/src/workflow/placer/reports.rs
+++ b/src/workflow/placer/reports.rs
@@ -229,24 +229,7 @@
                 .is_some_and(|current| current.run == end.run.run && current.worker == *worker);
             if !matches {
                 let incarnation = live.record.incarnation;
-                let latest = current.map(|latest| (latest.run, latest.worker.clone()));
-                if end.outcome == RunOutcome::Succeeded
-                    && self.finish_given_up_run(worker, end.run.clone(), now)
-                {
-                    log::warn!(
-                        task:% = end.run.task, run = end.run.run, worker = worker.as_str(),
-                        incarnation, number = end.number;
-                        "a run that was given up has succeeded; its task does not wait for another run"
-                    );
-                    continue;
-                }
-                log::info!(
-                    task:% = end.run.task, run = end.run.run, worker = worker.as_str(),
-                    incarnation, number = end.number, outcome:% = end.outcome,
-                    latest_run:? = latest.as_ref().map(|latest| latest.0),
-                    latest_worker:? = latest.as_ref().map(|latest| &latest.1);
-                    "ignored the end of a run that is not the latest"
-                );
+                self.handle_former_end(worker, incarnation, end, now);
                 continue;
             }
             self.update_worker_health(worker, end, now);
--- a/src/workflow/placer/runs.rs
+++ b/src/workflow/placer/runs.rs
@@ -22,12 +22,10 @@
         placements: Vec<Placement>,
         now: Now,
     ) {
+        let placed: IndexSet<TaskIndex> =
+            placements.iter().map(|placement| placement.task).collect();
+        let left = self.remove_waiting_tasks(key, |task| placed.contains(&task));
         if let Some(stage) = self.stages.get_mut(key) {
-            let placed: IndexSet<TaskIndex> =
-                placements.iter().map(|placement| placement.task).collect();
-            let before = stage.waiting.len();
-            stage.waiting.retain(|task| !placed.contains(task));
-            let left = stage.waiting.len();
             if stage.needs.gang && !stage.too_late {
                 self.size_shares.record_placed(band(&stage.needs));
             }
@@ -46,7 +44,6 @@
                 gathered_ms, whole_ms, renewals;
                 "tasks placed"
             );
-            self.subtract_waiting_tasks(key, before - left);
             self.note_place_start(key, &placements, left, now.at);
         }
         self.record(Record::RunsPlaced {
--- a/src/workflow/placer/tests/call_orders/relay.rs
+++ b/src/workflow/placer/tests/call_orders/relay.rs
@@ -11,7 +11,7 @@
 use crate::workflow::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
 use crate::workflow::decisions::leases::ClockReading;
-use crate::workflow::decisions::open_calls::{AcknowledgementStep, OpenCalls};
+use crate::workflow::decisions::open_calls::{AcknowledgementStep, OpenCalls, has_answered_since};
 use crate::workflow::relay::link::{
     CONFIRMATION_VALIDITY, GRANT_LIFETIME, LIST_INTERVAL, RECORD_WAIT, RENEWAL_GRACE, RENEWAL_WAIT,
     RETRY_PAUSE, UNACKNOWLEDGED_PAUSE,
@@ -201,10 +201,8 @@
             self.end_link(number);
             return;
         }
-        let since = link.acknowledges_since;
-        let may_acknowledge =
-            since.is_some_and(|since| link.confirmed_at.is_some_and(|sent_at| since < sent_at));
-        let is_unacknowledged = may_acknowledge && link.recorded_ends > link.acknowledged_ends;
+        let is_unacknowledged = has_answered_since(link.acknowledges_since, link.confirmed_at)
+            && link.recorded_ends > link.acknowledged_ends;
         let order = RenewOrder {
             fence: link.epoch,
             lease_until_clock_ms: link
--- a/src/workflow/placer/tests/call_orders/start_orders.rs
+++ b/src/workflow/placer/tests/call_orders/start_orders.rs
@@ -5,8 +5,9 @@
 use super::cell::{Answer, Cell, LATE_CALL_LIMIT};
 use super::relay::POLL;
 use super::worker::Request;
-use crate::workflow::calls::{CallFailure, OrderAnswer, OrderOutcome, StartOrder, WorkerTarget};
+use crate::workflow::calls::{CallFailure, OrderAnswer, StartOrder, WorkerTarget};
 use crate::workflow::decisions::fencing::fencing_token;
+use crate::workflow::decisions::open_calls::may_run_elsewhere;
 use crate::workflow::relay::messages::RelayEventKind;
 use crate::workflow::relay::orders::{ORDER_ATTEMPTS, ORDER_TIMEOUT, UNSENT_ORDER_PAUSE};
 
@@ -92,11 +93,9 @@
         let (relay, target) = (link.relay, link.target.clone());
         let has_permit = start.order.permit.is_some();
         let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
-        let may_run_elsewhere = result.as_ref().is_ok_and(|answer| {
-            let clocks = link.clock.zip(answer.clock_ms);
-            let is_known = clocks.is_some_and(|(known, clock)| known.is_same_clock(clock, now));
-            answer.outcome == OrderOutcome::Done && !is_known
-        });
+        let answer = result.as_ref();
+        let may_run_elsewhere =
+            answer.is_ok_and(|answer| may_run_elsewhere(link.clock, answer, now));
         self.relays[relay].update(&target, |calls| {
             calls.starts = calls.starts.saturating_sub(1);
             if may_run_elsewhere {
--- a/src/workflow/placer/tests/open_calls.rs
+++ b/src/workflow/placer/tests/open_calls.rs
@@ -44,6 +44,15 @@
     fixture
 }
 
+/// Creates a term with one worker to which the start order of a task has just been sent.
+fn with_sent_start() -> Fixture {
+    let mut fixture = with_relays(Fixture::new());
+    fixture.submit(vec![stage(1)]);
+    fixture.commit_all();
+    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    fixture
+}
+
 /// Lets the relay of the worker fail, so that the other one serves it.
 fn change_relay(fixture: &mut Fixture) {
     let former = fixture.term.workers["w"].relay.clone().unwrap();
@@ -64,10 +73,7 @@
 /// order of the former one that has no answer.
 #[test]
 fn a_new_relay_acknowledges_nothing_while_start_orders_of_the_former_one_are_open() {
-    let mut fixture = with_relays(Fixture::new());
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_sent_start();
     change_relay(&mut fixture);
     let changed_at = fixture.now.at;
     record_end(&mut fixture);
@@ -199,10 +205,7 @@
 /// refuse the order of the former relay, while that of the new one is on its way.
 #[test]
 fn a_start_order_that_the_token_of_a_new_relay_overtakes_does_not_stop_the_run() {
-    let mut fixture = with_relays(Fixture::new());
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_sent_start();
     let former = fixture.relay();
     change_relay(&mut fixture);
     assert_eq!(send_starts(&mut fixture), [(0, 1)]);
@@ -244,10 +247,7 @@
 /// of a long run as sent just before.
 #[test]
 fn relay_changes_during_a_long_run_do_not_put_off_acknowledgements() {
-    let mut fixture = with_relays(Fixture::new());
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_sent_start();
     let first = fixture.relay();
     report_start_answer(&mut fixture, &first, OrderOutcome::Done, true);
     fixture.advance(5 * LATE_CALL_LIMIT);
@@ -343,10 +343,7 @@
 /// its way.
 #[test]
 fn a_task_does_not_start_elsewhere_while_a_start_order_is_open() {
-    let mut fixture = with_relays(Fixture::new());
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_sent_start();
     let sent_at = fixture.now.at;
     fixture.announce("v");
     end_unanswered_run(&mut fixture);
@@ -399,10 +396,7 @@
 /// does not list the run. The incarnation after that one may still carry out the order (issue 63).
 #[test]
 fn a_task_does_not_start_elsewhere_while_a_start_order_to_a_former_incarnation_is_open() {
-    let mut fixture = with_relays(Fixture::new());
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_sent_start();
     let sent_at = fixture.now.at;
     fixture.announce("v");
     fixture.restart("w");
@@ -415,10 +409,7 @@
 /// order of the latest one is sent to it before that run has ended.
 #[test]
 fn a_start_order_waits_for_the_end_of_a_former_run_that_its_worker_lists() {
-    let mut fixture = with_relays(Fixture::new());
-    fixture.submit(vec![stage(1)]);
-    fixture.commit_all();
-    assert_eq!(send_starts(&mut fixture), [(0, 1)]);
+    let mut fixture = with_sent_start();
     end_unanswered_run(&mut fixture);
     step(&mut fixture);
     assert_eq!(send_starts(&mut fixture), [(0, 2)]);
--- a/src/workflow/relay/link.rs
+++ b/src/workflow/relay/link.rs
@@ -6,6 +6,7 @@
 
 use super::super::calls::{CallFailure, RenewOrder, WorkerReport, WorkerTarget};
 use super::super::decisions::leases::ClockReading;
+use super::super::decisions::open_calls::has_answered_since;
 use super::messages::{Grant, RelayEventKind};
 use super::open_calls::BegunAcknowledgement;
 use super::{Link, Relay};
@@ -130,13 +131,9 @@
         self.state.lock().unwrap().is_confirmed(Instant::now())
     }
 
-    /// Whether the answer to an order certainly came from the incarnation of the grants. Such answers
-    /// name no incarnation; a later one has another clock.
-    pub(super) fn gave_answer(&self, clock_ms: Option<u64>) -> bool {
-        let known = self.state.lock().unwrap().clock;
-        known
-            .zip(clock_ms)
-            .is_some_and(|(known, clock_ms)| known.is_same_clock(clock_ms, Instant::now()))
+    /// Returns the clock of the incarnation of the grants by its latest list.
+    pub(super) fn clock(&self) -> Option<ClockReading> {
+        self.state.lock().unwrap().clock
     }
 
     fn note_list(&self, clock_ms: u64, now: Instant) {
@@ -164,19 +161,14 @@
         let mut held = None;
         while let Some((mut order, granted_at_ms)) = self.next_renewal(wait, confirmed_at) {
             let begun = self.begin_acknowledgement(relay, &mut order);
+            if matches!(begun, BegunAcknowledgement::NeedsLaterAnswer) {
+                held.get_or_insert_with(|| relay.open_calls.held_starts(&self.target));
+            } else {
+                held = None;
+            }
             let open = match begun {
-                BegunAcknowledgement::NeedsLaterAnswer => {
-                    held.get_or_insert_with(|| relay.open_calls.held_starts(&self.target));
-                    None
-                }
-                BegunAcknowledgement::Open(open) => {
-                    held = None;
-                    Some(open)
-                }
-                BegunAcknowledgement::Refused => {
-                    held = None;
-                    None
-                }
+                BegunAcknowledgement::Open(open) => Some(open),
+                BegunAcknowledgement::NeedsLaterAnswer | BegunAcknowledgement::Refused => None,
             };
             let sent_at = Instant::now();
             let deadline = sent_at + Duration::from_millis(order.wait_ms) + RENEWAL_GRACE;
@@ -279,10 +271,8 @@
         if state.ended || Instant::now() >= state.expires_at {
             return None;
         }
-        let since = state.acknowledges_since;
-        let may_acknowledge =
-            since.is_some_and(|since| confirmed_at.is_some_and(|sent_at| since < sent_at));
-        let is_unacknowledged = may_acknowledge && state.recorded_ends > state.acknowledged_ends;
+        let is_unacknowledged = has_answered_since(state.acknowledges_since, confirmed_at)
+            && state.recorded_ends > state.acknowledged_ends;
         let order = RenewOrder {
             fence: self.epoch,
             lease_until_clock_ms: state
--- a/src/workflow/relay/orders.rs
+++ b/src/workflow/relay/orders.rs
@@ -6,9 +6,8 @@
 
 use crossbeam::channel::Receiver;
 
-use super::super::calls::{
-    CallFailure, OrderAnswer, OrderOutcome, StartOrder, StopOrder, WorkerTarget,
-};
+use super::super::calls::{CallFailure, OrderAnswer, StartOrder, StopOrder, WorkerTarget};
+use super::super::decisions::open_calls::may_run_elsewhere;
 use super::super::instruments::instruments;
 use super::Relay;
 use super::messages::{RelayEventKind, RelayedOrder, WorkerOrder};
@@ -96,8 +95,9 @@
             let sent_at = Instant::now();
             let result = (self.outside.start)(target, order, sent_at + ORDER_TIMEOUT);
             let is_unanswered = result.as_ref().is_err_and(CallFailure::may_have_arrived);
+            let known = self.link(target, order.fence).and_then(|link| link.clock());
             match &result {
-                Ok(answer) if self.may_run_elsewhere(target, order, answer) => {
+                Ok(answer) if may_run_elsewhere(known, answer, Instant::now()) => {
                     open.note_unknown_answer();
                 }
                 Err(_) if is_unanswered => drop(open),
@@ -148,18 +148,6 @@
         self.queue_event(order.fence, target, event);
     }
 
-    /// Whether a later incarnation of the worker may have carried out a start order that was answered.
-    fn may_run_elsewhere(
-        &self,
-        target: &WorkerTarget,
-        order: &StartOrder,
-        answer: &OrderAnswer,
-    ) -> bool {
-        let link = self.link(target, order.fence);
-        answer.outcome == OrderOutcome::Done
-            && !link.is_some_and(|link| link.gave_answer(answer.clock_ms))
-    }
-
     /// Sends a stop order once; the placer repeats it until the run has ended.
     fn send_stop(&self, target: &WorkerTarget, order: StopOrder) {
         let sent_at = Instant::now();
